--- /dev/null
+++ b/src/poplarpass/app/main.cpp
@@ -0,0 +1,7 @@
+#include <cstdio>
+
+auto main() -> int
+{
+    std::puts("poplarpass");
+    return 0;
+}
--- /dev/null
+++ b/src/poplarpass/core.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// \file
+/// \brief Types shared by every module: times, identifiers, errors, invariants and hashing.
+
+#include <poplarpass/core/error.h>
+#include <poplarpass/core/invariant.h>
+#include <poplarpass/core/rendezvous.h>
+#include <poplarpass/core/string_id.h>
+#include <poplarpass/core/time.h>
--- /dev/null
+++ b/tests/decisions/core_test.cpp
@@ -0,0 +1,41 @@
+#include "test_seed.h"
+
+#include <poplarpass/core.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <set>
+
+using namespace poplarpass;
+
+TEST_CASE("every error kind has one row and one name", "[core]")
+{
+    std::set<std::string_view> names;
+    for (const auto &row : core::errorTable()) {
+        CHECK(names.insert(row.name).second);
+        CHECK(core::errorKindNamed(row.name) == row.kind);
+        CHECK(&core::answerOf(row.kind) == &row);
+    }
+    CHECK_FALSE(core::errorKindNamed("no_such_kind"));
+}
+
+TEST_CASE("removing a member moves only the keys of that member", "[core]")
+{
+    std::mt19937_64 random{tests::baseSeed()};
+    std::vector<core::member_id> members;
+    for (int index = 0; index < 9; ++index) {
+        members.emplace_back("entry-" + std::to_string(index));
+    }
+    for (int round = 0; round < 500; ++round) {
+        const auto key = std::to_string(random());
+        const auto home = core::rendezvousHome(key, members);
+        const auto order = core::rendezvousOrder(key, members);
+        CHECK(order.front() == home);
+        auto fewer = members;
+        const auto removed = fewer[random() % fewer.size()];
+        std::erase(fewer, removed);
+        const auto expected = removed == home ? order[1] : home;
+        CHECK(core::rendezvousHome(key, fewer) == expected);
+    }
+}
--- /dev/null
+++ b/tests/test_seed.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+/// Helpers shared by the test suites.
+namespace tests
+{
+/// \brief Seed that a run starts from when POPLARPASS_SEED is not set.
+inline constexpr std::uint64_t defaultSeed = 20261203;
+
+/// \brief Seed of this run, from POPLARPASS_SEED or the default.
+inline auto baseSeed() -> std::uint64_t
+{
+    const char *text = std::getenv("POPLARPASS_SEED");
+    return text == nullptr ? defaultSeed : std::stoull(text);
+}
+} // namespace tests
