Interfaces of configuration, log records and the agreed state

Cause: the fold, the planner and the processes are written side by side and need one set of types. Change: typed records, host and member states, budget view.

--- /dev/null
+++ b/src/poplarpass/fold/budget.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <poplarpass/config/fleet_config.h>
+#include <poplarpass/fold/host_state.h>
+
+#include <span>
+#include <string>
+
+namespace poplarpass::fold
+{
+/// \brief Promise that limits a pool.
+enum class budget_limit {
+    none, ///< Nothing does.
+    capacity, ///< Serving slots less the worst permitted loss would not cover the promise.
+    planned_hosts, ///< As many hosts are out for planned reasons as the profile permits.
+    lost_domain, ///< As much is lost unplanned as the profile permits, so nothing more may be taken.
+};
+
+/// \brief A pool's availability budget at one moment.
+struct budget_view
+{
+    int servingSlots = 0; ///< Slots of hosts that serve.
+    int requiredSlots = 0; ///< Slots that the profile promises.
+    int worstLossSlots = 0; ///< Slots that the worst permitted further loss would take.
+    int plannedOut = 0; ///< Hosts out for planned reasons.
+    int unplannedOut = 0; ///< Hosts lost without a plan.
+    int lostDomains = 0; ///< Loss domains with a host lost without a plan.
+
+    /// \brief Slots above the promise after the worst permitted loss; negative when the budget does not hold.
+    [[nodiscard]] auto spareSlots() const -> int
+    {
+        return servingSlots - worstLossSlots - requiredSlots;
+    }
+};
+
+/// \brief Budget of \p pool under \p profile over \p hosts; hosts of other pools are passed over.
+auto evaluateBudget(const config::pool &pool, const config::profile &profile, std::span<const host_state> hosts)
+    -> budget_view;
+
+/// \brief Which promise forbids taking \p host out of \p pool now; none when it may be taken.
+auto limitOfTaking(const host_state &host, const config::pool &pool, const config::profile &profile,
+                   std::span<const host_state> hosts) -> budget_limit;
+
+/// \brief Wire name of \p limit.
+auto nameOf(budget_limit limit) -> std::string;
+} // namespace poplarpass::fold
--- /dev/null
+++ b/src/poplarpass/fold/fleet_state.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <poplarpass/core/error.h>
+#include <poplarpass/fold/host_state.h>
+#include <poplarpass/fold/record.h>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace poplarpass::fold
+{
+/// \brief One process in the agreed member list.
+struct member_state
+{
+    member_join_record joined; ///< How it joined.
+    log_offset since = 0; ///< Offset of that record.
+
+    auto operator==(const member_state &) const -> bool = default;
+};
+
+/// \brief The control role in the agreed state.
+struct control_state
+{
+    core::member_id holder; ///< Who holds it; empty before the first claim.
+    std::uint64_t incarnation = 0; ///< The holder's incarnation.
+    std::uint64_t epoch = 0; ///< Grows with each claim; 0 before the first.
+    log_offset lastRenewal = 0; ///< Offset of the latest claim or renewal.
+
+    auto operator==(const control_state &) const -> bool = default;
+};
+
+/// \brief State of one wave.
+struct wave_state
+{
+    core::wave_id name; ///< Its name.
+    std::vector<core::pool_id> pools; ///< Pools that it covers; none means all.
+    log_offset startedAt = 0; ///< Offset of its start; hosts maintained later than this are done.
+    bool paused = false; ///< Whether an operator paused it.
+    bool finished = false; ///< Whether it is over.
+
+    auto operator==(const wave_state &) const -> bool = default;
+};
+
+/// \brief What became of one record.
+struct applied
+{
+    bool accepted = false; ///< Whether it changed the state.
+    bool duplicate = false; ///< Whether its record id was seen before; the first one counts.
+    std::optional<core::error> refusal; ///< Why it was not accepted.
+};
+
+/// \brief The agreed state: a deterministic fold of the log by offset.
+///
+/// It holds no clock and does no I/O. Two instances that applied the same records have the same digest().
+class fleet_state
+{
+public:
+    /// \brief Applies the record at \p offset.
+    /// \pre \p offset is greater than offset()
+    auto apply(log_offset offset, const core::record_id &id, const record &change) -> applied;
+
+    /// \brief Passes over an undecodable record at \p offset, in the same way at every process.
+    auto skip(log_offset offset) -> void;
+
+    /// \brief Offset of the last record applied; 0 before the first.
+    [[nodiscard]] auto offset() const -> log_offset;
+
+    /// \brief Digest of the whole state, the same in every process.
+    [[nodiscard]] auto digest() const -> std::uint64_t;
+
+    /// \brief Configuration in force; empty before the first revision.
+    [[nodiscard]] auto config() const -> const config::fleet_config &;
+
+    /// \brief Revision in force: the offset of its record; 0 before the first.
+    [[nodiscard]] auto revision() const -> std::uint64_t;
+
+    /// \brief Source text of the revision in force.
+    [[nodiscard]] auto configText() const -> const std::string &;
+
+    /// \brief Epoch of the member list: grows with each change of it.
+    [[nodiscard]] auto memberEpoch() const -> std::uint64_t;
+
+    /// \brief Members, ordered by name.
+    [[nodiscard]] auto members() const -> std::span<const member_state>;
+
+    /// \brief The control role.
+    [[nodiscard]] auto control() const -> const control_state &;
+
+    /// \brief Hosts, ordered by name.
+    [[nodiscard]] auto hosts() const -> std::span<const host_state>;
+
+    /// \brief Waves that are not finished and the latest finished ones, in order of their start.
+    [[nodiscard]] auto waves() const -> std::span<const wave_state>;
+
+    /// \brief Host by name, if there is one.
+    [[nodiscard]] auto findHost(const core::host_id &host) const -> const host_state *;
+
+    /// \brief Pool by name in the configuration in force, if there is one.
+    [[nodiscard]] auto findPool(const core::pool_id &pool) const -> const config::pool *;
+
+    /// \brief Profile by name in the configuration in force, if there is one.
+    [[nodiscard]] auto findProfile(const core::profile_id &profile) const -> const config::profile *;
+
+private:
+    friend struct state_access; ///< Snapshots read and set the members.
+
+    auto accept(log_offset offset, const config_record &change) -> applied;
+    auto accept(log_offset offset, const member_join_record &change) -> applied;
+    auto accept(log_offset offset, const member_leave_record &change) -> applied;
+    auto accept(log_offset offset, const control_claim_record &change) -> applied;
+    auto accept(log_offset offset, const control_renew_record &change) -> applied;
+    auto accept(log_offset offset, const host_record &change) -> applied;
+    auto accept(log_offset offset, const wave_record &change) -> applied;
+    auto accept(log_offset offset, const snapshot_record &change) -> applied;
+
+    log_offset m_offset = 0;
+    config::fleet_config m_config;
+    std::string m_configText;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_memberEpoch = 0;
+    std::vector<member_state> m_members;
+    control_state m_control;
+    std::vector<host_state> m_hosts;
+    std::vector<wave_state> m_waves;
+    std::vector<core::record_id> m_recentIds;
+};
+} // namespace poplarpass::fold
--- a/src/poplarpass/platform/host_list.h
+++ b/src/poplarpass/platform/host_list.h
@@ -17,6 +17,7 @@
     core::region_id region; ///< Region that it stands in.
     core::zone_id zone; ///< Availability zone that it stands in.
     core::rack_id rack; ///< Rack that it stands in.
+    core::pool_id pool; ///< Pool that it serves when the system first sees it.
     int slots = 0; ///< Jobs that it runs at once.
     int connections = 0; ///< Connections that it accepts.
     int cores = 0; ///< Processor cores.
