Agreed state, availability budget, configuration checks, diffs and calendars

Ruled out: revisions judged against capacity that might be borrowed later, as a promise would be open from the moment it is made. Change: fleet_state with host, member, control, wave and configuration rules; budget with partly lost domains; whole-check, diff, calendar.

--- a/src/poplarpass/fold/budget.h
+++ b/src/poplarpass/fold/budget.h
@@ -5,6 +5,7 @@
 
 #include <span>
 #include <string>
+#include <vector>
 
 namespace poplarpass::fold
 {
@@ -33,6 +34,42 @@
     }
 };
 
+/// \brief Budget of one pool that can be asked about many hosts: built once in O(hosts), asked in O(loss domains).
+class pool_budget
+{
+public:
+    /// \brief Counts the hosts of \p pool; hosts of other pools are passed over.
+    /// \pre \p profile outlives this object
+    pool_budget(const config::pool &pool, const config::profile &profile, std::span<const host_state> hosts);
+
+    /// \brief The figures.
+    [[nodiscard]] auto view() const -> const budget_view &;
+
+    /// \brief Which promise forbids taking \p host out for a planned reason; none when it may be taken.
+    /// \pre \p host belongs to the pool and serves
+    [[nodiscard]] auto limitOfTaking(const host_state &host) const -> budget_limit;
+
+    /// \brief Counts \p host as out for a planned reason from here on.
+    /// \pre \p host belongs to the pool and serves
+    auto take(const host_state &host) -> void;
+
+private:
+    struct domain_share
+    {
+        std::string name;
+        int servingSlots = 0;
+        bool lost = false;
+    };
+
+    auto count(const host_state &host) -> void;
+    auto share(const host_state &host) -> domain_share &;
+    [[nodiscard]] auto worstLoss() const -> int;
+
+    const config::profile *m_profile;
+    budget_view m_view;
+    std::vector<domain_share> m_domains;
+};
+
 /// \brief Budget of \p pool under \p profile over \p hosts; hosts of other pools are passed over.
 auto evaluateBudget(const config::pool &pool, const config::profile &profile, std::span<const host_state> hosts)
     -> budget_view;
--- a/src/poplarpass/fold/fleet_state.h
+++ b/src/poplarpass/fold/fleet_state.h
@@ -2,6 +2,7 @@
 
 #include <poplarpass/core/error.h>
 #include <poplarpass/fold/host_state.h>
+#include <poplarpass/fold/recent_ids.h>
 #include <poplarpass/fold/record.h>
 
 #include <optional>
@@ -51,12 +52,38 @@
     std::optional<core::error> refusal; ///< Why it was not accepted.
 };
 
+/// \brief Finished waves that the state remembers.
+inline constexpr std::size_t finishedWaveCount = 32;
+
+/// \brief Everything that a fleet_state holds, for snapshots.
+struct state_parts
+{
+    log_offset offset = 0; ///< Offset of the last record applied.
+    config::fleet_config config; ///< Configuration in force.
+    std::string configText; ///< Its source text.
+    std::uint64_t revision = 0; ///< Its revision.
+    std::uint64_t memberEpoch = 0; ///< Epoch of the member list.
+    std::vector<member_state> members; ///< Members, by name.
+    control_state control; ///< The control role.
+    std::vector<host_state> hosts; ///< Hosts, by name.
+    std::vector<wave_state> waves; ///< Waves, in order of their start.
+    std::vector<seen_record> recentIds; ///< Ids of the latest records, oldest first.
+};
+
 /// \brief The agreed state: a deterministic fold of the log by offset.
 ///
 /// It holds no clock and does no I/O. Two instances that applied the same records have the same digest().
 class fleet_state
 {
 public:
+    fleet_state() = default;
+
+    /// \brief State with the given \p parts; fails with malformed_message when their order or references are wrong.
+    static auto fromParts(state_parts parts) -> core::result<fleet_state>;
+
+    /// \brief Copy of everything that the state holds.
+    [[nodiscard]] auto parts() const -> state_parts;
+
     /// \brief Applies the record at \p offset.
     /// \pre \p offset is greater than offset()
     auto apply(log_offset offset, const core::record_id &id, const record &change) -> applied;
@@ -67,7 +94,7 @@
     /// \brief Offset of the last record applied; 0 before the first.
     [[nodiscard]] auto offset() const -> log_offset;
 
-    /// \brief Digest of the whole state, the same in every process.
+    /// \brief Digest of the whole state, the same in every process; constant time.
     [[nodiscard]] auto digest() const -> std::uint64_t;
 
     /// \brief Configuration in force; empty before the first revision.
@@ -103,9 +130,10 @@
     /// \brief Profile by name in the configuration in force, if there is one.
     [[nodiscard]] auto findProfile(const core::profile_id &profile) const -> const config::profile *;
 
-private:
-    friend struct state_access; ///< Snapshots read and set the members.
+    /// \brief What became of the record \p id, while the state remembers it.
+    [[nodiscard]] auto findRecord(const core::record_id &id) const -> const seen_record *;
 
+private:
     auto accept(log_offset offset, const config_record &change) -> applied;
     auto accept(log_offset offset, const member_join_record &change) -> applied;
     auto accept(log_offset offset, const member_leave_record &change) -> applied;
@@ -115,6 +143,27 @@
     auto accept(log_offset offset, const wave_record &change) -> applied;
     auto accept(log_offset offset, const snapshot_record &change) -> applied;
 
+    auto addHost(log_offset offset, const host_record &change) -> applied;
+    auto removeHost(host_state &host) -> applied;
+    auto changeHost(log_offset offset, const host_record &change, host_state &host) -> applied;
+    auto startMove(const host_record &change, host_state &host) -> applied;
+    auto finishMove(log_offset offset, const host_record &change, host_state &host) -> applied;
+    auto startDrain(const host_record &change, host_state &host) -> applied;
+    auto finishMaintenance(log_offset offset, const host_record &change, host_state &host) -> applied;
+    auto markUp(const host_record &change, host_state &host) -> applied;
+    auto setPhase(const host_record &change, host_state &host) -> applied;
+    [[nodiscard]] auto refusalOfTaking(const host_state &host) const -> std::optional<core::error>;
+    [[nodiscard]] auto refusalOfLending(const host_state &host, const config::pool &target) const
+        -> std::optional<core::error>;
+    [[nodiscard]] auto refusalOfMaintaining(const host_record &change, const host_state &host) const
+        -> std::optional<core::error>;
+    auto replaceHost(host_state &host, host_state next) -> void;
+    auto requireBudget(const core::pool_id &pool) const -> void;
+
+    auto startWave(log_offset offset, const wave_record &change) -> applied;
+    auto forgetOldWaves() -> void;
+    auto refreshDigests() -> void;
+
     log_offset m_offset = 0;
     config::fleet_config m_config;
     std::string m_configText;
@@ -124,6 +173,12 @@
     control_state m_control;
     std::vector<host_state> m_hosts;
     std::vector<wave_state> m_waves;
-    std::vector<core::record_id> m_recentIds;
+    recent_ids m_recentIds;
+
+    // Digests of the parts, kept current at each change of a part.
+    std::uint64_t m_configDigest = 0;
+    std::uint64_t m_memberDigest = 0;
+    std::uint64_t m_hostDigest = 0;
+    std::uint64_t m_waveDigest = 0;
 };
 } // namespace poplarpass::fold
--- /dev/null
+++ b/src/poplarpass/fold/fleet_state_members.cpp
@@ -0,0 +1,109 @@
+#include <poplarpass/config/config_check.h>
+#include <poplarpass/core/invariant.h>
+#include <poplarpass/fold/fleet_state.h>
+#include <poplarpass/fold/refusal.h>
+#include <poplarpass/fold/state_digest.h>
+
+#include <algorithm>
+
+namespace poplarpass::fold
+{
+using core::error_kind;
+using internal::accepted;
+using internal::refused;
+
+auto fleet_state::accept(log_offset offset, const config_record &change) -> applied
+{
+    if (change.basedOn != m_revision) {
+        return refused(error_kind::revision_conflict,
+                       "based on revision " + std::to_string(change.basedOn) + ", in force is "
+                           + std::to_string(m_revision));
+    }
+    const auto problems = config::checkRevision(change.config, m_config, m_hosts);
+    if (!problems.empty()) {
+        return refused(error_kind::revision_rejected, config::textOf(problems));
+    }
+    core::requireInvariant(offset > m_revision, core::invariant_kind::configuration_never_reverts, [&] {
+        return "revision " + std::to_string(offset) + " after " + std::to_string(m_revision);
+    });
+    m_config = change.config;
+    m_configText = change.text;
+    m_revision = offset;
+    m_configDigest = internal::digestOf(m_config, m_configText, m_revision);
+    return accepted();
+}
+
+auto fleet_state::accept(log_offset offset, const member_join_record &change) -> applied
+{
+    if (change.member.empty()) {
+        return refused(error_kind::invalid_request, "a member needs a name");
+    }
+    const auto nameOf = [](const member_state &member) -> const core::member_id & {
+        return member.joined.member;
+    };
+    auto place = std::ranges::lower_bound(m_members, change.member, {}, nameOf);
+    const bool present = place != m_members.end() && place->joined.member == change.member;
+    if (present && change.incarnation <= place->joined.incarnation) {
+        return refused(error_kind::stale_epoch,
+                       change.member.str() + " has joined with incarnation "
+                           + std::to_string(place->joined.incarnation));
+    }
+    if (present) {
+        *place = {change, offset};
+    } else {
+        m_members.insert(place, {change, offset});
+    }
+    ++m_memberEpoch;
+    m_memberDigest = internal::digestOf(std::span<const member_state>{m_members});
+    return accepted();
+}
+
+auto fleet_state::accept(log_offset /*offset*/, const member_leave_record &change) -> applied
+{
+    if (change.controlEpoch != 0 && change.controlEpoch != m_control.epoch) {
+        return refused(error_kind::stale_epoch, "control epoch in force is " + std::to_string(m_control.epoch));
+    }
+    const auto isLeaving = [&change](const member_state &member) {
+        return member.joined.member == change.member && member.joined.incarnation == change.incarnation;
+    };
+    if (std::erase_if(m_members, isLeaving) == 0) {
+        return refused(error_kind::invalid_request, "no member " + change.member.str() + " with this incarnation");
+    }
+    ++m_memberEpoch;
+    m_memberDigest = internal::digestOf(std::span<const member_state>{m_members});
+    return accepted();
+}
+
+auto fleet_state::accept(log_offset offset, const control_claim_record &change) -> applied
+{
+    if (change.holder.empty()) {
+        return refused(error_kind::invalid_request, "a claim needs a holder");
+    }
+    if (change.epoch != m_control.epoch + 1) {
+        return refused(error_kind::stale_epoch, "control epoch in force is " + std::to_string(m_control.epoch));
+    }
+    if (change.lastRenewal != m_control.lastRenewal) {
+        return refused(error_kind::stale_epoch, "renewed at " + std::to_string(m_control.lastRenewal));
+    }
+    m_control = {change.holder, change.incarnation, change.epoch, offset};
+    return accepted();
+}
+
+auto fleet_state::accept(log_offset offset, const control_renew_record &change) -> applied
+{
+    if (change.epoch == 0 || change.epoch != m_control.epoch) {
+        return refused(error_kind::stale_epoch, "control epoch in force is " + std::to_string(m_control.epoch));
+    }
+    m_control.lastRenewal = offset;
+    return accepted();
+}
+
+// A snapshot repeats what is known at its offset; who follows the log compares its digest and needs nothing else of it.
+auto fleet_state::accept(log_offset offset, const snapshot_record &change) -> applied
+{
+    if (change.stateOffset >= offset || change.part >= change.parts) {
+        return refused(error_kind::malformed_message, "a snapshot of a later offset or with a part too many");
+    }
+    return accepted();
+}
+} // namespace poplarpass::fold
--- /dev/null
+++ b/src/poplarpass/fold/recent_ids.cpp
@@ -0,0 +1,48 @@
+#include <poplarpass/core/rendezvous.h>
+#include <poplarpass/fold/recent_ids.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace poplarpass::fold
+{
+namespace
+{
+auto digestOf(const seen_record &seen) -> std::uint64_t
+{
+    return core::stableHash(seen.id.str(), seen.offset * 2 + (seen.accepted ? 1 : 0));
+}
+} // namespace
+
+auto recent_ids::add(seen_record seen) -> void
+{
+    assert(find(seen.id) == nullptr);
+    m_digest += digestOf(seen);
+    m_offsets.emplace(seen.id, seen.offset);
+    m_ids.push_back(std::move(seen));
+    if (m_ids.size() > recentIdCount) {
+        m_digest -= digestOf(m_ids.front());
+        m_offsets.erase(m_ids.front().id);
+        m_ids.pop_front();
+    }
+}
+
+auto recent_ids::find(const core::record_id &id) const -> const seen_record *
+{
+    const auto known = m_offsets.find(id);
+    if (known == m_offsets.end()) {
+        return nullptr;
+    }
+    return &*std::ranges::lower_bound(m_ids, known->second, {}, &seen_record::offset);
+}
+
+auto recent_ids::all() const -> const std::deque<seen_record> &
+{
+    return m_ids;
+}
+
+auto recent_ids::digest() const -> std::uint64_t
+{
+    return m_digest;
+}
+} // namespace poplarpass::fold
