--- /dev/null
+++ b/src/poplarpass/codec/state_codec.cpp
@@ -0,0 +1,106 @@
+#include <poplarpass/codec/wire_fields.h>
+#include <poplarpass/codec/record_codec.h>
+#include <poplarpass/codec/state_codec.h>
+
+namespace poplarpass::codec
+{
+using internal::byFields;
+using internal::field_reader;
+using nlohmann::json;
+
+namespace internal
+{
+auto fieldsOf(const fold::member_state &member) -> json
+{
+    return json::array({fieldsOf(member.joined), member.since});
+}
+
+auto readFields(field_reader &in, fold::member_state &member) -> void
+{
+    in.readItem(member.joined, byFields).read(member.since);
+}
+
+auto fieldsOf(const fold::control_state &control) -> json
+{
+    return json::array({control.holder.str(), control.incarnation, control.epoch, control.lastRenewal});
+}
+
+auto readFields(field_reader &in, fold::control_state &control) -> void
+{
+    in.read(control.holder).read(control.incarnation).read(control.epoch).read(control.lastRenewal);
+}
+
+auto fieldsOf(const fold::host_state &host) -> json
+{
+    return json::array({fieldsOf(host.description), host.pool.str(), host.generation,
+                        static_cast<std::uint32_t>(host.phase), host.movingTo.str(), host.down, host.wave.str(),
+                        host.maintainedAt, host.bootId});
+}
+
+auto readFields(field_reader &in, fold::host_state &host) -> void
+{
+    in.readItem(host.description, byFields).read(host.pool).read(host.generation);
+    in.readEnum(host.phase, fold::host_phase::rebooting).read(host.movingTo).read(host.down).read(host.wave);
+    in.read(host.maintainedAt).read(host.bootId);
+}
+
+auto fieldsOf(const fold::wave_state &wave) -> json
+{
+    return json::array({wave.name.str(), fieldsOf(wave.pools), wave.startedAt, wave.paused, wave.finished});
+}
+
+auto readFields(field_reader &in, fold::wave_state &wave) -> void
+{
+    in.read(wave.name).readItem(wave.pools, byFields).read(wave.startedAt).read(wave.paused).read(wave.finished);
+}
+
+auto fieldsOf(const fold::seen_record &seen) -> json
+{
+    return json::array({seen.offset, seen.id.str(), seen.accepted});
+}
+
+auto readFields(field_reader &in, fold::seen_record &seen) -> void
+{
+    in.read(seen.offset).read(seen.id).read(seen.accepted);
+}
+
+auto fieldsOf(const fold::state_parts &parts) -> json
+{
+    return json::array({wireVersion, parts.offset, fieldsOf(parts.config), parts.configText, parts.revision,
+                        parts.memberEpoch, fieldsOfAll(parts.members), fieldsOf(parts.control),
+                        fieldsOfAll(parts.hosts), fieldsOfAll(parts.waves), fieldsOfAll(parts.recentIds)});
+}
+
+auto readFields(field_reader &in, fold::state_parts &parts) -> void
+{
+    in.read(parts.offset).readItem(parts.config, byFields).read(parts.configText).read(parts.revision);
+    in.read(parts.memberEpoch).readItems(parts.members, byFields).readItem(parts.control, byFields);
+    in.readItems(parts.hosts, byFields).readItems(parts.waves, byFields).readItems(parts.recentIds, byFields);
+}
+} // namespace internal
+
+auto encodeState(const fold::fleet_state &state) -> std::string
+{
+    return internal::toCbor(internal::fieldsOf(state.parts()));
+}
+
+auto decodeState(std::string_view bytes) -> core::result<fold::fleet_state>
+{
+    if (bytes.size() > maxStateBytes) {
+        return core::failure(core::error_kind::malformed_message, "the state is too large");
+    }
+    const auto document = internal::parseCbor(bytes);
+    if (!document) {
+        return tl::make_unexpected(document.error());
+    }
+    std::uint32_t version = 0;
+    fold::state_parts parts;
+    field_reader in{*document};
+    in.read(version);
+    internal::readFields(in, parts);
+    if (!in.isWhole() || version != wireVersion) {
+        return core::failure(core::error_kind::malformed_message, "the state has an unknown version or wrong fields");
+    }
+    return fold::fleet_state::fromParts(std::move(parts));
+}
+} // namespace poplarpass::codec
--- /dev/null
+++ b/src/poplarpass/config.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// \file
+/// \brief What operators declare: types, checks, differences and calendars.
+
+#include <poplarpass/config/calendar.h>
+#include <poplarpass/config/config_check.h>
+#include <poplarpass/config/config_diff.h>
+#include <poplarpass/config/fleet_config.h>
--- /dev/null
+++ b/src/poplarpass/fold/log_follower.cpp
@@ -0,0 +1,303 @@
+#include <poplarpass/core/invariant.h>
+#include <poplarpass/fold/log_follower.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace poplarpass::fold
+{
+namespace
+{
+// Far past the end of any log: an immediate read from there returns no records, but tells the offsets held.
+constexpr log_offset probeOffset = std::numeric_limits<std::int64_t>::max();
+} // namespace
+
+log_follower::log_follower(fold_decoder decoder, apply_observer onApplied, replace_observer onReplaced)
+    : m_decoder{std::move(decoder)}
+    , m_onApplied{std::move(onApplied)}
+    , m_onReplaced{std::move(onReplaced)}
+{
+}
+
+auto log_follower::nextRead() const -> log_offset
+{
+    return m_phase == follow_phase::probing ? probeOffset : m_nextRead;
+}
+
+auto log_follower::mayWait() const -> bool
+{
+    return m_phase == follow_phase::following || (m_phase == follow_phase::searching && m_cannotRecover);
+}
+
+auto log_follower::pageRead(log_offset from, const platform::log_page &page, core::monotonic_time sentAt) -> void
+{
+    if (from != nextRead() || !fits(from, page)) {
+        ++m_counts.strangePages;
+        return;
+    }
+    m_firstOffset = page.firstOffset;
+    switch (m_phase) {
+    case follow_phase::probing:
+        startSearch(page);
+        return;
+    case follow_phase::searching:
+        search(page);
+        return;
+    case follow_phase::following:
+        follow(page, sentAt);
+        return;
+    }
+}
+
+auto log_follower::readFailed(log_offset from, const core::error &problem) -> void
+{
+    if (problem.kind != core::error_kind::log_trimmed || from != nextRead()) {
+        return;
+    }
+    // Whatever was being read is gone: ask again which offsets are held. The state that it had stays in force.
+    ++m_counts.restarts;
+    m_phase = follow_phase::probing;
+    m_readToEnd.reset();
+}
+
+auto log_follower::takePeerState(std::string_view bytes, std::uint64_t digest) -> core::result<void>
+{
+    auto state = m_decoder.decodeState(bytes);
+    if (!state) {
+        return tl::make_unexpected(std::move(state.error()));
+    }
+    if (state->digest() != digest) {
+        return core::failure(core::error_kind::malformed_message, "the digest of the peer's state is another");
+    }
+    if (state->offset() < m_seenOffset) {
+        return core::failure(core::error_kind::malformed_message,
+                             "the peer's state at " + std::to_string(state->offset()) + " is older than "
+                                 + std::to_string(m_seenOffset));
+    }
+    if (m_hasState && state->offset() <= m_state.offset()) {
+        return {};
+    }
+    install(std::move(*state));
+    return {};
+}
+
+auto log_follower::notePeerOffset(log_offset offset) -> void
+{
+    m_seenOffset = std::max(m_seenOffset, offset);
+}
+
+auto log_follower::hasState() const -> bool
+{
+    return m_hasState;
+}
+
+auto log_follower::state() const -> const fleet_state &
+{
+    return m_state;
+}
+
+auto log_follower::phase() const -> follow_phase
+{
+    return m_phase;
+}
+
+auto log_follower::cannotRecover() const -> bool
+{
+    return m_cannotRecover;
+}
+
+auto log_follower::readToEndSince() const -> std::optional<core::monotonic_time>
+{
+    return m_readToEnd;
+}
+
+auto log_follower::digestAt(log_offset offset) const -> std::optional<std::uint64_t>
+{
+    const auto place = std::ranges::lower_bound(m_digests, offset, {}, &remembered_digest::offset);
+    if (place == m_digests.end() || place->offset != offset) {
+        return std::nullopt;
+    }
+    return place->digest;
+}
+
+auto log_follower::lastSnapshot() const -> log_offset
+{
+    return m_lastSnapshot;
+}
+
+auto log_follower::firstOffset() const -> log_offset
+{
+    return m_firstOffset;
+}
+
+auto log_follower::counts() const -> const follow_counts &
+{
+    return m_counts;
+}
+
+// A page whose end lies before what is known is of an old copy of the log; its records must not count as news.
+auto log_follower::fits(log_offset from, const platform::log_page &page) const -> bool
+{
+    if (page.firstOffset < m_firstOffset || page.nextOffset < page.firstOffset) {
+        return false;
+    }
+    if (m_hasState && page.nextOffset <= m_state.offset()) {
+        return false;
+    }
+    auto expected = from;
+    for (const auto &entry : page.entries) {
+        if (entry.offset != expected || entry.offset >= page.nextOffset) {
+            return false;
+        }
+        ++expected;
+    }
+    return true;
+}
+
+auto log_follower::startSearch(const platform::log_page &page) -> void
+{
+    m_assembly.clear();
+    m_found.reset();
+    if (m_hasState && m_state.offset() + 1 >= page.firstOffset) {
+        m_phase = follow_phase::following;
+        m_nextRead = m_state.offset() + 1;
+        return;
+    }
+    const auto held = page.nextOffset - page.firstOffset;
+    const bool fromStart = page.firstOffset == 1 && held <= searchWindowRecords;
+    if (fromStart) {
+        install(fleet_state{});
+        return;
+    }
+    m_searchWindow = std::min(std::max(m_searchWindow, searchWindowRecords), held);
+    m_searchFrom = page.nextOffset - m_searchWindow;
+    m_nextRead = m_searchFrom;
+    m_phase = follow_phase::searching;
+}
+
+auto log_follower::search(const platform::log_page &page) -> void
+{
+    for (const auto &entry : page.entries) {
+        m_nextRead = entry.offset + 1;
+        const auto decoded = m_decoder.decodeRecord(entry.payload);
+        const auto *part = decoded ? std::get_if<snapshot_record>(&*decoded) : nullptr;
+        if (part != nullptr) {
+            noteSnapshot(*part);
+        }
+    }
+    if (m_nextRead >= page.nextOffset) {
+        endOfSearch(page);
+    }
+}
+
+auto log_follower::endOfSearch(const platform::log_page &page) -> void
+{
+    const bool usable = m_found && m_found->offset() + 1 >= page.firstOffset
+        && (!m_hasState || m_found->offset() >= m_state.offset());
+    if (usable) {
+        install(std::move(*m_found));
+        m_found.reset();
+        return;
+    }
+    if (m_searchFrom > page.firstOffset) {
+        m_searchWindow *= 2;
+        m_phase = follow_phase::probing;
+        return;
+    }
+    if (page.firstOffset == 1 && !m_hasState) {
+        install(fleet_state{});
+        return;
+    }
+    // Everything held was read without finding a way in; only a later snapshot, or a peer, can help.
+    m_cannotRecover = true;
+}
+
+auto log_follower::install(fleet_state state) -> void
+{
+    core::requireInvariant(!m_hasState || state.revision() >= m_state.revision(),
+                           core::invariant_kind::configuration_never_reverts, [&] {
+                               return "revision " + std::to_string(state.revision()) + " in place of "
+                                   + std::to_string(m_state.revision());
+                           });
+    m_state = std::move(state);
+    m_hasState = true;
+    m_cannotRecover = false;
+    m_searchWindow = searchWindowRecords;
+    m_phase = follow_phase::following;
+    m_nextRead = m_state.offset() + 1;
+    m_seenOffset = std::max(m_seenOffset, m_state.offset());
+    m_digests.clear();
+    rememberDigest();
+    if (m_onReplaced) {
+        m_onReplaced(m_state);
+    }
+}
+
+auto log_follower::follow(const platform::log_page &page, core::monotonic_time sentAt) -> void
+{
+    for (const auto &entry : page.entries) {
+        applyEntry(entry);
+    }
+    m_nextRead = m_state.offset() + 1;
+    // A log that ends before what a peer has folded is an old copy.
+    if (m_nextRead == page.nextOffset && m_state.offset() >= m_seenOffset) {
+        m_readToEnd = sentAt;
+    }
+}
+
+auto log_follower::applyEntry(const platform::log_entry &entry) -> void
+{
+    const auto decoded = m_decoder.decodeRecord(entry.payload);
+    if (!decoded) {
+        ++m_counts.undecodable;
+        m_state.skip(entry.offset);
+        rememberDigest();
+        return;
+    }
+    const auto outcome = m_state.apply(entry.offset, entry.id, *decoded);
+    ++m_counts.applied;
+    rememberDigest();
+    const auto *part = std::get_if<snapshot_record>(&*decoded);
+    if (part != nullptr && outcome.accepted) {
+        noteSnapshot(*part);
+    }
+    if (m_onApplied) {
+        m_onApplied(entry.offset, entry.id, *decoded, outcome);
+    }
+}
+
+auto log_follower::noteSnapshot(const snapshot_record &snapshot) -> void
+{
+    const auto whole = m_assembly.add(snapshot);
+    if (!whole) {
+        return;
+    }
+    if (m_phase == follow_phase::following) {
+        const auto own = digestAt(whole->stateOffset);
+        const bool differs = own && *own != whole->digest;
+        m_counts.snapshotMismatches += differs ? 1 : 0;
+        if (!differs) {
+            m_lastSnapshot = std::max(m_lastSnapshot, whole->stateOffset);
+        }
+        return;
+    }
+    auto state = m_decoder.decodeState(whole->bytes);
+    if (!state || state->digest() != whole->digest || state->offset() != whole->stateOffset) {
+        ++m_counts.badSnapshots;
+        return;
+    }
+    m_lastSnapshot = std::max(m_lastSnapshot, whole->stateOffset);
+    if (!m_found || m_found->offset() < state->offset()) {
+        m_found = std::move(*state);
+    }
+}
+
+auto log_follower::rememberDigest() -> void
+{
+    m_digests.push_back({m_state.offset(), m_state.digest()});
+    if (m_digests.size() > rememberedDigestCount) {
+        m_digests.pop_front();
+    }
+}
+} // namespace poplarpass::fold
--- /dev/null
+++ b/src/poplarpass/fold/publisher.cpp
@@ -0,0 +1,186 @@
+#include <poplarpass/fold/publisher.h>
+
+#include <cassert>
+#include <utility>
+
+namespace poplarpass::fold
+{
+namespace
+{
+auto overtakenRevision(const fleet_state &state, std::uint64_t basedOn) -> std::optional<core::error>
+{
+    if (state.revision() <= basedOn) {
+        return std::nullopt;
+    }
+    return core::error{core::error_kind::revision_conflict,
+                       "based on revision " + std::to_string(basedOn) + ", in force is "
+                           + std::to_string(state.revision()),
+                       {}};
+}
+
+auto overtakenEpoch(const fleet_state &state, std::uint64_t epoch) -> std::optional<core::error>
+{
+    if (state.control().epoch <= epoch) {
+        return std::nullopt;
+    }
+    return core::error{core::error_kind::stale_epoch,
+                       "control epoch in force is " + std::to_string(state.control().epoch),
+                       {}};
+}
+
+auto overtakenClaim(const fleet_state &state, const control_claim_record &claim) -> std::optional<core::error>
+{
+    const auto &control = state.control();
+    if (control.epoch < claim.epoch && control.lastRenewal <= claim.lastRenewal) {
+        return std::nullopt;
+    }
+    return core::error{core::error_kind::stale_epoch, control.holder.str() + " holds the control role", {}};
+}
+} // namespace
+
+auto overtakenCheckOf(const record &change) -> overtaken_check
+{
+    if (const auto *revision = std::get_if<config_record>(&change)) {
+        return [basedOn = revision->basedOn](const fleet_state &state) { return overtakenRevision(state, basedOn); };
+    }
+    if (const auto *claim = std::get_if<control_claim_record>(&change)) {
+        return [claim = *claim](const fleet_state &state) { return overtakenClaim(state, claim); };
+    }
+    if (const auto *renewal = std::get_if<control_renew_record>(&change)) {
+        return [epoch = renewal->epoch](const fleet_state &state) { return overtakenEpoch(state, epoch); };
+    }
+    if (const auto *host = std::get_if<host_record>(&change)) {
+        return [epoch = host->controlEpoch](const fleet_state &state) { return overtakenEpoch(state, epoch); };
+    }
+    return {};
+}
+
+publisher::publisher(core::record_id id, publish_options options, core::monotonic_time now)
+    : m_id{std::move(id)}
+    , m_options{std::move(options)}
+    , m_startedAt{now}
+{
+}
+
+auto publisher::id() const -> const core::record_id &
+{
+    return m_id;
+}
+
+auto publisher::wantsAppend(core::monotonic_time now) const -> bool
+{
+    if (m_outcome || m_inFlight || m_appendedAt || now >= m_options.deadline) {
+        return false;
+    }
+    if (!m_sent) {
+        return m_readToEndSinceStart || !m_options.readFirst;
+    }
+    return !m_passedOver && m_readToEndSinceFailure && m_failedAt && now - *m_failedAt >= resendDelay;
+}
+
+auto publisher::appendSent() -> void
+{
+    assert(!m_inFlight);
+    m_sent = true;
+    m_inFlight = true;
+}
+
+auto publisher::appendAnswered(const core::result<log_offset> &answer, core::monotonic_time now) -> void
+{
+    m_inFlight = false;
+    if (answer) {
+        m_appendedAt = *answer;
+        return;
+    }
+    m_failedAt = now;
+    m_readToEndSinceFailure = false;
+}
+
+auto publisher::recordApplied(log_offset offset, const core::record_id &id, const applied &outcome) -> void
+{
+    // A double tells nothing: the first one counts, and it was passed here before or is found by checkReadBack().
+    if (id != m_id || outcome.duplicate) {
+        return;
+    }
+    finish(outcome.accepted ? publish_result::accepted : publish_result::refused, offset, outcome.refusal);
+}
+
+auto publisher::stateReplaced(const fleet_state &state) -> void
+{
+    // Records were passed over, this one perhaps among them: from here on only its id in the state is proof.
+    m_passedOver = m_passedOver || m_sent;
+    checkReadBack(state);
+}
+
+auto publisher::observe(const log_follower &follower) -> void
+{
+    if (m_outcome || !follower.hasState()) {
+        return;
+    }
+    checkReadBack(follower.state());
+    const auto readAt = follower.readToEndSince();
+    m_readToEndSinceStart = m_readToEndSinceStart || (readAt && *readAt >= m_startedAt);
+    m_readToEndSinceFailure = m_readToEndSinceFailure || (m_failedAt && readAt && *readAt > *m_failedAt);
+    if (m_outcome || m_passedOver || !m_options.overtaken) {
+        return;
+    }
+    if (auto problem = m_options.overtaken(follower.state())) {
+        finish(publish_result::refused, 0, std::move(problem));
+    }
+}
+
+auto publisher::tick(core::monotonic_time now) -> void
+{
+    if (m_outcome || now < m_options.deadline) {
+        return;
+    }
+    if (!m_sent) {
+        finish(publish_result::not_accepted, 0,
+               core::error{core::error_kind::log_unavailable, "the log could not be read, nothing was sent", {}});
+        return;
+    }
+    finish(publish_result::unknown, 0,
+           core::error{core::error_kind::log_unavailable, "record " + m_id.str() + " was sent and not read back", {}});
+}
+
+auto publisher::outcome() const -> const std::optional<publish_outcome> &
+{
+    return m_outcome;
+}
+
+auto publisher::finish(publish_result result, log_offset offset, std::optional<core::error> problem) -> void
+{
+    if (!m_outcome) {
+        m_outcome = publish_outcome{result, offset, std::move(problem)};
+    }
+}
+
+auto publisher::checkReadBack(const fleet_state &state) -> void
+{
+    const auto *seen = m_sent ? state.findRecord(m_id) : nullptr;
+    if (seen != nullptr && seen->accepted) {
+        finish(publish_result::accepted, seen->offset, std::nullopt);
+    } else if (seen != nullptr) {
+        finish(publish_result::refused, seen->offset,
+               core::error{core::error_kind::internal, "refused at " + std::to_string(seen->offset), {}});
+    } else if (m_appendedAt && state.offset() >= *m_appendedAt && !m_passedOver) {
+        finish(publish_result::refused, *m_appendedAt,
+               core::error{core::error_kind::malformed_message, "the record could not be decoded", {}});
+    }
+}
+
+auto nameOf(publish_result result) -> std::string_view
+{
+    switch (result) {
+    case publish_result::accepted:
+        return "accepted";
+    case publish_result::refused:
+        return "refused";
+    case publish_result::not_accepted:
+        return "not_accepted";
+    case publish_result::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+} // namespace poplarpass::fold
