--- a/src/poplarpass/codec/record_codec.cpp
+++ b/src/poplarpass/codec/record_codec.cpp
@@ -1,5 +1,5 @@
-#include <poplarpass/codec/wire_fields.h>
 #include <poplarpass/codec/record_codec.h>
+#include <poplarpass/codec/wire_fields.h>
 
 #include <cassert>
 
--- a/src/poplarpass/codec/state_codec.cpp
+++ b/src/poplarpass/codec/state_codec.cpp
@@ -1,6 +1,6 @@
-#include <poplarpass/codec/wire_fields.h>
 #include <poplarpass/codec/record_codec.h>
 #include <poplarpass/codec/state_codec.h>
+#include <poplarpass/codec/wire_fields.h>
 
 namespace poplarpass::codec
 {
--- /dev/null
+++ b/src/poplarpass/settings/fleet_file.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <poplarpass/config/fleet_config.h>
+
+#include <tl/expected.hpp>
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplarpass::settings
+{
+/// \brief One thing that is wrong in a text of operators.
+struct text_problem
+{
+    std::string file; ///< Name of the file.
+    int line = 0; ///< Line, from 1.
+    std::string key; ///< Path of the key, such as "profile[2].max_out".
+    std::string expected; ///< What should stand there.
+    std::string found; ///< What does.
+
+    auto operator==(const text_problem &) const -> bool = default;
+};
+
+/// \brief A parsed configuration, or everything that is wrong in its text.
+using fleet_result = tl::expected<config::fleet_config, std::vector<text_problem>>;
+
+/// \brief Parses the operators' TOML \p text.
+/// \param file name of the file, for the problems
+/// \sa config::checkConfig for what a parsed text must hold besides
+auto parseFleet(std::string_view text, std::string_view file) -> fleet_result;
+
+/// \brief One line for each problem: "FILE:LINE: KEY: expected EXPECTED, found FOUND".
+auto textOf(std::span<const text_problem> problems) -> std::string;
+} // namespace poplarpass::settings
--- /dev/null
+++ b/src/poplarpass/settings/toml_reader.cpp
@@ -0,0 +1,210 @@
+#include <poplarpass/settings/toml_reader.h>
+
+#include <sstream>
+
+namespace poplarpass::settings::internal
+{
+namespace
+{
+constexpr std::size_t maxShownChars = 60;
+
+auto lineOf(const toml::node &node) -> int
+{
+    return static_cast<int>(node.source().begin.line);
+}
+
+auto rangeText(std::string_view kind, const std::string &least, const std::string &most) -> std::string
+{
+    return std::string{kind} + " from " + least + " to " + most;
+}
+
+auto shortNumber(double value) -> std::string
+{
+    std::ostringstream out;
+    out << value;
+    return out.str();
+}
+} // namespace
+
+toml_reader::toml_reader(const toml::table &table, std::string path, problem_sink &sink)
+    : m_table{&table}
+    , m_path{std::move(path)}
+    , m_sink{&sink}
+{
+}
+
+auto toml_reader::text(std::string_view key) -> std::string
+{
+    constexpr std::string_view expected = "a text that is not empty";
+    const auto *node = findRequired(key, expected);
+    if (node == nullptr) {
+        return {};
+    }
+    const auto value = node->value_exact<std::string>();
+    if (!value || value->empty()) {
+        note(*node, key, std::string{expected}, describe(*node));
+        return {};
+    }
+    return *value;
+}
+
+auto toml_reader::integer(std::string_view key, int least, int most) -> int
+{
+    const auto expected = rangeText("a whole number", std::to_string(least), std::to_string(most));
+    const auto *node = findRequired(key, expected);
+    if (node == nullptr) {
+        return least;
+    }
+    const auto value = node->value_exact<std::int64_t>();
+    if (!value || *value < least || *value > most) {
+        note(*node, key, expected, describe(*node));
+        return least;
+    }
+    return static_cast<int>(*value);
+}
+
+auto toml_reader::number(std::string_view key, double least, double most) -> double
+{
+    const auto expected = rangeText("a number", shortNumber(least), shortNumber(most));
+    const auto *node = findRequired(key, expected);
+    if (node == nullptr) {
+        return least;
+    }
+    const auto value = node->is_number() ? node->value<double>() : std::nullopt;
+    // A comparison with NaN is false, so NaN is refused as well.
+    if (!value || !(*value >= least && *value <= most)) {
+        note(*node, key, expected, describe(*node));
+        return least;
+    }
+    return *value;
+}
+
+auto toml_reader::flag(std::string_view key, bool absent) -> bool
+{
+    const auto *node = find(key);
+    if (node == nullptr) {
+        return absent;
+    }
+    const auto value = node->value_exact<bool>();
+    if (!value) {
+        note(*node, key, "true or false", describe(*node));
+    }
+    return value.value_or(absent);
+}
+
+auto toml_reader::texts(std::string_view key) -> std::vector<std::string>
+{
+    constexpr std::string_view expected = "an array of texts";
+    const auto *node = findRequired(key, expected);
+    const auto *array = node == nullptr ? nullptr : node->as_array();
+    if (node != nullptr && array == nullptr) {
+        note(*node, key, std::string{expected}, describe(*node));
+    }
+    std::vector<std::string> values;
+    for (std::size_t index = 0; array != nullptr && index < array->size(); ++index) {
+        const auto &item = *array->get(index);
+        if (const auto value = item.value_exact<std::string>()) {
+            values.push_back(*value);
+        } else {
+            note(item, key, "a text", describe(item));
+        }
+    }
+    return values;
+}
+
+auto toml_reader::tables(std::string_view key, const std::function<void(toml_reader &)> &readTable) -> void
+{
+    const auto *node = find(key);
+    if (node == nullptr) {
+        return;
+    }
+    const auto *array = node->as_array();
+    if (array == nullptr) {
+        note(*node, key, "an array of tables", describe(*node));
+        return;
+    }
+    for (std::size_t index = 0; index < array->size(); ++index) {
+        const auto path = pathOf(key) + "[" + std::to_string(index + 1) + "]";
+        const auto &item = *array->get(index);
+        if (!item.is_table()) {
+            note(item, key, "a table", describe(item));
+            continue;
+        }
+        toml_reader nested{*item.as_table(), path, *m_sink};
+        readTable(nested);
+        nested.finish();
+    }
+}
+
+auto toml_reader::table(std::string_view key, const std::function<void(toml_reader &)> &readTable) -> void
+{
+    const auto *node = find(key);
+    if (node == nullptr) {
+        return;
+    }
+    if (!node->is_table()) {
+        note(*node, key, "a table", describe(*node));
+        return;
+    }
+    toml_reader nested{*node->as_table(), pathOf(key), *m_sink};
+    readTable(nested);
+    nested.finish();
+}
+
+auto toml_reader::wrong(std::string_view key, std::string expected, std::string found) -> void
+{
+    const auto *node = m_table->get(key);
+    note(node == nullptr ? *m_table : *node, key, std::move(expected), std::move(found));
+}
+
+auto toml_reader::finish() -> void
+{
+    for (const auto &[key, node] : *m_table) {
+        if (!m_read.contains(key.str())) {
+            note(node, key.str(), "no such key", describe(node));
+        }
+    }
+}
+
+auto toml_reader::find(std::string_view key) -> const toml::node *
+{
+    m_read.emplace(key);
+    return m_table->get(key);
+}
+
+auto toml_reader::findRequired(std::string_view key, std::string_view expected) -> const toml::node *
+{
+    const auto *node = find(key);
+    if (node == nullptr) {
+        note(*m_table, key, std::string{expected}, "nothing");
+    }
+    return node;
+}
+
+auto toml_reader::pathOf(std::string_view key) const -> std::string
+{
+    return m_path.empty() ? std::string{key} : m_path + "." + std::string{key};
+}
+
+auto toml_reader::note(const toml::node &node, std::string_view key, std::string expected, std::string found) -> void
+{
+    m_sink->problems.push_back({m_sink->file, lineOf(node), pathOf(key), std::move(expected), std::move(found)});
+}
+
+auto describe(const toml::node &node) -> std::string
+{
+    if (node.is_table()) {
+        return "a table";
+    }
+    if (node.is_array()) {
+        return "an array";
+    }
+    std::ostringstream out;
+    node.visit([&out](const auto &value) { out << value; });
+    auto text = out.str();
+    if (text.size() > maxShownChars) {
+        text = text.substr(0, maxShownChars) + "...";
+    }
+    return text;
+}
+} // namespace poplarpass::settings::internal
