--- a/src/poplarpass/codec/state_codec.cpp
+++ b/src/poplarpass/codec/state_codec.cpp
@@ -4,7 +4,6 @@
 
 namespace poplarpass::codec
 {
-using internal::byFields;
 using internal::field_reader;
 using nlohmann::json;
 
--- a/src/poplarpass/fold/fleet_state.cpp
+++ b/src/poplarpass/fold/fleet_state.cpp
@@ -48,6 +48,11 @@
 }
 } // namespace
 
+fleet_state::fleet_state()
+{
+    refreshDigests();
+}
+
 auto fleet_state::fromParts(state_parts parts) -> core::result<fleet_state>
 {
     if (!isWellFormed(parts)) {
--- a/src/poplarpass/fold/fleet_state.h
+++ b/src/poplarpass/fold/fleet_state.h
@@ -76,7 +76,8 @@
 class fleet_state
 {
 public:
-    fleet_state() = default;
+    /// \brief State before the first record.
+    fleet_state();
 
     /// \brief State with the given \p parts; fails with malformed_message when their order or references are wrong.
     static auto fromParts(state_parts parts) -> core::result<fleet_state>;
--- a/src/poplarpass/settings/toml_reader.cpp
+++ b/src/poplarpass/settings/toml_reader.cpp
@@ -72,7 +72,8 @@
     }
     const auto value = node->is_number() ? node->value<double>() : std::nullopt;
     // A comparison with NaN is false, so NaN is refused as well.
-    if (!value || !(*value >= least && *value <= most)) {
+    const bool inRange = value && *value >= least && *value <= most;
+    if (!inRange) {
         note(*node, key, expected, describe(*node));
         return least;
     }
--- /dev/null
+++ b/tests/decisions/budget_test.cpp
@@ -0,0 +1,155 @@
+#include "fleet_fixture.h"
+#include "test_seed.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+
+using namespace tests;
+
+namespace
+{
+auto hostIn(const std::string &name, const std::string &rack, const std::string &zone, int slots) -> fold::host_state
+{
+    fold::host_state host;
+    host.description = makeHost(0, 0);
+    host.description.host = core::host_id{name};
+    host.description.rack = core::rack_id{rack};
+    host.description.zone = core::zone_id{zone};
+    host.description.slots = slots;
+    host.pool = core::pool_id{"p0"};
+    return host;
+}
+
+auto randomHosts(std::mt19937_64 &random) -> std::vector<fold::host_state>
+{
+    std::vector<fold::host_state> hosts;
+    const auto count = 1 + random() % 10;
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto rack = random() % 4;
+        auto host = hostIn("h" + std::to_string(index), "rack" + std::to_string(rack), "z" + std::to_string(rack % 2),
+                           static_cast<int>(1 + random() % 8));
+        host.down = random() % 6 == 0;
+        host.phase = random() % 5 == 0 ? fold::host_phase::draining : fold::host_phase::serving;
+        if (random() % 8 == 0) {
+            host.pool = core::pool_id{"other"};
+        }
+        hosts.push_back(std::move(host));
+    }
+    return hosts;
+}
+
+auto domainOf(const fold::host_state &host, config::loss_domain kind) -> std::string
+{
+    const auto &place = host.description;
+    return kind == config::loss_domain::host ? place.host.str()
+        : kind == config::loss_domain::rack  ? place.rack.str()
+                                             : place.zone.str();
+}
+
+// Tries every set of at most maxLost domains that holds all domains that are lost already.
+auto worstByBruteForce(const std::vector<fold::host_state> &hosts, const config::profile &profile) -> int
+{
+    std::map<std::string, int> serving;
+    std::map<std::string, bool> lost;
+    for (const auto &host : hosts) {
+        if (host.pool == core::pool_id{"p0"}) {
+            const auto domain = domainOf(host, profile.lossDomain);
+            serving[domain] += host.serves() ? host.description.slots : 0;
+            lost[domain] = lost[domain] || host.down;
+        }
+    }
+    int lostCount = 0;
+    for (const auto &[domain, isLost] : lost) {
+        lostCount += isLost ? 1 : 0;
+    }
+    int worst = 0;
+    for (unsigned set = 0; set < 1U << serving.size(); ++set) {
+        int size = 0;
+        int slots = 0;
+        bool holdsLost = true;
+        unsigned bit = 0;
+        for (const auto &[domain, domainSlots] : serving) {
+            const bool chosen = (set >> bit++ & 1U) != 0;
+            size += chosen ? 1 : 0;
+            slots += chosen ? domainSlots : 0;
+            holdsLost = holdsLost && (chosen || !lost[domain]);
+        }
+        if (holdsLost && size <= std::max(profile.maxLost, lostCount)) {
+            worst = std::max(worst, slots);
+        }
+    }
+    return worst;
+}
+} // namespace
+
+TEST_CASE("worst loss equals the worst of all permitted sets", "[budget]")
+{
+    std::mt19937_64 random{baseSeed()};
+    const auto fleet = makeConfig(1, 10);
+    for (int round = 0; round < 3000; ++round) {
+        auto profile = fleet.profiles.front();
+        profile.lossDomain = static_cast<config::loss_domain>(random() % 3);
+        profile.maxLost = static_cast<int>(random() % 4);
+        const auto hosts = randomHosts(random);
+        const auto view = fold::evaluateBudget(fleet.pools.front(), profile, hosts);
+        REQUIRE(view.worstLossSlots == worstByBruteForce(hosts, profile));
+        int serving = 0;
+        for (const auto &host : hosts) {
+            serving += host.serves() && host.pool == core::pool_id{"p0"} ? host.description.slots : 0;
+        }
+        REQUIRE(view.servingSlots == serving);
+    }
+}
+
+TEST_CASE("a host that may be taken leaves the budget whole", "[budget]")
+{
+    std::mt19937_64 random{baseSeed() + 1};
+    const auto fleet = makeConfig(1, 6);
+    int taken = 0;
+    for (int round = 0; round < 3000; ++round) {
+        auto profile = fleet.profiles.front();
+        profile.lossDomain = static_cast<config::loss_domain>(random() % 3);
+        profile.maxLost = static_cast<int>(random() % 3);
+        auto hosts = randomHosts(random);
+        for (auto &host : hosts) {
+            const bool candidate = host.serves() && host.pool == core::pool_id{"p0"};
+            if (!candidate) {
+                continue;
+            }
+            const auto limit = fold::limitOfTaking(host, fleet.pools.front(), profile, hosts);
+            const auto before = fold::evaluateBudget(fleet.pools.front(), profile, hosts);
+            host.phase = fold::host_phase::draining;
+            const auto after = fold::evaluateBudget(fleet.pools.front(), profile, hosts);
+            const bool lossUsedUp = before.lostDomains > 0 && before.lostDomains >= profile.maxLost;
+            const bool allowed = after.spareSlots() >= 0 && before.plannedOut < profile.maxOut && !lossUsedUp;
+            REQUIRE((limit == fold::budget_limit::none) == allowed);
+            taken += allowed ? 1 : 0;
+            host.phase = allowed ? host.phase : fold::host_phase::serving;
+        }
+    }
+    CHECK(taken > 100);
+}
+
+TEST_CASE("an unplanned loss uses up the permitted loss", "[budget]")
+{
+    const auto fleet = makeConfig(1, 8);
+    std::vector<fold::host_state> hosts;
+    for (int index = 0; index < 12; ++index) {
+        hosts.push_back(hostIn("h" + std::to_string(index), "rack" + std::to_string(index / 4), "z0", 8));
+    }
+    const auto &pool = fleet.pools.front();
+    const auto &profile = fleet.profiles.front();
+    CHECK(fold::evaluateBudget(pool, profile, hosts).worstLossSlots == 32);
+    hosts[0].down = true;
+    const auto view = fold::evaluateBudget(pool, profile, hosts);
+    CHECK(view.lostDomains == 1);
+    CHECK(view.servingSlots == 88);
+    CHECK(view.worstLossSlots == 24);
+    CHECK(fold::limitOfTaking(hosts[5], pool, profile, hosts) == fold::budget_limit::lost_domain);
+    auto two = profile;
+    two.maxLost = 2;
+    CHECK(fold::evaluateBudget(pool, two, hosts).worstLossSlots == 24 + 32);
+    CHECK(fold::limitOfTaking(hosts[5], pool, two, hosts) == fold::budget_limit::none);
+}
--- /dev/null
+++ b/tests/decisions/calendar_test.cpp
@@ -0,0 +1,84 @@
+#include "test_seed.h"
+
+#include <poplarpass/config/calendar.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+namespace config = poplarpass::config;
+namespace core = poplarpass::core;
+using std::chrono::minutes;
+
+namespace
+{
+// 2026-11-30 00:00 UTC, a Monday.
+constexpr core::wall_time monday{std::chrono::seconds{1795996800}};
+
+auto at(int day, int hour, int minute) -> core::wall_time
+{
+    return monday + minutes{(day * 24 + hour) * 60 + minute};
+}
+
+auto windowHolds(const config::calendar_window &window, long minuteOfWeek) -> bool
+{
+    for (int day = 0; day < 7; ++day) {
+        const long since = (minuteOfWeek - day * 1440L - window.startMinute + 2L * 10080) % 10080;
+        if ((window.weekdays >> day & 1) != 0 && since < window.lengthMinutes) {
+            return true;
+        }
+    }
+    return false;
+}
+} // namespace
+
+TEST_CASE("the two firms' nights are open at their local times", "[calendar]")
+{
+    const config::calendar uruguay{"nights", -180, {{0b0011111, 21 * 60, 540}}};
+    CHECK_FALSE(config::isOpen(uruguay, at(0, 23, 59)));
+    CHECK(config::isOpen(uruguay, at(1, 0, 0)));
+    CHECK(config::isOpen(uruguay, at(1, 8, 59)));
+    CHECK_FALSE(config::isOpen(uruguay, at(1, 9, 0)));
+    CHECK(config::nextOpening(uruguay, at(5, 12, 0)) == at(8, 0, 0));
+    CHECK(config::openFor(uruguay, at(1, 8, 30)) == minutes{30});
+    const config::calendar lagos{"nights", 60, {{0b1111111, 23 * 60, 360}}};
+    CHECK(config::isOpen(lagos, at(0, 22, 0)));
+    CHECK_FALSE(config::isOpen(lagos, at(0, 4, 0)));
+    CHECK(config::nextOpening(lagos, at(0, 4, 0)) == at(0, 22, 0));
+}
+
+TEST_CASE("a calendar without windows never opens, one of whole days always is", "[calendar]")
+{
+    const config::calendar never{"never", 0, {}};
+    CHECK_FALSE(config::nextOpening(never, monday));
+    const config::calendar always{"always", -180, {{127, 0, 1440}}};
+    CHECK(config::openFor(always, at(3, 5, 7)) == minutes{10080});
+    CHECK(config::isOpen(always, core::wall_time{std::chrono::seconds{-12345}}));
+}
+
+TEST_CASE("openings agree with a walk over every minute", "[calendar]")
+{
+    std::mt19937_64 random{tests::baseSeed()};
+    for (int round = 0; round < 60; ++round) {
+        config::calendar calendar{"c", static_cast<int>(random() % 1681) - 840, {}};
+        for (std::size_t index = 0; index < 1 + random() % 2; ++index) {
+            calendar.windows.push_back({static_cast<std::uint8_t>(1 + random() % 127),
+                                        static_cast<int>(random() % 1440),
+                                        static_cast<int>(1 + random() % (round % 5 == 0 ? 10080 : 600))});
+        }
+        const auto openAt = [&calendar](long minute) {
+            const long local = (minute + calendar.utcOffsetMinutes + 10080) % 10080;
+            return std::ranges::any_of(calendar.windows,
+                                       [local](const auto &each) { return windowHolds(each, local); });
+        };
+        for (int question = 0; question < 20; ++question) {
+            const auto start = static_cast<long>(random() % 10080);
+            auto next = start;
+            while (!openAt(next % 10080)) {
+                ++next;
+            }
+            REQUIRE(config::isOpen(calendar, monday + minutes{start}) == openAt(start));
+            REQUIRE(config::nextOpening(calendar, monday + minutes{start}) == monday + minutes{next});
+        }
+    }
+}
--- /dev/null
+++ b/tests/decisions/config_check_test.cpp
@@ -0,0 +1,109 @@
+#include "fleet_fixture.h"
+
+#include <poplarpass/config.h>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace tests;
+using config::problem_kind;
+
+namespace
+{
+auto hasProblem(const std::vector<config::config_problem> &problems, problem_kind kind, std::string_view item) -> bool
+{
+    return std::ranges::any_of(problems, [&](const auto &each) { return each.kind == kind && each.item == item; });
+}
+
+auto hostsOf(const fleet_script &script) -> std::span<const fold::host_state>
+{
+    return script.state.hosts();
+}
+} // namespace
+
+TEST_CASE("a sound configuration has no problems", "[config]")
+{
+    CHECK(config::checkConfig(makeConfig(3, 16)).empty());
+    CHECK(config::checkConfig({}).empty());
+}
+
+TEST_CASE("each fault of a configuration is found, and all at once", "[config]")
+{
+    auto fleet = makeConfig(2, 16);
+    fleet.calendars.push_back(fleet.calendars.front());
+    fleet.calendars.push_back({"odd", 900, {{0, 1440, 0}}});
+    fleet.profiles.push_back({core::profile_id{"p"}, -0.1, config::loss_domain::host, -1, 1, "gone", 0, 0});
+    fleet.pools.push_back({core::pool_id{"q"}, core::profile_id{"gone"}, -4, false});
+    fleet.services.push_back({core::service_id{"s"}, core::pool_id{"gone"}, core::profile_id{"gone"}});
+    fleet.teams.push_back({core::team_id{""}, -1, -1.0});
+    const auto problems = config::checkConfig(fleet);
+    CHECK(hasProblem(problems, problem_kind::duplicate_name, "calendar always"));
+    CHECK(hasProblem(problems, problem_kind::out_of_range, "calendar odd"));
+    CHECK(hasProblem(problems, problem_kind::out_of_range, "profile p"));
+    CHECK(hasProblem(problems, problem_kind::unknown_reference, "profile p"));
+    CHECK(hasProblem(problems, problem_kind::unknown_reference, "pool q"));
+    CHECK(hasProblem(problems, problem_kind::out_of_range, "pool q"));
+    CHECK(hasProblem(problems, problem_kind::unknown_reference, "service s"));
+    CHECK(hasProblem(problems, problem_kind::out_of_range, "team"));
+    CHECK(problems.size() == 15);
+}
+
+TEST_CASE("a service may not pick more than its pool keeps", "[config]")
+{
+    auto fleet = makeConfig(1, 16);
+    const auto kept = fleet.profiles.front();
+    const auto pickedWith = [&](const std::function<void(config::profile &)> &change) {
+        auto picked = kept;
+        picked.name = core::profile_id{"picked"};
+        change(picked);
+        auto copy = fleet;
+        copy.profiles.push_back(picked);
+        copy.services.front().profile = picked.name;
+        return hasProblem(config::checkConfig(copy), problem_kind::weaker_pool, "service sp0");
+    };
+    CHECK(pickedWith([](config::profile &picked) { picked.headroom = 0.5; }));
+    CHECK(pickedWith([](config::profile &picked) { picked.maxLost = 2; }));
+    CHECK(pickedWith([](config::profile &picked) { picked.lossDomain = config::loss_domain::zone; }));
+    CHECK_FALSE(pickedWith([](config::profile &picked) { picked.lossDomain = config::loss_domain::host; }));
+    CHECK_FALSE(pickedWith([](config::profile &picked) { picked.headroom = 0.1; }));
+    CHECK_FALSE(pickedWith([](config::profile &picked) {
+        picked.lossDomain = config::loss_domain::zone;
+        picked.maxLost = 0;
+    }));
+}
+
+TEST_CASE("a promise must be kept from the moment at which it is made", "[config]")
+{
+    fleet_script script;
+    script.build(2, 8, 16);
+    const auto &inForce = script.state.config();
+    CHECK(config::checkRevision(makeConfig(2, 25), inForce, hostsOf(script)).empty());
+    const auto problems = config::checkRevision(makeConfig(2, 26), inForce, hostsOf(script));
+    REQUIRE(problems.size() == 2);
+    CHECK(problems.front().kind == problem_kind::promise_not_kept);
+    CHECK(config::textOf(problems).find("worst_loss_slots=32") != std::string::npos);
+    CHECK(config::checkRevision(makeConfig(2, 26), inForce, {}).empty());
+}
+
+TEST_CASE("a pool that is short already forbids only what makes it shorter", "[config]")
+{
+    fleet_script script;
+    script.build(1, 8, 24);
+    script.host(fold::host_event::down, "p0-h0");
+    script.host(fold::host_event::down, "p0-h4");
+    const auto &inForce = script.state.config();
+    const auto spare = fold::evaluateBudget(inForce.pools.front(), inForce.profiles.front(), hostsOf(script));
+    REQUIRE(spare.spareSlots() < 0);
+    CHECK(config::checkRevision(makeConfig(1, 24), inForce, hostsOf(script)).empty());
+    CHECK(config::checkRevision(makeConfig(1, 20), inForce, hostsOf(script)).empty());
+    CHECK_FALSE(config::checkRevision(makeConfig(1, 25), inForce, hostsOf(script)).empty());
+}
+
+TEST_CASE("a pool that hosts use cannot be dropped", "[config]")
+{
+    fleet_script script;
+    script.build(2, 8, 16);
+    const auto problems = config::checkRevision(makeConfig(1, 16), script.state.config(), hostsOf(script));
+    CHECK(hasProblem(problems, problem_kind::pool_in_use, "pool p1"));
+}
--- /dev/null
+++ b/tests/decisions/fleet_state_test.cpp
@@ -0,0 +1,214 @@
+#include "fleet_fixture.h"
+#include "test_seed.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace tests;
+using core::error_kind;
+using fold::host_event;
+using fold::host_phase;
+
+TEST_CASE("of two racing revisions the first in the log wins", "[fold]")
+{
+    fleet_script script;
+    script.build(2, 8, 16);
+    const auto base = script.state.revision();
+    REQUIRE(base > 0);
+    const auto won = script.apply(fold::config_record{base, "ana", "a", makeConfig(2, 12)});
+    CHECK(won.accepted);
+    CHECK(script.state.revision() == script.state.offset());
+    const auto lost = script.apply(fold::config_record{base, "bo", "b", makeConfig(2, 14)});
+    CHECK_FALSE(lost.accepted);
+    CHECK(refusalOf(lost) == error_kind::revision_conflict);
+    CHECK(script.state.configText() == "a");
+}
+
+TEST_CASE("a promise that the hosts cannot keep is refused with the numbers", "[fold]")
+{
+    fleet_script script;
+    script.build(2, 8, 16);
+    const auto outcome = script.apply(fold::config_record{script.state.revision(), "ana", "", makeConfig(2, 26)});
+    REQUIRE(refusalOf(outcome) == error_kind::revision_rejected);
+    CHECK(outcome.refusal->detail.find("required_slots=33") != std::string::npos);
+    CHECK(outcome.refusal->detail.find("short_slots=1") != std::string::npos);
+}
+
+TEST_CASE("a member joins again only with a greater incarnation", "[fold]")
+{
+    fleet_script script;
+    script.build(1, 8, 8);
+    const fold::member_join_record join{core::member_id{"e1"}, fold::member_kind::entry, 5, "10.0.0.1:1", {}, {}};
+    CHECK(script.apply(join).accepted);
+    CHECK(refusalOf(script.apply(join)) == error_kind::stale_epoch);
+    auto again = join;
+    again.incarnation = 6;
+    CHECK(script.apply(again).accepted);
+    CHECK(script.state.memberEpoch() == 2);
+    CHECK_FALSE(script.apply(fold::member_leave_record{core::member_id{"e1"}, 5, 0}).accepted);
+    CHECK(refusalOf(script.apply(fold::member_leave_record{core::member_id{"e1"}, 6, 7})) == error_kind::stale_epoch);
+    CHECK(script.apply(fold::member_leave_record{core::member_id{"e1"}, 6, 1}).accepted);
+    CHECK(script.state.members().empty());
+    CHECK(script.state.memberEpoch() == 3);
+}
+
+TEST_CASE("a claim is accepted only if nobody renewed since", "[fold]")
+{
+    fleet_script script;
+    script.build(1, 8, 8);
+    const auto seen = script.state.control().lastRenewal;
+    CHECK(script.apply(fold::control_renew_record{1}).accepted);
+    CHECK_FALSE(script.apply(fold::control_claim_record{core::member_id{"c1"}, 1, 2, seen}).accepted);
+    const auto renewal = script.state.control().lastRenewal;
+    CHECK_FALSE(script.apply(fold::control_claim_record{core::member_id{"c1"}, 1, 3, renewal}).accepted);
+    CHECK(script.apply(fold::control_claim_record{core::member_id{"c1"}, 1, 2, renewal}).accepted);
+    CHECK_FALSE(script.apply(fold::control_renew_record{1}).accepted);
+    CHECK(refusalOf(script.host(host_event::down, "p0-h0")) == error_kind::stale_epoch);
+}
+
+TEST_CASE("only the transitions of the host's life are accepted", "[fold]")
+{
+    struct host_case
+    {
+        host_phase phase;
+        bool down;
+        std::vector<host_event> allowed;
+    };
+    const std::vector<host_case> cases{
+        {host_phase::serving, false, {host_event::leave, host_event::drain_start, host_event::down}},
+        {host_phase::serving, true, {host_event::up, host_event::remove}},
+        {host_phase::moving_out,
+         false,
+         {host_event::drained, host_event::drain_cancel, host_event::down, host_event::remove}},
+        {host_phase::drained,
+         false,
+         {host_event::join, host_event::drain_cancel, host_event::down, host_event::remove}},
+        {host_phase::drained, true, {host_event::drain_cancel, host_event::up, host_event::remove}},
+        {host_phase::draining,
+         false,
+         {host_event::drain_cancel, host_event::reboot_start, host_event::down, host_event::remove}},
+        {host_phase::rebooting, false, {host_event::returned, host_event::down, host_event::remove}},
+        {host_phase::rebooting, true, {host_event::returned, host_event::up, host_event::remove}},
+    };
+    fleet_script script;
+    script.build(2, 12, 8);
+    script.apply(fold::wave_record{fold::wave_action::start, core::wave_id{"w"}, {}, "ana", 0});
+    for (const auto &each : cases) {
+        for (int event = 0; event <= static_cast<int>(host_event::remove); ++event) {
+            auto parts = script.state.parts();
+            auto &host = parts.hosts.front();
+            host.phase = each.phase;
+            host.down = each.down;
+            const bool moves = each.phase == host_phase::moving_out || each.phase == host_phase::drained;
+            host.movingTo = core::pool_id{moves ? "p1" : ""};
+            fleet_script copy{*fold::fleet_state::fromParts(std::move(parts))};
+            const auto kind = static_cast<host_event>(event);
+            const auto outcome = copy.host(kind, "p0-h0", "p1", "w", 2);
+            const bool allowed = std::ranges::find(each.allowed, kind) != each.allowed.end();
+            INFO("phase " << static_cast<int>(each.phase) << " down " << each.down << " event " << event);
+            CHECK(outcome.accepted == allowed);
+            CHECK(outcome.accepted != outcome.refusal.has_value());
+        }
+    }
+}
+
+TEST_CASE("a move goes through leave, drained and join", "[fold]")
+{
+    fleet_script script;
+    script.build(2, 12, 8);
+    REQUIRE(script.host(host_event::leave, "p0-h0", "p1").accepted);
+    CHECK(script.state.findHost(core::host_id{"p0-h0"})->pool == core::pool_id{"p0"});
+    CHECK_FALSE(script.host(host_event::join, "p0-h0", "p1").accepted);
+    REQUIRE(script.host(host_event::drained, "p0-h0").accepted);
+    REQUIRE(script.host(host_event::join, "p0-h0", "p1").accepted);
+    const auto *host = script.state.findHost(core::host_id{"p0-h0"});
+    CHECK(host->pool == core::pool_id{"p1"});
+    CHECK(host->generation == script.state.offset());
+    CHECK(host->serves());
+    REQUIRE(script.host(host_event::leave, "p0-h1", "p1").accepted);
+    CHECK(refusalOf(script.host(host_event::leave, "p0-h2", "p1")) == error_kind::budget_exceeded);
+    CHECK(script.host(host_event::leave, "p0-h0", "p0").accepted);
+    CHECK(refusalOf(script.host(host_event::leave, "p0-h3", "p9")) == error_kind::unknown_pool);
+}
+
+TEST_CASE("two holders cannot pass the budget by racing", "[fold]")
+{
+    fleet_script script;
+    script.build(1, 8, 16);
+    script.apply(fold::wave_record{fold::wave_action::start, core::wave_id{"w"}, {}, "ana", 0});
+    CHECK(script.host(host_event::drain_start, "p0-h0", "", "w").accepted);
+    const auto second = script.host(host_event::drain_start, "p0-h1", "", "w");
+    REQUIRE(refusalOf(second) == error_kind::budget_exceeded);
+    CHECK(second.refusal->detail.find("limit=capacity") != std::string::npos);
+    REQUIRE(script.host(host_event::reboot_start, "p0-h0", "", "", 1).accepted);
+    CHECK_FALSE(script.host(host_event::returned, "p0-h0", "", "", 1).accepted);
+    REQUIRE(script.host(host_event::returned, "p0-h0", "", "", 2).accepted);
+    CHECK_FALSE(script.host(host_event::drain_start, "p0-h0", "", "w").accepted);
+    REQUIRE(script.host(host_event::down, "p0-h7").accepted);
+    const auto paused = script.host(host_event::drain_start, "p0-h4", "", "w");
+    REQUIRE(paused.refusal);
+    CHECK(paused.refusal->detail.find("limit=lost_domain") != std::string::npos);
+}
+
+TEST_CASE("a paused or finished wave starts no drain", "[fold]")
+{
+    fleet_script script;
+    script.build(2, 12, 8);
+    const auto wave = [&script](fold::wave_action action, std::uint64_t epoch = 0) {
+        return script.apply(fold::wave_record{action, core::wave_id{"w"}, {core::pool_id{"p0"}}, "ana", epoch})
+            .accepted;
+    };
+    CHECK_FALSE(script.host(host_event::drain_start, "p0-h0", "", "w").accepted);
+    CHECK(wave(fold::wave_action::start));
+    CHECK_FALSE(wave(fold::wave_action::start));
+    CHECK_FALSE(script.host(host_event::drain_start, "p1-h0", "", "w").accepted);
+    CHECK(wave(fold::wave_action::pause));
+    CHECK_FALSE(wave(fold::wave_action::pause));
+    CHECK_FALSE(script.host(host_event::drain_start, "p0-h0", "", "w").accepted);
+    CHECK(wave(fold::wave_action::resume));
+    CHECK(script.host(host_event::drain_start, "p0-h0", "", "w").accepted);
+    CHECK_FALSE(wave(fold::wave_action::finish));
+    CHECK(wave(fold::wave_action::finish, 1));
+    CHECK_FALSE(wave(fold::wave_action::resume));
+}
+
+TEST_CASE("a double is ignored, also of a record that was refused", "[fold]")
+{
+    fleet_script script;
+    script.build(1, 8, 8);
+    const core::record_id id{"claim"};
+    const fold::control_renew_record early{2};
+    CHECK_FALSE(script.state.apply(script.state.offset() + 1, id, early).accepted);
+    const auto renewal = script.state.control().lastRenewal;
+    CHECK(script.apply(fold::control_claim_record{core::member_id{"c1"}, 1, 2, renewal}).accepted);
+    const auto again = script.state.apply(script.state.offset() + 1, id, early);
+    CHECK(again.duplicate);
+    CHECK_FALSE(again.accepted);
+    CHECK_FALSE(script.state.findRecord(id)->accepted);
+}
+
+TEST_CASE("the digest kept current equals the digest of the whole state", "[fold]")
+{
+    std::mt19937_64 random{baseSeed()};
+    fleet_script script;
+    script.build(3, 8, 12);
+    script.apply(fold::wave_record{fold::wave_action::start, core::wave_id{"w"}, {}, "ana", 0});
+    int accepted = 0;
+    for (int step = 0; step < 12000; ++step) {
+        const auto event = static_cast<host_event>(1 + random() % 10);
+        const auto name = "p" + std::to_string(random() % 3) + "-h" + std::to_string(random() % 8);
+        accepted += script.host(event, name, "p" + std::to_string(random() % 3), "w", random()).accepted ? 1 : 0;
+        if (random() % 8 == 0) {
+            const auto pool = static_cast<int>(random() % 3);
+            accepted += script.apply(addRecord(makeHost(pool, static_cast<int>(random() % 8)))).accepted ? 1 : 0;
+        }
+        if (step % 100 == 0) {
+            const auto copy = fold::fleet_state::fromParts(script.state.parts());
+            REQUIRE(copy);
+            REQUIRE(copy->digest() == script.state.digest());
+        }
+    }
+    CHECK(accepted > 1000);
+    CHECK(script.state.parts().recentIds.size() == fold::recentIdCount);
+}
--- /dev/null
+++ b/tests/fleet_fixture.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <poplarpass/fold.h>
+
+#include <string>
+#include <vector>
+
+/// Small fleets for the tests of the fold, the configuration and the codecs.
+namespace tests
+{
+namespace config = poplarpass::config;
+namespace core = poplarpass::core;
+namespace fold = poplarpass::fold;
+namespace platform = poplarpass::platform;
+
+/// \brief Configuration with pools p0, p1, ...: one rack may be lost, and hosts may be lent.
+inline auto makeConfig(int pools, int demandSlots) -> config::fleet_config
+{
+    config::fleet_config fleet;
+    fleet.calendars.push_back({"always", 0, {{127, 0, 1440}}});
+    fleet.profiles.push_back({core::profile_id{"rack-safe"}, 0.25, config::loss_domain::rack, 1, 3, "always", 2, 2});
+    for (int pool = 0; pool < pools; ++pool) {
+        const auto name = "p" + std::to_string(pool);
+        fleet.pools.push_back({core::pool_id{name}, core::profile_id{"rack-safe"}, demandSlots, pool == 0});
+        fleet.services.push_back({core::service_id{"s" + name}, core::pool_id{name}, core::profile_id{"rack-safe"}});
+    }
+    fleet.teams.push_back({core::team_id{"desk"}, 40, 2.0});
+    return fleet;
+}
+
+/// \brief Host number \p index of \p pool with 8 slots; four hosts to a rack, racks round three zones.
+inline auto makeHost(int pool, int index) -> platform::listed_host
+{
+    const auto poolName = "p" + std::to_string(pool);
+    const auto rack = std::to_string(index / 4);
+    platform::listed_host host;
+    host.host = core::host_id{poolName + "-h" + std::to_string(index)};
+    host.address = "10.0." + std::to_string(pool) + "." + std::to_string(index) + ":7000";
+    host.region = core::region_id{"r"};
+    host.zone = core::zone_id{"z" + std::to_string((index / 4 + pool) % 3)};
+    host.rack = core::rack_id{poolName + "-rack" + rack};
+    host.pool = core::pool_id{poolName};
+    host.slots = 8;
+    host.connections = 64;
+    host.cores = 16;
+    host.memoryMb = 32768;
+    return host;
+}
+
+/// \brief Record of \p event for \p host by the holder of \p epoch.
+inline auto hostRecord(fold::host_event event, std::string host, std::uint64_t epoch = 1) -> fold::host_record
+{
+    fold::host_record record;
+    record.event = event;
+    record.host = core::host_id{std::move(host)};
+    record.controlEpoch = epoch;
+    return record;
+}
+
+/// \brief Record that adds \p listed.
+inline auto addRecord(const platform::listed_host &listed, std::uint64_t epoch = 1) -> fold::host_record
+{
+    auto record = hostRecord(fold::host_event::add, listed.host.str(), epoch);
+    record.description = listed;
+    record.bootId = 1;
+    return record;
+}
+
+/// \brief A state and the next offset and id, for tests that apply records one by one.
+struct fleet_script
+{
+    fold::fleet_state state;
+
+    /// \brief Applies \p change at the next offset under a new id.
+    auto apply(const fold::record &change) -> fold::applied
+    {
+        const auto offset = state.offset() + 1;
+        return state.apply(offset, core::record_id{"r" + std::to_string(offset)}, change);
+    }
+
+    /// \brief Claims the control role, adds \p hostsPerPool hosts to each of \p pools pools, and publishes.
+    auto build(int pools, int hostsPerPool, int demandSlots) -> void
+    {
+        apply(fold::control_claim_record{core::member_id{"c0"}, 1, 1, 0});
+        for (int pool = 0; pool < pools; ++pool) {
+            for (int index = 0; index < hostsPerPool; ++index) {
+                apply(addRecord(makeHost(pool, index)));
+            }
+        }
+        apply(fold::config_record{0, "ana", "text", makeConfig(pools, demandSlots)});
+    }
+
+    /// \brief Applies \p event for \p host as the holder of epoch 1.
+    auto host(fold::host_event event, const std::string &name, const std::string &pool = {},
+              const std::string &wave = {}, std::uint64_t bootId = 0) -> fold::applied
+    {
+        auto record = hostRecord(event, name);
+        record.pool = core::pool_id{pool};
+        record.wave = core::wave_id{wave};
+        record.bootId = bootId;
+        return apply(record);
+    }
+};
+
+/// \brief Kind of the refusal in \p outcome; internal when there is none.
+inline auto refusalOf(const fold::applied &outcome) -> core::error_kind
+{
+    return outcome.refusal ? outcome.refusal->kind : core::error_kind::internal;
+}
+} // namespace tests
