--- a/src/poplarpass/fold/log_follower.cpp
+++ b/src/poplarpass/fold/log_follower.cpp
@@ -193,8 +193,8 @@
 
 auto log_follower::endOfSearch(const platform::log_page &page) -> void
 {
-    const bool usable =
-        m_found && m_found->offset() + 1 >= page.firstOffset && (!m_hasState || m_found->offset() >= m_state.offset());
+    // The state that it had ends before the first record held, so a usable snapshot is newer than that state.
+    const bool usable = m_found && m_found->offset() + 1 >= page.firstOffset;
     if (usable) {
         install(std::move(*m_found));
         m_found.reset();
--- a/tests/decisions/log_follower_test.cpp
+++ b/tests/decisions/log_follower_test.cpp
@@ -102,6 +102,23 @@
     CHECK(script.follower.state().digest() == script.truth().digest());
 }
 
+TEST_CASE("a snapshot is of no use when records after it are gone", "[follower]")
+{
+    follower_script script;
+    script.log.append(core::record_id{"c"}, fold::control_claim_record{core::member_id{"c0"}, 1, 1, 0});
+    script.renew(40);
+    script.writeSnapshot(script.log.fold(20));
+    script.log.trim(22);
+    readToEnd(script.log, script.follower, at(1));
+    CHECK_FALSE(script.follower.hasState());
+    CHECK(script.follower.cannotRecover());
+
+    fold::log_follower later{script.log.decoder()};
+    script.writeSnapshot(script.log.fold(21));
+    readToEnd(script.log, later, at(2));
+    CHECK(later.state().digest() == script.truth().digest());
+}
+
 TEST_CASE("the search goes further back while no snapshot is found", "[follower]")
 {
     follower_script script;
@@ -179,7 +196,7 @@
     CHECK_FALSE(script.follower.takePeerState(bytes, state.digest() + 1));
     script.follower.notePeerOffset(state.offset() + 1);
     CHECK_FALSE(script.follower.takePeerState(bytes, state.digest()));
-    script.renew(1);
+    script.log.append(core::record_id{"revision"}, fold::config_record{0, "ana", "text", makeConfig(1, 8)});
     const auto newer = script.truth();
     CHECK(script.follower.takePeerState(script.log.encode(newer), newer.digest()));
     CHECK(script.follower.hasState());
