Settings, event log, metrics and traces: first version

Cause: the processes need typed settings and ways to show what they do. Change: settings by toml++ driven by one table of keys; logger over easylogging++; metrics over Boost.Histogram; tracer with W3C traceparent and OTLP/HTTP JSON batches.

--- /dev/null
+++ b/src/poplarpass/observe/tracer.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <poplarpass/core/time.h>
+#include <poplarpass/observe/logger.h>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace poplarpass::observe
+{
+/// \brief Position in a trace, as W3C Trace Context carries it from hop to hop.
+struct trace_context
+{
+    std::array<std::uint8_t, 16> traceId{}; ///< Identifies the trace; all zero if there is none.
+    std::array<std::uint8_t, 8> spanId{}; ///< Identifies the span; all zero if there is none.
+    bool sampled = false; ///< Whether its spans are exported.
+
+    auto operator==(const trace_context &) const -> bool = default;
+};
+
+/// \brief Context in the header "traceparent", if it is well-formed.
+auto parseTraceparent(std::string_view header) -> std::optional<trace_context>;
+
+/// \brief Header "traceparent" that hands \p context to the next hop.
+auto formatTraceparent(const trace_context &context) -> std::string;
+
+/// \brief Role of a span in its hop.
+enum class span_kind {
+    internal, ///< Work inside a process.
+    server, ///< Handles a request.
+    client, ///< Sends a request.
+};
+
+/// \brief How a tracer samples, keeps and hands on spans.
+struct tracer_options
+{
+    std::string serviceName = "poplarpass"; ///< Attribute service.name.
+    std::string instance; ///< Attribute service.instance.id: the process's name.
+    double sampleShare = 1.0; ///< Share of new traces that are sampled, 0 to 1.
+    std::size_t queueLimit = 4096; ///< Finished spans kept while the collector is away.
+    std::size_t batchSize = 256; ///< Greatest number of spans in one export.
+    std::function<std::uint64_t()> random; ///< Source of identifiers.
+    std::function<core::wall_time()> now; ///< Wall time of spans.
+    /// \brief Sends an OTLP/HTTP JSON body and later says whether the collector took it; not set: nothing is kept.
+    std::function<void(std::string json, std::function<void(bool ok)>)> send;
+};
+
+namespace internal
+{
+struct tracer_state;
+struct span_record;
+} // namespace internal
+
+/// \brief One timed step; ends when it is destroyed unless it was ended before.
+class span
+{
+public:
+    /// \brief A span that records nothing.
+    span();
+    ~span();
+    span(span &&) noexcept;
+    auto operator=(span &&) noexcept -> span &;
+    span(const span &) = delete;
+    auto operator=(const span &) -> span & = delete;
+
+    /// \brief Context to hand to children and to the next hop.
+    [[nodiscard]] auto context() const -> const trace_context &;
+
+    /// \brief Adds an attribute.
+    auto setAttribute(field attribute) -> void;
+
+    /// \brief Marks the step as failed.
+    auto setError(std::string_view message) -> void;
+
+    /// \brief Ends the step now; later calls do nothing.
+    auto end() -> void;
+
+private:
+    friend class tracer;
+
+    trace_context m_context;
+    std::unique_ptr<internal::span_record> m_record;
+    std::weak_ptr<internal::tracer_state> m_tracer;
+};
+
+/// \brief Makes spans and exports them in batches.
+class tracer
+{
+public:
+    explicit tracer(tracer_options options);
+    ~tracer();
+    tracer(const tracer &) = delete;
+    auto operator=(const tracer &) -> tracer & = delete;
+
+    /// \brief Starts a span below \p parent, or a new trace if there is none.
+    auto start(std::string_view name, span_kind kind, const std::optional<trace_context> &parent = std::nullopt)
+        -> span;
+
+    /// \brief Sends finished spans, one batch after the other, until the queue is empty or a batch fails.
+    /// To be called now and then; a full batch is sent without it unless the batch before it failed.
+    auto flush() -> void;
+
+    /// \brief Number of spans lost as the queue was full.
+    [[nodiscard]] auto droppedCount() const -> std::uint64_t;
+
+    /// \brief Number of spans that the collector took.
+    [[nodiscard]] auto exportedCount() const -> std::uint64_t;
+
+    /// \brief Number of finished spans that are not exported yet.
+    [[nodiscard]] auto queuedCount() const -> std::size_t;
+
+private:
+    std::shared_ptr<internal::tracer_state> m_state;
+};
+} // namespace poplarpass::observe
--- /dev/null
+++ b/src/poplarpass/settings.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// \file
+/// \brief Settings of one process: typed values, their table of keys, and the TOML reader.
+
+#include <poplarpass/settings/key_table.h>
+#include <poplarpass/settings/process_settings.h>
+#include <poplarpass/settings/reader.h>
--- /dev/null
+++ b/src/poplarpass/settings/contradictions.cpp
@@ -0,0 +1,160 @@
+#include <poplarpass/settings/contradictions.h>
+
+#include <algorithm>
+#include <set>
+
+namespace poplarpass::settings::internal
+{
+namespace
+{
+auto millisecondsText(std::chrono::milliseconds value) -> std::string
+{
+    return std::to_string(value.count()) + " ms";
+}
+
+auto checkSecret(const deployment_settings &deployment, problem_list &problems) -> void
+{
+    const bool hasText = problems.wasSeen("deployment.secret");
+    const bool hasFile = problems.wasSeen("deployment.secret_file");
+    if (hasText == hasFile) {
+        problems.add("deployment.secret", "exactly one of secret and secret_file", hasText ? "both" : "neither");
+    }
+    const auto &zones = deployment.zones;
+    if (std::set<core::zone_id>{zones.begin(), zones.end()}.size() != zones.size()) {
+        problems.add("deployment.zones", "distinct zones", "a repeated zone");
+    }
+}
+
+auto checkZone(const process_settings &settings, problem_list &problems) -> void
+{
+    const auto &zones = settings.deployment.zones;
+    if (problems.areGood({"process.zone", "deployment.zones"})
+        && std::ranges::find(zones, settings.process.zone) == zones.end()) {
+        problems.add("process.zone", "one of deployment.zones", settings.process.zone.str());
+    }
+}
+
+// The reader has stored its own address as the advertised one if none was given.
+auto checkOwnAddress(const process_settings &settings, const peer_settings &peer, const std::string &key,
+                     problem_list &problems) -> void
+{
+    const bool known = problems.areGood({"process.name", "listen.peers", "listen.advertise"});
+    if (known && peer.name == settings.process.name && peer.address != settings.listen.advertise) {
+        problems.add(key, "the address that this process advertises", peer.address);
+    }
+}
+
+auto checkListen(const listen_settings &listen, problem_list &problems) -> void
+{
+    const auto fixed = [](const std::string &address) {
+        return !address.empty() && !address.ends_with(":0");
+    };
+    if (fixed(listen.callers) && listen.callers == listen.peers) {
+        problems.add("listen.peers", "an address other than listen.callers", listen.peers);
+    }
+    if (fixed(listen.admin) && (listen.admin == listen.callers || listen.admin == listen.peers)) {
+        problems.add("listen.admin", "an address of its own", listen.admin);
+    }
+}
+
+auto checkPeers(const process_settings &settings, problem_list &problems) -> void
+{
+    std::set<core::member_id> names;
+    std::set<std::string> addresses;
+    for (std::size_t index = 0; index < settings.peers.size(); ++index) {
+        const auto &peer = settings.peers[index];
+        const auto prefix = "peers[" + std::to_string(index) + "].";
+        if (!peer.name.empty() && !names.insert(peer.name).second) {
+            problems.add(prefix + "name", "distinct names", peer.name.str());
+        }
+        if (!peer.address.empty() && !addresses.insert(peer.address).second) {
+            problems.add(prefix + "address", "distinct addresses", peer.address);
+        }
+        checkOwnAddress(settings, peer, prefix + "address", problems);
+    }
+}
+
+auto checkKeys(const limit_settings &limits, problem_list &problems) -> void
+{
+    if (problems.areGood({"limits.key_clock_skew_s", "limits.key_retention_s"})
+        && 2 * limits.keyClockSkew >= limits.keyRetention) {
+        problems.add("limits.key_clock_skew_s", "less than half of key_retention_s",
+                     std::to_string(limits.keyClockSkew.count()) + " s");
+    }
+}
+
+auto checkTiming(const timing_settings &timing, problem_list &problems) -> void
+{
+    if (problems.areGood({"timing.heartbeat_ms", "timing.freshness_ms"}) && 2 * timing.heartbeat >= timing.freshness) {
+        problems.add("timing.heartbeat_ms", "less than half of freshness_ms", millisecondsText(timing.heartbeat));
+    }
+    const auto leastRemoval = timing.freshness + workerLeaseTerm + removalMargin;
+    if (problems.areGood({"timing.removal_effect_ms", "timing.freshness_ms"}) && timing.removalEffect < leastRemoval) {
+        problems.add("timing.removal_effect_ms", "at least " + millisecondsText(leastRemoval),
+                     millisecondsText(timing.removalEffect));
+    }
+    if (2 * timing.leaseRenew >= workerLeaseTerm) {
+        problems.add("timing.lease_renew_ms", "less than half of the worker's lease term",
+                     millisecondsText(timing.leaseRenew));
+    }
+}
+} // namespace
+
+problem_list::problem_list(std::string_view fileName)
+    : m_fileName{fileName}
+{
+}
+
+auto problem_list::add(int line, std::string_view key, std::string_view expected, std::string_view found) -> void
+{
+    m_problems.push_back({m_fileName, line, std::string{key}, std::string{expected}, std::string{found}});
+}
+
+auto problem_list::add(std::string_view key, std::string_view expected, std::string_view found) -> void
+{
+    if (isBad(key)) {
+        return;
+    }
+    const auto line = m_lines.find(key);
+    add(line == m_lines.end() ? 0 : line->second, key, expected, found);
+}
+
+auto problem_list::noteLine(const std::string &key, int line) -> void
+{
+    m_lines.emplace(key, line);
+}
+
+auto problem_list::wasSeen(const std::string &key) const -> bool
+{
+    return m_lines.contains(key);
+}
+
+auto problem_list::isBad(std::string_view key) const -> bool
+{
+    return std::ranges::any_of(m_problems, [key](const auto &problem) { return problem.key == key; });
+}
+
+auto problem_list::areGood(std::initializer_list<std::string_view> keys) const -> bool
+{
+    return std::ranges::none_of(keys, [this](auto key) { return isBad(key); });
+}
+
+auto problem_list::take(process_settings settings) -> settings_result
+{
+    if (m_problems.empty()) {
+        return settings;
+    }
+    std::ranges::stable_sort(m_problems, {}, &settings_problem::line);
+    return tl::make_unexpected(std::move(m_problems));
+}
+
+auto findContradictions(const process_settings &settings, problem_list &problems) -> void
+{
+    checkSecret(settings.deployment, problems);
+    checkZone(settings, problems);
+    checkListen(settings.listen, problems);
+    checkPeers(settings, problems);
+    checkKeys(settings.limits, problems);
+    checkTiming(settings.timing, problems);
+}
+} // namespace poplarpass::settings::internal
