--- /dev/null
+++ b/src/poplarpass/net/peer_state.cpp
@@ -0,0 +1,47 @@
+#include <poplarpass/net/peer_state.h>
+
+#include <algorithm>
+
+namespace poplarpass::net::internal
+{
+backoff::backoff(std::chrono::milliseconds least, std::chrono::milliseconds most)
+    : m_least{least}
+    , m_most{most}
+    , m_current{least}
+{
+}
+
+auto backoff::next(std::uint64_t randomNumber) -> std::chrono::microseconds
+{
+    const std::chrono::microseconds full = m_current;
+    m_current = std::min(m_most, 2 * m_current);
+    const auto range = static_cast<std::uint64_t>(full.count() / 2 + 1);
+    return full - std::chrono::microseconds{randomNumber % range};
+}
+
+auto backoff::reset() -> void
+{
+    m_current = m_least;
+}
+
+auto peer_state::isSuperseded(std::uint64_t candidate) const -> bool
+{
+    return std::ranges::find(superseded, candidate) != superseded.end();
+}
+
+auto peer_state::adopt(std::uint64_t proven) -> bool
+{
+    if (incarnation == proven) {
+        return false;
+    }
+    const bool replaces = incarnation.has_value();
+    if (replaces) {
+        superseded.push_back(*incarnation);
+    }
+    if (superseded.size() > rememberedIncarnations) {
+        superseded.pop_front();
+    }
+    incarnation = proven;
+    return replaces;
+}
+} // namespace poplarpass::net::internal
