--- a/src/poplarpass/settings/contradictions.cpp
+++ b/src/poplarpass/settings/contradictions.cpp
@@ -44,6 +44,15 @@
     }
 }
 
+auto checkCallers(const process_settings &settings, problem_list &problems) -> void
+{
+    const auto own = std::ranges::find(settings.peers, settings.process.name, &peer_settings::name);
+    const bool isEntry = own != settings.peers.end() && own->kind == peer_kind::entry;
+    if (isEntry && settings.listen.callers.empty()) {
+        problems.add("listen.callers", "address IP:port, as this process is an entry", "nothing");
+    }
+}
+
 auto checkListen(const listen_settings &listen, problem_list &problems) -> void
 {
     const auto fixed = [](const std::string &address) {
@@ -66,6 +75,7 @@
         const auto prefix = "peers[" + std::to_string(index) + "].";
         if (!peer.name.empty() && !names.insert(peer.name).second) {
             problems.add(prefix + "name", "distinct names", peer.name.str());
+            continue;
         }
         if (!peer.address.empty() && !addresses.insert(peer.address).second) {
             problems.add(prefix + "address", "distinct addresses", peer.address);
@@ -152,6 +162,7 @@
 {
     checkSecret(settings.deployment, problems);
     checkZone(settings, problems);
+    checkCallers(settings, problems);
     checkListen(settings.listen, problems);
     checkPeers(settings, problems);
     checkKeys(settings.limits, problems);
--- a/src/poplarpass/settings/key_table.cpp
+++ b/src/poplarpass/settings/key_table.cpp
@@ -94,7 +94,7 @@
             store<process, &identity_settings::name>),
     nameKey("process.region", required, "Region of its host.", store<process, &identity_settings::region>),
     nameKey("process.zone", required, "Availability zone of its host.", store<process, &identity_settings::zone>),
-    addressKey("listen.callers", required, "HTTP of callers; port 0 takes a free port.",
+    addressKey("listen.callers", optional, "HTTP of callers; an entry needs it, a control does not use it.",
                store<listen, &listen_settings::callers>),
     addressKey("listen.peers", required, "Links of the other processes.", store<listen, &listen_settings::peers>),
     addressKey("listen.admin", required, "Metrics and status.", store<listen, &listen_settings::admin>),
--- a/src/poplarpass/settings/process_settings.h
+++ b/src/poplarpass/settings/process_settings.h
@@ -21,7 +21,7 @@
 /// \brief Section [listen]: addresses "IP:port" that the process binds; port 0 takes a free one.
 struct listen_settings
 {
-    std::string callers; ///< HTTP of the callers.
+    std::string callers; ///< HTTP of the callers; may be empty for a control.
     std::string peers; ///< Links of the other processes.
     std::string admin; ///< Metrics and status.
     std::string advertise; ///< Address at which peers reach this process; that of the links unless set.
--- a/src/poplarpass/settings/reader.cpp
+++ b/src/poplarpass/settings/reader.cpp
@@ -1,8 +1,7 @@
 #include <poplarpass/settings/contradictions.h>
 #include <poplarpass/settings/key_table.h>
 #include <poplarpass/settings/reader.h>
-
-#include <toml++/toml.h>
+#include <poplarpass/settings/toml_document.h>
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -271,14 +270,12 @@
 
 auto parse(std::string_view text, std::string_view fileName) -> settings_result
 {
-    try {
-        return internal::reader{fileName}.read(toml::parse(text, fileName));
-    } catch (const toml::parse_error &problem) {
-        const auto line = static_cast<int>(problem.source().begin.line);
-        std::vector<settings_problem> problems;
-        problems.push_back({std::string{fileName}, line, "", "TOML", std::string{problem.description()}});
-        return tl::make_unexpected(std::move(problems));
+    const auto document = internal::parseToml(text, fileName);
+    if (!document) {
+        const auto &[line, description] = document.error();
+        return tl::make_unexpected(std::vector{settings_problem{std::string{fileName}, line, "", "TOML", description}});
     }
+    return internal::reader{fileName}.read(*document);
 }
 
 auto load(std::string_view path) -> settings_result
