--- a/src/poplarpass/app/main.cpp
+++ b/src/poplarpass/app/main.cpp
@@ -1,7 +1,13 @@
-#include <cstdio>
+#include <poplarpass/app/command_line.h>
 
-auto main() -> int
+#include <iostream>
+#include <string>
+#include <vector>
+
+auto main(int argumentCount, char *argumentValues[]) -> int
 {
-    std::puts("poplarpass");
-    return 0;
+    const std::vector<std::string> arguments{argumentValues + 1, argumentValues + argumentCount};
+    poplarpass::app::console streams{std::cout, std::cerr};
+    const auto verbs = poplarpass::app::allVerbs();
+    return static_cast<int>(poplarpass::app::runCommandLine(arguments, verbs, streams));
 }
--- /dev/null
+++ b/src/poplarpass/app/supervisor.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <poplarpass/core/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplarpass::app
+{
+/// \brief One part of a process that its supervisor starts, restarts and stops.
+struct child_spec
+{
+    std::string name; ///< Name in logs.
+    std::function<void()> start; ///< Starts it; throws if it cannot.
+    std::function<void(std::function<void()> done)> stop; ///< Stops it gracefully, then calls done once.
+};
+
+/// \brief How a supervisor treats children that fail.
+struct restart_policy
+{
+    int maxRestarts = 5; ///< Failures of one child within the window that are restarted.
+    core::duration window = std::chrono::seconds{60}; ///< Window in which failures are counted.
+    core::duration delay = std::chrono::milliseconds{200}; ///< Wait before a restart.
+};
+
+/// \brief What a supervisor needs from its surroundings.
+struct supervisor_hooks
+{
+    std::function<core::monotonic_time()> now; ///< Present time.
+    std::function<void(core::duration, std::function<void()>)> after; ///< Calls back once after a delay.
+    std::function<void(std::string_view event, std::string_view child, std::string_view detail)> report; ///< Logs.
+    std::function<void()> escalate; ///< Called when a child fails too often.
+};
+
+/// \brief Starts its children in order, restarts those that fail, and stops them in reverse order.
+///
+/// A supervisor can be a child of another one, which makes the tree.
+class supervisor
+{
+public:
+    supervisor(std::vector<child_spec> children, restart_policy policy, supervisor_hooks hooks);
+
+    /// \brief Starts every child in order; a child that throws is treated as failed.
+    auto start() -> void;
+
+    /// \brief A child reports that it failed. Restarts it, or escalates when it fails too often.
+    auto childFailed(std::string_view name, std::string_view reason) -> void;
+
+    /// \brief Stops the children in reverse order, one after another, then calls \p done.
+    auto stop(std::function<void()> done) -> void;
+
+private:
+    struct child
+    {
+        child_spec spec;
+        bool running = false;
+        std::vector<core::monotonic_time> failures;
+    };
+
+    auto startChild(child &target) -> void;
+    auto handleFailure(child &target, std::string_view reason) -> void;
+    auto stopFrom(std::size_t count, std::function<void()> done) -> void;
+    [[nodiscard]] auto failsTooOften(child &target) -> bool;
+
+    std::vector<child> m_children;
+    restart_policy m_policy;
+    supervisor_hooks m_hooks;
+    bool m_stopping = false;
+};
+} // namespace poplarpass::app
--- /dev/null
+++ b/tests/process/child_process.cpp
@@ -0,0 +1,146 @@
+#include "child_process.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace tests
+{
+child_process::child_process(std::string program, std::vector<std::string> arguments)
+{
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+        throw std::runtime_error{"pipe failed"};
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+    std::vector<char *> words{program.data()};
+    for (auto &argument : arguments) {
+        words.push_back(argument.data());
+    }
+    words.push_back(nullptr);
+    const int failed = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    close(ends[1]);
+    if (failed != 0) {
+        close(ends[0]);
+        throw std::runtime_error{"cannot start " + program};
+    }
+    m_reader = std::thread{[this, descriptor = ends[0]] { readLines(descriptor); }};
+}
+
+child_process::~child_process()
+{
+    if (!m_reaped) {
+        kill(m_pid, SIGKILL);
+        int status = 0;
+        waitpid(m_pid, &status, 0);
+    }
+    m_reader.join();
+}
+
+auto child_process::readLines(int descriptor) -> void
+{
+    std::FILE *stream = fdopen(descriptor, "r");
+    char *buffer = nullptr;
+    std::size_t capacity = 0;
+    ssize_t length = 0;
+    while ((length = getline(&buffer, &capacity, stream)) > 0) {
+        const std::scoped_lock lock{m_mutex};
+        m_lines.emplace_back(buffer, static_cast<std::size_t>(length));
+        while (!m_lines.back().empty() && m_lines.back().back() == '\n') {
+            m_lines.back().pop_back();
+        }
+        m_changed.notify_all();
+    }
+    std::free(buffer);
+    std::fclose(stream);
+    const std::scoped_lock lock{m_mutex};
+    m_closed = true;
+    m_changed.notify_all();
+}
+
+auto child_process::waitForLine(std::string_view text, std::chrono::seconds timeout) -> std::optional<std::string>
+{
+    std::unique_lock lock{m_mutex};
+    std::size_t next = 0;
+    std::optional<std::string> found;
+    m_changed.wait_for(lock, timeout, [&] {
+        for (; next < m_lines.size() && !found; ++next) {
+            if (m_lines[next].find(text) != std::string::npos) {
+                found = m_lines[next];
+            }
+        }
+        return found.has_value() || m_closed;
+    });
+    return found;
+}
+
+auto child_process::linesWith(std::string_view text) -> std::vector<std::string>
+{
+    const std::scoped_lock lock{m_mutex};
+    std::vector<std::string> matching;
+    std::ranges::copy_if(m_lines, std::back_inserter(matching),
+                         [text](const std::string &line) { return line.find(text) != std::string::npos; });
+    return matching;
+}
+
+auto child_process::signal(int number) -> void
+{
+    if (!m_reaped) {
+        kill(m_pid, number);
+    }
+}
+
+auto child_process::waitForExit(std::chrono::seconds timeout) -> std::optional<int>
+{
+    // The pipe closes when the process ends, which is the event to wait for.
+    std::unique_lock lock{m_mutex};
+    if (!m_changed.wait_for(lock, timeout, [this] { return m_closed; })) {
+        return std::nullopt;
+    }
+    lock.unlock();
+    int status = 0;
+    waitpid(m_pid, &status, 0);
+    m_reaped = true;
+    return status;
+}
+
+auto child_process::residentKb() const -> long
+{
+    std::ifstream file{"/proc/" + std::to_string(m_pid) + "/status"};
+    std::string word;
+    while (file >> word) {
+        if (word == "VmRSS:") {
+            long kilobytes = 0;
+            file >> kilobytes;
+            return kilobytes;
+        }
+    }
+    return 0;
+}
+
+auto fieldOf(std::string_view line, std::string_view key) -> std::string
+{
+    const auto pattern = std::string{key} + "=";
+    auto begin = line.find(pattern);
+    while (begin != std::string_view::npos && begin != 0 && line[begin - 1] != ' ') {
+        begin = line.find(pattern, begin + 1);
+    }
+    if (begin == std::string_view::npos) {
+        return {};
+    }
+    begin += pattern.size();
+    return std::string{line.substr(begin, line.find(' ', begin) - begin)};
+}
+} // namespace tests
--- /dev/null
+++ b/tests/process/child_process.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <sys/types.h>
+#include <thread>
+#include <vector>
+
+namespace tests
+{
+/// \brief A real process started by a test; killed at the latest when this object goes.
+class child_process
+{
+public:
+    /// \brief Starts \p program with \p arguments; its output is collected line by line.
+    child_process(std::string program, std::vector<std::string> arguments);
+    ~child_process();
+    child_process(const child_process &) = delete;
+    auto operator=(const child_process &) -> child_process & = delete;
+
+    /// \brief Waits until a line contains \p text and returns the first such line, or nothing at the timeout.
+    auto waitForLine(std::string_view text, std::chrono::seconds timeout = std::chrono::seconds{30})
+        -> std::optional<std::string>;
+
+    /// \brief Lines so far that contain \p text.
+    auto linesWith(std::string_view text) -> std::vector<std::string>;
+
+    /// \brief Sends \p number to the process.
+    auto signal(int number) -> void;
+
+    /// \brief Waits for the process to end and returns its exit status as from waitpid, or nothing at the timeout.
+    auto waitForExit(std::chrono::seconds timeout = std::chrono::seconds{30}) -> std::optional<int>;
+
+    /// \brief Resident memory in kB; 0 when it is gone.
+    auto residentKb() const -> long;
+
+private:
+    auto readLines(int descriptor) -> void;
+
+    pid_t m_pid = -1;
+    bool m_reaped = false;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<std::string> m_lines;
+    bool m_closed = false;
+    std::thread m_reader;
+};
+
+/// \brief Value of \p key in a line of key=value pairs; empty when it is not there.
+auto fieldOf(std::string_view line, std::string_view key) -> std::string;
+} // namespace tests
