Add HTTP server, HTTP client and platform clients

Cause: callers, workers and the platform speak HTTP. Change: Beast server and pooled client, clients of log, host list and workers.

--- /dev/null
+++ b/src/poplarpass/net.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// \file
+/// \brief HTTP between the system and callers, workers and the platform.
+
+#include <poplarpass/net/constants.h>
+#include <poplarpass/net/http_client.h>
+#include <poplarpass/net/http_message.h>
+#include <poplarpass/net/http_server.h>
--- /dev/null
+++ b/src/poplarpass/net/client_connection.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <poplarpass/net/http_client.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+
+namespace poplarpass::net::internal
+{
+/// \brief How one exchange on a connection ended.
+struct exchange_result
+{
+    core::result<http_response> response; ///< The whole answer, or the failure.
+    sent_state sent = sent_state::not_sent; ///< Whether a byte of the request was written.
+};
+
+/// \brief One connection of a client: carries one request at a time.
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+public:
+    client_connection(boost::asio::io_context &loop, const client_limits &limits, http_client_counters &counters);
+
+    /// \brief Connects when needed, writes \p request and reads its answer.
+    auto exchange(const boost::asio::ip::tcp::endpoint &endpoint, const http_request &request, std::string requestId,
+                  std::function<void(exchange_result)> done) -> void;
+
+    /// \brief Whether the connection can carry a further request: open, and nothing left to read.
+    [[nodiscard]] auto isReusable() -> bool;
+
+    /// \brief Whether a byte of the current request may have been written.
+    [[nodiscard]] auto sent() const -> sent_state;
+
+    /// \brief Calls \p onUnusable once when the kept connection ends, becomes too old, or receives anything.
+    auto watch(std::function<void()> onUnusable) -> void;
+
+    /// \brief Ends the watch.
+    auto unwatch() -> void;
+
+    /// \brief Closes the socket; nothing is called afterwards.
+    auto close() -> void;
+
+private:
+    using error_code = boost::system::error_code;
+    using beast_request = boost::beast::http::request<boost::beast::http::string_body>;
+    using beast_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    auto prepareMessage(const boost::asio::ip::tcp::endpoint &endpoint, const http_request &request) -> void;
+    auto connect(const boost::asio::ip::tcp::endpoint &endpoint) -> void;
+    auto onConnected(error_code problem) -> void;
+    auto write() -> void;
+    auto read() -> void;
+    auto onRead(error_code problem) -> void;
+    auto onAnswer() -> void;
+    auto onReadFailed(error_code problem) -> void;
+    auto takeResponse() -> http_response;
+    auto fail(core::error_kind kind, std::string detail) -> void;
+    auto finish(exchange_result result) -> void;
+    auto onWatchEvent(std::uint64_t serial) -> void;
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    client_limits m_limits;
+    http_client_counters *m_counters;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<beast_request> m_message;
+    std::optional<beast_parser> m_parser;
+    std::function<void(exchange_result)> m_done;
+    std::function<void()> m_onUnusable;
+    std::string m_requestId;
+    std::uint64_t m_serial = 0;
+    sent_state m_sent = sent_state::not_sent;
+    bool m_connected = false;
+    bool m_clean = true;
+};
+} // namespace poplarpass::net::internal
--- /dev/null
+++ b/src/poplarpass/net/http_connection.cpp
@@ -0,0 +1,344 @@
+#include <poplarpass/net/http_connection.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace poplarpass::net::internal
+{
+namespace
+{
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+auto isTooLarge(boost::system::error_code problem) -> bool
+{
+    return problem == http::error::body_limit || problem == http::error::header_limit
+        || problem == http::error::buffer_overflow;
+}
+
+auto isMalformed(boost::system::error_code problem) -> bool
+{
+    return problem.category() == http::make_error_code(http::error::bad_version).category();
+}
+
+auto mayHaveBody(int status) -> bool
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+} // namespace
+
+http_connection::http_connection(tcp::socket socket, std::shared_ptr<connection_context> context)
+    : m_socket{std::move(socket)}
+    , m_timer{m_socket.get_executor()}
+    , m_context{std::move(context)}
+{
+}
+
+auto http_connection::start() -> void
+{
+    error_code ignored;
+    m_socket.set_option(tcp::no_delay{true}, ignored);
+    awaitRequest();
+}
+
+auto http_connection::isIdle() const -> bool
+{
+    return m_phase == phase::idle;
+}
+
+auto http_connection::close() -> void
+{
+    if (m_phase == phase::closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_phase = phase::closed;
+    ++m_timerSerial;
+    m_timer.cancel();
+    error_code ignored;
+    m_socket.close(ignored);
+    notifyDisconnect();
+    m_context->onClosed(*this);
+}
+
+auto http_connection::beginDrain() -> void
+{
+    if (m_phase == phase::idle) {
+        armTimer(m_context->limits.drainIdleTimeout);
+    }
+}
+
+auto http_connection::setOnDisconnect(std::function<void()> hook) -> void
+{
+    m_onDisconnect = std::move(hook);
+}
+
+auto http_connection::awaitRequest() -> void
+{
+    m_phase = phase::idle;
+    m_message.reset();
+    m_parser.emplace();
+    m_parser->header_limit(m_context->limits.headerBytes);
+    m_parser->body_limit(m_context->limits.bodyBytes);
+    if (m_buffer.size() > 0) {
+        readHeader();
+        return;
+    }
+    const auto &limits = m_context->limits;
+    armTimer(m_context->draining ? limits.drainIdleTimeout : limits.idleTimeout);
+    if (!m_readPending) {
+        readSome();
+    }
+}
+
+// While a request is handled this read watches for the caller's close. A pipelined request stops the watch: its
+// bytes wait in the buffer, so that a caller cannot make the server buffer more than one chunk.
+auto http_connection::readSome() -> void
+{
+    m_readPending = true;
+    m_socket.async_read_some(
+        m_buffer.prepare(readChunkBytes),
+        [self = shared_from_this()](error_code problem, std::size_t size) { self->onSome(problem, size); });
+}
+
+auto http_connection::onSome(error_code problem, std::size_t size) -> void
+{
+    m_readPending = false;
+    if (m_phase == phase::closed) {
+        return;
+    }
+    m_buffer.commit(size);
+    if (problem) {
+        onPeerGone(problem);
+    } else if (m_phase == phase::idle) {
+        readHeader();
+    } else if (m_phase == phase::lingering) {
+        discard(size);
+    }
+}
+
+// A caller may close only its sending side and still wait for the answer, so the answer is written all the same.
+auto http_connection::onPeerGone(error_code problem) -> void
+{
+    const bool answerOwed = m_phase == phase::handling || m_phase == phase::writing;
+    if (!answerOwed || problem != boost::asio::error::eof) {
+        close();
+        return;
+    }
+    m_peerClosed = true;
+    notifyDisconnect();
+}
+
+auto http_connection::notifyDisconnect() -> void
+{
+    const auto hook = std::exchange(m_onDisconnect, nullptr);
+    if (hook) {
+        hook();
+    }
+}
+
+auto http_connection::readHeader() -> void
+{
+    m_phase = phase::reading;
+    m_timedOut = false;
+    armTimer(m_context->limits.readTimeout);
+    http::async_read_header(m_socket, m_buffer, *m_parser,
+                            [self = shared_from_this()](error_code problem, std::size_t) { self->onHeader(problem); });
+}
+
+auto http_connection::onHeader(error_code problem) -> void
+{
+    if (m_phase != phase::reading) {
+        return;
+    }
+    if (problem) {
+        onReadFailed(problem);
+    } else if (!m_parser->is_done() && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+        writeContinue();
+    } else {
+        readBody();
+    }
+}
+
+auto http_connection::writeContinue() -> void
+{
+    static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    boost::asio::async_write(m_socket, boost::asio::buffer(interim),
+                             [self = shared_from_this()](error_code problem, std::size_t) {
+                                 if (self->m_phase != phase::reading) {
+                                     return;
+                                 }
+                                 if (problem) {
+                                     self->close();
+                                 } else {
+                                     self->readBody();
+                                 }
+                             });
+}
+
+auto http_connection::readBody() -> void
+{
+    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code problem, std::size_t) {
+        if (self->m_phase != phase::reading) {
+            return;
+        }
+        if (problem) {
+            self->onReadFailed(problem);
+        } else {
+            self->dispatch();
+        }
+    });
+}
+
+auto http_connection::onReadFailed(error_code problem) -> void
+{
+    if (m_timedOut) {
+        answerError(core::error_kind::request_timeout, "the request was not sent in time");
+    } else if (isTooLarge(problem)) {
+        answerError(core::error_kind::payload_too_large, problem.message());
+    } else if (isMalformed(problem) && problem != http::error::end_of_stream) {
+        answerError(core::error_kind::invalid_request, problem.message());
+    } else {
+        close();
+    }
+}
+
+auto http_connection::answerError(core::error_kind kind, std::string detail) -> void
+{
+    m_keepAlive = false;
+    m_headRequest = false;
+    m_requestId.clear();
+    m_phase = phase::handling;
+    respond(m_context->onError(core::error{kind, std::move(detail), std::nullopt}));
+}
+
+auto http_connection::takeRequest() -> http_request
+{
+    auto message = m_parser->release();
+    m_keepAlive = message.keep_alive();
+    m_version = message.version();
+    m_headRequest = message.method() == http::verb::head;
+    http_request request{std::string{message.method_string()}, std::string{message.target()}, {}, {}};
+    for (const auto &field : message) {
+        request.headers.push_back({std::string{field.name_string()}, std::string{field.value()}});
+    }
+    m_requestId = std::string{request.header(requestIdHeader)};
+    request.body = std::move(message.body());
+    return request;
+}
+
+auto http_connection::dispatch() -> void
+{
+    auto request = takeRequest();
+    m_phase = phase::handling;
+    ++m_timerSerial;
+    m_timer.cancel();
+    if (m_buffer.size() == 0) {
+        readSome();
+    }
+    m_context->handler(std::move(request), std::make_shared<responder>(shared_from_this()));
+}
+
+auto http_connection::respond(http_response response) -> void
+{
+    if (m_phase != phase::handling) {
+        return;
+    }
+    m_phase = phase::writing;
+    m_onDisconnect = nullptr;
+    prepareMessage(std::move(response));
+    write();
+}
+
+auto http_connection::prepareMessage(http_response response) -> void
+{
+    m_message.emplace(static_cast<http::status>(response.status), m_version);
+    for (const auto &field : response.headers) {
+        m_message->insert(field.name, field.value);
+    }
+    if (!m_requestId.empty()) {
+        m_message->set(std::string{requestIdHeader}, m_requestId);
+    }
+    m_keepAlive = m_keepAlive && !m_context->draining && !m_peerClosed;
+    m_message->keep_alive(m_keepAlive);
+    if (!m_headRequest && mayHaveBody(response.status)) {
+        m_message->body() = std::move(response.body);
+    }
+    m_message->prepare_payload();
+}
+
+// The serializer hands the body to the socket in place, so a large answer is not copied into a second buffer.
+auto http_connection::write() -> void
+{
+    armTimer(m_context->limits.writeTimeout);
+    http::async_write(m_socket, *m_message,
+                      [self = shared_from_this()](error_code problem, std::size_t) { self->onWritten(problem); });
+}
+
+auto http_connection::onWritten(error_code problem) -> void
+{
+    if (m_phase != phase::writing) {
+        return;
+    }
+    if (problem) {
+        close();
+    } else if (m_keepAlive && !m_peerClosed) {
+        awaitRequest();
+    } else {
+        linger();
+    }
+}
+
+// A close with unread input would reset the connection and could destroy the answer before the caller has read it.
+auto http_connection::linger() -> void
+{
+    m_phase = phase::lingering;
+    error_code problem;
+    m_socket.shutdown(tcp::socket::shutdown_send, problem);
+    if (problem || m_peerClosed) {
+        close();
+        return;
+    }
+    armTimer(m_context->limits.lingerTimeout);
+    m_buffer.consume(m_buffer.size());
+    if (!m_readPending) {
+        readSome();
+    }
+}
+
+auto http_connection::discard(std::size_t size) -> void
+{
+    m_buffer.consume(m_buffer.size());
+    m_discardedBytes += size;
+    if (m_discardedBytes > lingerBytes) {
+        close();
+    } else {
+        readSome();
+    }
+}
+
+auto http_connection::armTimer(core::duration delay) -> void
+{
+    const auto serial = ++m_timerSerial;
+    m_timer.expires_after(delay);
+    m_timer.async_wait([weak = weak_from_this(), serial](error_code problem) {
+        const auto self = weak.lock();
+        if (self && !problem && serial == self->m_timerSerial) {
+            self->onTimer();
+        }
+    });
+}
+
+auto http_connection::onTimer() -> void
+{
+    if (m_phase != phase::reading) {
+        close();
+        return;
+    }
+    m_timedOut = true;
+    error_code ignored;
+    m_socket.cancel(ignored);
+}
+} // namespace poplarpass::net::internal
--- /dev/null
+++ b/src/poplarpass/net/http_connection.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <poplarpass/net/http_server.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+
+namespace poplarpass::net::internal
+{
+/// \brief What all connections of one server share.
+struct connection_context
+{
+    server_limits limits; ///< Limits of the server.
+    http_handler handler; ///< Handles whole requests.
+    error_responder onError; ///< Answers requests that could not be read.
+    bool draining = false; ///< Whether connections are closed after the next answer.
+    std::function<void(http_connection &)> onClosed; ///< Called once by each connection.
+};
+
+/// \brief One accepted connection: reads a request, waits for its answer, writes it, and starts over.
+class http_connection : public std::enable_shared_from_this<http_connection>
+{
+public:
+    http_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<connection_context> context);
+
+    /// \brief Starts to read.
+    auto start() -> void;
+
+    /// \brief Closes the socket at once.
+    auto close() -> void;
+
+    /// \brief Shortens the wait for a further request.
+    auto beginDrain() -> void;
+
+    /// \brief Answers the request in progress.
+    auto respond(http_response response) -> void;
+
+    /// \brief Sets the hook for a caller that goes away while its request is handled.
+    auto setOnDisconnect(std::function<void()> hook) -> void;
+
+    /// \brief Whether no request is being read, handled or answered.
+    [[nodiscard]] auto isIdle() const -> bool;
+
+private:
+    enum class phase {
+        idle,
+        reading,
+        handling,
+        writing,
+        lingering,
+        closed,
+    };
+    using beast_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using beast_response = boost::beast::http::response<boost::beast::http::string_body>;
+    using error_code = boost::system::error_code;
+
+    auto awaitRequest() -> void;
+    auto readSome() -> void;
+    auto onSome(error_code problem, std::size_t size) -> void;
+    auto onPeerGone(error_code problem) -> void;
+    auto readHeader() -> void;
+    auto onHeader(error_code problem) -> void;
+    auto writeContinue() -> void;
+    auto readBody() -> void;
+    auto onReadFailed(error_code problem) -> void;
+    auto dispatch() -> void;
+    auto takeRequest() -> http_request;
+    auto answerError(core::error_kind kind, std::string detail) -> void;
+    auto prepareMessage(http_response response) -> void;
+    auto write() -> void;
+    auto onWritten(error_code problem) -> void;
+    auto linger() -> void;
+    auto discard(std::size_t size) -> void;
+    auto armTimer(core::duration delay) -> void;
+    auto onTimer() -> void;
+    auto notifyDisconnect() -> void;
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<connection_context> m_context;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<beast_parser> m_parser;
+    std::optional<beast_response> m_message;
+    std::function<void()> m_onDisconnect;
+    std::string m_requestId;
+    phase m_phase = phase::idle;
+    std::uint64_t m_timerSerial = 0;
+    std::size_t m_discardedBytes = 0;
+    unsigned m_version = 11;
+    bool m_readPending = false;
+    bool m_peerClosed = false;
+    bool m_timedOut = false;
+    bool m_keepAlive = true;
+    bool m_headRequest = false;
+};
+} // namespace poplarpass::net::internal
--- /dev/null
+++ b/src/poplarpass/net/http_server.cpp
@@ -0,0 +1,276 @@
+#include <poplarpass/net/endpoint.h>
+#include <poplarpass/net/http_connection.h>
+#include <poplarpass/net/http_server.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <unordered_map>
+
+namespace poplarpass::net
+{
+namespace internal
+{
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// \brief Acceptor and open connections of one server.
+class server_state : public std::enable_shared_from_this<server_state>
+{
+public:
+    server_state(boost::asio::io_context &loop, const tcp::endpoint &endpoint,
+                 std::shared_ptr<connection_context> context)
+        : m_loop{loop}
+        , m_acceptor{loop, endpoint}
+        , m_retryTimer{loop}
+        , m_endpoint{m_acceptor.local_endpoint()}
+        , m_context{std::move(context)}
+    {
+        m_acceptor.non_blocking(true);
+    }
+
+    auto start() -> void
+    {
+        m_context->onClosed = [weak = weak_from_this()](http_connection &connection) {
+            if (const auto self = weak.lock()) {
+                self->remove(connection);
+            }
+        };
+        accept();
+    }
+
+    auto stop() -> void
+    {
+        closeAcceptor();
+        m_onDrained = nullptr;
+        const auto connections = std::exchange(m_connections, {});
+        for (const auto &[key, connection] : connections) {
+            connection->close();
+        }
+    }
+
+    // Connections that the kernel has accepted already would be reset by the close, so they are taken in first.
+    auto drain() -> void
+    {
+        if (m_context->draining) {
+            return;
+        }
+        acceptPending();
+        m_context->draining = true;
+        closeAcceptor();
+        for (const auto &[key, connection] : m_connections) {
+            connection->beginDrain();
+        }
+        finishDrain();
+    }
+
+    auto setOnDrained(std::function<void()> hook) -> void
+    {
+        m_onDrained = std::move(hook);
+        finishDrain();
+    }
+
+    [[nodiscard]] auto endpoint() const -> const tcp::endpoint &
+    {
+        return m_endpoint;
+    }
+
+    [[nodiscard]] auto connectionCount() const -> std::size_t
+    {
+        return m_connections.size();
+    }
+
+private:
+    auto accept() -> void
+    {
+        if (m_accepting || !m_acceptor.is_open() || !makeRoom()) {
+            return;
+        }
+        m_accepting = true;
+        m_acceptor.async_accept([self = shared_from_this()](error_code problem, tcp::socket socket) {
+            self->m_accepting = false;
+            self->onAccepted(problem, std::move(socket));
+        });
+    }
+
+    auto onAccepted(error_code problem, tcp::socket socket) -> void
+    {
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        if (problem) {
+            retryLater();
+            return;
+        }
+        add(std::move(socket));
+        accept();
+    }
+
+    auto acceptPending() -> void
+    {
+        while (m_acceptor.is_open() && m_connections.size() < m_context->limits.maxConnections) {
+            error_code problem;
+            tcp::socket socket{m_loop};
+            m_acceptor.accept(socket, problem);
+            if (problem) {
+                return;
+            }
+            add(std::move(socket));
+        }
+    }
+
+    auto add(tcp::socket socket) -> void
+    {
+        const auto connection = std::make_shared<http_connection>(std::move(socket), m_context);
+        m_connections.emplace(connection.get(), connection);
+        connection->start();
+    }
+
+    // At the limit an idle connection gives way; when all are busy, new ones wait in the backlog.
+    auto makeRoom() -> bool
+    {
+        if (m_connections.size() < m_context->limits.maxConnections) {
+            return true;
+        }
+        const auto idle
+            = std::ranges::find_if(m_connections, [](const auto &entry) { return entry.second->isIdle(); });
+        if (idle == m_connections.end()) {
+            return false;
+        }
+        const auto connection = idle->second;
+        m_connections.erase(idle);
+        connection->close();
+        return true;
+    }
+
+    auto remove(http_connection &connection) -> void
+    {
+        m_connections.erase(&connection);
+        accept();
+        finishDrain();
+    }
+
+    auto retryLater() -> void
+    {
+        m_retryTimer.expires_after(acceptRetryDelay);
+        m_retryTimer.async_wait([weak = weak_from_this()](error_code problem) {
+            const auto self = weak.lock();
+            if (self && !problem) {
+                self->accept();
+            }
+        });
+    }
+
+    auto closeAcceptor() -> void
+    {
+        error_code ignored;
+        m_acceptor.close(ignored);
+        m_retryTimer.cancel();
+    }
+
+    auto finishDrain() -> void
+    {
+        if (m_context->draining && m_connections.empty() && m_onDrained) {
+            boost::asio::post(m_loop, std::exchange(m_onDrained, nullptr));
+        }
+    }
+
+    boost::asio::io_context &m_loop;
+    tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_retryTimer;
+    tcp::endpoint m_endpoint;
+    std::shared_ptr<connection_context> m_context;
+    std::unordered_map<http_connection *, std::shared_ptr<http_connection>> m_connections;
+    std::function<void()> m_onDrained;
+    bool m_accepting = false;
+};
+} // namespace internal
+
+responder::responder(std::shared_ptr<internal::http_connection> connection)
+    : m_connection{std::move(connection)}
+{
+}
+
+responder::~responder()
+{
+    if (m_connection) {
+        const core::error unanswered{core::error_kind::internal, "the request was dropped", std::nullopt};
+        m_connection->respond(defaultErrorResponse(unanswered));
+    }
+}
+
+auto responder::respond(http_response response) -> void
+{
+    assert(m_connection && "a request is answered once");
+    const auto connection = std::exchange(m_connection, nullptr);
+    if (connection) {
+        connection->respond(std::move(response));
+    }
+}
+
+auto responder::disconnect() -> void
+{
+    const auto connection = std::exchange(m_connection, nullptr);
+    if (connection) {
+        connection->setOnDisconnect(nullptr);
+        connection->close();
+    }
+}
+
+auto responder::onDisconnect(std::function<void()> hook) -> void
+{
+    if (m_connection) {
+        m_connection->setOnDisconnect(std::move(hook));
+    }
+}
+
+auto defaultErrorResponse(const core::error &problem) -> http_response
+{
+    const auto &answer = core::answerOf(problem.kind);
+    return makeResponse(answer.httpStatus, R"({"error":")" + std::string{answer.name} + R"("})");
+}
+
+http_server::http_server(boost::asio::io_context &loop, std::string_view address, const server_limits &limits,
+                         http_handler handler, error_responder onError)
+{
+    assert(handler && onError);
+    auto context = std::make_shared<internal::connection_context>();
+    context->limits = limits;
+    context->handler = std::move(handler);
+    context->onError = std::move(onError);
+    m_state = std::make_shared<internal::server_state>(loop, internal::parseEndpoint(address), std::move(context));
+    m_state->start();
+}
+
+http_server::~http_server()
+{
+    m_state->stop();
+}
+
+auto http_server::port() const -> std::uint16_t
+{
+    return m_state->endpoint().port();
+}
+
+auto http_server::address() const -> std::string
+{
+    return internal::formatEndpoint(m_state->endpoint());
+}
+
+auto http_server::connectionCount() const -> std::size_t
+{
+    return m_state->connectionCount();
+}
+
+auto http_server::drain() -> void
+{
+    m_state->drain();
+}
+
+auto http_server::setOnDrained(std::function<void()> hook) -> void
+{
+    m_state->setOnDrained(std::move(hook));
+}
+} // namespace poplarpass::net
--- /dev/null
+++ b/src/poplarpass/platform/log_client.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <poplarpass/platform/log_service.h>
+
+#include <string>
+
+namespace poplarpass::net
+{
+class http_client;
+} // namespace poplarpass::net
+
+namespace poplarpass::platform
+{
+/// \brief Log service behind HTTP at \p address.
+/// \param client outlives the returned hooks
+/// \param address "IP:port"
+auto makeLogService(net::http_client &client, std::string address) -> log_service;
+} // namespace poplarpass::platform
