--- /dev/null
+++ b/src/poplarpass/app/control_process.cpp
@@ -0,0 +1,330 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/control_process.h>
+#include <poplarpass/app/process_tree.h>
+#include <poplarpass/codec/state_codec.h>
+#include <poplarpass/config/calendar.h>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarpass::app
+{
+namespace
+{
+constexpr core::duration decisionPeriod = std::chrono::milliseconds{200};
+constexpr core::duration removalTimeout = std::chrono::seconds{3};
+constexpr core::duration snapshotTimeout = std::chrono::seconds{10};
+
+auto controllerHooks() -> control::controller_hooks
+{
+    control::controller_hooks hooks;
+    hooks.calendarIsOpen = config::isOpen;
+    hooks.chooseDrains = control::leastLossPolicy(config::isOpen);
+    return hooks;
+}
+} // namespace
+
+control_process::control_process(settings::process_settings given)
+    : m_process{std::move(given), "control"}
+    , m_log{m_process.loop, m_process.logService, m_process.settings.deployment.secret,
+            {[this](fold::log_offset, const core::record_id &id, const fold::record &change,
+                    const fold::applied &outcome) { onApplied(id, change, outcome); },
+             [this](const fold::fleet_state &state) {
+                 m_role.onApplied(core::record_id{}, state.control(), monotonicNow());
+             },
+             [this](core::monotonic_time sentAt) { m_role.onReadToEnd(sentAt); }}}
+    , m_peers{m_process,
+              {[this](const request::member_ref &from, const request::peer_message &message) {
+                   onMessage(from, message);
+               },
+               [](const core::member_id &, std::uint64_t) {},
+               [this](const core::member_id &peer, net::down_reason reason) { onPeerDown(peer, reason); }}}
+    , m_membership{m_process, m_log, fold::member_kind::control, [this] { stop(); }}
+    , m_status{m_process, [this] { return describeState(m_log.state()); }, [this] { updateGauges(); }}
+    , m_role{m_process.settings.process.name, m_process.incarnation}
+    , m_hosts{m_process.settings.process.name, m_process.incarnation, controllerHooks()}
+{
+}
+
+control_process::~control_process() = default;
+
+auto control_process::childSpecs() -> std::vector<child_spec>
+{
+    return {
+        {"log", [this] { m_log.start(); },
+         [this](const std::function<void()> &done) {
+             m_log.stop();
+             done();
+         }},
+        {"peers", [this] { m_peers.start(); },
+         [this](const std::function<void()> &done) {
+             m_peers.stop();
+             done();
+         }},
+        {"status", [this] { m_status.start(); },
+         [this](const std::function<void()> &done) {
+             m_status.stop();
+             done();
+         }},
+        {"decisions",
+         [this] {
+             const auto &timing = m_process.settings.timing;
+             m_tickers.push_back(std::make_unique<ticker>(m_process.loop, decisionPeriod, [this] { tick(); }));
+             m_tickers.push_back(std::make_unique<ticker>(m_process.loop, timing.heartbeat, [this] { beat(); }));
+             m_tickers.push_back(
+                 std::make_unique<ticker>(m_process.loop, timing.hostListPoll, [this] { pollHostList(); }));
+             pollHostList();
+         },
+         [this](const std::function<void()> &done) {
+             m_tickers.clear();
+             m_membership.leave(true, done);
+         }},
+    };
+}
+
+auto control_process::run() -> void
+{
+    m_supervisor = std::make_unique<supervisor>(childSpecs(), restart_policy{}, supervisorHooks(m_process));
+    runUntilSignal(m_process, *m_supervisor, [this] { stop(); });
+}
+
+auto control_process::stop() -> void
+{
+    if (std::exchange(m_stopping, true)) {
+        return;
+    }
+    m_process.log.log(observe::log_level::info, "stopping");
+    m_supervisor->stop([this] { m_process.loop.stop(); });
+}
+
+auto control_process::onApplied(const core::record_id &id, const fold::record &change, const fold::applied &outcome)
+    -> void
+{
+    m_role.onApplied(id, m_log.state().control(), monotonicNow());
+    m_hosts.onApplied(id);
+    if (!outcome.accepted && outcome.refusal) {
+        m_process.log.log(observe::log_level::info, "record_refused",
+                          {{"id", id.str()},
+                           {"kind", core::answerOf(outcome.refusal->kind).name},
+                           {"detail", outcome.refusal->detail}});
+    }
+    if (const auto *wave = std::get_if<fold::wave_record>(&change); wave != nullptr && outcome.accepted) {
+        m_process.log.log(observe::log_level::info, "wave",
+                          {{"wave", wave->wave.str()}, {"action", static_cast<int>(wave->action)}});
+    }
+}
+
+auto control_process::onMessage(const request::member_ref &from, const request::peer_message &message) -> void
+{
+    if (const auto *beat = std::get_if<request::heartbeat>(&message)) {
+        takeHeartbeat(from, *beat);
+    } else if (const auto *report = std::get_if<request::sightings_report>(&message)) {
+        takeSightings(*report);
+    }
+}
+
+auto control_process::takeHeartbeat(const request::member_ref &from, const request::heartbeat &beat) -> void
+{
+    m_liveness.onHeartbeat(from.member, from.incarnation, beat.hears, monotonicNow());
+    m_log.follower().notePeerOffset(beat.foldedOffset);
+}
+
+auto control_process::takeSightings(const request::sightings_report &report) -> void
+{
+    const auto now = monotonicNow();
+    for (const auto &seen : report.sightings) {
+        m_sightings.push_back({seen.host, seen.reached, seen.bootId, seen.draining, seen.pool, seen.generation,
+                               now - seen.age});
+    }
+}
+
+auto control_process::onPeerDown(const core::member_id &peer, net::down_reason reason) -> void
+{
+    if (reason != net::down_reason::refused && reason != net::down_reason::superseded_incarnation) {
+        return;
+    }
+    for (const auto &member : m_log.state().members()) {
+        if (member.joined.member == peer) {
+            m_liveness.onGone(peer, member.joined.incarnation, monotonicNow());
+        }
+    }
+}
+
+auto control_process::tick() -> void
+{
+    m_membership.tick(m_peers.advertisedAddress());
+    if (m_stopping || !m_log.follower().hasState()) {
+        return;
+    }
+    driveRole();
+    const bool mayAct = m_role.mayAct(monotonicNow());
+    if (m_couldAct != mayAct) {
+        m_process.log.log(observe::log_level::info, mayAct ? "role_taken" : "role_lost", {{"epoch", m_role.epoch()}});
+        m_couldAct = mayAct;
+        if (!mayAct) {
+            m_hosts.onRoleLost();
+        }
+    }
+    if (mayAct) {
+        removeMembers();
+        driveFleet();
+        writeSnapshotIfDue();
+    }
+}
+
+auto control_process::candidates() const -> std::vector<core::member_id>
+{
+    const auto now = monotonicNow();
+    std::vector<core::member_id> living;
+    for (const auto &member : m_log.state().members()) {
+        const bool isSelf = member.joined.member == m_process.settings.process.name;
+        if (member.joined.kind == fold::member_kind::control
+            && (isSelf || m_liveness.hears(member.joined.member, now))) {
+            living.push_back(member.joined.member);
+        }
+    }
+    return living;
+}
+
+auto control_process::driveRole() -> void
+{
+    if (!m_membership.isMember()) {
+        return;
+    }
+    const auto request = m_role.next(candidates(), monotonicNow());
+    if (!request) {
+        return;
+    }
+    m_log.append(request->id, request->change, [this, id = request->id](const core::result<fold::log_offset> &answer) {
+        m_role.onAppendAnswered(id, answer.has_value());
+    });
+}
+
+auto control_process::removeMembers() -> void
+{
+    control::member_keeper keeper{{m_process.settings.process.name, fold::member_kind::control, m_process.incarnation,
+                                   {}, {}, {}, 0}};
+    static_cast<void>(keeper);
+    for (auto removal : m_keeper.removals(m_log.state(), m_liveness, m_role.epoch(), monotonicNow())) {
+        if (!m_removing.insert(removal.member).second) {
+            continue;
+        }
+        removal.atUnixMs = core::toUnixMilliseconds(wallNow());
+        const core::record_id id{"remove/" + removal.member.str() + '/' + std::to_string(removal.incarnation) + '/'
+                                 + std::to_string(removal.controlEpoch)};
+        m_process.log.log(observe::log_level::warning, "member_removal", {{"member", removal.member.str()}});
+        m_log.publish(id, removal, removalTimeout, [this, member = removal.member](const fold::publish_outcome &) {
+            m_removing.erase(member);
+        });
+    }
+}
+
+auto control_process::driveFleet() -> void
+{
+    control::host_observations seen;
+    if (m_listed) {
+        seen.listed = std::span<const platform::listed_host>{*m_listed};
+    }
+    seen.sightings = m_sightings;
+    seen.outcomes = m_outcomes;
+    const auto actions = m_hosts.decide(m_log.state(), seen, wallNow(), monotonicNow());
+    m_listed.reset();
+    m_sightings.clear();
+    m_outcomes.clear();
+    for (const auto &action : actions) {
+        carryOut(action);
+    }
+}
+
+auto control_process::carryOut(const control::control_action &action) -> void
+{
+    if (const auto *request = std::get_if<control::append_request>(&action)) {
+        carryOutAppend(*request);
+    } else if (const auto *order = std::get_if<control::order_action>(&action)) {
+        carryOutOrder(*order);
+    } else if (const auto *report = std::get_if<control::report_action>(&action)) {
+        carryOutReport(*report);
+    }
+}
+
+auto control_process::carryOutAppend(const control::append_request &request) -> void
+{
+    m_log.append(request.id, request.change, [this, id = request.id](const core::result<fold::log_offset> &answer) {
+        if (!answer) {
+            m_process.log.log(observe::log_level::warning, "append_unanswered",
+                              {{"id", id.str()}, {"detail", answer.error().detail}});
+        }
+    });
+}
+
+auto control_process::carryOutOrder(const control::order_action &order) -> void
+{
+    m_process.log.log(observe::log_level::info, "worker_order",
+                      {{"host", order.host.str()},
+                       {"order", static_cast<int>(order.request.order)},
+                       {"epoch", order.request.controlEpoch}});
+    m_process.workers.order(order.address, order.request,
+                            [this, order](const core::result<platform::order_answer> &answer) {
+                                m_outcomes.push_back({order.host, order.request, answer});
+                            });
+}
+
+auto control_process::carryOutReport(const control::report_action &report) -> void
+{
+    m_process.log.log(observe::log_level::warning, control::nameOf(report.kind),
+                      {{"host", report.host.str()}, {"wave", report.wave.str()}, {"detail", report.detail}});
+}
+
+auto control_process::writeSnapshotIfDue() -> void
+{
+    const auto now = monotonicNow();
+    const auto &follower = m_log.follower();
+    m_snapshots.noteSnapshot(follower.lastSnapshot(), now);
+    if (m_snapshotUnderWay || !m_snapshots.isDue(m_log.state().offset(), follower.firstOffset(), now)) {
+        return;
+    }
+    const auto bytes = codec::encodeState(m_log.state());
+    const auto parts = m_snapshots.split(m_log.state().offset(), m_log.state().digest(), bytes);
+    m_snapshotUnderWay = true;
+    auto left = std::make_shared<std::size_t>(parts.size());
+    for (const auto &part : parts) {
+        m_log.publish(fold::snapshotRecordId(part), part, snapshotTimeout, [this, left](const fold::publish_outcome &) {
+            m_snapshotUnderWay = --*left != 0;
+        });
+    }
+    m_process.log.log(observe::log_level::info, "snapshot",
+                      {{"offset", m_log.state().offset()}, {"bytes", bytes.size()}, {"parts", parts.size()}});
+}
+
+auto control_process::pollHostList() -> void
+{
+    m_process.hosts.fetch([this](core::result<std::vector<platform::listed_host>> listed) {
+        if (listed) {
+            m_listed = std::move(*listed);
+        }
+    });
+}
+
+auto control_process::beat() -> void
+{
+    request::heartbeat figures;
+    figures.from = {m_process.settings.process.name, m_process.incarnation};
+    figures.epoch = m_log.state().memberEpoch();
+    figures.foldedOffset = m_log.state().offset();
+    figures.stateDigest = m_log.state().digest();
+    figures.leaving = m_stopping;
+    figures.controlEpoch = m_role.epoch();
+    figures.hears = m_peers.heardPeers();
+    m_peers.beat(figures);
+}
+
+auto control_process::updateGauges() -> void
+{
+    auto &metrics = m_process.metrics;
+    metrics.gaugeOf("poplarpass_control_holder", "Whether this process may act as the holder of the control role")
+        .set(m_couldAct ? 1 : 0);
+    updateFoldGauges(m_process, m_log.state());
+}
+} // namespace poplarpass::app
--- /dev/null
+++ b/src/poplarpass/app/control_process.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <poplarpass/app/fleet_log.h>
+#include <poplarpass/app/membership_publisher.h>
+#include <poplarpass/app/peer_hub.h>
+#include <poplarpass/app/process_runtime.h>
+#include <poplarpass/app/status_server.h>
+#include <poplarpass/app/supervisor.h>
+#include <poplarpass/control.h>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace poplarpass::app
+{
+/// \brief The control process: stands by for the control role, or holds it and drives hosts and waves.
+class control_process
+{
+public:
+    explicit control_process(settings::process_settings given);
+    ~control_process();
+    control_process(const control_process &) = delete;
+    auto operator=(const control_process &) -> control_process & = delete;
+
+    /// \brief Runs until SIGTERM or SIGINT and then stops gracefully.
+    auto run() -> void;
+
+private:
+    auto childSpecs() -> std::vector<child_spec>;
+    auto onApplied(const core::record_id &id, const fold::record &change, const fold::applied &outcome) -> void;
+    auto onMessage(const request::member_ref &from, const request::peer_message &message) -> void;
+    auto takeHeartbeat(const request::member_ref &from, const request::heartbeat &beat) -> void;
+    auto takeSightings(const request::sightings_report &report) -> void;
+    auto onPeerDown(const core::member_id &peer, net::down_reason reason) -> void;
+    auto tick() -> void;
+    auto driveRole() -> void;
+    auto driveFleet() -> void;
+    auto removeMembers() -> void;
+    auto carryOut(const control::control_action &action) -> void;
+    auto carryOutAppend(const control::append_request &request) -> void;
+    auto carryOutOrder(const control::order_action &order) -> void;
+    auto carryOutReport(const control::report_action &report) -> void;
+    auto writeSnapshotIfDue() -> void;
+    auto pollHostList() -> void;
+    auto beat() -> void;
+    auto updateGauges() -> void;
+    auto candidates() const -> std::vector<core::member_id>;
+    auto stop() -> void;
+
+    process_runtime m_process;
+    fleet_log m_log;
+    peer_hub m_peers;
+    membership_publisher m_membership;
+    status_server m_status;
+    control::role_keeper m_role;
+    control::liveness_view m_liveness;
+    control::host_controller m_hosts;
+    fold::snapshot_policy m_snapshots;
+    std::set<core::member_id> m_removing;
+    std::vector<control::host_sighting> m_sightings;
+    std::vector<control::order_outcome> m_outcomes;
+    std::optional<std::vector<platform::listed_host>> m_listed;
+    std::vector<std::unique_ptr<ticker>> m_tickers;
+    std::unique_ptr<supervisor> m_supervisor;
+    bool m_couldAct = false;
+    bool m_snapshotUnderWay = false;
+    bool m_stopping = false;
+};
+} // namespace poplarpass::app
--- /dev/null
+++ b/src/poplarpass/app/membership_publisher.cpp
@@ -0,0 +1,91 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/membership_publisher.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarpass::app
+{
+namespace
+{
+constexpr core::duration joinTimeout = std::chrono::seconds{5};
+constexpr core::duration leaveTimeout = std::chrono::seconds{3};
+} // namespace
+
+membership_publisher::membership_publisher(process_runtime &process, fleet_log &log, fold::member_kind kind,
+                                           std::function<void()> onRemoved)
+    : m_process{process}
+    , m_log{log}
+    , m_kind{kind}
+    , m_onRemoved{std::move(onRemoved)}
+{
+}
+
+auto membership_publisher::isMember() const -> bool
+{
+    return std::ranges::any_of(m_log.state().members(), [this](const fold::member_state &member) {
+        return member.joined.member == m_process.settings.process.name
+            && member.joined.incarnation == m_process.incarnation;
+    });
+}
+
+auto membership_publisher::tick(const std::string &address) -> void
+{
+    if (m_leaving || !m_log.follower().hasState()) {
+        return;
+    }
+    if (isMember()) {
+        m_wasMember = true;
+        return;
+    }
+    if (m_wasMember) {
+        // Removed while it was frozen or cut off: what it remembers must not count any more.
+        m_leaving = true;
+        m_process.log.log(observe::log_level::warning, "member_removed");
+        m_onRemoved();
+        return;
+    }
+    if (!m_joining) {
+        publishJoin(address);
+    }
+}
+
+auto membership_publisher::publishJoin(const std::string &address) -> void
+{
+    m_joining = true;
+    const auto &identity = m_process.settings.process;
+    fold::member_join_record join;
+    join.member = identity.name;
+    join.kind = m_kind;
+    join.incarnation = m_process.incarnation;
+    join.address = address;
+    join.region = identity.region;
+    join.zone = identity.zone;
+    join.atUnixMs = core::toUnixMilliseconds(wallNow());
+    const core::record_id id{"join/" + identity.name.str() + '/' + std::to_string(m_process.incarnation) + '/'
+                             + std::to_string(++m_attempts)};
+    m_log.publish(id, join, joinTimeout, [this](const fold::publish_outcome &outcome) {
+        m_joining = false;
+        m_process.log.log(observe::log_level::info, "member_join", {{"result", fold::nameOf(outcome.result)}});
+    });
+}
+
+auto membership_publisher::leave(bool handedOver, std::function<void()> done) -> void
+{
+    m_leaving = true;
+    if (!isMember()) {
+        done();
+        return;
+    }
+    fold::member_leave_record leave;
+    leave.member = m_process.settings.process.name;
+    leave.incarnation = m_process.incarnation;
+    leave.atUnixMs = core::toUnixMilliseconds(wallNow());
+    leave.handedOver = handedOver;
+    const core::record_id id{"leave/" + leave.member.str() + '/' + std::to_string(leave.incarnation)};
+    m_log.publish(id, leave, leaveTimeout, [this, done = std::move(done)](const fold::publish_outcome &outcome) {
+        m_process.log.log(observe::log_level::info, "member_leave", {{"result", fold::nameOf(outcome.result)}});
+        done();
+    });
+}
+} // namespace poplarpass::app
--- /dev/null
+++ b/src/poplarpass/app/peer_hub.cpp
@@ -0,0 +1,171 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/peer_hub.h>
+#include <poplarpass/codec/peer_codec.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace poplarpass::app
+{
+namespace
+{
+auto linkOptions(process_runtime &process) -> net::peer_link_options
+{
+    net::peer_link_options options;
+    options.name = process.settings.process.name;
+    options.incarnation = process.incarnation;
+    options.listenAddress = process.settings.listen.peers;
+    options.secret = process.settings.deployment.secret;
+    options.pingPeriod = process.settings.timing.heartbeat;
+    options.silenceTimeout = process.settings.timing.freshness;
+    options.random = [&process] { return process.random(); };
+    return options;
+}
+} // namespace
+
+peer_hub::peer_hub(process_runtime &process, peer_hub_hooks hooks)
+    : m_process{process}
+    , m_hooks{std::move(hooks)}
+    , m_link{process.loop, linkOptions(process),
+             {[this](const core::member_id &from, std::uint64_t incarnation, const std::string &bytes) {
+                  receive(from, incarnation, bytes);
+              },
+              [this](const core::member_id &peer, std::uint64_t incarnation) {
+                  m_process.log.log(observe::log_level::info, "peer_up",
+                                    {{"peer", peer.str()}, {"incarnation", incarnation}});
+              },
+              [this](const core::member_id &peer, net::down_reason reason) {
+                  m_process.log.log(observe::log_level::debug, "peer_down",
+                                    {{"peer", peer.str()}, {"reason", net::nameOf(reason)}});
+                  m_hooks.onDown(peer, reason);
+              }}}
+    , m_malformed{process.metrics.counterOf("poplarpass_peer_malformed_total", "Peer messages that could not be read")}
+{
+    for (const auto &configured : process.settings.peers) {
+        if (configured.name != process.settings.process.name) {
+            m_peers[configured.name].address = configured.address;
+        }
+    }
+}
+
+auto peer_hub::start() -> void
+{
+    const auto port = m_link.listen();
+    if (!port) {
+        throw std::runtime_error{"cannot listen for peers: " + port.error().detail};
+    }
+    m_port = *port;
+    applyPeers();
+}
+
+auto peer_hub::applyPeers() -> void
+{
+    std::vector<net::peer_address> addresses;
+    addresses.reserve(m_peers.size());
+    for (const auto &[name, known] : m_peers) {
+        addresses.push_back({name, known.address});
+    }
+    m_link.setPeers(addresses);
+}
+
+auto peer_hub::useMembers(std::span<const net::peer_address> members) -> void
+{
+    bool changed = false;
+    for (const auto &member : members) {
+        if (member.name == m_process.settings.process.name || member.address.empty()) {
+            continue;
+        }
+        auto &known = m_peers[member.name];
+        changed = changed || known.address != member.address;
+        known.address = member.address;
+    }
+    if (changed) {
+        applyPeers();
+    }
+}
+
+auto peer_hub::send(const core::member_id &to, const request::peer_message &message) -> bool
+{
+    return m_link.send(to, codec::encodePeerMessage(message));
+}
+
+auto peer_hub::beat(const request::heartbeat &figures) -> void
+{
+    auto beat = figures;
+    for (auto &[name, known] : m_peers) {
+        beat.sequence = ++known.sent;
+        beat.echo = known.echo;
+        beat.echoIncarnation = known.echoIncarnation;
+        m_hooks.onPingSent(name, beat.sequence);
+        send(name, beat);
+    }
+}
+
+auto peer_hub::receive(const core::member_id &from, std::uint64_t incarnation, const std::string &bytes) -> void
+{
+    const auto message = codec::decodePeerMessage(bytes);
+    if (!message) {
+        m_malformed.add();
+        m_process.log.log(observe::log_level::warning, "peer_message_malformed",
+                          {{"peer", from.str()}, {"detail", message.error().detail}});
+        return;
+    }
+    const request::member_ref sender{from, incarnation};
+    if (const auto *beat = std::get_if<request::heartbeat>(&*message)) {
+        // The link has proved who sends; a heartbeat in another name is a defect of the sender.
+        if (beat->from != sender) {
+            m_malformed.add();
+            return;
+        }
+        noteHeartbeat(sender, *beat);
+    }
+    m_hooks.onMessage(sender, *message);
+}
+
+auto peer_hub::noteHeartbeat(const request::member_ref &from, const request::heartbeat &beat) -> void
+{
+    const auto found = m_peers.find(from.member);
+    if (found == m_peers.end()) {
+        return;
+    }
+    found->second.echo = beat.sequence;
+    found->second.echoIncarnation = from.incarnation;
+    found->second.heardAt = monotonicNow();
+}
+
+auto peer_hub::heardPeers() const -> std::vector<core::member_id>
+{
+    const auto oldest = monotonicNow() - m_process.settings.timing.freshness;
+    std::vector<core::member_id> heard;
+    for (const auto &[name, known] : m_peers) {
+        if (known.heardAt >= oldest && known.heardAt != core::monotonic_time{}) {
+            heard.push_back(name);
+        }
+    }
+    return heard;
+}
+
+auto peer_hub::advertisedAddress() const -> std::string
+{
+    const auto &listen = m_process.settings.listen;
+    if (!listen.advertise.empty()) {
+        return listen.advertise;
+    }
+    return listen.peers.substr(0, listen.peers.rfind(':') + 1) + std::to_string(m_port);
+}
+
+auto peer_hub::isUp(const core::member_id &peer) const -> bool
+{
+    return m_link.isUp(peer);
+}
+
+auto peer_hub::counters() const -> net::peer_link_counters
+{
+    return m_link.counters();
+}
+
+auto peer_hub::stop() -> void
+{
+    m_link.close();
+}
+} // namespace poplarpass::app
--- /dev/null
+++ b/src/poplarpass/app/record_signature.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <poplarpass/codec/record_codec.h>
+
+#include <string>
+
+namespace poplarpass::app
+{
+/// \brief Authenticator of log records: HMAC-SHA256 under the deployment's \p secret.
+auto makeRecordAuthenticator(std::string secret) -> codec::record_authenticator;
+} // namespace poplarpass::app
