Add stand-ins for the platform

Cause: tests and demos need a log, a host list, workers, a faulty network and a trace collector. Change: program poplarpass-standins with one verb for each, and all for a demo.

--- a/src/poplarpass/net/http_client.cpp
+++ b/src/poplarpass/net/http_client.cpp
@@ -52,9 +52,10 @@
     {
         const auto ticket = request_ticket{++m_lastTicket};
         ++m_counters.requests;
-        const auto added = m_requests.try_emplace(
-            ticket, pending_request{std::string{address}, std::move(request), std::move(completion),
-                                    boost::asio::steady_timer{m_loop}, nullptr});
+        const auto added =
+            m_requests.try_emplace(ticket,
+                                   pending_request{std::string{address}, std::move(request), std::move(completion),
+                                                   boost::asio::steady_timer{m_loop}, nullptr});
         startTimer(ticket, added.first->second, timeout);
         enqueue(ticket, address);
         return ticket;
--- a/src/poplarpass/net/http_client.h
+++ b/src/poplarpass/net/http_client.h
@@ -36,8 +36,7 @@
 using http_completion = std::function<void(core::result<http_response>, sent_state)>;
 
 /// \brief Identifies a request that was sent through a client.
-enum class request_ticket : std::uint64_t {
-};
+enum class request_ticket : std::uint64_t {};
 
 /// \brief What a client has seen, for metrics.
 struct http_client_counters
--- a/src/poplarpass/net/http_server.cpp
+++ b/src/poplarpass/net/http_server.cpp
@@ -134,8 +134,7 @@
         if (m_connections.size() < m_context->limits.maxConnections) {
             return true;
         }
-        const auto idle
-            = std::ranges::find_if(m_connections, [](const auto &entry) { return entry.second->isIdle(); });
+        const auto idle = std::ranges::find_if(m_connections, [](const auto &entry) { return entry.second->isIdle(); });
         if (idle == m_connections.end()) {
             return false;
         }
--- a/src/poplarpass/net/http_server.h
+++ b/src/poplarpass/net/http_server.h
@@ -80,7 +80,8 @@
     /// \brief Connections that are open.
     [[nodiscard]] auto connectionCount() const -> std::size_t;
 
-    /// \brief Accepts no more connections, answers the requests in progress and closes each connection after its answer.
+    /// \brief Accepts no more connections, answers the requests in progress and closes each connection after its
+    /// answer.
     auto drain() -> void;
 
     /// \brief Calls \p hook once when the drain has ended and no connection is left.
--- a/src/poplarpass/platform/log_client.cpp
+++ b/src/poplarpass/platform/log_client.cpp
@@ -97,11 +97,11 @@
 
 auto appendRequest(const core::record_id &id, std::string payload) -> net::http_request
 {
-    return {"POST",
-            "/append",
-            {{std::string{headers::recordId}, net::percentEncode(id.str())},
-             {"Content-Type", "application/octet-stream"}},
-            std::move(payload)};
+    return {
+        "POST",
+        "/append",
+        {{std::string{headers::recordId}, net::percentEncode(id.str())}, {"Content-Type", "application/octet-stream"}},
+        std::move(payload)};
 }
 
 auto readRequest(log_offset from, core::duration wait) -> net::http_request
--- a/src/poplarpass/platform/worker_client.cpp
+++ b/src/poplarpass/platform/worker_client.cpp
@@ -144,8 +144,8 @@
     {
         const auto outcome = fromName<start_outcome>(answer.header(headers::outcome));
         const auto runTime = numberIn(answer.header(headers::runTimeUs));
-        const bool ended = outcome == start_outcome::finished || outcome == start_outcome::failed
-            || outcome == start_outcome::stopped;
+        const bool ended =
+            outcome == start_outcome::finished || outcome == start_outcome::failed || outcome == start_outcome::stopped;
         if (!ended || !runTime) {
             return unreadable(answer);
         }
@@ -285,8 +285,9 @@
                                         auto done) {
         start_reader reader{request.taskId, request.attemptId, counters};
         client.send(address, startRequest(std::move(request)), timeout,
-                    [reader = std::move(reader), done = std::move(done)](
-                        http_answer answer, net::sent_state sent) { done(reader.read(std::move(answer), sent)); });
+                    [reader = std::move(reader), done = std::move(done)](http_answer answer, net::sent_state sent) {
+                        done(reader.read(std::move(answer), sent));
+                    });
     };
     service.order = [&client](const std::string &address, const order_request &request, auto done) {
         client.send(address, jsonRequest("/order", orderBody(request)), orderTimeout,
--- /dev/null
+++ b/standins/collector_standin.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <poplarpass/net/http_server.h>
+
+#include <cstdint>
+
+namespace standins
+{
+/// \brief Accepts traces as OTLP/HTTP JSON and counts their spans.
+class collector_standin
+{
+public:
+    /// \param address "IP:port" to listen on
+    collector_standin(boost::asio::io_context &loop, std::string_view address);
+
+    /// \brief "IP:port" that it listens on.
+    [[nodiscard]] auto address() const -> std::string;
+
+private:
+    using answer_handle = std::shared_ptr<poplarpass::net::responder>;
+
+    auto handle(const poplarpass::net::http_request &request, const answer_handle &answer) -> void;
+    auto receive(const poplarpass::net::http_request &request) -> poplarpass::net::http_response;
+
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_spans = 0;
+    std::uint64_t m_rejected = 0;
+    poplarpass::net::http_server m_server;
+};
+} // namespace standins
--- /dev/null
+++ b/standins/fault_link.cpp
@@ -0,0 +1,221 @@
+#include "fault_link.h"
+
+#include "response_splitter.h"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace standins::internal
+{
+namespace
+{
+constexpr std::size_t chunkBytes = 16 * 1024;
+constexpr std::chrono::milliseconds dripInterval{50};
+
+auto dripBytes(std::int64_t bytesPerSecond) -> std::size_t
+{
+    const auto bytes = bytesPerSecond * dripInterval.count() / 1000;
+    return static_cast<std::size_t>(std::max<std::int64_t>(1, bytes));
+}
+} // namespace
+
+fault_link::fault_link(boost::asio::io_context &loop, tcp::socket client, std::shared_ptr<const proxy_faults> faults,
+                       std::function<void(fault_link &)> onClosed)
+    : m_client{std::move(client)}
+    , m_server{loop}
+    , m_toServer{&m_client, &m_server, false, boost::asio::steady_timer{loop}, std::vector<char>(chunkBytes), {}}
+    , m_toClient{&m_server, &m_client, true, boost::asio::steady_timer{loop}, std::vector<char>(chunkBytes), {}}
+    , m_faults{std::move(faults)}
+    , m_onClosed{std::move(onClosed)}
+    , m_silent{m_faults->halfOpen}
+{
+}
+
+auto fault_link::start(const tcp::endpoint &target) -> void
+{
+    if (m_faults->reset) {
+        close(true);
+        return;
+    }
+    m_server.async_connect(target, [self = shared_from_this()](error_code problem) {
+        if (problem || self->m_closed) {
+            self->close(true);
+            return;
+        }
+        self->m_connected = true;
+        error_code ignored;
+        self->m_server.set_option(tcp::no_delay{true}, ignored);
+        self->m_client.set_option(tcp::no_delay{true}, ignored);
+        self->read(self->m_toServer);
+        self->read(self->m_toClient);
+    });
+}
+
+auto fault_link::onFaultsChanged(std::shared_ptr<const proxy_faults> faults) -> void
+{
+    m_faults = std::move(faults);
+    m_sentToClient = 0;
+    m_silent = m_silent || m_faults->halfOpen;
+    if (m_faults->reset) {
+        close(true);
+        return;
+    }
+    for (auto *stream : {&m_toServer, &m_toClient}) {
+        if (stream->held && !isCut(*stream)) {
+            stream->held = false;
+            forward(*stream);
+        }
+    }
+}
+
+auto fault_link::close(bool withReset) -> void
+{
+    if (m_closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_closed = true;
+    for (auto *socket : {&m_client, &m_server}) {
+        error_code ignored;
+        if (withReset) {
+            socket->set_option(tcp::socket::linger{true, 0}, ignored);
+        }
+        socket->close(ignored);
+    }
+    m_toServer.timer.cancel();
+    m_toClient.timer.cancel();
+    m_onClosed(*this);
+}
+
+auto fault_link::isCut(const flow &stream) const -> bool
+{
+    const auto own = stream.toClient ? proxy_cut::to_client : proxy_cut::to_server;
+    return m_faults->cut == proxy_cut::both || m_faults->cut == own;
+}
+
+auto fault_link::read(flow &stream) -> void
+{
+    stream.from->async_read_some(boost::asio::buffer(stream.chunk),
+                                 [self = shared_from_this(), &stream](error_code problem, std::size_t size) {
+                                     if (!self->m_closed) {
+                                         self->onRead(stream, problem, size);
+                                     }
+                                 });
+}
+
+auto fault_link::onRead(flow &stream, error_code problem, std::size_t size) -> void
+{
+    if (problem == boost::asio::error::eof) {
+        onEnd(stream);
+    } else if (problem) {
+        close(true);
+    } else if (m_silent) {
+        read(stream);
+    } else {
+        take(stream, size);
+    }
+}
+
+// An end passes like a byte does: not through a cut, and not at all on a connection that is half open.
+auto fault_link::onEnd(flow &stream) -> void
+{
+    if (m_silent) {
+        return;
+    }
+    if (isCut(stream)) {
+        after(stream, dripInterval, [this, &stream] { onEnd(stream); });
+        return;
+    }
+    error_code ignored;
+    stream.to->shutdown(tcp::socket::shutdown_send, ignored);
+    if (++m_ended == 2) {
+        close(false);
+    }
+}
+
+auto fault_link::take(flow &stream, std::size_t size) -> void
+{
+    stream.pending.insert(stream.pending.end(), stream.chunk.begin(),
+                          stream.chunk.begin() + static_cast<std::ptrdiff_t>(size));
+    if (stream.toClient && m_faults->duplicateResponse) {
+        const auto whole = responseBytes({stream.pending.data(), stream.pending.size()});
+        if (!whole) {
+            read(stream);
+            return;
+        }
+        const std::vector<char> copy{stream.pending.begin(),
+                                     stream.pending.begin() + static_cast<std::ptrdiff_t>(*whole)};
+        stream.pending.insert(stream.pending.begin() + static_cast<std::ptrdiff_t>(*whole), copy.begin(), copy.end());
+    }
+    if (m_faults->delayMs > 0) {
+        after(stream, std::chrono::milliseconds{m_faults->delayMs}, [this, &stream] { forward(stream); });
+    } else {
+        forward(stream);
+    }
+}
+
+auto fault_link::after(flow &stream, std::chrono::milliseconds delay, std::function<void()> call) -> void
+{
+    stream.timer.expires_after(delay);
+    stream.timer.async_wait([self = shared_from_this(), call = std::move(call)](error_code problem) {
+        if (!problem && !self->m_closed) {
+            call();
+        }
+    });
+}
+
+auto fault_link::allowedBytes(const flow &stream) const -> std::size_t
+{
+    const bool limited = stream.toClient && m_faults->truncateAfter >= 0;
+    const auto left = limited ? std::max<std::int64_t>(0, m_faults->truncateAfter - m_sentToClient) : 0;
+    return limited ? static_cast<std::size_t>(left) : stream.pending.size() + 1;
+}
+
+auto fault_link::forward(flow &stream) -> void
+{
+    if (m_silent) {
+        stream.pending.clear();
+        read(stream);
+        return;
+    }
+    if (isCut(stream)) {
+        stream.held = true;
+        return;
+    }
+    const auto allowed = allowedBytes(stream);
+    auto size = std::min(stream.pending.size(), allowed);
+    if (m_faults->dripBytesPerS > 0) {
+        size = std::min(size, dripBytes(m_faults->dripBytesPerS));
+    }
+    write(stream, size, size == allowed);
+}
+
+auto fault_link::write(flow &stream, std::size_t size, bool last) -> void
+{
+    boost::asio::async_write(*stream.to, boost::asio::buffer(stream.pending.data(), size),
+                             [self = shared_from_this(), &stream, last](error_code problem, std::size_t written) {
+                                 if (self->m_closed) {
+                                     return;
+                                 }
+                                 if (problem || last) {
+                                     self->close(problem.failed());
+                                 } else {
+                                     self->onWritten(stream, written);
+                                 }
+                             });
+}
+
+auto fault_link::onWritten(flow &stream, std::size_t size) -> void
+{
+    m_sentToClient += stream.toClient ? static_cast<std::int64_t>(size) : 0;
+    stream.pending.erase(stream.pending.begin(), stream.pending.begin() + static_cast<std::ptrdiff_t>(size));
+    if (stream.pending.empty()) {
+        read(stream);
+    } else if (m_faults->dripBytesPerS > 0) {
+        after(stream, dripInterval, [this, &stream] { forward(stream); });
+    } else {
+        forward(stream);
+    }
+}
+} // namespace standins::internal
--- /dev/null
+++ b/standins/fault_link.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "fault_proxy.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <vector>
+
+namespace standins::internal
+{
+/// \brief One proxied connection: a socket to each side, and the bytes on their way between them.
+class fault_link : public std::enable_shared_from_this<fault_link>
+{
+public:
+    using tcp = boost::asio::ip::tcp;
+
+    /// \param faults outlives the link's use of it, until close()
+    fault_link(boost::asio::io_context &loop, tcp::socket client, std::shared_ptr<const proxy_faults> faults,
+               std::function<void(fault_link &)> onClosed);
+
+    /// \brief Connects to \p target and passes bytes on.
+    auto start(const tcp::endpoint &target) -> void;
+
+    /// \brief Takes account of changed faults.
+    auto onFaultsChanged(std::shared_ptr<const proxy_faults> faults) -> void;
+
+    /// \brief Closes both sides.
+    /// \param withReset whether the other sides see a reset and not an end
+    auto close(bool withReset) -> void;
+
+private:
+    using error_code = boost::system::error_code;
+
+    /// \brief Bytes on their way in one direction.
+    struct flow
+    {
+        tcp::socket *from;
+        tcp::socket *to;
+        bool toClient;
+        boost::asio::steady_timer timer;
+        std::vector<char> chunk;
+        std::vector<char> pending;
+        bool held = false;
+    };
+
+    auto read(flow &stream) -> void;
+    auto onRead(flow &stream, error_code problem, std::size_t size) -> void;
+    auto onEnd(flow &stream) -> void;
+    auto take(flow &stream, std::size_t size) -> void;
+    auto forward(flow &stream) -> void;
+    auto allowedBytes(const flow &stream) const -> std::size_t;
+    auto write(flow &stream, std::size_t size, bool last) -> void;
+    auto onWritten(flow &stream, std::size_t size) -> void;
+    auto after(flow &stream, std::chrono::milliseconds delay, std::function<void()> call) -> void;
+    [[nodiscard]] auto isCut(const flow &stream) const -> bool;
+
+    tcp::socket m_client;
+    tcp::socket m_server;
+    flow m_toServer;
+    flow m_toClient;
+    std::shared_ptr<const proxy_faults> m_faults;
+    std::function<void(fault_link &)> m_onClosed;
+    std::int64_t m_sentToClient = 0;
+    int m_ended = 0;
+    bool m_connected = false;
+    bool m_silent = false;
+    bool m_closed = false;
+};
+} // namespace standins::internal
--- /dev/null
+++ b/standins/inventory.cpp
@@ -0,0 +1,120 @@
+#include "inventory.h"
+
+#include "json_http.h"
+
+#include <toml++/toml.h>
+
+#include <array>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace standins
+{
+using nlohmann::json;
+using poplarpass::platform::listed_host;
+namespace core = poplarpass::core;
+
+namespace
+{
+constexpr int rackHosts = 4;
+constexpr int zoneCount = 3;
+constexpr int defaultSlots = 8;
+constexpr int defaultConnections = 64;
+constexpr int defaultCores = 16;
+constexpr int defaultMemoryMb = 32 * 1024;
+
+template <class id_type>
+auto takeId(const json &document, std::string_view name, id_type &target) -> void
+{
+    std::string text = target.str();
+    takeMember(document, name, text);
+    target = id_type{std::move(text)};
+}
+
+auto readFile(const std::string &path) -> std::string
+{
+    std::ifstream file{path, std::ios::binary};
+    if (!file) {
+        throw std::runtime_error{"cannot read " + path};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+auto tomlToJson(const std::string &text) -> json
+{
+    const auto table = toml::parse(text);
+    std::ostringstream converted;
+    converted << toml::json_formatter{table};
+    return json::parse(converted.str());
+}
+
+auto decodeInventoryHost(const json &document) -> inventory_host
+{
+    inventory_host host{decodeHost(document), {}};
+    takeMember(document, "pool", host.pool);
+    return host;
+}
+} // namespace
+
+auto decodeHost(const json &document) -> listed_host
+{
+    listed_host host;
+    host.slots = defaultSlots;
+    host.connections = defaultConnections;
+    host.cores = defaultCores;
+    host.memoryMb = defaultMemoryMb;
+    takeId(document, "host", host.host);
+    takeId(document, "region", host.region);
+    takeId(document, "zone", host.zone);
+    takeId(document, "rack", host.rack);
+    takeMember(document, "address", host.address);
+    takeMember(document, "slots", host.slots);
+    takeMember(document, "connections", host.connections);
+    takeMember(document, "cores", host.cores);
+    takeMember(document, "memory_mb", host.memoryMb);
+    takeMember(document, "accelerators", host.accelerators);
+    takeMember(document, "leaving", host.leaving);
+    return host;
+}
+
+auto encodeHost(const listed_host &host) -> json
+{
+    return {{"host", host.host.str()},           {"address", host.address}, {"region", host.region.str()},
+            {"zone", host.zone.str()},           {"rack", host.rack.str()}, {"slots", host.slots},
+            {"connections", host.connections},   {"cores", host.cores},     {"memory_mb", host.memoryMb},
+            {"accelerators", host.accelerators}, {"leaving", host.leaving}};
+}
+
+auto loadInventory(const std::string &path) -> std::vector<inventory_host>
+{
+    const auto text = readFile(path);
+    const auto document = path.ends_with(".toml") ? tomlToJson(text) : json::parse(text);
+    std::vector<inventory_host> hosts;
+    for (const auto &item : document.is_array() ? document : document.at("hosts")) {
+        hosts.push_back(decodeInventoryHost(item));
+    }
+    return hosts;
+}
+
+// Each pool's hosts fill racks of their own, and a pool's racks go round the zones.
+auto generateInventory(int count, std::span<const std::string> pools) -> std::vector<inventory_host>
+{
+    std::vector<inventory_host> hosts;
+    const auto poolCount = static_cast<int>(pools.size());
+    for (int index = 0; index < count; ++index) {
+        const int poolIndex = index % poolCount;
+        const int rackOfPool = index / poolCount / rackHosts;
+        const auto zone = "zone-" + std::to_string((rackOfPool + poolIndex) % zoneCount + 1);
+        inventory_host host{decodeHost(json::object()), pools[static_cast<std::size_t>(poolIndex)]};
+        host.listed.host = core::host_id{"worker-" + std::to_string(index + 1)};
+        host.listed.region = core::region_id{"region-1"};
+        host.listed.zone = core::zone_id{zone};
+        host.listed.rack = core::rack_id{zone + "-" + host.pool + "-" + std::to_string(rackOfPool + 1)};
+        hosts.push_back(std::move(host));
+    }
+    return hosts;
+}
+} // namespace standins
--- /dev/null
+++ b/standins/response_splitter.cpp
@@ -0,0 +1,25 @@
+#include "response_splitter.h"
+
+#include <charconv>
+
+namespace standins::internal
+{
+namespace
+{
+constexpr std::string_view lengthHeader = "\r\nContent-Length: ";
+constexpr std::string_view headerEnd = "\r\n\r\n";
+} // namespace
+
+auto responseBytes(std::string_view bytes) -> std::optional<std::size_t>
+{
+    const auto end = bytes.find(headerEnd);
+    const auto field = bytes.find(lengthHeader);
+    if (end == std::string_view::npos || field == std::string_view::npos || field > end) {
+        return std::nullopt;
+    }
+    std::size_t length = 0;
+    std::from_chars(bytes.data() + field + lengthHeader.size(), bytes.data() + end, length);
+    const auto whole = end + headerEnd.size() + length;
+    return bytes.size() < whole ? std::nullopt : std::optional{whole};
+}
+} // namespace standins::internal
--- /dev/null
+++ b/standins/worker_endpoint.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "inventory.h"
+#include "run_journal.h"
+#include "timers.h"
+#include "usage_history.h"
+#include "worker_leases.h"
+#include "worker_tasks.h"
+#include "worker_types.h"
+
+#include <poplarpass/net/http_server.h>
+
+#include <optional>
+#include <vector>
+
+namespace standins
+{
+/// \brief One worker host with a port of its own.
+class worker_endpoint
+{
+public:
+    worker_endpoint(boost::asio::io_context &loop, inventory_host host, const worker_options &options);
+
+    /// \brief "IP:port" that it listens on, also while it is down.
+    [[nodiscard]] auto address() const -> std::string;
+
+    /// \brief What the host list shows of it.
+    [[nodiscard]] auto listed() const -> const poplarpass::platform::listed_host &;
+
+    /// \brief Behaviour in force.
+    [[nodiscard]] auto behaviour() const -> const worker_behaviour &;
+
+    /// \brief Changes the behaviour; the end of a crash is a new boot.
+    auto setBehaviour(const worker_behaviour &behaviour) -> void;
+
+    /// \brief Evidence of its runs.
+    [[nodiscard]] auto journal() const -> const run_journal &;
+
+    /// \brief State and journal as JSON.
+    [[nodiscard]] auto journalJson() const -> nlohmann::json;
+
+    /// \brief Changes with every reboot and crash.
+    [[nodiscard]] auto bootId() const -> std::uint64_t;
+
+private:
+    using answer_handle = std::shared_ptr<poplarpass::net::responder>;
+    using request = poplarpass::net::http_request;
+    using response = poplarpass::net::http_response;
+
+    auto listen() -> void;
+    auto handle(const request &message, const answer_handle &answer) -> void;
+    auto handleWork(const request &message, const answer_handle &answer) -> void;
+    auto handleTask(const request &message) -> response;
+    auto lease(const request &message) -> response;
+    auto leaseAnswer() -> response;
+    auto start(const request &message, const answer_handle &answer) -> void;
+    [[nodiscard]] auto rejectionOf(const poplarpass::platform::start_request &wanted) const
+        -> poplarpass::platform::rejection;
+    auto reject(const poplarpass::platform::start_request &wanted, poplarpass::platform::rejection reason) -> response;
+    auto run(poplarpass::platform::start_request wanted, const answer_handle &answer) -> void;
+    [[nodiscard]] auto runTimeOf(const poplarpass::platform::start_request &wanted) const -> std::chrono::microseconds;
+    auto recordUsage() -> void;
+    auto order(const request &message, const answer_handle &answer) -> void;
+    auto carryOut(const poplarpass::platform::order_request &wanted) -> response;
+    auto assign(const poplarpass::platform::order_request &wanted) -> response;
+    [[nodiscard]] auto orderAnswer() const -> response;
+    auto setDraining(bool draining) -> void;
+    auto reboot() -> void;
+    auto restart() -> void;
+    auto crash() -> void;
+    auto thaw() -> void;
+    [[nodiscard]] auto taskResponse(const std::string &taskId) const -> response;
+
+    boost::asio::io_context &m_loop;
+    inventory_host m_host;
+    worker_options m_options;
+    worker_behaviour m_behaviour;
+    run_journal m_journal;
+    worker_leases m_leases;
+    worker_tasks m_tasks;
+    usage_history m_slotUsage;
+    usage_history m_connectionUsage;
+    std::uint64_t m_bootId;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_controlEpoch = 0;
+    std::optional<steady_time> m_drainingSince;
+    std::vector<std::function<void()>> m_frozenRequests;
+    bool m_rebooting = false;
+    timers m_timers;
+    std::string m_address;
+    std::unique_ptr<poplarpass::net::http_server> m_server;
+};
+} // namespace standins
--- /dev/null
+++ b/standins/worker_leases.cpp
@@ -0,0 +1,24 @@
+#include "worker_leases.h"
+
+namespace standins
+{
+auto worker_leases::grant(steady_time now) -> std::uint64_t
+{
+    std::erase_if(m_expiries, [now](const auto &entry) { return entry.second <= now; });
+    const auto id = ++m_last;
+    m_expiries.emplace(id, now + leaseTerm);
+    return id;
+}
+
+auto worker_leases::isValid(std::uint64_t grantId, steady_time now) const -> bool
+{
+    const auto found = m_expiries.find(grantId);
+    return found != m_expiries.end() && now < found->second;
+}
+
+// Grant ids go on counting, so that no later grant has the id of a revoked one.
+auto worker_leases::revokeAll() -> void
+{
+    m_expiries.clear();
+}
+} // namespace standins
--- /dev/null
+++ b/standins/worker_leases.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "worker_types.h"
+
+#include <unordered_map>
+
+namespace standins
+{
+/// \brief Lease grants of one worker; every grant has an expiry of its own.
+class worker_leases
+{
+public:
+    /// \brief Gives a new grant that lapses leaseTerm after \p now.
+    auto grant(steady_time now) -> std::uint64_t;
+
+    /// \brief Whether \p grantId was given, not revoked, and has not lapsed at \p now.
+    [[nodiscard]] auto isValid(std::uint64_t grantId, steady_time now) const -> bool;
+
+    /// \brief Revokes every grant.
+    auto revokeAll() -> void;
+
+private:
+    std::unordered_map<std::uint64_t, steady_time> m_expiries;
+    std::uint64_t m_last = 0;
+};
+} // namespace standins
