Control: role, members and the append ledger

Cause: the control process needs to know when it may act and which member records to write. Ruled out: timers on the wall clock, and repeating a claim with a new id.

--- /dev/null
+++ b/src/poplarpass/control/member_keeper.cpp
@@ -0,0 +1,125 @@
+#include <poplarpass/control/constants.h>
+#include <poplarpass/control/member_keeper.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace poplarpass::control
+{
+namespace
+{
+auto endedFor(const fold::member_state &member, const liveness_view &view, core::monotonic_time now)
+    -> std::optional<core::duration>
+{
+    return view.goneFor(member.joined.member, member.joined.incarnation, now);
+}
+} // namespace
+
+member_keeper::member_keeper(fold::member_join_record self)
+    : m_self{std::move(self)}
+{
+    assert(!m_self.member.empty());
+}
+
+auto member_keeper::self() const -> const fold::member_join_record &
+{
+    return m_self;
+}
+
+auto member_keeper::ownJoin(const fold::fleet_state &state) -> std::optional<fold::member_join_record>
+{
+    const auto members = state.members();
+    const auto own = std::ranges::find_if(members, [this](const fold::member_state &member) { return isSelf(member); });
+    if (own != members.end() && own->joined.incarnation == m_self.incarnation) {
+        m_wasMember = true;
+        return std::nullopt;
+    }
+    if (own != members.end() && own->joined.incarnation > m_self.incarnation) {
+        return std::nullopt;
+    }
+    if (m_wasMember) {
+        ++m_self.incarnation;
+        m_wasMember = false;
+    }
+    return m_self;
+}
+
+auto member_keeper::ownLeave(const fold::fleet_state &state) const -> std::optional<fold::member_leave_record>
+{
+    const bool isMember = std::ranges::any_of(state.members(), [this](const fold::member_state &member) {
+        return isSelf(member) && member.joined.incarnation == m_self.incarnation;
+    });
+    if (!isMember) {
+        return std::nullopt;
+    }
+    return fold::member_leave_record{m_self.member, m_self.incarnation, 0};
+}
+
+// A holder that is cut off hears few members, so it can't reach a majority; one on the greater side of a cut sees that
+// nobody it hears is in touch with the silent ones. Members that surely ended count on neither side.
+auto member_keeper::removals(const fold::fleet_state &state, liveness_view &view, std::uint64_t controlEpoch,
+                             core::monotonic_time now) -> std::vector<fold::member_leave_record>
+{
+    std::vector<fold::member_leave_record> removed;
+    std::vector<const fold::member_state *> silent;
+    std::vector<core::member_id> heard;
+    std::size_t notEnded = 0;
+    for (const auto &member : state.members()) {
+        if (isSelf(member)) {
+            ++notEnded;
+            continue;
+        }
+        view.watch(member.joined.member, now);
+        if (const auto ended = endedFor(member, view, now)) {
+            if (*ended >= removeAfterGone) {
+                removed.push_back({member.joined.member, member.joined.incarnation, controlEpoch});
+            }
+            continue;
+        }
+        ++notEnded;
+        if (view.hears(member.joined.member, now)) {
+            heard.push_back(member.joined.member);
+        } else if (view.silence(member.joined.member, now) >= removeAfterSilence) {
+            silent.push_back(&member);
+        }
+    }
+    const bool hearsMajority = 2 * (heard.size() + 1) > notEnded;
+    if (!hearsMajority) {
+        return removed;
+    }
+    for (const auto *member : silent) {
+        const bool heardByOther = std::ranges::any_of(heard, [&](const core::member_id &witness) {
+            return view.confirms(witness, member->joined.member, now);
+        });
+        if (!heardByOther && mayRemoveSilent(*member, state.members().size(), now)) {
+            removed.push_back({member->joined.member, member->joined.incarnation, controlEpoch});
+        }
+    }
+    return removed;
+}
+
+auto member_keeper::isSelf(const fold::member_state &member) const -> bool
+{
+    return member.joined.member == m_self.member;
+}
+
+auto member_keeper::mayRemoveSilent(const fold::member_state &member, std::size_t memberCount, core::monotonic_time now)
+    -> bool
+{
+    while (!m_silentRemovals.empty() && now - m_silentRemovals.front().at >= removalWindow) {
+        m_silentRemovals.pop_front();
+    }
+    const auto isSame = [&](const silent_removal &earlier) {
+        return earlier.member == member.joined.member && earlier.incarnation == member.joined.incarnation;
+    };
+    if (std::ranges::any_of(m_silentRemovals, isSame)) {
+        return true;
+    }
+    if (m_silentRemovals.size() >= std::max<std::size_t>(1, memberCount / removalShare)) {
+        return false;
+    }
+    m_silentRemovals.push_back({member.joined.member, member.joined.incarnation, now});
+    return true;
+}
+} // namespace poplarpass::control
--- /dev/null
+++ b/src/poplarpass/control/pending_appends.cpp
@@ -0,0 +1,75 @@
+#include <poplarpass/control/constants.h>
+#include <poplarpass/control/pending_appends.h>
+
+#include <utility>
+
+namespace poplarpass::control
+{
+namespace
+{
+auto isSame(const fold::record &left, const fold::record &right) -> bool
+{
+    const auto *leftHost = std::get_if<fold::host_record>(&left);
+    const auto *rightHost = std::get_if<fold::host_record>(&right);
+    if (leftHost != nullptr && rightHost != nullptr) {
+        return leftHost->event == rightHost->event && leftHost->controlEpoch == rightHost->controlEpoch
+            && leftHost->pool == rightHost->pool && leftHost->wave == rightHost->wave
+            && leftHost->bootId == rightHost->bootId;
+    }
+    const auto *leftWave = std::get_if<fold::wave_record>(&left);
+    const auto *rightWave = std::get_if<fold::wave_record>(&right);
+    return leftWave != nullptr && rightWave != nullptr && *leftWave == *rightWave;
+}
+} // namespace
+
+pending_appends::pending_appends(std::string idPrefix)
+    : m_idPrefix{std::move(idPrefix)}
+{
+}
+
+auto pending_appends::request(const append_subject &subject, const fold::record &change, core::monotonic_time now)
+    -> std::optional<append_request>
+{
+    const auto position = m_pending.find(subject);
+    if (position != m_pending.end()) {
+        auto &known = position->second;
+        if (isSame(known.request.change, change)) {
+            if (now - known.lastSent < appendRetry) {
+                return std::nullopt;
+            }
+            known.lastSent = now;
+            return known.request;
+        }
+        if (now - known.firstSent < appendAbandon) {
+            return std::nullopt;
+        }
+        m_subjects.erase(known.request.id);
+        m_pending.erase(position);
+    }
+    append_request made{core::record_id{m_idPrefix + std::to_string(++m_sequence)}, change};
+    m_subjects.emplace(made.id, subject);
+    m_pending.emplace(subject, pending{made, now, now});
+    return made;
+}
+
+auto pending_appends::onApplied(const core::record_id &id) -> void
+{
+    const auto position = m_subjects.find(id);
+    if (position == m_subjects.end()) {
+        return;
+    }
+    m_pending.erase(position->second);
+    m_subjects.erase(position);
+}
+
+auto pending_appends::waits(const append_subject &subject) const -> bool
+{
+    return m_pending.contains(subject);
+}
+
+auto pending_appends::clear() -> void
+{
+    m_pending.clear();
+    m_subjects.clear();
+}
+} // namespace poplarpass::control
--- /dev/null
+++ b/src/poplarpass/control/role_keeper.cpp
@@ -0,0 +1,178 @@
+#include <poplarpass/control/constants.h>
+#include <poplarpass/control/role_keeper.h>
+#include <poplarpass/core/rendezvous.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace poplarpass::control
+{
+// Why at most one process acts: a renewal takes effect in the log no earlier than it was sent, and a standby reads it no
+// earlier than it took effect. A claim is sent claimAfter or more after that, and the fold refuses it if a renewal came
+// between. So a claim that counts follows the sending of the last renewal that counts by more than holderTerm; the
+// difference of the two constants covers clocks that run at different rates.
+
+role_keeper::role_keeper(core::member_id self, std::uint64_t incarnation)
+    : m_self{std::move(self)}
+    , m_incarnation{incarnation}
+{
+    assert(!m_self.empty());
+}
+
+auto role_keeper::onApplied(const core::record_id &id, const fold::control_state &control, core::monotonic_time now)
+    -> void
+{
+    const bool epochChanged = control.epoch != m_control.epoch;
+    const bool renewed = epochChanged || control.lastRenewal != m_control.lastRenewal;
+    m_control = control;
+    if (epochChanged) {
+        m_actUntil.reset();
+    }
+    const auto isThis = [&id](const sent_record &sent) { return sent.id == id; };
+    if (renewed) {
+        m_renewalSeen = now;
+        const auto renewal = std::ranges::find_if(m_renewals, isThis);
+        const bool isOwnClaim = m_claim && isThis(*m_claim);
+        if (isHolder() && (isOwnClaim || renewal != m_renewals.end())) {
+            const auto sent = isOwnClaim ? m_claim->firstSent : renewal->firstSent;
+            m_actUntil = std::max(m_actUntil.value_or(sent + holderTerm), sent + holderTerm);
+        }
+        m_claim.reset();
+    }
+    if (m_claim && isThis(*m_claim)) {
+        m_claim.reset();
+    }
+    std::erase_if(m_renewals, isThis);
+    if (epochChanged) {
+        m_renewals.clear();
+    }
+}
+
+auto role_keeper::onIncarnation(std::uint64_t incarnation) -> void
+{
+    assert(incarnation >= m_incarnation);
+    m_incarnation = incarnation;
+    m_claim.reset();
+}
+
+auto role_keeper::onReadToEnd(core::monotonic_time begun) -> void
+{
+    m_readBegun = std::max(m_readBegun.value_or(begun), begun);
+    if (!m_renewalSeen) {
+        m_renewalSeen = begun;
+    }
+}
+
+auto role_keeper::onAppendAnswered(const core::record_id &id, bool succeeded) -> void
+{
+    if (m_claim && m_claim->id == id) {
+        m_claim->inFlight = false;
+    }
+    const auto renewal = std::ranges::find(m_renewals, id, &sent_record::id);
+    if (renewal == m_renewals.end()) {
+        return;
+    }
+    renewal->inFlight = false;
+    if (!succeeded) {
+        m_renewalSent.reset();
+    }
+}
+
+auto role_keeper::next(std::span<const core::member_id> candidates, core::monotonic_time now)
+    -> std::optional<append_request>
+{
+    return isHolder() ? renewal(now) : claim(candidates, now);
+}
+
+auto role_keeper::mayAct(core::monotonic_time now) const -> bool
+{
+    return isHolder() && m_actUntil && now < *m_actUntil;
+}
+
+auto role_keeper::isHolder() const -> bool
+{
+    return m_control.holder == m_self && m_control.incarnation == m_incarnation && m_control.epoch > 0;
+}
+
+auto role_keeper::epoch() const -> std::uint64_t
+{
+    return m_control.epoch;
+}
+
+// A renewal whose answer was lost is followed by one with a new id: an id that is sent again would carry the old sending
+// time. A late double only moves lastRenewal on while the epoch is in force, and is refused after that.
+auto role_keeper::renewal(core::monotonic_time now) -> std::optional<append_request>
+{
+    std::erase_if(m_renewals, [now](const sent_record &sent) { return now - sent.firstSent >= holderTerm; });
+    const bool anyInFlight = std::ranges::any_of(m_renewals, &sent_record::inFlight);
+    const bool due = !m_renewalSent || now - *m_renewalSent >= renewInterval;
+    const bool retryTooEarly = !m_renewals.empty() && now - m_renewals.back().firstSent < appendRetry;
+    if (!due || retryTooEarly || (anyInFlight && m_renewals.size() > 1)) {
+        return std::nullopt;
+    }
+    auto request = send(fold::control_renew_record{m_control.epoch});
+    m_renewals.push_back({request.id, request.change, now, now, true});
+    m_renewalSent = now;
+    return request;
+}
+
+auto role_keeper::claim(std::span<const core::member_id> candidates, core::monotonic_time now)
+    -> std::optional<append_request>
+{
+    if (m_claim) {
+        return repeatClaim(now);
+    }
+    const bool tooEarly = m_renewalSent && now - *m_renewalSent < appendRetry;
+    if (tooEarly || !claimDue(candidates)) {
+        return std::nullopt;
+    }
+    const fold::control_claim_record change{m_self, m_incarnation, m_control.epoch + 1, m_control.lastRenewal};
+    auto request = send(change);
+    m_claim = sent_record{request.id, request.change, now, now, true};
+    m_renewalSent = now;
+    return request;
+}
+
+auto role_keeper::send(fold::record change) -> append_request
+{
+    const auto id = m_self.str() + "/" + std::to_string(m_incarnation) + "/role/" + std::to_string(++m_sequence);
+    return {core::record_id{id}, std::move(change)};
+}
+
+auto role_keeper::repeatClaim(core::monotonic_time now) -> std::optional<append_request>
+{
+    if (m_claim->inFlight || now - m_claim->lastSent < appendRetry) {
+        return std::nullopt;
+    }
+    m_claim->lastSent = now;
+    m_claim->inFlight = true;
+    return append_request{m_claim->id, m_claim->change};
+}
+
+// The read must have begun after the wait: a process that was frozen through the wait has read nothing meanwhile.
+auto role_keeper::claimDue(std::span<const core::member_id> candidates) const -> bool
+{
+    if (!m_renewalSeen || !m_readBegun) {
+        return false;
+    }
+    const auto wait = m_control.epoch == 0 ? core::duration::zero() : claimAfter;
+    const auto rank = std::min(rankAmong(candidates), claimMaxRank);
+    return *m_readBegun >= *m_renewalSeen + wait + claimSpread * static_cast<int>(rank);
+}
+
+auto role_keeper::rankAmong(std::span<const core::member_id> candidates) const -> std::size_t
+{
+    const auto order = core::rendezvousOrder(std::to_string(m_control.epoch), candidates);
+    std::size_t rank = 0;
+    for (const auto &candidate : order) {
+        if (candidate == m_self) {
+            break;
+        }
+        if (candidate != m_control.holder) {
+            ++rank;
+        }
+    }
+    return rank;
+}
+} // namespace poplarpass::control
