Control: step function of the holder

Cause: hosts have to be driven through maintenance and moves from the agreed state alone. Ruled out: orders before their record was read back; a join before the worker was assigned, because stale leases would still be good then. Change: host_controller, host_tracker, planning_view, interfaces of the planners.

--- /dev/null
+++ b/src/poplarpass/control.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// \file
+/// \brief Decisions of the control processes: the role, members, hosts, waves and moves.
+
+#include <poplarpass/control/constants.h>
+#include <poplarpass/control/control_action.h>
+#include <poplarpass/control/host_controller.h>
+#include <poplarpass/control/host_observations.h>
+#include <poplarpass/control/host_tracker.h>
+#include <poplarpass/control/liveness_view.h>
+#include <poplarpass/control/member_keeper.h>
+#include <poplarpass/control/move_planner.h>
+#include <poplarpass/control/pending_appends.h>
+#include <poplarpass/control/planning_view.h>
+#include <poplarpass/control/role_keeper.h>
+#include <poplarpass/control/wave_planner.h>
--- a/src/poplarpass/control/constants.h
+++ b/src/poplarpass/control/constants.h
@@ -38,10 +38,14 @@
 inline constexpr core::duration downAfter = std::chrono::seconds{3};
 /// \brief How long a worker must answer without a gap before it is recorded as back.
 inline constexpr core::duration upAfter = std::chrono::seconds{5};
+/// \brief A contact with a worker older than this no longer says that it is there.
+inline constexpr core::duration contactFresh = std::chrono::seconds{5};
 /// \brief Failed contacts in a row before a worker can be recorded as lost.
 inline constexpr int downSightings = 3;
 /// \brief Share of all hosts lost at once beyond which the holder suspects its own network and records none.
 inline constexpr double maxPlausibleLoss = 0.6;
+/// \brief So few hosts lost at once are always believed.
+inline constexpr std::size_t minSuspiciousLoss = 8;
 /// \brief Time between two orders to a worker that waits for something.
 inline constexpr core::duration orderInterval = std::chrono::seconds{1};
 /// \brief An order without an outcome for this long is taken as lost.
--- /dev/null
+++ b/src/poplarpass/control/host_controller.cpp
@@ -0,0 +1,242 @@
+#include <poplarpass/control/constants.h>
+#include <poplarpass/control/host_controller.h>
+#include <poplarpass/control/host_controller_step.h>
+
+#include <algorithm>
+#include <cassert>
+#include <unordered_set>
+#include <utility>
+
+namespace poplarpass::control
+{
+namespace
+{
+auto nameOfHost(const fold::host_state &host) -> const core::host_id &
+{
+    return host.description.host;
+}
+
+auto subjectOf(const fold::host_state &host) -> append_subject
+{
+    return {nameOfHost(host), {}};
+}
+
+auto takesOut(const fold::record *change) -> bool
+{
+    const auto *hostChange = change == nullptr ? nullptr : std::get_if<fold::host_record>(change);
+    return hostChange != nullptr
+        && (hostChange->event == fold::host_event::drain_start || hostChange->event == fold::host_event::leave);
+}
+
+auto blocksFinish(const fold::wave_state &wave, const fold::host_state &host) -> bool
+{
+    const bool isUnderWay = host.phase == fold::host_phase::draining || host.phase == fold::host_phase::rebooting;
+    const bool isGoingAway = host.phase == fold::host_phase::draining && host.wave.empty();
+    return !isGoingAway && (isToMaintain(wave, host) || (isUnderWay && host.wave == wave.name));
+}
+} // namespace
+
+host_controller::host_controller(core::member_id self, std::uint64_t incarnation, controller_hooks hooks)
+    : m_hooks{std::move(hooks)}
+    , m_pending{self.str() + "/" + std::to_string(incarnation) + "/host/"}
+{
+    assert(!self.empty());
+}
+
+auto host_controller::onApplied(const core::record_id &id) -> void
+{
+    m_pending.onApplied(id);
+}
+
+auto host_controller::onRoleLost() -> void
+{
+    m_pending.clear();
+    m_trackers.clear();
+}
+
+auto host_controller::decide(const fold::fleet_state &state, const host_observations &observations,
+                             core::wall_time wallNow, core::monotonic_time now) -> std::vector<control_action>
+{
+    assert(state.control().epoch > 0);
+    step current{state, observations, wallNow, now};
+    takeObservations(current);
+    takeList(current);
+    suspectOwnNetwork(current);
+    prepareView(current);
+    for (const auto &host : state.hosts()) {
+        if (!recordContact(current, host)) {
+            driveHost(current, host);
+        }
+    }
+    driveWaves(current);
+    driveMoves(current);
+    finishWaves(current);
+    return std::move(current.actions);
+}
+
+auto host_controller::takeObservations(step &current) -> void
+{
+    for (const auto &host : current.state.hosts()) {
+        m_trackers[nameOfHost(host)].onPhase(host, current.now);
+    }
+    for (const auto &outcome : current.observations.outcomes) {
+        m_trackers[outcome.host].onOutcome(outcome, current.now);
+    }
+    for (const auto &sighting : current.observations.sightings) {
+        m_trackers[sighting.host].onSighting(sighting);
+    }
+}
+
+auto host_controller::takeList(step &current) -> void
+{
+    if (!current.observations.listed) {
+        return;
+    }
+    std::unordered_set<core::host_id> listedNames;
+    for (const auto &listed : *current.observations.listed) {
+        listedNames.insert(listed.host);
+        m_trackers[listed.host].onListed(true, listed.leaving, current.now);
+        if (current.state.findHost(listed.host) == nullptr) {
+            addHost(current, listed);
+        }
+    }
+    for (const auto &host : current.state.hosts()) {
+        if (!listedNames.contains(nameOfHost(host))) {
+            m_trackers[nameOfHost(host)].onListed(false, false, current.now);
+        }
+    }
+}
+
+// A listed host that nobody has reached would count as capacity that isn't there, so it is added once it answers.
+auto host_controller::addHost(step &current, const platform::listed_host &listed) -> void
+{
+    auto &tracker = m_trackers[listed.host];
+    if (listed.leaving || !tracker.isReached(current.now)) {
+        return;
+    }
+    if (current.state.findPool(listed.pool) == nullptr) {
+        if (tracker.takeReport(current.now)) {
+            current.actions.emplace_back(report_action{report_kind::unknown_pool, listed.host, {}, listed.pool.str()});
+        }
+        return;
+    }
+    fold::host_record change;
+    change.event = fold::host_event::add;
+    change.host = listed.host;
+    change.controlEpoch = current.state.control().epoch;
+    change.description = listed;
+    change.bootId = tracker.status()->bootId;
+    appendFor(current, {listed.host, {}}, change);
+}
+
+// A holder that is itself cut off sees every worker fail; recording that would take the whole fleet out of service.
+auto host_controller::suspectOwnNetwork(step &current) -> void
+{
+    std::size_t upCount = 0;
+    std::size_t lostCount = 0;
+    for (const auto &host : current.state.hosts()) {
+        if (host.down || host.phase == fold::host_phase::rebooting) {
+            continue;
+        }
+        ++upCount;
+        lostCount += m_trackers.at(nameOfHost(host)).isLost(current.now) ? 1U : 0U;
+    }
+    const auto plausible = std::max(minSuspiciousLoss, static_cast<std::size_t>(maxPlausibleLoss * upCount));
+    current.isLossPlausible = lostCount <= plausible;
+    if (!current.isLossPlausible) {
+        const auto detail = "lost=" + std::to_string(lostCount) + " of=" + std::to_string(upCount);
+        current.actions.emplace_back(report_action{report_kind::loss_not_plausible, {}, {}, detail});
+    }
+}
+
+auto host_controller::prepareView(step &current) -> void
+{
+    current.view = makePlanningView(current.state.config(), current.state.hosts());
+    for (auto &pool : current.view.pools) {
+        for (auto &host : pool.hosts) {
+            if (host.serves() && takesOut(m_pending.waiting(subjectOf(host)))) {
+                host.phase = fold::host_phase::draining;
+            }
+        }
+    }
+}
+
+auto host_controller::driveWaves(step &current) -> void
+{
+    if (!m_hooks.chooseDrains) {
+        return;
+    }
+    const auto isUsableNow = [&](const fold::host_state &host) { return isUsable(current, host); };
+    const wave_query query{current.view, current.state.waves(), current.wallNow, isUsableNow};
+    for (const auto &choice : m_hooks.chooseDrains(query)) {
+        const auto *host = current.state.findHost(choice.host);
+        if (host == nullptr) {
+            continue;
+        }
+        fold::host_record change;
+        change.event = fold::host_event::drain_start;
+        change.wave = choice.wave;
+        append(current, *host, change);
+    }
+}
+
+auto host_controller::driveMoves(step &current) -> void
+{
+    if (!m_hooks.chooseMoves) {
+        return;
+    }
+    const auto isUsableNow = [&](const fold::host_state &host) { return isUsable(current, host); };
+    const move_query query{current.view, current.state.waves(), current.wallNow, current.now, isUsableNow};
+    for (const auto &move : m_hooks.chooseMoves(query)) {
+        const auto *host = current.state.findHost(move.host);
+        if (host == nullptr || m_pending.waiting(subjectOf(*host)) != nullptr) {
+            continue;
+        }
+        fold::host_record change;
+        change.event = fold::host_event::leave;
+        change.pool = move.to;
+        append(current, *host, change);
+    }
+}
+
+auto host_controller::finishWaves(step &current) -> void
+{
+    for (const auto &wave : current.state.waves()) {
+        const bool isOver = std::ranges::none_of(
+            current.state.hosts(), [&wave](const fold::host_state &host) { return blocksFinish(wave, host); });
+        if (wave.finished || !isOver) {
+            continue;
+        }
+        fold::wave_record change;
+        change.action = fold::wave_action::finish;
+        change.wave = wave.name;
+        change.controlEpoch = current.state.control().epoch;
+        appendFor(current, {{}, wave.name}, change);
+    }
+}
+
+auto host_controller::isUsable(const step &current, const fold::host_state &host) const -> bool
+{
+    const auto tracker = m_trackers.find(nameOfHost(host));
+    const bool isReached = tracker != m_trackers.end() && tracker->second.isReached(current.now);
+    return host.serves() && isReached && !tracker->second.isLeaving() && current.isLossPlausible;
+}
+
+auto host_controller::append(step &current, const fold::host_state &host, fold::host_record change) -> void
+{
+    change.host = nameOfHost(host);
+    change.controlEpoch = current.state.control().epoch;
+    appendFor(current, subjectOf(host), change);
+}
+
+auto host_controller::appendFor(step &current, const append_subject &subject, const fold::record &change) -> void
+{
+    if (current.appends >= maxAppendsPerStep) {
+        return;
+    }
+    if (auto request = m_pending.request(subject, change, current.now)) {
+        ++current.appends;
+        current.actions.emplace_back(std::move(*request));
+    }
+}
+} // namespace poplarpass::control
--- /dev/null
+++ b/src/poplarpass/control/host_steps.cpp
@@ -0,0 +1,247 @@
+#include <poplarpass/control/constants.h>
+#include <poplarpass/control/host_controller.h>
+#include <poplarpass/control/host_controller_step.h>
+
+#include <algorithm>
+#include <utility>
+
+// The part of host_controller that drives one host through the phases of the agreed state.
+namespace poplarpass::control
+{
+using fold::host_event;
+using fold::host_phase;
+using platform::worker_order;
+
+namespace
+{
+auto eventOf(host_event event) -> fold::host_record
+{
+    fold::host_record change;
+    change.event = event;
+    return change;
+}
+
+auto bootEventOf(host_event event, const host_tracker &tracker) -> fold::host_record
+{
+    auto change = eventOf(event);
+    change.bootId = tracker.status() ? tracker.status()->bootId : 0;
+    return change;
+}
+
+auto isAssignedAs(const worker_status &status, const fold::host_state &host) -> bool
+{
+    return status.pool == host.pool && status.generation == host.generation;
+}
+} // namespace
+
+// While a host reboots for maintenance its absence is planned, and a late return is reported instead.
+auto host_controller::recordContact(step &current, const fold::host_state &host) -> bool
+{
+    const auto &tracker = m_trackers.at(host.description.host);
+    if (tracker.isGone(current.now) && !host.serves()) {
+        append(current, host, eventOf(host_event::remove));
+        return true;
+    }
+    if (host.phase == host_phase::rebooting) {
+        return false;
+    }
+    if (!host.down && tracker.isLost(current.now) && current.isLossPlausible) {
+        append(current, host, eventOf(host_event::down));
+        return true;
+    }
+    if (host.down && tracker.isSteady(current.now) && !tracker.isLeaving()) {
+        append(current, host, bootEventOf(host_event::up, tracker));
+        return true;
+    }
+    return false;
+}
+
+auto host_controller::driveHost(step &current, const fold::host_state &host) -> void
+{
+    if (host.down && host.phase != host_phase::rebooting) {
+        return;
+    }
+    switch (host.phase) {
+    case host_phase::serving:
+        driveServing(current, host);
+        break;
+    case host_phase::draining:
+        driveDraining(current, host);
+        break;
+    case host_phase::rebooting:
+        driveRebooting(current, host);
+        break;
+    case host_phase::moving_out:
+    case host_phase::drained:
+        driveMove(current, host);
+        break;
+    }
+}
+
+// A host that serves may still be as an earlier holder, a cancelled drain or a move left it.
+auto host_controller::driveServing(step &current, const fold::host_state &host) -> void
+{
+    const auto &tracker = m_trackers.at(host.description.host);
+    if (tracker.isLeaving()) {
+        driveLeaving(current, host);
+        return;
+    }
+    const bool isKnown = tracker.status() && tracker.isReached(current.now);
+    if (!isKnown || m_pending.waiting({host.description.host, {}}) != nullptr) {
+        return;
+    }
+    if (!isAssignedAs(*tracker.status(), host)) {
+        orderAssign(current, host, host.pool, host.generation);
+    } else if (tracker.status()->draining) {
+        order(current, host, worker_order::undrain);
+    }
+}
+
+// The platform takes the host whether or not the budget permits, so when it doesn't, the loss is recorded as what it is.
+auto host_controller::driveLeaving(step &current, const fold::host_state &host) -> void
+{
+    const auto *pool = std::as_const(current.view).findPool(host.pool);
+    const bool mayDrain = pool == nullptr || pool->limitOf(host) == fold::budget_limit::none;
+    append(current, host, eventOf(mayDrain ? host_event::drain_start : host_event::down));
+}
+
+auto host_controller::driveDraining(step &current, const fold::host_state &host) -> void
+{
+    const auto &tracker = m_trackers.at(host.description.host);
+    const bool isGoingAway = host.wave.empty();
+    const bool hasStayed = isGoingAway && !tracker.isLeaving() && tracker.isReached(current.now);
+    if (hasStayed || (!isGoingAway && mustCancel(current, host))) {
+        cancel(current, host);
+        return;
+    }
+    if (!tracker.confirmedIdle()) {
+        order(current, host, worker_order::drain);
+        reportOverdue(current, host, report_kind::drain_overdue, drainOverdueAfter);
+    } else if (!isGoingAway) {
+        append(current, host, bootEventOf(host_event::reboot_start, tracker));
+    }
+}
+
+// The boot id in the agreed state is the one before the reboot: any other one proves that the worker restarted.
+auto host_controller::driveRebooting(step &current, const fold::host_state &host) -> void
+{
+    const auto &tracker = m_trackers.at(host.description.host);
+    const auto &status = tracker.status();
+    reportOverdue(current, host, report_kind::reboot_overdue, rebootOverdueAfter);
+    const bool isBack = status && status->bootId != host.bootId && tracker.isReached(current.now);
+    if (!isBack) {
+        const bool isReady = status && status->bootId == host.bootId && status->draining;
+        if (isReady && tracker.mayReboot(current.now)) {
+            order(current, host, worker_order::reboot);
+        } else if (!isReady || !tracker.isReached(current.now)) {
+            order(current, host, worker_order::drain);
+        }
+        return;
+    }
+    if (!isAssignedAs(*status, host)) {
+        orderAssign(current, host, host.pool, host.generation);
+    } else if (status->draining) {
+        order(current, host, worker_order::undrain);
+    } else {
+        append(current, host, bootEventOf(host_event::returned, tracker));
+    }
+}
+
+// The worker is assigned before the join is written: from that answer on it refuses every lease of the old pool, so no
+// process that still believes in the old pool can start work there once the join is in force. The generation given
+// then is provisional, as the offset of the join isn't known yet; nobody is told it, and driveServing gives the final one.
+auto host_controller::driveMove(step &current, const fold::host_state &host) -> void
+{
+    const auto &tracker = m_trackers.at(host.description.host);
+    const bool isTargetKnown = current.state.findPool(host.movingTo) != nullptr;
+    if (host.phase == host_phase::moving_out) {
+        if (!isTargetKnown || mustCancel(current, host)) {
+            cancel(current, host);
+        } else if (tracker.confirmedIdle()) {
+            append(current, host, eventOf(host_event::drained));
+        } else {
+            order(current, host, worker_order::drain);
+            reportOverdue(current, host, report_kind::drain_overdue, drainOverdueAfter);
+        }
+        return;
+    }
+    if (!isTargetKnown) {
+        cancel(current, host);
+    } else if (tracker.confirmedAssign(host.movingTo)) {
+        auto change = eventOf(host_event::join);
+        change.pool = host.movingTo;
+        append(current, host, change);
+    } else if (tracker.status() && !tracker.status()->draining) {
+        order(current, host, worker_order::drain);
+    } else {
+        orderAssign(current, host, host.movingTo, current.state.offset());
+    }
+}
+
+// A drain that has not reached its reboot gives its host back when the pool has become short, or its calendar has closed.
+auto host_controller::mustCancel(const step &current, const fold::host_state &host) const -> bool
+{
+    const auto *pool = current.view.findPool(host.pool);
+    if (pool == nullptr) {
+        return false;
+    }
+    const bool isForWave = host.phase == host_phase::draining;
+    const bool isClosed
+        = isForWave && m_hooks.calendarIsOpen && !pool->isOpen(m_hooks.calendarIsOpen, current.wallNow);
+    return isClosed || pool->budget().spareSlots() < 0;
+}
+
+auto host_controller::cancel(step &current, const fold::host_state &host) -> void
+{
+    append(current, host, eventOf(host_event::drain_cancel));
+    auto *pool = current.view.findPool(host.pool);
+    if (pool == nullptr) {
+        return;
+    }
+    const auto copy = std::ranges::find_if(pool->hosts, [&host](const fold::host_state &other) {
+        return other.description.host == host.description.host;
+    });
+    copy->phase = host_phase::serving;
+}
+
+auto host_controller::order(step &current, const fold::host_state &host, platform::worker_order kind) -> void
+{
+    platform::order_request request;
+    request.order = kind;
+    give(current, host, std::move(request));
+}
+
+auto host_controller::orderAssign(step &current, const fold::host_state &host, const core::pool_id &pool,
+                                  std::uint64_t generation) -> void
+{
+    platform::order_request request;
+    request.order = worker_order::assign;
+    request.pool = pool;
+    request.generation = generation;
+    give(current, host, std::move(request));
+}
+
+auto host_controller::give(step &current, const fold::host_state &host, platform::order_request request) -> void
+{
+    auto &tracker = m_trackers.at(host.description.host);
+    if (!tracker.mayOrder(current.now, orderInterval)) {
+        return;
+    }
+    request.controlEpoch = current.state.control().epoch;
+    tracker.onOrder(request, current.now);
+    current.actions.emplace_back(order_action{host.description.host, host.description.address, std::move(request)});
+}
+
+auto host_controller::reportOverdue(step &current, const fold::host_state &host, report_kind kind, core::duration limit)
+    -> void
+{
+    auto &tracker = m_trackers.at(host.description.host);
+    const auto age = tracker.phaseAge(current.now);
+    if (age < limit || !tracker.takeReport(current.now)) {
+        return;
+    }
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(age).count();
+    const auto detail = "pool=" + host.pool.str() + " for_s=" + std::to_string(seconds);
+    current.actions.emplace_back(report_action{kind, host.description.host, host.wave, detail});
+}
+} // namespace poplarpass::control
--- /dev/null
+++ b/src/poplarpass/control/host_tracker.cpp
@@ -0,0 +1,174 @@
+#include <poplarpass/control/constants.h>
+#include <poplarpass/control/host_tracker.h>
+
+namespace poplarpass::control
+{
+auto host_tracker::onSighting(const host_sighting &sighting) -> void
+{
+    if (!sighting.reached) {
+        const bool isOlder = m_reached && sighting.at < *m_reached;
+        if (isOlder) {
+            return;
+        }
+        if (!m_failedSince) {
+            m_failedSince = sighting.at;
+        }
+        ++m_failures;
+        m_reachedSince.reset();
+        return;
+    }
+    takeStatus({sighting.bootId, sighting.draining, sighting.pool, sighting.generation, sighting.at});
+}
+
+// An answer to a drain order confirms only the phase in which the order was given: an older one may have crossed with
+// an undrain.
+auto host_tracker::onOutcome(const order_outcome &outcome, core::monotonic_time now) -> void
+{
+    const auto &request = outcome.request;
+    const bool isUnderWay = m_underWay && m_underWay->order == request.order
+        && m_underWay->controlEpoch == request.controlEpoch && m_underWay->generation == request.generation;
+    if (!isUnderWay) {
+        return;
+    }
+    m_underWay.reset();
+    if (!outcome.answer) {
+        return;
+    }
+    const auto &answer = *outcome.answer;
+    takeStatus({answer.bootId, answer.draining, answer.pool, answer.generation, m_lastOrder.value_or(now)});
+    if (request.order == platform::worker_order::drain && *m_lastOrder >= m_phaseSince) {
+        m_confirmedIdle = answer.draining && answer.runningJobs == 0;
+    }
+    if (request.order == platform::worker_order::undrain) {
+        m_confirmedIdle = false;
+    }
+    const bool isAssigned = answer.pool == request.pool && answer.generation == request.generation;
+    if (request.order == platform::worker_order::assign && *m_lastOrder >= m_phaseSince && isAssigned) {
+        m_assigned = request.pool;
+    }
+    if (request.order == platform::worker_order::reboot) {
+        m_rebootAccepted = true;
+    }
+}
+
+auto host_tracker::onPhase(const fold::host_state &host, core::monotonic_time now) -> void
+{
+    if (m_phase == host.phase && m_phaseGeneration == host.generation) {
+        return;
+    }
+    m_phase = host.phase;
+    m_phaseGeneration = host.generation;
+    m_phaseSince = now;
+    m_confirmedIdle = false;
+    m_assigned = {};
+    m_lastReboot.reset();
+    m_rebootAccepted = false;
+    m_reported.reset();
+}
+
+auto host_tracker::onListed(bool listed, bool leaving, core::monotonic_time now) -> void
+{
+    m_leaving = listed && leaving;
+    if (listed) {
+        m_missingSince.reset();
+    } else if (!m_missingSince) {
+        m_missingSince = now;
+    }
+}
+
+auto host_tracker::onOrder(const platform::order_request &request, core::monotonic_time now) -> void
+{
+    m_underWay = request;
+    m_lastOrder = now;
+    if (request.order == platform::worker_order::reboot) {
+        m_lastReboot = now;
+        m_rebootAccepted = false;
+    }
+}
+
+auto host_tracker::mayOrder(core::monotonic_time now, core::duration interval) const -> bool
+{
+    if (!m_lastOrder) {
+        return true;
+    }
+    return now - *m_lastOrder >= (m_underWay ? orderTimeout : interval);
+}
+
+auto host_tracker::isLost(core::monotonic_time now) const -> bool
+{
+    return m_failures >= downSightings && m_failedSince && now - *m_failedSince >= downAfter;
+}
+
+auto host_tracker::isSteady(core::monotonic_time now) const -> bool
+{
+    return isReached(now) && m_reachedSince && now - *m_reachedSince >= upAfter;
+}
+
+auto host_tracker::isReached(core::monotonic_time now) const -> bool
+{
+    return m_reached && m_failures == 0 && now - *m_reached < contactFresh;
+}
+
+auto host_tracker::confirmedIdle() const -> bool
+{
+    return m_confirmedIdle;
+}
+
+auto host_tracker::confirmedAssign(const core::pool_id &pool) const -> bool
+{
+    return m_assigned == pool;
+}
+
+auto host_tracker::status() const -> const std::optional<worker_status> &
+{
+    return m_status;
+}
+
+auto host_tracker::isLeaving() const -> bool
+{
+    return m_leaving;
+}
+
+auto host_tracker::isGone(core::monotonic_time now) const -> bool
+{
+    return m_missingSince && now - *m_missingSince >= removeHostAfter && isLost(now);
+}
+
+auto host_tracker::phaseAge(core::monotonic_time now) const -> core::duration
+{
+    return now - m_phaseSince;
+}
+
+auto host_tracker::takeReport(core::monotonic_time now) -> bool
+{
+    if (m_reported && now - *m_reported < reportInterval) {
+        return false;
+    }
+    m_reported = now;
+    return true;
+}
+
+auto host_tracker::mayReboot(core::monotonic_time now) const -> bool
+{
+    return !m_lastReboot || now - *m_lastReboot >= (m_rebootAccepted ? rebootPatience : rebootRetry);
+}
+
+auto host_tracker::takeStatus(const worker_status &status) -> void
+{
+    const bool isOlder = m_reached && status.at < *m_reached;
+    if (isOlder) {
+        return;
+    }
+    if (m_status && m_status->bootId != status.bootId) {
+        m_confirmedIdle = false;
+        m_assigned = {};
+    }
+    m_status = status;
+    m_reached = status.at;
+    if (!m_reachedSince) {
+        m_reachedSince = status.at;
+    }
+    m_failures = 0;
+    m_failedSince.reset();
+}
+} // namespace poplarpass::control
--- a/src/poplarpass/control/pending_appends.cpp
+++ b/src/poplarpass/control/pending_appends.cpp
@@ -62,9 +62,10 @@
     m_subjects.erase(position);
 }
 
-auto pending_appends::waits(const append_subject &subject) const -> bool
+auto pending_appends::waiting(const append_subject &subject) const -> const fold::record *
 {
-    return m_pending.contains(subject);
+    const auto position = m_pending.find(subject);
+    return position == m_pending.end() ? nullptr : &position->second.request.change;
 }
 
 auto pending_appends::clear() -> void
--- a/src/poplarpass/control/pending_appends.h
+++ b/src/poplarpass/control/pending_appends.h
@@ -36,8 +36,8 @@
     /// \brief Takes in that the record \p id was read back, accepted or not.
     auto onApplied(const core::record_id &id) -> void;
 
-    /// \brief Whether a record about \p subject waits to be read back.
-    [[nodiscard]] auto waits(const append_subject &subject) const -> bool;
+    /// \brief Record about \p subject that waits to be read back, or null.
+    [[nodiscard]] auto waiting(const append_subject &subject) const -> const fold::record *;
 
     /// \brief Forgets all records; those that still land are judged by the fold alone.
     auto clear() -> void;
--- /dev/null
+++ b/src/poplarpass/control/planning_view.cpp
@@ -0,0 +1,69 @@
+#include <poplarpass/control/planning_view.h>
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace poplarpass::control
+{
+namespace
+{
+auto findPoolIn(auto &pools, const core::pool_id &pool)
+{
+    const auto position = std::ranges::find_if(pools, [&pool](const pool_view &view) { return view.pool.name == pool; });
+    return position == pools.end() ? nullptr : &*position;
+}
+
+auto calendarOf(const config::fleet_config &config, const config::profile &profile) -> std::optional<config::calendar>
+{
+    const auto position = std::ranges::find(config.calendars, profile.calendar, &config::calendar::name);
+    return position == config.calendars.end() ? std::nullopt : std::optional{*position};
+}
+} // namespace
+
+auto pool_view::budget() const -> fold::budget_view
+{
+    return fold::evaluateBudget(pool, profile, hosts);
+}
+
+auto pool_view::limitOf(const fold::host_state &host) const -> fold::budget_limit
+{
+    return fold::limitOfTaking(host, pool, profile, hosts);
+}
+
+auto pool_view::isOpen(const calendar_check &check, core::wall_time now) const -> bool
+{
+    return profile.calendar.empty() || (calendar && check(*calendar, now));
+}
+
+auto planning_view::findPool(const core::pool_id &pool) -> pool_view *
+{
+    return findPoolIn(pools, pool);
+}
+
+auto planning_view::findPool(const core::pool_id &pool) const -> const pool_view *
+{
+    return findPoolIn(pools, pool);
+}
+
+auto makePlanningView(const config::fleet_config &config, std::span<const fold::host_state> hosts) -> planning_view
+{
+    planning_view view;
+    view.weights = config.weights;
+    std::unordered_map<core::pool_id, std::size_t> indexOf;
+    for (const auto &pool : config.pools) {
+        const auto profile = std::ranges::find(config.profiles, pool.profile, &config::profile::name);
+        if (profile == config.profiles.end()) {
+            continue;
+        }
+        indexOf.emplace(pool.name, view.pools.size());
+        view.pools.push_back({pool, *profile, calendarOf(config, *profile), {}});
+    }
+    for (const auto &host : hosts) {
+        const auto index = indexOf.find(host.pool);
+        if (index != indexOf.end()) {
+            view.pools[index->second].hosts.push_back(host);
+        }
+    }
+    return view;
+}
+} // namespace poplarpass::control
