Fold: losses of entries and the time until which an entry was alone

Cause: a key's new home must know whether the knowledge of a key may have died with its members. Change: member records carry the writer's wall time and whether keys were handed on; the fold remembers losses.

--- a/src/poplarpass/app/control_process.cpp
+++ b/src/poplarpass/app/control_process.cpp
@@ -28,21 +28,33 @@
 
 control_process::control_process(settings::process_settings given)
     : m_process{std::move(given), "control"}
-    , m_log{m_process.loop, m_process.logService, m_process.settings.deployment.secret,
+    , m_log{m_process.loop,
+            m_process.logService,
+            m_process.settings.deployment.secret,
             {[this](fold::log_offset, const core::record_id &id, const fold::record &change,
                     const fold::applied &outcome) { onApplied(id, change, outcome); },
              [this](const fold::fleet_state &state) {
                  m_role.onApplied(core::record_id{}, state.control(), monotonicNow());
              },
-             [this](core::monotonic_time sentAt) { m_role.onReadToEnd(sentAt); }}}
+             [this](core::monotonic_time sentAt) {
+                 m_role.onReadToEnd(sentAt);
+             }}}
     , m_peers{m_process,
               {[this](const request::member_ref &from, const request::peer_message &message) {
                    onMessage(from, message);
                },
                [](const core::member_id &, std::uint64_t) {},
-               [this](const core::member_id &peer, net::down_reason reason) { onPeerDown(peer, reason); }}}
-    , m_membership{m_process, m_log, fold::member_kind::control, [this] { stop(); }}
-    , m_status{m_process, [this] { return describeState(m_log.state()); }, [this] { updateGauges(); }}
+               [this](const core::member_id &peer, net::down_reason reason) {
+                   onPeerDown(peer, reason);
+               }}}
+    , m_membership{m_process, m_log, fold::member_kind::control,
+                   [this] {
+                       stop();
+                   }}
+    , m_status{m_process, [this] { return describeState(m_log.state()); },
+               [this] {
+                   updateGauges();
+               }}
     , m_role{m_process.settings.process.name, m_process.incarnation}
     , m_hosts{m_process.settings.process.name, m_process.incarnation, controllerHooks()}
 {
@@ -135,8 +147,8 @@
 {
     const auto now = monotonicNow();
     for (const auto &seen : report.sightings) {
-        m_sightings.push_back({seen.host, seen.reached, seen.bootId, seen.draining, seen.pool, seen.generation,
-                               now - seen.age});
+        m_sightings.push_back(
+            {seen.host, seen.reached, seen.bootId, seen.draining, seen.pool, seen.generation, now - seen.age});
     }
 }
 
@@ -204,8 +216,8 @@
 
 auto control_process::removeMembers() -> void
 {
-    control::member_keeper keeper{{m_process.settings.process.name, fold::member_kind::control, m_process.incarnation,
-                                   {}, {}, {}, 0}};
+    control::member_keeper keeper{
+        {m_process.settings.process.name, fold::member_kind::control, m_process.incarnation, {}, {}, {}, 0}};
     static_cast<void>(keeper);
     for (auto removal : m_keeper.removals(m_log.state(), m_liveness, m_role.epoch(), monotonicNow())) {
         if (!m_removing.insert(removal.member).second) {
@@ -215,9 +227,8 @@
         const core::record_id id{"remove/" + removal.member.str() + '/' + std::to_string(removal.incarnation) + '/'
                                  + std::to_string(removal.controlEpoch)};
         m_process.log.log(observe::log_level::warning, "member_removal", {{"member", removal.member.str()}});
-        m_log.publish(id, removal, removalTimeout, [this, member = removal.member](const fold::publish_outcome &) {
-            m_removing.erase(member);
-        });
+        m_log.publish(id, removal, removalTimeout,
+                      [this, member = removal.member](const fold::publish_outcome &) { m_removing.erase(member); });
     }
 }
 
@@ -290,9 +301,8 @@
     m_snapshotUnderWay = true;
     auto left = std::make_shared<std::size_t>(parts.size());
     for (const auto &part : parts) {
-        m_log.publish(fold::snapshotRecordId(part), part, snapshotTimeout, [this, left](const fold::publish_outcome &) {
-            m_snapshotUnderWay = --*left != 0;
-        });
+        m_log.publish(fold::snapshotRecordId(part), part, snapshotTimeout,
+                      [this, left](const fold::publish_outcome &) { m_snapshotUnderWay = --*left != 0; });
     }
     m_process.log.log(observe::log_level::info, "snapshot",
                       {{"offset", m_log.state().offset()}, {"bytes", bytes.size()}, {"parts", parts.size()}});
--- a/src/poplarpass/app/peer_hub.cpp
+++ b/src/poplarpass/app/peer_hub.cpp
@@ -18,7 +18,9 @@
     options.secret = process.settings.deployment.secret;
     options.pingPeriod = process.settings.timing.heartbeat;
     options.silenceTimeout = process.settings.timing.freshness;
-    options.random = [&process] { return process.random(); };
+    options.random = [&process] {
+        return process.random();
+    };
     return options;
 }
 } // namespace
@@ -26,7 +28,8 @@
 peer_hub::peer_hub(process_runtime &process, peer_hub_hooks hooks)
     : m_process{process}
     , m_hooks{std::move(hooks)}
-    , m_link{process.loop, linkOptions(process),
+    , m_link{process.loop,
+             linkOptions(process),
              {[this](const core::member_id &from, std::uint64_t incarnation, const std::string &bytes) {
                   receive(from, incarnation, bytes);
               },
--- a/src/poplarpass/app/process_runtime.cpp
+++ b/src/poplarpass/app/process_runtime.cpp
@@ -46,7 +46,9 @@
     observe::tracer_options options;
     options.serviceName = "poplarpass-" + std::move(kind);
     options.instance = process.settings.process.name.str();
-    options.random = [&process] { return process.random(); };
+    options.random = [&process] {
+        return process.random();
+    };
     options.now = wallNow;
     if (!process.settings.platform.collector.empty()) {
         options.send = [&process](std::string json, std::function<void(bool)> done) {
--- a/src/poplarpass/app/supervisor.cpp
+++ b/src/poplarpass/app/supervisor.cpp
@@ -82,7 +82,9 @@
         return;
     }
     auto &target = m_children[count - 1];
-    auto next = [this, count, done = std::move(done)] { stopFrom(count - 1, done); };
+    auto next = [this, count, done = std::move(done)] {
+        stopFrom(count - 1, done);
+    };
     if (!target.running) {
         next();
         return;
--- a/src/poplarpass/codec/record_codec.cpp
+++ b/src/poplarpass/codec/record_codec.cpp
@@ -1,5 +1,5 @@
-#include <poplarpass/codec/wire_fields.h>
 #include <poplarpass/codec/record_codec.h>
+#include <poplarpass/codec/wire_fields.h>
 
 #include <cassert>
 
@@ -23,12 +23,14 @@
 
 auto fieldsOf(const fold::member_leave_record &change) -> json
 {
-    return json::array({change.member.str(), change.incarnation, change.controlEpoch});
+    return json::array(
+        {change.member.str(), change.incarnation, change.controlEpoch, change.atUnixMs, change.handedOver});
 }
 
 auto readFields(field_reader &in, fold::member_leave_record &change) -> void
 {
-    in.read(change.member).read(change.incarnation).read(change.controlEpoch);
+    in.read(change.member).read(change.incarnation).read(change.controlEpoch).read(change.atUnixMs);
+    in.read(change.handedOver);
 }
 
 auto fieldsOf(const fold::control_claim_record &change) -> json
--- a/src/poplarpass/codec/state_codec.cpp
+++ b/src/poplarpass/codec/state_codec.cpp
@@ -1,6 +1,6 @@
-#include <poplarpass/codec/wire_fields.h>
 #include <poplarpass/codec/record_codec.h>
 #include <poplarpass/codec/state_codec.h>
+#include <poplarpass/codec/wire_fields.h>
 
 namespace poplarpass::codec
 {
@@ -20,6 +20,26 @@
     in.readItem(member.joined, byFields).read(member.since);
 }
 
+auto fieldsOf(const fold::entry_loss &loss) -> json
+{
+    return json::array({loss.member.str(), loss.incarnation, loss.atUnixMs});
+}
+
+auto readFields(field_reader &in, fold::entry_loss &loss) -> void
+{
+    in.read(loss.member).read(loss.incarnation).read(loss.atUnixMs);
+}
+
+auto fieldsOf(const fold::entry_history &entries) -> json
+{
+    return json::array({entries.epoch, fieldsOfAll(entries.losses), entries.aloneUntilUnixMs});
+}
+
+auto readFields(field_reader &in, fold::entry_history &entries) -> void
+{
+    in.read(entries.epoch).readItems(entries.losses, byFields).read(entries.aloneUntilUnixMs);
+}
+
 auto fieldsOf(const fold::control_state &control) -> json
 {
     return json::array({control.holder.str(), control.incarnation, control.epoch, control.lastRenewal});
@@ -67,14 +87,15 @@
 auto fieldsOf(const fold::state_parts &parts) -> json
 {
     return json::array({wireVersion, parts.offset, fieldsOf(parts.config), parts.configText, parts.revision,
-                        parts.memberEpoch, fieldsOfAll(parts.members), fieldsOf(parts.control),
+                        parts.memberEpoch, fieldsOfAll(parts.members), fieldsOf(parts.entries), fieldsOf(parts.control),
                         fieldsOfAll(parts.hosts), fieldsOfAll(parts.waves), fieldsOfAll(parts.recentIds)});
 }
 
 auto readFields(field_reader &in, fold::state_parts &parts) -> void
 {
     in.read(parts.offset).readItem(parts.config, byFields).read(parts.configText).read(parts.revision);
-    in.read(parts.memberEpoch).readItems(parts.members, byFields).readItem(parts.control, byFields);
+    in.read(parts.memberEpoch).readItems(parts.members, byFields).readItem(parts.entries, byFields);
+    in.readItem(parts.control, byFields);
     in.readItems(parts.hosts, byFields).readItems(parts.waves, byFields).readItems(parts.recentIds, byFields);
 }
 } // namespace internal
--- a/src/poplarpass/codec/wire_fields.h
+++ b/src/poplarpass/codec/wire_fields.h
@@ -45,7 +45,11 @@
 auto readFields(field_reader &in, fold::snapshot_record &value) -> void;
 auto fieldsOf(const fold::member_state &value) -> nlohmann::json;
 auto readFields(field_reader &in, fold::member_state &value) -> void;
+auto fieldsOf(const fold::entry_loss &loss) -> nlohmann::json;
+auto fieldsOf(const fold::entry_history &entries) -> nlohmann::json;
 auto fieldsOf(const fold::control_state &value) -> nlohmann::json;
+auto readFields(field_reader &in, fold::entry_loss &loss) -> void;
+auto readFields(field_reader &in, fold::entry_history &entries) -> void;
 auto readFields(field_reader &in, fold::control_state &value) -> void;
 auto fieldsOf(const fold::host_state &value) -> nlohmann::json;
 auto readFields(field_reader &in, fold::host_state &value) -> void;
@@ -68,5 +72,7 @@
 }
 
 /// \brief Reader of one nested structure, for field_reader::readItem and readItems.
-inline constexpr auto byFields = [](field_reader &in, auto &value) { readFields(in, value); };
+inline constexpr auto byFields = [](field_reader &in, auto &value) {
+    readFields(in, value);
+};
 } // namespace poplarpass::codec::internal
--- a/src/poplarpass/control/host_controller.cpp
+++ b/src/poplarpass/control/host_controller.cpp
@@ -166,7 +166,9 @@
     if (!m_hooks.chooseDrains) {
         return;
     }
-    const auto isUsableNow = [&](const fold::host_state &host) { return isUsable(current, host); };
+    const auto isUsableNow = [&](const fold::host_state &host) {
+        return isUsable(current, host);
+    };
     const wave_query query{current.view, current.state.waves(), current.wallNow, isUsableNow};
     for (const auto &choice : m_hooks.chooseDrains(query)) {
         const auto *host = current.state.findHost(choice.host);
@@ -185,7 +187,9 @@
     if (!m_hooks.chooseMoves) {
         return;
     }
-    const auto isUsableNow = [&](const fold::host_state &host) { return isUsable(current, host); };
+    const auto isUsableNow = [&](const fold::host_state &host) {
+        return isUsable(current, host);
+    };
     const move_query query{current.view, current.state.waves(), current.wallNow, current.now, isUsableNow};
     for (const auto &move : m_hooks.chooseMoves(query)) {
         const auto *host = current.state.findHost(move.host);
--- a/src/poplarpass/fold/fleet_state.cpp
+++ b/src/poplarpass/fold/fleet_state.cpp
@@ -60,6 +60,7 @@
     state.m_revision = parts.revision;
     state.m_memberEpoch = parts.memberEpoch;
     state.m_members = std::move(parts.members);
+    state.m_entries = std::move(parts.entries);
     state.m_control = std::move(parts.control);
     state.m_hosts = std::move(parts.hosts);
     state.m_waves = std::move(parts.waves);
@@ -76,8 +77,8 @@
 auto fleet_state::parts() const -> state_parts
 {
     const auto &ids = m_recentIds.all();
-    return {m_offset,  m_config,  m_configText, m_revision, m_memberEpoch,
-            m_members, m_control, m_hosts,      m_waves,    {ids.begin(), ids.end()}};
+    return {m_offset,  m_config,  m_configText, m_revision, m_memberEpoch,           m_members,
+            m_entries, m_control, m_hosts,      m_waves,    {ids.begin(), ids.end()}};
 }
 
 auto fleet_state::apply(log_offset offset, const core::record_id &id, const record &change) -> applied
@@ -107,8 +108,9 @@
 
 auto fleet_state::digest() const -> std::uint64_t
 {
-    return internal::digestOf({m_offset, m_configDigest, m_memberEpoch, m_memberDigest, internal::digestOf(m_control),
-                               m_hosts.size(), m_hostDigest, m_waveDigest, m_recentIds.digest()});
+    return internal::digestOf({m_offset, m_configDigest, m_memberEpoch, m_memberDigest, internal::digestOf(m_entries),
+                               internal::digestOf(m_control), m_hosts.size(), m_hostDigest, m_waveDigest,
+                               m_recentIds.digest()});
 }
 
 auto fleet_state::config() const -> const config::fleet_config &
@@ -126,6 +128,11 @@
     return m_configText;
 }
 
+auto fleet_state::entries() const -> const entry_history &
+{
+    return m_entries;
+}
+
 auto fleet_state::memberEpoch() const -> std::uint64_t
 {
     return m_memberEpoch;
--- a/src/poplarpass/fold/fleet_state.h
+++ b/src/poplarpass/fold/fleet_state.h
@@ -21,6 +21,29 @@
     auto operator==(const member_state &) const -> bool = default;
 };
 
+/// \brief An entry that left the list without having handed its keys on.
+struct entry_loss
+{
+    core::member_id member; ///< Its name.
+    std::uint64_t incarnation = 0; ///< Its incarnation.
+    std::uint64_t atUnixMs = 0; ///< Wall time of the record that removed it, Unix milliseconds.
+
+    auto operator==(const entry_loss &) const -> bool = default;
+};
+
+/// \brief Losses that the state remembers; the oldest are forgotten first.
+inline constexpr std::size_t rememberedLossCount = 128;
+
+/// \brief What the request path needs to know of earlier lists of entries.
+struct entry_history
+{
+    std::uint64_t epoch = 0; ///< Grows with each change of the list of entries.
+    std::vector<entry_loss> losses; ///< Oldest first, at most rememberedLossCount.
+    std::uint64_t aloneUntilUnixMs = 0; ///< Wall time at which the list last grew to two entries; 0 if never.
+
+    auto operator==(const entry_history &) const -> bool = default;
+};
+
 /// \brief The control role in the agreed state.
 struct control_state
 {
@@ -64,6 +87,7 @@
     std::uint64_t revision = 0; ///< Its revision.
     std::uint64_t memberEpoch = 0; ///< Epoch of the member list.
     std::vector<member_state> members; ///< Members, by name.
+    entry_history entries; ///< Earlier lists of entries.
     control_state control; ///< The control role.
     std::vector<host_state> hosts; ///< Hosts, by name.
     std::vector<wave_state> waves; ///< Waves, in order of their start.
@@ -109,6 +133,9 @@
     /// \brief Epoch of the member list: grows with each change of it.
     [[nodiscard]] auto memberEpoch() const -> std::uint64_t;
 
+    /// \brief What is remembered of earlier lists of entries.
+    [[nodiscard]] auto entries() const -> const entry_history &;
+
     /// \brief Members, ordered by name.
     [[nodiscard]] auto members() const -> std::span<const member_state>;
 
@@ -135,6 +162,8 @@
 
 private:
     auto accept(log_offset offset, const config_record &change) -> applied;
+    auto noteEntryLoss(const member_join_record &lost, std::uint64_t atUnixMs) -> void;
+    auto noteEntryChange(log_offset offset, member_kind kind, std::uint64_t atUnixMs) -> void;
     auto accept(log_offset offset, const member_join_record &change) -> applied;
     auto accept(log_offset offset, const member_leave_record &change) -> applied;
     auto accept(log_offset offset, const control_claim_record &change) -> applied;
@@ -170,6 +199,7 @@
     std::uint64_t m_revision = 0;
     std::uint64_t m_memberEpoch = 0;
     std::vector<member_state> m_members;
+    entry_history m_entries;
     control_state m_control;
     std::vector<host_state> m_hosts;
     std::vector<wave_state> m_waves;
--- a/src/poplarpass/fold/fleet_state_members.cpp
+++ b/src/poplarpass/fold/fleet_state_members.cpp
@@ -49,16 +49,42 @@
                            + std::to_string(place->joined.incarnation));
     }
     if (present) {
+        noteEntryLoss(place->joined, change.atUnixMs);
         *place = {change, offset};
     } else {
         m_members.insert(place, {change, offset});
     }
+    noteEntryChange(offset, change.kind, change.atUnixMs);
+    return accepted();
+}
+
+auto fleet_state::noteEntryLoss(const member_join_record &lost, std::uint64_t atUnixMs) -> void
+{
+    if (lost.kind != member_kind::entry) {
+        return;
+    }
+    m_entries.losses.push_back({lost.member, lost.incarnation, atUnixMs});
+    if (m_entries.losses.size() > rememberedLossCount) {
+        m_entries.losses.erase(m_entries.losses.begin());
+    }
+}
+
+auto fleet_state::noteEntryChange(log_offset offset, member_kind kind, std::uint64_t atUnixMs) -> void
+{
     ++m_memberEpoch;
     m_memberDigest = internal::digestOf(std::span<const member_state>{m_members});
-    return accepted();
+    if (kind != member_kind::entry) {
+        return;
+    }
+    m_entries.epoch = offset;
+    const auto entryCount = std::ranges::count_if(
+        m_members, [](const member_state &member) { return member.joined.kind == member_kind::entry; });
+    if (entryCount <= 2) {
+        m_entries.aloneUntilUnixMs = std::max(m_entries.aloneUntilUnixMs, atUnixMs);
+    }
 }
 
-auto fleet_state::accept(log_offset /*offset*/, const member_leave_record &change) -> applied
+auto fleet_state::accept(log_offset offset, const member_leave_record &change) -> applied
 {
     if (change.controlEpoch != 0 && change.controlEpoch != m_control.epoch) {
         return refused(error_kind::stale_epoch, "control epoch in force is " + std::to_string(m_control.epoch));
@@ -66,11 +92,16 @@
     const auto isLeaving = [&change](const member_state &member) {
         return member.joined.member == change.member && member.joined.incarnation == change.incarnation;
     };
-    if (std::erase_if(m_members, isLeaving) == 0) {
+    const auto place = std::ranges::find_if(m_members, isLeaving);
+    if (place == m_members.end()) {
         return refused(error_kind::invalid_request, "no member " + change.member.str() + " with this incarnation");
     }
-    ++m_memberEpoch;
-    m_memberDigest = internal::digestOf(std::span<const member_state>{m_members});
+    const auto left = place->joined;
+    m_members.erase(place);
+    if (!change.handedOver) {
+        noteEntryLoss(left, change.atUnixMs);
+    }
+    noteEntryChange(offset, left.kind, change.atUnixMs);
     return accepted();
 }
 
--- a/src/poplarpass/fold/log_follower.cpp
+++ b/src/poplarpass/fold/log_follower.cpp
@@ -193,8 +193,8 @@
 
 auto log_follower::endOfSearch(const platform::log_page &page) -> void
 {
-    const bool usable = m_found && m_found->offset() + 1 >= page.firstOffset
-        && (!m_hasState || m_found->offset() >= m_state.offset());
+    const bool usable =
+        m_found && m_found->offset() + 1 >= page.firstOffset && (!m_hasState || m_found->offset() >= m_state.offset());
     if (usable) {
         install(std::move(*m_found));
         m_found.reset();
--- a/src/poplarpass/fold/log_follower.h
+++ b/src/poplarpass/fold/log_follower.h
@@ -20,8 +20,8 @@
 };
 
 /// \brief Told of each record that was applied, in order of offsets.
-using apply_observer
-    = std::function<void(log_offset offset, const core::record_id &id, const record &change, const applied &outcome)>;
+using apply_observer =
+    std::function<void(log_offset offset, const core::record_id &id, const record &change, const applied &outcome)>;
 
 /// \brief Told when a whole state took the place of the former one without the records between.
 using replace_observer = std::function<void(const fleet_state &state)>;
--- a/src/poplarpass/fold/publisher.cpp
+++ b/src/poplarpass/fold/publisher.cpp
@@ -23,9 +23,8 @@
     if (state.control().epoch <= epoch) {
         return std::nullopt;
     }
-    return core::error{core::error_kind::stale_epoch,
-                       "control epoch in force is " + std::to_string(state.control().epoch),
-                       {}};
+    return core::error{
+        core::error_kind::stale_epoch, "control epoch in force is " + std::to_string(state.control().epoch), {}};
 }
 
 auto overtakenClaim(const fleet_state &state, const control_claim_record &claim) -> std::optional<core::error>
@@ -41,16 +40,24 @@
 auto overtakenCheckOf(const record &change) -> overtaken_check
 {
     if (const auto *revision = std::get_if<config_record>(&change)) {
-        return [basedOn = revision->basedOn](const fleet_state &state) { return overtakenRevision(state, basedOn); };
+        return [basedOn = revision->basedOn](const fleet_state &state) {
+            return overtakenRevision(state, basedOn);
+        };
     }
     if (const auto *claim = std::get_if<control_claim_record>(&change)) {
-        return [claim = *claim](const fleet_state &state) { return overtakenClaim(state, claim); };
+        return [claim = *claim](const fleet_state &state) {
+            return overtakenClaim(state, claim);
+        };
     }
     if (const auto *renewal = std::get_if<control_renew_record>(&change)) {
-        return [epoch = renewal->epoch](const fleet_state &state) { return overtakenEpoch(state, epoch); };
+        return [epoch = renewal->epoch](const fleet_state &state) {
+            return overtakenEpoch(state, epoch);
+        };
     }
     if (const auto *host = std::get_if<host_record>(&change)) {
-        return [epoch = host->controlEpoch](const fleet_state &state) { return overtakenEpoch(state, epoch); };
+        return [epoch = host->controlEpoch](const fleet_state &state) {
+            return overtakenEpoch(state, epoch);
+        };
     }
     return {};
 }
--- a/src/poplarpass/fold/publisher.h
+++ b/src/poplarpass/fold/publisher.h
@@ -44,8 +44,8 @@
 
 /// \brief Publishes one record under one id: appends it, and believes only what was read back.
 ///
-/// It does no I/O and has no clock. The owner asks wantsAppend() after every call, appends when it says so, and passes on
-/// what the follower tells.
+/// It does no I/O and has no clock. The owner asks wantsAppend() after every call, appends when it says so, and passes
+/// on what the follower tells.
 class publisher
 {
 public:
--- a/src/poplarpass/fold/record.h
+++ b/src/poplarpass/fold/record.h
@@ -39,6 +39,7 @@
     std::string address; ///< "IP:port" for peers.
     core::region_id region; ///< Its region.
     core::zone_id zone; ///< Its availability zone.
+    std::uint64_t atUnixMs = 0; ///< Wall time of the writer, Unix milliseconds.
 
     auto operator==(const member_join_record &) const -> bool = default;
 };
@@ -49,6 +50,8 @@
     core::member_id member; ///< Who leaves.
     std::uint64_t incarnation = 0; ///< Which start of it; another one is ignored.
     std::uint64_t controlEpoch = 0; ///< Epoch of the holder that removes it; 0 when it leaves by itself.
+    std::uint64_t atUnixMs = 0; ///< Wall time of the writer, Unix milliseconds.
+    bool handedOver = false; ///< Whether an entry handed every key that it remembered to others before it left.
 
     auto operator==(const member_leave_record &) const -> bool = default;
 };
--- a/src/poplarpass/fold/snapshot_assembly.cpp
+++ b/src/poplarpass/fold/snapshot_assembly.cpp
@@ -27,9 +27,9 @@
     for (const auto &bytes : snapshot.parts) {
         whole.bytes += *bytes;
     }
-    m_unfinished.erase(m_unfinished.begin() + (std::ranges::find(m_unfinished, &snapshot, [](const unfinished &each) {
-                                                   return &each;
-                                               }) - m_unfinished.begin()));
+    m_unfinished.erase(m_unfinished.begin()
+                       + (std::ranges::find(m_unfinished, &snapshot, [](const unfinished &each) { return &each; })
+                          - m_unfinished.begin()));
     return whole;
 }
 
--- a/src/poplarpass/fold/state_digest.cpp
+++ b/src/poplarpass/fold/state_digest.cpp
@@ -120,7 +120,17 @@
     for (const auto &member : members) {
         const auto &joined = member.joined;
         out.add(joined.member).add(joined.kind).add(joined.incarnation).add(std::string_view{joined.address});
-        out.add(joined.region).add(joined.zone).add(member.since);
+        out.add(joined.region).add(joined.zone).add(joined.atUnixMs).add(member.since);
+    }
+    return out.digest();
+}
+
+auto digestOf(const entry_history &entries) -> std::uint64_t
+{
+    digest_writer out;
+    out.add(entries.epoch).add(entries.aloneUntilUnixMs);
+    for (const auto &loss : entries.losses) {
+        out.add(loss.member).add(loss.incarnation).add(loss.atUnixMs);
     }
     return out.digest();
 }
--- a/src/poplarpass/fold/state_digest.h
+++ b/src/poplarpass/fold/state_digest.h
@@ -14,6 +14,9 @@
 /// \brief Digest of the member list.
 auto digestOf(std::span<const member_state> members) -> std::uint64_t;
 
+/// \brief Digest of the earlier lists of entries.
+auto digestOf(const entry_history &entries) -> std::uint64_t;
+
 /// \brief Digest of one host; the digests of all hosts are summed.
 auto digestOf(const host_state &host) -> std::uint64_t;
 
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -36,7 +36,9 @@
         close(ends[0]);
         throw std::runtime_error{"cannot start " + program};
     }
-    m_reader = std::thread{[this, descriptor = ends[0]] { readLines(descriptor); }};
+    m_reader = std::thread{[this, descriptor = ends[0]] {
+        readLines(descriptor);
+    }};
 }
 
 child_process::~child_process()
