--- /dev/null
+++ b/src/poplarpass/codec/cbor_depth.cpp
@@ -0,0 +1,92 @@
+#include <poplarpass/codec/cbor_depth.h>
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <vector>
+
+namespace poplarpass::codec::internal
+{
+namespace
+{
+constexpr unsigned majorShift = 5;
+constexpr std::uint8_t infoMask = 0x1F;
+constexpr std::uint8_t firstWideInfo = 24;
+constexpr std::uint8_t lastWideInfo = 27;
+
+enum major_type : std::uint8_t {
+    byte_string = 2,
+    text_string = 3,
+    array = 4,
+    map = 5,
+    tag = 6,
+};
+
+// Reads the argument that follows the initial byte; moves position behind it.
+auto readArgument(std::string_view bytes, std::size_t &position, std::uint8_t info) -> std::optional<std::uint64_t>
+{
+    if (info < firstWideInfo) {
+        return info;
+    }
+    const std::size_t width = std::size_t{1} << (info - firstWideInfo);
+    if (info > lastWideInfo || bytes.size() - position < width) {
+        return std::nullopt;
+    }
+    std::uint64_t value = 0;
+    for (std::size_t index = 0; index < width; ++index) {
+        value = (value << 8U) | static_cast<std::uint8_t>(bytes[position + index]);
+    }
+    position += width;
+    return value;
+}
+
+// Items still to come in each open container, the outermost first.
+auto closeFull(std::vector<std::uint64_t> &open) -> void
+{
+    while (!open.empty() && open.back() == 0) {
+        open.pop_back();
+        if (!open.empty()) {
+            --open.back();
+        }
+    }
+}
+} // namespace
+
+// The parser is recursive, so a deeply nested message would exhaust the stack.
+auto cborDepthWithin(std::string_view bytes, std::size_t limit) -> bool
+{
+    std::vector<std::uint64_t> open{1};
+    std::size_t position = 0;
+    while (!open.empty() && position < bytes.size()) {
+        const auto initial = static_cast<std::uint8_t>(bytes[position]);
+        ++position;
+        const auto type = initial >> majorShift;
+        const std::uint8_t info = initial & infoMask;
+        if (info > lastWideInfo) {
+            return false;
+        }
+        const auto argument = readArgument(bytes, position, info);
+        if (!argument) {
+            return true;
+        }
+        if (type == array || type == map || type == tag) {
+            const bool tooMany = type == map && *argument > std::numeric_limits<std::uint64_t>::max() / 2;
+            if (open.size() > limit || tooMany) {
+                return false;
+            }
+            open.push_back(type == tag ? 1 : *argument * (type == map ? 2 : 1));
+            closeFull(open);
+            continue;
+        }
+        if (type == byte_string || type == text_string) {
+            if (*argument > bytes.size() - position) {
+                return true;
+            }
+            position += *argument;
+        }
+        --open.back();
+        closeFull(open);
+    }
+    return true;
+}
+} // namespace poplarpass::codec::internal
--- /dev/null
+++ b/src/poplarpass/request/job.cpp
@@ -0,0 +1,50 @@
+#include <poplarpass/core/rendezvous.h>
+#include <poplarpass/request/job.h>
+
+#include <string_view>
+
+namespace poplarpass::request
+{
+namespace
+{
+auto mix(std::uint64_t seed, std::string_view text) -> std::uint64_t
+{
+    return core::stableHash(text, seed);
+}
+} // namespace
+
+// Deadline and trace context differ between a request and its repeat, so they are left out.
+auto digestOf(const job_spec &spec) -> std::uint64_t
+{
+    auto digest = mix(0, spec.team.str());
+    digest = mix(digest, spec.pool.str());
+    digest = mix(digest, spec.kind.str());
+    return mix(digest, spec.payload);
+}
+
+auto sameAnswer(const job_answer &left, const job_answer &right) -> bool
+{
+    if (left.has_value() != right.has_value()) {
+        return false;
+    }
+    if (left.has_value()) {
+        return *left == *right;
+    }
+    return left.error().kind == right.error().kind;
+}
+
+auto runStateOf(const job_answer &answer) -> core::run_state
+{
+    return answer ? core::run_state::ran : core::answerOf(answer.error().kind).ran;
+}
+
+auto withoutAuthority(core::error problem) -> core::error
+{
+    if (core::answerOf(problem.kind).ran != core::run_state::not_run) {
+        return problem;
+    }
+    problem.detail = std::string{core::answerOf(problem.kind).name} + ": " + problem.detail;
+    problem.kind = core::error_kind::outcome_unknown;
+    return problem;
+}
+} // namespace poplarpass::request
--- /dev/null
+++ b/src/poplarpass/request/job_table.cpp
@@ -0,0 +1,202 @@
+#include <poplarpass/core/invariant.h>
+#include <poplarpass/request/constants.h>
+#include <poplarpass/request/job_table.h>
+
+#include <algorithm>
+#include <cassert>
+#include <string>
+#include <utility>
+
+namespace poplarpass::request
+{
+namespace
+{
+// Nodes of the map and of the expiry index, as the standard library lays them out, with the allocator's rounding.
+constexpr std::size_t mapNodeOverhead = 2 * sizeof(void *) + 16;
+constexpr std::size_t expiryNodeBytes = 4 * sizeof(void *) + sizeof(core::wall_time) + sizeof(packed_key) + 16;
+
+auto payloadBytes(const job_answer &answer) -> std::size_t
+{
+    return answer ? answer->size() : answer.error().detail.size();
+}
+
+auto isUnknown(const job_answer &answer) -> bool
+{
+    return runStateOf(answer) == core::run_state::unknown;
+}
+
+auto evidenceFor(const packed_key &key, std::string_view what) -> std::string
+{
+    return "key=" + unpackKey(key).str() + " " + std::string{what};
+}
+
+auto droppedAnswer() -> shared_answer
+{
+    return std::make_shared<const job_answer>(
+        core::failure(core::error_kind::outcome_unknown, "it was answered, and the answer is no longer kept"));
+}
+} // namespace
+
+job_table::job_table()
+    : job_table{job_table_limits{maxRememberedKeys, request::maxAnswerBytes}}
+{
+}
+
+job_table::job_table(job_table_limits limits)
+    : m_limits{limits}
+    , m_members{member_ref{}}
+{
+}
+
+auto job_table::find(const packed_key &key) -> job_record *
+{
+    const auto found = m_records.find(key);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+auto job_table::insert(const packed_key &key, std::uint64_t digest) -> job_record *
+{
+    assert(!m_records.contains(key));
+    if (m_records.size() >= m_limits.maxKeys) {
+        return nullptr;
+    }
+    auto &record = m_records[key];
+    record.digest = digest;
+    record.minted = mintTimeOf(key);
+    m_expiry.emplace(record.minted + keyRetention, key);
+    return &record;
+}
+
+// A key is forgotten only when its age makes every entry refuse it; forgetting it sooner would let a repeat run.
+auto job_table::expire(core::wall_time wall) -> void
+{
+    while (!m_expiry.empty() && m_expiry.begin()->first <= wall) {
+        const auto key = m_expiry.begin()->second;
+        m_expiry.erase(m_expiry.begin());
+        const auto found = m_records.find(key);
+        if (found == m_records.end()) {
+            continue;
+        }
+        if (!mayForget(found->second)) {
+            m_expiry.emplace(wall + answerRetention, key);
+            continue;
+        }
+        m_answerBytes -= found->second.answer ? payloadBytes(*found->second.answer) : 0;
+        m_records.erase(found);
+    }
+}
+
+auto job_table::openAttempt(const packed_key &key, job_record &record) -> void
+{
+    core::requireInvariant(record.state == key_state::in_progress && !record.attemptOpen && !record.promised,
+                           core::invariant_kind::at_most_once, [&key] { return evidenceFor(key, "second start"); });
+    record.attemptOpen = true;
+}
+
+auto job_table::closeAttempt(job_record &record) -> void
+{
+    record.attemptOpen = false;
+}
+
+auto job_table::finish(const packed_key &key, job_record &record, shared_answer answer) -> bool
+{
+    if (record.answer && !isUnknown(*record.answer)) {
+        return false;
+    }
+    const bool saysNotRun = runStateOf(*answer) == core::run_state::not_run;
+    core::requireInvariant(!saysNotRun || !record.attemptOpen, core::invariant_kind::not_run_is_true,
+                           [&key] { return evidenceFor(key, "not run, with an attempt that may have started"); });
+    if (record.answer) {
+        m_answerBytes -= payloadBytes(*record.answer);
+    }
+    record.state = key_state::answered;
+    record.answer = std::move(answer);
+    record.stopping = false;
+    keepAnswer(key, *record.answer);
+    return true;
+}
+
+auto job_table::cancel(const packed_key &key, job_record &record) -> cancel_step
+{
+    if (record.state == key_state::answered) {
+        return cancel_step::done_too_late;
+    }
+    if (record.state != key_state::in_progress) {
+        return cancel_step::not_here;
+    }
+    if (record.attemptOpen) {
+        record.stopping = true;
+        return cancel_step::stop_worker;
+    }
+    finish(
+        key, record,
+        std::make_shared<const job_answer>(core::failure(core::error_kind::cancelled, "cancelled before its start")));
+    return cancel_step::done_cancelled;
+}
+
+auto job_table::indexOf(const member_ref &member) -> std::uint16_t
+{
+    const auto found = std::ranges::find(m_members, member);
+    if (found != m_members.end()) {
+        return static_cast<std::uint16_t>(found - m_members.begin());
+    }
+    m_members.push_back(member);
+    return static_cast<std::uint16_t>(m_members.size() - 1);
+}
+
+auto job_table::memberAt(std::uint16_t index) const -> const member_ref &
+{
+    return m_members[index];
+}
+
+auto job_table::size() const -> std::size_t
+{
+    return m_records.size();
+}
+
+auto job_table::answerBytes() const -> std::size_t
+{
+    return m_answerBytes;
+}
+
+auto job_table::bytesPerKey() -> std::size_t
+{
+    return sizeof(packed_key) + sizeof(job_record) + mapNodeOverhead + sizeof(void *) + expiryNodeBytes;
+}
+
+auto job_table::forEach(const std::function<void(const packed_key &, job_record &)> &visit) -> void
+{
+    for (auto &[key, record] : m_records) {
+        visit(key, record);
+    }
+}
+
+auto job_table::keepAnswer(const packed_key &key, const job_answer &answer) -> void
+{
+    m_answerBytes += payloadBytes(answer);
+    m_answered.push_back(key);
+    if (m_answerBytes > m_limits.maxAnswerBytes) {
+        dropOldestAnswers();
+    }
+}
+
+// The record stays, so that the job cannot run again; only the text of its answer goes.
+auto job_table::dropOldestAnswers() -> void
+{
+    while (m_answerBytes > m_limits.maxAnswerBytes && !m_answered.empty()) {
+        auto *record = find(m_answered.front());
+        m_answered.pop_front();
+        if (record == nullptr || !record->answer) {
+            continue;
+        }
+        m_answerBytes -= payloadBytes(*record->answer);
+        record->answer = droppedAnswer();
+        m_answerBytes += payloadBytes(*record->answer);
+    }
+}
+
+auto job_table::mayForget(const job_record &record) -> bool
+{
+    return record.state != key_state::in_progress && !record.work;
+}
+} // namespace poplarpass::request
--- /dev/null
+++ b/src/poplarpass/request/key_authority.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include <poplarpass/request/authority.h>
+#include <poplarpass/request/job_table.h>
+#include <poplarpass/request/key_action.h>
+#include <poplarpass/request/peer_message.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace poplarpass::request
+{
+/// \brief Decides which entry dispatches a key, as its home, as a member and as its dispatcher.
+///
+/// A state machine without I/O: every event returns the actions that follow from it.
+/// \sa docs/AT-MOST-ONCE.md
+class key_authority
+{
+public:
+    /// \param decider freshness and member list of this process; outlives this object
+    /// \param jobs the keys that this entry remembers; outlives this object
+    key_authority(authority &decider, job_table &jobs);
+
+    /// \brief A caller's request arrived; exactly one answer_action for \p who follows, now or later.
+    auto submit(const job_spec &spec, waiter_id who, instant at) -> key_actions;
+    /// \brief A caller asks for the answer of a key without sending the job; answered like submit().
+    auto ask(const core::job_key &key, waiter_id who, instant at) -> key_actions;
+    /// \brief A caller cancels a key; exactly one cancel_action for \p who follows, now or later.
+    auto cancel(const core::job_key &key, waiter_id who, instant at) -> key_actions;
+    /// \brief A caller gave up waiting; its answer is no longer wanted.
+    auto giveUp(const core::job_key &key, waiter_id who) -> void;
+    /// \brief A message of another entry arrived; heartbeats are not for this class.
+    auto receive(const member_ref &from, const peer_message &message, instant at) -> key_actions;
+    /// \brief A message to \p member could not be delivered, or the connection to it ended.
+    auto unreachable(const core::member_id &member, instant at) -> key_actions;
+    /// \brief Handles timeouts and a change of the acting epoch; call after authority::advance().
+    auto advance(instant at) -> key_actions;
+    /// \brief When advance() must be called next for a timeout, if any.
+    [[nodiscard]] auto nextTimer() const -> std::optional<core::monotonic_time>;
+
+    /// \brief Allows one attempt of a dispatched job to be sent now; call right before sending it.
+    /// \returns authority_lapsed when this process is not fresh, cancelled or too_late when the job is answered
+    auto beginAttempt(const packed_key &key, instant at) -> core::result<void>;
+    /// \brief The attempt gave a sure sign that it did not start, so that another may be sent.
+    auto attemptNotStarted(const packed_key &key) -> void;
+    /// \brief The job has its answer, or the truth became known after outcome_unknown.
+    auto complete(const packed_key &key, job_answer answer, instant at) -> key_actions;
+
+    /// \brief Messages that hand every remembered key on before this entry leaves.
+    auto handOver(instant at) -> key_actions;
+    /// \brief Whether every handover message was confirmed.
+    [[nodiscard]] auto handedOver() const -> bool;
+
+    /// \brief Requests and cancellations under way.
+    [[nodiscard]] auto activeCount() const -> std::size_t;
+
+private:
+    struct timer
+    {
+        core::monotonic_time due;
+        packed_key key;
+        auto operator>(const timer &other) const -> bool
+        {
+            return due > other.due;
+        }
+    };
+
+    struct lookup
+    {
+        packed_key key;
+        bool cancels = false;
+        std::optional<waiter_id> local;
+        std::optional<remote_waiter> remote;
+        bool following = false;
+        member_ref target;
+        core::monotonic_time deadline;
+        int hops = 0;
+        std::size_t tried = 0;
+    };
+
+    struct step
+    {
+        const packed_key &key;
+        job_record &record;
+        instant at;
+        key_actions &out;
+    };
+
+    // Requests (key_authority.cpp).
+    auto admit(const packed_key &key, std::uint64_t digest, instant at) -> core::result<job_record *>;
+    auto join(step &s, std::shared_ptr<const job_spec> spec, const waiter &who, int hops) -> void;
+    auto decide(step &s) -> void;
+    auto hold(step &s) -> void;
+    auto settle(step &s, const shared_answer &answer) -> void;
+    auto fail(step &s, core::error_kind kind, std::string_view why) -> void;
+    auto answerWaiter(step &s, const waiter &who, const shared_answer &answer) -> void;
+    auto refuseWaiter(step &s, const waiter &who, const shared_answer &answer) -> void;
+    auto setTimer(step &s, core::monotonic_time due) -> void;
+    auto runTimer(step &s) -> void;
+    auto retryLater(step &s) -> void;
+    auto beginStep(step &s, key_state state) -> key_work &;
+    auto workOf(step &s) -> key_work &;
+    auto dropWork(step &s) -> void;
+    auto restartUndecided(instant at, key_actions &out) -> void;
+    auto memberLost(step &s, const core::member_id &member) -> void;
+    auto activeKeys() const -> std::vector<packed_key>;
+
+    // Home (key_authority_home.cpp).
+    auto decideAsHome(step &s) -> void;
+    auto forward(step &s, const member_ref &target, bool granted) -> void;
+    [[nodiscard]] auto nextInOrder(const packed_key &key) const -> std::optional<member_ref>;
+    [[nodiscard]] auto homeOf(const packed_key &key) const -> member_ref;
+    [[nodiscard]] auto knowsAll(const packed_key &key, core::monotonic_time now) const -> bool;
+    auto askHome(step &s, const member_ref &home) -> void;
+    auto onGrantRequest(const member_ref &from, const grant_request &ask, instant at, key_actions &out) -> void;
+    auto decideGrant(const member_ref &from, step &s, grant_reply &reply) -> void;
+    auto onGrantReply(const grant_reply &reply, step &s) -> void;
+
+    // Claims (key_authority_claim.cpp).
+    auto claim(step &s, bool homeSilent) -> void;
+    auto completeClaim(step &s) -> void;
+    auto onPromiseRequest(const member_ref &from, const promise_request &ask, instant at, key_actions &out) -> void;
+    auto decidePromise(const member_ref &from, step &s, promise_reply &reply) -> void;
+    auto promiseTo(const member_ref &claimant, step &s, promise_reply &reply) -> void;
+    auto onPromiseReply(const member_ref &from, const promise_reply &reply, step &s) -> void;
+    [[nodiscard]] auto precedes(const packed_key &key, const member_ref &left, const member_ref &right) const -> bool;
+
+    // Jobs of other entries (key_authority_job.cpp).
+    auto follow(step &s, const member_ref &target) -> void;
+    auto query(step &s) -> void;
+    auto learnHolder(step &s, const member_ref &holder) -> void;
+    auto onJobQuery(const member_ref &from, const job_query &ask, instant at, key_actions &out) -> void;
+    auto onJobReport(const member_ref &from, const job_report &report, step &s) -> void;
+    auto onDelegate(const member_ref &from, const delegate &order, instant at, key_actions &out) -> void;
+    auto acceptGrant(const member_ref &from, const delegate &order, step &s) -> bool;
+    auto onDelegateReply(const member_ref &from, const delegate_reply &reply, step &s) -> void;
+    auto passOn(step &s) -> void;
+    [[nodiscard]] auto successorOf(const packed_key &key, const std::optional<member_ref> &holder) const
+        -> std::optional<member_ref>;
+    auto onHandover(const member_ref &from, const handover &keys, instant at, key_actions &out) -> void;
+    auto takeHanded(const handed_key &handed, instant at, key_actions &out) -> bool;
+    [[nodiscard]] auto holderOf(const job_record &record) const -> std::optional<member_ref>;
+
+    // Lookups by key (key_authority_lookup.cpp).
+    auto lookUp(lookup found, instant at, key_actions &out) -> void;
+    auto askNext(lookup found, instant at, key_actions &out) -> void;
+    auto askMember(lookup found, const member_ref &target, instant at, key_actions &out) -> void;
+    auto endLookup(const lookup &found, cancel_outcome outcome, const shared_answer &answer, key_actions &out) -> void;
+    auto endCancels(step &s) -> void;
+    auto cancelHere(lookup found, step &s) -> void;
+    auto onCancelRequest(const member_ref &from, const cancel_request &ask, instant at, key_actions &out) -> void;
+    auto onCancelReply(const cancel_reply &reply, instant at, key_actions &out) -> void;
+    auto onLookupReport(const member_ref &from, const job_report &report, instant at, key_actions &out) -> bool;
+    auto expireLookups(instant at, key_actions &out) -> void;
+
+    auto dispatchReply(const member_ref &from, const peer_message &message, instant at, key_actions &out) -> void;
+
+    authority &m_authority;
+    job_table &m_jobs;
+    correlation_id m_lastCorrelation = 0;
+    std::uint64_t m_seenEpoch = 0;
+    bool m_leaving = false;
+    std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
+    std::unordered_set<packed_key> m_active;
+    std::set<core::member_id> m_down;
+    std::unordered_map<correlation_id, lookup> m_lookups;
+    std::unordered_multimap<packed_key, lookup> m_cancels;
+    std::map<correlation_id, member_ref> m_handovers;
+};
+} // namespace poplarpass::request
