--- a/src/poplarpass/control/constants.h
+++ b/src/poplarpass/control/constants.h
@@ -43,7 +43,7 @@
 /// \brief Failed contacts in a row before a worker can be recorded as lost.
 inline constexpr int downSightings = 3;
 /// \brief Share of all hosts lost at once beyond which the holder suspects its own network and records none.
-inline constexpr double maxPlausibleLoss = 0.6;
+inline constexpr std::size_t maxPlausibleLossPercent = 60;
 /// \brief So few hosts lost at once are always believed.
 inline constexpr std::size_t minSuspiciousLoss = 8;
 /// \brief Time between two orders to a worker that waits for something.
--- a/src/poplarpass/control/host_controller.cpp
+++ b/src/poplarpass/control/host_controller.cpp
@@ -36,7 +36,7 @@
 }
 } // namespace
 
-host_controller::host_controller(core::member_id self, std::uint64_t incarnation, controller_hooks hooks)
+host_controller::host_controller(const core::member_id &self, std::uint64_t incarnation, controller_hooks hooks)
     : m_hooks{std::move(hooks)}
     , m_pending{self.str() + "/" + std::to_string(incarnation) + "/host/"}
 {
@@ -141,7 +141,7 @@
         ++upCount;
         lostCount += m_trackers.at(nameOfHost(host)).isLost(current.now) ? 1U : 0U;
     }
-    const auto plausible = std::max(minSuspiciousLoss, static_cast<std::size_t>(maxPlausibleLoss * upCount));
+    const auto plausible = std::max(minSuspiciousLoss, upCount * maxPlausibleLossPercent / 100);
     current.isLossPlausible = lostCount <= plausible;
     if (!current.isLossPlausible) {
         const auto detail = "lost=" + std::to_string(lostCount) + " of=" + std::to_string(upCount);
@@ -166,7 +166,9 @@
     if (!m_hooks.chooseDrains) {
         return;
     }
-    const auto isUsableNow = [&](const fold::host_state &host) { return isUsable(current, host); };
+    const auto isUsableNow = [&](const fold::host_state &host) {
+        return isUsable(current, host);
+    };
     const wave_query query{current.view, current.state.waves(), current.wallNow, isUsableNow};
     for (const auto &choice : m_hooks.chooseDrains(query)) {
         const auto *host = current.state.findHost(choice.host);
@@ -185,7 +187,9 @@
     if (!m_hooks.chooseMoves) {
         return;
     }
-    const auto isUsableNow = [&](const fold::host_state &host) { return isUsable(current, host); };
+    const auto isUsableNow = [&](const fold::host_state &host) {
+        return isUsable(current, host);
+    };
     const move_query query{current.view, current.state.waves(), current.wallNow, current.now, isUsableNow};
     for (const auto &move : m_hooks.chooseMoves(query)) {
         const auto *host = current.state.findHost(move.host);
--- a/src/poplarpass/control/host_controller.h
+++ b/src/poplarpass/control/host_controller.h
@@ -33,7 +33,7 @@
 public:
     /// \param self name of this process
     /// \param incarnation its incarnation, part of every record id
-    host_controller(core::member_id self, std::uint64_t incarnation, controller_hooks hooks);
+    host_controller(const core::member_id &self, std::uint64_t incarnation, controller_hooks hooks);
 
     /// \brief Takes in that the record \p id was read back, accepted or not.
     auto onApplied(const core::record_id &id) -> void;
--- a/src/poplarpass/control/host_steps.cpp
+++ b/src/poplarpass/control/host_steps.cpp
@@ -97,7 +97,8 @@
     }
 }
 
-// The platform takes the host whether or not the budget permits, so when it doesn't, the loss is recorded as what it is.
+// The platform takes the host whether or not the budget permits, so when it doesn't, the loss is recorded as what it
+// is.
 auto host_controller::driveLeaving(step &current, const fold::host_state &host) -> void
 {
     const auto *pool = std::as_const(current.view).findPool(host.pool);
@@ -149,7 +150,8 @@
 
 // The worker is assigned before the join is written: from that answer on it refuses every lease of the old pool, so no
 // process that still believes in the old pool can start work there once the join is in force. The generation given
-// then is provisional, as the offset of the join isn't known yet; nobody is told it, and driveServing gives the final one.
+// then is provisional, as the offset of the join isn't known yet; nobody is told it, and driveServing gives the final
+// one.
 auto host_controller::driveMove(step &current, const fold::host_state &host) -> void
 {
     const auto &tracker = m_trackers.at(host.description.host);
@@ -178,7 +180,8 @@
     }
 }
 
-// A drain that has not reached its reboot gives its host back when the pool has become short, or its calendar has closed.
+// A drain that has not reached its reboot gives its host back when the pool has become short, or its calendar has
+// closed.
 auto host_controller::mustCancel(const step &current, const fold::host_state &host) const -> bool
 {
     const auto *pool = current.view.findPool(host.pool);
@@ -186,8 +189,7 @@
         return false;
     }
     const bool isForWave = host.phase == host_phase::draining;
-    const bool isClosed
-        = isForWave && m_hooks.calendarIsOpen && !pool->isOpen(m_hooks.calendarIsOpen, current.wallNow);
+    const bool isClosed = isForWave && m_hooks.calendarIsOpen && !pool->isOpen(m_hooks.calendarIsOpen, current.wallNow);
     return isClosed || pool->budget().spareSlots() < 0;
 }
 
--- a/src/poplarpass/control/member_keeper.cpp
+++ b/src/poplarpass/control/member_keeper.cpp
@@ -89,9 +89,8 @@
         return removed;
     }
     for (const auto *member : silent) {
-        const bool heardByOther = std::ranges::any_of(heard, [&](const core::member_id &witness) {
-            return view.confirms(witness, member->joined.member, now);
-        });
+        const bool heardByOther = std::ranges::any_of(
+            heard, [&](const core::member_id &witness) { return view.confirms(witness, member->joined.member, now); });
         if (!heardByOther && mayRemoveSilent(*member, state.members().size(), now)) {
             removed.push_back({member->joined.member, member->joined.incarnation, controlEpoch});
         }
--- a/src/poplarpass/control/planning_view.cpp
+++ b/src/poplarpass/control/planning_view.cpp
@@ -9,7 +9,8 @@
 {
 auto findPoolIn(auto &pools, const core::pool_id &pool)
 {
-    const auto position = std::ranges::find_if(pools, [&pool](const pool_view &view) { return view.pool.name == pool; });
+    const auto position =
+        std::ranges::find_if(pools, [&pool](const pool_view &view) { return view.pool.name == pool; });
     return position == pools.end() ? nullptr : &*position;
 }
 
--- a/src/poplarpass/control/role_keeper.cpp
+++ b/src/poplarpass/control/role_keeper.cpp
@@ -8,9 +8,9 @@
 
 namespace poplarpass::control
 {
-// Why at most one process acts: a renewal takes effect in the log no earlier than it was sent, and a standby reads it no
-// earlier than it took effect. A claim is sent claimAfter or more after that, and the fold refuses it if a renewal came
-// between. So a claim that counts follows the sending of the last renewal that counts by more than holderTerm; the
+// Why at most one process acts: a renewal takes effect in the log no earlier than it was sent, and a standby reads it
+// no earlier than it took effect. A claim is sent claimAfter or more after that, and the fold refuses it if a renewal
+// came between. So a claim that counts follows the sending of the last renewal that counts by more than holderTerm; the
 // difference of the two constants covers clocks that run at different rates.
 
 role_keeper::role_keeper(core::member_id self, std::uint64_t incarnation)
@@ -29,7 +29,9 @@
     if (epochChanged) {
         m_actUntil.reset();
     }
-    const auto isThis = [&id](const sent_record &sent) { return sent.id == id; };
+    const auto isThis = [&id](const sent_record &sent) {
+        return sent.id == id;
+    };
     if (renewed) {
         m_renewalSeen = now;
         const auto renewal = std::ranges::find_if(m_renewals, isThis);
@@ -100,8 +102,8 @@
     return m_control.epoch;
 }
 
-// A renewal whose answer was lost is followed by one with a new id: an id that is sent again would carry the old sending
-// time. A late double only moves lastRenewal on while the epoch is in force, and is refused after that.
+// A renewal whose answer was lost is followed by one with a new id: an id that is sent again would carry the old
+// sending time. A late double only moves lastRenewal on while the epoch is in force, and is refused after that.
 auto role_keeper::renewal(core::monotonic_time now) -> std::optional<append_request>
 {
     std::erase_if(m_renewals, [now](const sent_record &sent) { return now - sent.firstSent >= holderTerm; });
--- /dev/null
+++ b/src/poplarpass/control/wave_planner.cpp
@@ -0,0 +1,187 @@
+#include <poplarpass/control/wave_planner.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace poplarpass::control
+{
+namespace
+{
+using candidate = const fold::host_state *;
+
+/// \brief One pool in which a policy may take hosts for a wave.
+struct open_pool
+{
+    const pool_view &view; ///< The pool.
+    const fold::wave_state &wave; ///< Earliest wave that has work left there.
+    std::vector<candidate> candidates; ///< Hosts that may be taken, by name.
+    fold::pool_budget budget; ///< Its budget, with the hosts chosen so far taken.
+};
+
+/// \brief Takes hosts in one pool.
+using pool_policy = std::function<void(open_pool &, std::vector<drain_choice> &)>;
+
+auto covers(const fold::wave_state &wave, const core::pool_id &pool) -> bool
+{
+    return wave.pools.empty() || std::ranges::find(wave.pools, pool) != wave.pools.end();
+}
+
+auto candidatesOf(const fold::wave_state &wave, const pool_view &pool, const wave_query &query)
+    -> std::vector<candidate>
+{
+    std::vector<candidate> found;
+    for (const auto &host : pool.hosts) {
+        if (host.serves() && isToMaintain(wave, host) && query.isUsable(host)) {
+            found.push_back(&host);
+        }
+    }
+    return found;
+}
+
+auto take(open_pool &pool, candidate host, std::vector<drain_choice> &choices) -> void
+{
+    pool.budget.take(*host);
+    std::erase(pool.candidates, host);
+    choices.push_back({host->description.host, pool.wave.name});
+}
+
+auto policyOver(calendar_check check, pool_policy choose) -> wave_policy
+{
+    return [check = std::move(check), choose = std::move(choose)](const wave_query &query) {
+        std::vector<drain_choice> choices;
+        for (const auto &pool : query.view.pools) {
+            for (const auto &wave : query.waves) {
+                if (wave.finished || wave.paused || !covers(wave, pool.pool.name)) {
+                    continue;
+                }
+                auto candidates = candidatesOf(wave, pool, query);
+                if (candidates.empty() || !pool.isOpen(check, query.now)) {
+                    continue;
+                }
+                open_pool open{pool, wave, std::move(candidates), {pool.pool, pool.profile, pool.hosts}};
+                choose(open, choices);
+                break;
+            }
+        }
+        return choices;
+    };
+}
+
+auto racksOut(const pool_view &pool) -> std::set<core::rack_id>
+{
+    std::set<core::rack_id> racks;
+    for (const auto &host : pool.hosts) {
+        if (!host.serves()) {
+            racks.insert(host.description.rack);
+        }
+    }
+    return racks;
+}
+
+/// \brief What is left of the promise once a host is taken; greater is better.
+struct taking_score
+{
+    int spareSlots = 0; ///< Slots above the promise.
+    bool isInRackOut = false; ///< Whether its rack has a host out already, so that fewer racks are touched at once.
+
+    auto operator<=>(const taking_score &) const = default;
+};
+
+// Hosts of one loss domain and size leave the same spare, so each such group is asked once.
+auto takeLeastLoss(open_pool &pool, std::vector<drain_choice> &choices) -> void
+{
+    auto racks = racksOut(pool.view);
+    while (!pool.candidates.empty()) {
+        std::optional<taking_score> best;
+        candidate chosen = nullptr;
+        std::set<std::pair<core::rack_id, int>> asked;
+        for (const auto *host : pool.candidates) {
+            const bool isFirstOfGroup = pool.view.profile.lossDomain == config::loss_domain::host
+                || asked.emplace(host->description.rack, host->description.slots).second;
+            if (!isFirstOfGroup || pool.budget.limitOfTaking(*host) != fold::budget_limit::none) {
+                continue;
+            }
+            auto after = pool.budget;
+            after.take(*host);
+            const taking_score score{after.view().spareSlots(), racks.contains(host->description.rack)};
+            if (!best || score > *best) {
+                best = score;
+                chosen = host;
+            }
+        }
+        if (chosen == nullptr) {
+            return;
+        }
+        racks.insert(chosen->description.rack);
+        take(pool, chosen, choices);
+    }
+}
+
+auto largestZoneSlots(const pool_view &pool) -> int
+{
+    std::map<core::zone_id, int> slots;
+    for (const auto &host : pool.hosts) {
+        slots[host.description.zone] += host.serves() ? host.description.slots : 0;
+    }
+    int largest = 0;
+    for (const auto &[zone, count] : slots) {
+        largest = std::max(largest, count);
+    }
+    return largest;
+}
+
+auto takeOneBesideZone(open_pool &pool, std::vector<drain_choice> &choices) -> void
+{
+    if (pool.budget.view().plannedOut > 0) {
+        return;
+    }
+    const auto *host = pool.candidates.front();
+    const auto left = pool.budget.view().servingSlots - host->description.slots - largestZoneSlots(pool.view);
+    const bool isAllowed = pool.budget.limitOfTaking(*host) == fold::budget_limit::none;
+    if (isAllowed && left >= pool.view.pool.demandSlots) {
+        take(pool, host, choices);
+    }
+}
+
+auto takeFirstFit(open_pool &pool, std::vector<drain_choice> &choices) -> void
+{
+    const auto candidates = pool.candidates;
+    for (const auto *host : candidates) {
+        if (pool.budget.limitOfTaking(*host) == fold::budget_limit::none) {
+            take(pool, host, choices);
+        }
+    }
+}
+} // namespace
+
+auto nameOf(step_limit limit) -> std::string_view
+{
+    static constexpr std::array<std::string_view, 8> names{"none",     "capacity", "planned_hosts", "lost_domain",
+                                                           "calendar", "paused",   "host_busy",     "policy"};
+    return names[static_cast<std::size_t>(limit)];
+}
+
+auto isToMaintain(const fold::wave_state &wave, const fold::host_state &host) -> bool
+{
+    return covers(wave, host.pool) && host.maintainedAt <= wave.startedAt;
+}
+
+auto leastLossPolicy(calendar_check check) -> wave_policy
+{
+    return policyOver(std::move(check), takeLeastLoss);
+}
+
+auto fixedSpareZonePolicy(calendar_check check) -> wave_policy
+{
+    return policyOver(std::move(check), takeOneBesideZone);
+}
+
+auto firstFitPolicy(calendar_check check) -> wave_policy
+{
+    return policyOver(std::move(check), takeFirstFit);
+}
+} // namespace poplarpass::control
--- a/src/poplarpass/control/wave_planner.h
+++ b/src/poplarpass/control/wave_planner.h
@@ -19,6 +19,7 @@
     calendar, ///< Maintenance is closed for the pool.
     paused, ///< An operator paused the wave.
     host_busy, ///< The host is down, out of contact or in another planned change.
+    policy, ///< The policy's own rule, where the promises would permit the step.
 };
 
 /// \brief Wire name of \p limit.
@@ -86,6 +87,7 @@
 auto firstFitPolicy(calendar_check check) -> wave_policy;
 
 /// \brief Plans \p wave from \p now on with \p policy, without changing anything.
+/// \param wave the wave; for one that was not started, startedAt is the offset of the agreed state
 /// \sa host_controller, which starts drains by the same policy
 auto planWave(planning_view view, const fold::wave_state &wave, const wave_policy &policy, const calendar_check &check,
               core::wall_time now, const plan_assumptions &assumptions = {}) -> wave_plan;
