Control: demand forecast and planner of moves

Cause: pools have to borrow and give back without moving hosts for small swings. Ruled out: acting on the demand of the moment, as surges last seconds. Change: demand_forecast, move_planner; the holder plans only on capacity whose workers are known to take work.

--- a/src/poplarpass/control.h
+++ b/src/poplarpass/control.h
@@ -5,6 +5,7 @@
 
 #include <poplarpass/control/constants.h>
 #include <poplarpass/control/control_action.h>
+#include <poplarpass/control/demand_forecast.h>
 #include <poplarpass/control/host_controller.h>
 #include <poplarpass/control/host_observations.h>
 #include <poplarpass/control/host_tracker.h>
--- a/src/poplarpass/control/constants.h
+++ b/src/poplarpass/control/constants.h
@@ -64,4 +64,26 @@
 inline constexpr core::duration removeHostAfter = std::chrono::minutes{10};
 /// \brief Records that one decision step appends at most.
 inline constexpr std::size_t maxAppendsPerStep = 40;
+
+/// \brief Demand is averaged over this long.
+inline constexpr core::duration demandBucket = std::chrono::minutes{1};
+/// \brief Averages that the forecast looks back over.
+inline constexpr std::size_t demandBucketCount = 60;
+/// \brief Averages that the forecast needs before it says anything.
+inline constexpr std::size_t demandMinBuckets = 5;
+/// \brief Share of the averages that the forecast covers.
+inline constexpr double demandQuantile = 0.9;
+/// \brief A report of demand stands for this long at most.
+inline constexpr core::duration demandStale = std::chrono::seconds{15};
+
+/// \brief How long a pool must be short of its forecast before it borrows.
+inline constexpr core::duration borrowAfter = std::chrono::minutes{3};
+/// \brief How long a pool must be short of its promise before it borrows.
+inline constexpr core::duration borrowForPromiseAfter = std::chrono::seconds{30};
+/// \brief Shortest time that a borrowed host stays once it is no longer needed.
+inline constexpr core::duration minReturnAfter = std::chrono::minutes{5};
+/// \brief Longest time that a borrowed host stays once it is no longer needed.
+inline constexpr core::duration maxReturnAfter = std::chrono::hours{24};
+/// \brief Slots above the need that a pool must keep to give a host back, in percent of the need.
+inline constexpr int returnMarginPercent = 10;
 } // namespace poplarpass::control
--- a/src/poplarpass/control/host_controller.cpp
+++ b/src/poplarpass/control/host_controller.cpp
@@ -149,12 +149,21 @@
     }
 }
 
+// The agreed state counts a host as serving from its join, return or cancelled drain on, and until its loss is
+// recorded. A step that is planned on that capacity must wait until the worker itself is known to take work.
 auto host_controller::prepareView(step &current) -> void
 {
     current.view = makePlanningView(current.state.config(), current.state.hosts());
     for (auto &pool : current.view.pools) {
+        current.spareSlots.push_back(pool.budget().spareSlots());
         for (auto &host : pool.hosts) {
-            if (host.serves() && takesOut(m_pending.waiting(subjectOf(host)))) {
+            if (!host.serves()) {
+                continue;
+            }
+            const auto &tracker = m_trackers.at(nameOfHost(host));
+            if (!tracker.isReached(current.now)) {
+                host.down = true;
+            } else if (takesOut(m_pending.waiting(subjectOf(host))) || !tracker.takesWorkAs(host)) {
                 host.phase = fold::host_phase::draining;
             }
         }
--- a/src/poplarpass/control/host_controller_step.h
+++ b/src/poplarpass/control/host_controller_step.h
@@ -12,7 +12,8 @@
     core::wall_time wallNow; ///< Wall time.
     core::monotonic_time now; ///< Monotonic time.
     std::vector<control_action> actions{}; ///< What to do.
-    planning_view view{}; ///< The fleet by pool, with records under way counted as if accepted.
+    planning_view view{}; ///< The fleet by pool, with everything that is not surely serving counted as out.
+    std::vector<int> spareSlots{}; ///< By pool of the view: slots above the promise in the agreed state.
     std::size_t appends = 0; ///< Records among the actions.
     bool isLossPlausible = true; ///< Whether the losses seen are few enough to be believed.
 };
--- a/src/poplarpass/control/host_steps.cpp
+++ b/src/poplarpass/control/host_steps.cpp
@@ -28,9 +28,9 @@
     return change;
 }
 
-auto isAssignedAs(const worker_status &status, const fold::host_state &host) -> bool
+auto indexIn(const planning_view &view, const pool_view &pool) -> std::size_t
 {
-    return status.pool == host.pool && status.generation == host.generation;
+    return static_cast<std::size_t>(&pool - view.pools.data());
 }
 } // namespace
 
@@ -90,7 +90,7 @@
     if (!isKnown || m_pending.waiting({host.description.host, {}}) != nullptr) {
         return;
     }
-    if (!isAssignedAs(*tracker.status(), host)) {
+    if (!tracker.isAssignedAs(host)) {
         orderAssign(current, host, host.pool, host.generation);
     } else if (tracker.status()->draining) {
         order(current, host, worker_order::undrain);
@@ -139,7 +139,7 @@
         }
         return;
     }
-    if (!isAssignedAs(*status, host)) {
+    if (!tracker.isAssignedAs(host)) {
         orderAssign(current, host, host.pool, host.generation);
     } else if (status->draining) {
         order(current, host, worker_order::undrain);
@@ -190,20 +190,15 @@
     }
     const bool isForWave = host.phase == host_phase::draining;
     const bool isClosed = isForWave && m_hooks.calendarIsOpen && !pool->isOpen(m_hooks.calendarIsOpen, current.wallNow);
-    return isClosed || pool->budget().spareSlots() < 0;
+    return isClosed || current.spareSlots[indexIn(current.view, *pool)] < 0;
 }
 
 auto host_controller::cancel(step &current, const fold::host_state &host) -> void
 {
     append(current, host, eventOf(host_event::drain_cancel));
-    auto *pool = current.view.findPool(host.pool);
-    if (pool == nullptr) {
-        return;
+    if (const auto *pool = std::as_const(current.view).findPool(host.pool)) {
+        current.spareSlots[indexIn(current.view, *pool)] += host.description.slots;
     }
-    const auto copy = std::ranges::find_if(pool->hosts, [&host](const fold::host_state &other) {
-        return other.description.host == host.description.host;
-    });
-    copy->phase = host_phase::serving;
 }
 
 auto host_controller::order(step &current, const fold::host_state &host, platform::worker_order kind) -> void
--- a/src/poplarpass/control/host_tracker.cpp
+++ b/src/poplarpass/control/host_tracker.cpp
@@ -119,6 +119,16 @@
     return m_assigned == pool;
 }
 
+auto host_tracker::isAssignedAs(const fold::host_state &host) const -> bool
+{
+    return m_status && m_status->pool == host.pool && m_status->generation == host.generation;
+}
+
+auto host_tracker::takesWorkAs(const fold::host_state &host) const -> bool
+{
+    return isAssignedAs(host) && !m_status->draining;
+}
+
 auto host_tracker::status() const -> const std::optional<worker_status> &
 {
     return m_status;
--- a/src/poplarpass/control/host_tracker.h
+++ b/src/poplarpass/control/host_tracker.h
@@ -57,6 +57,12 @@
     /// \brief Whether the worker, since the phase began, confirmed that it was assigned to \p pool.
     [[nodiscard]] auto confirmedAssign(const core::pool_id &pool) const -> bool;
 
+    /// \brief Whether the worker said last that it serves the pool and generation of \p host.
+    [[nodiscard]] auto isAssignedAs(const fold::host_state &host) const -> bool;
+
+    /// \brief Whether the worker said last that it takes work for the pool and generation of \p host.
+    [[nodiscard]] auto takesWorkAs(const fold::host_state &host) const -> bool;
+
     /// \brief What the worker said last, if it said anything.
     [[nodiscard]] auto status() const -> const std::optional<worker_status> &;
 
--- /dev/null
+++ b/src/poplarpass/control/move_planner.cpp
@@ -0,0 +1,224 @@
+#include <poplarpass/control/constants.h>
+#include <poplarpass/control/move_planner.h>
+#include <poplarpass/control/wave_planner.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace poplarpass::control
+{
+namespace
+{
+auto isAway(const fold::host_state &host) -> bool
+{
+    const auto &place = host.movingTo.empty() ? host.pool : host.movingTo;
+    return place != host.description.pool;
+}
+
+auto countHosts(const planning_view &view, const std::function<bool(const fold::host_state &)> &isCounted) -> int
+{
+    std::ptrdiff_t count = 0;
+    for (const auto &pool : view.pools) {
+        count += std::ranges::count_if(pool.hosts, isCounted);
+    }
+    return static_cast<int>(count);
+}
+
+auto lentBy(const planning_view &view, const core::pool_id &pool) -> int
+{
+    return countHosts(view,
+                      [&pool](const fold::host_state &host) { return isAway(host) && host.description.pool == pool; });
+}
+
+auto borrowedBy(const planning_view &view, const core::pool_id &pool) -> int
+{
+    return countHosts(view, [&pool](const fold::host_state &host) {
+        const auto &place = host.movingTo.empty() ? host.pool : host.movingTo;
+        return isAway(host) && place == pool;
+    });
+}
+
+auto slotsOnTheirWay(const planning_view &view, const core::pool_id &pool) -> int
+{
+    int slots = 0;
+    for (const auto &other : view.pools) {
+        for (const auto &host : other.hosts) {
+            slots += host.movingTo == pool && !host.down ? host.description.slots : 0;
+        }
+    }
+    return slots;
+}
+
+auto neededSlots(const pool_view &pool, std::optional<double> expected) -> int
+{
+    const auto promised = config::requiredSlots(pool.pool, pool.profile);
+    const auto forecast = std::ceil(expected.value_or(0.0) * (1.0 + pool.profile.headroom));
+    return std::max(promised, static_cast<int>(forecast));
+}
+
+auto spareAfterTaking(const pool_view &pool, const fold::host_state &host) -> int
+{
+    fold::pool_budget budget{pool.pool, pool.profile, pool.hosts};
+    budget.take(host);
+    return budget.view().spareSlots();
+}
+
+auto spareAfterJoining(const pool_view &pool, fold::host_state host) -> int
+{
+    auto hosts = pool.hosts;
+    host.pool = pool.pool.name;
+    hosts.push_back(std::move(host));
+    return fold::evaluateBudget(pool.pool, pool.profile, hosts).spareSlots();
+}
+} // namespace
+
+auto pool_need::missingSlots() const -> int
+{
+    return std::max(0, neededSlots - haveSlots);
+}
+
+auto returnDelay(const config::planning_weights &weights, int slots) -> core::duration
+{
+    const auto costPerHour = weights.bufferCost * slots;
+    if (costPerHour <= 0.0) {
+        return maxReturnAfter;
+    }
+    const std::chrono::duration<double, std::ratio<3600>> hours{2.0 * weights.moves / costPerHour};
+    const auto longest = std::chrono::duration<double, std::ratio<3600>>{maxReturnAfter};
+    return std::max(minReturnAfter, std::chrono::duration_cast<core::duration>(std::min(hours, longest)));
+}
+
+move_planner::move_planner(move_hooks hooks)
+    : m_hooks{std::move(hooks)}
+{
+}
+
+auto move_planner::choose(const move_query &query) -> std::vector<host_move>
+{
+    std::vector<host_move> moves;
+    std::set<core::pool_id> touched;
+    for (const auto &pool : query.view.pools) {
+        const auto need = needOf(pool, query);
+        if (!noteShortage(pool.pool.name, need, query.now)) {
+            continue;
+        }
+        auto loan = chooseLoan(pool, query);
+        if (loan && !touched.contains(loan->from)) {
+            touched.insert({loan->from, loan->to});
+            moves.push_back(std::move(*loan));
+        }
+    }
+    for (const auto &pool : query.view.pools) {
+        auto back = touched.contains(pool.pool.name) ? std::nullopt : chooseReturn(pool, query);
+        if (back && touched.insert(pool.pool.name).second) {
+            moves.push_back(std::move(*back));
+        }
+    }
+    return moves;
+}
+
+auto move_planner::needOf(const pool_view &pool, const move_query &query) const -> pool_need
+{
+    const auto expected = m_hooks.expectedSlots ? m_hooks.expectedSlots(pool.pool.name) : std::nullopt;
+    const auto budget = pool.budget();
+    pool_need need;
+    need.neededSlots = neededSlots(pool, expected) + waveSlots(pool, query);
+    need.haveSlots = budget.servingSlots - budget.worstLossSlots + slotsOnTheirWay(query.view, pool.pool.name);
+    need.isForPromise = budget.spareSlots() < 0;
+    return need;
+}
+
+auto move_planner::noteShortage(const core::pool_id &pool, const pool_need &need, core::monotonic_time now) -> bool
+{
+    if (need.missingSlots() == 0) {
+        m_shortSince.erase(pool);
+        return false;
+    }
+    const auto since = m_shortSince.try_emplace(pool, now).first->second;
+    return now - since >= (need.isForPromise ? borrowForPromiseAfter : borrowAfter);
+}
+
+// Spare pools lend before others. Of the hosts that may go, the one is taken that leaves both pools best off, so that a
+// loan does not put all of the borrower's hosts into one rack or zone.
+auto move_planner::chooseLoan(const pool_view &borrower, const move_query &query) const -> std::optional<host_move>
+{
+    if (borrowedBy(query.view, borrower.pool.name) >= borrower.profile.maxBorrowed) {
+        return std::nullopt;
+    }
+    std::optional<host_move> best;
+    std::tuple<bool, int, int> bestScore;
+    for (const auto &lender : query.view.pools) {
+        const bool mayLend = lentBy(query.view, lender.pool.name) < lender.profile.maxLent;
+        if (&lender == &borrower || !mayLend) {
+            continue;
+        }
+        for (const auto &host : lender.hosts) {
+            const bool isOwn = host.description.pool == lender.pool.name;
+            if (!isOwn || !query.isUsable(host) || !maySpare(lender, host, 0, query)) {
+                continue;
+            }
+            const std::tuple score{lender.pool.spare, spareAfterJoining(borrower, host),
+                                   spareAfterTaking(lender, host)};
+            if (!best || score > bestScore) {
+                best = host_move{host.description.host, lender.pool.name, borrower.pool.name};
+                bestScore = score;
+            }
+        }
+    }
+    return best;
+}
+
+auto move_planner::chooseReturn(const pool_view &pool, const move_query &query) -> std::optional<host_move>
+{
+    std::optional<host_move> chosen;
+    for (const auto &host : pool.hosts) {
+        const auto &name = host.description.host;
+        const auto *home = query.view.findPool(host.description.pool);
+        const bool isBorrowed = host.serves() && isAway(host) && home != nullptr;
+        if (!isBorrowed || !query.isUsable(host) || !maySpare(pool, host, returnMarginPercent, query)) {
+            m_idleSince.erase(name);
+            continue;
+        }
+        const auto since = m_idleSince.try_emplace(name, query.now).first->second;
+        if (!chosen && query.now - since >= returnDelay(query.view.weights, host.description.slots)) {
+            chosen = host_move{name, pool.pool.name, home->pool.name};
+        }
+    }
+    return chosen;
+}
+
+auto move_planner::maySpare(const pool_view &pool, const fold::host_state &host, int marginPercent,
+                            const move_query &query) const -> bool
+{
+    if (pool.limitOf(host) != fold::budget_limit::none) {
+        return false;
+    }
+    const auto expected = m_hooks.expectedSlots ? m_hooks.expectedSlots(pool.pool.name) : std::nullopt;
+    const auto promised = config::requiredSlots(pool.pool, pool.profile);
+    const auto needed = neededSlots(pool, expected);
+    const auto margin = needed * marginPercent / 100 + waveSlots(pool, query);
+    return spareAfterTaking(pool, host) >= needed - promised + margin;
+}
+
+// A pool that could not take even one host out while all of its hosts serve would never finish a wave.
+auto move_planner::waveSlots(const pool_view &pool, const move_query &query) const -> int
+{
+    if (!m_hooks.calendarIsOpen || !pool.isOpen(m_hooks.calendarIsOpen, query.wallNow)) {
+        return 0;
+    }
+    int largest = 0;
+    int slotsOut = 0;
+    for (const auto &host : pool.hosts) {
+        const bool isWaiting = std::ranges::any_of(query.waves, [&host](const fold::wave_state &wave) {
+            return !wave.finished && !wave.paused && isToMaintain(wave, host);
+        });
+        largest = std::max(largest, isWaiting ? host.description.slots : 0);
+        slotsOut += host.serves() || host.down ? 0 : host.description.slots;
+    }
+    return std::max(0, largest - slotsOut);
+}
+} // namespace poplarpass::control
--- a/src/poplarpass/control/move_planner.h
+++ b/src/poplarpass/control/move_planner.h
@@ -3,6 +3,9 @@
 #include <poplarpass/control/planning_view.h>
 
 #include <functional>
+#include <map>
+#include <optional>
+#include <span>
 #include <vector>
 
 namespace poplarpass::control
@@ -29,4 +32,58 @@
 
 /// \brief Chooses the moves that start now.
 using move_policy = std::function<std::vector<host_move>(const move_query &)>;
+
+/// \brief What the planner of moves takes from outside.
+struct move_hooks
+{
+    /// \brief Slots that a pool's work is expected to need, if known; empty plans by the declared demand alone.
+    std::function<std::optional<double>(const core::pool_id &)> expectedSlots;
+    /// \brief Whether maintenance is open; empty plans no moves for the sake of a wave.
+    calendar_check calendarIsOpen;
+};
+
+/// \brief Slots that a pool needs beside those that the worst permitted loss would take.
+struct pool_need
+{
+    int neededSlots = 0; ///< The promise, or what the forecast asks with the profile's headroom, if that is more.
+    int haveSlots = 0; ///< Serving slots and those on their way, less the worst permitted loss.
+    bool isForPromise = false; ///< Whether the promise alone is not covered.
+
+    /// \brief Slots that are missing; zero when none are.
+    [[nodiscard]] auto missingSlots() const -> int;
+};
+
+/// \brief How long a borrowed host of \p slots slots stays once it is no longer needed.
+///
+/// It is kept until its idle slots have cost as much as the two moves that a return and another loan would cost, so
+/// that both together never cost more than twice what knowing the future would have; bounded on both sides.
+auto returnDelay(const config::planning_weights &weights, int slots) -> core::duration;
+
+/// \brief Decides when pools borrow hosts, from spare pools first, and when they give them back.
+///
+/// Shortages and surpluses count only once they have lasted, so small swings make no moves.
+/// \sa demand_forecast, host_controller
+class move_planner
+{
+public:
+    explicit move_planner(move_hooks hooks);
+
+    /// \brief Moves that start now, at most one for each borrowing and one for each returning pool.
+    auto choose(const move_query &query) -> std::vector<host_move>;
+
+    /// \brief What \p pool needs and has, with hosts on their way to it counted.
+    [[nodiscard]] auto needOf(const pool_view &pool, const move_query &query) const -> pool_need;
+
+private:
+    auto noteShortage(const core::pool_id &pool, const pool_need &need, core::monotonic_time now) -> bool;
+    auto chooseLoan(const pool_view &borrower, const move_query &query) const -> std::optional<host_move>;
+    auto chooseReturn(const pool_view &pool, const move_query &query) -> std::optional<host_move>;
+    [[nodiscard]] auto maySpare(const pool_view &pool, const fold::host_state &host, int marginPercent,
+                                const move_query &query) const -> bool;
+    [[nodiscard]] auto waveSlots(const pool_view &pool, const move_query &query) const -> int;
+
+    move_hooks m_hooks;
+    std::map<core::pool_id, core::monotonic_time> m_shortSince;
+    std::map<core::host_id, core::monotonic_time> m_idleSince;
+};
 } // namespace poplarpass::control
