--- a/src/poplarpass/control/host_controller.cpp
+++ b/src/poplarpass/control/host_controller.cpp
@@ -36,7 +36,7 @@
 }
 } // namespace
 
-host_controller::host_controller(core::member_id self, std::uint64_t incarnation, controller_hooks hooks)
+host_controller::host_controller(const core::member_id &self, std::uint64_t incarnation, controller_hooks hooks)
     : m_hooks{std::move(hooks)}
     , m_pending{self.str() + "/" + std::to_string(incarnation) + "/host/"}
 {
@@ -141,7 +141,7 @@
         ++upCount;
         lostCount += m_trackers.at(nameOfHost(host)).isLost(current.now) ? 1U : 0U;
     }
-    const auto plausible = std::max(minSuspiciousLoss, static_cast<std::size_t>(maxPlausibleLoss * upCount));
+    const auto plausible = std::max(minSuspiciousLoss, upCount * maxPlausibleLossPercent / 100);
     current.isLossPlausible = lostCount <= plausible;
     if (!current.isLossPlausible) {
         const auto detail = "lost=" + std::to_string(lostCount) + " of=" + std::to_string(upCount);
@@ -149,12 +149,21 @@
     }
 }
 
+// The agreed state counts a host as serving from its join, return or cancelled drain on, and until its loss is
+// recorded. A step that is planned on that capacity must wait until the worker itself is known to take work.
 auto host_controller::prepareView(step &current) -> void
 {
     current.view = makePlanningView(current.state.config(), current.state.hosts());
     for (auto &pool : current.view.pools) {
+        current.spareSlots.push_back(pool.budget().spareSlots());
         for (auto &host : pool.hosts) {
-            if (host.serves() && takesOut(m_pending.waiting(subjectOf(host)))) {
+            if (!host.serves()) {
+                continue;
+            }
+            const auto &tracker = m_trackers.at(nameOfHost(host));
+            if (!tracker.isReached(current.now)) {
+                host.down = true;
+            } else if (takesOut(m_pending.waiting(subjectOf(host))) || !tracker.takesWorkAs(host)) {
                 host.phase = fold::host_phase::draining;
             }
         }
