Lint findings in the WebSocket units and the settings test

Cause: clang-tidy found copied parameters and names that websocketpp prescribes. Change: parameters by reference; the names are marked as the library's.

--- a/src/poplarpass/net/websocket/session.cpp
+++ b/src/poplarpass/net/websocket/session.cpp
@@ -45,24 +45,25 @@
 auto session::attachHandlers() -> void
 {
     const std::weak_ptr<session> weak = weak_from_this();
-    m_protocol->set_write_handler([weak](websocketpp::connection_hdl, const char *bytes, std::size_t length) {
+    m_protocol->set_write_handler([weak](const websocketpp::connection_hdl &, const char *bytes, std::size_t length) {
         if (const auto self = weak.lock()) {
             self->append(bytes, length);
         }
         return std::error_code{};
     });
-    m_protocol->set_open_handler([weak](websocketpp::connection_hdl) {
+    m_protocol->set_open_handler([weak](const websocketpp::connection_hdl &) {
         const auto self = weak.lock();
         if (self && !self->m_ended) {
             self->m_hooks.onOpen();
         }
     });
-    m_protocol->set_message_handler([weak](websocketpp::connection_hdl, protocol_connection::message_ptr message) {
-        const auto self = weak.lock();
-        if (self && !self->m_ended) {
-            self->m_hooks.onMessage(message->get_payload());
-        }
-    });
+    m_protocol->set_message_handler(
+        [weak](const websocketpp::connection_hdl &, const protocol_connection::message_ptr &message) {
+            const auto self = weak.lock();
+            if (self && !self->m_ended) {
+                self->m_hooks.onMessage(message->get_payload());
+            }
+        });
 }
 
 auto session::connect(const boost::asio::ip::tcp::endpoint &address, std::function<void()> startProtocol) -> void
--- a/src/poplarpass/net/websocket/session.h
+++ b/src/poplarpass/net/websocket/session.h
@@ -14,6 +14,7 @@
 
 namespace poplarpass::net::websocket::internal
 {
+// NOLINTBEGIN(readability-identifier-naming): the names are websocketpp's
 /// \brief Choices for websocketpp: no threads, no logs, bytes are handed in and out by the session.
 struct protocol_config : public websocketpp::config::core
 {
@@ -45,6 +46,7 @@
     static const bool enable_multithreading = false;
     static const std::size_t max_http_body_size = 1024;
 };
+// NOLINTEND(readability-identifier-naming)
 
 /// \brief One connection of the protocol library.
 using protocol_connection = websocketpp::connection<protocol_config>;
--- a/tests/io/settings_test.cpp
+++ b/tests/io/settings_test.cpp
@@ -56,6 +56,13 @@
     return text.replace(place, line.size(), replacement);
 }
 
+auto examplePath(const std::string &firm, const std::string &name) -> std::string
+{
+    std::string path = POPLARPASS_EXAMPLES_DIR;
+    path.append("/").append(firm).append("/").append(name).append(".toml");
+    return path;
+}
+
 auto problemsOf(const std::string &text) -> std::vector<settings::settings_problem>
 {
     const auto result = settings::parse(text, "test.toml");
@@ -204,8 +211,7 @@
         for (const std::string kind : {"entry", "control"}) {
             for (int number = 1; number <= 6; ++number) {
                 const auto name = kind + "-" + std::to_string(number);
-                const auto result =
-                    settings::load(std::string{POPLARPASS_EXAMPLES_DIR} + "/" + firm + "/" + name + ".toml");
+                const auto result = settings::load(examplePath(firm, name));
                 REQUIRE(result);
                 CHECK(result->process.name.str() == name);
                 CHECK(result->peers.size() == 12);
