Control process, sightings and state messages between peers

Cause: the holder must learn which workers are reached, and a replaced process must start while the log is away. Change: peer messages for both, control process over the decisions. Measured: builds; not run yet.

--- a/src/poplarpass/app/control_process.cpp
+++ b/src/poplarpass/app/control_process.cpp
@@ -56,6 +56,7 @@
                    updateGauges();
                }}
     , m_role{m_process.settings.process.name, m_process.incarnation}
+    , m_keeper{ownJoinRecord(m_process, fold::member_kind::control, {})}
     , m_hosts{m_process.settings.process.name, m_process.incarnation, controllerHooks()}
 {
 }
@@ -216,14 +217,11 @@
 
 auto control_process::removeMembers() -> void
 {
-    control::member_keeper keeper{
-        {m_process.settings.process.name, fold::member_kind::control, m_process.incarnation, {}, {}, {}, 0}};
-    static_cast<void>(keeper);
     for (auto removal : m_keeper.removals(m_log.state(), m_liveness, m_role.epoch(), monotonicNow())) {
         if (!m_removing.insert(removal.member).second) {
             continue;
         }
-        removal.atUnixMs = core::toUnixMilliseconds(wallNow());
+        removal.atUnixMs = static_cast<std::uint64_t>(core::toUnixMilliseconds(wallNow()));
         const core::record_id id{"remove/" + removal.member.str() + '/' + std::to_string(removal.incarnation) + '/'
                                  + std::to_string(removal.controlEpoch)};
         m_process.log.log(observe::log_level::warning, "member_removal", {{"member", removal.member.str()}});
--- a/src/poplarpass/app/control_process.h
+++ b/src/poplarpass/app/control_process.h
@@ -7,6 +7,7 @@
 #include <poplarpass/app/status_server.h>
 #include <poplarpass/app/supervisor.h>
 #include <poplarpass/control.h>
+#include <poplarpass/control/member_keeper.h>
 
 #include <memory>
 #include <optional>
@@ -55,6 +56,7 @@
     membership_publisher m_membership;
     status_server m_status;
     control::role_keeper m_role;
+    control::member_keeper m_keeper;
     control::liveness_view m_liveness;
     control::host_controller m_hosts;
     fold::snapshot_policy m_snapshots;
--- a/src/poplarpass/app/membership_publisher.cpp
+++ b/src/poplarpass/app/membership_publisher.cpp
@@ -12,6 +12,14 @@
 constexpr core::duration leaveTimeout = std::chrono::seconds{3};
 } // namespace
 
+auto ownJoinRecord(const process_runtime &process, fold::member_kind kind, std::string address)
+    -> fold::member_join_record
+{
+    const auto &identity = process.settings.process;
+    return {identity.name,   kind,          process.incarnation,           std::move(address),
+            identity.region, identity.zone, static_cast<std::uint64_t>(core::toUnixMilliseconds(wallNow()))};
+}
+
 membership_publisher::membership_publisher(process_runtime &process, fleet_log &log, fold::member_kind kind,
                                            std::function<void()> onRemoved)
     : m_process{process}
@@ -53,16 +61,8 @@
 auto membership_publisher::publishJoin(const std::string &address) -> void
 {
     m_joining = true;
-    const auto &identity = m_process.settings.process;
-    fold::member_join_record join;
-    join.member = identity.name;
-    join.kind = m_kind;
-    join.incarnation = m_process.incarnation;
-    join.address = address;
-    join.region = identity.region;
-    join.zone = identity.zone;
-    join.atUnixMs = core::toUnixMilliseconds(wallNow());
-    const core::record_id id{"join/" + identity.name.str() + '/' + std::to_string(m_process.incarnation) + '/'
+    const auto join = ownJoinRecord(m_process, m_kind, address);
+    const core::record_id id{"join/" + join.member.str() + '/' + std::to_string(join.incarnation) + '/'
                              + std::to_string(++m_attempts)};
     m_log.publish(id, join, joinTimeout, [this](const fold::publish_outcome &outcome) {
         m_joining = false;
@@ -80,7 +80,7 @@
     fold::member_leave_record leave;
     leave.member = m_process.settings.process.name;
     leave.incarnation = m_process.incarnation;
-    leave.atUnixMs = core::toUnixMilliseconds(wallNow());
+    leave.atUnixMs = static_cast<std::uint64_t>(core::toUnixMilliseconds(wallNow()));
     leave.handedOver = handedOver;
     const core::record_id id{"leave/" + leave.member.str() + '/' + std::to_string(leave.incarnation)};
     m_log.publish(id, leave, leaveTimeout, [this, done = std::move(done)](const fold::publish_outcome &outcome) {
--- a/src/poplarpass/app/membership_publisher.h
+++ b/src/poplarpass/app/membership_publisher.h
@@ -8,6 +8,10 @@
 
 namespace poplarpass::app
 {
+/// \brief Record by which \p process joins as a member of \p kind that peers reach at \p address.
+auto ownJoinRecord(const process_runtime &process, fold::member_kind kind, std::string address)
+    -> fold::member_join_record;
+
 /// \brief Keeps this process in the agreed member list from its start to its graceful end.
 class membership_publisher
 {
--- /dev/null
+++ b/src/poplarpass/app/process_tree.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <poplarpass/app/process_runtime.h>
+#include <poplarpass/app/supervisor.h>
+#include <poplarpass/fold/fleet_state.h>
+
+#include <functional>
+
+namespace poplarpass::app
+{
+/// \brief Hooks by which a supervisor logs, waits and, when a child fails too often, stops \p process.
+auto supervisorHooks(process_runtime &process) -> supervisor_hooks;
+
+/// \brief Starts \p root and runs the event loop of \p process until it is stopped.
+/// \param stop begins the graceful stop; called at the first SIGTERM or SIGINT
+auto runUntilSignal(process_runtime &process, supervisor &root, const std::function<void()> &stop) -> void;
+
+/// \brief Brings the gauges that every process has up to date.
+auto updateFoldGauges(process_runtime &process, const fold::fleet_state &state) -> void;
+} // namespace poplarpass::app
--- a/src/poplarpass/codec/peer_fields.h
+++ b/src/poplarpass/codec/peer_fields.h
@@ -176,6 +176,39 @@
     fields.field("logFresh", value.logFresh);
     fields.field("leaving", value.leaving);
     fields.field("controlEpoch", value.controlEpoch);
+    fields.field("hears", value.hears);
     fields.field("demand", value.demand);
 }
+
+template <class archive>
+auto describe(archive &fields, as<archive, request::worker_sighting> value) -> void
+{
+    fields.field("host", value.host);
+    fields.field("reached", value.reached);
+    fields.field("bootId", value.bootId);
+    fields.field("draining", value.draining);
+    fields.field("pool", value.pool);
+    fields.field("generation", value.generation);
+    fields.field("age", value.age);
+}
+
+template <class archive>
+auto describe(archive &fields, as<archive, request::sightings_report> value) -> void
+{
+    fields.field("sightings", value.sightings);
+}
+
+template <class archive>
+auto describe(archive &fields, as<archive, request::state_request> value) -> void
+{
+    fields.field("knownOffset", value.knownOffset);
+}
+
+template <class archive>
+auto describe(archive &fields, as<archive, request::state_reply> value) -> void
+{
+    fields.field("offset", value.offset);
+    fields.field("digest", value.digest);
+    fields.field("state", value.state);
+}
 } // namespace poplarpass::codec::internal
--- a/src/poplarpass/request/peer_message.h
+++ b/src/poplarpass/request/peer_message.h
@@ -192,6 +192,40 @@
     auto operator==(const pool_demand &other) const -> bool = default;
 };
 
+/// \brief One contact, or failed contact, of an entry with a worker.
+struct worker_sighting
+{
+    core::host_id host; ///< Which host.
+    bool reached = false; ///< Whether the worker answered; the fields below are set only then.
+    std::uint64_t bootId = 0; ///< Its boot.
+    bool draining = false; ///< Whether it takes no new work.
+    core::pool_id pool; ///< Pool that it serves.
+    std::uint64_t generation = 0; ///< Generation of that assignment.
+    core::duration age{}; ///< Time from the start of the contact to the sending of the report.
+
+    auto operator==(const worker_sighting &other) const -> bool = default;
+};
+
+/// \brief Contacts since the report before; an entry sends it to the holder of the control role.
+struct sightings_report
+{
+    std::vector<worker_sighting> sightings; ///< At most one for each host.
+};
+
+/// \brief Asks a peer for its folded state, for a start while the log cannot be read.
+struct state_request
+{
+    std::uint64_t knownOffset = 0; ///< Offset that the asker has; an older state is of no use to it.
+};
+
+/// \brief A peer's folded state.
+struct state_reply
+{
+    std::uint64_t offset = 0; ///< Offset up to which it is folded.
+    std::uint64_t digest = 0; ///< Digest of the state.
+    std::string state; ///< Its encoding.
+};
+
 /// \brief Sent to every other process at a fixed interval.
 struct heartbeat
 {
@@ -206,11 +240,13 @@
     bool logFresh = false; ///< Whether it read the log to its end within freshnessTerm.
     bool leaving = false; ///< Whether it stops or is about to.
     std::uint64_t controlEpoch = 0; ///< Epoch of the control role that it believes in force.
+    std::vector<core::member_id> hears; ///< Processes whose heartbeats the sender hears.
     std::vector<pool_demand> demand; ///< Figures for control; empty from other processes.
 };
 
 /// \brief Any message between two processes of the system.
 using peer_message =
     std::variant<grant_request, grant_reply, promise_request, promise_reply, job_query, job_report, cancel_request,
-                 cancel_reply, delegate, delegate_reply, handover, handover_reply, heartbeat>;
+                 cancel_reply, delegate, delegate_reply, handover, handover_reply, heartbeat, sightings_report,
+                 state_request, state_reply>;
 } // namespace poplarpass::request
