--- a/src/poplarpass/net/constants.h
+++ b/src/poplarpass/net/constants.h
@@ -15,7 +15,7 @@
 struct server_limits
 {
     std::uint32_t headerBytes = 16 * 1024; ///< Longest header section that is read.
-    std::uint64_t bodyBytes = 4 * 1024 * 1024; ///< Longest body that is read.
+    std::uint64_t bodyBytes = std::uint64_t{4} * 1024 * 1024; ///< Longest body that is read.
     core::duration readTimeout = std::chrono::seconds{10}; ///< From a request's first byte to its last.
     core::duration writeTimeout = std::chrono::seconds{30}; ///< For writing one whole answer.
     core::duration idleTimeout = std::chrono::seconds{60}; ///< Between requests on one connection.
@@ -30,15 +30,15 @@
     std::size_t connectionsPerEndpoint = 64; ///< Connections to one "IP:port"; other requests wait.
     std::size_t waitingPerEndpoint = 4096; ///< Requests that wait for a connection to one "IP:port".
     std::uint32_t headerBytes = 16 * 1024; ///< Longest header section of an answer.
-    std::uint64_t bodyBytes = 64 * 1024 * 1024; ///< Longest body of an answer.
+    std::uint64_t bodyBytes = std::uint64_t{64} * 1024 * 1024; ///< Longest body of an answer.
     core::duration connectTimeout = std::chrono::seconds{1}; ///< For a connection to be established.
     core::duration idleTimeout = std::chrono::seconds{20}; ///< Unused connections are closed after this.
 };
 
 namespace internal
 {
-inline constexpr std::size_t readChunkBytes = 8 * 1024;
-inline constexpr std::size_t lingerBytes = 1024 * 1024;
+inline constexpr std::size_t readChunkBytes = std::size_t{8} * 1024;
+inline constexpr std::size_t lingerBytes = std::size_t{1024} * 1024;
 inline constexpr std::chrono::milliseconds acceptRetryDelay{100};
 } // namespace internal
 } // namespace poplarpass::net
--- a/src/poplarpass/platform/host_list_client.cpp
+++ b/src/poplarpass/platform/host_list_client.cpp
@@ -61,7 +61,8 @@
 auto makeHostList(net::http_client &client, std::string address) -> host_list
 {
     host_list list;
-    list.fetch = [&client, address](std::function<void(core::result<std::vector<listed_host>>)> done) {
+    list.fetch = [&client,
+                  address = std::move(address)](std::function<void(core::result<std::vector<listed_host>>)> done) {
         client.send(address, {"GET", "/hosts", {}, {}}, hostListTimeout,
                     [done = std::move(done)](const core::result<net::http_response> &answer, net::sent_state) {
                         done(decodeAnswer(answer));
--- a/src/poplarpass/platform/log_client.cpp
+++ b/src/poplarpass/platform/log_client.cpp
@@ -125,8 +125,8 @@
                         done(decodeAppend(answer));
                     });
     };
-    service.read = [&client, address](log_offset from, core::duration wait,
-                                      std::function<void(core::result<log_page>)> done) {
+    service.read = [&client, address = std::move(address)](log_offset from, core::duration wait,
+                                                           std::function<void(core::result<log_page>)> done) {
         client.send(address, readRequest(from, wait), wait + logReadMargin,
                     [from, done = std::move(done)](const core::result<net::http_response> &answer, net::sent_state) {
                         done(decodeRead(answer, from));
--- a/src/poplarpass/platform/worker_client.cpp
+++ b/src/poplarpass/platform/worker_client.cpp
@@ -281,8 +281,8 @@
                         done(decodeJson(answer, decodeReport));
                     });
     };
-    service.start = [&client, counters](const std::string &address, start_request request, core::duration timeout,
-                                        auto done) {
+    service.start = [&client, counters = std::move(counters)](const std::string &address, start_request request,
+                                                              core::duration timeout, auto done) {
         start_reader reader{request.taskId, request.attemptId, counters};
         client.send(address, startRequest(std::move(request)), timeout,
                     [reader = std::move(reader), done = std::move(done)](http_answer answer, net::sent_state sent) {
--- a/standins/fault_link.cpp
+++ b/standins/fault_link.cpp
@@ -10,7 +10,7 @@
 {
 namespace
 {
-constexpr std::size_t chunkBytes = 16 * 1024;
+constexpr std::size_t chunkBytes = std::size_t{16} * 1024;
 constexpr std::chrono::milliseconds dripInterval{50};
 
 auto dripBytes(std::int64_t bytesPerSecond) -> std::size_t
--- a/standins/log_standin.cpp
+++ b/standins/log_standin.cpp
@@ -10,7 +10,6 @@
 {
 using nlohmann::json;
 using poplarpass::net::http_request;
-using poplarpass::net::http_response;
 using poplarpass::platform::log_entry;
 using std::chrono::milliseconds;
 
--- a/standins/worker_endpoint.cpp
+++ b/standins/worker_endpoint.cpp
@@ -22,11 +22,10 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
-namespace core = poplarpass::core;
 
 namespace
 {
-constexpr int spareConnections = 16;
+constexpr std::size_t spareConnections = 16;
 constexpr std::string_view taskPrefix = "/tasks/";
 constexpr std::uint64_t bootIdMask = (std::uint64_t{1} << 52U) - 1;
 
@@ -39,7 +38,7 @@
 auto serverLimits(int connections) -> poplarpass::net::server_limits
 {
     poplarpass::net::server_limits limits;
-    limits.maxConnections = static_cast<std::size_t>(connections + spareConnections);
+    limits.maxConnections = static_cast<std::size_t>(connections) + spareConnections;
     limits.drainIdleTimeout = milliseconds{50};
     return limits;
 }
