Request path: attempts, leases, placement and admission, first version

Change: attempt policy with retry budget, answer matcher, lease table, leaving tracker, worker pool with selectable placement, worker health, work estimator, fair queue and admission queue.

--- /dev/null
+++ b/src/poplarpass/request/admission_queue.cpp
@@ -0,0 +1,345 @@
+#include <poplarpass/request/admission_queue.h>
+#include <poplarpass/request/constants.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace poplarpass::request
+{
+namespace
+{
+auto toSeconds(core::duration time) -> double
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+auto fromSeconds(double seconds) -> core::duration
+{
+    return std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(seconds));
+}
+
+auto indexOf(urgency level) -> std::size_t
+{
+    return static_cast<std::size_t>(level);
+}
+
+// Every job costs something, so that a team cannot queue any number of jobs that it declares as instant.
+auto costOf(core::duration expected) -> double
+{
+    return std::max(toSeconds(expected), smallestJobCost);
+}
+
+auto isLong(core::duration expected) -> bool
+{
+    return expected > urgentStartBound;
+}
+
+auto refuse(core::error_kind kind, core::duration retryAfter, std::string detail) -> core::error
+{
+    return core::error{kind, std::move(detail), std::max<core::duration>(retryAfter, shortestRetryAfter)};
+}
+} // namespace
+
+admission_queue::admission_queue(std::size_t maxQueued)
+    : m_maxQueued{maxQueued}
+{
+}
+
+auto admission_queue::setTeam(const core::team_id &team, team_share share) -> void
+{
+    const auto index = teamIndex(team);
+    m_teams[index].share = share;
+    for (auto &level : m_levels) {
+        level.setWeight(index, share.weight);
+    }
+    updateCapped(index);
+}
+
+auto admission_queue::setCapacity(int slots) -> void
+{
+    m_capacity = slots;
+}
+
+auto admission_queue::submit(const admission_request &job, core::monotonic_time now) -> core::result<void>
+{
+    assert(!m_jobs.contains(job.ticket));
+    const auto index = teamIndex(job.team);
+    auto &team = m_teams[index];
+    if (auto problem = refusal(job, team, now)) {
+        return tl::make_unexpected(std::move(*problem));
+    }
+    m_urgentSeen = m_urgentSeen || job.level == urgency::urgent;
+    m_jobs.emplace(job.ticket, job_state{index, job.level, false, false, job.expected, job.deadline, now});
+    auto &level = m_levels[indexOf(job.level)];
+    if (level.size() == 0) {
+        const auto other = job.level == urgency::batch ? urgency::normal : urgency::batch;
+        m_served[indexOf(job.level)] = std::max(m_served[indexOf(job.level)], m_served[indexOf(other)]);
+    }
+    level.push(index, job.ticket, costOf(job.expected));
+    ++team.queued;
+    ++m_queued;
+    if (job.deadline != noDeadline) {
+        m_deadlines.emplace(job.deadline, job.ticket);
+    }
+    return {};
+}
+
+auto admission_queue::next(int freeSlots, core::monotonic_time now) -> std::optional<ticket_id>
+{
+    const auto level = pickLevel(freeSlots);
+    if (!level) {
+        return std::nullopt;
+    }
+    const auto ticket = m_levels[indexOf(*level)].pop();
+    auto &job = m_jobs.at(*ticket);
+    start(*ticket, job, now);
+    return ticket;
+}
+
+auto admission_queue::requeue(ticket_id ticket, core::monotonic_time now) -> void
+{
+    const auto found = m_jobs.find(ticket);
+    if (found == m_jobs.end() || !found->second.isRunning) {
+        return;
+    }
+    auto &job = found->second;
+    stopRunning(job);
+    job.isRunning = false;
+    job.asked = false;
+    job.since = now;
+    m_levels[indexOf(job.level)].pushFront(job.team, ticket, costOf(job.expected));
+    ++m_teams[job.team].queued;
+    ++m_queued;
+    if (job.deadline != noDeadline) {
+        m_deadlines.emplace(job.deadline, ticket);
+    }
+}
+
+auto admission_queue::finished(ticket_id ticket) -> void
+{
+    const auto found = m_jobs.find(ticket);
+    if (found == m_jobs.end() || !found->second.isRunning) {
+        return;
+    }
+    stopRunning(found->second);
+    m_jobs.erase(found);
+}
+
+auto admission_queue::cancel(ticket_id ticket) -> bool
+{
+    const auto found = m_jobs.find(ticket);
+    if (found == m_jobs.end() || found->second.isRunning) {
+        return false;
+    }
+    leaveQueue(ticket, found->second);
+    m_jobs.erase(found);
+    return true;
+}
+
+auto admission_queue::expire(core::monotonic_time now) -> std::vector<ticket_id>
+{
+    std::vector<ticket_id> expired;
+    while (!m_deadlines.empty() && m_deadlines.top().first <= now) {
+        const auto due = m_deadlines.top();
+        m_deadlines.pop();
+        const auto found = m_jobs.find(due.second);
+        const bool waiting = found != m_jobs.end() && !found->second.isRunning && found->second.deadline == due.first;
+        if (waiting) {
+            expired.push_back(due.second);
+            cancel(due.second);
+        }
+    }
+    return expired;
+}
+
+auto admission_queue::makeRoom(int freeSlots, core::monotonic_time now) -> std::vector<ticket_id>
+{
+    std::vector<ticket_id> named;
+    if (oldestUrgentWait(now) < makeRoomAfter) {
+        return named;
+    }
+    auto wanted = static_cast<std::ptrdiff_t>(m_levels[indexOf(urgency::urgent)].size()) - freeSlots;
+    std::vector<std::pair<core::monotonic_time, ticket_id>> candidates;
+    for (const auto &[ticket, job] : m_jobs) {
+        if (!job.isRunning || job.level != urgency::batch) {
+            continue;
+        }
+        wanted -= job.asked ? 1 : 0;
+        if (!job.asked) {
+            candidates.emplace_back(job.since, ticket);
+        }
+    }
+    std::ranges::sort(candidates, std::greater<>{});
+    for (const auto &[since, ticket] : candidates) {
+        if (static_cast<std::ptrdiff_t>(named.size()) >= wanted) {
+            break;
+        }
+        m_jobs.at(ticket).asked = true;
+        named.push_back(ticket);
+    }
+    return named;
+}
+
+auto admission_queue::makeRoomFailed(ticket_id ticket) -> void
+{
+    if (const auto found = m_jobs.find(ticket); found != m_jobs.end()) {
+        found->second.asked = false;
+    }
+}
+
+// The wait behind everything of the same and higher urgency, or behind the team's own jobs at the team's share,
+// whichever is shorter: fair queueing lets a team with few jobs pass a long queue of another.
+auto admission_queue::expectedWait(const core::team_id &team, urgency level) const -> core::duration
+{
+    if (m_capacity <= 0) {
+        return unservedWait;
+    }
+    const auto found = m_teamIndex.find(team);
+    const auto index = found == m_teamIndex.end() ? static_cast<std::uint32_t>(m_teams.size()) : found->second;
+    const auto &own = m_levels[indexOf(level)];
+    double ahead = 0.0;
+    for (std::size_t higher = 0; higher < indexOf(level); ++higher) {
+        ahead += m_levels[higher].seconds();
+    }
+    const double byShare = own.secondsOf(index) * own.activeWeightWith(index) / own.weightOf(index);
+    ahead += std::min(own.seconds(), byShare);
+    const double slots = m_capacity;
+    const bool full = m_running >= static_cast<std::size_t>(m_capacity);
+    const double untilFree = full ? m_runningSeconds / static_cast<double>(m_running) / slots : 0.0;
+    return fromSeconds(ahead / slots + untilFree);
+}
+
+auto admission_queue::queued() const -> std::size_t
+{
+    return m_queued;
+}
+
+auto admission_queue::queued(urgency level) const -> std::size_t
+{
+    return m_levels[indexOf(level)].size();
+}
+
+auto admission_queue::running() const -> std::size_t
+{
+    return m_running;
+}
+
+auto admission_queue::oldestUrgentWait(core::monotonic_time now) const -> core::duration
+{
+    const auto *head = headOf(urgency::urgent);
+    return head == nullptr ? core::duration::zero() : now - head->since;
+}
+
+auto admission_queue::teamIndex(const core::team_id &team) -> std::uint32_t
+{
+    const auto [entry, added] = m_teamIndex.try_emplace(team, static_cast<std::uint32_t>(m_teams.size()));
+    if (added) {
+        m_teams.emplace_back();
+    }
+    return entry->second;
+}
+
+auto admission_queue::refusal(const admission_request &job, const team_state &team, core::monotonic_time now) const
+    -> std::optional<core::error>
+{
+    const auto wait = expectedWait(job.team, job.level);
+    if (team.queued >= team.share.maxQueued) {
+        return refuse(core::error_kind::quota_exceeded, wait, "team=" + job.team.str());
+    }
+    const auto limit = job.level == urgency::batch ? m_maxQueued - m_maxQueued / 4 : m_maxQueued;
+    if (m_queued >= limit) {
+        return refuse(core::error_kind::queue_full, wait, "queued=" + std::to_string(m_queued));
+    }
+    if (job.deadline == noDeadline) {
+        return std::nullopt;
+    }
+    if (job.deadline <= now) {
+        return core::error{core::error_kind::deadline_passed, {}, std::nullopt};
+    }
+    const auto late = now + wait + job.expected - job.deadline;
+    if (late > core::duration::zero()) {
+        return refuse(core::error_kind::deadline_unreachable, late, "expected_wait_us=" + std::to_string(wait.count()));
+    }
+    return std::nullopt;
+}
+
+// Urgent work first. Between the others the one that got less than its part of the slot-seconds, so that batch work
+// goes on under any load of normal work. Long work leaves some slots to work that frees them soon.
+auto admission_queue::pickLevel(int freeSlots) const -> std::optional<urgency>
+{
+    if (freeSlots <= 0) {
+        return std::nullopt;
+    }
+    if (m_levels[indexOf(urgency::urgent)].eligible()) {
+        return urgency::urgent;
+    }
+    const auto startable = [this](urgency level) {
+        const auto *head = headOf(level);
+        return head != nullptr && (!isLong(head->expected) || longWorkAllowed());
+    };
+    const bool normal = startable(urgency::normal);
+    const bool batch = startable(urgency::batch);
+    if (normal && batch) {
+        return m_served[indexOf(urgency::batch)] < m_served[indexOf(urgency::normal)] ? urgency::batch
+                                                                                      : urgency::normal;
+    }
+    if (normal) {
+        return urgency::normal;
+    }
+    return batch ? std::optional{urgency::batch} : std::nullopt;
+}
+
+auto admission_queue::longWorkAllowed() const -> bool
+{
+    if (!m_urgentSeen) {
+        return true;
+    }
+    const auto reserve = std::max(1, static_cast<int>(urgentReserveShare * m_capacity));
+    return static_cast<int>(m_longRunning) < m_capacity - reserve;
+}
+
+auto admission_queue::leaveQueue(ticket_id ticket, job_state &job) -> void
+{
+    m_levels[indexOf(job.level)].remove(job.team, ticket, costOf(job.expected));
+    --m_teams[job.team].queued;
+    --m_queued;
+}
+
+auto admission_queue::start(ticket_id /*ticket*/, job_state &job, core::monotonic_time now) -> void
+{
+    job.isRunning = true;
+    job.since = now;
+    --m_teams[job.team].queued;
+    --m_queued;
+    ++m_teams[job.team].running;
+    ++m_running;
+    m_longRunning += isLong(job.expected) ? 1 : 0;
+    m_runningSeconds += costOf(job.expected);
+    const double part = job.level == urgency::batch ? batchShare : 1.0 - batchShare;
+    m_served[indexOf(job.level)] += costOf(job.expected) / part;
+    updateCapped(job.team);
+}
+
+auto admission_queue::stopRunning(job_state &job) -> void
+{
+    --m_teams[job.team].running;
+    --m_running;
+    m_longRunning -= isLong(job.expected) ? 1 : 0;
+    m_runningSeconds -= costOf(job.expected);
+    updateCapped(job.team);
+}
+
+auto admission_queue::headOf(urgency level) const -> const job_state *
+{
+    const auto head = m_levels[indexOf(level)].front();
+    return head ? &m_jobs.at(*head) : nullptr;
+}
+
+auto admission_queue::updateCapped(std::uint32_t team) -> void
+{
+    const bool capped = m_teams[team].running >= m_teams[team].share.maxRunning;
+    for (auto &level : m_levels) {
+        level.setCapped(team, capped);
+    }
+}
+} // namespace poplarpass::request
--- /dev/null
+++ b/src/poplarpass/request/answer_matcher.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <poplarpass/platform/worker_service.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace poplarpass::request
+{
+/// \brief What an answer turned out to be.
+enum class answer_match {
+    own, ///< The first answer to the attempt that it was read for.
+    late, ///< The attempt had been given up, or another attempt of the task was answered first.
+    duplicate, ///< The attempt had been answered.
+    swapped, ///< It names another task or attempt than the one that it was read for.
+    unknown, ///< It names an attempt that this process did not send, or no longer remembers.
+};
+
+/// \brief Number of values of answer_match.
+inline constexpr std::size_t answerMatchCount = 5;
+
+/// \brief Recognises answers that are late, doubled or swapped, by task and attempt.
+class answer_matcher
+{
+public:
+    /// \brief Notes that \p attemptId of \p taskId is sent.
+    auto open(std::string_view taskId, std::string_view attemptId) -> void;
+    /// \brief Notes that the answer to \p attemptId is no longer awaited.
+    auto abandon(std::string_view attemptId) -> void;
+    /// \brief Judges an answer that was read for \p attemptId; only an own answer may be used.
+    auto match(std::string_view attemptId, const platform::start_answer &answer) -> answer_match;
+    /// \brief Asserts that \p answer is whole and belongs to \p taskId before it goes to the caller.
+    static auto requireOwn(std::string_view taskId, const platform::start_answer &answer) -> void;
+
+    /// \brief Answers seen of each kind.
+    [[nodiscard]] auto count(answer_match match) const -> std::uint64_t;
+    /// \brief Attempts whose answers are awaited.
+    [[nodiscard]] auto openCount() const -> std::size_t;
+
+private:
+    enum class attempt_end : std::uint8_t {
+        none,
+        answered,
+        abandoned,
+    };
+
+    struct attempt
+    {
+        std::string taskId;
+        attempt_end end = attempt_end::none;
+    };
+
+    auto judge(std::string_view attemptId, const platform::start_answer &answer) -> answer_match;
+    auto close(const std::string &attemptId, attempt &sent, attempt_end end) -> void;
+
+    std::unordered_map<std::string, attempt> m_attempts;
+    std::deque<std::string> m_closed;
+    std::size_t m_open = 0;
+    std::array<std::uint64_t, answerMatchCount> m_counts{};
+};
+} // namespace poplarpass::request
--- a/src/poplarpass/request/constants.h
+++ b/src/poplarpass/request/constants.h
@@ -63,8 +63,16 @@
 inline constexpr core::duration urgentStartBound = 1900ms;
 /// \brief Wait of an urgent job after which room is made for it.
 inline constexpr core::duration makeRoomAfter = 500ms;
-/// \brief Wait of a batch job after which it is served before younger normal work.
-inline constexpr core::duration batchAgingTerm = 30s;
+/// \brief Part of the slot-seconds that batch work gets while normal work waits as well.
+inline constexpr double batchShare = 0.1;
+/// \brief Part of the slots that long work leaves free once urgent work has been seen.
+inline constexpr double urgentReserveShare = 0.1;
+/// \brief Least cost of a job in a fair queue, in slot-seconds.
+inline constexpr double smallestJobCost = 0.001;
+/// \brief Least time after which a refused caller is asked to come back.
+inline constexpr core::duration shortestRetryAfter = 1s;
+/// \brief Expected wait when the pool has no slots.
+inline constexpr core::duration unservedWait = 60s;
 /// \brief Most jobs queued for one pool.
 inline constexpr std::size_t maxQueuedPerPool = 20'000;
 
@@ -81,4 +89,29 @@
 inline constexpr core::duration firstEjection = 2s;
 /// \brief Longest pause before a worker that was taken out is tried again.
 inline constexpr core::duration longestEjection = 60s;
+
+/// \brief Closed attempts that are remembered to tell late from doubled answers.
+inline constexpr std::size_t maxClosedAttempts = 20'000;
+/// \brief Wait for a worker's answer to a lease request before another is sent.
+inline constexpr core::duration leaseRequestTimeout = 500ms;
+/// \brief Rest of a lease below which it is renewed.
+inline constexpr core::duration leaseRenewalMargin = 2s;
+
+/// \brief Random workers looked at before all are looked through.
+inline constexpr int maxPlacementProbes = 12;
+/// \brief What another zone costs, as a share of a worker's slots.
+inline constexpr double otherZonePenalty = 0.1;
+/// \brief What a failure rate of one costs, as a share of a worker's slots.
+inline constexpr double failurePenalty = 2.0;
+/// \brief Weight of the newest attempt in a worker's failure rate.
+inline constexpr double failureWeight = 0.2;
+
+/// \brief Time for which failures of a kind of work are remembered.
+inline constexpr core::duration kindMemory = 2min;
+/// \brief Most workers remembered as having failed one kind of work.
+inline constexpr std::size_t maxFailuresPerKind = 16;
+/// \brief Most kinds of work remembered.
+inline constexpr std::size_t maxLearntKinds = 4096;
+/// \brief Jobs of a kind after which learnt run times replace declared ones.
+inline constexpr int samplesToTrust = 5;
 } // namespace poplarpass::request
--- /dev/null
+++ b/src/poplarpass/request/fair_queue.cpp
@@ -0,0 +1,175 @@
+#include <poplarpass/request/fair_queue.h>
+
+#include <algorithm>
+
+namespace poplarpass::request
+{
+namespace
+{
+constexpr std::size_t removedBeforeCleaning = 32;
+} // namespace
+
+auto fair_queue::setWeight(std::uint32_t team, double weight) -> void
+{
+    auto &queue = at(team);
+    if (queue.live > 0) {
+        m_activeWeight += weight - queue.weight;
+    }
+    queue.weight = weight;
+}
+
+auto fair_queue::push(std::uint32_t team, std::uint64_t item, double seconds) -> void
+{
+    auto &queue = at(team);
+    queue.entries.push_back({item, seconds});
+    account(queue, seconds, true);
+    makeReady(team);
+}
+
+auto fair_queue::pushFront(std::uint32_t team, std::uint64_t item, double seconds) -> void
+{
+    makeIdle(team);
+    auto &queue = at(team);
+    queue.startTime -= seconds / queue.weight;
+    queue.entries.push_front({item, seconds});
+    account(queue, seconds, true);
+    makeReady(team);
+}
+
+auto fair_queue::front() const -> std::optional<std::uint64_t>
+{
+    if (m_ready.empty()) {
+        return std::nullopt;
+    }
+    return m_teams[m_ready.begin()->second].entries.front().item;
+}
+
+auto fair_queue::pop() -> std::optional<std::uint64_t>
+{
+    if (m_ready.empty()) {
+        return std::nullopt;
+    }
+    const auto team = m_ready.begin()->second;
+    auto &queue = m_teams[team];
+    m_virtualTime = std::max(m_virtualTime, queue.startTime);
+    makeIdle(team);
+    const auto first = queue.entries.front();
+    queue.entries.pop_front();
+    queue.startTime += first.seconds / queue.weight;
+    account(queue, first.seconds, false);
+    dropRemoved(queue);
+    if (queue.live > 0) {
+        makeReady(team);
+    }
+    return first.item;
+}
+
+// The entry stays where it is until it comes to the head, so that a burst of cancellations costs little.
+auto fair_queue::remove(std::uint32_t team, std::uint64_t item, double seconds) -> void
+{
+    auto &queue = at(team);
+    m_removed.insert(item);
+    account(queue, seconds, false);
+    dropRemoved(queue);
+    if (queue.live == 0) {
+        makeIdle(team);
+    }
+}
+
+auto fair_queue::setCapped(std::uint32_t team, bool capped) -> void
+{
+    auto &queue = at(team);
+    if (queue.capped == capped) {
+        return;
+    }
+    queue.capped = capped;
+    if (capped) {
+        makeIdle(team);
+    } else {
+        makeReady(team);
+    }
+}
+
+auto fair_queue::size() const -> std::size_t
+{
+    return m_size;
+}
+
+auto fair_queue::eligible() const -> bool
+{
+    return !m_ready.empty();
+}
+
+auto fair_queue::seconds() const -> double
+{
+    return m_seconds;
+}
+
+auto fair_queue::secondsOf(std::uint32_t team) const -> double
+{
+    return team < m_teams.size() ? m_teams[team].seconds : 0.0;
+}
+
+auto fair_queue::activeWeightWith(std::uint32_t team) const -> double
+{
+    const bool counted = team < m_teams.size() && m_teams[team].live > 0;
+    return m_activeWeight + (counted ? 0.0 : weightOf(team));
+}
+
+auto fair_queue::weightOf(std::uint32_t team) const -> double
+{
+    return team < m_teams.size() ? m_teams[team].weight : 1.0;
+}
+
+auto fair_queue::at(std::uint32_t team) -> team_queue &
+{
+    if (team >= m_teams.size()) {
+        m_teams.resize(team + 1);
+    }
+    return m_teams[team];
+}
+
+// A team that was idle starts at the present virtual time: it cannot save up a claim to slots that it did not need.
+auto fair_queue::makeReady(std::uint32_t team) -> void
+{
+    auto &queue = at(team);
+    if (queue.ready || queue.capped || queue.live == 0) {
+        return;
+    }
+    queue.startTime = std::max(queue.startTime, m_virtualTime);
+    m_ready.emplace(queue.startTime, team);
+    queue.ready = true;
+}
+
+auto fair_queue::makeIdle(std::uint32_t team) -> void
+{
+    auto &queue = at(team);
+    if (queue.ready) {
+        m_ready.erase({queue.startTime, team});
+        queue.ready = false;
+    }
+}
+
+auto fair_queue::account(team_queue &queue, double seconds, bool added) -> void
+{
+    const bool wasActive = queue.live > 0;
+    queue.live = added ? queue.live + 1 : queue.live - 1;
+    m_size = added ? m_size + 1 : m_size - 1;
+    queue.seconds = queue.live > 0 ? queue.seconds + (added ? seconds : -seconds) : 0.0;
+    m_seconds = m_size > 0 ? m_seconds + (added ? seconds : -seconds) : 0.0;
+    const bool isActive = queue.live > 0;
+    if (wasActive != isActive) {
+        m_activeWeight += isActive ? queue.weight : -queue.weight;
+    }
+}
+
+auto fair_queue::dropRemoved(team_queue &queue) -> void
+{
+    while (!queue.entries.empty() && m_removed.erase(queue.entries.front().item) > 0) {
+        queue.entries.pop_front();
+    }
+    if (queue.entries.size() > 2 * queue.live + removedBeforeCleaning) {
+        std::erase_if(queue.entries, [this](const entry &candidate) { return m_removed.erase(candidate.item) > 0; });
+    }
+}
+} // namespace poplarpass::request
--- a/src/poplarpass/request/key_authority_home.cpp
+++ b/src/poplarpass/request/key_authority_home.cpp
@@ -65,7 +65,7 @@
 {
     const auto names = namesOf(m_authority.acting());
     for (const auto &name : core::rendezvousOrder(unpackKey(key).str(), names)) {
-        const auto member = m_authority.actingMember(name);
+        auto member = m_authority.actingMember(name);
         if (*member != m_authority.self() && member != holder && !m_down.contains(name)) {
             return member;
         }
--- /dev/null
+++ b/src/poplarpass/request/placement.cpp
@@ -0,0 +1,145 @@
+#include <poplarpass/request/constants.h>
+#include <poplarpass/request/placement.h>
+
+#include <memory>
+
+namespace poplarpass::request
+{
+namespace
+{
+auto pick(std::size_t count, std::mt19937_64 &random) -> std::size_t
+{
+    return static_cast<std::size_t>(random() % count);
+}
+
+auto firstFrom(std::size_t start, const placement_query &query, std::span<const worker_view> workers)
+    -> std::optional<std::size_t>
+{
+    for (std::size_t step = 0; step < workers.size(); ++step) {
+        const auto index = (start + step) % workers.size();
+        if (canTake(workers[index], query)) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+auto scoreOf(const worker_view &worker, const placement_query &query) -> double
+{
+    const auto share = static_cast<double>(worker.freeSlots()) / std::max(1, worker.slots);
+    const auto distance = worker.zone == query.zone ? 0.0 : otherZonePenalty;
+    return share - distance - failurePenalty * worker.failureRate;
+}
+
+// Two candidates spread the load of entries that do not see each other's sends; the best of all would draw every entry
+// to the same worker until its next report.
+auto betterOfTwo(const placement_query &query, std::span<const worker_view> workers, std::mt19937_64 &random)
+    -> std::optional<std::size_t>
+{
+    std::optional<std::size_t> best;
+    double bestScore = 0.0;
+    int found = 0;
+    for (int probe = 0; probe < maxPlacementProbes && found < 2; ++probe) {
+        const auto index = pick(workers.size(), random);
+        if (index == best || !canTake(workers[index], query)) {
+            continue;
+        }
+        ++found;
+        const auto score = scoreOf(workers[index], query);
+        if (!best || score > bestScore) {
+            best = index;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+} // namespace
+
+auto couldHold(const worker_view &worker, const placement_query &query) -> bool
+{
+    return worker.cores >= query.cores && worker.memoryMb >= query.memoryMb;
+}
+
+auto canTake(const worker_view &worker, const placement_query &query) -> bool
+{
+    const bool avoided = query.avoid != nullptr && *query.avoid == worker.host;
+    return worker.open && !avoided && worker.freeSlots() > 0 && worker.freeConnections() > 0
+        && couldHold(worker, query);
+}
+
+auto randomPlacement() -> placement_policy
+{
+    return [](const placement_query &query, std::span<const worker_view> workers,
+              std::mt19937_64 &random) -> std::optional<std::size_t> {
+        if (workers.empty()) {
+            return std::nullopt;
+        }
+        for (int probe = 0; probe < maxPlacementProbes; ++probe) {
+            const auto index = pick(workers.size(), random);
+            if (canTake(workers[index], query)) {
+                return index;
+            }
+        }
+        return firstFrom(pick(workers.size(), random), query, workers);
+    };
+}
+
+auto roundRobinPlacement() -> placement_policy
+{
+    return [next = std::size_t{0}](const placement_query &query, std::span<const worker_view> workers,
+                                   std::mt19937_64 & /*random*/) mutable -> std::optional<std::size_t> {
+        if (workers.empty()) {
+            return std::nullopt;
+        }
+        const auto found = firstFrom(next % workers.size(), query, workers);
+        next = found ? *found + 1 : next;
+        return found;
+    };
+}
+
+auto leastOutstandingPlacement() -> placement_policy
+{
+    return [](const placement_query &query, std::span<const worker_view> workers,
+              std::mt19937_64 & /*random*/) -> std::optional<std::size_t> {
+        std::optional<std::size_t> best;
+        for (std::size_t index = 0; index < workers.size(); ++index) {
+            const bool fewer = !best || workers[index].outstanding < workers[*best].outstanding;
+            if (fewer && canTake(workers[index], query)) {
+                best = index;
+            }
+        }
+        return best;
+    };
+}
+
+auto twoChoicesPlacement() -> placement_policy
+{
+    return [](const placement_query &query, std::span<const worker_view> workers,
+              std::mt19937_64 &random) -> std::optional<std::size_t> {
+        if (workers.empty()) {
+            return std::nullopt;
+        }
+        if (const auto best = betterOfTwo(query, workers, random)) {
+            return best;
+        }
+        return firstFrom(pick(workers.size(), random), query, workers);
+    };
+}
+
+auto placementNamed(std::string_view name) -> std::optional<placement_policy>
+{
+    if (name == "random") {
+        return randomPlacement();
+    }
+    if (name == "round_robin") {
+        return roundRobinPlacement();
+    }
+    if (name == "least_outstanding") {
+        return leastOutstandingPlacement();
+    }
+    if (name == "two_choices") {
+        return twoChoicesPlacement();
+    }
+    return std::nullopt;
+}
+} // namespace poplarpass::request
--- /dev/null
+++ b/src/poplarpass/request/worker_pool.cpp
@@ -0,0 +1,168 @@
+#include <poplarpass/request/worker_pool.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarpass::request
+{
+namespace
+{
+auto openSlotsOf(const worker_view &worker) -> int
+{
+    return worker.open ? worker.slots : 0;
+}
+
+auto freeSlotsOf(const worker_view &worker) -> int
+{
+    return worker.open ? worker.freeSlots() : 0;
+}
+} // namespace
+
+worker_pool::worker_pool(placement_policy policy)
+    : m_policy{std::move(policy)}
+{
+}
+
+auto worker_pool::put(worker_view worker) -> void
+{
+    if (!m_index.contains(worker.host)) {
+        m_index.emplace(worker.host, m_workers.size());
+        m_totals.open += openSlotsOf(worker);
+        m_totals.free += freeSlotsOf(worker);
+        m_workers.push_back(std::move(worker));
+        m_histories.emplace_back();
+        return;
+    }
+    alter(worker.host, [&worker](worker_view &known, history & /*past*/) {
+        known.address = std::move(worker.address);
+        known.zone = std::move(worker.zone);
+        known.generation = worker.generation;
+        known.slots = worker.slots;
+        known.connections = worker.connections;
+        known.cores = worker.cores;
+        known.memoryMb = worker.memoryMb;
+    });
+}
+
+auto worker_pool::remove(const core::host_id &host) -> void
+{
+    const auto found = m_index.find(host);
+    if (found == m_index.end()) {
+        return;
+    }
+    const auto index = found->second;
+    m_totals.open -= openSlotsOf(m_workers[index]);
+    m_totals.free -= freeSlotsOf(m_workers[index]);
+    m_index.erase(found);
+    if (index + 1 != m_workers.size()) {
+        m_workers[index] = std::move(m_workers.back());
+        m_histories[index] = m_histories.back();
+        m_index[m_workers[index].host] = index;
+    }
+    m_workers.pop_back();
+    m_histories.pop_back();
+}
+
+// A report shows what was running some time before it was given; starts sent after the request cannot be in it.
+auto worker_pool::report(const core::host_id &host, const platform::worker_report &figures,
+                         core::monotonic_time requestedAt) -> void
+{
+    alter(host, [&figures, requestedAt](worker_view &worker, history &past) {
+        if (requestedAt < past.reportedFor) {
+            return;
+        }
+        past.reportedFor = requestedAt;
+        worker.reportedSlots = figures.usedSlots;
+        worker.reportedConnections = figures.usedConnections;
+        worker.sentSinceReport = 0;
+    });
+}
+
+auto worker_pool::setOpen(const core::host_id &host, bool open) -> void
+{
+    alter(host, [open](worker_view &worker, history & /*past*/) { worker.open = open; });
+}
+
+auto worker_pool::setFailureRate(const core::host_id &host, double rate) -> void
+{
+    alter(host, [rate](worker_view &worker, history & /*past*/) { worker.failureRate = rate; });
+}
+
+auto worker_pool::sent(const core::host_id &host, core::monotonic_time /*at*/) -> void
+{
+    alter(host, [](worker_view &worker, history & /*past*/) {
+        ++worker.outstanding;
+        ++worker.sentSinceReport;
+    });
+}
+
+auto worker_pool::ended(const core::host_id &host, core::monotonic_time sentAt) -> void
+{
+    alter(host, [sentAt](worker_view &worker, history &past) {
+        worker.outstanding = std::max(0, worker.outstanding - 1);
+        if (sentAt >= past.reportedFor) {
+            --worker.sentSinceReport;
+        } else {
+            worker.reportedSlots = std::max(0, worker.reportedSlots - 1);
+            worker.reportedConnections = std::max(0, worker.reportedConnections - 1);
+        }
+    });
+}
+
+auto worker_pool::refusedForRoom(const core::host_id &host) -> void
+{
+    alter(host, [](worker_view &worker, history & /*past*/) {
+        worker.reportedSlots = std::max(worker.reportedSlots, worker.slots - std::max(worker.sentSinceReport, 0));
+    });
+}
+
+auto worker_pool::choose(const placement_query &query, std::mt19937_64 &random) -> const worker_view *
+{
+    if (m_totals.free <= 0) {
+        return nullptr;
+    }
+    const auto index = m_policy(query, m_workers, random);
+    return index ? &m_workers[*index] : nullptr;
+}
+
+auto worker_pool::couldEverHold(const placement_query &query) const -> bool
+{
+    return std::ranges::any_of(m_workers, [&query](const worker_view &worker) { return couldHold(worker, query); });
+}
+
+auto worker_pool::find(const core::host_id &host) const -> const worker_view *
+{
+    const auto found = m_index.find(host);
+    return found == m_index.end() ? nullptr : &m_workers[found->second];
+}
+
+auto worker_pool::workers() const -> std::span<const worker_view>
+{
+    return m_workers;
+}
+
+auto worker_pool::openSlots() const -> int
+{
+    return m_totals.open;
+}
+
+auto worker_pool::freeSlots() const -> int
+{
+    return m_totals.free;
+}
+
+template <class change>
+auto worker_pool::alter(const core::host_id &host, change apply) -> void
+{
+    const auto found = m_index.find(host);
+    if (found == m_index.end()) {
+        return;
+    }
+    auto &worker = m_workers[found->second];
+    m_totals.open -= openSlotsOf(worker);
+    m_totals.free -= freeSlotsOf(worker);
+    apply(worker, m_histories[found->second]);
+    m_totals.open += openSlotsOf(worker);
+    m_totals.free += freeSlotsOf(worker);
+}
+} // namespace poplarpass::request
--- /dev/null
+++ b/src/poplarpass/request/worker_view.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <poplarpass/core/string_id.h>
+#include <poplarpass/core/time.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+
+namespace poplarpass::request
+{
+/// \brief One worker as this entry sees it.
+struct worker_view
+{
+    core::host_id host; ///< Its name.
+    std::string address; ///< "IP:port" of its endpoint.
+    core::zone_id zone; ///< Availability zone that it stands in.
+    std::uint64_t generation = 0; ///< Generation of its assignment to the pool.
+    int slots = 0; ///< Jobs that it runs at once.
+    int connections = 0; ///< Connections that it accepts.
+    int cores = 0; ///< Processor cores.
+    int memoryMb = 0; ///< Memory in MB.
+    int reportedSlots = 0; ///< Slots in use by its last report.
+    int reportedConnections = 0; ///< Connections in use by its last report.
+    int sentSinceReport = 0; ///< Own starts that the last report cannot show yet, less those that ended.
+    int outstanding = 0; ///< Own jobs without an answer.
+    double failureRate = 0.0; ///< Share of its recent attempts that failed by its own fault.
+    bool open = true; ///< Whether it may get new work: neither leaving nor taken out.
+
+    /// \brief Estimate of the slots in use: the report corrected by what this entry has sent since.
+    [[nodiscard]] auto usedSlots() const -> int
+    {
+        return std::max(reportedSlots + std::max(sentSinceReport, 0), outstanding);
+    }
+
+    /// \brief Estimate of the free slots, never negative.
+    [[nodiscard]] auto freeSlots() const -> int
+    {
+        return std::max(0, slots - usedSlots());
+    }
+
+    /// \brief Estimate of the free connections, never negative.
+    [[nodiscard]] auto freeConnections() const -> int
+    {
+        return std::max(0, connections - std::max(reportedConnections + std::max(sentSinceReport, 0), outstanding));
+    }
+};
+} // namespace poplarpass::request
