Entry process: callers' interface, job runner, worker directory

Cause: the thin whole path needs an entry. Change: caller API on Beast, job runner over admission, placement and attempt decisions, worker directory over leases and leaving, key authority wired to peers. Measured: builds; not run.

--- /dev/null
+++ b/src/poplarpass/app/entry_process.cpp
@@ -0,0 +1,548 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/entry_process.h>
+#include <poplarpass/app/process_tree.h>
+#include <poplarpass/codec/state_codec.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace poplarpass::app
+{
+namespace
+{
+constexpr core::duration decisionTick = std::chrono::milliseconds{20};
+constexpr core::duration leaseTick = std::chrono::milliseconds{100};
+constexpr core::duration sightingPeriod = std::chrono::seconds{1};
+constexpr core::duration stopTick = std::chrono::milliseconds{50};
+constexpr core::duration handoverLimit = std::chrono::seconds{3};
+constexpr core::duration linkOpenTimeout = std::chrono::seconds{1};
+constexpr core::duration defaultAskWait = std::chrono::seconds{1};
+constexpr std::int64_t longestAskWaitMs = 600'000;
+constexpr std::string_view jobsPath = "/v1/jobs";
+constexpr std::string_view jobPrefix = "/v1/jobs/";
+
+auto serverLimits(const settings::limit_settings &limits) -> net::server_limits
+{
+    net::server_limits server;
+    server.bodyBytes = limits.maxBodyBytes;
+    server.readTimeout = limits.requestReadTimeout;
+    server.maxConnections = limits.maxConnections;
+    return server;
+}
+
+auto tableLimits(const settings::limit_settings &limits) -> request::job_table_limits
+{
+    return {static_cast<std::size_t>(limits.maxRememberedKeys), request::maxAnswerBytes};
+}
+
+auto waitOf(const net::http_request &message) -> core::duration
+{
+    const auto text = message.query("wait_ms");
+    std::int64_t milliseconds = 0;
+    if (!text || std::from_chars(text->data(), text->data() + text->size(), milliseconds).ec != std::errc{}) {
+        return defaultAskWait;
+    }
+    return std::chrono::milliseconds{std::clamp<std::int64_t>(milliseconds, 0, longestAskWaitMs)};
+}
+} // namespace
+
+entry_process::entry_process(settings::process_settings given)
+    : m_process{std::move(given), "entry"}
+    , m_log{m_process.loop, m_process.logService, m_process.settings.deployment.secret,
+            {[this](fold::log_offset, const core::record_id &, const fold::record &change,
+                    const fold::applied &outcome) { onApplied(change, outcome); },
+             [this](const fold::fleet_state &state) { useState(state); },
+             [this](core::monotonic_time sentAt) {
+                 m_authority.logReadToEnd(sentAt);
+                 useEntries();
+             }}}
+    , m_peers{m_process,
+              {[this](const request::member_ref &from, const request::peer_message &message) {
+                   onMessage(from, message);
+               },
+               [this](const core::member_id &to, std::uint64_t sequence) {
+                   m_authority.pingSent(to, sequence, monotonicNow());
+               },
+               [this](const core::member_id &peer, net::down_reason reason) { onPeerDown(peer, reason); }}}
+    , m_membership{m_process, m_log, fold::member_kind::entry, [this] { stop(entry_end::removed); }}
+    , m_status{m_process, [this] { return describeState(m_log.state()); }, [this] { updateGauges(); }}
+    , m_workers{m_process, [this] { m_runner.pump(); }}
+    , m_runner{m_process, m_workers}
+    , m_authority{{m_process.settings.process.name, m_process.incarnation}}
+    , m_jobs{tableLimits(m_process.settings.limits)}
+    , m_keys{m_authority, m_jobs}
+{
+}
+
+entry_process::~entry_process() = default;
+
+auto entry_process::now() const -> request::instant
+{
+    return {monotonicNow(), wallNow()};
+}
+
+auto entry_process::childSpecs() -> std::vector<child_spec>
+{
+    return {
+        {"log", [this] { m_log.start(); },
+         [this](const std::function<void()> &done) {
+             m_log.stop();
+             done();
+         }},
+        {"peers", [this] { m_peers.start(); },
+         [this](const std::function<void()> &done) {
+             m_peers.stop();
+             done();
+         }},
+        {"status", [this] { m_status.start(); },
+         [this](const std::function<void()> &done) {
+             m_status.stop();
+             done();
+         }},
+        {"membership", [] {}, [this](const std::function<void()> &done) { m_membership.leave(m_keys.handedOver(), done); }},
+        {"decisions", [this] { startTickers(); },
+         [this](const std::function<void()> &done) {
+             m_tickers.clear();
+             done();
+         }},
+        {"callers",
+         [this] {
+             m_server = std::make_unique<net::http_server>(
+                 m_process.loop, m_process.settings.listen.callers, serverLimits(m_process.settings.limits),
+                 [this](net::http_request message, std::shared_ptr<net::responder> caller) {
+                     handle(std::move(message), std::move(caller));
+                 },
+                 [](const core::error &problem) { return errorResponse({}, problem); });
+             m_process.log.log(observe::log_level::info, "listening",
+                               {{"role", "callers"}, {"address", m_server->address()}});
+         },
+         [this](const std::function<void()> &done) {
+             m_server.reset();
+             done();
+         }},
+    };
+}
+
+auto entry_process::startTickers() -> void
+{
+    const auto &timing = m_process.settings.timing;
+    const auto every = [this](core::duration period, std::function<void()> callback) {
+        m_tickers.push_back(std::make_unique<ticker>(m_process.loop, period, std::move(callback)));
+    };
+    every(decisionTick, [this] { advance(); });
+    every(timing.heartbeat, [this] { beat(); });
+    every(leaseTick, [this] { m_workers.renewLeases(); });
+    every(timing.hostListPoll, [this] { m_workers.pollHostList(); });
+    every(sightingPeriod, [this] {
+        reportSightings();
+        askForState();
+    });
+}
+
+auto entry_process::run() -> entry_end
+{
+    m_supervisor = std::make_unique<supervisor>(childSpecs(), restart_policy{}, supervisorHooks(m_process));
+    runUntilSignal(m_process, *m_supervisor, [this] { stop(entry_end::stopped); });
+    return m_end;
+}
+
+auto entry_process::onApplied(const fold::record &change, const fold::applied &outcome) -> void
+{
+    if (!outcome.accepted) {
+        return;
+    }
+    const auto &state = m_log.state();
+    if (const auto *host = std::get_if<fold::host_record>(&change)) {
+        m_workers.useHost(state, host->host);
+    } else if (std::holds_alternative<fold::config_record>(change)) {
+        m_runner.useConfig(state.config());
+        m_process.log.log(observe::log_level::info, "config_in_force", {{"revision", state.revision()}});
+    } else if (std::holds_alternative<fold::member_join_record>(change)
+               || std::holds_alternative<fold::member_leave_record>(change)) {
+        useEntries();
+    }
+}
+
+auto entry_process::useState(const fold::fleet_state &state) -> void
+{
+    m_runner.useConfig(state.config());
+    m_workers.useState(state);
+    useEntries();
+}
+
+// Only lists that were read at the end of the log count: while an old log is read again, every former list goes by.
+auto entry_process::useEntries() -> void
+{
+    const auto &state = m_log.state();
+    const auto &history = state.entries();
+    if (!m_log.follower().readToEndSince() || history.epoch <= m_entryEpoch) {
+        return;
+    }
+    m_entryEpoch = history.epoch;
+    request::membership list;
+    list.epoch = history.epoch;
+    list.aloneUntil = core::fromUnixMilliseconds(static_cast<std::int64_t>(history.aloneUntilUnixMs));
+    std::vector<net::peer_address> addresses;
+    for (const auto &member : state.members()) {
+        addresses.push_back({member.joined.member, member.joined.address});
+        if (member.joined.kind == fold::member_kind::entry) {
+            list.members.push_back({member.joined.member, member.joined.incarnation});
+        }
+    }
+    for (const auto &loss : history.losses) {
+        list.losses.push_back({{loss.member, loss.incarnation},
+                               core::fromUnixMilliseconds(static_cast<std::int64_t>(loss.atUnixMs))});
+    }
+    m_peers.useMembers(addresses);
+    m_authority.foldEpoch(list, now());
+    m_process.log.log(observe::log_level::info, "entry_list", {{"epoch", list.epoch}, {"entries", list.members.size()}});
+}
+
+auto entry_process::onMessage(const request::member_ref &from, const request::peer_message &message) -> void
+{
+    if (const auto *beat = std::get_if<request::heartbeat>(&message)) {
+        m_log.follower().notePeerOffset(beat->foldedOffset);
+        const auto digest = m_log.follower().digestAt(beat->foldedOffset);
+        if (digest && *digest != beat->stateDigest) {
+            m_process.log.log(observe::log_level::error, "state_digest_mismatch",
+                              {{"peer", from.member.str()}, {"offset", beat->foldedOffset}});
+        }
+        if (beat->actingEpoch != 0) {
+            m_authority.heartbeatReceived(*beat, now());
+        }
+    } else if (const auto *ask = std::get_if<request::state_request>(&message)) {
+        answerStateRequest(from, *ask);
+    } else if (const auto *reply = std::get_if<request::state_reply>(&message)) {
+        takeState(*reply);
+    } else if (!std::holds_alternative<request::sightings_report>(message)) {
+        carryOut(m_keys.receive(from, message, now()));
+    }
+}
+
+auto entry_process::onPeerDown(const core::member_id &peer, net::down_reason reason) -> void
+{
+    if (reason == net::down_reason::refused) {
+        // The attempt began at most one opening timeout ago.
+        m_authority.connectionRefused(peer, monotonicNow() - linkOpenTimeout);
+    }
+    carryOut(m_keys.unreachable(peer, now()));
+}
+
+auto entry_process::askForState() -> void
+{
+    if (m_log.follower().hasState()) {
+        return;
+    }
+    for (const auto &peer : m_process.settings.peers) {
+        if (m_peers.isUp(peer.name)) {
+            m_peers.send(peer.name, request::state_request{m_log.state().offset()});
+        }
+    }
+}
+
+auto entry_process::answerStateRequest(const request::member_ref &from, const request::state_request &ask) -> void
+{
+    const auto &state = m_log.state();
+    if (m_log.follower().hasState() && state.offset() > ask.knownOffset) {
+        m_peers.send(from.member, request::state_reply{state.offset(), state.digest(), codec::encodeState(state)});
+    }
+}
+
+auto entry_process::takeState(const request::state_reply &reply) -> void
+{
+    if (m_log.follower().hasState()) {
+        return;
+    }
+    const auto taken = m_log.follower().takePeerState(reply.state, reply.digest);
+    m_process.log.log(observe::log_level::info, "peer_state",
+                      {{"offset", reply.offset}, {"taken", taken.has_value()}});
+}
+
+auto entry_process::handle(net::http_request message, std::shared_ptr<net::responder> caller) -> void
+{
+    const auto path = message.path();
+    if (path == jobsPath && message.method == "POST") {
+        submit(message, caller);
+        return;
+    }
+    if (path.starts_with(jobPrefix)) {
+        const core::job_key key{net::percentDecode(path.substr(jobPrefix.size()))};
+        if (message.method == "GET") {
+            ask(message, key, caller);
+            return;
+        }
+        if (message.method == "DELETE") {
+            cancel(key, caller);
+            return;
+        }
+    }
+    caller->respond(errorResponse({}, {core::error_kind::invalid_request, "no such path or method", {}}));
+}
+
+auto entry_process::addCaller(const core::job_key &key, const std::shared_ptr<net::responder> &responder, bool isCancel)
+    -> request::waiter_id
+{
+    const auto who = ++m_lastWaiter;
+    m_callers[who] = {key, responder, monotonicNow(), {}, isCancel};
+    responder->onDisconnect([this, who] {
+        if (const auto found = m_callers.find(who); found != m_callers.end()) {
+            m_keys.giveUp(found->second.key, who);
+            m_callers.erase(found);
+        }
+    });
+    return who;
+}
+
+auto entry_process::submit(const net::http_request &message, const std::shared_ptr<net::responder> &caller) -> void
+{
+    if (!m_log.follower().hasState()) {
+        caller->respond(errorResponse({}, {core::error_kind::worker_unavailable, "no configuration is known yet", {}}));
+        return;
+    }
+    auto submission = parseSubmission(message, {m_log.state().config(), wallNow()});
+    if (!submission) {
+        caller->respond(errorResponse({}, submission.error()));
+        return;
+    }
+    const auto incoming = observe::parseTraceparent(submission->spec.traceparent);
+    auto hop = m_process.traces.start("POST /v1/jobs", observe::span_kind::server, incoming);
+    submission->spec.traceparent = observe::formatTraceparent(hop.context());
+    const bool direct = submission->spec.idempotent && submission->spec.key.empty() && submission->wait;
+    if (submission->spec.key.empty()) {
+        submission->spec.key = request::makeUuid7(wallNow(), m_process.random);
+    }
+    if (direct) {
+        submitDirect(*std::move(submission), caller);
+    } else {
+        submitKeyed(*submission, caller);
+    }
+    if (const auto found = m_callers.find(m_lastWaiter); found != m_callers.end()) {
+        found->second.span = std::move(hop);
+    }
+}
+
+// Idempotent work without a caller's key can be asked for by nobody else, so no other entry needs to know of it.
+auto entry_process::submitDirect(job_submission submission, const std::shared_ptr<net::responder> &caller) -> void
+{
+    const auto key = submission.spec.key;
+    const auto deadline = submission.spec.deadline;
+    const auto who = addCaller(key, caller, false);
+    job_hooks hooks;
+    hooks.beginAttempt = [] { return core::result<void>{}; };
+    hooks.attemptNotStarted = [] {};
+    hooks.done = [this, who, key](const request::job_answer &answer) {
+        answerCaller(who, answerResponse(key, answer), answer ? "finished" : core::answerOf(answer.error().kind).name);
+    };
+    const auto spec = std::make_shared<const request::job_spec>(std::move(submission.spec));
+    if (const auto queued = m_runner.submit(spec, std::move(hooks)); !queued) {
+        answerCaller(who, errorResponse(key, queued.error()), core::answerOf(queued.error().kind).name);
+    } else if (deadline != core::wall_time{}) {
+        answerLater(who, deadline - wallNow());
+    }
+}
+
+auto entry_process::submitKeyed(const job_submission &submission, const std::shared_ptr<net::responder> &caller) -> void
+{
+    const auto &spec = submission.spec;
+    const auto who = addCaller(spec.key, caller, false);
+    carryOut(m_keys.submit(spec, who, now()));
+    const auto found = m_callers.find(who);
+    if (found == m_callers.end()) {
+        return;
+    }
+    if (!submission.wait) {
+        m_keys.giveUp(spec.key, who);
+        answerCaller(who, pendingResponse(spec.key), "pending");
+    } else if (spec.deadline != core::wall_time{}) {
+        answerLater(who, spec.deadline - wallNow());
+    }
+}
+
+auto entry_process::ask(const net::http_request &message, const core::job_key &key,
+                        const std::shared_ptr<net::responder> &caller) -> void
+{
+    const auto who = addCaller(key, caller, false);
+    const auto wait = waitOf(message);
+    carryOut(m_keys.ask(key, who, now()));
+    callAfter(m_process.loop, wait, [this, who, key] {
+        if (m_callers.contains(who)) {
+            m_keys.giveUp(key, who);
+            answerCaller(who, pendingResponse(key), "pending");
+        }
+    });
+}
+
+auto entry_process::cancel(const core::job_key &key, const std::shared_ptr<net::responder> &caller) -> void
+{
+    const auto who = addCaller(key, caller, true);
+    carryOut(m_keys.cancel(key, who, now()));
+}
+
+// At the deadline the caller gives up; whether the job runs is not known to it, so nothing more is claimed.
+auto entry_process::answerLater(request::waiter_id who, core::duration delay) -> void
+{
+    callAfter(m_process.loop, std::max(delay, core::duration{0}), [this, who] {
+        const auto found = m_callers.find(who);
+        if (found == m_callers.end()) {
+            return;
+        }
+        const auto key = found->second.key;
+        m_keys.giveUp(key, who);
+        const core::error problem{core::error_kind::outcome_unknown, "no answer before the deadline", {}};
+        answerCaller(who, errorResponse(key, problem), "outcome_unknown");
+    });
+}
+
+auto entry_process::answerCaller(request::waiter_id who, const net::http_response &response, std::string_view result)
+    -> void
+{
+    const auto found = m_callers.find(who);
+    if (found == m_callers.end()) {
+        return;
+    }
+    auto answered = std::move(found->second);
+    m_callers.erase(found);
+    auto &metrics = m_process.metrics;
+    metrics.counterOf("poplarpass_answers_total", "Answers to callers", {{"result", std::string{result}}}).add();
+    metrics.histogramOf("poplarpass_request_seconds", "From a request's arrival to its answer")
+        .record(monotonicNow() - answered.arrivedAt);
+    m_process.log.log(observe::log_level::debug, "answer", {{"key", answered.key.str()}, {"result", result}});
+    answered.span.setAttribute({"http.status_code", response.status});
+    answered.responder->respond(response);
+}
+
+auto entry_process::carryOut(const request::key_actions &actions) -> void
+{
+    std::vector<core::member_id> lost;
+    for (const auto &action : actions) {
+        if (const auto *send = std::get_if<request::send_action>(&action)) {
+            if (!m_peers.send(send->to.member, send->message)) {
+                lost.push_back(send->to.member);
+            }
+        } else if (const auto *start = std::get_if<request::dispatch_action>(&action)) {
+            dispatch(*start);
+        } else if (const auto *answer = std::get_if<request::answer_action>(&action)) {
+            const auto found = m_callers.find(answer->waiter);
+            if (found != m_callers.end()) {
+                const auto &given = *answer->answer;
+                answerCaller(answer->waiter, answerResponse(found->second.key, given),
+                             given ? "finished" : core::answerOf(given.error().kind).name);
+            }
+        } else if (const auto *ended = std::get_if<request::cancel_action>(&action)) {
+            const auto found = m_callers.find(ended->waiter);
+            if (found != m_callers.end()) {
+                answerCaller(ended->waiter, cancelResponse(found->second.key, ended->outcome, ended->answer), "cancel");
+            }
+        } else if (const auto *withdraw = std::get_if<request::withdraw_action>(&action)) {
+            if (const auto ticket = m_tickets.find(withdraw->key); ticket != m_tickets.end()) {
+                m_runner.withdraw(ticket->second);
+                m_tickets.erase(ticket);
+            }
+        } else if (const auto *stopped = std::get_if<request::stop_action>(&action)) {
+            if (const auto ticket = m_tickets.find(stopped->key); ticket != m_tickets.end()) {
+                m_runner.stop(ticket->second);
+            }
+        }
+    }
+    for (const auto &member : lost) {
+        carryOut(m_keys.unreachable(member, now()));
+    }
+}
+
+auto entry_process::dispatch(const request::dispatch_action &action) -> void
+{
+    const auto key = action.key;
+    job_hooks hooks;
+    hooks.beginAttempt = [this, key] { return m_keys.beginAttempt(key, now()); };
+    hooks.attemptNotStarted = [this, key] { m_keys.attemptNotStarted(key); };
+    hooks.done = [this, key](request::job_answer answer) { jobDone(key, std::move(answer)); };
+    const auto queued = m_runner.submit(action.spec, std::move(hooks));
+    if (queued) {
+        m_tickets[key] = *queued;
+    } else {
+        carryOut(m_keys.complete(key, tl::make_unexpected(queued.error()), now()));
+    }
+}
+
+auto entry_process::jobDone(const request::packed_key &key, request::job_answer answer) -> void
+{
+    m_tickets.erase(key);
+    carryOut(m_keys.complete(key, std::move(answer), now()));
+}
+
+auto entry_process::advance() -> void
+{
+    m_authority.advance(now());
+    carryOut(m_keys.advance(now()));
+    m_membership.tick(m_peers.advertisedAddress());
+    m_runner.pump();
+}
+
+auto entry_process::beat() -> void
+{
+    request::heartbeat figures;
+    figures.from = m_authority.self();
+    figures.epoch = m_authority.foldedEpoch();
+    figures.actingEpoch = m_authority.acting().epoch;
+    figures.foldedOffset = m_log.state().offset();
+    figures.stateDigest = m_log.state().digest();
+    figures.logFresh = m_authority.logFresh(monotonicNow());
+    figures.leaving = m_stopping;
+    figures.controlEpoch = m_log.state().control().epoch;
+    figures.hears = m_peers.heardPeers();
+    figures.demand = m_runner.demand();
+    m_peers.beat(figures);
+}
+
+auto entry_process::reportSightings() -> void
+{
+    request::sightings_report report{m_workers.takeSightings()};
+    const auto &holder = m_log.state().control().holder;
+    if (!holder.empty() && !report.sightings.empty()) {
+        m_peers.send(holder, report);
+    }
+}
+
+auto entry_process::updateGauges() -> void
+{
+    auto &metrics = m_process.metrics;
+    const auto at = monotonicNow();
+    metrics.gaugeOf("poplarpass_may_act", "Whether non-idempotent work may be started").set(m_authority.mayAct(at));
+    metrics.gaugeOf("poplarpass_active_jobs", "Jobs that wait or run").set(static_cast<double>(m_runner.activeCount()));
+    metrics.gaugeOf("poplarpass_remembered_keys", "Idempotency keys remembered").set(static_cast<double>(m_jobs.size()));
+    metrics.gaugeOf("poplarpass_spans_dropped", "Spans lost as the collector was away")
+        .set(static_cast<double>(m_process.traces.droppedCount()));
+    updateFoldGauges(m_process, m_log.state());
+}
+
+auto entry_process::stop(entry_end reason) -> void
+{
+    if (std::exchange(m_stopping, true)) {
+        return;
+    }
+    m_end = reason;
+    m_process.log.log(observe::log_level::info, "stopping", {{"active", m_runner.activeCount()}});
+    beat();
+    m_server->setOnDrained([this] { m_drained = true; });
+    m_server->drain();
+    m_stopTicker = std::make_unique<ticker>(m_process.loop, stopTick, [this] { finishStop(); });
+}
+
+auto entry_process::finishStop() -> void
+{
+    if (!m_drained || m_runner.activeCount() != 0) {
+        return;
+    }
+    if (!m_handingOver) {
+        m_handingOver = true;
+        m_handoverUntil = monotonicNow() + handoverLimit;
+        carryOut(m_keys.handOver(now()));
+    }
+    if (!m_keys.handedOver() && monotonicNow() < m_handoverUntil) {
+        return;
+    }
+    m_stopTicker->stop();
+    m_supervisor->stop([this] { m_process.loop.stop(); });
+}
+} // namespace poplarpass::app
--- /dev/null
+++ b/src/poplarpass/app/entry_process.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <poplarpass/app/caller_api.h>
+#include <poplarpass/app/fleet_log.h>
+#include <poplarpass/app/job_runner.h>
+#include <poplarpass/app/membership_publisher.h>
+#include <poplarpass/app/peer_hub.h>
+#include <poplarpass/app/process_runtime.h>
+#include <poplarpass/app/status_server.h>
+#include <poplarpass/app/supervisor.h>
+#include <poplarpass/app/worker_directory.h>
+#include <poplarpass/net/http_server.h>
+#include <poplarpass/request.h>
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace poplarpass::app
+{
+/// \brief Why an entry process ended.
+enum class entry_end {
+    stopped, ///< It was told to.
+    removed, ///< The member list dropped it, so what it remembers counts no more; a new run may join.
+};
+
+/// \brief The entry process: takes jobs of callers and answers each once.
+class entry_process
+{
+public:
+    explicit entry_process(settings::process_settings given);
+    ~entry_process();
+    entry_process(const entry_process &) = delete;
+    auto operator=(const entry_process &) -> entry_process & = delete;
+
+    /// \brief Runs until SIGTERM or SIGINT, or until it was removed from the member list, and stops gracefully.
+    auto run() -> entry_end;
+
+private:
+    struct caller
+    {
+        core::job_key key;
+        std::shared_ptr<net::responder> responder;
+        core::monotonic_time arrivedAt;
+        observe::span span;
+        bool isCancel = false;
+    };
+
+    auto childSpecs() -> std::vector<child_spec>;
+    auto startTickers() -> void;
+    auto onApplied(const fold::record &change, const fold::applied &outcome) -> void;
+    auto useState(const fold::fleet_state &state) -> void;
+    auto useEntries() -> void;
+    auto onMessage(const request::member_ref &from, const request::peer_message &message) -> void;
+    auto onPeerDown(const core::member_id &peer, net::down_reason reason) -> void;
+    auto answerStateRequest(const request::member_ref &from, const request::state_request &ask) -> void;
+    auto takeState(const request::state_reply &reply) -> void;
+    auto askForState() -> void;
+
+    auto handle(net::http_request message, std::shared_ptr<net::responder> caller) -> void;
+    auto submit(const net::http_request &message, const std::shared_ptr<net::responder> &caller) -> void;
+    auto submitDirect(job_submission submission, const std::shared_ptr<net::responder> &caller) -> void;
+    auto submitKeyed(const job_submission &submission, const std::shared_ptr<net::responder> &caller) -> void;
+    auto ask(const net::http_request &message, const core::job_key &key,
+             const std::shared_ptr<net::responder> &caller) -> void;
+    auto cancel(const core::job_key &key, const std::shared_ptr<net::responder> &caller) -> void;
+    auto addCaller(const core::job_key &key, const std::shared_ptr<net::responder> &responder, bool isCancel)
+        -> request::waiter_id;
+    auto answerCaller(request::waiter_id who, const net::http_response &response, std::string_view result) -> void;
+    auto answerLater(request::waiter_id who, core::duration delay) -> void;
+
+    auto carryOut(const request::key_actions &actions) -> void;
+    auto dispatch(const request::dispatch_action &action) -> void;
+    auto jobDone(const request::packed_key &key, request::job_answer answer) -> void;
+    auto advance() -> void;
+    auto beat() -> void;
+    auto reportSightings() -> void;
+    auto updateGauges() -> void;
+    auto stop(entry_end reason) -> void;
+    auto finishStop() -> void;
+    auto now() const -> request::instant;
+
+    process_runtime m_process;
+    fleet_log m_log;
+    peer_hub m_peers;
+    membership_publisher m_membership;
+    status_server m_status;
+    worker_directory m_workers;
+    job_runner m_runner;
+    request::authority m_authority;
+    request::job_table m_jobs;
+    request::key_authority m_keys;
+    std::unique_ptr<net::http_server> m_server;
+    std::unordered_map<request::waiter_id, caller> m_callers;
+    std::unordered_map<request::packed_key, request::ticket_id> m_tickets;
+    std::vector<std::unique_ptr<ticker>> m_tickers;
+    std::unique_ptr<ticker> m_stopTicker;
+    std::unique_ptr<supervisor> m_supervisor;
+    request::waiter_id m_lastWaiter = 0;
+    std::uint64_t m_entryEpoch = 0;
+    core::monotonic_time m_handoverUntil{};
+    bool m_drained = false;
+    bool m_stopping = false;
+    bool m_handingOver = false;
+    entry_end m_end = entry_end::stopped;
+};
+} // namespace poplarpass::app
--- /dev/null
+++ b/src/poplarpass/app/job_runner.cpp
@@ -0,0 +1,520 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/job_runner.h>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarpass::app
+{
+namespace
+{
+constexpr core::duration longestAttempt = std::chrono::hours{12};
+constexpr core::duration answerGrace = std::chrono::seconds{1};
+constexpr core::duration heldRetryDelay = std::chrono::milliseconds{100};
+constexpr core::duration longestHold = std::chrono::seconds{5};
+
+auto monotonicDeadline(core::wall_time deadline, core::monotonic_time now) -> core::monotonic_time
+{
+    return deadline == core::wall_time{} ? request::noDeadline : now + (deadline - wallNow());
+}
+
+auto sayNothingFalse(request::job_answer answer, bool mayHaveStarted) -> request::job_answer
+{
+    if (answer || !mayHaveStarted) {
+        return answer;
+    }
+    return tl::make_unexpected(request::withoutAuthority(std::move(answer.error())));
+}
+} // namespace
+
+job_runner::job_runner(process_runtime &process, worker_directory &workers)
+    : m_process{process}
+    , m_workers{workers}
+    , m_policy{m_budget}
+    , m_alive{std::make_shared<bool>(true)}
+{
+}
+
+job_runner::~job_runner()
+{
+    *m_alive = false;
+}
+
+auto job_runner::useConfig(const config::fleet_config &config) -> void
+{
+    for (const auto &pool : config.pools) {
+        auto &queue = poolOf(pool.name).queue;
+        for (const auto &team : config.teams) {
+            request::team_share share;
+            share.weight = team.weight;
+            share.maxRunning = static_cast<std::size_t>(std::max(team.quotaSlots, 0));
+            queue.setTeam(team.name, share);
+        }
+    }
+}
+
+auto job_runner::poolOf(const core::pool_id &pool) -> pool_state &
+{
+    const auto limit = static_cast<std::size_t>(m_process.settings.limits.maxQueue);
+    return m_pools.try_emplace(pool, limit).first->second;
+}
+
+auto job_runner::find(request::ticket_id ticket) -> job *
+{
+    const auto found = m_jobs.find(ticket);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+auto job_runner::checkPlaceable(const request::job_spec &spec, const request::work_estimate &estimate) const
+    -> core::result<void>
+{
+    const request::placement_query query{estimate.cores, estimate.memoryMb, m_process.settings.process.zone, nullptr};
+    if (!m_workers.couldEverHold(spec.pool, query)) {
+        return core::failure(core::error_kind::unplaceable,
+                             "no host of pool " + spec.pool.str() + " has " + std::to_string(estimate.cores)
+                                 + " cores and " + std::to_string(estimate.memoryMb) + " MB");
+    }
+    return {};
+}
+
+auto job_runner::submit(std::shared_ptr<const request::job_spec> spec, job_hooks hooks)
+    -> core::result<request::ticket_id>
+{
+    const auto now = monotonicNow();
+    const auto estimate = m_estimator.estimate(spec->kind, spec->declaredRunTime, spec->cores, spec->memoryMb);
+    if (auto placeable = checkPlaceable(*spec, estimate); !placeable) {
+        return tl::make_unexpected(placeable.error());
+    }
+    auto &pool = poolOf(spec->pool);
+    ++pool.arrivals;
+    request::admission_request wanted;
+    wanted.ticket = m_lastTicket + 1;
+    wanted.team = spec->team;
+    wanted.level = spec->level;
+    wanted.expected = estimate.typical;
+    wanted.deadline = monotonicDeadline(spec->deadline, now);
+    if (auto admitted = pool.queue.submit(wanted, now); !admitted) {
+        return tl::make_unexpected(admitted.error());
+    }
+    job added;
+    added.ticket = ++m_lastTicket;
+    added.taskId = spec->key.str();
+    added.hooks = std::move(hooks);
+    added.history.idempotent = spec->idempotent;
+    added.estimate = estimate;
+    added.submittedAt = now;
+    added.deadline = wanted.deadline;
+    added.span = m_process.traces.start("job", observe::span_kind::internal, observe::parseTraceparent(spec->traceparent));
+    added.span.setAttribute({"pool", spec->pool.str()});
+    added.spec = std::move(spec);
+    m_jobs.emplace(added.ticket, std::move(added));
+    boost::asio::post(m_process.loop, [this, alive = m_alive] {
+        if (*alive) {
+            pump();
+        }
+    });
+    return m_lastTicket;
+}
+
+auto job_runner::withdraw(request::ticket_id ticket) -> bool
+{
+    auto *target = find(ticket);
+    if (target == nullptr || !poolOf(target->spec->pool).queue.cancel(ticket)) {
+        return false;
+    }
+    m_jobs.erase(ticket);
+    return true;
+}
+
+auto job_runner::stop(request::ticket_id ticket) -> void
+{
+    auto *target = find(ticket);
+    if (target == nullptr) {
+        return;
+    }
+    target->stopping = true;
+    for (const auto &sent : target->open) {
+        m_process.workers.command(m_workers.addressOf(sent.host), target->taskId, platform::task_command::stop,
+                                  [](const core::result<platform::task_report> &) {});
+    }
+}
+
+auto job_runner::pump() -> void
+{
+    // Placing a job may end it at once, which asks for another round.
+    m_pumpAgain = true;
+    if (m_pumping) {
+        return;
+    }
+    m_pumping = true;
+    releaseHeld();
+    while (std::exchange(m_pumpAgain, false)) {
+        for (auto &[name, pool] : m_pools) {
+            pumpPool(name, pool);
+        }
+    }
+    m_pumping = false;
+}
+
+auto job_runner::pumpPool(const core::pool_id &name, pool_state &pool) -> void
+{
+    if (pool.queue.queued() == 0) {
+        return;
+    }
+    expire(pool);
+    const auto now = monotonicNow();
+    pool.queue.setCapacity(m_workers.freeSlots(name) + static_cast<int>(pool.queue.running()));
+    for (;;) {
+        const auto ticket = pool.queue.next(m_workers.freeSlots(name), now);
+        if (!ticket) {
+            break;
+        }
+        auto *target = find(*ticket);
+        if (target == nullptr) {
+            pool.queue.finished(*ticket);
+            continue;
+        }
+        const auto placed = place(*target);
+        if (placed == placement_result::no_worker) {
+            pool.queue.requeue(*ticket, now);
+            break;
+        }
+        if (placed == placement_result::held) {
+            hold(*target);
+        }
+    }
+    makeRoom(name, pool);
+}
+
+auto job_runner::expire(pool_state &pool) -> void
+{
+    for (const auto ticket : pool.queue.expire(monotonicNow())) {
+        finish(ticket, core::failure(core::error_kind::deadline_passed));
+    }
+}
+
+auto job_runner::makeRoom(const core::pool_id &name, pool_state &pool) -> void
+{
+    for (const auto ticket : pool.queue.makeRoom(m_workers.freeSlots(name), monotonicNow())) {
+        auto *target = find(ticket);
+        // Only work that may be started again is checkpointed.
+        if (target == nullptr || target->open.size() != 1 || !target->history.idempotent) {
+            pool.queue.makeRoomFailed(ticket);
+            continue;
+        }
+        target->makingRoom = true;
+        m_process.workers.command(m_workers.addressOf(target->open.front().host), target->taskId,
+                                  platform::task_command::checkpoint,
+                                  [](const core::result<platform::task_report> &) {});
+    }
+}
+
+auto job_runner::queryOf(const job &target) const -> request::placement_query
+{
+    return {target.estimate.cores, target.estimate.memoryMb, m_process.settings.process.zone,
+            target.avoid ? &*target.avoid : nullptr};
+}
+
+auto job_runner::place(job &target) -> placement_result
+{
+    const auto choice = m_workers.choose(target.spec->pool, queryOf(target));
+    if (!choice) {
+        return placement_result::no_worker;
+    }
+    if (!target.mayHaveStarted) {
+        if (const auto allowed = target.hooks.beginAttempt(); !allowed) {
+            return placement_result::held;
+        }
+    }
+    send(target, *choice);
+    return placement_result::sent;
+}
+
+// A job that this process may not start at present leaves the queue, so that it holds up nothing behind it.
+auto job_runner::hold(job &target) -> void
+{
+    const auto now = monotonicNow();
+    poolOf(target.spec->pool).queue.finished(target.ticket);
+    target.heldSince = target.heldSince.value_or(now);
+    m_held.push_back({target.ticket, now + heldRetryDelay});
+}
+
+auto job_runner::releaseHeld() -> void
+{
+    const auto now = monotonicNow();
+    while (!m_held.empty() && m_held.front().due <= now) {
+        const auto ticket = m_held.front().ticket;
+        m_held.pop_front();
+        auto *target = find(ticket);
+        if (target == nullptr) {
+            continue;
+        }
+        if (now - *target->heldSince > longestHold) {
+            finish(ticket, core::failure(core::error_kind::worker_unavailable, "the right to start it has lapsed"));
+            continue;
+        }
+        const auto &spec = *target->spec;
+        const request::admission_request wanted{ticket, spec.team, spec.level, target->estimate.typical,
+                                                target->deadline};
+        if (const auto admitted = poolOf(spec.pool).queue.submit(wanted, now); !admitted) {
+            finish(ticket, tl::make_unexpected(admitted.error()));
+        }
+    }
+}
+
+auto job_runner::send(job &target, const worker_choice &choice) -> void
+{
+    const auto now = monotonicNow();
+    const auto &spec = *target.spec;
+    attempt sent{target.taskId + '.' + std::to_string(++m_lastAttempt),
+                 choice.host,
+                 {now, choice.lease.expiry, choice.lease.bootId}};
+    if (target.history.sent == 0) {
+        m_policy.firstAttempt();
+        m_process.metrics
+            .histogramOf("poplarpass_start_wait_seconds", "From the arrival of a job to its first start",
+                         {{"level", std::to_string(static_cast<int>(spec.level))}})
+            .record(now - target.submittedAt);
+    }
+    ++target.history.sent;
+    ++target.history.open;
+    target.mayHaveStarted = true;
+    target.open.push_back(sent);
+    m_matcher.open(target.taskId, sent.id);
+    m_workers.sent(spec.pool, choice.host, now);
+    platform::start_request start;
+    start.taskId = target.taskId;
+    start.attemptId = sent.id;
+    start.leaseId = choice.lease.leaseId;
+    start.pool = spec.pool;
+    start.kind = spec.kind;
+    start.declaredRunTime = spec.declaredRunTime;
+    start.cores = spec.cores;
+    start.memoryMb = spec.memoryMb;
+    start.payload = spec.payload;
+    auto hop = std::make_shared<observe::span>(
+        m_process.traces.start("start on worker", observe::span_kind::client, target.span.context()));
+    hop->setAttribute({"host", choice.host.str()});
+    start.traceparent = observe::formatTraceparent(hop->context());
+    const auto timeout = target.deadline == request::noDeadline ? longestAttempt : target.deadline - now + answerGrace;
+    m_process.workers.start(
+        choice.address, std::move(start), timeout,
+        [this, alive = m_alive, ticket = target.ticket, sent, hop](const platform::start_answer &answer) {
+            hop->end();
+            if (*alive) {
+                attemptEnded(ticket, sent, answer);
+            }
+        });
+    armHedge(target.ticket);
+}
+
+auto job_runner::attemptEnded(request::ticket_id ticket, const attempt &sent, const platform::start_answer &answer)
+    -> void
+{
+    auto *target = find(ticket);
+    if (target == nullptr) {
+        m_matcher.abandon(sent.id);
+        return;
+    }
+    const bool isAnswer = answer.outcome != platform::start_outcome::uncertain;
+    const bool isOwn = !isAnswer || m_matcher.match(sent.id, answer) == request::answer_match::own;
+    auto judged = answer;
+    if (!isOwn) {
+        judged = platform::start_answer{};
+    } else if (!isAnswer) {
+        m_matcher.abandon(sent.id);
+    }
+    m_workers.ended(target->spec->pool, sent.host, sent.sent.sentAt, target->spec->kind, judged);
+    std::erase_if(target->open, [&sent](const attempt &open) { return open.id == sent.id; });
+    --target->history.open;
+    if (judged.outcome == platform::start_outcome::failed) {
+        ++target->history.failures;
+    }
+    if (judged.outcome == platform::start_outcome::not_started && target->history.open == 0
+        && target->history.sent == 1) {
+        target->mayHaveStarted = false;
+        target->history.sent = 0;
+        target->hooks.attemptNotStarted();
+    }
+    if (judged.outcome == platform::start_outcome::finished) {
+        request::answer_matcher::requireOwn(target->taskId, judged);
+        m_estimator.learnRunTime(target->spec->kind, judged.runTime);
+    }
+    if (target->makingRoom && judged.outcome == platform::start_outcome::stopped && !target->stopping) {
+        target->makingRoom = false;
+        target->history.sent = 0;
+        requeue(*target);
+        return;
+    }
+    target->avoid = sent.host;
+    follow(ticket, m_policy.afterAnswer(target->history, judged), sent);
+}
+
+auto job_runner::follow(request::ticket_id ticket, const request::attempt_decision &decision, const attempt &sent)
+    -> void
+{
+    auto *target = find(ticket);
+    if (target == nullptr) {
+        return;
+    }
+    switch (decision.step) {
+    case request::attempt_step::finish:
+        finish(ticket, decision.answer);
+        break;
+    case request::attempt_step::resend:
+        resend(*target);
+        break;
+    case request::attempt_step::requeue:
+        requeue(*target);
+        break;
+    case request::attempt_step::wait:
+        break;
+    case request::attempt_step::ask_worker:
+        askWorker(ticket, sent);
+        break;
+    }
+}
+
+auto job_runner::resend(job &target) -> void
+{
+    switch (place(target)) {
+    case placement_result::sent:
+        break;
+    case placement_result::no_worker:
+        requeue(target);
+        break;
+    case placement_result::held:
+        hold(target);
+        break;
+    }
+}
+
+auto job_runner::askWorker(request::ticket_id ticket, const attempt &sent) -> void
+{
+    auto *target = find(ticket);
+    if (target == nullptr) {
+        return;
+    }
+    const auto now = monotonicNow();
+    if (!target->askUntil) {
+        target->askUntil = std::max(sent.sent.leaseEnd, now) + request::workerLeaseTerm;
+    }
+    m_process.workers.query(m_workers.addressOf(sent.host), target->taskId,
+                            [this, alive = m_alive, ticket, sent](const core::result<platform::task_report> &report) {
+                                if (*alive) {
+                                    workerAnswered(ticket, sent, report);
+                                }
+                            });
+}
+
+auto job_runner::workerAnswered(request::ticket_id ticket, const attempt &sent,
+                                const core::result<platform::task_report> &report) -> void
+{
+    auto *target = find(ticket);
+    if (target == nullptr) {
+        return;
+    }
+    const auto now = monotonicNow();
+    request::attempt_decision decision;
+    decision.step = request::attempt_step::ask_worker;
+    if (report) {
+        decision = m_policy.afterReport(target->history, sent.sent, *report, now);
+        target->askUntil.reset();
+    } else if (target->askUntil && now > *target->askUntil) {
+        decision = m_policy.afterSilence(target->history);
+    }
+    const bool provedUnstarted = decision.step == request::attempt_step::resend
+        || decision.step == request::attempt_step::requeue;
+    if (provedUnstarted && !target->history.idempotent) {
+        target->mayHaveStarted = false;
+        target->history.sent = 0;
+        target->hooks.attemptNotStarted();
+    }
+    if (decision.step != request::attempt_step::ask_worker) {
+        follow(ticket, decision, sent);
+        return;
+    }
+    callAfter(m_process.loop, request::jobQueryInterval, [this, alive = m_alive, ticket, sent] {
+        if (*alive) {
+            askWorker(ticket, sent);
+        }
+    });
+}
+
+auto job_runner::armHedge(request::ticket_id ticket) -> void
+{
+    const auto *target = find(ticket);
+    const auto typical = target->estimate.learnt ? target->estimate.high : core::duration{0};
+    const auto delay = request::attempt_policy::hedgeDelay(target->history, typical);
+    // Long work would occupy two slots; batch work can wait for its first attempt.
+    if (!delay || target->spec->level == request::urgency::batch || target->history.sent > 1) {
+        return;
+    }
+    callAfter(m_process.loop, *delay, [this, alive = m_alive, ticket] {
+        if (*alive) {
+            hedge(ticket);
+        }
+    });
+}
+
+auto job_runner::hedge(request::ticket_id ticket) -> void
+{
+    auto *target = find(ticket);
+    if (target == nullptr || target->open.size() != 1 || target->stopping || !m_policy.mayHedge(target->history)) {
+        return;
+    }
+    target->avoid = target->open.front().host;
+    if (const auto choice = m_workers.choose(target->spec->pool, queryOf(*target))) {
+        send(*target, *choice);
+    }
+}
+
+auto job_runner::requeue(job &target) -> void
+{
+    poolOf(target.spec->pool).queue.requeue(target.ticket, monotonicNow());
+}
+
+auto job_runner::finish(request::ticket_id ticket, request::job_answer answer) -> void
+{
+    const auto found = m_jobs.find(ticket);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    auto ended = std::move(found->second);
+    m_jobs.erase(found);
+    poolOf(ended.spec->pool).queue.finished(ticket);
+    for (const auto &open : ended.open) {
+        m_matcher.abandon(open.id);
+        if (answer) {
+            m_process.workers.command(m_workers.addressOf(open.host), ended.taskId, platform::task_command::stop,
+                                      [](const core::result<platform::task_report> &) {});
+        }
+    }
+    if (!answer) {
+        ended.span.setError(core::answerOf(answer.error().kind).name);
+    }
+    ended.span.end();
+    ended.hooks.done(sayNothingFalse(std::move(answer), ended.mayHaveStarted));
+    m_pumpAgain = true;
+    if (!m_pumping) {
+        pump();
+    }
+}
+
+auto job_runner::demand() const -> std::vector<request::pool_demand>
+{
+    std::vector<request::pool_demand> figures;
+    figures.reserve(m_pools.size());
+    for (const auto &[name, pool] : m_pools) {
+        figures.push_back({name, pool.queue.queued(), pool.queue.running(), pool.arrivals});
+    }
+    return figures;
+}
+
+auto job_runner::activeCount() const -> std::size_t
+{
+    return m_jobs.size();
+}
+} // namespace poplarpass::app
--- /dev/null
+++ b/src/poplarpass/app/worker_directory.cpp
@@ -0,0 +1,293 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/worker_directory.h>
+
+#include <set>
+#include <utility>
+
+namespace poplarpass::app
+{
+namespace
+{
+auto resultOf(const platform::start_answer &answer) -> request::attempt_result
+{
+    switch (answer.outcome) {
+    case platform::start_outcome::finished:
+    case platform::start_outcome::stopped:
+        return request::attempt_result::succeeded;
+    case platform::start_outcome::failed:
+        return request::attempt_result::job_failed;
+    case platform::start_outcome::not_started:
+    case platform::start_outcome::uncertain:
+        return request::attempt_result::worker_failed;
+    }
+    return request::attempt_result::worker_failed;
+}
+
+// A rejection for want of room, lease or pool says nothing about the worker's health; a refused connection does.
+auto saysNothing(const platform::start_answer &answer) -> bool
+{
+    return answer.outcome == platform::start_outcome::not_started && answer.reason != platform::rejection::unreachable;
+}
+} // namespace
+
+worker_directory::worker_directory(process_runtime &process, std::function<void()> onChange)
+    : m_process{process}
+    , m_onChange{std::move(onChange)}
+{
+}
+
+auto worker_directory::poolOf(const core::pool_id &pool) -> request::worker_pool &
+{
+    return m_pools.try_emplace(pool, request::twoChoicesPlacement()).first->second;
+}
+
+auto worker_directory::useState(const fold::fleet_state &state) -> void
+{
+    std::set<core::host_id> gone;
+    for (const auto &[host, known] : m_hosts) {
+        gone.insert(host);
+    }
+    for (const auto &host : state.hosts()) {
+        gone.erase(host.description.host);
+        put(host);
+    }
+    for (const auto &host : gone) {
+        forget(host);
+    }
+    m_onChange();
+}
+
+auto worker_directory::useHost(const fold::fleet_state &state, const core::host_id &host) -> void
+{
+    if (const auto *found = state.findHost(host)) {
+        put(*found);
+    } else {
+        forget(host);
+    }
+    m_onChange();
+}
+
+auto worker_directory::put(const fold::host_state &host) -> void
+{
+    const auto &listed = host.description;
+    const auto now = monotonicNow();
+    const auto known = m_hosts.find(listed.host);
+    if (known != m_hosts.end() && (known->second.pool != host.pool || known->second.generation != host.generation)) {
+        poolOf(known->second.pool).remove(listed.host);
+        m_leases.drop(listed.host);
+    }
+    auto &entry = m_hosts[listed.host];
+    entry.pool = host.pool;
+    entry.generation = host.generation;
+    if (entry.address.empty()) {
+        entry.address = listed.address;
+    }
+    request::worker_view view;
+    view.host = listed.host;
+    view.address = entry.address;
+    view.zone = listed.zone;
+    view.generation = host.generation;
+    view.slots = listed.slots;
+    view.connections = listed.connections;
+    view.cores = listed.cores;
+    view.memoryMb = listed.memoryMb;
+    view.open = false;
+    poolOf(host.pool).put(std::move(view));
+    m_leaving.note(listed.host, request::leaving_source::control, !host.serves(), now);
+    m_health.setWorkerCount(m_hosts.size());
+    updateOpen(listed.host, entry, now);
+}
+
+auto worker_directory::forget(const core::host_id &host) -> void
+{
+    const auto known = m_hosts.find(host);
+    if (known == m_hosts.end()) {
+        return;
+    }
+    poolOf(known->second.pool).remove(host);
+    m_hosts.erase(known);
+    m_contacts.erase(host);
+    m_leases.drop(host);
+    m_leaving.forget(host);
+    m_health.forget(host);
+    m_health.setWorkerCount(m_hosts.size());
+}
+
+auto worker_directory::renewLeases() -> void
+{
+    const auto now = monotonicNow();
+    for (const auto &[host, known] : m_hosts) {
+        if (m_leases.renewalDue(host, now)) {
+            requestLease(host, known);
+        }
+        updateOpen(host, known, now);
+    }
+}
+
+auto worker_directory::requestLease(const core::host_id &host, const known_host &known) -> void
+{
+    const auto sentAt = monotonicNow();
+    m_leases.requestSent(host, sentAt);
+    platform::lease_request request{m_process.settings.process.name, known.pool, known.generation};
+    m_process.workers.lease(known.address, std::move(request),
+                            [this, host, sentAt](const core::result<platform::worker_report> &answer) {
+                                leaseAnswered(host, sentAt, answer);
+                            });
+}
+
+auto worker_directory::leaseAnswered(const core::host_id &host, core::monotonic_time sentAt,
+                                     const core::result<platform::worker_report> &answer) -> void
+{
+    const auto known = m_hosts.find(host);
+    if (known == m_hosts.end()) {
+        return;
+    }
+    const auto now = monotonicNow();
+    if (!answer) {
+        m_leases.requestFailed(host);
+        // A refusal shows that the worker is there, though not under which boot.
+        if (answer.error().kind == core::error_kind::stale_epoch) {
+            m_leases.drop(host);
+        } else {
+            m_contacts[host] = {false, {}, sentAt};
+        }
+        updateOpen(host, known->second, now);
+        return;
+    }
+    m_contacts[host] = {true, *answer, sentAt};
+    if (m_leases.granted(host, *answer, sentAt)) {
+        m_health.forget(host);
+    }
+    poolOf(known->second.pool).report(host, *answer, sentAt);
+    m_leaving.note(host, request::leaving_source::worker, answer->leaving, now);
+    updateOpen(host, known->second, now);
+    m_onChange();
+}
+
+auto worker_directory::updateOpen(const core::host_id &host, const known_host &known, core::monotonic_time now) -> void
+{
+    auto &pool = poolOf(known.pool);
+    const bool open = !m_leaving.isLeaving(host) && m_health.mayPlace(host, now)
+        && m_leases.usable(host, known.pool, known.generation, now).has_value();
+    pool.setOpen(host, open);
+    pool.setFailureRate(host, m_health.failureRate(host));
+}
+
+auto worker_directory::pollHostList() -> void
+{
+    m_process.hosts.fetch([this](const core::result<std::vector<platform::listed_host>> &listed) {
+        if (listed) {
+            noteListed(*listed);
+        }
+    });
+}
+
+auto worker_directory::noteListed(const std::vector<platform::listed_host> &listed) -> void
+{
+    const auto now = monotonicNow();
+    for (const auto &host : listed) {
+        const auto known = m_hosts.find(host.host);
+        if (known == m_hosts.end()) {
+            continue;
+        }
+        m_leaving.note(host.host, request::leaving_source::host_list, host.leaving, now);
+        if (known->second.address != host.address) {
+            known->second.address = host.address;
+            m_leases.drop(host.host);
+        }
+        updateOpen(host.host, known->second, now);
+    }
+}
+
+auto worker_directory::choose(const core::pool_id &pool, const request::placement_query &query)
+    -> std::optional<worker_choice>
+{
+    const auto now = monotonicNow();
+    auto &workers = poolOf(pool);
+    // A lease may have lapsed since the worker was opened, after a freeze even all of them.
+    for (std::size_t tries = workers.workers().size(); tries > 0; --tries) {
+        const auto *chosen = workers.choose(query, m_process.random);
+        if (chosen == nullptr) {
+            return std::nullopt;
+        }
+        const auto host = chosen->host;
+        if (auto lease = m_leases.usable(host, pool, chosen->generation, now); lease && !m_leaving.isLeaving(host)) {
+            return worker_choice{host, m_hosts[host].address, *std::move(lease)};
+        }
+        workers.setOpen(host, false);
+    }
+    return std::nullopt;
+}
+
+auto worker_directory::sent(const core::pool_id &pool, const core::host_id &host, core::monotonic_time at) -> void
+{
+    m_leaving.requireMaySend(host, at);
+    poolOf(pool).sent(host, at);
+    m_health.sent(host, at);
+}
+
+auto worker_directory::ended(const core::pool_id &pool, const core::host_id &host, core::monotonic_time sentAt,
+                             const core::work_kind &kind, const platform::start_answer &answer) -> void
+{
+    const auto now = monotonicNow();
+    auto &workers = poolOf(pool);
+    workers.ended(host, sentAt);
+    if (saysNothing(answer)) {
+        m_health.rejected(host);
+    } else {
+        m_health.record(host, kind, resultOf(answer), now);
+    }
+    if (answer.reason == platform::rejection::no_slot) {
+        workers.refusedForRoom(host);
+    } else if (answer.reason == platform::rejection::leaving) {
+        m_leaving.note(host, request::leaving_source::worker, true, now);
+    } else if (answer.reason == platform::rejection::lease_lapsed || answer.reason == platform::rejection::wrong_pool) {
+        m_leases.drop(host);
+    }
+    if (const auto known = m_hosts.find(host); known != m_hosts.end()) {
+        updateOpen(host, known->second, now);
+    }
+}
+
+auto worker_directory::couldEverHold(const core::pool_id &pool, const request::placement_query &query) const -> bool
+{
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() || found->second.workers().empty() || found->second.couldEverHold(query);
+}
+
+auto worker_directory::freeSlots(const core::pool_id &pool) const -> int
+{
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.freeSlots();
+}
+
+auto worker_directory::openSlots(const core::pool_id &pool) const -> int
+{
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.openSlots();
+}
+
+auto worker_directory::addressOf(const core::host_id &host) const -> std::string
+{
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? std::string{} : found->second.address;
+}
+
+auto worker_directory::takeSightings() -> std::vector<request::worker_sighting>
+{
+    const auto now = monotonicNow();
+    std::vector<request::worker_sighting> seen;
+    seen.reserve(m_contacts.size());
+    for (const auto &[host, last] : m_contacts) {
+        seen.push_back({host, last.reached, last.report.bootId, last.report.leaving, last.report.pool,
+                        last.report.generation, now - last.at});
+    }
+    m_contacts.clear();
+    return seen;
+}
+
+auto worker_directory::size() const -> std::size_t
+{
+    return m_hosts.size();
+}
+} // namespace poplarpass::app
