--- a/src/poplarpass/net/constants.h
+++ b/src/poplarpass/net/constants.h
@@ -40,5 +40,6 @@
 inline constexpr std::size_t readChunkBytes = std::size_t{8} * 1024;
 inline constexpr std::size_t lingerBytes = std::size_t{1024} * 1024;
 inline constexpr std::chrono::milliseconds acceptRetryDelay{100};
+inline constexpr std::chrono::milliseconds evictableIdleTime{100};
 } // namespace internal
 } // namespace poplarpass::net
--- a/src/poplarpass/net/http_connection.cpp
+++ b/src/poplarpass/net/http_connection.cpp
@@ -43,9 +43,9 @@
     awaitRequest();
 }
 
-auto http_connection::isIdle() const -> bool
+auto http_connection::idleTime(std::chrono::steady_clock::time_point now) const -> std::chrono::nanoseconds
 {
-    return m_phase == phase::idle;
+    return m_phase == phase::idle ? now - m_idleSince : std::chrono::nanoseconds{0};
 }
 
 auto http_connection::close() -> void
@@ -78,6 +78,7 @@
 auto http_connection::awaitRequest() -> void
 {
     m_phase = phase::idle;
+    m_idleSince = std::chrono::steady_clock::now();
     m_message.reset();
     m_parser.emplace();
     m_parser->header_limit(m_context->limits.headerBytes);
--- a/src/poplarpass/net/http_connection.h
+++ b/src/poplarpass/net/http_connection.h
@@ -44,8 +44,8 @@
     /// \brief Sets the hook for a caller that goes away while its request is handled.
     auto setOnDisconnect(std::function<void()> hook) -> void;
 
-    /// \brief Whether no request is being read, handled or answered.
-    [[nodiscard]] auto isIdle() const -> bool;
+    /// \brief Time since the last request; zero while one is being read, handled or answered.
+    [[nodiscard]] auto idleTime(std::chrono::steady_clock::time_point now) const -> std::chrono::nanoseconds;
 
 private:
     enum class phase {
@@ -90,6 +90,7 @@
     std::function<void()> m_onDisconnect;
     std::string m_requestId;
     phase m_phase = phase::idle;
+    std::chrono::steady_clock::time_point m_idleSince;
     std::uint64_t m_timerSerial = 0;
     std::size_t m_discardedBytes = 0;
     unsigned m_version = 11;
--- a/src/poplarpass/net/http_server.cpp
+++ b/src/poplarpass/net/http_server.cpp
@@ -85,10 +85,19 @@
 private:
     auto accept() -> void
     {
-        if (m_accepting || !m_acceptor.is_open() || !makeRoom()) {
+        if (m_accepting || !m_acceptor.is_open()) {
             return;
         }
         m_accepting = true;
+        if (isFull()) {
+            awaitCaller();
+        } else {
+            acceptOne();
+        }
+    }
+
+    auto acceptOne() -> void
+    {
         m_acceptor.async_accept([self = shared_from_this()](error_code problem, tcp::socket socket) {
             self->m_accepting = false;
             self->onAccepted(problem, std::move(socket));
@@ -108,9 +117,24 @@
         accept();
     }
 
+    auto awaitCaller() -> void
+    {
+        m_acceptor.async_wait(tcp::acceptor::wait_read, [self = shared_from_this()](error_code problem) {
+            self->m_accepting = false;
+            if (!self->m_acceptor.is_open()) {
+                return;
+            }
+            if (problem || (self->isFull() && !self->makeRoom())) {
+                self->retryLater();
+            } else {
+                self->accept();
+            }
+        });
+    }
+
     auto acceptPending() -> void
     {
-        while (m_acceptor.is_open() && m_connections.size() < m_context->limits.maxConnections) {
+        while (m_acceptor.is_open() && !isFull()) {
             error_code problem;
             tcp::socket socket{m_loop};
             m_acceptor.accept(socket, problem);
@@ -128,18 +152,23 @@
         connection->start();
     }
 
-    // At the limit an idle connection gives way; when all are busy, new ones wait in the backlog.
+    [[nodiscard]] auto isFull() const -> bool
+    {
+        return m_connections.size() >= m_context->limits.maxConnections;
+    }
+
+    // At the limit the connection that has been idle for longest gives way to a new one. One that became idle a moment
+    // ago may have a request on its way, so it is kept, and the new one waits in the backlog.
     auto makeRoom() -> bool
     {
-        if (m_connections.size() < m_context->limits.maxConnections) {
-            return true;
-        }
-        const auto idle = std::ranges::find_if(m_connections, [](const auto &entry) { return entry.second->isIdle(); });
-        if (idle == m_connections.end()) {
+        const auto now = std::chrono::steady_clock::now();
+        const auto oldest = std::ranges::max_element(m_connections, {},
+                                                     [now](const auto &entry) { return entry.second->idleTime(now); });
+        if (oldest == m_connections.end() || oldest->second->idleTime(now) < evictableIdleTime) {
             return false;
         }
-        const auto connection = idle->second;
-        m_connections.erase(idle);
+        const auto connection = oldest->second;
+        m_connections.erase(oldest);
         connection->close();
         return true;
     }
--- a/standins/worker_endpoint.cpp
+++ b/standins/worker_endpoint.cpp
@@ -48,6 +48,7 @@
     : m_loop{loop}
     , m_host{std::move(host)}
     , m_options{options}
+    , m_leases{options.leaseTerm}
     , m_tasks{loop, m_journal}
     , m_bootId{newBootId()}
     , m_timers{loop}
@@ -179,7 +180,7 @@
     recordUsage();
     return jsonResponse(200,
                         {{"lease_id", m_leases.grant(now)},
-                         {"lease_term_ms", leaseTerm.count()},
+                         {"lease_term_ms", m_options.leaseTerm.count()},
                          {"boot_id", m_bootId},
                          {"pool", m_host.pool},
                          {"generation", m_generation},
--- a/standins/worker_leases.cpp
+++ b/standins/worker_leases.cpp
@@ -2,11 +2,16 @@
 
 namespace standins
 {
+worker_leases::worker_leases(std::chrono::milliseconds term)
+    : m_term{term}
+{
+}
+
 auto worker_leases::grant(steady_time now) -> std::uint64_t
 {
     std::erase_if(m_expiries, [now](const auto &entry) { return entry.second <= now; });
     const auto id = ++m_last;
-    m_expiries.emplace(id, now + leaseTerm);
+    m_expiries.emplace(id, now + m_term);
     return id;
 }
 
--- a/standins/worker_leases.h
+++ b/standins/worker_leases.h
@@ -10,7 +10,10 @@
 class worker_leases
 {
 public:
-    /// \brief Gives a new grant that lapses leaseTerm after \p now.
+    /// \param term time from a grant to its lapse
+    explicit worker_leases(std::chrono::milliseconds term);
+
+    /// \brief Gives a new grant at \p now.
     auto grant(steady_time now) -> std::uint64_t;
 
     /// \brief Whether \p grantId was given, not revoked, and has not lapsed at \p now.
@@ -20,6 +23,7 @@
     auto revokeAll() -> void;
 
 private:
+    std::chrono::milliseconds m_term;
     std::unordered_map<std::uint64_t, steady_time> m_expiries;
     std::uint64_t m_last = 0;
 };
--- a/standins/worker_types.h
+++ b/standins/worker_types.h
@@ -12,14 +12,12 @@
 /// \brief Clock of run times and leases.
 using steady_time = std::chrono::steady_clock::time_point;
 
-/// \brief Term of a lease grant.
-inline constexpr std::chrono::milliseconds leaseTerm{3000};
-
 /// \brief Timing of one worker.
 struct worker_options
 {
     std::chrono::milliseconds rebootTime{500}; ///< Time that a reboot takes.
     std::chrono::milliseconds usageLag{1000}; ///< Age of the usage figures in a lease answer.
+    std::chrono::milliseconds leaseTerm{3000}; ///< Term of a lease grant.
 };
 
 /// \brief Behaviour of one worker, set by `POST /behaviour`.
