Control: simulated histories of faults, and what they found

Cause: the parts of control had no proof together. Ruled out: taking a worker's status from a sighting while an order is under way, or from the answer to a reboot order; histories showed a host recorded as back while its worker went down or was told to drain. Change: fakes of log, workers and entries; histories with faults, kills after each record, change of hands; the pool's own hosts are recalled before others are lent.

--- a/src/poplarpass/control/host_controller.cpp
+++ b/src/poplarpass/control/host_controller.cpp
@@ -111,7 +111,7 @@
 auto host_controller::addHost(step &current, const platform::listed_host &listed) -> void
 {
     auto &tracker = m_trackers[listed.host];
-    if (listed.leaving || !tracker.isReached(current.now)) {
+    if (listed.leaving || !tracker.isReached(current.now) || !tracker.status()) {
         return;
     }
     if (current.state.findPool(listed.pool) == nullptr) {
@@ -217,7 +217,7 @@
     for (const auto &wave : current.state.waves()) {
         const bool isOver = std::ranges::none_of(
             current.state.hosts(), [&wave](const fold::host_state &host) { return blocksFinish(wave, host); });
-        if (wave.finished || !isOver) {
+        if (wave.finished || !isOver || current.state.hosts().empty()) {
             continue;
         }
         fold::wave_record change;
--- a/src/poplarpass/control/host_tracker.cpp
+++ b/src/poplarpass/control/host_tracker.cpp
@@ -3,6 +3,8 @@
 
 namespace poplarpass::control
 {
+// What a worker says of itself while an order is under way may be from before or after the order's effect, so it shows
+// only that the worker is there.
 auto host_tracker::onSighting(const host_sighting &sighting) -> void
 {
     if (!sighting.reached) {
@@ -17,7 +19,11 @@
         m_reachedSince.reset();
         return;
     }
-    takeStatus({sighting.bootId, sighting.draining, sighting.pool, sighting.generation, sighting.at});
+    takeContact(sighting.at);
+    const bool mayCrossOrder = m_underWay || (m_settled && sighting.at < *m_settled);
+    if (!mayCrossOrder) {
+        takeStatus({sighting.bootId, sighting.draining, sighting.pool, sighting.generation, sighting.at});
+    }
 }
 
 // An answer to a drain order confirms only the phase in which the order was given: an older one may have crossed with
@@ -31,11 +37,18 @@
         return;
     }
     m_underWay.reset();
+    m_settled = now;
     if (!outcome.answer) {
         return;
     }
     const auto &answer = *outcome.answer;
-    takeStatus({answer.bootId, answer.draining, answer.pool, answer.generation, m_lastOrder.value_or(now)});
+    if (request.order == platform::worker_order::reboot) {
+        // The worker answers on its way down, so the answer doesn't say that it is there.
+        m_rebootAccepted = true;
+        return;
+    }
+    takeContact(*m_lastOrder);
+    takeStatus({answer.bootId, answer.draining, answer.pool, answer.generation, *m_lastOrder});
     if (request.order == platform::worker_order::drain && *m_lastOrder >= m_phaseSince) {
         m_confirmedIdle = answer.draining && answer.runningJobs == 0;
     }
@@ -46,9 +59,6 @@
     if (request.order == platform::worker_order::assign && *m_lastOrder >= m_phaseSince && isAssigned) {
         m_assigned = request.pool;
     }
-    if (request.order == platform::worker_order::reboot) {
-        m_rebootAccepted = true;
-    }
 }
 
 auto host_tracker::onPhase(const fold::host_state &host, core::monotonic_time now) -> void
@@ -163,22 +173,29 @@
     return !m_lastReboot || now - *m_lastReboot >= (m_rebootAccepted ? rebootPatience : rebootRetry);
 }
 
-auto host_tracker::takeStatus(const worker_status &status) -> void
+auto host_tracker::takeContact(core::monotonic_time at) -> void
 {
-    const bool isOlder = m_reached && status.at < *m_reached;
+    const bool isOlder = m_reached && at < *m_reached;
     if (isOlder) {
         return;
     }
+    m_reached = at;
+    if (!m_reachedSince) {
+        m_reachedSince = at;
+    }
+    m_failures = 0;
+    m_failedSince.reset();
+}
+
+auto host_tracker::takeStatus(const worker_status &status) -> void
+{
+    if (m_status && status.at < m_status->at) {
+        return;
+    }
     if (m_status && m_status->bootId != status.bootId) {
         m_confirmedIdle = false;
         m_assigned = {};
     }
     m_status = status;
-    m_reached = status.at;
-    if (!m_reachedSince) {
-        m_reachedSince = status.at;
-    }
-    m_failures = 0;
-    m_failedSince.reset();
 }
 } // namespace poplarpass::control
--- a/src/poplarpass/control/host_tracker.h
+++ b/src/poplarpass/control/host_tracker.h
@@ -82,6 +82,7 @@
     [[nodiscard]] auto mayReboot(core::monotonic_time now) const -> bool;
 
 private:
+    auto takeContact(core::monotonic_time at) -> void;
     auto takeStatus(const worker_status &status) -> void;
 
     std::optional<worker_status> m_status;
@@ -92,6 +93,7 @@
 
     std::optional<platform::order_request> m_underWay;
     std::optional<core::monotonic_time> m_lastOrder;
+    std::optional<core::monotonic_time> m_settled; ///< When the latest order ended.
     std::optional<core::monotonic_time> m_lastReboot;
     bool m_rebootAccepted = false;
 
--- a/src/poplarpass/control/move_planner.cpp
+++ b/src/poplarpass/control/move_planner.cpp
@@ -142,29 +142,29 @@
     return now - since >= (need.isForPromise ? borrowForPromiseAfter : borrowAfter);
 }
 
-// Spare pools lend before others. Of the hosts that may go, the one is taken that leaves both pools best off, so that a
-// loan does not put all of the borrower's hosts into one rack or zone.
+// The pool's own hosts come back before others are lent, and spare pools lend before others. Among equals the host is
+// taken that leaves both pools best off, so that a loan does not put all of the borrower's hosts into one rack or zone.
 auto move_planner::chooseLoan(const pool_view &borrower, const move_query &query) const -> std::optional<host_move>
 {
-    if (borrowedBy(query.view, borrower.pool.name) >= borrower.profile.maxBorrowed) {
-        return std::nullopt;
-    }
+    const auto &name = borrower.pool.name;
+    const bool mayBorrow = borrowedBy(query.view, name) < borrower.profile.maxBorrowed;
     std::optional<host_move> best;
-    std::tuple<bool, int, int> bestScore;
+    std::tuple<bool, bool, int, int> bestScore;
     for (const auto &lender : query.view.pools) {
-        const bool mayLend = lentBy(query.view, lender.pool.name) < lender.profile.maxLent;
-        if (&lender == &borrower || !mayLend) {
+        if (&lender == &borrower) {
             continue;
         }
+        const bool mayLend = mayBorrow && lentBy(query.view, lender.pool.name) < lender.profile.maxLent;
         for (const auto &host : lender.hosts) {
-            const bool isOwn = host.description.pool == lender.pool.name;
-            if (!isOwn || !query.isUsable(host) || !maySpare(lender, host, 0, query)) {
+            const bool isRecalled = host.description.pool == name;
+            const bool isLent = mayLend && host.description.pool == lender.pool.name;
+            if (!(isRecalled || isLent) || !query.isUsable(host) || !maySpare(lender, host, 0, query)) {
                 continue;
             }
-            const std::tuple score{lender.pool.spare, spareAfterJoining(borrower, host),
+            const std::tuple score{isRecalled, lender.pool.spare, spareAfterJoining(borrower, host),
                                    spareAfterTaking(lender, host)};
             if (!best || score > bestScore) {
-                best = host_move{host.description.host, lender.pool.name, borrower.pool.name};
+                best = host_move{host.description.host, lender.pool.name, name};
                 bestScore = score;
             }
         }
--- /dev/null
+++ b/tests/fakes/control_world.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include <poplarpass/config/calendar.h>
+#include <poplarpass/control.h>
+#include <poplarpass/core.h>
+#include <poplarpass/fold/fleet_state.h>
+#include <poplarpass/platform.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+/// Control processes over a fake log and fake workers, on a clock that the test steps.
+namespace fakes
+{
+using namespace poplarpass;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// \brief How the world behaves; everything random comes from the seed.
+struct world_settings
+{
+    std::uint64_t seed = 1;
+    int controls = 3;
+    int entries = 2;
+    core::duration tick = milliseconds{100};
+    core::duration latency = milliseconds{5}; ///< Longest way of a message.
+    core::duration reboot = seconds{8};
+    core::duration longestJob = seconds{3};
+    config::fleet_config config;
+    std::vector<platform::listed_host> hosts;
+    control::wave_policy drains; ///< Least loss when empty.
+    std::function<control::move_policy()> moves; ///< One policy for each process; none when empty.
+};
+
+/// \brief Messages that are under way, in the order of their arrival.
+class event_queue
+{
+public:
+    auto at(core::monotonic_time time, std::function<void()> action) -> void;
+    auto runUntil(core::monotonic_time time, core::monotonic_time &now) -> void;
+
+private:
+    struct event
+    {
+        core::monotonic_time time;
+        std::uint64_t sequence;
+        std::function<void()> action;
+    };
+    std::vector<event> m_heap;
+    std::uint64_t m_sequence = 0;
+};
+
+/// \brief One worker as the platform keeps it.
+struct fake_worker
+{
+    platform::listed_host listed;
+    core::pool_id pool;
+    std::uint64_t generation = 0;
+    std::uint64_t bootId = 1;
+    std::uint64_t epochSeen = 0;
+    bool dead = false; ///< Lost without a plan.
+    bool draining = false;
+    core::monotonic_time upAt{}; ///< When it is up again after a planned reboot.
+    std::vector<core::monotonic_time> jobs; ///< When each running job ends.
+    std::map<std::uint64_t, core::monotonic_time> grants; ///< Leases by id, with the time of the grant.
+};
+
+class control_world;
+
+/// \brief One control process: the real decisions between a log and workers that may fail it.
+class control_process
+{
+public:
+    control_process(control_world &world, core::member_id name, std::uint64_t incarnation);
+
+    auto tick() -> void;
+    [[nodiscard]] auto localNow() const -> core::monotonic_time;
+    [[nodiscard]] auto mayAct() const -> bool;
+
+    core::member_id name;
+    std::uint64_t incarnation;
+    core::monotonic_time frozenUntil{};
+    bool cutFromLog = false;
+    bool cutFromWorkers = false;
+    core::duration wallStep{}; ///< Steps of the wall clock.
+    core::duration clockStart{}; ///< Where its monotonic clock began.
+    int clockPpm = 0; ///< How much faster its monotonic clock runs, in parts per million.
+    fold::fleet_state state;
+
+private:
+    friend class control_world;
+    auto read() -> void;
+    auto takePage(core::monotonic_time begun, std::uint64_t from) -> void;
+    auto append(const control::append_request &request, bool isForRole) -> void;
+    auto act() -> void;
+    auto probe() -> void;
+    auto give(const control::order_action &action) -> void;
+
+    control_world &m_world;
+    control::role_keeper m_role;
+    control::host_controller m_hosts;
+    bool m_reading = false;
+    bool m_acted = false;
+    core::monotonic_time m_probedAt{};
+    core::monotonic_time m_decidedAt{};
+    std::vector<control::host_sighting> m_sightings;
+    std::vector<control::order_outcome> m_outcomes;
+};
+
+/// \brief One entry process that takes leases and places jobs by what it last read, which may be old.
+struct fake_entry
+{
+    fold::fleet_state state;
+    core::monotonic_time frozenUntil{};
+    bool cutFromLog = false;
+    struct grant
+    {
+        core::host_id host;
+        core::pool_id pool;
+        std::uint64_t generation = 0;
+        std::uint64_t id = 0;
+    };
+    std::deque<grant> grants;
+};
+
+/// \brief The whole world and its faults.
+class control_world
+{
+public:
+    explicit control_world(world_settings settings);
+
+    auto step() -> void; ///< One tick.
+    auto run(core::duration length) -> void;
+    auto kill(std::size_t process) -> void; ///< The process ends; a new one of the same name starts.
+    auto startWave(const std::string &wave) -> void;
+    auto pauseWave(const std::string &wave, bool pause) -> void;
+    [[nodiscard]] auto holder() const -> control_process *; ///< Process that may act, if one may.
+    [[nodiscard]] auto isWaveFinished(const std::string &wave) const -> bool;
+    [[nodiscard]] auto isSettled() const -> bool; ///< Every host serves, in the state and at its worker.
+    [[nodiscard]] auto isUp(const fake_worker &worker) const -> bool;
+    [[nodiscard]] auto wallNow() const -> core::wall_time;
+    auto random(std::int64_t below) -> std::int64_t;
+    auto write(const core::record_id &id, const fold::record &change) -> bool; ///< Lands in the log now.
+
+    std::vector<std::unique_ptr<control_process>> processes;
+    std::vector<fake_entry> entries;
+    std::map<core::host_id, fake_worker> workers;
+    std::vector<std::pair<core::record_id, fold::record>> log;
+    fold::fleet_state truth; ///< The fold of the whole log.
+    core::monotonic_time now{seconds{1000}};
+    bool logDown = false;
+    core::duration logDelay{}; ///< Longest further wait for the log.
+    int lostAnswerPercent = 0; ///< Appends and orders that take effect while their answer is lost.
+    std::vector<std::string> breaches;
+    std::function<void(const fold::record &)> onAccepted; ///< Called after each record that was accepted.
+    std::uint64_t moves = 0;
+    std::uint64_t starts = 0;
+
+private:
+    friend class control_process;
+    auto delay(core::duration extra = {}) -> core::duration;
+    auto deliver(const std::weak_ptr<bool> &alive, control_process &to, std::function<void()> action) -> void;
+    auto serve(fake_worker &worker, const platform::order_request &request) -> core::result<platform::order_answer>;
+    auto tickWorkers() -> void;
+    auto tickEntry(fake_entry &entry) -> void;
+    auto place(fake_entry &entry) -> void;
+    auto check() -> void;
+    auto checkPromise(const config::pool &pool) -> void;
+    auto breach(std::string text) -> void;
+
+    world_settings m_settings;
+    std::mt19937_64 m_random;
+    event_queue m_events;
+    std::uint64_t m_nextGrant = 0;
+    std::uint64_t m_incarnation = 0;
+    std::map<const control_process *, std::shared_ptr<bool>> m_alive;
+};
+
+/// \brief Pools of \p perPool hosts each over \p zones zones, four to a rack, the last pool being the spare.
+auto makeHosts(int pools, int perPool, int zones) -> std::vector<platform::listed_host>;
+
+/// \brief Configuration for makeHosts(): each pool needs \p demandSlots and may lose \p maxLost of \p domain.
+auto makeConfig(int pools, int demandSlots, config::loss_domain domain, int maxLost, int maxOut)
+    -> config::fleet_config;
+} // namespace fakes
