--- a/tests/decisions/control_sim_test.cpp
+++ b/tests/decisions/control_sim_test.cpp
@@ -233,8 +233,9 @@
         int records = 0;
         bool isDue = false;
         world.onAccepted = [&](const fold::record &change) {
-            records += std::holds_alternative<fold::host_record>(change) ? 1 : 0;
-            isDue = isDue || records == killAfter;
+            if (std::holds_alternative<fold::host_record>(change)) {
+                isDue = isDue || ++records == killAfter;
+            }
         };
         world.startWave("w");
         while (world.now < core::monotonic_time{minutes{40}} && !world.isWaveFinished("w")) {
