--- /dev/null
+++ b/src/poplarpass/app/operator_session.cpp
@@ -0,0 +1,95 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/operator_session.h>
+#include <poplarpass/request/uuid7.h>
+
+#include <ostream>
+#include <utility>
+
+namespace poplarpass::app
+{
+namespace
+{
+constexpr core::duration readLimit = std::chrono::seconds{10};
+constexpr core::duration publishLimit = std::chrono::seconds{20};
+constexpr core::duration longestTurn = std::chrono::milliseconds{50};
+} // namespace
+
+operator_session::operator_session(std::string_view file, console &streams)
+    : m_streams{streams}
+{
+    auto loaded = settings::load(file);
+    if (!loaded) {
+        for (const auto &wrong : loaded.error()) {
+            m_streams.err << settings::describe(wrong) << '\n';
+        }
+        return;
+    }
+    loaded->log.level = "error";
+    m_process = std::make_unique<process_runtime>(*std::move(loaded), "operator");
+    fleet_log_hooks hooks;
+    hooks.onApplied = [this](fold::log_offset offset, const core::record_id &, const fold::record &change,
+                             const fold::applied &outcome) {
+        if (const auto *revision = std::get_if<fold::config_record>(&change)) {
+            m_revisions.push_back({offset, *revision, outcome});
+        }
+    };
+    hooks.onReadToEnd = [this](core::monotonic_time) { m_atEnd = true; };
+    m_log = std::make_unique<fleet_log>(m_process->loop, m_process->logService,
+                                        m_process->settings.deployment.secret, std::move(hooks));
+}
+
+auto operator_session::problem() const -> std::optional<exit_code>
+{
+    return m_process ? std::nullopt : std::optional{exit_code::bad_settings};
+}
+
+auto operator_session::runUntil(const std::function<bool()> &done, core::duration limit) -> bool
+{
+    const auto until = monotonicNow() + limit;
+    while (!done() && monotonicNow() < until) {
+        m_process->loop.restart();
+        m_process->loop.run_one_for(longestTurn);
+    }
+    return done();
+}
+
+auto operator_session::readToEnd() -> bool
+{
+    m_log->start();
+    if (runUntil([this] { return m_atEnd; }, readLimit)) {
+        return true;
+    }
+    m_streams.err << (m_log->follower().cannotRecover()
+                          ? "the log holds neither its start nor a whole snapshot; nothing was accepted\n"
+                          : "the log service does not answer; nothing was accepted\n");
+    return false;
+}
+
+auto operator_session::publish(const core::record_id &id, const fold::record &change) -> fold::publish_outcome
+{
+    std::optional<fold::publish_outcome> known;
+    m_log->publish(id, change, publishLimit, [&known](fold::publish_outcome outcome) { known = std::move(outcome); });
+    runUntil([&known] { return known.has_value(); }, publishLimit + std::chrono::seconds{1});
+    return known.value_or(fold::publish_outcome{});
+}
+
+auto operator_session::state() const -> const fold::fleet_state &
+{
+    return m_log->state();
+}
+
+auto operator_session::revisions() const -> std::span<const seen_revision>
+{
+    return m_revisions;
+}
+
+auto operator_session::process() -> process_runtime &
+{
+    return *m_process;
+}
+
+auto operator_session::makeRecordId(std::string_view what) -> core::record_id
+{
+    return core::record_id{std::string{what} + '/' + request::makeUuid7(wallNow(), m_process->random).str()};
+}
+} // namespace poplarpass::app
--- /dev/null
+++ b/src/poplarpass/app/status_verbs.cpp
@@ -0,0 +1,162 @@
+#include <poplarpass/app/operator_session.h>
+#include <poplarpass/app/operator_verbs.h>
+#include <poplarpass/app/status_server.h>
+
+#include <nlohmann/json.hpp>
+
+#include <ostream>
+
+namespace poplarpass::app
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr core::duration watchPeriod = std::chrono::seconds{1};
+constexpr core::duration explainLimit = std::chrono::seconds{5};
+
+auto printText(const json &described, console &streams) -> void
+{
+    streams.out << "offset=" << described["offset"] << " revision=" << described["revision"]
+                << " holder=" << described["control"]["holder"].get<std::string>()
+                << " control_epoch=" << described["control"]["epoch"] << " members=" << described["members"].size()
+                << '\n';
+    for (const auto &pool : described["pools"]) {
+        streams.out << "pool=" << pool["name"].get<std::string>() << " serving=" << pool.value("serving_slots", 0)
+                    << " required=" << pool.value("required_slots", 0)
+                    << " worst_loss=" << pool.value("worst_loss_slots", 0) << " spare=" << pool.value("spare_slots", 0)
+                    << " planned_out=" << pool.value("planned_out", 0)
+                    << " unplanned_out=" << pool.value("unplanned_out", 0) << '\n';
+    }
+    for (const auto &wave : described["waves"]) {
+        streams.out << "wave=" << wave["name"].get<std::string>() << " done=" << wave["hosts_done"]
+                    << " out=" << wave["hosts_out"] << " hosts=" << wave["hosts"]
+                    << " finished=" << wave["finished"] << '\n';
+    }
+}
+
+auto printState(const operator_session &session, const parsed_options &options, console &streams) -> void
+{
+    const auto described = describeState(session.state());
+    if (options.format() == output_format::json) {
+        streams.out << described << std::endl;
+        return;
+    }
+    printText(json::parse(described), streams);
+    streams.out.flush();
+}
+
+auto status(const parsed_options &options, console &streams) -> exit_code
+{
+    operator_session session{options.value("config"), streams};
+    if (const auto wrong = session.problem()) {
+        return *wrong;
+    }
+    if (!session.readToEnd()) {
+        return exit_code::failure;
+    }
+    printState(session, options, streams);
+    while (options.has("watch")) {
+        session.runUntil([] { return false; }, watchPeriod);
+        printState(session, options, streams);
+    }
+    return exit_code::success;
+}
+
+auto phaseName(fold::host_phase phase) -> std::string_view
+{
+    switch (phase) {
+    case fold::host_phase::serving:
+        return "serving";
+    case fold::host_phase::moving_out:
+        return "moving_out";
+    case fold::host_phase::drained:
+        return "drained";
+    case fold::host_phase::draining:
+        return "draining";
+    case fold::host_phase::rebooting:
+        return "rebooting";
+    }
+    return "serving";
+}
+
+auto hostJson(const fold::host_state &host) -> json
+{
+    return {{"host", host.description.host.str()},
+            {"pool", host.pool.str()},
+            {"generation", host.generation},
+            {"phase", phaseName(host.phase)},
+            {"down", host.down},
+            {"moving_to", host.movingTo.str()},
+            {"wave", host.wave.str()},
+            {"rack", host.description.rack.str()},
+            {"zone", host.description.zone.str()},
+            {"slots", host.description.slots},
+            {"maintained_at", host.maintainedAt}};
+}
+
+auto showHost(const parsed_options &options, console &streams) -> exit_code
+{
+    operator_session session{options.value("config"), streams};
+    if (const auto wrong = session.problem()) {
+        return *wrong;
+    }
+    if (!session.readToEnd()) {
+        return exit_code::failure;
+    }
+    bool found = false;
+    for (const auto &host : session.state().hosts()) {
+        const bool wanted = options.arguments().empty() || options.arguments().front() == host.description.host.str();
+        if (!wanted) {
+            continue;
+        }
+        found = true;
+        const auto described = hostJson(host);
+        if (options.format() == output_format::json) {
+            streams.out << described.dump() << '\n';
+            continue;
+        }
+        for (const auto &[name, value] : described.items()) {
+            streams.out << name << '=' << (value.is_string() ? value.get<std::string>() : value.dump()) << ' ';
+        }
+        streams.out << '\n';
+    }
+    return found ? exit_code::success : exit_code::failure;
+}
+
+auto explainJob(const parsed_options &options, console &streams) -> exit_code
+{
+    if (options.arguments().size() != 1) {
+        streams.err << "job explain: one KEY is needed; see --help\n";
+        return exit_code::usage;
+    }
+    operator_session session{options.value("config"), streams};
+    if (const auto wrong = session.problem()) {
+        return *wrong;
+    }
+    net::http_request request;
+    request.target = "/v1/jobs/" + net::percentEncode(options.arguments().front());
+    std::optional<core::result<net::http_response>> answer;
+    session.process().http.send(options.value("entry"), std::move(request), explainLimit,
+                                [&answer](core::result<net::http_response> got, net::sent_state) { answer = std::move(got); });
+    session.runUntil([&answer] { return answer.has_value(); }, explainLimit + watchPeriod);
+    if (!answer || !*answer) {
+        streams.err << "the entry " << options.value("entry") << " does not answer\n";
+        return exit_code::failure;
+    }
+    streams.out << (*answer)->body << '\n';
+    return exit_code::success;
+}
+} // namespace
+
+auto statusVerbs() -> std::vector<verb>
+{
+    const option_spec watch{"watch", "prints again every second until interrupted", false, false, ""};
+    const option_spec entry{"entry", "IP:port at which an entry takes callers", true, true, ""};
+    return {
+        {"status", "shows members, budgets and waves", "", {configOption(), watch, formatOption()}, status},
+        {"host show", "shows one host or all", "[HOST]", {configOption(), formatOption()}, showHost},
+        {"job explain", "shows what is known of a job", "KEY", {configOption(), entry, formatOption()}, explainJob},
+    };
+}
+} // namespace poplarpass::app
--- a/src/poplarpass/app/verbs.cpp
+++ b/src/poplarpass/app/verbs.cpp
@@ -1,8 +1,11 @@
 #include <poplarpass/app/command_line.h>
 #include <poplarpass/app/control_process.h>
 #include <poplarpass/app/entry_process.h>
+#include <poplarpass/app/operator_verbs.h>
 #include <poplarpass/settings.h>
 
+#include <algorithm>
+#include <iterator>
 #include <optional>
 #include <ostream>
 
@@ -22,6 +25,39 @@
     return std::nullopt;
 }
 
+auto checkConfig(const parsed_options &options, console &streams) -> exit_code
+{
+    if (options.arguments().empty()) {
+        streams.err << "config check: at least one FILE is needed; see --help\n";
+        return exit_code::usage;
+    }
+    bool valid = true;
+    for (const auto &file : options.arguments()) {
+        const auto loaded = settings::load(file);
+        if (loaded) {
+            streams.out << file << ": valid\n";
+            continue;
+        }
+        valid = false;
+        for (const auto &problem : loaded.error()) {
+            streams.err << settings::describe(problem) << '\n';
+        }
+    }
+    return valid ? exit_code::success : exit_code::bad_settings;
+}
+
+auto printKeys(const parsed_options &, console &streams) -> exit_code
+{
+    streams.out << settings::describeKeys();
+    return exit_code::success;
+}
+
+auto printErrors(const parsed_options &, console &streams) -> exit_code
+{
+    streams.out << describeErrors();
+    return exit_code::success;
+}
+
 auto runEntry(const parsed_options &options, console &streams) -> exit_code
 {
     const auto loaded = loadSettings(options, streams);
@@ -52,9 +88,16 @@
 auto allVerbs() -> std::vector<verb>
 {
     const option_spec config{"config", "settings file", true, true, ""};
-    return {
+    std::vector<verb> verbs{
         {"entry", "runs the entry process, which takes jobs of callers", "", {config}, runEntry},
         {"control", "runs the control process, which may hold the control role", "", {config}, runControl},
+        {"config check", "checks settings files and shows every error at once", "FILE...", {}, checkConfig},
+        {"config keys", "prints the table of settings", "", {}, printKeys},
+        {"config errors", "prints the table of error kinds", "", {}, printErrors},
     };
+    for (auto group : {profileVerbs(), waveVerbs(), statusVerbs()}) {
+        std::ranges::move(group, std::back_inserter(verbs));
+    }
+    return verbs;
 }
 } // namespace poplarpass::app
--- a/src/poplarpass/platform/host_list_client.cpp
+++ b/src/poplarpass/platform/host_list_client.cpp
@@ -23,6 +23,7 @@
     host.region = core::region_id{item.at("region").get<std::string>()};
     host.zone = core::zone_id{item.at("zone").get<std::string>()};
     host.rack = core::rack_id{item.at("rack").get<std::string>()};
+    host.pool = core::pool_id{item.at("pool").get<std::string>()};
     host.slots = item.at("slots").get<int>();
     host.connections = item.at("connections").get<int>();
     host.cores = item.at("cores").get<int>();
--- a/standins/inventory.cpp
+++ b/standins/inventory.cpp
@@ -55,6 +55,7 @@
 {
     inventory_host host{decodeHost(document), {}};
     takeMember(document, "pool", host.pool);
+    host.listed.pool = poplarpass::core::pool_id{host.pool};
     return host;
 }
 } // namespace
@@ -70,6 +71,7 @@
     takeId(document, "region", host.region);
     takeId(document, "zone", host.zone);
     takeId(document, "rack", host.rack);
+    takeId(document, "pool", host.pool);
     takeMember(document, "address", host.address);
     takeMember(document, "slots", host.slots);
     takeMember(document, "connections", host.connections);
@@ -85,7 +87,7 @@
     return {{"host", host.host.str()},           {"address", host.address}, {"region", host.region.str()},
             {"zone", host.zone.str()},           {"rack", host.rack.str()}, {"slots", host.slots},
             {"connections", host.connections},   {"cores", host.cores},     {"memory_mb", host.memoryMb},
-            {"accelerators", host.accelerators}, {"leaving", host.leaving}};
+            {"accelerators", host.accelerators}, {"leaving", host.leaving}, {"pool", host.pool.str()}};
 }
 
 auto loadInventory(const std::string &path) -> std::vector<inventory_host>
@@ -93,7 +95,7 @@
     const auto text = readFile(path);
     const auto document = path.ends_with(".toml") ? tomlToJson(text) : json::parse(text);
     std::vector<inventory_host> hosts;
-    for (const auto &item : document.is_array() ? document : document.at("hosts")) {
+    for (const auto &item : document.is_array() ? document : document.at("host")) {
         hosts.push_back(decodeInventoryHost(item));
     }
     return hosts;
@@ -109,6 +111,7 @@
         const int rackOfPool = index / poolCount / rackHosts;
         const auto zone = "zone-" + std::to_string((rackOfPool + poolIndex) % zoneCount + 1);
         inventory_host host{decodeHost(json::object()), pools[static_cast<std::size_t>(poolIndex)]};
+        host.listed.pool = poplarpass::core::pool_id{host.pool};
         host.listed.host = core::host_id{"worker-" + std::to_string(index + 1)};
         host.listed.region = core::region_id{"region-1"};
         host.listed.zone = core::zone_id{zone};
