--- a/src/poplarpass/platform/host_list_client.cpp
+++ b/src/poplarpass/platform/host_list_client.cpp
@@ -23,6 +23,7 @@
     host.region = core::region_id{item.at("region").get<std::string>()};
     host.zone = core::zone_id{item.at("zone").get<std::string>()};
     host.rack = core::rack_id{item.at("rack").get<std::string>()};
+    host.pool = core::pool_id{item.at("pool").get<std::string>()};
     host.slots = item.at("slots").get<int>();
     host.connections = item.at("connections").get<int>();
     host.cores = item.at("cores").get<int>();
@@ -61,7 +62,8 @@
 auto makeHostList(net::http_client &client, std::string address) -> host_list
 {
     host_list list;
-    list.fetch = [&client, address](std::function<void(core::result<std::vector<listed_host>>)> done) {
+    list.fetch = [&client,
+                  address = std::move(address)](std::function<void(core::result<std::vector<listed_host>>)> done) {
         client.send(address, {"GET", "/hosts", {}, {}}, hostListTimeout,
                     [done = std::move(done)](const core::result<net::http_response> &answer, net::sent_state) {
                         done(decodeAnswer(answer));
--- a/standins/worker_endpoint.cpp
+++ b/standins/worker_endpoint.cpp
@@ -22,11 +22,10 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
-namespace core = poplarpass::core;
 
 namespace
 {
-constexpr int spareConnections = 16;
+constexpr std::size_t spareConnections = 16;
 constexpr std::string_view taskPrefix = "/tasks/";
 constexpr std::uint64_t bootIdMask = (std::uint64_t{1} << 52U) - 1;
 
@@ -39,7 +38,7 @@
 auto serverLimits(int connections) -> poplarpass::net::server_limits
 {
     poplarpass::net::server_limits limits;
-    limits.maxConnections = static_cast<std::size_t>(connections + spareConnections);
+    limits.maxConnections = static_cast<std::size_t>(connections) + spareConnections;
     limits.drainIdleTimeout = milliseconds{50};
     return limits;
 }
@@ -49,6 +48,7 @@
     : m_loop{loop}
     , m_host{std::move(host)}
     , m_options{options}
+    , m_leases{options.leaseTerm}
     , m_tasks{loop, m_journal}
     , m_bootId{newBootId()}
     , m_timers{loop}
@@ -180,7 +180,7 @@
     recordUsage();
     return jsonResponse(200,
                         {{"lease_id", m_leases.grant(now)},
-                         {"lease_term_ms", leaseTerm.count()},
+                         {"lease_term_ms", m_options.leaseTerm.count()},
                          {"boot_id", m_bootId},
                          {"pool", m_host.pool},
                          {"generation", m_generation},
