At most once: exclude removed members before a shorter list is in force

Cause: simulated histories ran a key twice: a single entry left and came back without its keys, and two members cut off from the log went on by their peers' answers after their removal. Ruled out: waiting 6 s alone; the cut-off members stay fresh by each other's answers for as long as the cut lasts. A key from the future is never answered as not run.

--- a/src/poplarpass/request/authority.cpp
+++ b/src/poplarpass/request/authority.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 namespace poplarpass::request
@@ -37,24 +38,40 @@
 {
 }
 
-// The first list that a process sees is in force at once, unless a member was removed so recently that it may still
-// act.
+// A process that starts in the middle of a removal has to see for itself that the removed members have stopped.
 auto authority::foldEpoch(const membership &next, instant at) -> void
 {
     assert(next.epoch > foldedEpoch());
-    const bool first = foldedEpoch() == 0;
-    pending_list pending{next, folded().members, false, at.now, std::nullopt};
-    if (first) {
-        const auto recent = at.wall - removalDelay - memberClockSkew;
-        pending.removes = std::ranges::any_of(next.losses, [recent](const auto &loss) { return loss.at > recent; });
-        pending.before.clear();
-    } else {
-        pending.removes = removesMembers(pending.before, next);
+    pending_list pending{next, {}, std::nullopt};
+    if (foldedEpoch() == 0) {
+        pending.removals = next.unsettled;
+        std::ranges::copy_if(next.losses, std::back_inserter(m_losses), [&next](const auto &loss) {
+            return std::ranges::find(next.unsettled, loss.epoch, &unsettled_removal::epoch) == next.unsettled.end();
+        });
+    } else if (removesMembers(folded().members, next)) {
+        pending.removals.push_back({next.epoch, folded().members});
     }
     m_pending.push_back(std::move(pending));
     advance(at);
 }
 
+auto authority::foldSettled(std::uint64_t epoch) -> void
+{
+    const auto settle = [epoch](membership &list) {
+        std::erase_if(list.unsettled, [epoch](const auto &removal) { return removal.epoch <= epoch; });
+    };
+    settle(m_acting);
+    for (auto &pending : m_pending) {
+        settle(pending.list);
+        std::erase_if(pending.removals, [epoch](const auto &removal) { return removal.epoch <= epoch; });
+    }
+}
+
+auto authority::epochToSettle() const -> std::optional<std::uint64_t>
+{
+    return m_acting.unsettled.empty() ? std::nullopt : std::optional{m_acting.epoch};
+}
+
 auto authority::logReadToEnd(core::monotonic_time startedAt) -> void
 {
     if (!m_logReadAt || *m_logReadAt < startedAt) {
@@ -211,15 +228,16 @@
 auto authority::knowledgeOf(core::wall_time minted) const -> knowledge
 {
     const auto from = minted - mintMargin;
-    const auto lost = std::ranges::count_if(m_acting.losses, [from](const auto &loss) { return loss.at >= from; });
+    const auto lost = std::ranges::count_if(m_losses, [from](const auto &loss) { return loss.at >= from; });
     if (lost == 0) {
         return knowledge::complete;
     }
-    return lost == 1 && m_acting.aloneUntil < from ? knowledge::held_once : knowledge::lost;
+    return lost == 1 && m_acting.aloneUntil < from - freshnessTerm ? knowledge::held_once : knowledge::lost;
 }
 
 auto authority::putInForce(const membership &list, core::wall_time wall) -> void
 {
+    noteLosses(list, wall);
     m_acting = list;
     for (auto &[name, peer] : m_peers) {
         peer.actsSince.reset();
@@ -230,44 +248,58 @@
     m_peers[m_self.member].actsSince = wall;
 }
 
+// A removed member may have gone on until the removal came into force, long after its record, and what it did until
+// then is lost with it.
+auto authority::noteLosses(const membership &list, core::wall_time wall) -> void
+{
+    for (auto loss : list.losses) {
+        const bool known = std::ranges::find(m_losses, loss.member, &member_loss::member) != m_losses.end();
+        if (known) {
+            continue;
+        }
+        loss.at = std::max(loss.at, wall);
+        m_losses.push_back(std::move(loss));
+    }
+    std::erase_if(m_losses, [wall](const auto &loss) { return loss.at + keyRetention + mintMargin < wall; });
+}
+
 auto authority::isDue(pending_list &pending, core::monotonic_time now) -> bool
 {
-    if (!pending.removes || peerVouches(pending.list.epoch)) {
+    if (pending.removals.empty() || peerVouches(pending.list.epoch)) {
         return true;
     }
-    if (!pending.excludedAt && isExcluded(pending)) {
+    const auto excluded = [this, now](const unsettled_removal &removal) {
+        return isExcluded(removal, now);
+    };
+    if (!pending.excludedAt && std::ranges::all_of(pending.removals, excluded)) {
         pending.excludedAt = now;
     }
-    return pending.excludedAt && now - *pending.excludedAt >= removalDelay && now - pending.foldedAt >= removalDelay;
+    return pending.excludedAt && now - *pending.excludedAt >= removalDelay;
 }
 
 // Enough members of the list before must have folded the removal that the others cannot be fresh by their peers alone.
-auto authority::isExcluded(const pending_list &pending) const -> bool
+auto authority::isExcluded(const unsettled_removal &removal, core::monotonic_time now) const -> bool
 {
-    if (pending.before.size() < 2) {
+    if (removal.before.size() < 2) {
         return true;
     }
-    std::size_t folded = 0;
-    for (const auto &member : pending.before) {
-        if (hasFolded(member, pending.list)) {
-            ++folded;
-        }
-    }
-    return 2 * folded >= pending.before.size();
+    const auto stopped = std::ranges::count_if(removal.before, [&](const member_ref &member) {
+        return hasFolded(member, removal.epoch) || knownGone(member, now);
+    });
+    return 2 * static_cast<std::size_t>(stopped) >= removal.before.size();
 }
 
 // A replacement under the same name has bound the address of the process before it, so that one is gone.
-auto authority::hasFolded(const member_ref &member, const membership &list) const -> bool
+auto authority::hasFolded(const member_ref &member, std::uint64_t epoch) const -> bool
 {
-    if (member == m_self || hasLeft(member)) {
+    if (member == m_self) {
         return true;
     }
-    if (!contains(list, member) && hasName(list, member.member)) {
+    if (!contains(folded(), member) && hasName(folded(), member.member)) {
         return true;
     }
     const auto peer = m_peers.find(member.member);
-    return peer != m_peers.end() && peer->second.incarnation == member.incarnation
-        && peer->second.foldedEpoch >= list.epoch;
+    return peer != m_peers.end() && peer->second.incarnation == member.incarnation && peer->second.foldedEpoch >= epoch;
 }
 
 // A member that acts in the epoch has done the waiting already.
--- a/src/poplarpass/request/authority.h
+++ b/src/poplarpass/request/authority.h
@@ -37,6 +37,10 @@
 
     /// \brief Takes the member list after a record that changed it; epochs must grow.
     auto foldEpoch(const membership &next, instant at) -> void;
+    /// \brief Takes a record that says that every removal up to \p epoch is in force somewhere.
+    auto foldSettled(std::uint64_t epoch) -> void;
+    /// \brief Epoch to name in a record that settles removals, if this process has put an unsettled one in force.
+    [[nodiscard]] auto epochToSettle() const -> std::optional<std::uint64_t>;
     /// \brief Notes that the log was read to its end by a read that started at \p startedAt.
     auto logReadToEnd(core::monotonic_time startedAt) -> void;
     /// \brief Notes that heartbeat number \p sequence was sent to \p to.
@@ -91,16 +95,15 @@
     struct pending_list
     {
         membership list;
-        std::vector<member_ref> before;
-        bool removes = false;
-        core::monotonic_time foldedAt;
+        std::vector<unsettled_removal> removals;
         std::optional<core::monotonic_time> excludedAt;
     };
 
     auto putInForce(const membership &list, core::wall_time wall) -> void;
+    auto noteLosses(const membership &list, core::wall_time wall) -> void;
     auto isDue(pending_list &pending, core::monotonic_time now) -> bool;
-    [[nodiscard]] auto isExcluded(const pending_list &pending) const -> bool;
-    [[nodiscard]] auto hasFolded(const member_ref &member, const membership &list) const -> bool;
+    [[nodiscard]] auto isExcluded(const unsettled_removal &removal, core::monotonic_time now) const -> bool;
+    [[nodiscard]] auto hasFolded(const member_ref &member, std::uint64_t epoch) const -> bool;
     [[nodiscard]] auto peerVouches(std::uint64_t epoch) const -> bool;
     [[nodiscard]] auto folded() const -> const membership &;
     [[nodiscard]] auto hasLeft(const member_ref &member) const -> bool;
@@ -109,6 +112,7 @@
 
     member_ref m_self;
     membership m_acting;
+    std::vector<member_loss> m_losses;
     std::deque<pending_list> m_pending;
     std::optional<core::monotonic_time> m_logReadAt;
     std::unordered_map<core::member_id, peer_state> m_peers;
--- a/src/poplarpass/request/key_authority.cpp
+++ b/src/poplarpass/request/key_authority.cpp
@@ -20,13 +20,10 @@
     return state == key_state::asking || state == key_state::claiming || state == key_state::forwarding;
 }
 
-// A key from the future is refused as "not run" only when every entry refuses it.
+// A key from the future becomes valid later, so even its refusal must not say "not run".
 auto checkAge(const packed_key &key, core::wall_time wall) -> std::optional<core::error>
 {
     const auto minted = mintTimeOf(key);
-    if (minted > wall + mintMargin + memberClockSkew) {
-        return core::error{core::error_kind::invalid_request, "the key was minted in the future", std::nullopt};
-    }
     if (minted > wall + callerClockSkew) {
         return core::error{core::error_kind::outcome_unknown, "the key was minted in the future", std::nullopt};
     }
--- a/src/poplarpass/request/key_authority.h
+++ b/src/poplarpass/request/key_authority.h
@@ -53,9 +53,11 @@
     /// \brief The job has its answer, or the truth became known after outcome_unknown.
     auto complete(const packed_key &key, job_answer answer, instant at) -> key_actions;
 
-    /// \brief Messages that hand every remembered key on before this entry leaves.
+    /// \brief Messages that hand every remembered key on before this entry leaves; it grants nothing from then on.
+    ///
+    /// May be called again for a new attempt.
     auto handOver(instant at) -> key_actions;
-    /// \brief Whether every handover message was confirmed.
+    /// \brief Whether every key was handed on and confirmed; else the removal must be recorded as a loss.
     [[nodiscard]] auto handedOver() const -> bool;
 
     /// \brief Requests and cancellations under way.
@@ -167,6 +169,7 @@
     correlation_id m_lastCorrelation = 0;
     std::uint64_t m_seenEpoch = 0;
     bool m_leaving = false;
+    std::size_t m_unhanded = 0;
     std::priority_queue<timer, std::vector<timer>, std::greater<>> m_timers;
     std::unordered_set<packed_key> m_active;
     std::set<core::member_id> m_down;
--- a/src/poplarpass/request/key_authority_home.cpp
+++ b/src/poplarpass/request/key_authority_home.cpp
@@ -70,7 +70,8 @@
             return member;
         }
     }
-    return std::nullopt;
+    const bool holderIsLast = holder && names.size() == 2 && contains(m_authority.acting(), *holder);
+    return holderIsLast ? holder : std::nullopt;
 }
 
 auto key_authority::homeOf(const packed_key &key) const -> member_ref
--- a/src/poplarpass/request/key_authority_job.cpp
+++ b/src/poplarpass/request/key_authority_job.cpp
@@ -188,6 +188,7 @@
 {
     key_actions out;
     m_leaving = true;
+    m_unhanded = 0;
     std::map<member_ref, handover> batches;
     const auto flush = [this, &out](const member_ref &to, handover &batch) {
         batch.correlation = ++m_lastCorrelation;
@@ -203,6 +204,7 @@
         }
         const auto to = successorOf(key, holder);
         if (!to) {
+            ++m_unhanded;
             return;
         }
         auto &batch = batches[*to];
@@ -225,7 +227,7 @@
 
 auto key_authority::handedOver() const -> bool
 {
-    return m_leaving && m_handovers.empty();
+    return m_leaving && m_handovers.empty() && m_unhanded == 0;
 }
 
 auto key_authority::onHandover(const member_ref &from, const handover &keys, instant at, key_actions &out) -> void
--- a/src/poplarpass/request/membership.h
+++ b/src/poplarpass/request/membership.h
@@ -22,7 +22,15 @@
 struct member_loss
 {
     member_ref member; ///< The member.
-    core::wall_time at; ///< Time of the removal, from its record.
+    std::uint64_t epoch = 0; ///< Epoch that the removal led to.
+    core::wall_time at; ///< Time of the record that settled the removal; of the removal itself before that.
+};
+
+/// \brief A removal of which no process has yet said in the log that it is in force.
+struct unsettled_removal
+{
+    std::uint64_t epoch = 0; ///< Epoch that the removal led to.
+    std::vector<member_ref> before; ///< Members of the epoch before, the removed ones included.
 };
 
 /// \brief The entries that decide about keys, as agreed by the log up to one record.
@@ -31,6 +39,7 @@
     std::uint64_t epoch = 0; ///< Grows with every change of the list.
     std::vector<member_ref> members; ///< Members; at most one incarnation for each name.
     std::vector<member_loss> losses; ///< Removals without a handover, for at least the lifetime of a key.
+    std::vector<unsettled_removal> unsettled; ///< Removals of any kind until a record says that they are in force.
     core::wall_time aloneUntil; ///< Last time at which the list had fewer than two members; the epoch if never.
 };
 } // namespace poplarpass::request
--- /dev/null
+++ b/tests/decisions/fleet_sim_world.cpp
@@ -0,0 +1,446 @@
+#include "fleet_sim.h"
+
+#include <algorithm>
+
+using namespace std::chrono_literals;
+
+namespace tests
+{
+namespace
+{
+const core::pool_id pool{"searches"};
+
+auto nameOf(int index) -> core::member_id
+{
+    return core::member_id{"entry-" + std::to_string(index)};
+}
+
+auto hostNameOf(int index) -> core::host_id
+{
+    return core::host_id{"worker-" + std::to_string(index)};
+}
+
+auto indexOf(const core::member_id &name) -> int
+{
+    return std::stoi(name.str().substr(6));
+}
+} // namespace
+
+auto fleet_sim::tryStart(int index, entry &process, const request::packed_key &key) -> void
+{
+    auto &state = process.attempts[key];
+    if (state.settled || state.open) {
+        return;
+    }
+    if (m_now > state.giveUpAt) {
+        state.settled = true;
+        act(index, process,
+            process.keys.complete(key, core::failure(core::error_kind::worker_unavailable), instantOf(index)));
+        return;
+    }
+    state.worker = static_cast<int>(m_random() % m_workers.size());
+    const auto lease = process.leases.usable(hostNameOf(state.worker), pool, 1, m_now);
+    const auto retry = [this, index, key, incarnation = process.decider.self().incarnation](core::duration delay) {
+        after(delay, [this, index, key, incarnation] {
+            onHost(index, incarnation, [this, index, key](entry &again) { tryStart(index, again, key); });
+        });
+    };
+    if (!lease) {
+        takeLease(index, process, state.worker);
+        retry(20ms);
+        return;
+    }
+    const auto begun = process.keys.beginAttempt(key, instantOf(index));
+    if (!begun) {
+        state.settled = begun.error().kind == core::error_kind::cancelled;
+        retry(100ms);
+        return;
+    }
+    state.sent = {m_now, lease->expiry, lease->bootId};
+    sendStart(index, process, key, lease->leaseId);
+}
+
+auto fleet_sim::takeLease(int index, entry &process, int target) -> void
+{
+    if (!process.leases.renewalDue(hostNameOf(target), m_now)) {
+        return;
+    }
+    process.leases.requestSent(hostNameOf(target), m_now);
+    const auto incarnation = process.decider.self().incarnation;
+    after(between(200us, 2ms), [this, index, incarnation, target, sentAt = m_now] {
+        auto &giver = m_workers[static_cast<std::size_t>(target)];
+        if (m_now < giver.deadUntil) {
+            return;
+        }
+        platform::worker_report report;
+        report.leaseId = ++giver.lastLease;
+        report.leaseTerm = request::workerLeaseTerm;
+        report.bootId = giver.boot;
+        report.pool = pool;
+        report.generation = 1;
+        giver.leases[report.leaseId] = m_now + request::workerLeaseTerm;
+        after(chance(0.05) ? between(0ms, 4s) : between(200us, 2ms),
+              [this, index, incarnation, target, sentAt, report] {
+                  onHost(index, incarnation, [target, sentAt, report](entry &again) {
+                      again.leases.granted(hostNameOf(target), report, sentAt);
+                  });
+              });
+    });
+}
+
+// A start may leave the process late, as when it freezes between its decision and the write.
+auto fleet_sim::sendStart(int index, entry &process, const request::packed_key &key, std::uint64_t lease) -> void
+{
+    auto &state = process.attempts[key];
+    state.open = true;
+    const auto number = ++state.number;
+    ++state.history.sent;
+    const auto incarnation = process.decider.self().incarnation;
+    const auto target = state.worker;
+    const auto delay = m_options.faults && chance(0.03) ? between(0ms, 30s) : between(200us, 2ms);
+    after(delay, [this, index, incarnation, key, number, target, lease] {
+        arrive(index, incarnation, key, number, target, lease);
+    });
+    after(2s, [this, index, incarnation, key, number] {
+        platform::start_answer silence;
+        reply(index, incarnation, key, number, silence);
+    });
+}
+
+auto fleet_sim::arrive(int index, std::uint64_t incarnation, const request::packed_key &key, int number, int target,
+                       std::uint64_t lease) -> void
+{
+    auto &runner = m_workers[static_cast<std::size_t>(target)];
+    const auto name = request::unpackKey(key).str();
+    platform::start_answer answer;
+    answer.outcome = platform::start_outcome::not_started;
+    const auto back = [this, index, incarnation, key, number](platform::start_answer result, core::duration delay) {
+        if (!m_options.faults || chance(0.97)) {
+            after(delay,
+                  [this, index, incarnation, key, number, result] { reply(index, incarnation, key, number, result); });
+        }
+    };
+    const auto given = runner.leases.find(lease);
+    if (m_now < runner.deadUntil) {
+        answer.reason = platform::rejection::unreachable;
+    } else if (given == runner.leases.end() || m_now >= given->second) {
+        answer.reason = platform::rejection::lease_lapsed;
+    } else if (runner.tasks.contains(name)) {
+        answer.reason = platform::rejection::duplicate;
+    } else if (m_options.faults && chance(0.1)) {
+        answer.reason = platform::rejection::no_slot;
+    } else {
+        ++m_keys[name].starts;
+        note(name,
+             "started by " + std::to_string(index) + "." + std::to_string(incarnation) + " on worker "
+                 + std::to_string(target));
+        runner.tasks[name] = {};
+        const auto runTime = between(2ms, 400ms);
+        after(runTime, [this, target, name, back, boot = runner.boot] {
+            auto &host = m_workers[static_cast<std::size_t>(target)];
+            if (host.boot != boot) {
+                return;
+            }
+            auto &job = host.tasks[name];
+            platform::start_answer result;
+            const bool stopped = job.state == platform::task_state::stopped;
+            job.state = stopped ? job.state : platform::task_state::finished;
+            result.outcome = stopped ? platform::start_outcome::stopped : platform::start_outcome::finished;
+            result.payload = "output of " + name;
+            back(result, between(200us, 2ms));
+        });
+        return;
+    }
+    back(answer, between(200us, 2ms));
+}
+
+auto fleet_sim::reply(int index, std::uint64_t incarnation, const request::packed_key &key, int number,
+                      platform::start_answer answer) -> void
+{
+    onHost(index, incarnation, [this, index, key, number, answer](entry &process) {
+        auto &state = process.attempts[key];
+        if (state.settled || !state.open || state.number != number) {
+            return;
+        }
+        state.open = false;
+        decide(index, process, key, process.policy.afterAnswer(state.history, answer));
+    });
+}
+
+auto fleet_sim::decide(int index, entry &process, const request::packed_key &key,
+                       const request::attempt_decision &decision) -> void
+{
+    auto &state = process.attempts[key];
+    const auto incarnation = process.decider.self().incarnation;
+    switch (decision.step) {
+    case request::attempt_step::finish:
+        state.settled = true;
+        if (request::runStateOf(decision.answer) == core::run_state::not_run) {
+            process.keys.attemptNotStarted(key);
+        }
+        act(index, process, process.keys.complete(key, decision.answer, instantOf(index)));
+        return;
+    case request::attempt_step::resend:
+    case request::attempt_step::requeue:
+        process.keys.attemptNotStarted(key);
+        after(20ms, [this, index, incarnation, key] {
+            onHost(index, incarnation, [this, index, key](entry &again) { tryStart(index, again, key); });
+        });
+        return;
+    case request::attempt_step::wait:
+    case request::attempt_step::ask_worker:
+        after(200ms, [this, index, incarnation, key] {
+            onHost(index, incarnation, [this, index, key](entry &again) { askWorker(index, again, key); });
+        });
+        return;
+    }
+}
+
+auto fleet_sim::askWorker(int index, entry &process, const request::packed_key &key) -> void
+{
+    auto &state = process.attempts[key];
+    const auto &target = m_workers[static_cast<std::size_t>(state.worker)];
+    if (m_now < target.deadUntil) {
+        decide(index, process, key, process.policy.afterSilence(state.history));
+        return;
+    }
+    platform::task_report report;
+    report.bootId = target.boot;
+    const auto found = target.tasks.find(request::unpackKey(key).str());
+    if (found != target.tasks.end()) {
+        report.state = found->second.state;
+        report.payload = "output of " + found->first;
+    }
+    decide(index, process, key, process.policy.afterReport(state.history, state.sent, report, m_now));
+}
+
+auto fleet_sim::stopTask(const request::packed_key &key, int target) -> void
+{
+    auto &runner = m_workers[static_cast<std::size_t>(target)];
+    const auto found = runner.tasks.find(request::unpackKey(key).str());
+    if (found != runner.tasks.end() && found->second.state == platform::task_state::running) {
+        found->second.state = platform::task_state::stopped;
+    }
+}
+
+auto fleet_sim::append(request::membership next) -> void
+{
+    next.epoch = m_log.size() + 1;
+    const auto wall = instantOf(0).wall;
+    const auto before = m_log.empty() ? std::vector<request::member_ref>{} : m_log.back().members;
+    const bool removes = std::ranges::any_of(before, [&next](const auto &member) { return !contains(next, member); });
+    std::erase_if(next.unsettled, [this](const auto &removal) { return removal.epoch <= m_settled; });
+    if (removes) {
+        next.unsettled.push_back({next.epoch, before});
+    }
+    if (before.size() < 2 || next.members.size() < 2) {
+        next.aloneUntil = wall;
+    }
+    m_log.push_back(std::move(next));
+}
+
+auto fleet_sim::settle(std::uint64_t epoch) -> void
+{
+    for (auto &loss : m_log.back().losses) {
+        if (loss.epoch > m_settled && loss.epoch <= epoch) {
+            loss.at = instantOf(0).wall;
+        }
+    }
+    m_settled = std::max(m_settled, epoch);
+}
+
+auto fleet_sim::join(int index) -> void
+{
+    auto next = m_log.empty() ? request::membership{} : m_log.back();
+    const request::member_ref self{nameOf(index), m_hosts[static_cast<std::size_t>(index)].incarnation};
+    for (const auto &member : next.members) {
+        if (member.member == self.member) {
+            next.losses.push_back({member, m_log.size() + 1, instantOf(0).wall});
+        }
+    }
+    std::erase_if(next.members, [&self](const auto &member) { return member.member == self.member; });
+    next.members.push_back(self);
+    append(std::move(next));
+}
+
+auto fleet_sim::removeMember(const request::member_ref &member, bool lost) -> void
+{
+    auto next = m_log.back();
+    std::erase(next.members, member);
+    if (lost) {
+        next.losses.push_back({member, m_log.size() + 1, instantOf(0).wall});
+    }
+    append(std::move(next));
+}
+
+auto fleet_sim::control() -> void
+{
+    if (m_now >= m_logDownUntil && !m_log.empty()) {
+        for (const auto &member : m_log.back().members) {
+            const auto &place = m_hosts[static_cast<std::size_t>(indexOf(member.member))];
+            const bool running = place.process && place.incarnation == member.incarnation;
+            const bool dead = !running && m_now - place.deadSince > 2s;
+            const bool silent = running && m_now - place.sickSince > 3s && chance(0.3);
+            if ((dead || silent) && m_log.back().members.size() > 1) {
+                removeMember(member, true);
+                break;
+            }
+        }
+    }
+    after(500ms, [this] { control(); });
+}
+
+auto fleet_sim::fault() -> void
+{
+    if (m_now >= m_faultsEnd) {
+        return;
+    }
+    const auto index = static_cast<int>(m_random() % m_hosts.size());
+    auto &place = m_hosts[static_cast<std::size_t>(index)];
+    const auto length = std::min(between(500ms, 30s), m_faultsEnd - m_now);
+    switch (m_random() % 9) {
+    case 0:
+    case 1:
+        stopEntry(index);
+        after(between(100ms, 8s), [this, index] { startEntry(index); });
+        break;
+    case 2:
+        place.frozenUntil = std::max(place.frozenUntil, m_now + length);
+        place.sickSince = m_now;
+        after(length, [this, index] { m_hosts[static_cast<std::size_t>(index)].sickSince = time::max(); });
+        break;
+    case 3: {
+        const auto peer = static_cast<int>(m_random() % m_hosts.size());
+        m_cuts[{index, peer}] = m_now + length;
+        if (chance(0.5)) {
+            m_cuts[{peer, index}] = m_now + length;
+        }
+        break;
+    }
+    case 4:
+        for (int peer = 0; peer < m_options.entries; ++peer) {
+            m_cuts[{index, peer}] = m_now + length;
+            m_cuts[{peer, index}] = m_now + length;
+        }
+        place.sickSince = m_now;
+        after(length, [this, index] { m_hosts[static_cast<std::size_t>(index)].sickSince = time::max(); });
+        break;
+    case 5:
+        place.logCutUntil = m_now + length;
+        break;
+    case 6:
+        m_logDownUntil = std::max(m_logDownUntil, m_now + length);
+        break;
+    case 7:
+        leave(index);
+        break;
+    default:
+        if (m_log.size() > 1 && m_now >= m_logDownUntil && m_log.back().members.size() > 1) {
+            const auto members = m_log.back().members;
+            removeMember(members[m_random() % members.size()], true);
+        }
+        break;
+    }
+    after(chance(0.3) ? 0ms : between(100ms, 8s), [this] { fault(); });
+}
+
+// A planned stop: no new requests, running jobs end, keys are handed on, and only then the record and the exit.
+auto fleet_sim::leave(int index) -> void
+{
+    auto &place = m_hosts[static_cast<std::size_t>(index)];
+    if (!place.process || m_now < place.frozenUntil || place.process->leaving) {
+        return;
+    }
+    if (m_log.empty() || !contains(m_log.back(), place.process->decider.self())) {
+        return;
+    }
+    place.process->leaving = true;
+    awaitHandover(index, place.incarnation);
+}
+
+auto fleet_sim::awaitHandover(int index, std::uint64_t incarnation) -> void
+{
+    onHost(index, incarnation, [this, index, incarnation](entry &process) {
+        const auto self = process.decider.self();
+        const bool done = process.keys.activeCount() == 0;
+        const bool whole = done && process.keys.handedOver();
+        const bool listed = contains(m_log.back(), self);
+        if (!listed || ((whole || (done && chance(0.05))) && m_now >= m_logDownUntil)) {
+            if (listed) {
+                removeMember(self, !whole);
+            }
+            after(0ms, [this, index, incarnation] { restart(index, incarnation); });
+            return;
+        }
+        if (done && !whole) {
+            act(index, process, process.keys.handOver(instantOf(index)));
+        }
+        after(200ms, [this, index, incarnation] { awaitHandover(index, incarnation); });
+    });
+}
+
+auto fleet_sim::workerFault() -> void
+{
+    if (m_now >= m_faultsEnd) {
+        return;
+    }
+    auto &target = m_workers[m_random() % m_workers.size()];
+    target.deadUntil = m_now + between(100ms, 5s);
+    ++target.boot;
+    target.leases.clear();
+    target.tasks.clear();
+    after(between(2s, 20s), [this] { workerFault(); });
+}
+
+auto fleet_sim::newKey() -> void
+{
+    after(between(50ms, 400ms), [this] { newKey(); });
+    const bool late = m_now > m_faultsEnd + 40s;
+    const auto skew = chance(0.9) ? between(-3s, 4s) : between(-12min, 20s);
+    const auto key = request::makeUuid7(instantOf(0).wall + (late ? between(-100ms, 100ms) : skew), m_random).str();
+    m_keys[key].late = late;
+    const int repeats = chance(0.5) ? 1 : 1 + static_cast<int>(m_random() % 5);
+    for (int repeat = 0; repeat < repeats; ++repeat) {
+        const auto index = static_cast<int>(m_random() % m_hosts.size());
+        const auto delay = chance(0.5) ? between(0ms, 3ms) : between(0ms, late ? 5s : 40s);
+        after(delay, [this, index, key] { submit(index, key, "input", core::team_id{"team"}); });
+    }
+    if (chance(0.1)) {
+        const auto index = static_cast<int>(m_random() % m_hosts.size());
+        const bool cancels = !late && chance(0.5);
+        after(between(0ms, 2s), [this, index, key, cancels] {
+            auto &place = m_hosts[static_cast<std::size_t>(index)];
+            if (place.process && m_now >= place.frozenUntil) {
+                const auto who = ++m_lastWaiter;
+                m_waiters[who] = {key, index, place.incarnation, m_now, 0, true};
+                const core::job_key name{key};
+                auto &keys = place.process->keys;
+                const auto now = instantOf(index);
+                act(index, *place.process, cancels ? keys.cancel(name, who, now) : keys.ask(name, who, now));
+            }
+        });
+    }
+}
+
+auto fleet_sim::submit(int index, const std::string &key, const std::string &payload, core::team_id team) -> void
+{
+    auto &place = m_hosts[static_cast<std::size_t>(index)];
+    if (!place.process || m_now < place.frozenUntil || place.process->leaving) {
+        return;
+    }
+    request::job_spec spec;
+    spec.key = core::job_key{key};
+    spec.team = std::move(team);
+    spec.payload = payload;
+    const auto who = ++m_lastWaiter;
+    m_waiters[who] = {key, index, place.incarnation, m_now, 0, false};
+    ++m_report.submitted;
+    note(key, "submitted at " + std::to_string(index) + "." + std::to_string(place.incarnation));
+    act(index, *place.process, place.process->keys.submit(spec, who, instantOf(index)));
+}
+
+auto fleet_sim::logUp(int index) const -> bool
+{
+    return m_now >= m_logDownUntil && m_now >= m_hosts[static_cast<std::size_t>(index)].logCutUntil;
+}
+} // namespace tests
--- a/tests/decisions/key_smoke_test.cpp
+++ b/tests/decisions/key_smoke_test.cpp
@@ -16,7 +16,7 @@
     request::authority decider{{core::member_id{"entry-0"}, 1}};
     request::job_table jobs;
     request::key_authority keys{decider, jobs};
-    decider.foldEpoch({1, {{core::member_id{"entry-0"}, 1}}, {}, {}}, at);
+    decider.foldEpoch({1, {{core::member_id{"entry-0"}, 1}}, {}, {}, {}}, at);
     decider.logReadToEnd(at.now);
     request::job_spec spec;
     spec.key = request::makeUuid7(at.wall, random);
