At most once: two successors for each handed key, and no circular waits

Cause: ran a key twice after three planned leaves that handed both copies to one entry; in two entries waited for each other without end. Ruled out: remembering hints about the holder as facts, which ends the circle but keeps the key undecided for good. Change: a leaving entry hands each key to as many members as two copies need; only grants count as facts.

--- a/src/poplarpass/request/constants.h
+++ b/src/poplarpass/request/constants.h
@@ -53,6 +53,8 @@
 inline constexpr std::size_t maxPeerMessageBytes = 16U << 20U;
 /// \brief Version of the peer protocol.
 inline constexpr std::uint64_t peerProtocolVersion = 1;
+/// \brief Members that know each dispatched key.
+inline constexpr std::size_t copiesOfKey = 2;
 /// \brief Most keys in one handover message.
 inline constexpr std::size_t maxHandoverKeys = 500;
 
--- a/src/poplarpass/request/key_authority.h
+++ b/src/poplarpass/request/key_authority.h
@@ -137,6 +137,7 @@
     // Jobs of other entries (key_authority_job.cpp).
     auto follow(step &s, const member_ref &target) -> void;
     auto query(step &s) -> void;
+    auto redirect(step &s, const member_ref &target) -> void;
     auto learnHolder(step &s, const member_ref &holder) -> void;
     auto onJobQuery(const member_ref &from, const job_query &ask, instant at, key_actions &out) -> void;
     auto onJobReport(const member_ref &from, const job_report &report, step &s) -> void;
@@ -144,8 +145,7 @@
     auto acceptGrant(const member_ref &from, const delegate &order, step &s) -> bool;
     auto onDelegateReply(const member_ref &from, const delegate_reply &reply, step &s) -> void;
     auto passOn(step &s) -> void;
-    [[nodiscard]] auto successorOf(const packed_key &key, const std::optional<member_ref> &holder) const
-        -> std::optional<member_ref>;
+    auto successorsOf(const packed_key &key, const std::optional<member_ref> &holder) -> std::vector<member_ref>;
     auto onHandover(const member_ref &from, const handover &keys, instant at, key_actions &out) -> void;
     auto takeHanded(const handed_key &handed, instant at, key_actions &out) -> bool;
     [[nodiscard]] auto holderOf(const job_record &record) const -> std::optional<member_ref>;
--- a/src/poplarpass/request/key_authority_home.cpp
+++ b/src/poplarpass/request/key_authority_home.cpp
@@ -2,6 +2,7 @@
 #include <poplarpass/request/constants.h>
 #include <poplarpass/request/key_authority.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace poplarpass::request
@@ -60,18 +61,24 @@
     return std::nullopt;
 }
 
-auto key_authority::successorOf(const packed_key &key, const std::optional<member_ref> &holder) const
-    -> std::optional<member_ref>
+// Two members must know the key when this one is gone, the holder being one of them.
+auto key_authority::successorsOf(const packed_key &key, const std::optional<member_ref> &holder)
+    -> std::vector<member_ref>
 {
     const auto names = namesOf(m_authority.acting());
+    const bool holderStays = holder && *holder != m_authority.self() && contains(m_authority.acting(), *holder);
+    const auto wanted = std::min<std::size_t>(names.size() - 1, copiesOfKey) - (holderStays ? 1 : 0);
+    std::vector<member_ref> successors;
     for (const auto &name : core::rendezvousOrder(unpackKey(key).str(), names)) {
-        auto member = m_authority.actingMember(name);
-        if (*member != m_authority.self() && member != holder && !m_down.contains(name)) {
-            return member;
+        const auto member = m_authority.actingMember(name);
+        const bool knows = *member == m_authority.self() || member == holder;
+        if (!knows && !m_down.contains(name) && successors.size() < wanted) {
+            successors.push_back(*member);
         }
     }
-    const bool holderIsLast = holder && names.size() == 2 && contains(m_authority.acting(), *holder);
-    return holderIsLast ? holder : std::nullopt;
+    const bool whole = names.size() > 1 && successors.size() == wanted;
+    m_unhanded += whole ? 0 : 1;
+    return successors;
 }
 
 auto key_authority::homeOf(const packed_key &key) const -> member_ref
--- a/src/poplarpass/request/key_authority_job.cpp
+++ b/src/poplarpass/request/key_authority_job.cpp
@@ -26,14 +26,22 @@
     setTimer(s, s.at.now + jobQueryInterval);
 }
 
-auto key_authority::learnHolder(step &s, const member_ref &holder) -> void
+// Whom another member waits for is a hint; who was granted the key is a fact and is remembered.
+auto key_authority::redirect(step &s, const member_ref &target) -> void
 {
-    if (holder == m_authority.self()) {
+    if (target == m_authority.self()) {
         retryLater(s);
-        return;
+    } else {
+        follow(s, target);
+    }
+}
+
+auto key_authority::learnHolder(step &s, const member_ref &holder) -> void
+{
+    if (holder != m_authority.self()) {
+        s.record.holder = m_jobs.indexOf(holder);
     }
-    s.record.holder = m_jobs.indexOf(holder);
-    follow(s, holder);
+    redirect(s, holder);
 }
 
 auto key_authority::onJobQuery(const member_ref &from, const job_query &ask, instant at, key_actions &out) -> void
@@ -60,6 +68,9 @@
     } else if (holder) {
         report.phase = job_phase::elsewhere;
         report.holder = *holder;
+    } else if (record->state == key_state::elsewhere) {
+        report.phase = job_phase::elsewhere;
+        report.holder = record->work->target;
     } else {
         report.phase = record->work ? job_phase::deciding : job_phase::undecided;
     }
@@ -89,10 +100,10 @@
         work.heardAt = s.at.now;
         return;
     case job_phase::deciding:
-        work.heardAt = s.at.now;
+        work.heardAt = s.at.now < work.decideBy ? s.at.now : work.heardAt;
         return;
     case job_phase::elsewhere:
-        learnHolder(s, report.holder);
+        redirect(s, report.holder);
         return;
     case job_phase::undecided:
     case job_phase::never_seen:
@@ -176,7 +187,7 @@
         fail(s, core::error_kind::outcome_unknown, "no entry could decide about the key");
         return;
     case delegate_status::held:
-        learnHolder(s, reply.holder);
+        redirect(s, reply.holder);
         return;
     case delegate_status::answered:
         settle(s, std::make_shared<const job_answer>(*reply.answer));
@@ -202,19 +213,16 @@
         if (!holder && record.state != key_state::answered) {
             return;
         }
-        const auto to = successorOf(key, holder);
-        if (!to) {
-            ++m_unhanded;
-            return;
-        }
-        auto &batch = batches[*to];
         handed_key handed{unpackKey(key), record.digest, holder.value_or(member_ref{}), record.promised, std::nullopt};
         if (record.answer) {
             handed.answer = *record.answer;
         }
-        batch.keys.push_back(std::move(handed));
-        if (batch.keys.size() >= maxHandoverKeys) {
-            flush(*to, batch);
+        for (const auto &to : successorsOf(key, holder)) {
+            auto &batch = batches[to];
+            batch.keys.push_back(handed);
+            if (batch.keys.size() >= maxHandoverKeys) {
+                flush(to, batch);
+            }
         }
     });
     for (auto &[to, batch] : batches) {
