Control: tests of the parts; reboot only on what the worker said last

Ruled out: drain orders as probes of a rebooting worker; they make a worker that is back refuse work. Change: host_tracker::isCurrent; tests of role, members, planners and holder.

--- a/src/poplarpass/control/host_steps.cpp
+++ b/src/poplarpass/control/host_steps.cpp
@@ -129,13 +129,14 @@
     const auto &tracker = m_trackers.at(host.description.host);
     const auto &status = tracker.status();
     reportOverdue(current, host, report_kind::reboot_overdue, rebootOverdueAfter);
-    const bool isBack = status && status->bootId != host.bootId && tracker.isReached(current.now);
-    if (!isBack) {
-        const bool isReady = status && status->bootId == host.bootId && status->draining;
-        if (isReady && tracker.mayReboot(current.now)) {
-            order(current, host, worker_order::reboot);
-        } else if (!isReady || !tracker.isReached(current.now)) {
+    if (!tracker.isReached(current.now) || !tracker.isCurrent()) {
+        return;
+    }
+    if (status->bootId == host.bootId) {
+        if (!status->draining) {
             order(current, host, worker_order::drain);
+        } else if (tracker.mayReboot(current.now)) {
+            order(current, host, worker_order::reboot);
         }
         return;
     }
--- a/src/poplarpass/control/host_tracker.cpp
+++ b/src/poplarpass/control/host_tracker.cpp
@@ -129,6 +129,11 @@
     return m_assigned == pool;
 }
 
+auto host_tracker::isCurrent() const -> bool
+{
+    return m_status && !m_underWay && (!m_lastOrder || m_status->at >= *m_lastOrder);
+}
+
 auto host_tracker::isAssignedAs(const fold::host_state &host) const -> bool
 {
     return m_status && m_status->pool == host.pool && m_status->generation == host.generation;
@@ -136,7 +141,7 @@
 
 auto host_tracker::takesWorkAs(const fold::host_state &host) const -> bool
 {
-    return isAssignedAs(host) && !m_status->draining;
+    return isCurrent() && isAssignedAs(host) && !m_status->draining;
 }
 
 auto host_tracker::status() const -> const std::optional<worker_status> &
--- a/src/poplarpass/control/host_tracker.h
+++ b/src/poplarpass/control/host_tracker.h
@@ -57,6 +57,9 @@
     /// \brief Whether the worker, since the phase began, confirmed that it was assigned to \p pool.
     [[nodiscard]] auto confirmedAssign(const core::pool_id &pool) const -> bool;
 
+    /// \brief Whether the worker said what it is after the effect of the latest order that it may have got.
+    [[nodiscard]] auto isCurrent() const -> bool;
+
     /// \brief Whether the worker said last that it serves the pool and generation of \p host.
     [[nodiscard]] auto isAssignedAs(const fold::host_state &host) const -> bool;
 
--- a/tests/decisions/control_sim_test.cpp
+++ b/tests/decisions/control_sim_test.cpp
@@ -75,6 +75,17 @@
     };
 }
 
+/// \brief Moves the first host of pool p0 to pool p1 and leaves it there.
+auto moveFirstHost(const control::move_query &query) -> std::vector<control::host_move>
+{
+    const auto &hosts = query.view.pools.front().hosts;
+    const bool isThere = !hosts.empty() && hosts.front().description.host.str() == "w000";
+    if (!isThere || !query.isUsable(hosts.front())) {
+        return {};
+    }
+    return {{hosts.front().description.host, core::pool_id{"p0"}, core::pool_id{"p1"}}};
+}
+
 auto anyProcess(control_world &world) -> fakes::control_process &
 {
     auto *holder = world.holder();
@@ -229,6 +240,9 @@
         settings.hosts = fakes::makeHosts(2, 4, 4);
         settings.config = fakes::makeConfig(2, 8, config::loss_domain::host, 1, 1);
         settings.latency = std::chrono::milliseconds{20};
+        settings.moves = [] {
+            return moveFirstHost;
+        };
         control_world world{settings};
         int records = 0;
         bool isDue = false;
@@ -250,6 +264,7 @@
         recordCount = records;
         CHECK(world.isWaveFinished("w"));
         CHECK(runUntilSettled(world, "w", minutes{1}));
+        CHECK(world.moves == 1);
         checkNone(world.breaches);
     }
     CHECK(recordCount > 20);
--- /dev/null
+++ b/tests/decisions/host_controller_test.cpp
@@ -0,0 +1,111 @@
+#include "fakes/control_world.h"
+#include "test_seed.h"
+
+#include <catch2/catch.hpp>
+
+using namespace poplarpass;
+using fakes::control_world;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace
+{
+auto settingsOf() -> fakes::world_settings
+{
+    fakes::world_settings settings;
+    settings.seed = tests::baseSeed();
+    settings.hosts = fakes::makeHosts(3, 8, 3);
+    settings.config = fakes::makeConfig(3, 24, config::loss_domain::rack, 1, 2);
+    return settings;
+}
+
+auto countPhase(const control_world &world, fold::host_phase phase) -> std::ptrdiff_t
+{
+    return std::ranges::count(world.truth.hosts(), phase, &fold::host_state::phase);
+}
+
+auto setRackDead(control_world &world, const std::string &rack, bool dead) -> void
+{
+    for (auto &[host, worker] : world.workers) {
+        if (worker.listed.rack.str() == rack) {
+            worker.dead = dead;
+        }
+    }
+}
+} // namespace
+
+TEST_CASE("a wave pauses by itself while a rack is lost, and goes on after", "[control][hosts]")
+{
+    control_world world{settingsOf()};
+    world.run(seconds{10});
+    setRackDead(world, "r0", true);
+    world.run(seconds{5});
+    world.startWave("w");
+    world.run(minutes{2});
+    CHECK(countPhase(world, fold::host_phase::serving) == 24);
+    CHECK(std::ranges::count_if(world.truth.hosts(), &fold::host_state::down) == 4);
+    setRackDead(world, "r0", false);
+    world.run(minutes{5});
+    CHECK(world.isWaveFinished("w"));
+    CHECK(world.breaches.empty());
+}
+
+TEST_CASE("an operator's pause starts no further drain", "[control][hosts]")
+{
+    control_world world{settingsOf()};
+    world.run(seconds{10});
+    world.startWave("w");
+    world.run(seconds{3});
+    world.pauseWave("w", true);
+    world.run(minutes{2});
+    CHECK(countPhase(world, fold::host_phase::serving) == 24);
+    CHECK_FALSE(world.isWaveFinished("w"));
+    world.pauseWave("w", false);
+    world.run(minutes{5});
+    CHECK(world.isWaveFinished("w"));
+}
+
+TEST_CASE("a drain that does not finish is never forced, and is cancelled when its calendar closes", "[control][hosts]")
+{
+    auto settings = settingsOf();
+    settings.entries = 0;
+    settings.config.calendars.front().windows = {{127, 0, 60}};
+    control_world world{settings};
+    for (auto &[host, worker] : world.workers) {
+        worker.jobs.push_back(core::monotonic_time{std::chrono::hours{100}});
+    }
+    world.run(seconds{10});
+    world.startWave("w");
+    world.run(minutes{30});
+    CHECK(countPhase(world, fold::host_phase::draining) == 6);
+    CHECK(countPhase(world, fold::host_phase::rebooting) == 0);
+    world.run(minutes{40});
+    CHECK(countPhase(world, fold::host_phase::serving) == 24);
+    CHECK(world.isSettled());
+}
+
+TEST_CASE("a holder that reaches hardly any worker records no loss", "[control][hosts]")
+{
+    auto settings = settingsOf();
+    settings.controls = 1;
+    control_world world{settings};
+    world.run(seconds{10});
+    world.processes.front()->cutFromWorkers = true;
+    world.run(minutes{2});
+    CHECK(std::ranges::none_of(world.truth.hosts(), &fold::host_state::down));
+}
+
+TEST_CASE("a host that the platform takes away drains without a wave and is removed once gone", "[control][hosts]")
+{
+    control_world world{settingsOf()};
+    world.run(seconds{10});
+    const core::host_id leaving{"w005"};
+    world.workers.at(leaving).listed.leaving = true;
+    world.run(seconds{20});
+    CHECK(world.truth.findHost(leaving)->phase == fold::host_phase::draining);
+    CHECK(world.workers.at(leaving).draining);
+    world.workers.at(leaving).dead = true;
+    world.workers.at(leaving).listed.leaving = false;
+    world.run(seconds{20});
+    CHECK(world.truth.findHost(leaving)->down);
+}
--- /dev/null
+++ b/tests/decisions/member_keeper_test.cpp
@@ -0,0 +1,112 @@
+#include "test_seed.h"
+
+#include <poplarpass/control.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <vector>
+
+using namespace poplarpass;
+using std::chrono::seconds;
+
+namespace
+{
+auto nameOf(std::size_t index) -> core::member_id
+{
+    return core::member_id{"m" + std::to_string(index)};
+}
+
+auto joinOf(std::size_t index) -> fold::member_join_record
+{
+    fold::member_join_record join;
+    join.member = nameOf(index);
+    join.incarnation = 1;
+    return join;
+}
+
+auto stateOf(std::size_t members) -> fold::fleet_state
+{
+    fold::fleet_state state;
+    for (std::size_t index = 0; index < members; ++index) {
+        state.apply(index + 1, core::record_id{std::to_string(index)}, joinOf(index));
+    }
+    return state;
+}
+
+auto at(int second) -> core::monotonic_time
+{
+    return core::monotonic_time{seconds{second}};
+}
+
+/// \brief Lets the first member hear \p heard for 30 s; each of them hears the same members and \p alsoHeardByOthers.
+auto viewOf(const std::vector<std::size_t> &heard, const std::vector<std::size_t> &alsoHeardByOthers)
+    -> control::liveness_view
+{
+    control::liveness_view view;
+    std::vector<core::member_id> names;
+    for (const auto index : heard) {
+        names.push_back(nameOf(index));
+    }
+    for (const auto index : alsoHeardByOthers) {
+        names.push_back(nameOf(index));
+    }
+    for (std::size_t index = 0; index < 9; ++index) {
+        view.watch(nameOf(index), at(0));
+    }
+    for (int second = 0; second <= 30; ++second) {
+        for (const auto index : heard) {
+            view.onHeartbeat(nameOf(index), 1, names, at(second));
+        }
+    }
+    return view;
+}
+} // namespace
+
+TEST_CASE("a holder on the smaller side of any cut removes nobody", "[control][members]")
+{
+    std::mt19937_64 random{tests::baseSeed()};
+    for (int round = 0; round < 200; ++round) {
+        std::vector<std::size_t> heard;
+        for (std::size_t index = 1; index < 9; ++index) {
+            if (random() % 2 == 0) {
+                heard.push_back(index);
+            }
+        }
+        auto view = viewOf(heard, {});
+        control::member_keeper keeper{joinOf(0)};
+        const auto removed = keeper.removals(stateOf(9), view, 5, at(30));
+        const bool isMajority = 2 * (heard.size() + 1) > 9;
+        CHECK(removed.size() == (isMajority ? std::min<std::size_t>(3, 8 - heard.size()) : 0));
+    }
+}
+
+TEST_CASE("a member that another one hears is not removed", "[control][members]")
+{
+    auto view = viewOf({1, 2, 3, 4, 5, 6, 7}, {8});
+    control::member_keeper keeper{joinOf(0)};
+    CHECK(keeper.removals(stateOf(9), view, 5, at(30)).empty());
+}
+
+TEST_CASE("members that surely ended are removed without a majority, and with the holder's epoch", "[control][members]")
+{
+    auto view = viewOf({1}, {});
+    view.onGone(nameOf(2), 1, at(27));
+    view.onGone(nameOf(3), 1, at(29));
+    control::member_keeper keeper{joinOf(0)};
+    const auto removed = keeper.removals(stateOf(9), view, 5, at(30));
+    REQUIRE(removed.size() == 1);
+    CHECK(removed.front() == fold::member_leave_record{nameOf(2), 1, 5});
+}
+
+TEST_CASE("a removed process joins again with a greater incarnation", "[control][members]")
+{
+    auto state = stateOf(3);
+    control::member_keeper keeper{joinOf(0)};
+    CHECK_FALSE(keeper.ownJoin(state));
+    CHECK(keeper.ownLeave(state));
+    state.apply(10, core::record_id{"leave"}, fold::member_leave_record{nameOf(0), 1, 0});
+    CHECK(keeper.ownJoin(state)->incarnation == 2);
+    CHECK(keeper.ownJoin(state)->incarnation == 2);
+    CHECK_FALSE(keeper.ownLeave(state));
+}
--- /dev/null
+++ b/tests/decisions/role_keeper_test.cpp
@@ -0,0 +1,100 @@
+#include <poplarpass/control.h>
+
+#include <catch2/catch.hpp>
+
+#include <set>
+#include <vector>
+
+using namespace poplarpass;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+const std::vector<core::member_id> names{core::member_id{"a"}, core::member_id{"b"}, core::member_id{"c"}};
+
+auto at(std::int64_t ms) -> core::monotonic_time
+{
+    return core::monotonic_time{milliseconds{ms}};
+}
+
+/// \brief A keeper that has claimed at 0 ms and read its claim back.
+auto makeHolder(fold::fleet_state &state, core::monotonic_time readBack) -> control::role_keeper
+{
+    control::role_keeper keeper{names[0], 7};
+    keeper.onReadToEnd(at(0));
+    const auto claim = keeper.next({names.data(), 1}, at(0));
+    REQUIRE(claim);
+    REQUIRE(state.apply(1, claim->id, claim->change).accepted);
+    keeper.onApplied(claim->id, state.control(), readBack);
+    return keeper;
+}
+} // namespace
+
+TEST_CASE("the holder's right ends four seconds after the sending, not the reading back", "[control][role]")
+{
+    fold::fleet_state state;
+    const auto keeper = makeHolder(state, at(3900));
+    CHECK(keeper.mayAct(at(3999)));
+    CHECK_FALSE(keeper.mayAct(at(4000)));
+    CHECK(keeper.isHolder());
+}
+
+TEST_CASE("a renewal that was delayed past its term gives no right", "[control][role]")
+{
+    fold::fleet_state state;
+    auto keeper = makeHolder(state, at(10));
+    const auto renewal = keeper.next(names, at(2000));
+    REQUIRE(renewal);
+    keeper.onAppendAnswered(renewal->id, false);
+    REQUIRE(state.apply(2, renewal->id, renewal->change).accepted);
+    keeper.onApplied(renewal->id, state.control(), at(9000));
+    CHECK_FALSE(keeper.mayAct(at(9000)));
+    const auto next = keeper.next(names, at(9000));
+    REQUIRE(next);
+    CHECK(next->id != renewal->id);
+}
+
+TEST_CASE("a standby claims only when a read that was begun after the wait found no renewal", "[control][role]")
+{
+    fold::fleet_state state;
+    const auto holder = makeHolder(state, at(0));
+    control::role_keeper standby{names[1], 1};
+    standby.onApplied(core::record_id{"x"}, state.control(), at(1000));
+    standby.onReadToEnd(at(1000));
+    CHECK_FALSE(standby.next({&names[1], 1}, at(60000)));
+    standby.onReadToEnd(at(6999));
+    CHECK_FALSE(standby.next({&names[1], 1}, at(7000)));
+    standby.onReadToEnd(at(7000));
+    const auto claim = standby.next({&names[1], 1}, at(7000));
+    REQUIRE(claim);
+    standby.onAppendAnswered(claim->id, false);
+    CHECK_FALSE(standby.next({&names[1], 1}, at(7500)));
+    CHECK(standby.next({&names[1], 1}, at(8000))->id == claim->id);
+}
+
+TEST_CASE("standbys claim one after another", "[control][role]")
+{
+    std::set<std::int64_t> moments;
+    for (const auto &name : names) {
+        control::role_keeper standby{name, 1};
+        standby.onReadToEnd(at(0));
+        std::int64_t moment = 0;
+        while (!standby.next(names, at(moment))) {
+            moment += 100;
+            standby.onReadToEnd(at(moment));
+        }
+        moments.insert(moment);
+    }
+    CHECK(moments == std::set<std::int64_t>{0, 200, 400});
+}
+
+TEST_CASE("an older incarnation of the holder's name may not act", "[control][role]")
+{
+    fold::fleet_state state;
+    const auto keeper = makeHolder(state, at(0));
+    control::role_keeper restarted{names[0], 8};
+    restarted.onApplied(core::record_id{"x"}, state.control(), at(1));
+    CHECK_FALSE(restarted.isHolder());
+    CHECK_FALSE(restarted.mayAct(at(1)));
+}
