--- /dev/null
+++ b/src/poplarpass/request/authority.cpp
@@ -0,0 +1,336 @@
+#include <poplarpass/request/authority.h>
+#include <poplarpass/request/constants.h>
+
+#include <algorithm>
+#include <cassert>
+#include <iterator>
+#include <utility>
+
+namespace poplarpass::request
+{
+namespace
+{
+constexpr std::size_t maxRememberedPings = 64;
+
+auto within(const std::optional<core::monotonic_time> &event, core::monotonic_time now) -> bool
+{
+    return event && now - *event < freshnessTerm;
+}
+
+auto removesMembers(const std::vector<member_ref> &before, const membership &next) -> bool
+{
+    return std::ranges::any_of(before, [&next](const member_ref &member) { return !contains(next, member); });
+}
+
+auto hasName(const membership &list, const core::member_id &name) -> bool
+{
+    return std::ranges::find(list.members, name, &member_ref::member) != list.members.end();
+}
+} // namespace
+
+auto contains(const membership &list, const member_ref &member) -> bool
+{
+    return std::ranges::find(list.members, member) != list.members.end();
+}
+
+authority::authority(member_ref self)
+    : m_self{std::move(self)}
+{
+}
+
+// A process that starts in the middle of a removal has to see for itself that the removed members have stopped.
+auto authority::foldEpoch(const membership &next, instant at) -> void
+{
+    assert(next.epoch > foldedEpoch());
+    pending_list pending{next, {}, std::nullopt};
+    if (foldedEpoch() == 0) {
+        pending.removals = next.unsettled;
+        std::ranges::copy_if(next.losses, std::back_inserter(m_losses), [&next](const auto &loss) {
+            return std::ranges::find(next.unsettled, loss.epoch, &unsettled_removal::epoch) == next.unsettled.end();
+        });
+    } else if (removesMembers(folded().members, next)) {
+        pending.removals.push_back({next.epoch, folded().members});
+    }
+    m_pending.push_back(std::move(pending));
+    advance(at);
+}
+
+auto authority::foldSettled(std::uint64_t epoch) -> void
+{
+    const auto settle = [epoch](membership &list) {
+        std::erase_if(list.unsettled, [epoch](const auto &removal) { return removal.epoch <= epoch; });
+    };
+    settle(m_acting);
+    for (auto &pending : m_pending) {
+        settle(pending.list);
+        std::erase_if(pending.removals, [epoch](const auto &removal) { return removal.epoch <= epoch; });
+    }
+}
+
+auto authority::epochToSettle() const -> std::optional<std::uint64_t>
+{
+    return m_acting.unsettled.empty() ? std::nullopt : std::optional{m_acting.epoch};
+}
+
+auto authority::logReadToEnd(core::monotonic_time startedAt) -> void
+{
+    if (!m_logReadAt || *m_logReadAt < startedAt) {
+        m_logReadAt = startedAt;
+    }
+}
+
+auto authority::pingSent(const core::member_id &to, std::uint64_t sequence, core::monotonic_time at) -> void
+{
+    auto &pings = m_peers[to].pings;
+    pings[sequence] = at;
+    if (pings.size() > maxRememberedPings) {
+        pings.erase(pings.begin());
+    }
+}
+
+// The echo proves that the heartbeat was written after the ping was sent, so its age counts from that sending: an
+// answer that lay in a buffer while this process was frozen proves nothing about the present.
+auto authority::heartbeatReceived(const heartbeat &beat, instant at) -> void
+{
+    auto &peer = m_peers[beat.from.member];
+    if (peer.incarnation != beat.from.incarnation) {
+        auto pings = std::move(peer.pings);
+        peer = peer_state{};
+        peer.incarnation = beat.from.incarnation;
+        peer.pings = std::move(pings);
+    }
+    peer.foldedEpoch = std::max(peer.foldedEpoch, beat.epoch);
+    peer.actingEpoch = std::max(peer.actingEpoch, beat.actingEpoch);
+    if (!peer.actsSince && peer.actingEpoch >= m_acting.epoch && m_acting.epoch > 0) {
+        peer.actsSince = at.wall;
+    }
+    const auto ping = peer.pings.find(beat.echo);
+    if (beat.echoIncarnation != m_self.incarnation || ping == peer.pings.end()) {
+        return;
+    }
+    if (beat.epoch < peer.freshEpoch) {
+        return;
+    }
+    if (beat.epoch > peer.freshEpoch || !peer.freshAt || *peer.freshAt < ping->second) {
+        peer.freshEpoch = beat.epoch;
+        peer.freshAt = ping->second;
+    }
+}
+
+auto authority::connectionRefused(const core::member_id &member, core::monotonic_time triedAt) -> void
+{
+    m_peers[member].refusedAt = triedAt;
+}
+
+auto authority::memberLeft(const member_ref &member) -> void
+{
+    if (!hasLeft(member)) {
+        m_left.push_back(member);
+    }
+}
+
+auto authority::advance(instant at) -> bool
+{
+    bool changed = false;
+    while (!m_pending.empty() && isDue(m_pending.front(), at.now)) {
+        putInForce(m_pending.front().list, at.wall);
+        m_pending.pop_front();
+        changed = true;
+    }
+    return changed;
+}
+
+auto authority::mayAct(core::monotonic_time now) const -> bool
+{
+    if (!contains(m_acting, m_self) || !contains(folded(), m_self)) {
+        return false;
+    }
+    return logFresh(now) || peersFresh(now);
+}
+
+auto authority::mayGrantAlone(core::monotonic_time now) const -> bool
+{
+    return mayAct(now) && establishedAt().has_value();
+}
+
+auto authority::logFresh(core::monotonic_time now) const -> bool
+{
+    return within(m_logReadAt, now);
+}
+
+// More than half must answer: a list that removes this process is put in force elsewhere only after half of the members
+// of the list before have folded it, so one of those who answered would have named the newer epoch.
+auto authority::peersFresh(core::monotonic_time now) const -> bool
+{
+    const auto &members = folded().members;
+    std::size_t answered = 0;
+    for (const auto &member : members) {
+        if (member == m_self || answeredLately(member, now)) {
+            ++answered;
+        } else if (!knownGone(member, now)) {
+            return false;
+        }
+    }
+    return answered >= 2 && 2 * answered > members.size();
+}
+
+auto authority::acting() const -> const membership &
+{
+    return m_acting;
+}
+
+auto authority::foldedEpoch() const -> std::uint64_t
+{
+    return folded().epoch;
+}
+
+auto authority::self() const -> const member_ref &
+{
+    return m_self;
+}
+
+auto authority::actingMember(const core::member_id &member) const -> std::optional<member_ref>
+{
+    const auto found = std::ranges::find(m_acting.members, member, &member_ref::member);
+    if (found == m_acting.members.end()) {
+        return std::nullopt;
+    }
+    return *found;
+}
+
+auto authority::actsSince(const core::member_id &member) const -> std::optional<core::wall_time>
+{
+    const auto known = m_peers.find(member);
+    const auto listed = actingMember(member);
+    if (known == m_peers.end() || !listed) {
+        return std::nullopt;
+    }
+    if (*listed != m_self && listed->incarnation != known->second.incarnation) {
+        return std::nullopt;
+    }
+    return known->second.actsSince;
+}
+
+auto authority::establishedAt() const -> std::optional<core::wall_time>
+{
+    core::wall_time latest{};
+    for (const auto &member : m_acting.members) {
+        const auto since = actsSince(member.member);
+        if (!since) {
+            return std::nullopt;
+        }
+        latest = std::max(latest, *since);
+    }
+    return latest;
+}
+
+// Two processes know of every dispatched key, but for the time in which there was only one.
+auto authority::knowledgeOf(core::wall_time minted) const -> knowledge
+{
+    const auto from = minted - mintMargin;
+    const auto lost = std::ranges::count_if(m_losses, [from](const auto &loss) { return loss.at >= from; });
+    if (lost == 0) {
+        return knowledge::complete;
+    }
+    return lost == 1 && m_acting.aloneUntil < from - freshnessTerm ? knowledge::held_once : knowledge::lost;
+}
+
+auto authority::putInForce(const membership &list, core::wall_time wall) -> void
+{
+    noteLosses(list, wall);
+    m_acting = list;
+    for (auto &[name, peer] : m_peers) {
+        peer.actsSince.reset();
+        if (peer.actingEpoch >= list.epoch) {
+            peer.actsSince = wall;
+        }
+    }
+    m_peers[m_self.member].actsSince = wall;
+}
+
+// A removed member may have gone on until the removal came into force, long after its record, and what it did until
+// then is lost with it.
+auto authority::noteLosses(const membership &list, core::wall_time wall) -> void
+{
+    for (auto loss : list.losses) {
+        const bool known = std::ranges::find(m_losses, loss.member, &member_loss::member) != m_losses.end();
+        if (known) {
+            continue;
+        }
+        loss.at = std::max(loss.at, wall);
+        m_losses.push_back(std::move(loss));
+    }
+    std::erase_if(m_losses, [wall](const auto &loss) { return loss.at + keyRetention + mintMargin < wall; });
+}
+
+auto authority::isDue(pending_list &pending, core::monotonic_time now) -> bool
+{
+    if (pending.removals.empty() || peerVouches(pending.list.epoch)) {
+        return true;
+    }
+    const auto excluded = [this, now](const unsettled_removal &removal) {
+        return isExcluded(removal, now);
+    };
+    if (!pending.excludedAt && std::ranges::all_of(pending.removals, excluded)) {
+        pending.excludedAt = now;
+    }
+    return pending.excludedAt && now - *pending.excludedAt >= removalDelay;
+}
+
+// Enough members of the list before must have folded the removal that the others cannot be fresh by their peers alone.
+auto authority::isExcluded(const unsettled_removal &removal, core::monotonic_time now) const -> bool
+{
+    if (removal.before.size() < 2) {
+        return true;
+    }
+    const auto stopped = std::ranges::count_if(removal.before, [&](const member_ref &member) {
+        return hasFolded(member, removal.epoch) || knownGone(member, now);
+    });
+    return 2 * static_cast<std::size_t>(stopped) >= removal.before.size();
+}
+
+// A replacement under the same name has bound the address of the process before it, so that one is gone.
+auto authority::hasFolded(const member_ref &member, std::uint64_t epoch) const -> bool
+{
+    if (member == m_self) {
+        return true;
+    }
+    if (!contains(folded(), member) && hasName(folded(), member.member)) {
+        return true;
+    }
+    const auto peer = m_peers.find(member.member);
+    return peer != m_peers.end() && peer->second.incarnation == member.incarnation && peer->second.foldedEpoch >= epoch;
+}
+
+// A member that acts in the epoch has done the waiting already.
+auto authority::peerVouches(std::uint64_t epoch) const -> bool
+{
+    return std::ranges::any_of(m_peers, [this, epoch](const auto &entry) {
+        const auto &[name, peer] = entry;
+        return name != m_self.member && peer.actingEpoch >= epoch;
+    });
+}
+
+auto authority::folded() const -> const membership &
+{
+    return m_pending.empty() ? m_acting : m_pending.back().list;
+}
+
+auto authority::hasLeft(const member_ref &member) const -> bool
+{
+    return std::ranges::find(m_left, member) != m_left.end();
+}
+
+auto authority::answeredLately(const member_ref &member, core::monotonic_time now) const -> bool
+{
+    const auto peer = m_peers.find(member.member);
+    return peer != m_peers.end() && peer->second.incarnation == member.incarnation
+        && peer->second.freshEpoch == foldedEpoch() && within(peer->second.freshAt, now);
+}
+
+auto authority::knownGone(const member_ref &member, core::monotonic_time now) const -> bool
+{
+    const auto peer = m_peers.find(member.member);
+    return hasLeft(member) || (peer != m_peers.end() && within(peer->second.refusedAt, now));
+}
+} // namespace poplarpass::request
