Fold: removals of entries are settled by a record, and their losses dated by it

Cause: the simulated histories of the request path ran a key twice when a removed entry acted on until its removal was in force; the loss must be dated by that moment. Change: removal_settled record, entry_history.

--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace poplarpass::app
@@ -16,6 +17,7 @@
 constexpr core::duration sightingPeriod = std::chrono::seconds{1};
 constexpr core::duration stopTick = std::chrono::milliseconds{50};
 constexpr core::duration handoverLimit = std::chrono::seconds{3};
+constexpr core::duration settleTimeout = std::chrono::seconds{5};
 constexpr core::duration linkOpenTimeout = std::chrono::seconds{1};
 constexpr core::duration defaultAskWait = std::chrono::seconds{1};
 constexpr std::int64_t longestAskWaitMs = 600'000;
@@ -36,6 +38,16 @@
     return {static_cast<std::size_t>(limits.maxRememberedKeys), request::maxAnswerBytes};
 }
 
+auto toWallTime(std::uint64_t unixMs) -> core::wall_time
+{
+    return core::fromUnixMilliseconds(static_cast<std::int64_t>(unixMs));
+}
+
+auto toMember(const fold::entry_run &run) -> request::member_ref
+{
+    return {run.member, run.incarnation};
+}
+
 auto waitOf(const net::http_request &message) -> core::duration
 {
     const auto text = message.query("wait_ms");
@@ -161,9 +173,25 @@
     } else if (std::holds_alternative<fold::member_join_record>(change)
                || std::holds_alternative<fold::member_leave_record>(change)) {
         useEntries();
+    } else if (const auto *settled = std::get_if<fold::removal_settled_record>(&change)) {
+        m_authority.foldSettled(settled->epoch);
     }
 }
 
+// One record for each removal; whichever entry writes first settles it for all.
+auto entry_process::settleRemovals() -> void
+{
+    const auto epoch = m_authority.epochToSettle();
+    if (!epoch || m_settling || m_log.state().entries().settledEpoch >= *epoch) {
+        return;
+    }
+    m_settling = true;
+    const fold::removal_settled_record settled{*epoch, static_cast<std::uint64_t>(core::toUnixMilliseconds(wallNow()))};
+    const core::record_id id{"settled/" + std::to_string(*epoch) + '/' + m_process.settings.process.name.str() + '/'
+                             + std::to_string(m_process.incarnation)};
+    m_log.publish(id, settled, settleTimeout, [this](const fold::publish_outcome &) { m_settling = false; });
+}
+
 auto entry_process::useState(const fold::fleet_state &state) -> void
 {
     m_runner.useConfig(state.config());
@@ -182,7 +210,7 @@
     m_entryEpoch = history.epoch;
     request::membership list;
     list.epoch = history.epoch;
-    list.aloneUntil = core::fromUnixMilliseconds(static_cast<std::int64_t>(history.aloneUntilUnixMs));
+    list.aloneUntil = toWallTime(history.aloneUntilUnixMs);
     std::vector<net::peer_address> addresses;
     for (const auto &member : state.members()) {
         addresses.push_back({member.joined.member, member.joined.address});
@@ -191,8 +219,11 @@
         }
     }
     for (const auto &loss : history.losses) {
-        list.losses.push_back({{loss.member, loss.incarnation},
-                               core::fromUnixMilliseconds(static_cast<std::int64_t>(loss.atUnixMs))});
+        list.losses.push_back({toMember(loss.run), loss.epoch, toWallTime(loss.atUnixMs)});
+    }
+    for (const auto &removal : history.unsettled) {
+        list.unsettled.push_back({removal.epoch, {}});
+        std::ranges::transform(removal.before, std::back_inserter(list.unsettled.back().before), toMember);
     }
     m_peers.useMembers(addresses);
     m_authority.foldEpoch(list, now());
@@ -475,6 +506,7 @@
 {
     m_authority.advance(now());
     carryOut(m_keys.advance(now()));
+    settleRemovals();
     m_membership.tick(m_peers.advertisedAddress());
     m_runner.pump();
 }
--- a/src/poplarpass/app/entry_process.h
+++ b/src/poplarpass/app/entry_process.h
@@ -51,6 +51,7 @@
     auto onApplied(const fold::record &change, const fold::applied &outcome) -> void;
     auto useState(const fold::fleet_state &state) -> void;
     auto useEntries() -> void;
+    auto settleRemovals() -> void;
     auto onMessage(const request::member_ref &from, const request::peer_message &message) -> void;
     auto onPeerDown(const core::member_id &peer, net::down_reason reason) -> void;
     auto answerStateRequest(const request::member_ref &from, const request::state_request &ask) -> void;
@@ -99,6 +100,7 @@
     request::waiter_id m_lastWaiter = 0;
     std::uint64_t m_entryEpoch = 0;
     core::monotonic_time m_handoverUntil{};
+    bool m_settling = false;
     bool m_drained = false;
     bool m_stopping = false;
     bool m_handingOver = false;
--- a/src/poplarpass/codec/record_codec.cpp
+++ b/src/poplarpass/codec/record_codec.cpp
@@ -33,6 +33,16 @@
     in.read(change.handedOver);
 }
 
+auto fieldsOf(const fold::removal_settled_record &change) -> json
+{
+    return json::array({change.epoch, change.atUnixMs});
+}
+
+auto readFields(field_reader &in, fold::removal_settled_record &change) -> void
+{
+    in.read(change.epoch).read(change.atUnixMs);
+}
+
 auto fieldsOf(const fold::control_claim_record &change) -> json
 {
     return json::array({change.holder.str(), change.incarnation, change.epoch, change.lastRenewal});
--- a/src/poplarpass/codec/state_codec.cpp
+++ b/src/poplarpass/codec/state_codec.cpp
@@ -19,24 +19,46 @@
     in.readItem(member.joined, byFields).read(member.since);
 }
 
+auto fieldsOf(const fold::entry_run &run) -> json
+{
+    return json::array({run.member.str(), run.incarnation});
+}
+
+auto readFields(field_reader &in, fold::entry_run &run) -> void
+{
+    in.read(run.member).read(run.incarnation);
+}
+
 auto fieldsOf(const fold::entry_loss &loss) -> json
 {
-    return json::array({loss.member.str(), loss.incarnation, loss.atUnixMs});
+    return json::array({fieldsOf(loss.run), loss.epoch, loss.atUnixMs});
 }
 
 auto readFields(field_reader &in, fold::entry_loss &loss) -> void
 {
-    in.read(loss.member).read(loss.incarnation).read(loss.atUnixMs);
+    in.readItem(loss.run, byFields).read(loss.epoch).read(loss.atUnixMs);
+}
+
+auto fieldsOf(const fold::entry_removal &removal) -> json
+{
+    return json::array({removal.epoch, fieldsOfAll(removal.before)});
+}
+
+auto readFields(field_reader &in, fold::entry_removal &removal) -> void
+{
+    in.read(removal.epoch).readItems(removal.before, byFields);
 }
 
 auto fieldsOf(const fold::entry_history &entries) -> json
 {
-    return json::array({entries.epoch, fieldsOfAll(entries.losses), entries.aloneUntilUnixMs});
+    return json::array({entries.epoch, entries.settledEpoch, fieldsOfAll(entries.losses),
+                        fieldsOfAll(entries.unsettled), entries.aloneUntilUnixMs});
 }
 
 auto readFields(field_reader &in, fold::entry_history &entries) -> void
 {
-    in.read(entries.epoch).readItems(entries.losses, byFields).read(entries.aloneUntilUnixMs);
+    in.read(entries.epoch).read(entries.settledEpoch).readItems(entries.losses, byFields);
+    in.readItems(entries.unsettled, byFields).read(entries.aloneUntilUnixMs);
 }
 
 auto fieldsOf(const fold::control_state &control) -> json
--- /dev/null
+++ b/src/poplarpass/fold/entry_history.cpp
@@ -0,0 +1,47 @@
+#include <poplarpass/fold/entry_history.h>
+
+#include <algorithm>
+
+namespace poplarpass::fold
+{
+auto entry_history::change(std::uint64_t offset, std::span<const entry_run> before, std::span<const entry_run> after,
+                           bool lost, std::uint64_t atUnixMs) -> void
+{
+    epoch = offset;
+    bool removes = false;
+    for (const auto &run : before) {
+        if (std::ranges::find(after, run) != after.end()) {
+            continue;
+        }
+        removes = true;
+        if (lost) {
+            losses.push_back({run, offset, atUnixMs});
+        }
+    }
+    if (losses.size() > rememberedLossCount) {
+        losses.erase(losses.begin());
+    }
+    if (removes) {
+        unsettled.push_back({offset, {before.begin(), before.end()}});
+    }
+    if (before.size() < 2 || after.size() < 2) {
+        aloneUntilUnixMs = std::max(aloneUntilUnixMs, atUnixMs);
+    }
+}
+
+// A removed entry may have acted until its removal was in force, so its loss is dated by that moment.
+auto entry_history::settle(std::uint64_t settled, std::uint64_t atUnixMs) -> bool
+{
+    if (settled <= settledEpoch || settled > epoch) {
+        return false;
+    }
+    for (auto &loss : losses) {
+        if (loss.epoch > settledEpoch && loss.epoch <= settled) {
+            loss.atUnixMs = std::max(loss.atUnixMs, atUnixMs);
+        }
+    }
+    settledEpoch = settled;
+    std::erase_if(unsettled, [settled](const entry_removal &removal) { return removal.epoch <= settled; });
+    return true;
+}
+} // namespace poplarpass::fold
--- a/src/poplarpass/fold/fleet_state.h
+++ b/src/poplarpass/fold/fleet_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <poplarpass/core/error.h>
+#include <poplarpass/fold/entry_history.h>
 #include <poplarpass/fold/host_state.h>
 #include <poplarpass/fold/recent_ids.h>
 #include <poplarpass/fold/record.h>
@@ -21,29 +22,6 @@
     auto operator==(const member_state &) const -> bool = default;
 };
 
-/// \brief An entry that left the list without having handed its keys on.
-struct entry_loss
-{
-    core::member_id member; ///< Its name.
-    std::uint64_t incarnation = 0; ///< Its incarnation.
-    std::uint64_t atUnixMs = 0; ///< Wall time of the record that removed it, Unix milliseconds.
-
-    auto operator==(const entry_loss &) const -> bool = default;
-};
-
-/// \brief Losses that the state remembers; the oldest are forgotten first.
-inline constexpr std::size_t rememberedLossCount = 128;
-
-/// \brief What the request path needs to know of earlier lists of entries.
-struct entry_history
-{
-    std::uint64_t epoch = 0; ///< Grows with each change of the list of entries.
-    std::vector<entry_loss> losses; ///< Oldest first, at most rememberedLossCount.
-    std::uint64_t aloneUntilUnixMs = 0; ///< Wall time at which the list last grew to two entries; 0 if never.
-
-    auto operator==(const entry_history &) const -> bool = default;
-};
-
 /// \brief The control role in the agreed state.
 struct control_state
 {
@@ -163,8 +141,8 @@
 
 private:
     auto accept(log_offset offset, const config_record &change) -> applied;
-    auto noteEntryLoss(const member_join_record &lost, std::uint64_t atUnixMs) -> void;
-    auto noteEntryChange(log_offset offset, member_kind kind, std::uint64_t atUnixMs) -> void;
+    [[nodiscard]] auto entryRuns() const -> std::vector<entry_run>;
+    auto noteMemberChange(log_offset offset, std::span<const entry_run> before, bool lost, std::uint64_t atUnixMs) -> void;
     auto accept(log_offset offset, const member_join_record &change) -> applied;
     auto accept(log_offset offset, const member_leave_record &change) -> applied;
     auto accept(log_offset offset, const control_claim_record &change) -> applied;
@@ -172,6 +150,7 @@
     auto accept(log_offset offset, const host_record &change) -> applied;
     auto accept(log_offset offset, const wave_record &change) -> applied;
     auto accept(log_offset offset, const snapshot_record &change) -> applied;
+    auto accept(log_offset offset, const removal_settled_record &change) -> applied;
 
     auto addHost(log_offset offset, const host_record &change) -> applied;
     auto removeHost(host_state &host) -> applied;
--- a/src/poplarpass/fold/fleet_state_members.cpp
+++ b/src/poplarpass/fold/fleet_state_members.cpp
@@ -48,40 +48,44 @@
                        change.member.str() + " has joined with incarnation "
                            + std::to_string(place->joined.incarnation));
     }
+    const auto before = entryRuns();
     if (present) {
-        noteEntryLoss(place->joined, change.atUnixMs);
         *place = {change, offset};
     } else {
         m_members.insert(place, {change, offset});
     }
-    noteEntryChange(offset, change.kind, change.atUnixMs);
+    noteMemberChange(offset, before, true, change.atUnixMs);
     return accepted();
 }
 
-auto fleet_state::noteEntryLoss(const member_join_record &lost, std::uint64_t atUnixMs) -> void
+auto fleet_state::entryRuns() const -> std::vector<entry_run>
 {
-    if (lost.kind != member_kind::entry) {
-        return;
-    }
-    m_entries.losses.push_back({lost.member, lost.incarnation, atUnixMs});
-    if (m_entries.losses.size() > rememberedLossCount) {
-        m_entries.losses.erase(m_entries.losses.begin());
+    std::vector<entry_run> runs;
+    for (const auto &member : m_members) {
+        if (member.joined.kind == member_kind::entry) {
+            runs.push_back({member.joined.member, member.joined.incarnation});
+        }
     }
+    return runs;
 }
 
-auto fleet_state::noteEntryChange(log_offset offset, member_kind kind, std::uint64_t atUnixMs) -> void
+auto fleet_state::noteMemberChange(log_offset offset, std::span<const entry_run> before, bool lost,
+                                   std::uint64_t atUnixMs) -> void
 {
     ++m_memberEpoch;
     m_memberDigest = internal::digestOf(std::span<const member_state>{m_members});
-    if (kind != member_kind::entry) {
-        return;
+    const auto after = entryRuns();
+    if (!std::ranges::equal(before, after)) {
+        m_entries.change(offset, before, after, lost, atUnixMs);
     }
-    m_entries.epoch = offset;
-    const auto entryCount = std::ranges::count_if(
-        m_members, [](const member_state &member) { return member.joined.kind == member_kind::entry; });
-    if (entryCount <= 2) {
-        m_entries.aloneUntilUnixMs = std::max(m_entries.aloneUntilUnixMs, atUnixMs);
+}
+
+auto fleet_state::accept(log_offset /*offset*/, const removal_settled_record &change) -> applied
+{
+    if (!m_entries.settle(change.epoch, change.atUnixMs)) {
+        return refused(error_kind::stale_epoch, "settled up to " + std::to_string(m_entries.settledEpoch));
     }
+    return accepted();
 }
 
 auto fleet_state::accept(log_offset offset, const member_leave_record &change) -> applied
@@ -96,12 +100,9 @@
     if (place == m_members.end()) {
         return refused(error_kind::invalid_request, "no member " + change.member.str() + " with this incarnation");
     }
-    const auto left = place->joined;
+    const auto before = entryRuns();
     m_members.erase(place);
-    if (!change.handedOver) {
-        noteEntryLoss(left, change.atUnixMs);
-    }
-    noteEntryChange(offset, left.kind, change.atUnixMs);
+    noteMemberChange(offset, before, !change.handedOver, change.atUnixMs);
     return accepted();
 }
 
--- a/src/poplarpass/fold/record.h
+++ b/src/poplarpass/fold/record.h
@@ -56,6 +56,15 @@
     auto operator==(const member_leave_record &) const -> bool = default;
 };
 
+/// \brief An entry has put a shorter list of entries in force: the removed ones have stopped acting.
+struct removal_settled_record
+{
+    std::uint64_t epoch = 0; ///< Removals up to this epoch of the list of entries are in force.
+    std::uint64_t atUnixMs = 0; ///< Wall time of the writer, Unix milliseconds.
+
+    auto operator==(const removal_settled_record &) const -> bool = default;
+};
+
 /// \brief Claims the control role.
 struct control_claim_record
 {
@@ -136,5 +145,5 @@
 
 /// \brief Any record of the system's own stream.
 using record = std::variant<config_record, member_join_record, member_leave_record, control_claim_record,
-                            control_renew_record, host_record, wave_record, snapshot_record>;
+                            control_renew_record, host_record, wave_record, snapshot_record, removal_settled_record>;
 } // namespace poplarpass::fold
--- a/src/poplarpass/fold/state_digest.cpp
+++ b/src/poplarpass/fold/state_digest.cpp
@@ -128,9 +128,15 @@
 auto digestOf(const entry_history &entries) -> std::uint64_t
 {
     digest_writer out;
-    out.add(entries.epoch).add(entries.aloneUntilUnixMs);
+    out.add(entries.epoch).add(entries.settledEpoch).add(entries.aloneUntilUnixMs);
     for (const auto &loss : entries.losses) {
-        out.add(loss.member).add(loss.incarnation).add(loss.atUnixMs);
+        out.add(loss.run.member).add(loss.run.incarnation).add(loss.epoch).add(loss.atUnixMs);
+    }
+    for (const auto &removal : entries.unsettled) {
+        out.add(removal.epoch);
+        for (const auto &run : removal.before) {
+            out.add(run.member).add(run.incarnation);
+        }
     }
     return out.digest();
 }
