Test of the limits on lending and borrowing

Cause: leaving out the lending limit failed no test, as the borrowing limit refused first. Change: each limit is tested alone.

--- a/tests/decisions/fleet_state_test.cpp
+++ b/tests/decisions/fleet_state_test.cpp
@@ -132,6 +132,32 @@
     CHECK(refusalOf(script.host(host_event::leave, "p0-h3", "p9")) == error_kind::unknown_pool);
 }
 
+TEST_CASE("a pool lends and borrows no more than its profile says", "[fold]")
+{
+    struct limit_case
+    {
+        int maxLent;
+        int maxBorrowed;
+    };
+    for (const auto &limits : {limit_case{1, 9}, limit_case{9, 1}}) {
+        fleet_script script;
+        script.build(2, 12, 8);
+        auto fleet = makeConfig(2, 8);
+        fleet.profiles.front().maxLent = limits.maxLent;
+        fleet.profiles.front().maxBorrowed = limits.maxBorrowed;
+        REQUIRE(script.apply(fold::config_record{script.state.revision(), "ana", "", fleet}).accepted);
+        REQUIRE(script.host(host_event::leave, "p0-h0", "p1").accepted);
+        CHECK(refusalOf(script.host(host_event::leave, "p0-h1", "p1")) == error_kind::budget_exceeded);
+        REQUIRE(script.host(host_event::drained, "p0-h0").accepted);
+        REQUIRE(script.host(host_event::join, "p0-h0", "p1").accepted);
+        CHECK(refusalOf(script.host(host_event::leave, "p0-h1", "p1")) == error_kind::budget_exceeded);
+        REQUIRE(script.host(host_event::leave, "p0-h0", "p0").accepted);
+        REQUIRE(script.host(host_event::drained, "p0-h0").accepted);
+        REQUIRE(script.host(host_event::join, "p0-h0", "p0").accepted);
+        CHECK(script.host(host_event::leave, "p0-h1", "p1").accepted);
+    }
+}
+
 TEST_CASE("two holders cannot pass the budget by racing", "[fold]")
 {
     fleet_script script;
