--- a/src/poplarpass/settings/fleet_file.cpp
+++ b/src/poplarpass/settings/fleet_file.cpp
@@ -152,22 +152,18 @@
     in.finish();
     return fleet;
 }
-
-auto syntaxProblem(const toml::parse_error &problem, std::string_view file) -> text_problem
-{
-    return {std::string{file}, static_cast<int>(problem.source().begin.line), "", "TOML",
-            std::string{problem.description()}};
-}
 } // namespace
 
 auto parseFleet(std::string_view text, std::string_view file) -> fleet_result
 {
-    const auto parsed = toml::parse(text, file);
+    const auto parsed = internal::parseToml(text, file);
     if (!parsed) {
-        return tl::make_unexpected(std::vector{syntaxProblem(parsed.error(), file)});
+        const auto &problem = parsed.error();
+        return tl::make_unexpected(
+            std::vector{text_problem{std::string{file}, problem.line, "", "TOML", problem.description}});
     }
     internal::problem_sink sink{std::string{file}, {}};
-    toml_reader in{parsed.table(), "", sink};
+    toml_reader in{*parsed, "", sink};
     auto fleet = readFleet(in);
     if (!sink.problems.empty()) {
         std::ranges::stable_sort(sink.problems, {}, &text_problem::line);
--- a/src/poplarpass/settings/toml_reader.h
+++ b/src/poplarpass/settings/toml_reader.h
@@ -1,16 +1,7 @@
 #pragma once
 
 #include <poplarpass/settings/fleet_file.h>
-
-// Version 3.3.0 asserts that a table header starts with a key before it checks so, and aborts on the text "[\n".
-// Without the assertion the check that follows reports the error. With NDEBUG it would be an assumption, which nothing
-// can turn off.
-#ifdef NDEBUG
-#error "toml++ 3.3.0 is not safe for arbitrary texts when NDEBUG is set"
-#endif
-#define TOML_ASSERT(expression) static_cast<void>(0)
-#define TOML_EXCEPTIONS 0
-#include <toml++/toml.h>
+#include <poplarpass/settings/toml_document.h>
 
 #include <functional>
 #include <optional>
