--- a/src/poplarpass/settings/fleet_file.cpp
+++ b/src/poplarpass/settings/fleet_file.cpp
@@ -152,18 +152,15 @@
     in.finish();
     return fleet;
 }
-
-auto syntaxProblem(const internal::toml_syntax_problem &problem, std::string_view file) -> text_problem
-{
-    return {std::string{file}, problem.line, "", "TOML", problem.description};
-}
 } // namespace
 
 auto parseFleet(std::string_view text, std::string_view file) -> fleet_result
 {
     const auto parsed = internal::parseToml(text, file);
     if (!parsed) {
-        return tl::make_unexpected(std::vector{syntaxProblem(parsed.error(), file)});
+        const auto &problem = parsed.error();
+        return tl::make_unexpected(
+            std::vector{text_problem{std::string{file}, problem.line, "", "TOML", problem.description}});
     }
     internal::problem_sink sink{std::string{file}, {}};
     toml_reader in{*parsed, "", sink};
--- a/src/poplarpass/settings/toml_reader.h
+++ b/src/poplarpass/settings/toml_reader.h
@@ -3,7 +3,6 @@
 #include <poplarpass/settings/fleet_file.h>
 #include <poplarpass/settings/toml_document.h>
 
-
 #include <functional>
 #include <optional>
 #include <set>
