TOML: one header for the library, so that its inline classes agree in every source

Cause: io tests and every process crashed: sources that include toml++ with different TOML_EXCEPTIONS and TOML_ASSERT share inline classes of different layout. Ruled out: a fault of the reader; the backtrace ends in toml_formatter. Change: one header sets the macros, the operators' text and the inventory use it.

--- a/src/poplarpass/fold/entry_history.h
+++ b/src/poplarpass/fold/entry_history.h
@@ -23,7 +23,8 @@
 {
     entry_run run; ///< Which run.
     std::uint64_t epoch = 0; ///< Epoch that its removal led to.
-    std::uint64_t atUnixMs = 0; ///< Wall time of the record that settled the removal, of the removal itself before that.
+    std::uint64_t atUnixMs =
+        0; ///< Wall time of the record that settled the removal, of the removal itself before that.
 
     auto operator==(const entry_loss &) const -> bool = default;
 };
--- a/src/poplarpass/fold/fleet_state.h
+++ b/src/poplarpass/fold/fleet_state.h
@@ -142,7 +142,8 @@
 private:
     auto accept(log_offset offset, const config_record &change) -> applied;
     [[nodiscard]] auto entryRuns() const -> std::vector<entry_run>;
-    auto noteMemberChange(log_offset offset, std::span<const entry_run> before, bool lost, std::uint64_t atUnixMs) -> void;
+    auto noteMemberChange(log_offset offset, std::span<const entry_run> before, bool lost, std::uint64_t atUnixMs)
+        -> void;
     auto accept(log_offset offset, const member_join_record &change) -> applied;
     auto accept(log_offset offset, const member_leave_record &change) -> applied;
     auto accept(log_offset offset, const control_claim_record &change) -> applied;
--- a/src/poplarpass/settings/toml_document.cpp
+++ b/src/poplarpass/settings/toml_document.cpp
@@ -1,7 +1,4 @@
-// The parser asserts on some texts that are no TOML, as on "[=". Here an assertion throws instead, so that a bad file
-// cannot end the process. It must be the only source that calls toml::parse() in this mode, as the parser is inline
-// code and the linker keeps one copy of it.
-#define TOML_EXCEPTIONS 1 // NOLINT(readability-identifier-naming,bugprone-reserved-identifier)
+#include <poplarpass/settings/toml_document.h>
 
 #include <stdexcept>
 
@@ -16,20 +13,12 @@
 };
 } // namespace
 
-// Named by the macro below from inside the parser, hence not in the unnamed namespace.
-[[noreturn]] auto throwParserAssertion() -> void;
-
 auto throwParserAssertion() -> void
 {
     throw parser_assertion{"a key, a value or the end of a table was expected"};
 }
 } // namespace poplarpass::settings::internal
 
-#undef NDEBUG
-#define TOML_ASSERT(condition) ((condition) ? void() : poplarpass::settings::internal::throwParserAssertion())
-
-#include <poplarpass/settings/toml_document.h>
-
 namespace poplarpass::settings::internal
 {
 namespace
--- a/src/poplarpass/settings/toml_document.h
+++ b/src/poplarpass/settings/toml_document.h
@@ -2,10 +2,20 @@
 
 #include <tl/expected.hpp>
 
-#ifndef TOML_EXCEPTIONS
-// NOLINTNEXTLINE(readability-identifier-naming,bugprone-reserved-identifier)
-#define TOML_EXCEPTIONS 0
+#ifdef NDEBUG
+#error "toml++ 3.3.0 is not safe for arbitrary texts when NDEBUG is set"
 #endif
+
+namespace poplarpass::settings::internal
+{
+/// \brief Throws parser_assertion; named by the macro below from inside the parser.
+[[noreturn]] auto throwParserAssertion() -> void;
+} // namespace poplarpass::settings::internal
+
+// The parser asserts on some texts that are no TOML, as on "[=". Here an assertion throws instead, so that a bad file
+// cannot end the process. Every source must include the library by this header: it is inline code whose classes differ
+// with these macros.
+#define TOML_ASSERT(condition) ((condition) ? void() : poplarpass::settings::internal::throwParserAssertion())
 #include <toml++/toml.h>
 
 #include <string>
--- a/standins/inventory.cpp
+++ b/standins/inventory.cpp
@@ -2,7 +2,7 @@
 
 #include "json_http.h"
 
-#include <toml++/toml.h>
+#include <poplarpass/settings/toml_document.h>
 
 #include <array>
 #include <fstream>
@@ -45,9 +45,12 @@
 
 auto tomlToJson(const std::string &text) -> json
 {
-    const auto table = toml::parse(text);
+    const auto table = poplarpass::settings::internal::parseToml(text, "inventory");
+    if (!table) {
+        throw std::runtime_error{"line " + std::to_string(table.error().line) + ": " + table.error().description};
+    }
     std::ostringstream converted;
-    converted << toml::json_formatter{table};
+    converted << toml::json_formatter{*table};
     return json::parse(converted.str());
 }
 
