--- a/src/poplarpass/app/control_process.cpp
+++ b/src/poplarpass/app/control_process.cpp
@@ -15,6 +15,7 @@
 {
 constexpr core::duration decisionPeriod = std::chrono::milliseconds{200};
 constexpr core::duration removalTimeout = std::chrono::seconds{3};
+constexpr std::size_t maxProbesPerPoll = 64;
 constexpr core::duration snapshotTimeout = std::chrono::seconds{10};
 
 auto controllerHooks() -> control::controller_hooks
@@ -311,10 +312,48 @@
     m_process.hosts.fetch([this](core::result<std::vector<platform::listed_host>> listed) {
         if (listed) {
             m_listed = std::move(*listed);
+            probeNewHosts();
         }
     });
 }
 
+// Entries contact the hosts of the agreed state; a host that is not in it yet is contacted from here. It must serve the
+// pool that the list names, as it has never been moved.
+auto control_process::probeNewHosts() -> void
+{
+    if (!m_couldAct) {
+        return;
+    }
+    std::size_t probes = 0;
+    for (const auto &listed : *m_listed) {
+        if (m_log.state().findHost(listed.host) != nullptr || ++probes > maxProbesPerPoll) {
+            continue;
+        }
+        const auto sentAt = monotonicNow();
+        platform::lease_request request{m_process.settings.process.name, listed.pool, 0};
+        m_process.workers.lease(listed.address, std::move(request),
+                                [this, host = listed.host, sentAt](const core::result<platform::worker_report> &seen) {
+                                    noteProbe(host, sentAt, seen);
+                                });
+    }
+}
+
+auto control_process::noteProbe(const core::host_id &host, core::monotonic_time sentAt,
+                                const core::result<platform::worker_report> &seen) -> void
+{
+    control::host_sighting sighting;
+    sighting.host = host;
+    sighting.at = sentAt;
+    sighting.reached = seen.has_value();
+    if (seen) {
+        sighting.bootId = seen->bootId;
+        sighting.draining = seen->leaving;
+        sighting.pool = seen->pool;
+        sighting.generation = seen->generation;
+    }
+    m_sightings.push_back(std::move(sighting));
+}
+
 auto control_process::beat() -> void
 {
     request::heartbeat figures;
--- a/src/poplarpass/app/control_process.h
+++ b/src/poplarpass/app/control_process.h
@@ -45,6 +45,9 @@
     auto carryOutReport(const control::report_action &report) -> void;
     auto writeSnapshotIfDue() -> void;
     auto pollHostList() -> void;
+    auto probeNewHosts() -> void;
+    auto noteProbe(const core::host_id &host, core::monotonic_time sentAt,
+                   const core::result<platform::worker_report> &seen) -> void;
     auto beat() -> void;
     auto updateGauges() -> void;
     auto candidates() const -> std::vector<core::member_id>;
