--- a/standins/worker_endpoint.cpp
+++ b/standins/worker_endpoint.cpp
@@ -13,7 +13,6 @@
 using nlohmann::json;
 using poplarpass::net::http_request;
 using poplarpass::net::http_response;
-using poplarpass::platform::order_request;
 using poplarpass::platform::rejection;
 using poplarpass::platform::start_outcome;
 using poplarpass::platform::start_request;
@@ -48,6 +47,7 @@
     : m_loop{loop}
     , m_host{std::move(host)}
     , m_options{options}
+    , m_assignment{m_host.pool}
     , m_leases{options.leaseTerm}
     , m_tasks{loop, m_journal}
     , m_bootId{newBootId()}
@@ -86,10 +86,10 @@
 {
     auto document = m_journal.toJson();
     document["host"] = m_host.listed.host.str();
-    document["pool"] = m_host.pool;
-    document["generation"] = m_generation;
+    document["pool"] = m_assignment.pool();
+    document["generation"] = m_assignment.generation();
     document["boot_id"] = m_bootId;
-    document["draining"] = m_drainingSince.has_value();
+    document["draining"] = m_assignment.isDraining();
     document["running"] = m_tasks.running();
     return document;
 }
@@ -126,7 +126,7 @@
     if (posted && message.path() == "/tasks") {
         start(message, answer);
     } else if (posted && message.path() == "/order") {
-        order(message, answer);
+        answer->respond(order(message));
     } else if (posted && message.path() == "/lease") {
         answer->respond(lease(message));
     } else if (message.path().starts_with(taskPrefix)) {
@@ -168,7 +168,7 @@
     if (m_rebooting) {
         return refusal(503, "rebooting");
     }
-    if (wanted->pool.str() != m_host.pool || wanted->generation != m_generation) {
+    if (wanted->pool.str() != m_assignment.pool() || wanted->generation != m_assignment.generation()) {
         return refusal(409, nameOf(rejection::wrong_pool));
     }
     return leaseAnswer();
@@ -182,9 +182,9 @@
                         {{"lease_id", m_leases.grant(now)},
                          {"lease_term_ms", m_options.leaseTerm.count()},
                          {"boot_id", m_bootId},
-                         {"pool", m_host.pool},
-                         {"generation", m_generation},
-                         {"leaving", m_drainingSince.has_value()},
+                         {"pool", m_assignment.pool()},
+                         {"generation", m_assignment.generation()},
+                         {"leaving", m_assignment.isDraining()},
                          {"used_slots", m_slotUsage.valueAt(now, m_options.usageLag)},
                          {"used_connections", m_connectionUsage.valueAt(now, m_options.usageLag)}});
 }
@@ -217,13 +217,13 @@
     if (m_tasks.isDuplicate(wanted.taskId)) {
         return rejection::duplicate;
     }
-    if (wanted.pool.str() != m_host.pool) {
+    if (wanted.pool.str() != m_assignment.pool()) {
         return rejection::wrong_pool;
     }
     if (!m_leases.isValid(wanted.leaseId, steady_clock::now())) {
         return rejection::lease_lapsed;
     }
-    if (m_drainingSince || m_rebooting) {
+    if (m_assignment.isDraining() || m_rebooting) {
         return rejection::leaving;
     }
     if (wanted.cores > host.cores || wanted.memoryMb > host.memoryMb) {
@@ -236,8 +236,8 @@
 auto worker_endpoint::reject(const start_request &wanted, rejection reason) -> http_response
 {
     refusal_record record{wanted.taskId, wanted.attemptId, std::string{nameOf(reason)}, unixMilliseconds(), {}};
-    if (m_drainingSince) {
-        record.sinceDrainMs = std::chrono::duration_cast<milliseconds>(steady_clock::now() - *m_drainingSince).count();
+    if (const auto time = m_assignment.drainingFor(steady_clock::now())) {
+        record.sinceDrainMs = time->count();
     }
     m_journal.refuse(std::move(record));
     return encodeRejection(wanted, reason);
@@ -254,11 +254,11 @@
     run_record record;
     record.taskId = wanted.taskId;
     record.attemptId = wanted.attemptId;
-    record.pool = m_host.pool;
+    record.pool = m_assignment.pool();
     record.kind = wanted.kind.str();
     record.bootId = m_bootId;
     record.startMs = unixMilliseconds();
-    record.leaving = m_drainingSince.has_value();
+    record.leaving = m_assignment.isDraining();
     const bool fails = m_behaviour.failAll || record.kind == "fail";
     const auto runTime = runTimeOf(wanted);
     auto payload = std::exchange(wanted.payload, {});
@@ -271,51 +271,23 @@
     recordUsage();
 }
 
-auto worker_endpoint::order(const http_request &message, const answer_handle &answer) -> void
+auto worker_endpoint::order(const http_request &message) -> http_response
 {
     const auto wanted = decodeOrder(message);
     if (!wanted) {
-        answer->respond(refusal(400, "not an order"));
-    } else if (wanted->controlEpoch < m_controlEpoch) {
-        answer->respond(refusal(409, "stale_epoch"));
-    } else {
-        m_controlEpoch = wanted->controlEpoch;
-        answer->respond(carryOut(*wanted));
+        return refusal(400, "not an order");
     }
-}
-
-auto worker_endpoint::carryOut(const order_request &wanted) -> http_response
-{
-    if (wanted.order == worker_order::assign) {
-        return assign(wanted);
+    const auto before = m_assignment.generation();
+    const auto refused = m_assignment.order(*wanted, m_tasks.running(), steady_clock::now());
+    if (refused) {
+        return refusal(409, *refused);
     }
-    if (wanted.order == worker_order::reboot && m_tasks.running() > 0) {
-        return refusal(409, "jobs_running");
+    if (m_assignment.generation() != before) {
+        m_leases.revokeAll();
     }
-    if (wanted.order == worker_order::reboot) {
+    if (wanted->order == worker_order::reboot) {
         reboot();
-    } else {
-        setDraining(wanted.order == worker_order::drain);
-    }
-    return orderAnswer();
-}
-
-// Repeating the assignment in force is without effect, so that a lost answer can be asked for again.
-auto worker_endpoint::assign(const order_request &wanted) -> http_response
-{
-    const bool inForce = wanted.pool.str() == m_host.pool && wanted.generation == m_generation;
-    if (inForce) {
-        return orderAnswer();
-    }
-    if (wanted.generation <= m_generation) {
-        return refusal(409, "stale_generation");
     }
-    if (m_tasks.running() > 0) {
-        return refusal(409, "jobs_running");
-    }
-    m_host.pool = wanted.pool.str();
-    m_generation = wanted.generation;
-    m_leases.revokeAll();
     return orderAnswer();
 }
 
@@ -324,18 +296,9 @@
     return jsonResponse(200,
                         {{"running_jobs", m_tasks.running()},
                          {"boot_id", m_bootId},
-                         {"draining", m_drainingSince.has_value()},
-                         {"pool", m_host.pool},
-                         {"generation", m_generation}});
-}
-
-auto worker_endpoint::setDraining(bool draining) -> void
-{
-    if (!draining) {
-        m_drainingSince.reset();
-    } else if (!m_drainingSince) {
-        m_drainingSince = steady_clock::now();
-    }
+                         {"draining", m_assignment.isDraining()},
+                         {"pool", m_assignment.pool()},
+                         {"generation", m_assignment.generation()}});
 }
 
 // The answer to the order itself is still sent: the server stops only when its connections are done.
--- a/standins/worker_endpoint.h
+++ b/standins/worker_endpoint.h
@@ -4,6 +4,7 @@
 #include "run_journal.h"
 #include "timers.h"
 #include "usage_history.h"
+#include "worker_assignment.h"
 #include "worker_leases.h"
 #include "worker_tasks.h"
 #include "worker_types.h"
@@ -60,11 +61,8 @@
     auto run(poplarpass::platform::start_request wanted, const answer_handle &answer) -> void;
     [[nodiscard]] auto runTimeOf(const poplarpass::platform::start_request &wanted) const -> std::chrono::microseconds;
     auto recordUsage() -> void;
-    auto order(const request &message, const answer_handle &answer) -> void;
-    auto carryOut(const poplarpass::platform::order_request &wanted) -> response;
-    auto assign(const poplarpass::platform::order_request &wanted) -> response;
+    auto order(const request &message) -> response;
     [[nodiscard]] auto orderAnswer() const -> response;
-    auto setDraining(bool draining) -> void;
     auto reboot() -> void;
     auto restart() -> void;
     auto crash() -> void;
@@ -75,15 +73,13 @@
     inventory_host m_host;
     worker_options m_options;
     worker_behaviour m_behaviour;
+    worker_assignment m_assignment;
     run_journal m_journal;
     worker_leases m_leases;
     worker_tasks m_tasks;
     usage_history m_slotUsage;
     usage_history m_connectionUsage;
     std::uint64_t m_bootId;
-    std::uint64_t m_generation = 0;
-    std::uint64_t m_controlEpoch = 0;
-    std::optional<steady_time> m_drainingSince;
     std::vector<std::function<void()>> m_frozenRequests;
     bool m_rebooting = false;
     timers m_timers;
--- a/tests/io/standin_sources.cpp
+++ b/tests/io/standin_sources.cpp
@@ -11,6 +11,7 @@
 #include "../../standins/run_journal.cpp"
 #include "../../standins/timers.cpp"
 #include "../../standins/usage_history.cpp"
+#include "../../standins/worker_assignment.cpp"
 #include "../../standins/worker_codec.cpp"
 #include "../../standins/worker_endpoint.cpp"
 #include "../../standins/worker_leases.cpp"
