Stand-ins read inventories with [[host]] tables; shorter idle time of client connections

Cause: the example inventories name their tables host; idle connections of many entries could use up the connections of a worker, which then closes one that is about to be used. Change: both names are read; the client closes idle connections after 5 s, well before any server does.

--- a/src/poplarpass/net/constants.h
+++ b/src/poplarpass/net/constants.h
@@ -32,7 +32,8 @@
     std::uint32_t headerBytes = 16 * 1024; ///< Longest header section of an answer.
     std::uint64_t bodyBytes = std::uint64_t{64} * 1024 * 1024; ///< Longest body of an answer.
     core::duration connectTimeout = std::chrono::seconds{1}; ///< For a connection to be established.
-    core::duration idleTimeout = std::chrono::seconds{20}; ///< Unused connections are closed after this.
+    core::duration idleTimeout = std::chrono::seconds{5}; ///< Unused connections are closed after this; keep it below
+                                                          ///< the idle timeout of the servers.
 };
 
 namespace internal
--- a/standins/inventory.cpp
+++ b/standins/inventory.cpp
@@ -51,6 +51,15 @@
     return json::parse(converted.str());
 }
 
+// A TOML file names its tables [[host]], a JSON file may be the list itself.
+auto hostList(const json &document) -> const json &
+{
+    if (document.is_array()) {
+        return document;
+    }
+    return document.contains("host") ? document.at("host") : document.at("hosts");
+}
+
 auto decodeInventoryHost(const json &document) -> inventory_host
 {
     inventory_host host{decodeHost(document), {}};
@@ -93,7 +102,7 @@
     const auto text = readFile(path);
     const auto document = path.ends_with(".toml") ? tomlToJson(text) : json::parse(text);
     std::vector<inventory_host> hosts;
-    for (const auto &item : document.is_array() ? document : document.at("hosts")) {
+    for (const auto &item : hostList(document)) {
         hosts.push_back(decodeInventoryHost(item));
     }
     return hosts;
--- a/standins/inventory.h
+++ b/standins/inventory.h
@@ -18,7 +18,7 @@
     std::string pool; ///< Pool that it serves at start, as generation 0.
 };
 
-/// \brief Reads a JSON or TOML inventory: a list `hosts` of objects, or in JSON the list alone.
+/// \brief Reads a JSON or TOML inventory: a list `host` or `hosts` of objects, or in JSON the list alone.
 /// \throws std::runtime_error when it cannot be read
 auto loadInventory(const std::string &path) -> std::vector<inventory_host>;
 
--- a/standins/worker_tasks.cpp
+++ b/standins/worker_tasks.cpp
@@ -113,6 +113,7 @@
 {
     --m_running;
     entry.state = state;
+    entry.due = false;
     entry.payload.clear();
     m_journal.end(entry.journalPlace, outcome);
     const auto runTime = std::chrono::duration_cast<microseconds>(steady_clock::now() - entry.startedAt);
