Control: benchmark of the policies and of one decision step

Ruled out: borrowing for any missing slot of the forecast; a deployment that weighs moves now leaves part of a host uncovered. Change: bench/control_bench, firstFitMoves as baseline, hosts grouped by the share of their loss domain, forecastTolerance; fakes split by part.

--- /dev/null
+++ b/bench/control_bench.cpp
@@ -0,0 +1,400 @@
+// Compares the policies of fleet control at the sizes of both deployments, over small fakes and a stepped clock, and
+// measures one decision step from 50 workers upwards.
+// Usage: control_bench [--seeds N] [--hours N] [--steps-only]
+
+#include "fakes/control_world.h"
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <future>
+#include <iostream>
+#include <malloc.h>
+#include <numeric>
+
+using namespace poplarpass;
+using fakes::control_world;
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace
+{
+enum class policy_kind {
+    ours,
+    fixed_spare_zone,
+    first_fit,
+};
+
+struct deployment
+{
+    const char *name;
+    int zones;
+    double headroom;
+    config::planning_weights weights;
+};
+
+constexpr std::array deployments{deployment{"Plata", 3, 0.15, {4.0, 1.0}}, deployment{"Adeyemi", 4, 0.15, {1.0, 8.0}}};
+constexpr std::array policies{policy_kind::ours, policy_kind::fixed_spare_zone, policy_kind::first_fit};
+constexpr int poolCount = 5;
+constexpr int hostsPerPool = 10;
+constexpr int demandSlots = 28;
+
+auto nameOf(policy_kind policy) -> const char *
+{
+    constexpr std::array names{"ours", "fixed_spare_zone", "first_fit"};
+    return names[static_cast<std::size_t>(policy)];
+}
+
+/// \brief Demand of each pool: surges of 5 s to five times the mean, a twentieth between them, a slow random drift, and
+/// now and then a pool that needs twice its mean for a while.
+class demand_source
+{
+public:
+    explicit demand_source(std::uint64_t seed)
+        : m_random{seed}
+    {
+        m_means.fill(demandSlots);
+        m_surgeAt.fill(core::duration::zero());
+        for (auto &surgeAt : m_surgeAt) {
+            surgeAt = seconds{static_cast<std::int64_t>(m_random() % 26)};
+        }
+    }
+
+    auto advance(core::duration now) -> void
+    {
+        for (std::size_t pool = 0; pool < poolCount; ++pool) {
+            const bool isNewMinute = now % minutes{1} == core::duration::zero();
+            if (isNewMinute) {
+                const auto swing = static_cast<double>(m_random() % 2001) / 1000.0 - 1.0;
+                m_means[pool] = std::clamp(m_means[pool] + swing, 0.85 * demandSlots, 1.15 * demandSlots);
+            }
+            if (isNewMinute && m_random() % 240 == 0) {
+                m_highUntil[pool] = now + minutes{20 + static_cast<std::int64_t>(m_random() % 60)};
+            }
+        }
+    }
+
+    [[nodiscard]] auto mean(std::size_t pool, core::duration now) const -> double
+    {
+        return m_means[pool] * (now < m_highUntil[pool] ? 2.0 : 1.0);
+    }
+
+    [[nodiscard]] auto moment(std::size_t pool, core::duration now) const -> double
+    {
+        const bool isSurge = (now + m_surgeAt[pool]) % seconds{26} < seconds{5};
+        return mean(pool, now) * (isSurge ? 5.0 : 0.05);
+    }
+
+private:
+    std::mt19937_64 m_random;
+    std::array<double, poolCount> m_means{};
+    std::array<core::duration, poolCount> m_surgeAt{};
+    std::array<core::duration, poolCount> m_highUntil{};
+};
+
+struct run_result
+{
+    double bufferPercent = 0.0; ///< Slots held back above the mean demand, of all slots.
+    double idlePercent = 0.0; ///< Idle slots of all slots.
+    double waveMinutes = 0.0; ///< Start to last host back.
+    double movesPerHostDay = 0.0;
+    double shortPercent = 0.0; ///< Mean demand above the serving slots, of all mean demand.
+    int minSpareSlots = 0; ///< Least spare over time and pools.
+    std::size_t breaches = 0;
+};
+
+auto configOf(const deployment &deployment) -> config::fleet_config
+{
+    auto made = fakes::makeConfig(poolCount, demandSlots, config::loss_domain::rack, 1, 2);
+    made.weights = deployment.weights;
+    for (auto &profile : made.profiles) {
+        profile.headroom = deployment.headroom;
+    }
+    return made;
+}
+
+auto poolIndex(const core::pool_id &pool) -> std::size_t
+{
+    return static_cast<std::size_t>(pool.str().back() - '0');
+}
+
+auto largestZoneSlots(const control::pool_view &pool) -> int
+{
+    std::map<core::zone_id, int> slots;
+    for (const auto &host : pool.hosts) {
+        slots[host.description.zone] += host.description.slots;
+    }
+    return std::ranges::max_element(slots, {}, [](const auto &entry) { return entry.second; })->second;
+}
+
+/// \brief Slots that the policy keeps for \p pool: its promise with the worst permitted loss, or with a whole zone;
+/// borrowed hosts count whole.
+auto keptSlots(const control::pool_view &pool, const fold::budget_view &budget, policy_kind policy) -> int
+{
+    int borrowed = 0;
+    for (const auto &host : pool.hosts) {
+        borrowed += host.description.pool != pool.pool.name ? host.description.slots : 0;
+    }
+    const auto promise = budget.requiredSlots + budget.worstLossSlots;
+    const auto zone = budget.requiredSlots + largestZoneSlots(pool);
+    const auto kept = policy == policy_kind::fixed_spare_zone ? std::max(promise, zone) : promise;
+    return std::min(budget.servingSlots, kept + borrowed);
+}
+
+/// \brief Sums the measures over time.
+class meter
+{
+public:
+    explicit meter(policy_kind policy)
+        : m_policy{policy}
+    {
+    }
+
+    auto add(const control_world &world, const demand_source &demand, core::duration now) -> void
+    {
+        const auto view = control::makePlanningView(world.truth.config(), world.truth.hosts());
+        for (const auto &pool : view.pools) {
+            const auto budget = pool.budget();
+            const auto index = poolIndex(pool.pool.name);
+            const auto mean = demand.mean(index, now);
+            m_slots += static_cast<double>(pool.hosts.size()) * 8.0;
+            m_held += std::max(0.0, keptSlots(pool, budget, m_policy) - mean);
+            m_idle += std::max(0.0, budget.servingSlots - demand.moment(index, now));
+            m_short += std::max(0.0, mean - budget.servingSlots);
+            m_demand += mean;
+            m_minSpare = std::min(m_minSpare, budget.spareSlots());
+        }
+    }
+
+    auto fill(run_result &result) const -> void
+    {
+        result.bufferPercent = 100.0 * m_held / m_slots;
+        result.idlePercent = 100.0 * m_idle / m_slots;
+        result.shortPercent = 100.0 * m_short / m_demand;
+        result.minSpareSlots = m_minSpare;
+    }
+
+private:
+    policy_kind m_policy;
+    double m_slots = 0.0;
+    double m_held = 0.0;
+    double m_idle = 0.0;
+    double m_short = 0.0;
+    double m_demand = 0.0;
+    int m_minSpare = 1'000'000;
+};
+
+/// \brief Demand as the policies see it.
+struct demand_view
+{
+    control::demand_forecast forecast;
+    std::array<double, poolCount> moment{};
+};
+
+auto movesOf(policy_kind policy, demand_view &demand) -> std::function<control::move_policy()>
+{
+    if (policy == policy_kind::ours) {
+        return [&demand] {
+            control::move_hooks hooks;
+            hooks.expectedSlots = [&demand](const core::pool_id &pool) {
+                return demand.forecast.expectedSlots(pool);
+            };
+            hooks.calendarIsOpen = config::isOpen;
+            auto planner = std::make_shared<control::move_planner>(hooks);
+            return [planner](const control::move_query &query) {
+                return planner->choose(query);
+            };
+        };
+    }
+    if (policy == policy_kind::first_fit) {
+        return [&demand] {
+            return control::firstFitMoves(
+                [&demand](const core::pool_id &pool) { return std::optional{demand.moment[poolIndex(pool)]}; });
+        };
+    }
+    return {};
+}
+
+auto drainsOf(policy_kind policy) -> control::wave_policy
+{
+    switch (policy) {
+    case policy_kind::ours:
+        return control::leastLossPolicy(config::isOpen);
+    case policy_kind::fixed_spare_zone:
+        return control::fixedSpareZonePolicy(config::isOpen);
+    case policy_kind::first_fit:
+        break;
+    }
+    return control::firstFitPolicy(config::isOpen);
+}
+
+auto runOne(const deployment &deployment, policy_kind policy, std::uint64_t seed, int hourCount) -> run_result
+{
+    demand_view seen;
+    fakes::world_settings settings;
+    settings.seed = seed;
+    settings.controls = 1;
+    settings.tick = seconds{1};
+    settings.reboot = minutes{5};
+    settings.longestJob = minutes{1};
+    settings.hosts = fakes::makeHosts(poolCount, hostsPerPool, deployment.zones);
+    settings.config = configOf(deployment);
+    settings.drains = drainsOf(policy);
+    settings.moves = movesOf(policy, seen);
+    control_world world{settings};
+    world.run(seconds{10});
+    demand_source demand{seed};
+    meter measured{policy};
+    run_result result;
+    constexpr core::duration waveStart = hours{1};
+    for (core::duration now{}; now < hours{hourCount}; now += seconds{1}) {
+        demand.advance(now);
+        for (std::size_t pool = 0; pool < poolCount; ++pool) {
+            seen.moment[pool] = demand.moment(pool, now);
+            seen.forecast.onDemand(core::pool_id{"p" + std::to_string(pool)}, seen.moment[pool], world.now);
+        }
+        if (now == waveStart) {
+            world.startWave("w");
+        }
+        world.step();
+        measured.add(world, demand, now);
+        if (result.waveMinutes == 0.0 && world.isWaveFinished("w")) {
+            result.waveMinutes = std::chrono::duration<double, std::ratio<60>>{now - waveStart}.count();
+        }
+    }
+    measured.fill(result);
+    result.movesPerHostDay = static_cast<double>(world.moves) * 24.0 / hourCount / (poolCount * hostsPerPool);
+    result.breaches = world.breaches.size();
+    return result;
+}
+
+/// \brief Mean and range of one measure over the seeds.
+auto spread(const std::vector<run_result> &runs, double run_result::*measure) -> std::string
+{
+    double sum = 0.0;
+    double least = runs.front().*measure;
+    double most = least;
+    for (const auto &run : runs) {
+        sum += run.*measure;
+        least = std::min(least, run.*measure);
+        most = std::max(most, run.*measure);
+    }
+    std::array<char, 80> text{};
+    std::snprintf(text.data(), text.size(), "%.2f (%.2f to %.2f)", sum / static_cast<double>(runs.size()), least, most);
+    return text.data();
+}
+
+auto comparePolicies(int seedCount, int hourCount) -> void
+{
+    std::cout
+        << "| deployment | policy | buffer, % of slots | idle, % of slots | wave, min | moves a host a day | unserved "
+           "mean demand, % | least spare, slots | breaches |\n|---|---|---|---|---|---|---|---|---|\n";
+    for (const auto &deployment : deployments) {
+        for (const auto policy : policies) {
+            std::vector<std::future<run_result>> futures;
+            for (int seed = 1; seed <= seedCount; ++seed) {
+                futures.push_back(std::async(std::launch::async, runOne, deployment, policy, seed, hourCount));
+            }
+            std::vector<run_result> runs;
+            std::ranges::transform(futures, std::back_inserter(runs), [](auto &future) { return future.get(); });
+            const auto spare = std::ranges::min(runs, {}, &run_result::minSpareSlots).minSpareSlots;
+            std::size_t breaches = 0;
+            for (const auto &run : runs) {
+                breaches += run.breaches;
+            }
+            std::cout << "| " << deployment.name << " | " << nameOf(policy) << " | "
+                      << spread(runs, &run_result::bufferPercent) << " | " << spread(runs, &run_result::idlePercent)
+                      << " | " << spread(runs, &run_result::waveMinutes) << " | "
+                      << spread(runs, &run_result::movesPerHostDay) << " | " << spread(runs, &run_result::shortPercent)
+                      << " | " << spare << " | " << breaches << " |\n"
+                      << std::flush;
+        }
+    }
+}
+
+/// \brief A holder in front of a whole fleet that answers, in the middle of a wave.
+auto measureStep(int workers, int pools) -> void
+{
+    constexpr int stepCount = 30;
+    const auto hosts = fakes::makeHosts(pools, workers / pools, 4);
+    auto config = fakes::makeConfig(pools, 4 * static_cast<int>(hosts.size()) / pools, config::loss_domain::rack, 1, 4);
+    fold::fleet_state state;
+    std::uint64_t offset = 0;
+    const auto apply = [&](const fold::record &change) {
+        ++offset;
+        return state.apply(offset, core::record_id{"x" + std::to_string(offset)}, change).accepted;
+    };
+    apply(fold::config_record{0, {}, {}, config});
+    apply(fold::control_claim_record{core::member_id{"c"}, 1, 1, 0});
+    for (const auto &listed : hosts) {
+        fold::host_record add;
+        add.host = listed.host;
+        add.controlEpoch = 1;
+        add.description = listed;
+        apply(add);
+    }
+    fold::wave_record wave;
+    wave.wave = core::wave_id{"w"};
+    apply(wave);
+    const auto before = mallinfo2().uordblks;
+    control::move_planner planner{{{}, config::isOpen}};
+    control::host_controller controller{core::member_id{"c"},
+                                        1,
+                                        {control::leastLossPolicy(config::isOpen),
+                                         [&planner](const control::move_query &query) { return planner.choose(query); },
+                                         config::isOpen}};
+    std::vector<double> times;
+    std::size_t recordCount = 0;
+    for (int step = 0; step < stepCount; ++step) {
+        const core::monotonic_time now{seconds{step}};
+        std::vector<control::host_sighting> sightings;
+        for (const auto &host : state.hosts()) {
+            const auto &name = host.description.host;
+            sightings.push_back({name, true, 1, !host.serves(), host.pool, host.generation, now});
+        }
+        const auto begun = std::chrono::steady_clock::now();
+        const auto actions = controller.decide(state, {hosts, sightings, {}}, core::wall_time{}, now);
+        const std::chrono::duration<double, std::milli> length = std::chrono::steady_clock::now() - begun;
+        times.push_back(length.count());
+        for (const auto &action : actions) {
+            if (const auto *request = std::get_if<control::append_request>(&action)) {
+                recordCount += apply(request->change) ? 1U : 0U;
+                controller.onApplied(request->id);
+            }
+        }
+    }
+    const auto kept = mallinfo2().uordblks - before;
+    std::ranges::sort(times);
+    std::printf("| %d | %d | %.2f | %.2f | %.1f | %.2f | %zu |\n", static_cast<int>(hosts.size()), pools,
+                times[times.size() / 2], times.back(),
+                1000.0 * times[times.size() / 2] / static_cast<double>(hosts.size()), static_cast<double>(kept) / 1e6,
+                recordCount);
+}
+} // namespace
+
+auto main(int argc, char *argv[]) -> int
+{
+    namespace po = boost::program_options;
+    int seedCount = 5;
+    int hourCount = 8;
+    po::options_description options;
+    options.add_options()("seeds", po::value(&seedCount))("hours", po::value(&hourCount))("steps-only", "");
+    po::variables_map given;
+    po::store(po::parse_command_line(argc, argv, options), given);
+    po::notify(given);
+    if (given.count("steps-only") == 0) {
+        comparePolicies(seedCount, hourCount);
+    }
+    std::cout
+        << "\n| workers | pools | step, median ms | step, longest ms | median per worker, us | kept by the holder, MB "
+           "| records accepted |\n|---|---|---|---|---|---|---|\n"
+        << std::flush;
+    for (const auto &[workers, pools] : {std::pair{50, 5}, {500, 5}, {2000, 13}, {7600, 47}}) {
+        measureStep(workers, pools);
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/poplarpass/control/loan_count.cpp
@@ -0,0 +1,51 @@
+#include <poplarpass/control/loan_count.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace poplarpass::control::internal
+{
+namespace
+{
+auto placeOf(const fold::host_state &host) -> const core::pool_id &
+{
+    return host.movingTo.empty() ? host.pool : host.movingTo;
+}
+
+auto countHosts(const planning_view &view, const std::function<bool(const fold::host_state &)> &isCounted) -> int
+{
+    std::ptrdiff_t count = 0;
+    for (const auto &pool : view.pools) {
+        count += std::ranges::count_if(pool.hosts, isCounted);
+    }
+    return static_cast<int>(count);
+}
+} // namespace
+
+auto isAway(const fold::host_state &host) -> bool
+{
+    return placeOf(host) != host.description.pool;
+}
+
+auto lentBy(const planning_view &view, const core::pool_id &pool) -> int
+{
+    return countHosts(view,
+                      [&pool](const fold::host_state &host) { return isAway(host) && host.description.pool == pool; });
+}
+
+auto borrowedBy(const planning_view &view, const core::pool_id &pool) -> int
+{
+    return countHosts(view, [&pool](const fold::host_state &host) { return isAway(host) && placeOf(host) == pool; });
+}
+
+auto slotsOnTheirWay(const planning_view &view, const core::pool_id &pool) -> int
+{
+    int slots = 0;
+    for (const auto &other : view.pools) {
+        for (const auto &host : other.hosts) {
+            slots += host.movingTo == pool && !host.down ? host.description.slots : 0;
+        }
+    }
+    return slots;
+}
+} // namespace poplarpass::control::internal
--- /dev/null
+++ b/src/poplarpass/control/loan_count.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <poplarpass/control/planning_view.h>
+
+/// Counts of hosts that are away from the pool that they were added with.
+namespace poplarpass::control::internal
+{
+/// \brief Whether \p host is, or is on its way, in another pool than its own.
+auto isAway(const fold::host_state &host) -> bool;
+
+/// \brief Hosts of \p pool that are away.
+auto lentBy(const planning_view &view, const core::pool_id &pool) -> int;
+
+/// \brief Hosts of other pools that are, or are on their way, in \p pool.
+auto borrowedBy(const planning_view &view, const core::pool_id &pool) -> int;
+
+/// \brief Slots of hosts that move to \p pool.
+auto slotsOnTheirWay(const planning_view &view, const core::pool_id &pool) -> int;
+} // namespace poplarpass::control::internal
--- a/src/poplarpass/control/move_planner.cpp
+++ b/src/poplarpass/control/move_planner.cpp
@@ -1,4 +1,5 @@
 #include <poplarpass/control/constants.h>
+#include <poplarpass/control/loan_count.h>
 #include <poplarpass/control/move_planner.h>
 #include <poplarpass/control/wave_planner.h>
 
@@ -11,55 +12,27 @@
 
 namespace poplarpass::control
 {
-namespace
-{
-auto isAway(const fold::host_state &host) -> bool
-{
-    const auto &place = host.movingTo.empty() ? host.pool : host.movingTo;
-    return place != host.description.pool;
-}
+using internal::borrowedBy;
+using internal::isAway;
+using internal::lentBy;
+using internal::slotsOnTheirWay;
 
-auto countHosts(const planning_view &view, const std::function<bool(const fold::host_state &)> &isCounted) -> int
-{
-    std::ptrdiff_t count = 0;
-    for (const auto &pool : view.pools) {
-        count += std::ranges::count_if(pool.hosts, isCounted);
-    }
-    return static_cast<int>(count);
-}
-
-auto lentBy(const planning_view &view, const core::pool_id &pool) -> int
+namespace
 {
-    return countHosts(view,
-                      [&pool](const fold::host_state &host) { return isAway(host) && host.description.pool == pool; });
-}
-
-auto borrowedBy(const planning_view &view, const core::pool_id &pool) -> int
+auto slotsFor(double expected, const pool_view &pool) -> int
 {
-    return countHosts(view, [&pool](const fold::host_state &host) {
-        const auto &place = host.movingTo.empty() ? host.pool : host.movingTo;
-        return isAway(host) && place == pool;
-    });
+    return static_cast<int>(std::ceil(expected * (1.0 + pool.profile.headroom)));
 }
 
-auto slotsOnTheirWay(const planning_view &view, const core::pool_id &pool) -> int
+auto largestHost(const pool_view &pool) -> int
 {
     int slots = 0;
-    for (const auto &other : view.pools) {
-        for (const auto &host : other.hosts) {
-            slots += host.movingTo == pool && !host.down ? host.description.slots : 0;
-        }
+    for (const auto &host : pool.hosts) {
+        slots = std::max(slots, host.description.slots);
     }
     return slots;
 }
 
-auto neededSlots(const pool_view &pool, std::optional<double> expected) -> int
-{
-    const auto promised = config::requiredSlots(pool.pool, pool.profile);
-    const auto forecast = std::ceil(expected.value_or(0.0) * (1.0 + pool.profile.headroom));
-    return std::max(promised, static_cast<int>(forecast));
-}
-
 auto spareAfterTaking(const pool_view &pool, const fold::host_state &host) -> int
 {
     fold::pool_budget budget{pool.pool, pool.profile, pool.hosts};
@@ -76,9 +49,16 @@
 }
 } // namespace
 
-auto pool_need::missingSlots() const -> int
+auto pool_need::missingSlots(int tolerance) const -> int
+{
+    const auto missingExpected = expectedSlots - haveSlots;
+    return std::max({0, promisedSlots - haveSlots, missingExpected > tolerance ? missingExpected : 0});
+}
+
+auto forecastTolerance(const config::planning_weights &weights, int slots) -> int
 {
-    return std::max(0, neededSlots - haveSlots);
+    const auto sum = weights.moves + weights.bufferCost;
+    return sum <= 0.0 ? 0 : static_cast<int>(slots * weights.moves / sum);
 }
 
 auto returnDelay(const config::planning_weights &weights, int slots) -> core::duration
@@ -103,7 +83,7 @@
     std::set<core::pool_id> touched;
     for (const auto &pool : query.view.pools) {
         const auto need = needOf(pool, query);
-        if (!noteShortage(pool.pool.name, need, query.now)) {
+        if (!noteShortage(pool, need, query)) {
             continue;
         }
         auto loan = chooseLoan(pool, query);
@@ -123,23 +103,29 @@
 
 auto move_planner::needOf(const pool_view &pool, const move_query &query) const -> pool_need
 {
-    const auto expected = m_hooks.expectedSlots ? m_hooks.expectedSlots(pool.pool.name) : std::nullopt;
     const auto budget = pool.budget();
     pool_need need;
-    need.neededSlots = neededSlots(pool, expected) + waveSlots(pool, query);
+    need.promisedSlots = budget.requiredSlots + waveSlots(pool, query);
+    need.expectedSlots = expectedSlots(pool);
     need.haveSlots = budget.servingSlots - budget.worstLossSlots + slotsOnTheirWay(query.view, pool.pool.name);
     need.isForPromise = budget.spareSlots() < 0;
     return need;
 }
 
-auto move_planner::noteShortage(const core::pool_id &pool, const pool_need &need, core::monotonic_time now) -> bool
+auto move_planner::expectedSlots(const pool_view &pool) const -> int
+{
+    const auto expected = m_hooks.expectedSlots ? m_hooks.expectedSlots(pool.pool.name) : std::nullopt;
+    return slotsFor(expected.value_or(0.0), pool);
+}
+
+auto move_planner::noteShortage(const pool_view &pool, const pool_need &need, const move_query &query) -> bool
 {
-    if (need.missingSlots() == 0) {
-        m_shortSince.erase(pool);
+    if (need.missingSlots(forecastTolerance(query.view.weights, largestHost(pool))) == 0) {
+        m_shortSince.erase(pool.pool.name);
         return false;
     }
-    const auto since = m_shortSince.try_emplace(pool, now).first->second;
-    return now - since >= (need.isForPromise ? borrowForPromiseAfter : borrowAfter);
+    const auto since = m_shortSince.try_emplace(pool.pool.name, query.now).first->second;
+    return query.now - since >= (need.isForPromise ? borrowForPromiseAfter : borrowAfter);
 }
 
 // The pool's own hosts come back before others are lent, and spare pools lend before others. Among equals the host is
@@ -197,9 +183,8 @@
     if (pool.limitOf(host) != fold::budget_limit::none) {
         return false;
     }
-    const auto expected = m_hooks.expectedSlots ? m_hooks.expectedSlots(pool.pool.name) : std::nullopt;
     const auto promised = config::requiredSlots(pool.pool, pool.profile);
-    const auto needed = neededSlots(pool, expected);
+    const auto needed = std::max(promised, expectedSlots(pool));
     const auto margin = needed * marginPercent / 100 + waveSlots(pool, query);
     return spareAfterTaking(pool, host) >= needed - promised + margin;
 }
--- a/src/poplarpass/control/move_planner.h
+++ b/src/poplarpass/control/move_planner.h
@@ -33,11 +33,18 @@
 /// \brief Chooses the moves that start now.
 using move_policy = std::function<std::vector<host_move>(const move_query &)>;
 
+/// \brief Slots that a pool's work needs, if known.
+using demand_hook = std::function<std::optional<double>(const core::pool_id &)>;
+
+/// \brief Baseline without forecast: borrows the first host that may go as soon as the demand of the moment exceeds the
+/// pool, and gives it back as soon as it does not.
+auto firstFitMoves(demand_hook currentSlots) -> move_policy;
+
 /// \brief What the planner of moves takes from outside.
 struct move_hooks
 {
     /// \brief Slots that a pool's work is expected to need, if known; empty plans by the declared demand alone.
-    std::function<std::optional<double>(const core::pool_id &)> expectedSlots;
+    demand_hook expectedSlots;
     /// \brief Whether maintenance is open; empty plans no moves for the sake of a wave.
     calendar_check calendarIsOpen;
 };
@@ -45,14 +52,20 @@
 /// \brief Slots that a pool needs beside those that the worst permitted loss would take.
 struct pool_need
 {
-    int neededSlots = 0; ///< The promise, or what the forecast asks with the profile's headroom, if that is more.
+    int promisedSlots = 0; ///< The promise, and a host for a wave that could not go on otherwise.
+    int expectedSlots = 0; ///< What the forecast asks with the profile's headroom; zero when there is none.
     int haveSlots = 0; ///< Serving slots and those on their way, less the worst permitted loss.
     bool isForPromise = false; ///< Whether the promise alone is not covered.
 
-    /// \brief Slots that are missing; zero when none are.
-    [[nodiscard]] auto missingSlots() const -> int;
+    /// \brief Slots that are missing; a forecast that is short by no more than \p tolerance does not count.
+    [[nodiscard]] auto missingSlots(int tolerance) const -> int;
 };
 
+/// \brief Slots by which a forecast may stay uncovered rather than move a host of \p slots slots.
+///
+/// The greater the weight of moves, the more of a host's slots must be missing; promises have no such tolerance.
+auto forecastTolerance(const config::planning_weights &weights, int slots) -> int;
+
 /// \brief How long a borrowed host of \p slots slots stays once it is no longer needed.
 ///
 /// It is kept until its idle slots have cost as much as the two moves that a return and another loan would cost, so
@@ -75,11 +88,12 @@
     [[nodiscard]] auto needOf(const pool_view &pool, const move_query &query) const -> pool_need;
 
 private:
-    auto noteShortage(const core::pool_id &pool, const pool_need &need, core::monotonic_time now) -> bool;
+    auto noteShortage(const pool_view &pool, const pool_need &need, const move_query &query) -> bool;
     auto chooseLoan(const pool_view &borrower, const move_query &query) const -> std::optional<host_move>;
     auto chooseReturn(const pool_view &pool, const move_query &query) -> std::optional<host_move>;
     [[nodiscard]] auto maySpare(const pool_view &pool, const fold::host_state &host, int marginPercent,
                                 const move_query &query) const -> bool;
+    [[nodiscard]] auto expectedSlots(const pool_view &pool) const -> int;
     [[nodiscard]] auto waveSlots(const pool_view &pool, const move_query &query) const -> int;
 
     move_hooks m_hooks;
--- a/src/poplarpass/control/wave_planner.cpp
+++ b/src/poplarpass/control/wave_planner.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace poplarpass::control
@@ -71,52 +72,83 @@
     };
 }
 
-auto racksOut(const pool_view &pool) -> std::set<core::rack_id>
+auto domainOf(const fold::host_state &host, config::loss_domain kind) -> std::string_view
 {
-    std::set<core::rack_id> racks;
+    switch (kind) {
+    case config::loss_domain::host:
+        return host.description.host.str();
+    case config::loss_domain::rack:
+        return host.description.rack.str();
+    case config::loss_domain::zone:
+        break;
+    }
+    return host.description.zone.str();
+}
+
+/// \brief What a pool has in one loss domain.
+struct domain_share
+{
+    int servingSlots = 0; ///< Slots of hosts that serve.
+    bool isLost = false; ///< Whether a host of it is lost without a plan.
+    bool isTouched = false; ///< Whether a host of it is out for a planned reason.
+
+    auto operator<=>(const domain_share &) const = default;
+};
+
+using domain_shares = std::map<std::string_view, domain_share>;
+
+auto sharesOf(const pool_view &pool) -> domain_shares
+{
+    domain_shares shares;
     for (const auto &host : pool.hosts) {
-        if (!host.serves()) {
-            racks.insert(host.description.rack);
-        }
+        auto &share = shares[domainOf(host, pool.profile.lossDomain)];
+        share.servingSlots += host.serves() ? host.description.slots : 0;
+        share.isLost = share.isLost || host.down;
+        share.isTouched = share.isTouched || (!host.serves() && !host.down);
     }
-    return racks;
+    return shares;
 }
 
 /// \brief What is left of the promise once a host is taken; greater is better.
 struct taking_score
 {
     int spareSlots = 0; ///< Slots above the promise.
-    bool isInRackOut = false; ///< Whether its rack has a host out already, so that fewer racks are touched at once.
+    bool isDomainTouched =
+        false; ///< Whether its loss domain has a host out already, so that fewer are touched at once.
 
     auto operator<=>(const taking_score &) const = default;
 };
 
-// Hosts of one loss domain and size leave the same spare, so each such group is asked once.
-auto takeLeastLoss(open_pool &pool, std::vector<drain_choice> &choices) -> void
-{
-    auto racks = racksOut(pool.view);
-    while (!pool.candidates.empty()) {
-        std::optional<taking_score> best;
-        candidate chosen = nullptr;
-        std::set<std::pair<core::rack_id, int>> asked;
-        for (const auto *host : pool.candidates) {
-            const bool isFirstOfGroup = pool.view.profile.lossDomain == config::loss_domain::host
-                || asked.emplace(host->description.rack, host->description.slots).second;
-            if (!isFirstOfGroup || pool.budget.limitOfTaking(*host) != fold::budget_limit::none) {
-                continue;
-            }
-            auto after = pool.budget;
-            after.take(*host);
-            const taking_score score{after.view().spareSlots(), racks.contains(host->description.rack)};
-            if (!best || score > *best) {
-                best = score;
-                chosen = host;
-            }
+// Hosts of one size in loss domains of equal shares leave the same spare, so each such group is asked once.
+auto leastLoss(const open_pool &pool, const domain_shares &shares) -> candidate
+{
+    std::optional<taking_score> best;
+    candidate chosen = nullptr;
+    std::set<std::pair<domain_share, int>> asked;
+    for (const auto *host : pool.candidates) {
+        const auto &share = shares.at(domainOf(*host, pool.view.profile.lossDomain));
+        const bool isFirstOfGroup = asked.emplace(share, host->description.slots).second;
+        if (!isFirstOfGroup || pool.budget.limitOfTaking(*host) != fold::budget_limit::none) {
+            continue;
         }
-        if (chosen == nullptr) {
-            return;
+        auto after = pool.budget;
+        after.take(*host);
+        const taking_score score{after.view().spareSlots(), share.isTouched};
+        if (!best || score > *best) {
+            best = score;
+            chosen = host;
         }
-        racks.insert(chosen->description.rack);
+    }
+    return chosen;
+}
+
+auto takeLeastLoss(open_pool &pool, std::vector<drain_choice> &choices) -> void
+{
+    auto shares = sharesOf(pool.view);
+    while (const auto *chosen = leastLoss(pool, shares)) {
+        auto &share = shares.at(domainOf(*chosen, pool.view.profile.lossDomain));
+        share.servingSlots -= chosen->description.slots;
+        share.isTouched = true;
         take(pool, chosen, choices);
     }
 }
@@ -142,7 +174,7 @@
     const auto *host = pool.candidates.front();
     const auto left = pool.budget.view().servingSlots - host->description.slots - largestZoneSlots(pool.view);
     const bool isAllowed = pool.budget.limitOfTaking(*host) == fold::budget_limit::none;
-    if (isAllowed && left >= pool.view.pool.demandSlots) {
+    if (isAllowed && left >= pool.budget.view().requiredSlots) {
         take(pool, host, choices);
     }
 }
--- a/tests/decisions/control_sim_test.cpp
+++ b/tests/decisions/control_sim_test.cpp
@@ -79,7 +79,7 @@
 auto moveFirstHost(const control::move_query &query) -> std::vector<control::host_move>
 {
     const auto &hosts = query.view.pools.front().hosts;
-    const bool isThere = !hosts.empty() && hosts.front().description.host.str() == "w000";
+    const bool isThere = !hosts.empty() && hosts.front().description.host.str() == "w0000";
     if (!isThere || !query.isUsable(hosts.front())) {
         return {};
     }
--- a/tests/decisions/host_controller_test.cpp
+++ b/tests/decisions/host_controller_test.cpp
@@ -99,7 +99,7 @@
 {
     control_world world{settingsOf()};
     world.run(seconds{10});
-    const core::host_id leaving{"w005"};
+    const core::host_id leaving{"w0005"};
     world.workers.at(leaving).listed.leaving = true;
     world.run(seconds{20});
     CHECK(world.truth.findHost(leaving)->phase == fold::host_phase::draining);
