One mode of toml++ for all sources

Cause: fleet_file.cpp and reader.cpp compiled toml++ with different TOML_EXCEPTIONS, and parts of its parser have the same name in both modes; io_tests ended with a segmentation fault in 'the examples parse and are sound'. Change: toml_document.h sets no mode.

--- a/src/poplarpass/settings/toml_document.cpp
+++ b/src/poplarpass/settings/toml_document.cpp
@@ -1,7 +1,7 @@
 // The parser asserts on some texts that are no TOML, as on "[=". Here an assertion throws instead, so that a bad file
-// cannot end the process. It must be the only source that calls toml::parse() in this mode, as the parser is inline
-// code and the linker keeps one copy of it.
-#define TOML_EXCEPTIONS 1 // NOLINT(readability-identifier-naming,bugprone-reserved-identifier)
+// cannot end the process. This must be the only source of the program that calls toml::parse(): the parser is inline
+// code of which the linker keeps one copy, and parts of it that have the same name differ with TOML_EXCEPTIONS and
+// TOML_ASSERT.
 
 #include <stdexcept>
 
--- a/src/poplarpass/settings/toml_document.h
+++ b/src/poplarpass/settings/toml_document.h
@@ -1,11 +1,6 @@
 #pragma once
 
 #include <tl/expected.hpp>
-
-#ifndef TOML_EXCEPTIONS
-// NOLINTNEXTLINE(readability-identifier-naming,bugprone-reserved-identifier)
-#define TOML_EXCEPTIONS 0
-#endif
 #include <toml++/toml.h>
 
 #include <string>
