--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace poplarpass::app
@@ -16,6 +17,7 @@
 constexpr core::duration sightingPeriod = std::chrono::seconds{1};
 constexpr core::duration stopTick = std::chrono::milliseconds{50};
 constexpr core::duration handoverLimit = std::chrono::seconds{3};
+constexpr core::duration settleTimeout = std::chrono::seconds{5};
 constexpr core::duration linkOpenTimeout = std::chrono::seconds{1};
 constexpr core::duration defaultAskWait = std::chrono::seconds{1};
 constexpr std::int64_t longestAskWaitMs = 600'000;
@@ -36,6 +38,16 @@
     return {static_cast<std::size_t>(limits.maxRememberedKeys), request::maxAnswerBytes};
 }
 
+auto toWallTime(std::uint64_t unixMs) -> core::wall_time
+{
+    return core::fromUnixMilliseconds(static_cast<std::int64_t>(unixMs));
+}
+
+auto toMember(const fold::entry_run &run) -> request::member_ref
+{
+    return {run.member, run.incarnation};
+}
+
 auto waitOf(const net::http_request &message) -> core::duration
 {
     const auto text = message.query("wait_ms");
@@ -49,9 +61,7 @@
 
 entry_process::entry_process(settings::process_settings given)
     : m_process{std::move(given), "entry"}
-    , m_log{m_process.loop,
-            m_process.logService,
-            m_process.settings.deployment.secret,
+    , m_log{m_process.loop, m_process.logService, m_process.settings.deployment.secret,
             {[this](fold::log_offset, const core::record_id &, const fold::record &change,
                     const fold::applied &outcome) { onApplied(change, outcome); },
              [this](const fold::fleet_state &state) { useState(state); },
@@ -66,21 +76,10 @@
                [this](const core::member_id &to, std::uint64_t sequence) {
                    m_authority.pingSent(to, sequence, monotonicNow());
                },
-               [this](const core::member_id &peer, net::down_reason reason) {
-                   onPeerDown(peer, reason);
-               }}}
-    , m_membership{m_process, m_log, fold::member_kind::entry,
-                   [this] {
-                       stop(entry_end::removed);
-                   }}
-    , m_status{m_process, [this] { return describeState(m_log.state()); },
-               [this] {
-                   updateGauges();
-               }}
-    , m_workers{m_process,
-                [this] {
-                    m_runner.pump();
-                }}
+               [this](const core::member_id &peer, net::down_reason reason) { onPeerDown(peer, reason); }}}
+    , m_membership{m_process, m_log, fold::member_kind::entry, [this] { stop(entry_end::removed); }}
+    , m_status{m_process, [this] { return describeState(m_log.state()); }, [this] { updateGauges(); }}
+    , m_workers{m_process, [this] { m_runner.pump(); }}
     , m_runner{m_process, m_workers}
     , m_authority{{m_process.settings.process.name, m_process.incarnation}}
     , m_jobs{tableLimits(m_process.settings.limits)}
@@ -113,10 +112,7 @@
              m_status.stop();
              done();
          }},
-        {"membership", [] {},
-         [this](const std::function<void()> &done) {
-             m_membership.leave(m_keys.handedOver(), done);
-         }},
+        {"membership", [] {}, [this](const std::function<void()> &done) { m_membership.leave(m_keys.handedOver(), done); }},
         {"decisions", [this] { startTickers(); },
          [this](const std::function<void()> &done) {
              m_tickers.clear();
@@ -177,9 +173,25 @@
     } else if (std::holds_alternative<fold::member_join_record>(change)
                || std::holds_alternative<fold::member_leave_record>(change)) {
         useEntries();
+    } else if (const auto *settled = std::get_if<fold::removal_settled_record>(&change)) {
+        m_authority.foldSettled(settled->epoch);
     }
 }
 
+// One record for each removal; whichever entry writes first settles it for all.
+auto entry_process::settleRemovals() -> void
+{
+    const auto epoch = m_authority.epochToSettle();
+    if (!epoch || m_settling || m_log.state().entries().settledEpoch >= *epoch) {
+        return;
+    }
+    m_settling = true;
+    const fold::removal_settled_record settled{*epoch, static_cast<std::uint64_t>(core::toUnixMilliseconds(wallNow()))};
+    const core::record_id id{"settled/" + std::to_string(*epoch) + '/' + m_process.settings.process.name.str() + '/'
+                             + std::to_string(m_process.incarnation)};
+    m_log.publish(id, settled, settleTimeout, [this](const fold::publish_outcome &) { m_settling = false; });
+}
+
 auto entry_process::useState(const fold::fleet_state &state) -> void
 {
     m_runner.useConfig(state.config());
@@ -198,7 +210,7 @@
     m_entryEpoch = history.epoch;
     request::membership list;
     list.epoch = history.epoch;
-    list.aloneUntil = core::fromUnixMilliseconds(static_cast<std::int64_t>(history.aloneUntilUnixMs));
+    list.aloneUntil = toWallTime(history.aloneUntilUnixMs);
     std::vector<net::peer_address> addresses;
     for (const auto &member : state.members()) {
         addresses.push_back({member.joined.member, member.joined.address});
@@ -207,13 +219,15 @@
         }
     }
     for (const auto &loss : history.losses) {
-        list.losses.push_back(
-            {{loss.member, loss.incarnation}, core::fromUnixMilliseconds(static_cast<std::int64_t>(loss.atUnixMs))});
+        list.losses.push_back({toMember(loss.run), loss.epoch, toWallTime(loss.atUnixMs)});
+    }
+    for (const auto &removal : history.unsettled) {
+        list.unsettled.push_back({removal.epoch, {}});
+        std::ranges::transform(removal.before, std::back_inserter(list.unsettled.back().before), toMember);
     }
     m_peers.useMembers(addresses);
     m_authority.foldEpoch(list, now());
-    m_process.log.log(observe::log_level::info, "entry_list",
-                      {{"epoch", list.epoch}, {"entries", list.members.size()}});
+    m_process.log.log(observe::log_level::info, "entry_list", {{"epoch", list.epoch}, {"entries", list.members.size()}});
 }
 
 auto entry_process::onMessage(const request::member_ref &from, const request::peer_message &message) -> void
@@ -272,7 +286,8 @@
         return;
     }
     const auto taken = m_log.follower().takePeerState(reply.state, reply.digest);
-    m_process.log.log(observe::log_level::info, "peer_state", {{"offset", reply.offset}, {"taken", taken.has_value()}});
+    m_process.log.log(observe::log_level::info, "peer_state",
+                      {{"offset", reply.offset}, {"taken", taken.has_value()}});
 }
 
 auto entry_process::handle(net::http_request message, std::shared_ptr<net::responder> caller) -> void
@@ -345,11 +360,8 @@
     const auto deadline = submission.spec.deadline;
     const auto who = addCaller(key, caller, false);
     job_hooks hooks;
-    hooks.beginAttempt = [] {
-        return core::result<void>{};
-    };
-    hooks.attemptNotStarted = [] {
-    };
+    hooks.beginAttempt = [] { return core::result<void>{}; };
+    hooks.attemptNotStarted = [] {};
     hooks.done = [this, who, key](const request::job_answer &answer) {
         answerCaller(who, answerResponse(key, answer), answer ? "finished" : core::answerOf(answer.error().kind).name);
     };
@@ -473,15 +485,9 @@
 {
     const auto key = action.key;
     job_hooks hooks;
-    hooks.beginAttempt = [this, key] {
-        return m_keys.beginAttempt(key, now());
-    };
-    hooks.attemptNotStarted = [this, key] {
-        m_keys.attemptNotStarted(key);
-    };
-    hooks.done = [this, key](request::job_answer answer) {
-        jobDone(key, std::move(answer));
-    };
+    hooks.beginAttempt = [this, key] { return m_keys.beginAttempt(key, now()); };
+    hooks.attemptNotStarted = [this, key] { m_keys.attemptNotStarted(key); };
+    hooks.done = [this, key](request::job_answer answer) { jobDone(key, std::move(answer)); };
     const auto queued = m_runner.submit(action.spec, std::move(hooks));
     if (queued) {
         m_tickets[key] = *queued;
@@ -500,6 +506,7 @@
 {
     m_authority.advance(now());
     carryOut(m_keys.advance(now()));
+    settleRemovals();
     m_membership.tick(m_peers.advertisedAddress());
     m_runner.pump();
 }
@@ -535,8 +542,7 @@
     const auto at = monotonicNow();
     metrics.gaugeOf("poplarpass_may_act", "Whether non-idempotent work may be started").set(m_authority.mayAct(at));
     metrics.gaugeOf("poplarpass_active_jobs", "Jobs that wait or run").set(static_cast<double>(m_runner.activeCount()));
-    metrics.gaugeOf("poplarpass_remembered_keys", "Idempotency keys remembered")
-        .set(static_cast<double>(m_jobs.size()));
+    metrics.gaugeOf("poplarpass_remembered_keys", "Idempotency keys remembered").set(static_cast<double>(m_jobs.size()));
     metrics.gaugeOf("poplarpass_spans_dropped", "Spans lost as the collector was away")
         .set(static_cast<double>(m_process.traces.droppedCount()));
     updateFoldGauges(m_process, m_log.state());
