--- a/src/poplarpass/settings/toml_document.cpp
+++ b/src/poplarpass/settings/toml_document.cpp
@@ -1,7 +1,4 @@
-// The parser asserts on some texts that are no TOML, as on "[=". Here an assertion throws instead, so that a bad file
-// cannot end the process. This must be the only source of the program that calls toml::parse(): the parser is inline
-// code of which the linker keeps one copy, and parts of it that have the same name differ with TOML_EXCEPTIONS and
-// TOML_ASSERT.
+#include <poplarpass/settings/toml_document.h>
 
 #include <stdexcept>
 
@@ -16,20 +13,12 @@
 };
 } // namespace
 
-// Named by the macro below from inside the parser, hence not in the unnamed namespace.
-[[noreturn]] auto throwParserAssertion() -> void;
-
 auto throwParserAssertion() -> void
 {
     throw parser_assertion{"a key, a value or the end of a table was expected"};
 }
 } // namespace poplarpass::settings::internal
 
-#undef NDEBUG
-#define TOML_ASSERT(condition) ((condition) ? void() : poplarpass::settings::internal::throwParserAssertion())
-
-#include <poplarpass/settings/toml_document.h>
-
 namespace poplarpass::settings::internal
 {
 namespace
