At most once: an entry that leaves decides nothing more and hands on only what has ended

Cause: lost a key when two entries that both were leaving handed it to each other; lost one that was still running at an entry that left. Ruled out: confirming a handover while leaving and handing it on again, which two entries can do in turn for ever. Change: a leaving entry refuses handovers and delegates, dispatches nothing, and a running job keeps its handover open.

--- a/src/poplarpass/request/key_authority.cpp
+++ b/src/poplarpass/request/key_authority.cpp
@@ -220,7 +220,7 @@
         follow(s, *holder);
         return;
     }
-    if (!m_authority.mayAct(s.at.now)) {
+    if (m_leaving || !m_authority.mayAct(s.at.now)) {
         fail(s, core::error_kind::authority_lapsed, "membership could not be confirmed");
         return;
     }
@@ -245,7 +245,7 @@
                                && s.record.state != key_state::answered,
                            core::invariant_kind::at_most_once,
                            [&s] { return "key=" + unpackKey(s.key).str() + " held against a promise"; });
-    if (!m_authority.mayAct(s.at.now)) {
+    if (m_leaving || !m_authority.mayAct(s.at.now)) {
         fail(s, core::error_kind::authority_lapsed, "membership could not be confirmed");
         return;
     }
--- a/src/poplarpass/request/key_authority.h
+++ b/src/poplarpass/request/key_authority.h
@@ -55,7 +55,7 @@
 
     /// \brief Messages that hand every remembered key on before this entry leaves; it grants nothing from then on.
     ///
-    /// May be called again for a new attempt.
+    /// Call when activeCount() is zero and no job is in progress; may be called again for a new attempt.
     auto handOver(instant at) -> key_actions;
     /// \brief Whether every key was handed on and confirmed; else the removal must be recorded as a loss.
     [[nodiscard]] auto handedOver() const -> bool;
--- a/src/poplarpass/request/key_authority_job.cpp
+++ b/src/poplarpass/request/key_authority_job.cpp
@@ -136,7 +136,7 @@
     }
     delegate_reply reply{order.correlation, order.spec.key, delegate_status::undecided, {}, std::nullopt};
     const auto record = admit(*key, digestOf(order.spec), at);
-    if (!record || order.hops > maxHops) {
+    if (!record || order.hops > maxHops || m_leaving) {
         if (!record && record.error().kind == core::error_kind::key_conflict) {
             reply.status = delegate_status::answered;
             reply.answer = tl::make_unexpected(record.error());
@@ -200,6 +200,7 @@
     key_actions out;
     m_leaving = true;
     m_unhanded = 0;
+    m_handovers.clear();
     std::map<member_ref, handover> batches;
     const auto flush = [this, &out](const member_ref &to, handover &batch) {
         batch.correlation = ++m_lastCorrelation;
@@ -210,6 +211,7 @@
     m_jobs.expire(at.wall);
     m_jobs.forEach([&](const packed_key &key, job_record &record) {
         const auto holder = holderOf(record);
+        m_unhanded += record.state == key_state::in_progress ? 1 : 0;
         if (!holder && record.state != key_state::answered) {
             return;
         }
@@ -238,8 +240,12 @@
     return m_leaving && m_handovers.empty() && m_unhanded == 0;
 }
 
+// A member that leaves itself may have handed its keys on already, so it cannot answer for these.
 auto key_authority::onHandover(const member_ref &from, const handover &keys, instant at, key_actions &out) -> void
 {
+    if (m_leaving) {
+        return;
+    }
     bool whole = true;
     for (const auto &handed : keys.keys) {
         whole = takeHanded(handed, at, out) && whole;
