--- a/tests/decisions/fleet_sim.cpp
+++ b/tests/decisions/fleet_sim.cpp
@@ -11,15 +11,6 @@
 constexpr auto tickInterval = 20ms;
 constexpr auto heartbeatInterval = 200ms;
 constexpr auto answerBound = 20s;
-auto nameOf(int index) -> core::member_id
-{
-    return core::member_id{"entry-" + std::to_string(index)};
-}
-
-auto indexOf(const core::member_id &name) -> int
-{
-    return std::stoi(name.str().substr(6));
-}
 } // namespace
 
 fleet_sim::entry::entry(request::member_ref self)
@@ -134,7 +125,7 @@
     ++place.incarnation;
     place.frozenUntil = m_now;
     place.sickSince = time::max();
-    place.process = std::make_unique<entry>(request::member_ref{nameOf(index), place.incarnation});
+    place.process = std::make_unique<entry>(request::member_ref{memberName(index), place.incarnation});
     const auto incarnation = place.incarnation;
     tick(index, incarnation);
     heartbeat(index, incarnation);
@@ -164,7 +155,7 @@
             if (peer == index) {
                 continue;
             }
-            const auto name = nameOf(peer);
+            const auto name = memberName(peer);
             const auto &[echo, echoIncarnation] = process.heard[name];
             request::heartbeat beat;
             beat.from = process.decider.self();
@@ -249,20 +240,8 @@
             state.spec = start->spec;
             state.giveUpAt = m_now + 8s;
             note(start->spec->key.str(),
-                 "dispatched at " + std::to_string(index) + " acting " + std::to_string(process.decider.acting().epoch)
-                     + " folded " + std::to_string(process.decider.foldedEpoch())
-                     + (process.decider.logFresh(m_now) ? " log" : "")
-                     + (process.decider.peersFresh(m_now) ? " peers" : ""));
-            if (std::getenv("DBG")) {
-                for (auto &h : m_hosts) {
-                    if (h.process) {
-                        note(start->spec->key.str(),
-                             "   " + h.process->decider.self().member.str() + "." + std::to_string(h.incarnation)
-                                 + " acting " + std::to_string(h.process->decider.acting().epoch) + " folded "
-                                 + std::to_string(h.process->decider.foldedEpoch()));
-                    }
-                }
-            }
+                 "dispatched at " + std::to_string(index) + " in epoch "
+                     + std::to_string(process.decider.acting().epoch));
             const auto key = start->key;
             const auto incarnation = process.decider.self().incarnation;
             after(chance(0.1) ? between(0ms, 3s) : between(0ms, 5ms), [this, index, incarnation, key] {
@@ -323,7 +302,7 @@
 // Delays reorder messages; some are lost, doubled, or come very late.
 auto fleet_sim::send(int from, const request::member_ref &to, request::peer_message message) -> void
 {
-    const auto target = indexOf(to.member);
+    const auto target = memberIndex(to.member);
     const auto sender = m_hosts[static_cast<std::size_t>(from)].process->decider.self();
     const auto cut = m_cuts.find({from, target});
     const bool lost =
@@ -351,7 +330,7 @@
 {
     auto &place = m_hosts[static_cast<std::size_t>(to)];
     if (!place.process) {
-        refuse(from, nameOf(to), between(200us, 2ms));
+        refuse(from, memberName(to), between(200us, 2ms));
         return;
     }
     onHost(to, place.incarnation, [this, to, sender, message](entry &process) {
@@ -383,29 +362,6 @@
 
 auto fleet_sim::check() -> void
 {
-    if (std::getenv("DBG")) {
-        for (auto &l : m_log) {
-            printf("E%lu:", l.epoch);
-            for (auto &m : l.members) {
-                printf(" %s.%lu", m.member.str().c_str(), m.incarnation);
-            }
-            printf(" losses:");
-            for (auto &x : l.losses) {
-                printf(" %s.%lu@%ld", x.member.member.str().c_str(), x.member.incarnation,
-                       (x.at - core::fromUnixMilliseconds(1800000000000)).count() / 1000);
-            }
-            printf(" alone@%ld\n", (l.aloneUntil - core::fromUnixMilliseconds(1800000000000)).count() / 1000);
-        }
-        for (auto &h : m_hosts) {
-            if (h.process) {
-                printf("%s.%lu acting %lu folded %lu leaving %d\n", h.process->decider.self().member.str().c_str(),
-                       h.incarnation, h.process->decider.acting().epoch, h.process->decider.foldedEpoch(),
-                       h.process->leaving);
-            } else {
-                printf("dead\n");
-            }
-        }
-    }
     for (const auto &[name, facts] : m_keys) {
         if (facts.starts > 1) {
             problem(name, "started " + std::to_string(facts.starts) + " times");
@@ -419,16 +375,6 @@
         const bool alive = place.process && place.incarnation == facts.incarnation;
         if (alive && facts.answers == 0 && m_now - facts.askedAt > answerBound
             && place.frozenUntil + answerBound < m_now) {
-            auto *record = place.process->jobs.find(*request::packKey(core::job_key{facts.key}));
-            if (std::getenv("DBG")) {
-                printf("state %d work %d target %s.%lu retry %d deadline %ld waiters %zu\n",
-                       record ? (int)record->state : -1, record && record->work,
-                       record && record->work ? record->work->target.member.str().c_str() : "",
-                       record && record->work ? record->work->target.incarnation : 0,
-                       record && record->work ? record->work->retry : 0,
-                       record && record->work ? record->work->stepDeadline.time_since_epoch().count() / 1000 : 0,
-                       record && record->work ? record->work->waiters.size() : 0);
-            }
             problem(facts.key, "waiter " + std::to_string(id) + " was never answered");
         }
     }
