At most once: a handover passes claims on as claims, not as grants

Cause:: a claimant was handed on as if it had been granted the key, and a later home granted it again. Also, dropping an old answer could cost more bytes than it freed. Ruled out: treating every handed holder as a hint; the two copies of a grant would then be one. Change: handed_key carries grants and claimants apart; a home that knows of a claim asks for a new one. Tests of the authority, the key protocol, the job table and UUIDv7.

--- a/src/poplarpass/codec/peer_fields.h
+++ b/src/poplarpass/codec/peer_fields.h
@@ -136,7 +136,7 @@
     fields.field("key", value.key);
     fields.field("digest", value.digest);
     fields.field("holder", value.holder);
-    fields.field("promised", value.promised);
+    fields.field("claimants", value.claimants);
     fields.field("answer", value.answer);
 }
 
--- a/src/poplarpass/request/job_table.cpp
+++ b/src/poplarpass/request/job_table.cpp
@@ -15,9 +15,20 @@
 constexpr std::size_t mapNodeOverhead = 2 * sizeof(void *) + 16;
 constexpr std::size_t expiryNodeBytes = 4 * sizeof(void *) + sizeof(core::wall_time) + sizeof(packed_key) + 16;
 
-auto payloadBytes(const job_answer &answer) -> std::size_t
+// Stands for every answer whose text was dropped, and so costs nothing.
+auto droppedAnswer() -> const shared_answer &
 {
-    return answer ? answer->size() : answer.error().detail.size();
+    static const shared_answer answer = std::make_shared<const job_answer>(
+        core::failure(core::error_kind::outcome_unknown, "it was answered, and the answer is no longer kept"));
+    return answer;
+}
+
+auto bytesOf(const shared_answer &answer) -> std::size_t
+{
+    if (!answer || answer == droppedAnswer()) {
+        return 0;
+    }
+    return *answer ? (*answer)->size() : answer->error().detail.size();
 }
 
 auto isUnknown(const job_answer &answer) -> bool
@@ -29,12 +40,6 @@
 {
     return "key=" + unpackKey(key).str() + " " + std::string{what};
 }
-
-auto droppedAnswer() -> shared_answer
-{
-    return std::make_shared<const job_answer>(
-        core::failure(core::error_kind::outcome_unknown, "it was answered, and the answer is no longer kept"));
-}
 } // namespace
 
 job_table::job_table()
@@ -81,7 +86,7 @@
             m_expiry.emplace(wall + answerRetention, key);
             continue;
         }
-        m_answerBytes -= found->second.answer ? payloadBytes(*found->second.answer) : 0;
+        m_answerBytes -= bytesOf(found->second.answer);
         m_records.erase(found);
     }
 }
@@ -106,13 +111,11 @@
     const bool saysNotRun = runStateOf(*answer) == core::run_state::not_run;
     core::requireInvariant(!saysNotRun || !record.attemptOpen, core::invariant_kind::not_run_is_true,
                            [&key] { return evidenceFor(key, "not run, with an attempt that may have started"); });
-    if (record.answer) {
-        m_answerBytes -= payloadBytes(*record.answer);
-    }
+    m_answerBytes -= bytesOf(record.answer);
     record.state = key_state::answered;
     record.answer = std::move(answer);
     record.stopping = false;
-    keepAnswer(key, *record.answer);
+    keepAnswer(key, record.answer);
     return true;
 }
 
@@ -171,9 +174,9 @@
     }
 }
 
-auto job_table::keepAnswer(const packed_key &key, const job_answer &answer) -> void
+auto job_table::keepAnswer(const packed_key &key, const shared_answer &answer) -> void
 {
-    m_answerBytes += payloadBytes(answer);
+    m_answerBytes += bytesOf(answer);
     m_answered.push_back(key);
     if (m_answerBytes > m_limits.maxAnswerBytes) {
         dropOldestAnswers();
@@ -186,12 +189,10 @@
     while (m_answerBytes > m_limits.maxAnswerBytes && !m_answered.empty()) {
         auto *record = find(m_answered.front());
         m_answered.pop_front();
-        if (record == nullptr || !record->answer) {
-            continue;
+        if (record != nullptr && record->answer) {
+            m_answerBytes -= bytesOf(record->answer);
+            record->answer = droppedAnswer();
         }
-        m_answerBytes -= payloadBytes(*record->answer);
-        record->answer = droppedAnswer();
-        m_answerBytes += payloadBytes(*record->answer);
     }
 }
 
--- a/src/poplarpass/request/job_table.h
+++ b/src/poplarpass/request/job_table.h
@@ -137,7 +137,7 @@
     auto forEach(const std::function<void(const packed_key &, job_record &)> &visit) -> void;
 
 private:
-    auto keepAnswer(const packed_key &key, const job_answer &answer) -> void;
+    auto keepAnswer(const packed_key &key, const shared_answer &answer) -> void;
     auto dropOldestAnswers() -> void;
     static auto mayForget(const job_record &record) -> bool;
 
--- a/src/poplarpass/request/key_authority.h
+++ b/src/poplarpass/request/key_authority.h
@@ -131,6 +131,7 @@
     auto onPromiseRequest(const member_ref &from, const promise_request &ask, instant at, key_actions &out) -> void;
     auto decidePromise(const member_ref &from, step &s, promise_reply &reply) -> void;
     auto promiseTo(const member_ref &claimant, step &s, promise_reply &reply) -> void;
+    auto noteClaimant(job_record &record, const member_ref &claimant) -> void;
     auto onPromiseReply(const member_ref &from, const promise_reply &reply, step &s) -> void;
     [[nodiscard]] auto precedes(const packed_key &key, const member_ref &left, const member_ref &right) const -> bool;
 
@@ -145,7 +146,7 @@
     auto acceptGrant(const member_ref &from, const delegate &order, step &s) -> bool;
     auto onDelegateReply(const member_ref &from, const delegate_reply &reply, step &s) -> void;
     auto passOn(step &s) -> void;
-    auto successorsOf(const packed_key &key, const std::optional<member_ref> &holder) -> std::vector<member_ref>;
+    auto successorsOf(const packed_key &key, const member_ref &holder) -> std::vector<member_ref>;
     auto onHandover(const member_ref &from, const handover &keys, instant at, key_actions &out) -> void;
     auto takeHanded(const handed_key &handed, instant at, key_actions &out) -> bool;
     [[nodiscard]] auto holderOf(const job_record &record) const -> std::optional<member_ref>;
--- a/src/poplarpass/request/key_authority_claim.cpp
+++ b/src/poplarpass/request/key_authority_claim.cpp
@@ -129,14 +129,20 @@
             reply.claimants.push_back(m_jobs.memberAt(other));
         }
     }
-    std::erase(s.record.claimants, index);
-    s.record.claimants.push_back(index);
+    noteClaimant(s.record, claimant);
     s.record.promised = true;
     if (s.record.state == key_state::asking || s.record.state == key_state::claiming) {
         follow(s, claimant);
     }
 }
 
+auto key_authority::noteClaimant(job_record &record, const member_ref &claimant) -> void
+{
+    const auto index = m_jobs.indexOf(claimant);
+    std::erase(record.claimants, index);
+    record.claimants.push_back(index);
+}
+
 auto key_authority::onPromiseReply(const member_ref &from, const promise_reply &reply, step &s) -> void
 {
     if (s.record.state != key_state::claiming) {
--- a/src/poplarpass/request/key_authority_home.cpp
+++ b/src/poplarpass/request/key_authority_home.cpp
@@ -33,7 +33,7 @@
         fail(s, core::error_kind::home_unreachable, "no other entry can be reached");
         return;
     }
-    const bool granted = knowsAll(s.key, s.at.now);
+    const bool granted = s.record.claimants.empty() && knowsAll(s.key, s.at.now);
     if (granted) {
         s.record.holder = m_jobs.indexOf(*next);
     }
@@ -62,11 +62,10 @@
 }
 
 // Two members must know the key when this one is gone, the holder being one of them.
-auto key_authority::successorsOf(const packed_key &key, const std::optional<member_ref> &holder)
-    -> std::vector<member_ref>
+auto key_authority::successorsOf(const packed_key &key, const member_ref &holder) -> std::vector<member_ref>
 {
     const auto names = namesOf(m_authority.acting());
-    const bool holderStays = holder && *holder != m_authority.self() && contains(m_authority.acting(), *holder);
+    const bool holderStays = holder != m_authority.self() && contains(m_authority.acting(), holder);
     const auto wanted = std::min<std::size_t>(names.size() - 1, copiesOfKey) - (holderStays ? 1 : 0);
     std::vector<member_ref> successors;
     for (const auto &name : core::rendezvousOrder(unpackKey(key).str(), names)) {
@@ -144,7 +143,7 @@
         reply.holder = holder;
         return;
     }
-    if (record.promised || record.state == key_state::forwarding || !knowsAll(s.key, s.at.now)) {
+    if (!record.claimants.empty() || record.state == key_state::forwarding || !knowsAll(s.key, s.at.now)) {
         reply.status = m_authority.mayAct(s.at.now) ? grant_status::claim_needed : grant_status::not_fresh;
         return;
     }
--- a/src/poplarpass/request/key_authority_job.cpp
+++ b/src/poplarpass/request/key_authority_job.cpp
@@ -210,16 +210,18 @@
     };
     m_jobs.expire(at.wall);
     m_jobs.forEach([&](const packed_key &key, job_record &record) {
-        const auto holder = holderOf(record);
         m_unhanded += record.state == key_state::in_progress ? 1 : 0;
-        if (!holder && record.state != key_state::answered) {
+        handed_key handed{unpackKey(key), record.digest, m_jobs.memberAt(record.holder), {}, std::nullopt};
+        for (const auto claimant : record.claimants) {
+            handed.claimants.push_back(m_jobs.memberAt(claimant));
+        }
+        if (record.holder == 0 && handed.claimants.empty() && !record.answer) {
             return;
         }
-        handed_key handed{unpackKey(key), record.digest, holder.value_or(member_ref{}), record.promised, std::nullopt};
         if (record.answer) {
             handed.answer = *record.answer;
         }
-        for (const auto &to : successorsOf(key, holder)) {
+        for (const auto &to : successorsOf(key, handed.holder)) {
             auto &batch = batches[to];
             batch.keys.push_back(handed);
             if (batch.keys.size() >= maxHandoverKeys) {
@@ -277,6 +279,9 @@
         settle(s, std::make_shared<const job_answer>(*handed.answer));
         return true;
     }
+    for (const auto &claimant : handed.claimants) {
+        noteClaimant(*record, claimant);
+    }
     if (record->holder != 0 || handed.holder.member.empty() || handed.holder == m_authority.self()) {
         return true;
     }
--- a/src/poplarpass/request/peer_message.h
+++ b/src/poplarpass/request/peer_message.h
@@ -163,8 +163,8 @@
 {
     core::job_key key; ///< The key.
     std::uint64_t digest = 0; ///< Digest of the job.
-    member_ref holder; ///< Who has the right to it; empty name when nobody.
-    bool promised = false; ///< Whether the sender promised never to dispatch it.
+    member_ref holder; ///< Who was granted it; an empty name when nobody.
+    std::vector<member_ref> claimants; ///< Members that claimed it and may have dispatched it.
     std::optional<job_answer> answer; ///< The answer, if it is known.
 };
 
--- /dev/null
+++ b/tests/decisions/authority_test.cpp
@@ -0,0 +1,185 @@
+#include "request_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using namespace tests;
+
+namespace
+{
+auto beatOf(int from, std::uint64_t epoch, std::uint64_t acting, std::uint64_t echo) -> request::heartbeat
+{
+    request::heartbeat beat;
+    beat.from = member(from);
+    beat.epoch = epoch;
+    beat.actingEpoch = acting;
+    beat.echo = echo;
+    beat.echoIncarnation = 1;
+    return beat;
+}
+
+// Entry 0 of five, in epoch 1, with no evidence yet.
+auto entryOfFive(request::instant at) -> request::authority
+{
+    request::authority decider{member(0)};
+    decider.foldEpoch(memberList(1, 5), at);
+    return decider;
+}
+
+auto pingAll(request::authority &decider, std::uint64_t sequence, request::instant at) -> void
+{
+    for (int peer = 1; peer < 5; ++peer) {
+        decider.pingSent(member(peer).member, sequence, at.now);
+    }
+}
+} // namespace
+
+TEST_CASE("a read of the log counts from its start and lapses", "[authority]")
+{
+    const auto at = startInstant();
+    auto decider = entryOfFive(at);
+    CHECK_FALSE(decider.mayAct(at.now));
+    decider.logReadToEnd(at.now - 1s);
+    CHECK(decider.mayAct(at.now));
+    CHECK(decider.mayAct(at.now + 999ms));
+    CHECK_FALSE(decider.mayAct(at.now + 1s));
+    decider.logReadToEnd(at.now - 2s);
+    CHECK_FALSE(decider.mayAct(at.now + 1s));
+}
+
+TEST_CASE("peers' answers count from the sending of the ping", "[authority]")
+{
+    const auto at = startInstant();
+    auto decider = entryOfFive(at);
+    pingAll(decider, 1, at);
+    for (int peer = 1; peer < 5; ++peer) {
+        CHECK_FALSE(decider.peersFresh(at.now));
+        decider.heartbeatReceived(beatOf(peer, 1, 1, 1), later(at, 1500ms));
+    }
+    CHECK(decider.peersFresh(at.now + 1900ms));
+    CHECK_FALSE(decider.peersFresh(at.now + 2s));
+}
+
+TEST_CASE("answers of another epoch, of another run, or without an echo prove nothing", "[authority]")
+{
+    const auto at = startInstant();
+    auto decider = entryOfFive(at);
+    pingAll(decider, 1, at);
+    for (int peer = 1; peer < 4; ++peer) {
+        decider.heartbeatReceived(beatOf(peer, 1, 1, 1), at);
+    }
+    auto beat = beatOf(4, 2, 1, 1);
+    decider.heartbeatReceived(beat, at);
+    CHECK_FALSE(decider.peersFresh(at.now));
+    beat = beatOf(4, 1, 1, 9);
+    decider.heartbeatReceived(beat, at);
+    CHECK_FALSE(decider.peersFresh(at.now));
+    beat = beatOf(4, 1, 1, 1);
+    beat.echoIncarnation = 2;
+    decider.heartbeatReceived(beat, at);
+    CHECK_FALSE(decider.peersFresh(at.now));
+}
+
+TEST_CASE("members that are gone need not answer, but more than half must", "[authority]")
+{
+    const auto at = startInstant();
+    auto decider = entryOfFive(at);
+    pingAll(decider, 1, at);
+    decider.heartbeatReceived(beatOf(1, 1, 1, 1), at);
+    decider.heartbeatReceived(beatOf(2, 1, 1, 1), at);
+    decider.connectionRefused(member(3).member, at.now);
+    CHECK_FALSE(decider.peersFresh(at.now));
+    decider.memberLeft(member(4));
+    CHECK(decider.peersFresh(at.now));
+
+    auto minority = entryOfFive(at);
+    pingAll(minority, 1, at);
+    minority.heartbeatReceived(beatOf(1, 1, 1, 1), at);
+    for (int gone = 2; gone < 5; ++gone) {
+        minority.connectionRefused(member(gone).member, at.now);
+    }
+    CHECK_FALSE(minority.peersFresh(at.now));
+}
+
+TEST_CASE("a removal is in force 6 s after half of the members before have folded it", "[authority]")
+{
+    auto at = startInstant();
+    auto decider = entryOfFive(at);
+    auto next = memberList(2, 4);
+    decider.foldEpoch(next, at);
+    CHECK(decider.foldedEpoch() == 2);
+    CHECK(decider.acting().epoch == 1);
+    at = later(at, 10s);
+    CHECK_FALSE(decider.advance(at));
+    decider.heartbeatReceived(beatOf(1, 2, 1, 0), at);
+    CHECK_FALSE(decider.advance(at));
+    decider.heartbeatReceived(beatOf(2, 2, 1, 0), at);
+    CHECK_FALSE(decider.advance(at));
+    CHECK_FALSE(decider.advance(later(at, 5999ms)));
+    CHECK(decider.advance(later(at, 6s)));
+    CHECK(decider.acting().epoch == 2);
+}
+
+TEST_CASE("a removal is in force at once where a member already acts on it, and joins always are", "[authority]")
+{
+    const auto at = startInstant();
+    auto decider = entryOfFive(at);
+    decider.foldEpoch(memberList(2, 4), at);
+    decider.heartbeatReceived(beatOf(1, 2, 2, 0), at);
+    CHECK(decider.advance(at));
+    decider.foldEpoch(memberList(3, 5), at);
+    CHECK(decider.acting().epoch == 3);
+}
+
+TEST_CASE("a process that starts in the middle of a removal waits for the removed ones", "[authority]")
+{
+    const auto at = startInstant();
+    auto list = memberList(7, 2);
+    list.unsettled.push_back({7, {member(0), member(3), member(4)}});
+    list.losses.push_back({member(3), 7, at.wall - 30s});
+    request::authority decider{member(1)};
+    decider.foldEpoch(list, at);
+    decider.logReadToEnd(at.now + 20s);
+    CHECK_FALSE(decider.advance(later(at, 20s)));
+    CHECK_FALSE(decider.mayAct(at.now + 20s));
+    decider.foldSettled(7);
+    CHECK(decider.advance(later(at, 20s)));
+    CHECK(decider.mayAct(at.now + 20s));
+}
+
+TEST_CASE("knowledge of a key is dated by the moment a removal comes into force", "[authority]")
+{
+    const auto at = startInstant();
+    auto decider = entryOfFive(at);
+    CHECK(decider.knowledgeOf(at.wall) == request::knowledge::complete);
+    auto next = memberList(2, 4);
+    next.losses.push_back({member(4), 2, at.wall});
+    decider.foldEpoch(next, at);
+    decider.heartbeatReceived(beatOf(1, 2, 1, 0), at);
+    decider.heartbeatReceived(beatOf(2, 2, 1, 0), at);
+    decider.advance(at);
+    decider.advance(later(at, 20s));
+    CHECK(decider.knowledgeOf(at.wall + 19s) == request::knowledge::held_once);
+    CHECK(decider.knowledgeOf(at.wall + 27s) == request::knowledge::complete);
+    next = memberList(3, 3);
+    next.losses = {{member(4), 2, at.wall}, {member(3), 3, at.wall + 21s}};
+    decider.foldEpoch(next, later(at, 21s));
+    decider.heartbeatReceived(beatOf(1, 3, 3, 0), later(at, 21s));
+    decider.advance(later(at, 21s));
+    CHECK(decider.knowledgeOf(at.wall + 19s) == request::knowledge::lost);
+}
+
+TEST_CASE("a home grants alone once every member acts in the epoch", "[authority]")
+{
+    const auto at = startInstant();
+    auto decider = entryOfFive(at);
+    decider.logReadToEnd(at.now);
+    CHECK_FALSE(decider.mayGrantAlone(at.now));
+    for (int peer = 1; peer < 5; ++peer) {
+        decider.heartbeatReceived(beatOf(peer, 1, 1, 0), later(at, 1s * peer));
+    }
+    CHECK(decider.mayGrantAlone(at.now));
+    CHECK(decider.establishedAt() == at.wall + 4s);
+    decider.foldEpoch(memberList(2, 6), at);
+    CHECK_FALSE(decider.mayGrantAlone(at.now));
+}
--- /dev/null
+++ b/tests/decisions/key_authority_test.cpp
@@ -0,0 +1,339 @@
+#include "request_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using namespace tests;
+
+namespace
+{
+// One entry of three whose log is fresh and whose peers act in its epoch.
+struct lone_entry
+{
+    explicit lone_entry(int count = 3)
+        : keys{decider, jobs}
+    {
+        decider.foldEpoch(memberList(1, count), at);
+        for (int peer = 1; peer < count; ++peer) {
+            request::heartbeat beat;
+            beat.from = member(peer);
+            beat.epoch = 1;
+            beat.actingEpoch = 1;
+            decider.heartbeatReceived(beat, at);
+        }
+        pass(20s);
+    }
+
+    auto pass(core::duration time) -> request::key_actions
+    {
+        at = later(at, time);
+        decider.logReadToEnd(at.now);
+        decider.advance(at);
+        return keys.advance(at);
+    }
+
+    // A job whose key has that member as its home.
+    auto jobAtHome(int home) -> request::job_spec
+    {
+        request::job_spec spec;
+        std::vector<core::member_id> names;
+        for (const auto &listed : decider.acting().members) {
+            names.push_back(listed.member);
+        }
+        do {
+            spec.key = request::makeUuid7(at.wall, random);
+        } while (core::rendezvousHome(spec.key.str(), names) != member(home).member);
+        return spec;
+    }
+
+    std::mt19937_64 random{baseSeed()};
+    request::instant at = startInstant();
+    request::authority decider{member(0)};
+    request::job_table jobs;
+    request::key_authority keys;
+};
+
+template <class type>
+auto sentIn(const request::key_actions &actions) -> std::vector<std::pair<request::member_ref, type>>
+{
+    std::vector<std::pair<request::member_ref, type>> found;
+    for (const auto &action : actions) {
+        const auto *sent = std::get_if<request::send_action>(&action);
+        if (sent != nullptr && std::holds_alternative<type>(sent->message)) {
+            found.emplace_back(sent->to, std::get<type>(sent->message));
+        }
+    }
+    return found;
+}
+
+auto answerIn(const request::key_actions &actions, request::waiter_id who) -> request::shared_answer
+{
+    for (const auto &action : actions) {
+        const auto *answered = std::get_if<request::answer_action>(&action);
+        if (answered != nullptr && answered->waiter == who) {
+            return answered->answer;
+        }
+    }
+    return nullptr;
+}
+
+auto kindIn(const request::key_actions &actions, request::waiter_id who) -> std::string
+{
+    const auto answer = answerIn(actions, who);
+    if (!answer) {
+        return "none";
+    }
+    return answer->has_value() ? "ok" : std::string{core::answerOf(answer->error().kind).name};
+}
+
+auto promisesFor(lone_entry &entry, const request::key_actions &asked, int skip = -1) -> request::key_actions
+{
+    request::key_actions out;
+    for (const auto &[to, claim] : sentIn<request::promise_request>(asked)) {
+        if (to == member(skip)) {
+            continue;
+        }
+        request::promise_reply reply{
+            claim.correlation, claim.epoch, claim.key, request::promise_status::promised, {}, {}, std::nullopt};
+        out = entry.keys.receive(to, reply, entry.at);
+    }
+    return out;
+}
+} // namespace
+
+TEST_CASE("a single entry dispatches a key once and repeats its answer", "[key_authority]")
+{
+    lone_entry entry{1};
+    auto spec = entry.jobAtHome(0);
+    const auto first = entry.keys.submit(spec, 1, entry.at);
+    REQUIRE(first.size() == 1);
+    const auto key = std::get<request::dispatch_action>(first[0]).key;
+    CHECK(entry.keys.submit(spec, 2, entry.at).empty());
+    CHECK(entry.keys.beginAttempt(key, entry.at));
+    const auto answers = entry.keys.complete(key, std::string{"done"}, entry.at);
+    CHECK(kindIn(answers, 1) == "ok");
+    CHECK(kindIn(answers, 2) == "ok");
+    CHECK(kindIn(entry.keys.submit(spec, 3, entry.at), 3) == "ok");
+    spec.payload = "other";
+    CHECK(kindIn(entry.keys.submit(spec, 4, entry.at), 4) == "key_conflict");
+}
+
+TEST_CASE("a grant is asked of the home and used once", "[key_authority]")
+{
+    lone_entry entry;
+    const auto spec = entry.jobAtHome(1);
+    const auto asked = sentIn<request::grant_request>(entry.keys.submit(spec, 1, entry.at));
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].first == member(1));
+    const auto &ask = asked[0].second;
+    request::grant_reply reply{ask.correlation, 1, ask.key, request::grant_status::granted, {}, std::nullopt};
+    CHECK(std::holds_alternative<request::dispatch_action>(entry.keys.receive(member(1), reply, entry.at).at(0)));
+    CHECK(entry.keys.receive(member(1), reply, entry.at).empty());
+}
+
+TEST_CASE("a home hands its own request on and never dispatches it", "[key_authority]")
+{
+    lone_entry entry;
+    const auto spec = entry.jobAtHome(0);
+    const auto handed = sentIn<request::delegate>(entry.keys.submit(spec, 1, entry.at));
+    REQUIRE(handed.size() == 1);
+    CHECK(handed[0].second.granted);
+    const request::grant_request ask{7, 1, spec.key, request::digestOf(spec)};
+    const auto other = handed[0].first == member(1) ? member(2) : member(1);
+    const auto held = sentIn<request::grant_reply>(entry.keys.receive(other, ask, entry.at));
+    CHECK(held.at(0).second.status == request::grant_status::held);
+    CHECK(held.at(0).second.holder == handed[0].first);
+    const auto again = sentIn<request::grant_reply>(entry.keys.receive(handed[0].first, ask, entry.at));
+    CHECK(again.at(0).second.status == request::grant_status::granted);
+}
+
+TEST_CASE("a home does not grant a key minted before everyone acted in its epoch", "[key_authority]")
+{
+    lone_entry entry;
+    auto spec = entry.jobAtHome(0);
+    entry.at.wall -= 18s;
+    spec = entry.jobAtHome(0);
+    entry.at.wall += 18s;
+    const request::grant_request ask{7, 1, spec.key, request::digestOf(spec)};
+    const auto replies = sentIn<request::grant_reply>(entry.keys.receive(member(1), ask, entry.at));
+    CHECK(replies.at(0).second.status == request::grant_status::claim_needed);
+}
+
+TEST_CASE("a silent home is left out of the claim for a new key only", "[key_authority]")
+{
+    lone_entry entry;
+    entry.keys.unreachable(member(1).member, entry.at);
+    const auto fresh = entry.jobAtHome(1);
+    const auto asked = entry.keys.submit(fresh, 1, entry.at);
+    CHECK(sentIn<request::promise_request>(asked).size() == 1);
+    CHECK(std::holds_alternative<request::dispatch_action>(promisesFor(entry, asked).at(0)));
+    entry.at.wall -= 18s;
+    const auto old = entry.jobAtHome(1);
+    entry.at.wall += 18s;
+    CHECK(kindIn(entry.keys.submit(old, 2, entry.at), 2) == "outcome_unknown");
+}
+
+TEST_CASE("one missing promise leaves the outcome unknown", "[key_authority]")
+{
+    lone_entry entry{4};
+    entry.keys.unreachable(member(1).member, entry.at);
+    const auto spec = entry.jobAtHome(1);
+    const auto asked = entry.keys.submit(spec, 1, entry.at);
+    CHECK(promisesFor(entry, asked, 2).empty());
+    CHECK(kindIn(entry.pass(request::peerReplyTimeout), 1) == "outcome_unknown");
+}
+
+TEST_CASE("a promise binds: the entry never dispatches the key, even when it is granted", "[key_authority]")
+{
+    lone_entry entry;
+    const auto spec = entry.jobAtHome(1);
+    const request::promise_request claim{5, 1, spec.key, request::digestOf(spec)};
+    const auto promised = sentIn<request::promise_reply>(entry.keys.receive(member(2), claim, entry.at));
+    CHECK(promised.at(0).second.status == request::promise_status::promised);
+    const auto next = entry.keys.submit(spec, 1, entry.at);
+    REQUIRE(sentIn<request::job_query>(next).size() == 1);
+    CHECK(sentIn<request::job_query>(next)[0].first == member(2));
+    const auto &query = sentIn<request::job_query>(next)[0].second;
+    request::grant_reply reply{query.correlation, 1, spec.key, request::grant_status::granted, {}, std::nullopt};
+    CHECK(entry.keys.receive(member(1), reply, entry.at).empty());
+}
+
+TEST_CASE("an earlier claimant that has not promised may have dispatched", "[key_authority]")
+{
+    lone_entry entry;
+    entry.keys.unreachable(member(1).member, entry.at);
+    const auto spec = entry.jobAtHome(1);
+    const auto asked = sentIn<request::promise_request>(entry.keys.submit(spec, 1, entry.at));
+    const auto &claim = asked.at(0).second;
+    request::promise_reply reply{claim.correlation, 1,           claim.key, request::promise_status::promised, {},
+                                 {member(1)},       std::nullopt};
+    CHECK(kindIn(entry.keys.receive(member(2), reply, entry.at), 1) == "outcome_unknown");
+}
+
+TEST_CASE("without authority nothing is dispatched, granted or started", "[key_authority]")
+{
+    lone_entry entry;
+    const auto spec = entry.jobAtHome(1);
+    const auto asked = sentIn<request::grant_request>(entry.keys.submit(spec, 1, entry.at));
+    entry.at = later(entry.at, 3s);
+    request::grant_reply reply{asked.at(0).second.correlation, 1,  spec.key,
+                               request::grant_status::granted, {}, std::nullopt};
+    CHECK(kindIn(entry.keys.receive(member(1), reply, entry.at), 1) == "authority_lapsed");
+    CHECK(kindIn(entry.keys.submit(entry.jobAtHome(2), 2, entry.at), 2) == "authority_lapsed");
+    const request::grant_request ask{9, 1, entry.jobAtHome(0).key, 1};
+    const auto refused = sentIn<request::grant_reply>(entry.keys.receive(member(2), ask, entry.at));
+    CHECK(refused.at(0).second.status == request::grant_status::not_fresh);
+}
+
+TEST_CASE("keys that are too old, from the future or misspelt are refused without saying not run", "[key_authority]")
+{
+    lone_entry entry{1};
+    auto spec = entry.jobAtHome(0);
+    const auto mint = [&](core::duration age) {
+        spec.key = request::makeUuid7(entry.at.wall - age, entry.random);
+    };
+    mint(request::keyLifetime + 1s);
+    CHECK(kindIn(entry.keys.submit(spec, 1, entry.at), 1) == "key_expired");
+    mint(-request::callerClockSkew - 1s);
+    CHECK(kindIn(entry.keys.submit(spec, 2, entry.at), 2) == "outcome_unknown");
+    spec.key = core::job_key{"not-a-uuid"};
+    CHECK(kindIn(entry.keys.submit(spec, 3, entry.at), 3) == "invalid_request");
+}
+
+TEST_CASE("each cancellation has one definite result", "[key_authority]")
+{
+    lone_entry entry{1};
+    const auto cancelOutcome = [](const request::key_actions &actions) {
+        for (const auto &action : actions) {
+            if (const auto *result = std::get_if<request::cancel_action>(&action)) {
+                return result->outcome;
+            }
+        }
+        return request::cancel_outcome::unresolved;
+    };
+    const auto waiting = entry.jobAtHome(0);
+    entry.keys.submit(waiting, 1, entry.at);
+    const auto withdrawn = entry.keys.cancel(waiting.key, 2, entry.at);
+    CHECK(cancelOutcome(withdrawn) == request::cancel_outcome::cancelled);
+    CHECK(kindIn(withdrawn, 1) == "cancelled");
+    CHECK_FALSE(entry.keys.beginAttempt(*request::packKey(waiting.key), entry.at));
+
+    const auto running = entry.jobAtHome(0);
+    const auto key = *request::packKey(running.key);
+    entry.keys.submit(running, 3, entry.at);
+    CHECK(entry.keys.beginAttempt(key, entry.at));
+    CHECK(std::holds_alternative<request::stop_action>(entry.keys.cancel(running.key, 4, entry.at).at(0)));
+    const auto stopped = entry.keys.complete(key, core::failure(core::error_kind::stopped), entry.at);
+    CHECK(cancelOutcome(stopped) == request::cancel_outcome::stopped);
+    CHECK(cancelOutcome(entry.keys.cancel(running.key, 5, entry.at)) == request::cancel_outcome::stopped);
+}
+
+TEST_CASE("the truth replaces an unknown outcome, and nothing replaces the truth", "[key_authority]")
+{
+    lone_entry entry{1};
+    const auto spec = entry.jobAtHome(0);
+    const auto key = *request::packKey(spec.key);
+    entry.keys.submit(spec, 1, entry.at);
+    CHECK(entry.keys.beginAttempt(key, entry.at));
+    entry.keys.complete(key, core::failure(core::error_kind::outcome_unknown), entry.at);
+    CHECK(kindIn(entry.keys.ask(spec.key, 2, entry.at), 2) == "outcome_unknown");
+    entry.keys.complete(key, std::string{"done"}, entry.at);
+    CHECK(kindIn(entry.keys.ask(spec.key, 3, entry.at), 3) == "ok");
+    entry.keys.complete(key, core::failure(core::error_kind::job_failed), entry.at);
+    CHECK(kindIn(entry.keys.ask(spec.key, 4, entry.at), 4) == "ok");
+}
+
+TEST_CASE("a second start and a false not-run are breaches", "[key_authority]")
+{
+    lone_entry entry{1};
+    const auto spec = entry.jobAtHome(0);
+    const auto key = *request::packKey(spec.key);
+    entry.keys.submit(spec, 1, entry.at);
+    const breach_counter breaches;
+    CHECK(entry.keys.beginAttempt(key, entry.at));
+    CHECK(breaches.kinds().empty());
+    CHECK(entry.keys.beginAttempt(key, entry.at));
+    CHECK(breaches.kinds() == std::vector{core::invariant_kind::at_most_once});
+    entry.keys.complete(key, core::failure(core::error_kind::worker_unavailable), entry.at);
+    CHECK(breaches.kinds().back() == core::invariant_kind::not_run_is_true);
+}
+
+TEST_CASE("remembered keys and answers are bounded, and forgotten only when every entry refuses them", "[job_table]")
+{
+    std::mt19937_64 random{baseSeed()};
+    const auto at = startInstant();
+    request::job_table jobs{{100, 1000}};
+    std::vector<request::packed_key> keys;
+    for (int index = 0; index < 100; ++index) {
+        keys.push_back(*request::packKey(request::makeUuid7(at.wall, random)));
+        auto *record = jobs.insert(keys.back(), 1);
+        REQUIRE(record != nullptr);
+        record->state = request::key_state::in_progress;
+        jobs.finish(keys.back(), *record, std::make_shared<const request::job_answer>(std::string(50, 'x')));
+    }
+    CHECK(jobs.answerBytes() <= 1000);
+    CHECK(jobs.find(keys.front())->state == request::key_state::answered);
+    CHECK(jobs.insert(*request::packKey(request::makeUuid7(at.wall, random)), 1) == nullptr);
+    jobs.expire(at.wall + request::keyLifetime + 2 * request::memberClockSkew);
+    CHECK(jobs.size() == 100);
+    jobs.expire(at.wall + request::keyRetention);
+    CHECK(jobs.size() == 0);
+    CHECK(jobs.answerBytes() == 0);
+}
+
+TEST_CASE("a UUIDv7 tells when it was minted, and other spellings are refused", "[uuid7]")
+{
+    std::mt19937_64 random{baseSeed()};
+    for (int round = 0; round < 1000; ++round) {
+        const auto minted = core::fromUnixMilliseconds(static_cast<std::int64_t>(random() >> 16U));
+        const auto key = request::makeUuid7(minted, random);
+        CHECK(*request::mintTimeOf(key.str()) == minted);
+        const auto packed = request::packKey(key);
+        CHECK(request::unpackKey(*packed) == key);
+        auto changed = key.str();
+        changed[random() % changed.size()] = "gG-A x"[random() % 6];
+        CHECK((changed == key.str() || !request::mintTimeOf(changed)));
+    }
+    CHECK_FALSE(request::mintTimeOf("01a31893-8a38-4977-a9bf-fd015c6aae15"));
+    CHECK_FALSE(request::mintTimeOf("01a31893-8a38-7977-c9bf-fd015c6aae15"));
+}
