At most once: two members know a key in lists of two as well

Cause:: of two members one claimed a key without its silent home, ran it and was lost, so nobody knew it;: a leaving entry counted a member as holder that had already left. Ruled out: counting the loss of either of two members as the loss of all knowledge, which makes every restart in a list of two leave all younger keys unknown. Change: a claim without the home needs a promise of at least one other member; handovers go by the newest list.

--- a/src/poplarpass/request/authority.cpp
+++ b/src/poplarpass/request/authority.cpp
@@ -48,8 +48,8 @@
         std::ranges::copy_if(next.losses, std::back_inserter(m_losses), [&next](const auto &loss) {
             return std::ranges::find(next.unsettled, loss.epoch, &unsettled_removal::epoch) == next.unsettled.end();
         });
-    } else if (removesMembers(folded().members, next)) {
-        pending.removals.push_back({next.epoch, folded().members});
+    } else if (removesMembers(newest().members, next)) {
+        pending.removals.push_back({next.epoch, newest().members});
     }
     m_pending.push_back(std::move(pending));
     advance(at);
@@ -142,7 +142,7 @@
 
 auto authority::mayAct(core::monotonic_time now) const -> bool
 {
-    if (!contains(m_acting, m_self) || !contains(folded(), m_self)) {
+    if (!contains(m_acting, m_self) || !contains(newest(), m_self)) {
         return false;
     }
     return logFresh(now) || peersFresh(now);
@@ -162,7 +162,7 @@
 // of the list before have folded it, so one of those who answered would have named the newer epoch.
 auto authority::peersFresh(core::monotonic_time now) const -> bool
 {
-    const auto &members = folded().members;
+    const auto &members = newest().members;
     std::size_t answered = 0;
     for (const auto &member : members) {
         if (member == m_self || answeredLately(member, now)) {
@@ -179,9 +179,14 @@
     return m_acting;
 }
 
+auto authority::newest() const -> const membership &
+{
+    return m_pending.empty() ? m_acting : m_pending.back().list;
+}
+
 auto authority::foldedEpoch() const -> std::uint64_t
 {
-    return folded().epoch;
+    return newest().epoch;
 }
 
 auto authority::self() const -> const member_ref &
@@ -295,7 +300,7 @@
     if (member == m_self) {
         return true;
     }
-    if (!contains(folded(), member) && hasName(folded(), member.member)) {
+    if (!contains(newest(), member) && hasName(newest(), member.member)) {
         return true;
     }
     const auto peer = m_peers.find(member.member);
@@ -311,11 +316,6 @@
     });
 }
 
-auto authority::folded() const -> const membership &
-{
-    return m_pending.empty() ? m_acting : m_pending.back().list;
-}
-
 auto authority::hasLeft(const member_ref &member) const -> bool
 {
     return std::ranges::find(m_left, member) != m_left.end();
--- a/src/poplarpass/request/authority.h
+++ b/src/poplarpass/request/authority.h
@@ -66,6 +66,8 @@
 
     /// \brief Member list in force at this process.
     [[nodiscard]] auto acting() const -> const membership &;
+    /// \brief Newest list that was folded, in force or not.
+    [[nodiscard]] auto newest() const -> const membership &;
     /// \brief Epoch of the newest list that was folded.
     [[nodiscard]] auto foldedEpoch() const -> std::uint64_t;
     /// \brief This process.
@@ -105,7 +107,6 @@
     [[nodiscard]] auto isExcluded(const unsettled_removal &removal, core::monotonic_time now) const -> bool;
     [[nodiscard]] auto hasFolded(const member_ref &member, std::uint64_t epoch) const -> bool;
     [[nodiscard]] auto peerVouches(std::uint64_t epoch) const -> bool;
-    [[nodiscard]] auto folded() const -> const membership &;
     [[nodiscard]] auto hasLeft(const member_ref &member) const -> bool;
     [[nodiscard]] auto answeredLately(const member_ref &member, core::monotonic_time now) const -> bool;
     [[nodiscard]] auto knownGone(const member_ref &member, core::monotonic_time now) const -> bool;
--- a/src/poplarpass/request/key_authority_claim.cpp
+++ b/src/poplarpass/request/key_authority_claim.cpp
@@ -40,6 +40,10 @@
         }
         work.required.push_back(member);
     }
+    if (withoutHome && work.required.empty()) {
+        fail(s, core::error_kind::home_unreachable, "no second member would know of the key");
+        return;
+    }
     for (const auto &member : work.required) {
         s.out.emplace_back(
             send_action{member, promise_request{work.correlation, work.epoch, unpackKey(s.key), s.record.digest}});
--- a/src/poplarpass/request/key_authority_home.cpp
+++ b/src/poplarpass/request/key_authority_home.cpp
@@ -61,22 +61,23 @@
     return std::nullopt;
 }
 
-// Two members must know the key when this one is gone, the holder being one of them.
+// Two members must know the key when this one is gone, the holder being one of them. Members that are about to be
+// removed do not count, so this goes by the newest list and not by the one in force.
 auto key_authority::successorsOf(const packed_key &key, const member_ref &holder) -> std::vector<member_ref>
 {
-    const auto names = namesOf(m_authority.acting());
-    const bool holderStays = holder != m_authority.self() && contains(m_authority.acting(), holder);
-    const auto wanted = std::min<std::size_t>(names.size() - 1, copiesOfKey) - (holderStays ? 1 : 0);
+    const auto &list = m_authority.newest();
+    const bool holderStays = holder != m_authority.self() && contains(list, holder);
+    const auto others = list.members.size() - (contains(list, m_authority.self()) ? 1 : 0);
+    const auto wanted = std::min<std::size_t>(others, copiesOfKey) - (holderStays ? 1 : 0);
     std::vector<member_ref> successors;
-    for (const auto &name : core::rendezvousOrder(unpackKey(key).str(), names)) {
-        const auto member = m_authority.actingMember(name);
-        const bool knows = *member == m_authority.self() || member == holder;
+    for (const auto &name : core::rendezvousOrder(unpackKey(key).str(), namesOf(list))) {
+        const auto member = *std::ranges::find(list.members, name, &member_ref::member);
+        const bool knows = member == m_authority.self() || member == holder;
         if (!knows && !m_down.contains(name) && successors.size() < wanted) {
-            successors.push_back(*member);
+            successors.push_back(member);
         }
     }
-    const bool whole = names.size() > 1 && successors.size() == wanted;
-    m_unhanded += whole ? 0 : 1;
+    m_unhanded += others > 0 && successors.size() == wanted ? 0 : 1;
     return successors;
 }
 
