--- a/src/poplarpass/codec/cbor_depth.cpp
+++ b/src/poplarpass/codec/cbor_depth.cpp
@@ -1,7 +1,6 @@
 #include <poplarpass/codec/cbor_depth.h>
 
 #include <cstdint>
-#include <limits>
 #include <optional>
 #include <vector>
 
@@ -52,7 +51,8 @@
 }
 } // namespace
 
-// The parser is recursive, so a deeply nested message would exhaust the stack.
+// The parser is recursive, so a deeply nested message would exhaust the stack; and it throws at a count that is far too
+// large, even when it is told not to.
 auto cborDepthWithin(std::string_view bytes, std::size_t limit) -> bool
 {
     std::vector<std::uint64_t> open{1};
@@ -70,8 +70,7 @@
             return true;
         }
         if (type == array || type == map || type == tag) {
-            const bool tooMany = type == map && *argument > std::numeric_limits<std::uint64_t>::max() / 2;
-            if (open.size() > limit || tooMany) {
+            if (open.size() > limit || (type != tag && *argument > bytes.size() - position)) {
                 return false;
             }
             open.push_back(type == tag ? 1 : *argument * (type == map ? 2 : 1));
--- a/src/poplarpass/request/worker_pool.cpp
+++ b/src/poplarpass/request/worker_pool.cpp
@@ -56,7 +56,7 @@
     m_index.erase(found);
     if (index + 1 != m_workers.size()) {
         m_workers[index] = std::move(m_workers.back());
-        m_histories[index] = m_histories.back();
+        m_histories[index] = std::move(m_histories.back());
         m_index[m_workers[index].host] = index;
     }
     m_workers.pop_back();
@@ -74,7 +74,8 @@
         past.reportedFor = requestedAt;
         worker.reportedSlots = figures.usedSlots;
         worker.reportedConnections = figures.usedConnections;
-        worker.sentSinceReport = 0;
+        std::erase_if(past.sends, [requestedAt](core::monotonic_time sentAt) { return sentAt < requestedAt; });
+        worker.sentSinceReport = static_cast<int>(past.sends.size());
     });
 }
 
@@ -88,11 +89,12 @@
     alter(host, [rate](worker_view &worker, history & /*past*/) { worker.failureRate = rate; });
 }
 
-auto worker_pool::sent(const core::host_id &host, core::monotonic_time /*at*/) -> void
+auto worker_pool::sent(const core::host_id &host, core::monotonic_time at) -> void
 {
-    alter(host, [](worker_view &worker, history & /*past*/) {
+    alter(host, [at](worker_view &worker, history &past) {
         ++worker.outstanding;
-        ++worker.sentSinceReport;
+        past.sends.push_back(at);
+        worker.sentSinceReport = static_cast<int>(past.sends.size());
     });
 }
 
@@ -100,8 +102,10 @@
 {
     alter(host, [sentAt](worker_view &worker, history &past) {
         worker.outstanding = std::max(0, worker.outstanding - 1);
-        if (sentAt >= past.reportedFor) {
-            --worker.sentSinceReport;
+        const auto send = std::ranges::find(past.sends, sentAt);
+        if (send != past.sends.end()) {
+            past.sends.erase(send);
+            worker.sentSinceReport = static_cast<int>(past.sends.size());
         } else {
             worker.reportedSlots = std::max(0, worker.reportedSlots - 1);
             worker.reportedConnections = std::max(0, worker.reportedConnections - 1);
@@ -112,7 +116,7 @@
 auto worker_pool::refusedForRoom(const core::host_id &host) -> void
 {
     alter(host, [](worker_view &worker, history & /*past*/) {
-        worker.reportedSlots = std::max(worker.reportedSlots, worker.slots - std::max(worker.sentSinceReport, 0));
+        worker.reportedSlots = std::max(worker.reportedSlots, worker.slots - worker.sentSinceReport);
     });
 }
 
--- a/src/poplarpass/request/worker_pool.h
+++ b/src/poplarpass/request/worker_pool.h
@@ -62,6 +62,7 @@
     struct history
     {
         core::monotonic_time reportedFor;
+        std::vector<core::monotonic_time> sends;
     };
 
     template <class change>
--- a/src/poplarpass/request/worker_view.h
+++ b/src/poplarpass/request/worker_view.h
@@ -30,7 +30,7 @@
     /// \brief Estimate of the slots in use: the report corrected by what this entry has sent since.
     [[nodiscard]] auto usedSlots() const -> int
     {
-        return std::max(reportedSlots + std::max(sentSinceReport, 0), outstanding);
+        return std::max(reportedSlots + sentSinceReport, outstanding);
     }
 
     /// \brief Estimate of the free slots, never negative.
@@ -42,7 +42,7 @@
     /// \brief Estimate of the free connections, never negative.
     [[nodiscard]] auto freeConnections() const -> int
     {
-        return std::max(0, connections - std::max(reportedConnections + std::max(sentSinceReport, 0), outstanding));
+        return std::max(0, connections - std::max(reportedConnections + sentSinceReport, outstanding));
     }
 };
 } // namespace poplarpass::request
--- /dev/null
+++ b/tests/decisions/placement_test.cpp
@@ -0,0 +1,218 @@
+#include "request_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using namespace tests;
+
+namespace
+{
+auto workerNumber(int index) -> request::worker_view
+{
+    request::worker_view worker;
+    worker.host = core::host_id{"w" + std::to_string(index)};
+    worker.zone = core::zone_id{"z" + std::to_string(index % 3)};
+    worker.slots = 8;
+    worker.connections = 64;
+    worker.cores = 16;
+    worker.memoryMb = 32'768;
+    return worker;
+}
+
+auto poolOf(int count, request::placement_policy policy) -> request::worker_pool
+{
+    request::worker_pool pool{std::move(policy)};
+    for (int index = 0; index < count; ++index) {
+        pool.put(workerNumber(index));
+    }
+    return pool;
+}
+
+constexpr std::array policyNames{"random", "round_robin", "least_outstanding", "two_choices"};
+} // namespace
+
+TEST_CASE("every policy finds a worker exactly when one can take the job", "[placement]")
+{
+    std::mt19937_64 random{baseSeed()};
+    for (const auto *name : policyNames) {
+        const auto policy = *request::placementNamed(name);
+        for (int round = 0; round < 500; ++round) {
+            std::vector<request::worker_view> workers;
+            for (std::uint64_t index = 0; index < random() % 20; ++index) {
+                auto worker = workerNumber(static_cast<int>(index));
+                worker.reportedSlots = random() % 4 == 0 ? 3 : 8;
+                worker.open = random() % 3 != 0;
+                worker.cores = random() % 2 == 0 ? 4 : 16;
+                workers.push_back(worker);
+            }
+            request::placement_query query;
+            query.cores = 8;
+            const auto chosen = policy(query, workers, random);
+            const bool any = std::ranges::any_of(workers, [&](const auto &w) { return request::canTake(w, query); });
+            CHECK(chosen.has_value() == any);
+            CHECK((!chosen || request::canTake(workers[*chosen], query)));
+        }
+    }
+    CHECK_FALSE(request::placementNamed("best_of_all"));
+}
+
+TEST_CASE("usage is the report corrected by own sends since it was asked for", "[placement]")
+{
+    auto pool = poolOf(1, request::twoChoicesPlacement());
+    std::mt19937_64 random{baseSeed()};
+    const core::host_id host{"w0"};
+    const auto at = startInstant().now;
+    for (int job = 0; job < 3; ++job) {
+        pool.sent(host, at + 1s);
+    }
+    platform::worker_report report;
+    report.usedSlots = 4;
+    pool.report(host, report, at);
+    CHECK(pool.find(host)->usedSlots() == 7);
+    CHECK(pool.freeSlots() == 1);
+    pool.report(host, report, at + 2s);
+    CHECK(pool.find(host)->usedSlots() == 4);
+    pool.ended(host, at + 1s);
+    CHECK(pool.find(host)->usedSlots() == 3);
+    pool.refusedForRoom(host);
+    CHECK(pool.choose({}, random) == nullptr);
+}
+
+TEST_CASE("totals of a pool stay right under random changes", "[placement]")
+{
+    std::mt19937_64 random{baseSeed()};
+    auto pool = poolOf(20, request::twoChoicesPlacement());
+    auto at = startInstant().now;
+    for (int step = 0; step < 5000; ++step) {
+        at += 1ms;
+        const core::host_id host{"w" + std::to_string(random() % 25)};
+        switch (random() % 6) {
+        case 0:
+            pool.setOpen(host, random() % 2 == 0);
+            break;
+        case 1:
+            pool.ended(host, at - std::chrono::milliseconds{random() % 50});
+            break;
+        case 2: {
+            platform::worker_report report;
+            report.usedSlots = static_cast<int>(random() % 9);
+            pool.report(host, report, at);
+            break;
+        }
+        case 3:
+            if (random() % 4 == 0) {
+                pool.remove(host);
+            }
+            break;
+        case 4:
+            pool.put(workerNumber(static_cast<int>(random() % 25)));
+            break;
+        default:
+            pool.sent(host, at);
+        }
+        int free = 0;
+        int open = 0;
+        for (const auto &worker : pool.workers()) {
+            free += worker.open ? worker.freeSlots() : 0;
+            open += worker.open ? worker.slots : 0;
+        }
+        CHECK(pool.freeSlots() == free);
+        CHECK(pool.openSlots() == open);
+    }
+}
+
+TEST_CASE("a job that no worker could ever hold is told apart from a full pool", "[placement]")
+{
+    std::mt19937_64 random{baseSeed()};
+    auto pool = poolOf(3, request::twoChoicesPlacement());
+    request::placement_query large;
+    large.cores = 17;
+    CHECK_FALSE(pool.couldEverHold(large));
+    platform::worker_report full;
+    full.usedSlots = 8;
+    for (int index = 0; index < 3; ++index) {
+        pool.report(core::host_id{"w" + std::to_string(index)}, full, startInstant().now);
+    }
+    CHECK(pool.couldEverHold({}));
+    CHECK(pool.choose({}, random) == nullptr);
+}
+
+TEST_CASE("a worker that fails what succeeds elsewhere is taken out and tested again gently", "[worker_health]")
+{
+    request::worker_health health;
+    health.setWorkerCount(10);
+    const core::host_id bad{"bad"};
+    const core::work_kind kind{"search"};
+    auto at = startInstant().now;
+    for (int job = 0; job < request::failuresToEject; ++job) {
+        CHECK(health.mayPlace(bad, at));
+        health.record(core::host_id{"good"}, kind, request::attempt_result::succeeded, at);
+        health.record(bad, kind, request::attempt_result::job_failed, at);
+        at += 10ms;
+    }
+    CHECK(health.stateOf(bad, at) == request::worker_state::ejected);
+    at += request::firstEjection;
+    CHECK(health.mayPlace(bad, at));
+    health.sent(bad, at);
+    CHECK_FALSE(health.mayPlace(bad, at));
+    health.record(bad, kind, request::attempt_result::worker_failed, at);
+    CHECK(health.stateOf(bad, at + request::firstEjection) == request::worker_state::ejected);
+    at += 2 * request::firstEjection;
+    health.sent(bad, at);
+    health.record(bad, kind, request::attempt_result::succeeded, at);
+    CHECK(health.stateOf(bad, at) == request::worker_state::healthy);
+    CHECK(health.ejectedCount() == 0);
+}
+
+TEST_CASE("a kind of work that fails everywhere blames no worker", "[worker_health]")
+{
+    std::mt19937_64 random{baseSeed()};
+    request::worker_health health;
+    health.setWorkerCount(10);
+    auto at = startInstant().now;
+    const auto hostNumber = [](std::uint64_t index) {
+        return core::host_id{"w" + std::to_string(index)};
+    };
+    for (int job = 0; job < 2000; ++job) {
+        at += 10ms;
+        const bool poison = random() % 3 == 0;
+        const core::work_kind kind{poison ? "poison" : "search"};
+        const auto result = poison ? request::attempt_result::job_failed : request::attempt_result::succeeded;
+        health.record(hostNumber(random() % 10), kind, result, at);
+        CHECK(health.ejectedCount() == 0);
+    }
+}
+
+TEST_CASE("at most a third of the workers is taken out", "[worker_health]")
+{
+    request::worker_health health;
+    health.setWorkerCount(9);
+    const auto at = startInstant().now;
+    for (int job = 0; job < 100; ++job) {
+        const core::host_id host{"w" + std::to_string(job % 9)};
+        health.record(host, core::work_kind{"k"}, request::attempt_result::worker_failed, at);
+    }
+    CHECK(health.ejectedCount() == 3);
+}
+
+TEST_CASE("run times that were declared far off are learnt by kind", "[work_estimator]")
+{
+    std::mt19937_64 random{baseSeed()};
+    request::work_estimator estimator;
+    const core::work_kind kind{"search"};
+    CHECK(estimator.estimate(kind, 60s, 1, 0).typical == 60s);
+    std::lognormal_distribution<double> times{std::log(200'000.0), 0.5};
+    for (int job = 0; job < 2000; ++job) {
+        estimator.learnRunTime(kind, core::duration{static_cast<core::duration::rep>(times(random))});
+    }
+    const auto learnt = estimator.estimate(kind, 60s, 1, 0);
+    CHECK(learnt.learnt);
+    CHECK(learnt.typical > 150ms);
+    CHECK(learnt.typical < 270ms);
+    CHECK(learnt.high > 300ms);
+    CHECK(learnt.high < 750ms);
+    for (std::size_t other = 0; other < 2 * request::maxLearntKinds; ++other) {
+        estimator.learnSize(core::work_kind{std::to_string(other)}, 2, 100);
+    }
+    CHECK(estimator.size() <= request::maxLearntKinds);
+}
