--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -138,8 +138,8 @@
          [this] {
              m_server = std::make_unique<net::http_server>(
                  m_process.loop, m_process.settings.listen.callers, serverLimits(m_process.settings.limits),
-                 [this](net::http_request message, std::shared_ptr<net::responder> caller) {
-                     handle(std::move(message), std::move(caller));
+                 [this](const net::http_request &message, const std::shared_ptr<net::responder> &caller) {
+                     handle(message, caller);
                  },
                  [](const core::error &problem) { return errorResponse({}, problem); });
              m_process.log.log(observe::log_level::info, "listening",
@@ -306,7 +306,7 @@
     m_process.log.log(observe::log_level::info, "peer_state", {{"offset", reply.offset}, {"taken", taken.has_value()}});
 }
 
-auto entry_process::handle(net::http_request message, std::shared_ptr<net::responder> caller) -> void
+auto entry_process::handle(const net::http_request &message, const std::shared_ptr<net::responder> &caller) -> void
 {
     const auto path = message.path();
     if (path == jobsPath && message.method == "POST") {
--- a/src/poplarpass/app/fleet_log.cpp
+++ b/src/poplarpass/app/fleet_log.cpp
@@ -16,11 +16,11 @@
 constexpr core::duration publicationTick = std::chrono::milliseconds{50};
 } // namespace
 
-fleet_log::fleet_log(boost::asio::io_context &loop, const platform::log_service &service, std::string secret,
+fleet_log::fleet_log(boost::asio::io_context &loop, const platform::log_service &service, std::string_view secret,
                      fleet_log_hooks hooks)
     : m_loop{loop}
     , m_service{service}
-    , m_authenticator{makeRecordAuthenticator(std::move(secret))}
+    , m_authenticator{makeRecordAuthenticator(secret)}
     , m_hooks{std::move(hooks)}
     , m_follower{makeDecoder(),
                  [this](fold::log_offset offset, const core::record_id &id, const fold::record &change,
@@ -136,7 +136,7 @@
     if (target->decision.wantsAppend(now)) {
         target->decision.appendSent();
         m_service.append(target->decision.id(), target->bytes,
-                         [this, alive = m_alive, target](const core::result<platform::log_offset> &answer) {
+                         [alive = m_alive, target](const core::result<platform::log_offset> &answer) {
                              if (*alive) {
                                  target->decision.appendAnswered(answer, monotonicNow());
                              }
--- a/src/poplarpass/app/fleet_log.h
+++ b/src/poplarpass/app/fleet_log.h
@@ -29,7 +29,7 @@
     /// \param loop event loop
     /// \param service the platform's log; outlives this object
     /// \param secret key of the deployment that records are signed with
-    fleet_log(boost::asio::io_context &loop, const platform::log_service &service, std::string secret,
+    fleet_log(boost::asio::io_context &loop, const platform::log_service &service, std::string_view secret,
               fleet_log_hooks hooks);
     ~fleet_log();
     fleet_log(const fleet_log &) = delete;
--- a/src/poplarpass/app/record_signature.cpp
+++ b/src/poplarpass/app/record_signature.cpp
@@ -11,7 +11,7 @@
 constexpr std::string_view purpose = "poplarpass log record";
 } // namespace
 
-auto makeRecordAuthenticator(std::string secret) -> codec::record_authenticator
+auto makeRecordAuthenticator(std::string_view secret) -> codec::record_authenticator
 {
     auto keyed = std::make_shared<net::authenticator>(secret);
     codec::record_authenticator authenticator;
--- a/src/poplarpass/app/record_signature.h
+++ b/src/poplarpass/app/record_signature.h
@@ -2,10 +2,10 @@
 
 #include <poplarpass/codec/record_codec.h>
 
-#include <string>
+#include <string_view>
 
 namespace poplarpass::app
 {
 /// \brief Authenticator of log records: HMAC-SHA256 under the deployment's \p secret.
-auto makeRecordAuthenticator(std::string secret) -> codec::record_authenticator;
+auto makeRecordAuthenticator(std::string_view secret) -> codec::record_authenticator;
 } // namespace poplarpass::app
