Stand-ins: one TOML parser in a process; log client: bounded CBOR

Cause: two copies of the inline TOML parser in different modes in one test program ended in a segmentation fault of the fleet file tests; a page of the log could announce a length or depth that the CBOR parser does not survive. Change: the inventory goes through parseToml(), the log client through parseCbor().

--- a/src/poplarpass/platform/log_client.cpp
+++ b/src/poplarpass/platform/log_client.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/codec/field_reader.h>
 #include <poplarpass/net/http_client.h>
 #include <poplarpass/platform/constants.h>
 #include <poplarpass/platform/log_client.h>
@@ -63,10 +64,11 @@
 
 auto decodePage(std::string_view body, log_offset from) -> core::result<log_page>
 {
-    const auto document = json::from_cbor(body.begin(), body.end(), true, false);
-    if (!isPage(document)) {
+    const auto parsed = codec::internal::parseCbor(body);
+    if (!parsed || !isPage(*parsed)) {
         return unreadable();
     }
+    const auto &document = *parsed;
     log_page page;
     page.firstOffset = document["first"].get<log_offset>();
     page.nextOffset = document["next"].get<log_offset>();
--- a/standins/inventory.cpp
+++ b/standins/inventory.cpp
@@ -2,7 +2,7 @@
 
 #include "json_http.h"
 
-#include <toml++/toml.h>
+#include <poplarpass/settings/toml_document.h>
 
 #include <array>
 #include <fstream>
@@ -43,11 +43,15 @@
     return text.str();
 }
 
-auto tomlToJson(const std::string &text) -> json
+auto tomlToJson(const std::string &text, const std::string &path) -> json
 {
-    const auto table = toml::parse(text);
+    const auto table = poplarpass::settings::internal::parseToml(text, path);
+    if (!table) {
+        const auto &problem = table.error();
+        throw std::runtime_error{path + ":" + std::to_string(problem.line) + ": " + problem.description};
+    }
     std::ostringstream converted;
-    converted << toml::json_formatter{table};
+    converted << toml::json_formatter{*table};
     return json::parse(converted.str());
 }
 
@@ -93,7 +97,7 @@
 auto loadInventory(const std::string &path) -> std::vector<inventory_host>
 {
     const auto text = readFile(path);
-    const auto document = path.ends_with(".toml") ? tomlToJson(text) : json::parse(text);
+    const auto document = path.ends_with(".toml") ? tomlToJson(text, path) : json::parse(text);
     std::vector<inventory_host> hosts;
     for (const auto &item : document.is_array() ? document : document.at("host")) {
         hosts.push_back(decodeInventoryHost(item));
--- a/tests/io/platform_client_test.cpp
+++ b/tests/io/platform_client_test.cpp
@@ -212,10 +212,12 @@
     CHECK(page->entries[1].payload == std::string("a\0b", 3));
     CHECK(page->nextOffset == 9);
     CHECK(read(3).error().kind == core::error_kind::log_unavailable);
-    answer = [](const std::string &) {
-        return step{answerBytes("not cbor"), false};
-    };
-    CHECK(read(4).error().kind == core::error_kind::log_unavailable);
+    for (const auto &body : {std::string{"not cbor"}, std::string(100'000, '\x81'), std::string(9, '\xbb')}) {
+        answer = [body](const std::string &) {
+            return step{answerBytes(body), false};
+        };
+        CHECK(read(4).error().kind == core::error_kind::log_unavailable);
+    }
     answer = [](const std::string &) {
         return step{"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", false};
     };
--- a/tests/io/standin_test.cpp
+++ b/tests/io/standin_test.cpp
@@ -333,3 +333,13 @@
     CHECK(query("t").state == task_state::never_seen);
     CHECK(start(lease()->leaseId, "t").outcome == start_outcome::finished);
 }
+
+TEST_CASE("the example inventories can be read", "[standins]")
+{
+    const auto hosts = standins::loadInventory(POPLARPASS_EXAMPLES_DIR "/plata/inventory.toml");
+    REQUIRE(hosts.size() == 50);
+    CHECK(hosts.front().listed.host.str() == "plata-worker-01");
+    CHECK(hosts.front().listed.slots == 8);
+    CHECK_FALSE(hosts.front().pool.empty());
+    CHECK_THROWS(standins::loadInventory(POPLARPASS_EXAMPLES_DIR "/no-such-file.toml"));
+}
