--- a/tests/decisions/fold_sim_test.cpp
+++ b/tests/decisions/fold_sim_test.cpp
@@ -39,6 +39,7 @@
     sum.fromSnapshot += more.fromSnapshot;
     sum.fromPeer += more.fromPeer;
     sum.handovers += more.handovers;
+    sum.members += more.members;
     sum.stuck += more.stuck;
 }
 } // namespace
@@ -59,8 +60,8 @@
     std::cout << "histories=" << histories << " accepted=" << sum.accepted << " refused=" << sum.refused
               << " not_accepted=" << sum.notAccepted << " unknown=" << sum.unknown << " moves=" << sum.moves
               << " drains=" << sum.drains << " limited=" << sum.limited << " from_snapshot=" << sum.fromSnapshot
-              << " from_peer=" << sum.fromPeer << " handovers=" << sum.handovers << " stuck_reads=" << sum.stuck
-              << '\n';
+              << " from_peer=" << sum.fromPeer << " handovers=" << sum.handovers << " members=" << sum.members
+              << " stuck_reads=" << sum.stuck << '\n';
     if (histories >= defaultHistories) {
         CHECK(sum.accepted > histories);
         CHECK(sum.refused > histories);
@@ -72,5 +73,6 @@
         CHECK(sum.fromSnapshot > histories);
         CHECK(sum.fromPeer > 0);
         CHECK(sum.handovers > 2 * histories);
+        CHECK(sum.members > histories);
     }
 }
--- a/tests/decisions/fold_world.cpp
+++ b/tests/decisions/fold_world.cpp
@@ -261,6 +261,9 @@
     if (chance(30)) {
         publish(target, hostChange(state), false);
     }
+    if (chance(5)) {
+        publish(target, memberChange(state), false);
+    }
     if (chance(2)) {
         const auto action = static_cast<fold::wave_action>(below(4));
         const auto wave = core::wave_id{"w" + std::to_string(below(4) + state.waves().size() / 2)};
@@ -302,6 +305,20 @@
     return record;
 }
 
+auto fold_world::memberChange(const fold::fleet_state &state) -> fold::record
+{
+    const auto name = core::member_id{"e" + std::to_string(below(4))};
+    const std::uint64_t incarnation = 1 + below(6);
+    const auto at = static_cast<std::uint64_t>(m_now.time_since_epoch().count() / 1000);
+    if (chance(30)) {
+        return fold::removal_settled_record{state.entries().epoch, at};
+    }
+    if (chance(50)) {
+        return fold::member_leave_record{name, incarnation, chance(50) ? state.control().epoch : 0, at, chance(50)};
+    }
+    return fold::member_join_record{name, fold::member_kind::entry, incarnation, "10.0.0.1:1", {}, {}, at};
+}
+
 // Two operators at two readers, who may start from the same revision.
 auto fold_world::operate() -> void
 {
--- a/tests/decisions/fold_world_checks.cpp
+++ b/tests/decisions/fold_world_checks.cpp
@@ -31,6 +31,8 @@
         return;
     }
     m_reached.handovers += std::holds_alternative<fold::control_claim_record>(change) ? 1 : 0;
+    m_reached.members += m_truth.memberEpoch() != before.memberEpoch() ? 1 : 0;
+    require(m_truth.entries().epoch >= before.entries().epoch, "the epoch of the entries went back");
     require(m_truth.control().epoch >= before.control().epoch, "the control epoch went back");
     require(m_truth.revision() >= before.revision(), "the agreed revision went back");
     if (const auto *revision = std::get_if<fold::config_record>(&change)) {
--- a/tests/fold_world.h
+++ b/tests/fold_world.h
@@ -30,6 +30,7 @@
         int fromSnapshot = 0; ///< Times that a reader took a snapshot.
         int fromPeer = 0; ///< Times that a reader took a peer's state.
         int handovers = 0; ///< Claims accepted.
+        int members = 0; ///< Changes of the member list.
         int stuck = 0; ///< Reads after which a reader could not recover.
     };
 
@@ -97,6 +98,7 @@
     auto control(reader &target) -> void;
     auto hold(reader &target) -> void;
     auto hostChange(const fold::fleet_state &state) -> fold::host_record;
+    auto memberChange(const fold::fleet_state &state) -> fold::record;
     auto operate() -> void;
     auto heal() -> void;
     auto checkTold() -> void;
--- a/tests/io/record_codec_test.cpp
+++ b/tests/io/record_codec_test.cpp
@@ -21,8 +21,9 @@
     move.bootId = 1ULL << 63U;
     return {fold::config_record{4, "ana", "[weights]\n", makeConfig(3, 16)},
             fold::member_join_record{core::member_id{"e1"}, fold::member_kind::control, 9, "10.0.0.1:1",
-                                     core::region_id{"r"}, core::zone_id{"z"}},
-            fold::member_leave_record{core::member_id{"e1"}, 9, 2},
+                                     core::region_id{"r"}, core::zone_id{"z"}, 1795996800000},
+            fold::member_leave_record{core::member_id{"e1"}, 9, 2, 1795996800000, true},
+            fold::removal_settled_record{11, 1795996800000},
             fold::control_claim_record{core::member_id{"c1"}, 3, 4, 1000},
             fold::control_renew_record{4},
             add,
@@ -35,7 +36,11 @@
 {
     fleet_script script;
     script.build(2, 8, 16);
-    script.apply(fold::member_join_record{core::member_id{"e1"}, fold::member_kind::entry, 1, "10.0.0.1:1", {}, {}});
+    for (const std::string name : {"e1", "e2", "e3"}) {
+        script.apply(
+            fold::member_join_record{core::member_id{name}, fold::member_kind::entry, 1, "10.0.0.1:1", {}, {}, 5});
+    }
+    script.apply(fold::member_leave_record{core::member_id{"e1"}, 1, 1, 6, false});
     script.apply(fold::wave_record{fold::wave_action::start, core::wave_id{"w"}, {core::pool_id{"p0"}}, "ana", 0});
     script.host(fold::host_event::drain_start, "p0-h0", "", "w");
     script.host(fold::host_event::down, "p1-h0");
