Control: hosts that a wave has done with are lent first; a stronger first-fit baseline

Cause: a loan of a host that still waits for the wave lengthens the wave at the borrower. Ruled out: no loans during a wave; promises may need them. Change: order of loans, first fit on the demand of the last minute, one report of implausible losses in an interval, trackers of removed hosts are dropped.

--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -27,6 +27,7 @@
     ours,
     fixed_spare_zone,
     first_fit,
+    first_fit_minute,
 };
 
 struct deployment
@@ -38,14 +39,15 @@
 };
 
 constexpr std::array deployments{deployment{"Plata", 3, 0.15, {4.0, 1.0}}, deployment{"Adeyemi", 4, 0.15, {1.0, 8.0}}};
-constexpr std::array policies{policy_kind::ours, policy_kind::fixed_spare_zone, policy_kind::first_fit};
+constexpr std::array policies{policy_kind::ours, policy_kind::fixed_spare_zone, policy_kind::first_fit,
+                              policy_kind::first_fit_minute};
 constexpr int poolCount = 5;
 constexpr int hostsPerPool = 10;
 constexpr int demandSlots = 28;
 
 auto nameOf(policy_kind policy) -> const char *
 {
-    constexpr std::array names{"ours", "fixed_spare_zone", "first_fit"};
+    constexpr std::array names{"ours", "fixed_spare_zone", "first_fit", "first_fit, demand of the last minute"};
     return names[static_cast<std::size_t>(policy)];
 }
 
@@ -192,6 +194,7 @@
 struct demand_view
 {
     control::demand_forecast forecast;
+    control::demand_forecast lastMinute{{control::demandBucket, 1, 1, 1.0}};
     std::array<double, poolCount> moment{};
 };
 
@@ -216,6 +219,12 @@
                 [&demand](const core::pool_id &pool) { return std::optional{demand.moment[poolIndex(pool)]}; });
         };
     }
+    if (policy == policy_kind::first_fit_minute) {
+        return [&demand] {
+            return control::firstFitMoves(
+                [&demand](const core::pool_id &pool) { return demand.lastMinute.expectedSlots(pool); });
+        };
+    }
     return {};
 }
 
@@ -227,6 +236,7 @@
     case policy_kind::fixed_spare_zone:
         return control::fixedSpareZonePolicy(config::isOpen);
     case policy_kind::first_fit:
+    case policy_kind::first_fit_minute:
         break;
     }
     return control::firstFitPolicy(config::isOpen);
@@ -255,7 +265,9 @@
         demand.advance(now);
         for (std::size_t pool = 0; pool < poolCount; ++pool) {
             seen.moment[pool] = demand.moment(pool, now);
-            seen.forecast.onDemand(core::pool_id{"p" + std::to_string(pool)}, seen.moment[pool], world.now);
+            const core::pool_id name{"p" + std::to_string(pool)};
+            seen.forecast.onDemand(name, seen.moment[pool], world.now);
+            seen.lastMinute.onDemand(name, seen.moment[pool], world.now);
         }
         if (now == waveStart) {
             world.startWave("w");
--- a/src/poplarpass/app/caller_api.cpp
+++ b/src/poplarpass/app/caller_api.cpp
@@ -17,10 +17,9 @@
 constexpr std::int64_t largestSize = 1 << 20;
 constexpr std::size_t longestName = 200;
 constexpr std::array<std::string_view, request::urgencyCount> urgencyNames{"urgent", "normal", "batch"};
-constexpr std::array<std::string_view, 13> knownFields{"key",        "pool",        "service", "team",
-                                                       "kind",       "urgency",     "cores",   "idempotent",
-                                                       "deadline_ms", "run_time_ms", "memory_mb", "payload",
-                                                       "wait"};
+constexpr std::array<std::string_view, 13> knownFields{
+    "key",        "pool",        "service",     "team",      "kind",    "urgency", "cores",
+    "idempotent", "deadline_ms", "run_time_ms", "memory_mb", "payload", "wait"};
 
 /// \brief Reads typed fields of a JSON object and keeps the first problem.
 class submission_reader
--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -49,7 +49,9 @@
 
 entry_process::entry_process(settings::process_settings given)
     : m_process{std::move(given), "entry"}
-    , m_log{m_process.loop, m_process.logService, m_process.settings.deployment.secret,
+    , m_log{m_process.loop,
+            m_process.logService,
+            m_process.settings.deployment.secret,
             {[this](fold::log_offset, const core::record_id &, const fold::record &change,
                     const fold::applied &outcome) { onApplied(change, outcome); },
              [this](const fold::fleet_state &state) { useState(state); },
@@ -64,10 +66,21 @@
                [this](const core::member_id &to, std::uint64_t sequence) {
                    m_authority.pingSent(to, sequence, monotonicNow());
                },
-               [this](const core::member_id &peer, net::down_reason reason) { onPeerDown(peer, reason); }}}
-    , m_membership{m_process, m_log, fold::member_kind::entry, [this] { stop(entry_end::removed); }}
-    , m_status{m_process, [this] { return describeState(m_log.state()); }, [this] { updateGauges(); }}
-    , m_workers{m_process, [this] { m_runner.pump(); }}
+               [this](const core::member_id &peer, net::down_reason reason) {
+                   onPeerDown(peer, reason);
+               }}}
+    , m_membership{m_process, m_log, fold::member_kind::entry,
+                   [this] {
+                       stop(entry_end::removed);
+                   }}
+    , m_status{m_process, [this] { return describeState(m_log.state()); },
+               [this] {
+                   updateGauges();
+               }}
+    , m_workers{m_process,
+                [this] {
+                    m_runner.pump();
+                }}
     , m_runner{m_process, m_workers}
     , m_authority{{m_process.settings.process.name, m_process.incarnation}}
     , m_jobs{tableLimits(m_process.settings.limits)}
@@ -100,7 +113,10 @@
              m_status.stop();
              done();
          }},
-        {"membership", [] {}, [this](const std::function<void()> &done) { m_membership.leave(m_keys.handedOver(), done); }},
+        {"membership", [] {},
+         [this](const std::function<void()> &done) {
+             m_membership.leave(m_keys.handedOver(), done);
+         }},
         {"decisions", [this] { startTickers(); },
          [this](const std::function<void()> &done) {
              m_tickers.clear();
@@ -191,12 +207,13 @@
         }
     }
     for (const auto &loss : history.losses) {
-        list.losses.push_back({{loss.member, loss.incarnation},
-                               core::fromUnixMilliseconds(static_cast<std::int64_t>(loss.atUnixMs))});
+        list.losses.push_back(
+            {{loss.member, loss.incarnation}, core::fromUnixMilliseconds(static_cast<std::int64_t>(loss.atUnixMs))});
     }
     m_peers.useMembers(addresses);
     m_authority.foldEpoch(list, now());
-    m_process.log.log(observe::log_level::info, "entry_list", {{"epoch", list.epoch}, {"entries", list.members.size()}});
+    m_process.log.log(observe::log_level::info, "entry_list",
+                      {{"epoch", list.epoch}, {"entries", list.members.size()}});
 }
 
 auto entry_process::onMessage(const request::member_ref &from, const request::peer_message &message) -> void
@@ -255,8 +272,7 @@
         return;
     }
     const auto taken = m_log.follower().takePeerState(reply.state, reply.digest);
-    m_process.log.log(observe::log_level::info, "peer_state",
-                      {{"offset", reply.offset}, {"taken", taken.has_value()}});
+    m_process.log.log(observe::log_level::info, "peer_state", {{"offset", reply.offset}, {"taken", taken.has_value()}});
 }
 
 auto entry_process::handle(net::http_request message, std::shared_ptr<net::responder> caller) -> void
@@ -329,8 +345,11 @@
     const auto deadline = submission.spec.deadline;
     const auto who = addCaller(key, caller, false);
     job_hooks hooks;
-    hooks.beginAttempt = [] { return core::result<void>{}; };
-    hooks.attemptNotStarted = [] {};
+    hooks.beginAttempt = [] {
+        return core::result<void>{};
+    };
+    hooks.attemptNotStarted = [] {
+    };
     hooks.done = [this, who, key](const request::job_answer &answer) {
         answerCaller(who, answerResponse(key, answer), answer ? "finished" : core::answerOf(answer.error().kind).name);
     };
@@ -454,9 +473,15 @@
 {
     const auto key = action.key;
     job_hooks hooks;
-    hooks.beginAttempt = [this, key] { return m_keys.beginAttempt(key, now()); };
-    hooks.attemptNotStarted = [this, key] { m_keys.attemptNotStarted(key); };
-    hooks.done = [this, key](request::job_answer answer) { jobDone(key, std::move(answer)); };
+    hooks.beginAttempt = [this, key] {
+        return m_keys.beginAttempt(key, now());
+    };
+    hooks.attemptNotStarted = [this, key] {
+        m_keys.attemptNotStarted(key);
+    };
+    hooks.done = [this, key](request::job_answer answer) {
+        jobDone(key, std::move(answer));
+    };
     const auto queued = m_runner.submit(action.spec, std::move(hooks));
     if (queued) {
         m_tickets[key] = *queued;
@@ -510,7 +535,8 @@
     const auto at = monotonicNow();
     metrics.gaugeOf("poplarpass_may_act", "Whether non-idempotent work may be started").set(m_authority.mayAct(at));
     metrics.gaugeOf("poplarpass_active_jobs", "Jobs that wait or run").set(static_cast<double>(m_runner.activeCount()));
-    metrics.gaugeOf("poplarpass_remembered_keys", "Idempotency keys remembered").set(static_cast<double>(m_jobs.size()));
+    metrics.gaugeOf("poplarpass_remembered_keys", "Idempotency keys remembered")
+        .set(static_cast<double>(m_jobs.size()));
     metrics.gaugeOf("poplarpass_spans_dropped", "Spans lost as the collector was away")
         .set(static_cast<double>(m_process.traces.droppedCount()));
     updateFoldGauges(m_process, m_log.state());
--- a/src/poplarpass/app/entry_process.h
+++ b/src/poplarpass/app/entry_process.h
@@ -61,8 +61,8 @@
     auto submit(const net::http_request &message, const std::shared_ptr<net::responder> &caller) -> void;
     auto submitDirect(job_submission submission, const std::shared_ptr<net::responder> &caller) -> void;
     auto submitKeyed(const job_submission &submission, const std::shared_ptr<net::responder> &caller) -> void;
-    auto ask(const net::http_request &message, const core::job_key &key,
-             const std::shared_ptr<net::responder> &caller) -> void;
+    auto ask(const net::http_request &message, const core::job_key &key, const std::shared_ptr<net::responder> &caller)
+        -> void;
     auto cancel(const core::job_key &key, const std::shared_ptr<net::responder> &caller) -> void;
     auto addCaller(const core::job_key &key, const std::shared_ptr<net::responder> &responder, bool isCancel)
         -> request::waiter_id;
--- a/src/poplarpass/app/job_runner.cpp
+++ b/src/poplarpass/app/job_runner.cpp
@@ -106,7 +106,8 @@
     added.estimate = estimate;
     added.submittedAt = now;
     added.deadline = wanted.deadline;
-    added.span = m_process.traces.start("job", observe::span_kind::internal, observe::parseTraceparent(spec->traceparent));
+    added.span =
+        m_process.traces.start("job", observe::span_kind::internal, observe::parseTraceparent(spec->traceparent));
     added.span.setAttribute({"pool", spec->pool.str()});
     added.spec = std::move(spec);
     m_jobs.emplace(added.ticket, std::move(added));
@@ -425,8 +426,8 @@
     } else if (target->askUntil && now > *target->askUntil) {
         decision = m_policy.afterSilence(target->history);
     }
-    const bool provedUnstarted = decision.step == request::attempt_step::resend
-        || decision.step == request::attempt_step::requeue;
+    const bool provedUnstarted =
+        decision.step == request::attempt_step::resend || decision.step == request::attempt_step::requeue;
     if (provedUnstarted && !target->history.idempotent) {
         target->mayHaveStarted = false;
         target->history.sent = 0;
--- a/src/poplarpass/app/membership_publisher.cpp
+++ b/src/poplarpass/app/membership_publisher.cpp
@@ -16,8 +16,13 @@
     -> fold::member_join_record
 {
     const auto &identity = process.settings.process;
-    return {identity.name,   kind,          process.incarnation,           std::move(address),
-            identity.region, identity.zone, static_cast<std::uint64_t>(core::toUnixMilliseconds(wallNow()))};
+    return {identity.name,
+            kind,
+            process.incarnation,
+            std::move(address),
+            identity.region,
+            identity.zone,
+            static_cast<std::uint64_t>(core::toUnixMilliseconds(wallNow()))};
 }
 
 membership_publisher::membership_publisher(process_runtime &process, fleet_log &log, fold::member_kind kind,
--- a/src/poplarpass/app/operator_session.cpp
+++ b/src/poplarpass/app/operator_session.cpp
@@ -33,9 +33,11 @@
             m_revisions.push_back({offset, *revision, outcome});
         }
     };
-    hooks.onReadToEnd = [this](core::monotonic_time) { m_atEnd = true; };
-    m_log = std::make_unique<fleet_log>(m_process->loop, m_process->logService,
-                                        m_process->settings.deployment.secret, std::move(hooks));
+    hooks.onReadToEnd = [this](core::monotonic_time) {
+        m_atEnd = true;
+    };
+    m_log = std::make_unique<fleet_log>(m_process->loop, m_process->logService, m_process->settings.deployment.secret,
+                                        std::move(hooks));
 }
 
 auto operator_session::problem() const -> std::optional<exit_code>
--- a/src/poplarpass/app/process_tree.cpp
+++ b/src/poplarpass/app/process_tree.cpp
@@ -39,7 +39,9 @@
             stop();
         }
     });
-    const ticker flush{process.loop, traceFlushPeriod, [&process] { process.traces.flush(); }};
+    const ticker flush{process.loop, traceFlushPeriod, [&process] {
+                           process.traces.flush();
+                       }};
     root.start();
     process.loop.run();
     process.log.log(observe::log_level::info, "stopped");
@@ -48,9 +50,11 @@
 auto updateFoldGauges(process_runtime &process, const fold::fleet_state &state) -> void
 {
     auto &metrics = process.metrics;
-    metrics.gaugeOf("poplarpass_fold_offset", "Offset of the last record applied").set(static_cast<double>(state.offset()));
+    metrics.gaugeOf("poplarpass_fold_offset", "Offset of the last record applied")
+        .set(static_cast<double>(state.offset()));
     metrics.gaugeOf("poplarpass_config_revision", "Revision in force").set(static_cast<double>(state.revision()));
-    metrics.gaugeOf("poplarpass_members", "Processes in the member list").set(static_cast<double>(state.members().size()));
+    metrics.gaugeOf("poplarpass_members", "Processes in the member list")
+        .set(static_cast<double>(state.members().size()));
     metrics.gaugeOf("poplarpass_invariant_breaches", "Breaches of what must always hold")
         .set(static_cast<double>(core::breachCount()));
 }
--- a/src/poplarpass/app/profile_verbs.cpp
+++ b/src/poplarpass/app/profile_verbs.cpp
@@ -126,8 +126,8 @@
     }
     streams.out << profile.name.str() << " headroom=" << profile.headroom
                 << " loss_domain=" << config::nameOf(profile.lossDomain) << " max_lost=" << profile.maxLost
-                << " max_out=" << profile.maxOut << " calendar=" << profile.calendar
-                << " max_lent=" << profile.maxLent << " max_borrowed=" << profile.maxBorrowed << '\n';
+                << " max_out=" << profile.maxOut << " calendar=" << profile.calendar << " max_lent=" << profile.maxLent
+                << " max_borrowed=" << profile.maxBorrowed << '\n';
 }
 
 auto list(const parsed_options &options, console &streams) -> exit_code
@@ -195,7 +195,7 @@
         return exit_code::failure;
     }
     for (const auto &seen : session.revisions()) {
-        const std::string result{seen.outcome.accepted     ? "accepted"
+        const std::string result{seen.outcome.accepted      ? "accepted"
                                      : seen.outcome.refusal ? core::answerOf(seen.outcome.refusal->kind).name
                                                             : "repeated"};
         if (options.format() == output_format::json) {
@@ -221,8 +221,8 @@
     const std::string problem{outcome.problem ? core::answerOf(outcome.problem->kind).name : std::string_view{}};
     const std::string detail{outcome.problem ? outcome.problem->detail : std::string{}};
     if (options.format() == output_format::json) {
-        const json line{{"what", what}, {"result", result}, {"offset", outcome.offset}, {"error", problem},
-                        {"detail", detail}};
+        const json line{
+            {"what", what}, {"result", result}, {"offset", outcome.offset}, {"error", problem}, {"detail", detail}};
         streams.out << line.dump() << '\n';
     } else {
         streams.out << what << ' ' << result;
--- a/src/poplarpass/app/status_verbs.cpp
+++ b/src/poplarpass/app/status_verbs.cpp
@@ -30,8 +30,8 @@
     }
     for (const auto &wave : described["waves"]) {
         streams.out << "wave=" << wave["name"].get<std::string>() << " done=" << wave["hosts_done"]
-                    << " out=" << wave["hosts_out"] << " hosts=" << wave["hosts"]
-                    << " finished=" << wave["finished"] << '\n';
+                    << " out=" << wave["hosts_out"] << " hosts=" << wave["hosts"] << " finished=" << wave["finished"]
+                    << '\n';
     }
 }
 
@@ -137,8 +137,9 @@
     net::http_request request;
     request.target = "/v1/jobs/" + net::percentEncode(options.arguments().front());
     std::optional<core::result<net::http_response>> answer;
-    session.process().http.send(options.value("entry"), std::move(request), explainLimit,
-                                [&answer](core::result<net::http_response> got, net::sent_state) { answer = std::move(got); });
+    session.process().http.send(
+        options.value("entry"), std::move(request), explainLimit,
+        [&answer](core::result<net::http_response> got, net::sent_state) { answer = std::move(got); });
     session.runUntil([&answer] { return answer.has_value(); }, explainLimit + watchPeriod);
     if (!answer || !*answer) {
         streams.err << "the entry " << options.value("entry") << " does not answer\n";
--- a/src/poplarpass/app/wave_verbs.cpp
+++ b/src/poplarpass/app/wave_verbs.cpp
@@ -35,8 +35,12 @@
 {
     const auto startsIn = std::chrono::duration_cast<std::chrono::minutes>(step.earliestStart - from).count();
     if (options.format() == output_format::json) {
-        json line{{"host", step.host.str()}, {"pool", step.pool.str()},        {"rack", step.rack.str()},
-                  {"zone", step.zone.str()}, {"limit", control::nameOf(step.limit)}, {"explanation", step.explanation}};
+        json line{{"host", step.host.str()},
+                  {"pool", step.pool.str()},
+                  {"rack", step.rack.str()},
+                  {"zone", step.zone.str()},
+                  {"limit", control::nameOf(step.limit)},
+                  {"explanation", step.explanation}};
         line["start_in_minutes"] = placed ? json(startsIn) : json(nullptr);
         streams.out << line.dump() << '\n';
         return;
@@ -64,9 +68,8 @@
     control::plan_assumptions assumptions;
     assumptions.horizon = longestHorizon;
     const auto now = wallNow();
-    const auto planned
-        = control::planWave(control::makePlanningView(state.config(), state.hosts()), wave,
-                            control::leastLossPolicy(config::isOpen), config::isOpen, now, assumptions);
+    const auto planned = control::planWave(control::makePlanningView(state.config(), state.hosts()), wave,
+                                           control::leastLossPolicy(config::isOpen), config::isOpen, now, assumptions);
     for (const auto &step : planned.steps) {
         printStep(step, true, now, options, streams);
     }
@@ -113,8 +116,10 @@
             streams.out << wave.dump() << '\n';
             continue;
         }
-        streams.out << "wave=" << wave["name"].get<std::string>()
-                    << " state=" << (wave["finished"] ? "finished" : wave["paused"] ? "paused" : "running")
+        streams.out << "wave=" << wave["name"].get<std::string>() << " state="
+                    << (wave["finished"]     ? "finished"
+                            : wave["paused"] ? "paused"
+                                             : "running")
                     << " done=" << wave["hosts_done"] << " out=" << wave["hosts_out"] << " hosts=" << wave["hosts"]
                     << '\n';
     }
@@ -127,8 +132,13 @@
     const option_spec pools{"pools", "pools that it covers, separated by commas; default: all", true, false, ""};
     const option_spec who{"operator", "name of the operator, kept with the record", true, false, "operator"};
     const auto verbOf = [&](std::string name, std::string meaning, fold::wave_action action) -> verb {
-        return {std::move(name), std::move(meaning), "NAME", {configOption(), pools, who, formatOption()},
-                [action](const parsed_options &options, console &streams) { return act(action, options, streams); }};
+        return {std::move(name),
+                std::move(meaning),
+                "NAME",
+                {configOption(), pools, who, formatOption()},
+                [action](const parsed_options &options, console &streams) {
+                    return act(action, options, streams);
+                }};
     };
     return {
         {"wave plan",
--- a/src/poplarpass/codec/peer_codec.cpp
+++ b/src/poplarpass/codec/peer_codec.cpp
@@ -21,10 +21,9 @@
 
 // In the order of the alternatives of request::peer_message.
 constexpr std::array<std::string_view, std::variant_size_v<request::peer_message>> typeNames{
-    "grant_request", "grant_reply",    "promise_request", "promise_reply", "job_query",
-    "job_report",    "cancel_request", "cancel_reply",    "delegate",      "delegate_reply",
-    "handover",      "handover_reply", "heartbeat",       "sightings_report",
-    "state_request", "state_reply"};
+    "grant_request",  "grant_reply",      "promise_request", "promise_reply",  "job_query", "job_report",
+    "cancel_request", "cancel_reply",     "delegate",        "delegate_reply", "handover",  "handover_reply",
+    "heartbeat",      "sightings_report", "state_request",   "state_reply"};
 
 // Last value of each enumeration that a message carries.
 template <class type>
--- a/src/poplarpass/control/host_controller.cpp
+++ b/src/poplarpass/control/host_controller.cpp
@@ -105,6 +105,9 @@
             m_trackers[nameOfHost(host)].onListed(false, false, current.now);
         }
     }
+    std::erase_if(m_trackers, [&](const auto &entry) {
+        return !listedNames.contains(entry.first) && current.state.findHost(entry.first) == nullptr;
+    });
 }
 
 // A listed host that nobody has reached would count as capacity that isn't there, so it is added once it answers.
@@ -143,7 +146,9 @@
     }
     const auto plausible = std::max(minSuspiciousLoss, upCount * maxPlausibleLossPercent / 100);
     current.isLossPlausible = lostCount <= plausible;
-    if (!current.isLossPlausible) {
+    const bool isReportDue = !m_lossReported || current.now - *m_lossReported >= reportInterval;
+    if (!current.isLossPlausible && isReportDue) {
+        m_lossReported = current.now;
         const auto detail = "lost=" + std::to_string(lostCount) + " of=" + std::to_string(upCount);
         current.actions.emplace_back(report_action{report_kind::loss_not_plausible, {}, {}, detail});
     }
--- a/src/poplarpass/control/host_controller.h
+++ b/src/poplarpass/control/host_controller.h
@@ -9,6 +9,7 @@
 #include <poplarpass/fold/fleet_state.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -82,5 +83,6 @@
     controller_hooks m_hooks;
     pending_appends m_pending;
     std::unordered_map<core::host_id, host_tracker> m_trackers;
+    std::optional<core::monotonic_time> m_lossReported;
 };
 } // namespace poplarpass::control
--- a/src/poplarpass/control/move_planner.cpp
+++ b/src/poplarpass/control/move_planner.cpp
@@ -33,6 +33,13 @@
     return slots;
 }
 
+auto waitsForWave(const fold::host_state &host, const move_query &query) -> bool
+{
+    return std::ranges::any_of(query.waves, [&host](const fold::wave_state &wave) {
+        return !wave.finished && !wave.paused && isToMaintain(wave, host);
+    });
+}
+
 auto spareAfterTaking(const pool_view &pool, const fold::host_state &host) -> int
 {
     fold::pool_budget budget{pool.pool, pool.profile, pool.hosts};
@@ -128,14 +135,15 @@
     return query.now - since >= (need.isForPromise ? borrowForPromiseAfter : borrowAfter);
 }
 
-// The pool's own hosts come back before others are lent, and spare pools lend before others. Among equals the host is
-// taken that leaves both pools best off, so that a loan does not put all of the borrower's hosts into one rack or zone.
+// The pool's own hosts come back before others are lent, and spare pools lend before others. Hosts that a
+// wave has done with come first, so that no pool gets more of the wave's work. Among equals the host is taken that
+// leaves both pools best off, so that a loan does not put all of the borrower's hosts into one rack or zone.
 auto move_planner::chooseLoan(const pool_view &borrower, const move_query &query) const -> std::optional<host_move>
 {
     const auto &name = borrower.pool.name;
     const bool mayBorrow = borrowedBy(query.view, name) < borrower.profile.maxBorrowed;
     std::optional<host_move> best;
-    std::tuple<bool, bool, int, int> bestScore;
+    std::tuple<bool, bool, bool, int, int> bestScore;
     for (const auto &lender : query.view.pools) {
         if (&lender == &borrower) {
             continue;
@@ -147,8 +155,8 @@
             if (!(isRecalled || isLent) || !query.isUsable(host) || !maySpare(lender, host, 0, query)) {
                 continue;
             }
-            const std::tuple score{isRecalled, lender.pool.spare, spareAfterJoining(borrower, host),
-                                   spareAfterTaking(lender, host)};
+            const std::tuple score{isRecalled, lender.pool.spare, !waitsForWave(host, query),
+                                   spareAfterJoining(borrower, host), spareAfterTaking(lender, host)};
             if (!best || score > bestScore) {
                 best = host_move{host.description.host, lender.pool.name, name};
                 bestScore = score;
@@ -198,10 +206,7 @@
     int largest = 0;
     int slotsOut = 0;
     for (const auto &host : pool.hosts) {
-        const bool isWaiting = std::ranges::any_of(query.waves, [&host](const fold::wave_state &wave) {
-            return !wave.finished && !wave.paused && isToMaintain(wave, host);
-        });
-        largest = std::max(largest, isWaiting ? host.description.slots : 0);
+        largest = std::max(largest, waitsForWave(host, query) ? host.description.slots : 0);
         slotsOut += host.serves() || host.down ? 0 : host.description.slots;
     }
     return std::max(0, largest - slotsOut);
--- a/src/poplarpass/request/peer_message.h
+++ b/src/poplarpass/request/peer_message.h
@@ -245,8 +245,7 @@
 };
 
 /// \brief Any message between two processes of the system.
-using peer_message =
-    std::variant<grant_request, grant_reply, promise_request, promise_reply, job_query, job_report, cancel_request,
-                 cancel_reply, delegate, delegate_reply, handover, handover_reply, heartbeat, sightings_report,
-                 state_request, state_reply>;
+using peer_message = std::variant<grant_request, grant_reply, promise_request, promise_reply, job_query, job_report,
+                                  cancel_request, cancel_reply, delegate, delegate_reply, handover, handover_reply,
+                                  heartbeat, sightings_report, state_request, state_reply>;
 } // namespace poplarpass::request
--- a/tests/decisions/fleet_sim.cpp
+++ b/tests/decisions/fleet_sim.cpp
@@ -420,7 +420,15 @@
         if (alive && facts.answers == 0 && m_now - facts.askedAt > answerBound
             && place.frozenUntil + answerBound < m_now) {
             auto *record = place.process->jobs.find(*request::packKey(core::job_key{facts.key}));
-            if (std::getenv("DBG")) printf("state %d work %d target %s.%lu retry %d deadline %ld waiters %zu\n", record ? (int)record->state : -1, record && record->work, record && record->work ? record->work->target.member.str().c_str() : "", record && record->work ? record->work->target.incarnation:0, record&&record->work?record->work->retry:0, record&&record->work ? record->work->stepDeadline.time_since_epoch().count()/1000 : 0, record&&record->work?record->work->waiters.size():0);
+            if (std::getenv("DBG")) {
+                printf("state %d work %d target %s.%lu retry %d deadline %ld waiters %zu\n",
+                       record ? (int)record->state : -1, record && record->work,
+                       record && record->work ? record->work->target.member.str().c_str() : "",
+                       record && record->work ? record->work->target.incarnation : 0,
+                       record && record->work ? record->work->retry : 0,
+                       record && record->work ? record->work->stepDeadline.time_since_epoch().count() / 1000 : 0,
+                       record && record->work ? record->work->waiters.size() : 0);
+            }
             problem(facts.key, "waiter " + std::to_string(id) + " was never answered");
         }
     }
