Control: records that take a host out are repeated while they wait

Cause: a drain or leave whose append was lost was never sent again, because its host counts as out from then on; no history showed it, as the log's outages also change the holder. Ruled out: forgetting it after a while; the first one may still land. Change: pending_appends::repeat; a test of it and of capacity that is not known to serve; histories restart workers in planned changes and check that nothing runs when a host is recorded as idle.

--- a/src/poplarpass/control/host_controller.cpp
+++ b/src/poplarpass/control/host_controller.cpp
@@ -165,10 +165,14 @@
             if (!host.serves()) {
                 continue;
             }
+            const bool isTakenOut = takesOut(m_pending.waiting(subjectOf(host)));
+            if (isTakenOut) {
+                emit(current, m_pending.repeat(subjectOf(host), current.now));
+            }
             const auto &tracker = m_trackers.at(nameOfHost(host));
             if (!tracker.isReached(current.now)) {
                 host.down = true;
-            } else if (takesOut(m_pending.waiting(subjectOf(host))) || !tracker.takesWorkAs(host)) {
+            } else if (isTakenOut || !tracker.takesWorkAs(host)) {
                 host.phase = fold::host_phase::draining;
             }
         }
@@ -252,7 +256,12 @@
     if (current.appends >= maxAppendsPerStep) {
         return;
     }
-    if (auto request = m_pending.request(subject, change, current.now)) {
+    emit(current, m_pending.request(subject, change, current.now));
+}
+
+auto host_controller::emit(step &current, std::optional<append_request> request) -> void
+{
+    if (request) {
         ++current.appends;
         current.actions.emplace_back(std::move(*request));
     }
--- a/src/poplarpass/control/host_controller.h
+++ b/src/poplarpass/control/host_controller.h
@@ -74,6 +74,7 @@
     auto cancel(step &current, const fold::host_state &host) -> void;
     auto append(step &current, const fold::host_state &host, fold::host_record change) -> void;
     auto appendFor(step &current, const append_subject &subject, const fold::record &change) -> void;
+    static auto emit(step &current, std::optional<append_request> request) -> void;
     auto order(step &current, const fold::host_state &host, platform::worker_order kind) -> void;
     auto orderAssign(step &current, const fold::host_state &host, const core::pool_id &pool, std::uint64_t generation)
         -> void;
--- a/src/poplarpass/control/pending_appends.cpp
+++ b/src/poplarpass/control/pending_appends.cpp
@@ -34,11 +34,7 @@
     if (position != m_pending.end()) {
         auto &known = position->second;
         if (isSame(known.request.change, change)) {
-            if (now - known.lastSent < appendRetry) {
-                return std::nullopt;
-            }
-            known.lastSent = now;
-            return known.request;
+            return repeat(subject, now);
         }
         if (now - known.firstSent < appendAbandon) {
             return std::nullopt;
@@ -52,6 +48,16 @@
     return made;
 }
 
+auto pending_appends::repeat(const append_subject &subject, core::monotonic_time now) -> std::optional<append_request>
+{
+    const auto position = m_pending.find(subject);
+    if (position == m_pending.end() || now - position->second.lastSent < appendRetry) {
+        return std::nullopt;
+    }
+    position->second.lastSent = now;
+    return position->second.request;
+}
+
 auto pending_appends::onApplied(const core::record_id &id) -> void
 {
     const auto position = m_subjects.find(id);
--- a/src/poplarpass/control/pending_appends.h
+++ b/src/poplarpass/control/pending_appends.h
@@ -33,6 +33,9 @@
     auto request(const append_subject &subject, const fold::record &change, core::monotonic_time now)
         -> std::optional<append_request>;
 
+    /// \brief Repeat of the record about \p subject, if one waits and its latest sending is long enough ago.
+    auto repeat(const append_subject &subject, core::monotonic_time now) -> std::optional<append_request>;
+
     /// \brief Takes in that the record \p id was read back, accepted or not.
     auto onApplied(const core::record_id &id) -> void;
 
--- a/tests/decisions/control_sim_test.cpp
+++ b/tests/decisions/control_sim_test.cpp
@@ -95,6 +95,14 @@
     return *world.processes[static_cast<std::size_t>(world.random(static_cast<std::int64_t>(world.processes.size())))];
 }
 
+auto restart(fakes::fake_worker &worker) -> void
+{
+    ++worker.bootId;
+    worker.draining = false;
+    worker.jobs.clear();
+    worker.grants.clear();
+}
+
 auto loseDomain(control_world &world) -> void
 {
     const auto name = "r" + std::to_string(world.random(6));
@@ -105,10 +113,17 @@
         const bool isHit = isZone ? worker.listed.zone.str() == zone : worker.listed.rack.str() == name;
         if (isHit && worker.dead != isLoss) {
             worker.dead = isLoss;
-            ++worker.bootId;
-            worker.draining = false;
-            worker.jobs.clear();
-            worker.grants.clear();
+            restart(worker);
+        }
+    }
+}
+
+/// \brief Restarts every worker whose host is in a planned change, so that it takes work again.
+auto restartPlanned(control_world &world) -> void
+{
+    for (const auto &host : world.truth.hosts()) {
+        if (host.phase != fold::host_phase::serving) {
+            restart(world.workers.at(host.description.host));
         }
     }
 }
@@ -117,7 +132,7 @@
 {
     auto &process = anyProcess(world);
     auto &entry = world.entries[static_cast<std::size_t>(world.random(2))];
-    switch (world.random(11)) {
+    switch (world.random(13)) {
     case 0:
         for (std::size_t index = 0; index < world.processes.size(); ++index) {
             if (world.processes[index].get() == &process) {
@@ -153,6 +168,10 @@
     case 9:
         entry.cutFromLog = !entry.cutFromLog;
         break;
+    case 10:
+    case 11:
+        restartPlanned(world);
+        break;
     default:
         loseDomain(world);
         break;
--- a/tests/decisions/host_controller_test.cpp
+++ b/tests/decisions/host_controller_test.cpp
@@ -109,3 +109,58 @@
     world.run(seconds{20});
     CHECK(world.truth.findHost(leaving)->down);
 }
+
+TEST_CASE("a drain waits for capacity whose worker takes work, and its record is repeated with its id",
+          "[control][hosts]")
+{
+    const auto listed = fakes::makeHosts(1, 4, 4);
+    fold::fleet_state state;
+    std::uint64_t offset = 0;
+    const auto apply = [&](const fold::record &change) {
+        ++offset;
+        REQUIRE(state.apply(offset, core::record_id{std::to_string(offset)}, change).accepted);
+    };
+    apply(fold::config_record{0, {}, {}, fakes::makeConfig(1, 16, config::loss_domain::host, 1, 2)});
+    apply(fold::control_claim_record{core::member_id{"c"}, 1, 1, 0});
+    for (const auto &host : listed) {
+        fold::host_record add;
+        add.host = host.host;
+        add.controlEpoch = 1;
+        add.description = host;
+        apply(add);
+    }
+    fold::wave_record wave;
+    wave.wave = core::wave_id{"w"};
+    apply(wave);
+    control::host_controller controller{
+        core::member_id{"c"}, 1, {control::leastLossPolicy(config::isOpen), {}, config::isOpen}};
+    const auto sightingsAt = [&listed](core::monotonic_time now, bool isFirstDraining) {
+        std::vector<control::host_sighting> sightings;
+        for (const auto &host : listed) {
+            const bool isFirst = host.host == listed.front().host;
+            sightings.push_back({host.host, true, 1, isFirst && isFirstDraining, host.pool, 0, now});
+        }
+        return sightings;
+    };
+    const auto recordsAt = [&](int second, bool isFirstDraining, std::span<const control::order_outcome> outcomes) {
+        const core::monotonic_time now{seconds{second}};
+        std::vector<core::record_id> ids;
+        for (const auto &action :
+             controller.decide(state, {{}, sightingsAt(now, isFirstDraining), outcomes}, {}, now)) {
+            if (const auto *request = std::get_if<control::append_request>(&action)) {
+                ids.push_back(request->id);
+            }
+        }
+        return ids;
+    };
+    const platform::order_request undrain{platform::worker_order::undrain, 1, {}, 0};
+    const platform::order_answer answer{0, 1, false, listed.front().pool, 0};
+    const std::vector<control::order_outcome> outcomes{{listed.front().host, undrain, answer}};
+    CHECK(recordsAt(10, true, {}).empty());
+    CHECK(recordsAt(11, true, {}).empty());
+    const auto first = recordsAt(12, false, outcomes);
+    REQUIRE(first.size() == 1);
+    CHECK(recordsAt(13, false, {}) == first);
+    controller.onApplied(first.front());
+    CHECK(recordsAt(14, false, {}) != first);
+}
--- a/tests/fakes/control_world.cpp
+++ b/tests/fakes/control_world.cpp
@@ -126,6 +126,11 @@
         return false;
     }
     const auto *host = std::get_if<fold::host_record>(&change);
+    const bool needsIdle =
+        host != nullptr && (host->event == fold::host_event::drained || host->event == fold::host_event::reboot_start);
+    if (needsIdle && workers.at(host->host).draining && !workers.at(host->host).jobs.empty()) {
+        breach(host->host.str() + " is recorded as idle while jobs run");
+    }
     moves += host != nullptr && host->event == fold::host_event::join ? 1U : 0U;
     if (onAccepted) {
         onAccepted(change);
