--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -235,11 +235,8 @@
         }
     }
     for (const auto &loss : history.losses) {
-        list.losses.push_back({toMember(loss.run), loss.epoch, toWallTime(loss.atUnixMs)});
-    }
-    for (const auto &removal : history.unsettled) {
-        list.unsettled.push_back({removal.epoch, {}});
-        std::ranges::transform(removal.before, std::back_inserter(list.unsettled.back().before), toMember);
+        list.losses.push_back(
+            {{loss.member, loss.incarnation}, core::fromUnixMilliseconds(static_cast<std::int64_t>(loss.atUnixMs))});
     }
     m_peers.useMembers(addresses);
     m_authority.foldEpoch(list, now());
--- a/src/poplarpass/control/host_controller.cpp
+++ b/src/poplarpass/control/host_controller.cpp
@@ -105,6 +105,9 @@
             m_trackers[nameOfHost(host)].onListed(false, false, current.now);
         }
     }
+    std::erase_if(m_trackers, [&](const auto &entry) {
+        return !listedNames.contains(entry.first) && current.state.findHost(entry.first) == nullptr;
+    });
 }
 
 // A listed host that nobody has reached would count as capacity that isn't there, so it is added once it answers.
@@ -143,7 +146,9 @@
     }
     const auto plausible = std::max(minSuspiciousLoss, upCount * maxPlausibleLossPercent / 100);
     current.isLossPlausible = lostCount <= plausible;
-    if (!current.isLossPlausible) {
+    const bool isReportDue = !m_lossReported || current.now - *m_lossReported >= reportInterval;
+    if (!current.isLossPlausible && isReportDue) {
+        m_lossReported = current.now;
         const auto detail = "lost=" + std::to_string(lostCount) + " of=" + std::to_string(upCount);
         current.actions.emplace_back(report_action{report_kind::loss_not_plausible, {}, {}, detail});
     }
@@ -160,10 +165,14 @@
             if (!host.serves()) {
                 continue;
             }
+            const bool isTakenOut = takesOut(m_pending.waiting(subjectOf(host)));
+            if (isTakenOut) {
+                emit(current, m_pending.repeat(subjectOf(host), current.now));
+            }
             const auto &tracker = m_trackers.at(nameOfHost(host));
             if (!tracker.isReached(current.now)) {
                 host.down = true;
-            } else if (takesOut(m_pending.waiting(subjectOf(host))) || !tracker.takesWorkAs(host)) {
+            } else if (isTakenOut || !tracker.takesWorkAs(host)) {
                 host.phase = fold::host_phase::draining;
             }
         }
@@ -247,7 +256,12 @@
     if (current.appends >= maxAppendsPerStep) {
         return;
     }
-    if (auto request = m_pending.request(subject, change, current.now)) {
+    emit(current, m_pending.request(subject, change, current.now));
+}
+
+auto host_controller::emit(step &current, std::optional<append_request> request) -> void
+{
+    if (request) {
         ++current.appends;
         current.actions.emplace_back(std::move(*request));
     }
