--- /dev/null
+++ b/src/poplarpass/net/incoming_links.cpp
@@ -0,0 +1,154 @@
+#include <poplarpass/net/incoming_links.h>
+
+#include <algorithm>
+
+namespace poplarpass::net::internal
+{
+incoming_links::incoming_links(const peer_link_options &options, websocket::transport &transport,
+                               peer_link_counters &counters, incoming_hooks hooks)
+    : m_options{options}
+    , m_transport{transport}
+    , m_counters{counters}
+    , m_hooks{std::move(hooks)}
+{
+}
+
+auto incoming_links::add(websocket::session_id session) -> void
+{
+    server_handshake handshake{m_options.secret, {m_options.name, m_options.incarnation}};
+    const auto deadline = link_clock::now() + m_options.openTimeout;
+    m_connections.emplace(session, incoming_connection{std::move(handshake), std::nullopt, false, deadline});
+}
+
+auto incoming_links::read(websocket::session_id session, const std::string &message) -> void
+{
+    const auto found = m_connections.find(session);
+    if (found == m_connections.end()) {
+        return;
+    }
+    auto &connection = found->second;
+    if (!connection.greeted) {
+        readHello(session, connection, message);
+    } else if (!connection.channel) {
+        readProof(session, connection, message);
+    } else {
+        readFrame(session, connection, message);
+    }
+}
+
+auto incoming_links::forget(websocket::session_id session) -> void
+{
+    m_connections.erase(session);
+}
+
+auto incoming_links::forgetAll() -> void
+{
+    m_connections.clear();
+}
+
+template <class condition_type>
+auto incoming_links::abortIf(condition_type condition) -> void
+{
+    std::erase_if(m_connections, [&](const auto &item) {
+        const bool unwanted = condition(item.first, item.second);
+        if (unwanted) {
+            m_transport.abort(item.first);
+        }
+        return unwanted;
+    });
+}
+
+auto incoming_links::dropSilent(link_clock::time_point now) -> void
+{
+    abortIf([now](auto, const auto &connection) { return connection.deadline <= now; });
+}
+
+auto incoming_links::dropMember(const core::member_id &member, websocket::session_id kept) -> void
+{
+    abortIf([&](auto session, const auto &connection) {
+        return session != kept && connection.channel && connection.handshake.client().name == member;
+    });
+}
+
+auto incoming_links::dropOtherIncarnations(const peer_identity &current) -> void
+{
+    abortIf([&](auto, const auto &connection) {
+        const auto &client = connection.handshake.client();
+        return connection.greeted && client.name == current.name && client.incarnation != current.incarnation;
+    });
+}
+
+auto incoming_links::nextDue() const -> link_clock::time_point
+{
+    auto due = link_clock::time_point::max();
+    for (const auto &[session, connection] : m_connections) {
+        due = std::min(due, connection.deadline);
+    }
+    return due;
+}
+
+auto incoming_links::drop(websocket::session_id session) -> void
+{
+    m_connections.erase(session);
+    m_transport.close(session);
+}
+
+auto incoming_links::readHello(websocket::session_id session, incoming_connection &connection,
+                               const std::string &message) -> void
+{
+    const auto challenge = connection.handshake.acceptHello(message);
+    if (!challenge) {
+        countProblem(m_counters, challenge.error());
+        drop(session);
+        return;
+    }
+    if (!m_hooks.admits(connection.handshake.client())) {
+        drop(session);
+        return;
+    }
+    connection.greeted = true;
+    m_transport.send(session, *challenge);
+}
+
+// The client is looked at again, as its name may have been superseded or removed since its hello. A peer has one
+// connection; an older one is left over from before a cut.
+auto incoming_links::readProof(websocket::session_id session, incoming_connection &connection,
+                               const std::string &message) -> void
+{
+    const auto client = connection.handshake.client();
+    if (!connection.handshake.acceptProof(message)) {
+        ++m_counters.unauthorised;
+        drop(session);
+        return;
+    }
+    if (!m_hooks.admits(client)) {
+        drop(session);
+        return;
+    }
+    dropMember(client.name, session);
+    connection.channel.emplace(connection.handshake.channel());
+    connection.deadline = link_clock::now() + m_options.silenceTimeout;
+    m_transport.setMaxMessageBytes(session, m_options.maxMessageBytes + frameOverheadBytes);
+    m_transport.send(session, connection.channel->sealer.seal(frame_type::welcome, {}));
+    m_hooks.onAuthenticated(client);
+}
+
+auto incoming_links::readFrame(websocket::session_id session, incoming_connection &connection,
+                               const std::string &message) -> void
+{
+    const auto frame = connection.channel->opener.open(message);
+    if (frame.problem) {
+        countProblem(m_counters, *frame.problem);
+        drop(session);
+        return;
+    }
+    connection.deadline = link_clock::now() + m_options.silenceTimeout;
+    if (frame.type == frame_type::ping) {
+        m_transport.send(session, connection.channel->sealer.seal(frame_type::pong, {}));
+    } else if (frame.type == frame_type::data) {
+        ++m_counters.received;
+        const auto client = connection.handshake.client();
+        m_hooks.onMessage(client, std::string{frame.payload});
+    }
+}
+} // namespace poplarpass::net::internal
--- a/src/poplarpass/net/peer_state.cpp
+++ b/src/poplarpass/net/peer_state.cpp
@@ -4,6 +4,32 @@
 
 namespace poplarpass::net::internal
 {
+auto countProblem(peer_link_counters &counters, frame_problem problem) -> void
+{
+    switch (problem) {
+    case frame_problem::malformed:
+        ++counters.malformed;
+        break;
+    case frame_problem::unauthorised:
+        ++counters.unauthorised;
+        break;
+    case frame_problem::replayed:
+        ++counters.replayed;
+        break;
+    }
+}
+
+auto countProblem(peer_link_counters &counters, const core::error &problem) -> void
+{
+    ++(problem.kind == core::error_kind::unauthorised ? counters.unauthorised : counters.malformed);
+}
+
+auto countProblem(peer_link_counters &counters, websocket::end_reason reason) -> void
+{
+    counters.malformed += reason == websocket::end_reason::malformed ? 1 : 0;
+    counters.oversized += reason == websocket::end_reason::oversized ? 1 : 0;
+}
+
 backoff::backoff(std::chrono::milliseconds least, std::chrono::milliseconds most)
     : m_least{least}
     , m_most{most}
--- a/src/poplarpass/net/peer_state.h
+++ b/src/poplarpass/net/peer_state.h
@@ -15,15 +15,6 @@
 /// \brief Superseded incarnations that are remembered for each peer.
 inline constexpr std::size_t rememberedIncarnations = 16;
 
-/// \brief Connection from a peer, from which messages are received.
-struct incoming_connection
-{
-    server_handshake handshake; ///< Its opening.
-    std::optional<sealed_channel> channel; ///< Set once it is authenticated.
-    bool greeted = false; ///< Whether the hello has come.
-    link_clock::time_point deadline; ///< It is dropped at that time.
-};
-
 /// \brief Connection to a peer, over which messages are sent.
 struct outgoing_connection
 {
@@ -35,6 +26,15 @@
     link_clock::time_point nextPing; ///< Time of the next ping.
 };
 
+/// \brief Counts a frame that was not accepted.
+auto countProblem(peer_link_counters &counters, frame_problem problem) -> void;
+
+/// \brief Counts an opening that failed.
+auto countProblem(peer_link_counters &counters, const core::error &problem) -> void;
+
+/// \brief Counts the end of a connection, if it was the other side's fault.
+auto countProblem(peer_link_counters &counters, websocket::end_reason reason) -> void;
+
 /// \brief Delays between attempts: doubling, and shortened at random by up to half.
 class backoff
 {
--- a/tests/io/peer_link_test.cpp
+++ b/tests/io/peer_link_test.cpp
@@ -386,3 +386,69 @@
         CHECK_FALSE(client.acceptChallenge(changed));
     }
 }
+
+TEST_CASE("what was sent before a graceful end still arrives", "[net]")
+{
+    linked_pair pair;
+    REQUIRE(pair.bothUp());
+    for (int index = 0; index < 50; ++index) {
+        REQUIRE(pair.a.link->send(core::member_id{"b"}, std::string(10'000, 'x')));
+    }
+    pair.a.link->close();
+    CHECK_FALSE(pair.a.link->send(core::member_id{"b"}, "late"));
+    REQUIRE(runUntil(pair.context, [&] { return pair.b.sawDown(net::down_reason::refused); }));
+    CHECK(pair.b.received.size() == 50);
+    CHECK(pair.a.downs.empty());
+}
+
+TEST_CASE("a hook may close or destroy its link", "[net]")
+{
+    linked_pair pair;
+    REQUIRE(pair.bothUp());
+    boost::asio::io_context &context = pair.context;
+    for (const bool destroy : {false, true}) {
+        std::unique_ptr<net::peer_link> link;
+        bool ended = false;
+        const auto end = [&] {
+            ended = true;
+            destroy ? link.reset() : link->close();
+        };
+        net::peer_link_hooks hooks;
+        hooks.onMessage = [&](const core::member_id &, std::uint64_t, const std::string &) {
+            end();
+        };
+        hooks.onUp = [&](const core::member_id &, std::uint64_t) {
+            pair.a.link->setPeers(std::vector{addressOf("c", link->port())});
+        };
+        hooks.onDown = [](const core::member_id &, net::down_reason) {
+        };
+        link = std::make_unique<net::peer_link>(context, optionsOf("c", destroy ? 2 : 1), hooks);
+        REQUIRE(link->listen());
+        pair.a.link->setPeers(std::vector{addressOf("c", link->port())});
+        link->setPeers(std::vector{addressOf("a", pair.a.link->port())});
+        REQUIRE(runUntil(context, [&] { return linked_pair::isUp(pair.a, "c"); }));
+        REQUIRE(pair.a.link->send(core::member_id{"c"}, "end"));
+        REQUIRE(runUntil(context, [&] { return ended && !linked_pair::isUp(pair.a, "c"); }));
+    }
+}
+
+TEST_CASE("connections over the limit are turned away", "[net]")
+{
+    boost::asio::io_context context;
+    auto options = optionsOf("a");
+    options.maxIncoming = 2;
+    options.openTimeout = 100ms;
+    observed_link a{context, options};
+    REQUIRE(a.link->listen());
+    std::vector<tcp::socket> strangers;
+    for (int index = 0; index < 5; ++index) {
+        strangers.emplace_back(context).connect({boost::asio::ip::address_v4::loopback(), a.link->port()});
+    }
+    REQUIRE(runUntil(context, [&] { return a.link->counters().turnedAway == 3; }));
+    bool closed = false;
+    std::array<char, 1> byte{};
+    strangers.front().async_read_some(
+        boost::asio::buffer(byte),
+        [&](const boost::system::error_code &problem, std::size_t) { closed = static_cast<bool>(problem); });
+    REQUIRE(runUntil(context, [&] { return closed; }));
+}
