--- a/src/poplarpass/request/admission_queue.cpp
+++ b/src/poplarpass/request/admission_queue.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace poplarpass::request
 {
@@ -105,7 +106,6 @@
     auto &job = found->second;
     stopRunning(job);
     job.isRunning = false;
-    job.asked = false;
     job.since = now;
     m_levels[indexOf(job.level)].pushFront(job.team, ticket, costOf(job.expected));
     ++m_teams[job.team].queued;
@@ -152,29 +152,30 @@
     return expired;
 }
 
-auto admission_queue::makeRoom(int freeSlots, core::monotonic_time now) -> std::vector<ticket_id>
+// Waiting until a job has waited too long would be too late: a surge fills the queue faster than a checkpoint ends. So
+// room is made for the work that waits, as soon as the slots without long work cannot do it in time.
+auto admission_queue::makeRoom(int freeSlots, core::monotonic_time /*now*/) -> std::vector<ticket_id>
 {
     std::vector<ticket_id> named;
-    if (oldestUrgentWait(now) < makeRoomAfter) {
+    const auto &urgent = m_levels[indexOf(urgency::urgent)];
+    const auto &normal = m_levels[indexOf(urgency::normal)];
+    if (static_cast<int>(urgent.size() + normal.size()) <= freeSlots) {
         return named;
     }
-    auto wanted = static_cast<std::ptrdiff_t>(m_levels[indexOf(urgency::urgent)].size()) - freeSlots;
-    std::vector<std::pair<core::monotonic_time, ticket_id>> candidates;
-    for (const auto &[ticket, job] : m_jobs) {
-        if (!job.isRunning || job.level != urgency::batch) {
-            continue;
-        }
-        wanted -= job.asked ? 1 : 0;
-        if (!job.asked) {
-            candidates.emplace_back(job.since, ticket);
-        }
-    }
-    std::ranges::sort(candidates, std::greater<>{});
-    for (const auto &[since, ticket] : candidates) {
-        if (static_cast<std::ptrdiff_t>(named.size()) >= wanted) {
+    const auto candidates = batchToAsk();
+    const auto shortSlots = static_cast<double>(freeSlots) + static_cast<double>(m_running - m_longRunning + m_asked);
+    const auto forUrgent = urgent.seconds() / toSeconds(urgentDrainTarget);
+    const auto forNormal = normal.seconds() / toSeconds(normalDrainTarget);
+    const auto share = std::ceil(batchShare * m_capacity);
+    const auto spare = std::max(0.0, static_cast<double>(candidates.size()) - share);
+    const auto urgentRoom = std::max(0.0, std::ceil(forUrgent - shortSlots));
+    const auto room = std::max(urgentRoom, std::min(spare, std::ceil(forUrgent + forNormal - shortSlots)));
+    for (const auto ticket : candidates) {
+        if (static_cast<double>(named.size()) >= room) {
             break;
         }
         m_jobs.at(ticket).asked = true;
+        ++m_asked;
         named.push_back(ticket);
     }
     return named;
@@ -182,8 +183,9 @@
 
 auto admission_queue::makeRoomFailed(ticket_id ticket) -> void
 {
-    if (const auto found = m_jobs.find(ticket); found != m_jobs.end()) {
+    if (const auto found = m_jobs.find(ticket); found != m_jobs.end() && found->second.asked) {
         found->second.asked = false;
+        --m_asked;
     }
 }
 
@@ -325,10 +327,29 @@
     --m_teams[job.team].running;
     --m_running;
     m_longRunning -= isLong(job.expected) ? 1 : 0;
+    m_asked -= job.asked ? 1 : 0;
+    job.asked = false;
     m_runningSeconds -= costOf(job.expected);
     updateCapped(job.team);
 }
 
+// The youngest first: the oldest are nearest to their end.
+auto admission_queue::batchToAsk() const -> std::vector<ticket_id>
+{
+    std::vector<std::pair<core::monotonic_time, ticket_id>> candidates;
+    for (const auto &[ticket, job] : m_jobs) {
+        if (job.isRunning && !job.asked && job.level == urgency::batch && isLong(job.expected)) {
+            candidates.emplace_back(job.since, ticket);
+        }
+    }
+    std::ranges::sort(candidates, std::greater<>{});
+    std::vector<ticket_id> tickets;
+    for (const auto &[since, ticket] : candidates) {
+        tickets.push_back(ticket);
+    }
+    return tickets;
+}
+
 auto admission_queue::headOf(urgency level) const -> const job_state *
 {
     const auto head = m_levels[indexOf(level)].front();
--- a/src/poplarpass/request/admission_queue.h
+++ b/src/poplarpass/request/admission_queue.h
@@ -69,7 +69,7 @@
     auto cancel(ticket_id ticket) -> bool;
     /// \brief Takes out the jobs whose deadline passed while they waited.
     auto expire(core::monotonic_time now) -> std::vector<ticket_id>;
-    /// \brief Running batch jobs that should be checkpointed or throttled now so that urgent work starts in time.
+    /// \brief Running batch jobs to checkpoint or throttle now so that urgent work starts in time and normal work soon.
     ///
     /// Each job is named once; name it again by putting it back with requeue() or by makeRoomFailed().
     auto makeRoom(int freeSlots, core::monotonic_time now) -> std::vector<ticket_id>;
@@ -114,6 +114,7 @@
     auto leaveQueue(ticket_id ticket, job_state &job) -> void;
     auto start(ticket_id ticket, job_state &job, core::monotonic_time now) -> void;
     auto stopRunning(job_state &job) -> void;
+    [[nodiscard]] auto batchToAsk() const -> std::vector<ticket_id>;
     [[nodiscard]] auto headOf(urgency level) const -> const job_state *;
     auto updateCapped(std::uint32_t team) -> void;
 
@@ -130,6 +131,7 @@
     std::size_t m_queued = 0;
     std::size_t m_running = 0;
     std::size_t m_longRunning = 0;
+    std::size_t m_asked = 0;
     double m_runningSeconds = 0.0;
     bool m_urgentSeen = false;
 };
--- a/src/poplarpass/request/constants.h
+++ b/src/poplarpass/request/constants.h
@@ -63,8 +63,10 @@
 
 /// \brief Time within which urgent work must start.
 inline constexpr core::duration urgentStartBound = 1900ms;
-/// \brief Wait of an urgent job after which room is made for it.
-inline constexpr core::duration makeRoomAfter = 500ms;
+/// \brief Time within which the waiting urgent work should be done; batch jobs make room when it would take longer.
+inline constexpr core::duration urgentDrainTarget = 300ms;
+/// \brief The same for normal work, which leaves batch work its share.
+inline constexpr core::duration normalDrainTarget = 2s;
 /// \brief Part of the slot-seconds that batch work gets while normal work waits as well.
 inline constexpr double batchShare = 0.1;
 /// \brief Part of the slots that long work leaves free once urgent work has been seen.
--- a/src/poplarpass/request/key_authority.cpp
+++ b/src/poplarpass/request/key_authority.cpp
@@ -54,6 +54,10 @@
         return out;
     }
     step s{*key, **record, at, out};
+    if (s.record.state == key_state::answered) {
+        answerWaiter(s, who, s.record.answer);
+        return out;
+    }
     join(s, std::make_shared<const job_spec>(spec), who, 0);
     return out;
 }
