Admission: jobs that were asked to make room are not asked for again

Ruled out: a pause between calls; it would be too long in a surge or too short at rest. Change: slots that come free by earlier requests count against the urgent jobs that wait.

--- a/src/poplarpass/request/admission_queue.cpp
+++ b/src/poplarpass/request/admission_queue.cpp
@@ -168,8 +168,12 @@
     const auto forNormal = normal.seconds() / toSeconds(normalDrainTarget);
     const auto share = std::ceil(batchShare * m_capacity);
     const auto spare = std::max(0.0, static_cast<double>(candidates.size()) - share);
-    const auto urgentRoom = std::clamp(std::ceil(forUrgent - shortSlots), 0.0, static_cast<double>(urgent.size()));
-    const auto room = std::max(urgentRoom, std::min(spare, std::ceil(forUrgent + forNormal - shortSlots)));
+    const auto coming = static_cast<double>(freeSlots) + static_cast<double>(m_asked);
+    const auto unserved = std::max(0.0, static_cast<double>(urgent.size()) - coming);
+    const auto urgentRoom = std::clamp(std::ceil(forUrgent - shortSlots), 0.0, unserved);
+    const auto leftForNormal = std::max(0.0, shortSlots - forUrgent);
+    const auto normalRoom = std::clamp(std::ceil(forNormal - leftForNormal), 0.0, static_cast<double>(normal.size()));
+    const auto room = std::max(urgentRoom, std::min(spare, urgentRoom + normalRoom));
     for (const auto ticket : candidates) {
         if (static_cast<double>(named.size()) >= room) {
             break;
