--- a/src/poplarpass/app/control_process.cpp
+++ b/src/poplarpass/app/control_process.cpp
@@ -39,6 +39,7 @@
              },
              [this](core::monotonic_time sentAt) {
                  m_role.onReadToEnd(sentAt);
+                 m_peers.useMembers(m_log.state().members());
              }}}
     , m_peers{m_process,
               {[this](const request::member_ref &from, const request::peer_message &message) {
--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -220,6 +220,9 @@
 {
     const auto &state = m_log.state();
     const auto &history = state.entries();
+    if (m_log.follower().readToEndSince()) {
+        m_peers.useMembers(state.members());
+    }
     if (!m_log.follower().readToEndSince() || history.epoch <= m_entryEpoch) {
         return;
     }
@@ -227,18 +230,18 @@
     request::membership list;
     list.epoch = history.epoch;
     list.aloneUntil = toWallTime(history.aloneUntilUnixMs);
-    std::vector<net::peer_address> addresses;
     for (const auto &member : state.members()) {
-        addresses.push_back({member.joined.member, member.joined.address});
         if (member.joined.kind == fold::member_kind::entry) {
             list.members.push_back({member.joined.member, member.joined.incarnation});
         }
     }
     for (const auto &loss : history.losses) {
-        list.losses.push_back(
-            {{loss.member, loss.incarnation}, core::fromUnixMilliseconds(static_cast<std::int64_t>(loss.atUnixMs))});
+        list.losses.push_back({toMember(loss.run), loss.epoch, toWallTime(loss.atUnixMs)});
+    }
+    for (const auto &removal : history.unsettled) {
+        list.unsettled.push_back({removal.epoch, {}});
+        std::ranges::transform(removal.before, std::back_inserter(list.unsettled.back().before), toMember);
     }
-    m_peers.useMembers(addresses);
     m_authority.foldEpoch(list, now());
     m_process.log.log(observe::log_level::info, "entry_list",
                       {{"epoch", list.epoch}, {"entries", list.members.size()}});
--- a/src/poplarpass/app/peer_hub.cpp
+++ b/src/poplarpass/app/peer_hub.cpp
@@ -71,16 +71,16 @@
     m_link.setPeers(addresses);
 }
 
-auto peer_hub::useMembers(std::span<const net::peer_address> members) -> void
+auto peer_hub::useMembers(std::span<const fold::member_state> members) -> void
 {
     bool changed = false;
-    for (const auto &member : members) {
-        if (member.name == m_process.settings.process.name || member.address.empty()) {
+    for (const auto &[joined, since] : members) {
+        if (joined.member == m_process.settings.process.name || joined.address.empty()) {
             continue;
         }
-        auto &known = m_peers[member.name];
-        changed = changed || known.address != member.address;
-        known.address = member.address;
+        auto &known = m_peers[joined.member];
+        changed = changed || known.address != joined.address;
+        known.address = joined.address;
     }
     if (changed) {
         applyPeers();
