--- a/src/poplarpass/app/control_process.cpp
+++ b/src/poplarpass/app/control_process.cpp
@@ -18,14 +18,18 @@
 constexpr std::size_t maxProbesPerPoll = 64;
 constexpr core::duration snapshotTimeout = std::chrono::seconds{10};
 
-auto controllerHooks() -> control::controller_hooks
+} // namespace
+
+auto control_process::controllerHooks() -> control::controller_hooks
 {
     control::controller_hooks hooks;
     hooks.calendarIsOpen = config::isOpen;
     hooks.chooseDrains = control::leastLossPolicy(config::isOpen);
+    hooks.chooseMoves = [this](const control::move_query &query) {
+        return m_moves.choose(query);
+    };
     return hooks;
 }
-} // namespace
 
 control_process::control_process(settings::process_settings given)
     : m_process{std::move(given), "control"}
@@ -59,6 +63,7 @@
                }}
     , m_role{m_process.settings.process.name, m_process.incarnation}
     , m_keeper{ownJoinRecord(m_process, fold::member_kind::control, {})}
+    , m_moves{{[this](const core::pool_id &pool) { return m_forecast.expectedSlots(pool); }, config::isOpen}}
     , m_hosts{m_process.settings.process.name, m_process.incarnation, controllerHooks()}
 {
 }
@@ -144,6 +149,26 @@
 {
     m_liveness.onHeartbeat(from.member, from.incarnation, beat.hears, monotonicNow());
     m_log.follower().notePeerOffset(beat.foldedOffset);
+    takeDemand(from, beat);
+}
+
+// The demand of a pool is what runs and waits at all entries that are heard; a silent one counts no more.
+auto control_process::takeDemand(const request::member_ref &from, const request::heartbeat &beat) -> void
+{
+    const auto now = monotonicNow();
+    m_demand[from.member] = beat.demand;
+    for (const auto &changed : beat.demand) {
+        double slots = 0;
+        for (const auto &[member, figures] : m_demand) {
+            if (member != from.member && !m_liveness.hears(member, now)) {
+                continue;
+            }
+            for (const auto &figure : figures) {
+                slots += figure.pool == changed.pool ? static_cast<double>(figure.queued + figure.running) : 0.0;
+            }
+        }
+        m_forecast.onDemand(changed.pool, slots, now);
+    }
 }
 
 auto control_process::takeSightings(const request::sightings_report &report) -> void
--- a/src/poplarpass/app/control_process.h
+++ b/src/poplarpass/app/control_process.h
@@ -9,6 +9,7 @@
 #include <poplarpass/control.h>
 #include <poplarpass/control/member_keeper.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -33,6 +34,8 @@
     auto onApplied(const core::record_id &id, const fold::record &change, const fold::applied &outcome) -> void;
     auto onMessage(const request::member_ref &from, const request::peer_message &message) -> void;
     auto takeHeartbeat(const request::member_ref &from, const request::heartbeat &beat) -> void;
+    auto takeDemand(const request::member_ref &from, const request::heartbeat &beat) -> void;
+    auto controllerHooks() -> control::controller_hooks;
     auto takeSightings(const request::sightings_report &report) -> void;
     auto onPeerDown(const core::member_id &peer, net::down_reason reason) -> void;
     auto tick() -> void;
@@ -61,6 +64,9 @@
     control::role_keeper m_role;
     control::member_keeper m_keeper;
     control::liveness_view m_liveness;
+    std::map<core::member_id, std::vector<request::pool_demand>> m_demand;
+    control::demand_forecast m_forecast;
+    control::move_planner m_moves;
     control::host_controller m_hosts;
     fold::snapshot_policy m_snapshots;
     std::set<core::member_id> m_removing;
--- /dev/null
+++ b/tests/process/load.cpp
@@ -0,0 +1,128 @@
+#include "load.h"
+
+#include "test_seed.h"
+
+#include <map>
+#include <random>
+
+namespace tests
+{
+namespace
+{
+using nlohmann::json;
+
+auto countStarts(const json &journal) -> std::map<std::string, int>
+{
+    std::map<std::string, int> starts;
+    for (const auto &worker : journal.at("workers")) {
+        for (const auto &run : worker.at("runs")) {
+            ++starts[run.at("task_id").get<std::string>()];
+        }
+    }
+    return starts;
+}
+} // namespace
+
+load::load(deployment &fleet, int callers, int runTimeMs)
+    : m_fleet{fleet}
+    , m_runTimeMs{runTimeMs}
+{
+    for (const auto &entry : fleet.entries()) {
+        m_addresses.push_back(fleet.callers(entry));
+    }
+    for (int caller = 0; caller < callers; ++caller) {
+        m_threads.emplace_back([this, caller] { sendLoop(baseSeed() + static_cast<std::uint64_t>(caller)); });
+    }
+}
+
+load::~load()
+{
+    finish();
+}
+
+auto load::sendLoop(std::uint64_t seed) -> void
+{
+    std::mt19937_64 random{seed};
+    while (!m_stopping) {
+        const auto key = mintKey();
+        const auto first = random() % m_addresses.size();
+        const auto second = random() % m_addresses.size();
+        std::thread racing;
+        // One key in three arrives at another entry at the same time, one in three again after its answer.
+        const auto repeat = random() % 3;
+        if (repeat == 0) {
+            racing = std::thread{[&] {
+                sendOne(m_fleet.entries()[second], m_addresses[second], key);
+            }};
+        }
+        sendOne(m_fleet.entries()[first], m_addresses[first], key);
+        if (racing.joinable()) {
+            racing.join();
+        }
+        if (repeat == 1) {
+            sendOne(m_fleet.entries()[second], m_addresses[second], key);
+        }
+    }
+}
+
+auto load::sendOne(const std::string &entry, const std::string &address, const std::string &key) -> void
+{
+    const auto answer = httpCall(address, "POST", "/v1/jobs", jobBody(key, m_runTimeMs), std::chrono::seconds{60});
+    const auto body = json::parse(answer.body, nullptr, false);
+    told one{key, entry, answer.status, {}, {}, {}};
+    if (body.is_object()) {
+        one.error = body.value("error", "");
+        one.ran = body.value("ran", "");
+        one.output = body.value("output", "");
+    }
+    const std::scoped_lock lock{m_mutex};
+    m_told.push_back(std::move(one));
+}
+
+auto load::finish() -> std::vector<told>
+{
+    m_stopping = true;
+    for (auto &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+    const std::scoped_lock lock{m_mutex};
+    return m_told;
+}
+
+auto load::count() -> std::size_t
+{
+    const std::scoped_lock lock{m_mutex};
+    return m_told.size();
+}
+
+auto check(const std::vector<told> &all, const json &journal) -> verdict
+{
+    verdict result;
+    const auto starts = countStarts(journal);
+    for (const auto &[task, count] : starts) {
+        if (count > 1) {
+            result.violations.push_back(task + " was started " + std::to_string(count) + " times");
+        }
+    }
+    for (const auto &one : all) {
+        const auto found = starts.find(one.key);
+        const int started = found == starts.end() ? 0 : found->second;
+        result.answered += one.status != 0 ? 1 : 0;
+        result.broken += one.status == 0 ? 1 : 0;
+        result.finished += one.status == 200 ? 1 : 0;
+        result.notRun += one.ran == "not_run" ? 1 : 0;
+        result.unknown += one.ran == "unknown" ? 1 : 0;
+        if (one.ran == "not_run" && started != 0) {
+            result.violations.push_back(one.key + " was told not_run (" + one.error + ") by " + one.entry + " but ran");
+        }
+        if (one.status == 200 && one.output != "done:" + one.key) {
+            result.violations.push_back(one.key + " got the answer of another request: " + one.output);
+        }
+        if (one.status == 200 && started == 0) {
+            result.violations.push_back(one.key + " was told finished but no worker saw it");
+        }
+    }
+    return result;
+}
+} // namespace tests
