--- a/src/poplarpass/app/entry_process.h
+++ b/src/poplarpass/app/entry_process.h
@@ -58,12 +58,12 @@
     auto takeState(const request::state_reply &reply) -> void;
     auto askForState() -> void;
 
-    auto handle(net::http_request message, std::shared_ptr<net::responder> caller) -> void;
+    auto handle(const net::http_request &message, const std::shared_ptr<net::responder> &caller) -> void;
     auto submit(const net::http_request &message, const std::shared_ptr<net::responder> &caller) -> void;
     auto submitDirect(job_submission submission, const std::shared_ptr<net::responder> &caller) -> void;
     auto submitKeyed(const job_submission &submission, const std::shared_ptr<net::responder> &caller) -> void;
-    auto ask(const net::http_request &message, const core::job_key &key,
-             const std::shared_ptr<net::responder> &caller) -> void;
+    auto ask(const net::http_request &message, const core::job_key &key, const std::shared_ptr<net::responder> &caller)
+        -> void;
     auto cancel(const core::job_key &key, const std::shared_ptr<net::responder> &caller) -> void;
     auto addCaller(const core::job_key &key, const std::shared_ptr<net::responder> &responder, bool isCancel)
         -> request::waiter_id;
--- a/src/poplarpass/request/peer_message.h
+++ b/src/poplarpass/request/peer_message.h
@@ -163,8 +163,8 @@
 {
     core::job_key key; ///< The key.
     std::uint64_t digest = 0; ///< Digest of the job.
-    member_ref holder; ///< Who has the right to it; empty name when nobody.
-    bool promised = false; ///< Whether the sender promised never to dispatch it.
+    member_ref holder; ///< Who was granted it; an empty name when nobody.
+    std::vector<member_ref> claimants; ///< Members that claimed it and may have dispatched it.
     std::optional<job_answer> answer; ///< The answer, if it is known.
 };
 
@@ -245,8 +245,7 @@
 };
 
 /// \brief Any message between two processes of the system.
-using peer_message =
-    std::variant<grant_request, grant_reply, promise_request, promise_reply, job_query, job_report, cancel_request,
-                 cancel_reply, delegate, delegate_reply, handover, handover_reply, heartbeat, sightings_report,
-                 state_request, state_reply>;
+using peer_message = std::variant<grant_request, grant_reply, promise_request, promise_reply, job_query, job_report,
+                                  cancel_request, cancel_reply, delegate, delegate_reply, handover, handover_reply,
+                                  heartbeat, sightings_report, state_request, state_reply>;
 } // namespace poplarpass::request
