WebSocket sessions let go of the protocol object when they end

Cause: a connection that ended before its opening handshake kept its protocol object for ever, as that holds itself while it waits for bytes; the leak check reported 108600 bytes in 69 allocations over io_tests of net, settings and observe. Change: an ended session tells the protocol object that no bytes will come.

--- a/src/poplarpass/net/websocket/session.cpp
+++ b/src/poplarpass/net/websocket/session.cpp
@@ -170,9 +170,13 @@
         end(problem == boost::asio::error::timed_out ? end_reason::unreachable : end_reason::closed);
         return;
     }
+    m_feeding = true;
     m_protocol->read_all(m_readBuffer.data(), length);
+    m_feeding = false;
     checkProtocol();
-    if (!m_ended) {
+    if (m_ended) {
+        releaseProtocol();
+    } else {
         read();
     }
 }
@@ -244,5 +248,14 @@
     m_drainTimer.cancel();
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
+    releaseProtocol();
+}
+
+// The protocol object holds itself while it waits for bytes, and waits again after each message that it has handled.
+auto session::releaseProtocol() -> void
+{
+    if (!m_feeding) {
+        m_protocol->eof();
+    }
 }
 } // namespace poplarpass::net::websocket::internal
--- a/src/poplarpass/net/websocket/session.h
+++ b/src/poplarpass/net/websocket/session.h
@@ -97,6 +97,7 @@
     auto end(end_reason reason) -> void;
     auto drain() -> void;
     auto closeSocket() -> void;
+    auto releaseProtocol() -> void;
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_drainTimer;
@@ -105,6 +106,7 @@
     std::array<char, 16384> m_readBuffer{};
     std::string m_pending;
     std::string m_writing;
+    bool m_feeding = false;
     bool m_ended = false;
 };
 } // namespace poplarpass::net::websocket::internal
