--- a/src/poplarpass/request/key_authority.cpp
+++ b/src/poplarpass/request/key_authority.cpp
@@ -54,6 +54,10 @@
         return out;
     }
     step s{*key, **record, at, out};
+    if (s.record.state == key_state::answered) {
+        answerWaiter(s, who, s.record.answer);
+        return out;
+    }
     join(s, std::make_shared<const job_spec>(spec), who, 0);
     return out;
 }
@@ -220,7 +224,7 @@
         follow(s, *holder);
         return;
     }
-    if (!m_authority.mayAct(s.at.now)) {
+    if (m_leaving || !m_authority.mayAct(s.at.now)) {
         fail(s, core::error_kind::authority_lapsed, "membership could not be confirmed");
         return;
     }
@@ -245,7 +249,7 @@
                                && s.record.state != key_state::answered,
                            core::invariant_kind::at_most_once,
                            [&s] { return "key=" + unpackKey(s.key).str() + " held against a promise"; });
-    if (!m_authority.mayAct(s.at.now)) {
+    if (m_leaving || !m_authority.mayAct(s.at.now)) {
         fail(s, core::error_kind::authority_lapsed, "membership could not be confirmed");
         return;
     }
