Doc comment of the log's default sink

Cause: it named standard error; the lines go to standard output. Change: the comment. Measured: five events of a small program on the library stood on standard output, one line each, and no file was written.

--- a/src/poplarpass/observe/logger.h
+++ b/src/poplarpass/observe/logger.h
@@ -82,7 +82,7 @@
     log_level level = log_level::info; ///< Least level that is written.
     std::uint32_t burst = 20; ///< Events of one name that are written in one period.
     core::duration period = std::chrono::seconds{1}; ///< Period of the rate limit.
-    /// \brief Takes a finished line; standard error, through easylogging++, if not set.
+    /// \brief Takes a finished line; standard output, through easylogging++, if not set.
     std::function<void(log_level, std::string_view)> sink;
     /// \brief Wall time of events; the system clock if not set.
     std::function<core::wall_time()> now;
