--- a/src/poplarpass/request/key_authority.h
+++ b/src/poplarpass/request/key_authority.h
@@ -104,6 +104,8 @@
     auto fail(step &s, core::error_kind kind, std::string_view why) -> void;
     auto answerWaiter(step &s, const waiter &who, const shared_answer &answer) -> void;
     auto refuseWaiter(step &s, const waiter &who, const shared_answer &answer) -> void;
+
+    // Steps and their timeouts (key_authority_steps.cpp).
     auto setTimer(step &s, core::monotonic_time due) -> void;
     auto runTimer(step &s) -> void;
     auto retryLater(step &s) -> void;
