Tests: lint of the fleet simulation; a reference into a temporary in a test

Cause: clang-tidy named four copied parameters and one dangling reference. Ruled out: nothing. Change: passed by reference; the query is copied.

--- a/tests/decisions/fleet_sim.cpp
+++ b/tests/decisions/fleet_sim.cpp
@@ -73,7 +73,7 @@
 }
 
 // What happens at a frozen process waits until it wakes.
-auto fleet_sim::onHost(int index, std::uint64_t incarnation, std::function<void(entry &)> run) -> void
+auto fleet_sim::onHost(int index, std::uint64_t incarnation, const std::function<void(entry &)> &run) -> void
 {
     auto &place = m_hosts[static_cast<std::size_t>(index)];
     if (!place.process || place.incarnation != incarnation) {
@@ -230,11 +230,11 @@
     }
 }
 
-auto fleet_sim::act(int index, entry &process, request::key_actions actions) -> void
+auto fleet_sim::act(int index, entry &process, const request::key_actions &actions) -> void
 {
-    for (auto &action : actions) {
-        if (auto *message = std::get_if<request::send_action>(&action)) {
-            send(index, message->to, std::move(message->message));
+    for (const auto &action : actions) {
+        if (const auto *message = std::get_if<request::send_action>(&action)) {
+            send(index, message->to, message->message);
         } else if (const auto *start = std::get_if<request::dispatch_action>(&action)) {
             auto &state = process.attempts[start->key];
             state.spec = start->spec;
@@ -300,7 +300,7 @@
 }
 
 // Delays reorder messages; some are lost, doubled, or come very late.
-auto fleet_sim::send(int from, const request::member_ref &to, request::peer_message message) -> void
+auto fleet_sim::send(int from, const request::member_ref &to, const request::peer_message &message) -> void
 {
     const auto target = memberIndex(to.member);
     const auto sender = m_hosts[static_cast<std::size_t>(from)].process->decider.self();
--- a/tests/decisions/fleet_sim.h
+++ b/tests/decisions/fleet_sim.h
@@ -151,7 +151,7 @@
     // Engine.
     auto at(time due, task run) -> void;
     auto after(core::duration delay, task run) -> void;
-    auto onHost(int index, std::uint64_t incarnation, std::function<void(entry &)> run) -> void;
+    auto onHost(int index, std::uint64_t incarnation, const std::function<void(entry &)> &run) -> void;
     auto instantOf(int index) const -> request::instant;
     auto chance(double probability) -> bool;
     auto between(core::duration low, core::duration high) -> core::duration;
@@ -166,10 +166,10 @@
     auto heartbeat(int index, std::uint64_t incarnation) -> void;
     auto readLog(int index, std::uint64_t incarnation) -> void;
     auto fold(int index, entry &process, std::size_t upTo, std::uint64_t settled, time startedAt) -> void;
-    auto act(int index, entry &process, request::key_actions actions) -> void;
+    auto act(int index, entry &process, const request::key_actions &actions) -> void;
     auto answer(int index, entry &process, request::waiter_id who, const request::job_answer &answer) -> void;
     auto cancelled(const request::cancel_action &result) -> void;
-    auto send(int from, const request::member_ref &to, request::peer_message message) -> void;
+    auto send(int from, const request::member_ref &to, const request::peer_message &message) -> void;
     auto deliver(int from, const request::member_ref &sender, int to, const request::peer_message &message) -> void;
     auto refuse(int from, const core::member_id &to, core::duration delay) -> void;
 
@@ -180,7 +180,7 @@
     auto arrive(int index, std::uint64_t incarnation, const request::packed_key &key, int number, int target,
                 std::uint64_t lease) -> void;
     auto reply(int index, std::uint64_t incarnation, const request::packed_key &key, int number,
-               platform::start_answer answer) -> void;
+               const platform::start_answer &answer) -> void;
     auto decide(int index, entry &process, const request::packed_key &key, const request::attempt_decision &decision)
         -> void;
     auto askWorker(int index, entry &process, const request::packed_key &key) -> void;
--- a/tests/decisions/fleet_sim_workers.cpp
+++ b/tests/decisions/fleet_sim_workers.cpp
@@ -102,7 +102,8 @@
     const auto name = request::unpackKey(key).str();
     platform::start_answer answer;
     answer.outcome = platform::start_outcome::not_started;
-    const auto back = [this, index, incarnation, key, number](platform::start_answer result, core::duration delay) {
+    const auto back = [this, index, incarnation, key, number](const platform::start_answer &result,
+                                                              core::duration delay) {
         if (!m_options.faults || chance(0.97)) {
             after(delay,
                   [this, index, incarnation, key, number, result] { reply(index, incarnation, key, number, result); });
@@ -143,7 +144,7 @@
 }
 
 auto fleet_sim::reply(int index, std::uint64_t incarnation, const request::packed_key &key, int number,
-                      platform::start_answer answer) -> void
+                      const platform::start_answer &answer) -> void
 {
     onHost(index, incarnation, [this, index, key, number, answer](entry &process) {
         auto &state = process.attempts[key];
--- a/tests/decisions/key_authority_test.cpp
+++ b/tests/decisions/key_authority_test.cpp
@@ -193,7 +193,7 @@
     const auto next = entry.keys.submit(spec, 1, entry.at);
     REQUIRE(sentIn<request::job_query>(next).size() == 1);
     CHECK(sentIn<request::job_query>(next)[0].first == member(2));
-    const auto &query = sentIn<request::job_query>(next)[0].second;
+    const auto query = sentIn<request::job_query>(next)[0].second;
     request::grant_reply reply{query.correlation, 1, spec.key, request::grant_status::granted, {}, std::nullopt};
     CHECK(entry.keys.receive(member(1), reply, entry.at).empty());
 }
