At most once: a test of leaving, and what failed when the protocol was broken on purpose

Cause: of 18 changes made on purpose one, a leaving entry that takes handovers, failed no test. Ruled out: more fixed histories; that order of events is rare.

--- a/tests/decisions/key_authority_test.cpp
+++ b/tests/decisions/key_authority_test.cpp
@@ -268,6 +268,36 @@
     CHECK(cancelOutcome(entry.keys.cancel(running.key, 5, entry.at)) == request::cancel_outcome::stopped);
 }
 
+TEST_CASE("an entry that leaves hands each key to two others, and takes none itself", "[key_authority]")
+{
+    lone_entry entry{4};
+    const auto spec = entry.jobAtHome(0);
+    const auto key = *request::packKey(spec.key);
+    request::delegate order{1, 1, false, 1, spec};
+    CHECK_FALSE(entry.keys.receive(member(1), order, entry.at).empty());
+    const auto kept = entry.jobAtHome(0);
+    const request::handover handed{2, {{kept.key, 1, {}, {}, std::string{"output"}}}};
+    CHECK(sentIn<request::handover_reply>(entry.keys.receive(member(1), handed, entry.at)).size() == 1);
+    CHECK_FALSE(entry.keys.beginAttempt(key, entry.at));
+    const auto batches = sentIn<request::handover>(entry.keys.handOver(entry.at));
+    int copies = 0;
+    for (const auto &[to, batch] : batches) {
+        copies += static_cast<int>(std::ranges::count(batch.keys, kept.key, &request::handed_key::key));
+        CHECK_FALSE(entry.keys.handedOver());
+        entry.keys.receive(to, request::handover_reply{batch.correlation}, entry.at);
+    }
+    CHECK(copies == 2);
+    CHECK(entry.keys.handedOver());
+    CHECK(entry.keys.receive(member(1), handed, entry.at).empty());
+    order.spec = entry.jobAtHome(0);
+    const auto refused = sentIn<request::delegate_reply>(entry.keys.receive(member(1), order, entry.at));
+    CHECK(refused.at(0).second.status == request::delegate_status::undecided);
+    entry.keys.unreachable(member(2).member, entry.at);
+    entry.keys.unreachable(member(3).member, entry.at);
+    entry.keys.handOver(entry.at);
+    CHECK_FALSE(entry.keys.handedOver());
+}
+
 TEST_CASE("the truth replaces an unknown outcome, and nothing replaces the truth", "[key_authority]")
 {
     lone_entry entry{1};
