A decoded state must hold a sound configuration

Cause: a state whose pool names no profile would pass the decoder and be dereferenced at the next drain. Ruled out: a check at each use. Change: fromParts() runs the check of the configuration; a test spoils each part.

--- a/src/poplarpass/fold/fleet_state.cpp
+++ b/src/poplarpass/fold/fleet_state.cpp
@@ -44,7 +44,8 @@
     return isSortedUnique(parts.members, memberNameOf) && isSortedUnique(parts.hosts, hostNameOf)
         && isSortedUnique(parts.recentIds, &seen_record::offset) && parts.revision <= parts.offset
         && parts.recentIds.size() <= recentIdCount
-        && (parts.recentIds.empty() || parts.recentIds.back().offset <= parts.offset);
+        && (parts.recentIds.empty() || parts.recentIds.back().offset <= parts.offset)
+        && config::checkConfig(parts.config).empty();
 }
 } // namespace
 
--- a/tests/decisions/fleet_state_test.cpp
+++ b/tests/decisions/fleet_state_test.cpp
@@ -214,6 +214,23 @@
     CHECK_FALSE(script.state.findRecord(id)->accepted);
 }
 
+TEST_CASE("parts that contradict each other make no state", "[fold]")
+{
+    fleet_script script;
+    script.build(2, 8, 8);
+    const auto spoiled = [&script](auto spoil) {
+        auto parts = script.state.parts();
+        spoil(parts);
+        return !fold::fleet_state::fromParts(std::move(parts));
+    };
+    CHECK_FALSE(spoiled([](fold::state_parts &) {}));
+    CHECK(spoiled([](fold::state_parts &parts) { std::swap(parts.hosts[0], parts.hosts[1]); }));
+    CHECK(spoiled([](fold::state_parts &parts) { parts.hosts[1] = parts.hosts[0]; }));
+    CHECK(spoiled([](fold::state_parts &parts) { parts.revision = parts.offset + 1; }));
+    CHECK(spoiled([](fold::state_parts &parts) { parts.config.profiles.clear(); }));
+    CHECK(spoiled([](fold::state_parts &parts) { parts.recentIds[1].id = parts.recentIds[0].id; }));
+}
+
 TEST_CASE("the digest kept current equals the digest of the whole state", "[fold]")
 {
     std::mt19937_64 random{baseSeed()};
--- a/tests/io/fleet_file_test.cpp
+++ b/tests/io/fleet_file_test.cpp
@@ -32,7 +32,9 @@
         CHECK(parsed->pools.size() == 5);
         CHECK(parsed->services.size() >= 5);
         CHECK(std::ranges::count_if(parsed->pools, &config::pool::spare) == 1);
-        CHECK(config::textOf(config::checkConfig(*parsed)) == "");
+        const auto problems = config::checkConfig(*parsed);
+        INFO(config::textOf(problems));
+        CHECK(problems.empty());
     }
 }
 
