--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -138,8 +138,8 @@
          [this] {
              m_server = std::make_unique<net::http_server>(
                  m_process.loop, m_process.settings.listen.callers, serverLimits(m_process.settings.limits),
-                 [this](net::http_request message, std::shared_ptr<net::responder> caller) {
-                     handle(std::move(message), std::move(caller));
+                 [this](const net::http_request &message, const std::shared_ptr<net::responder> &caller) {
+                     handle(message, caller);
                  },
                  [](const core::error &problem) { return errorResponse({}, problem); });
              m_process.log.log(observe::log_level::info, "listening",
@@ -235,11 +235,8 @@
         }
     }
     for (const auto &loss : history.losses) {
-        list.losses.push_back({toMember(loss.run), loss.epoch, toWallTime(loss.atUnixMs)});
-    }
-    for (const auto &removal : history.unsettled) {
-        list.unsettled.push_back({removal.epoch, {}});
-        std::ranges::transform(removal.before, std::back_inserter(list.unsettled.back().before), toMember);
+        list.losses.push_back(
+            {{loss.member, loss.incarnation}, core::fromUnixMilliseconds(static_cast<std::int64_t>(loss.atUnixMs))});
     }
     m_peers.useMembers(addresses);
     m_authority.foldEpoch(list, now());
@@ -306,7 +303,7 @@
     m_process.log.log(observe::log_level::info, "peer_state", {{"offset", reply.offset}, {"taken", taken.has_value()}});
 }
 
-auto entry_process::handle(net::http_request message, std::shared_ptr<net::responder> caller) -> void
+auto entry_process::handle(const net::http_request &message, const std::shared_ptr<net::responder> &caller) -> void
 {
     const auto path = message.path();
     if (path == jobsPath && message.method == "POST") {
--- a/src/poplarpass/control/host_controller.h
+++ b/src/poplarpass/control/host_controller.h
@@ -9,6 +9,7 @@
 #include <poplarpass/fold/fleet_state.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -73,6 +74,7 @@
     auto cancel(step &current, const fold::host_state &host) -> void;
     auto append(step &current, const fold::host_state &host, fold::host_record change) -> void;
     auto appendFor(step &current, const append_subject &subject, const fold::record &change) -> void;
+    static auto emit(step &current, std::optional<append_request> request) -> void;
     auto order(step &current, const fold::host_state &host, platform::worker_order kind) -> void;
     auto orderAssign(step &current, const fold::host_state &host, const core::pool_id &pool, std::uint64_t generation)
         -> void;
@@ -82,5 +84,6 @@
     controller_hooks m_hooks;
     pending_appends m_pending;
     std::unordered_map<core::host_id, host_tracker> m_trackers;
+    std::optional<core::monotonic_time> m_lossReported;
 };
 } // namespace poplarpass::control
--- a/src/poplarpass/control/move_planner.cpp
+++ b/src/poplarpass/control/move_planner.cpp
@@ -1,4 +1,5 @@
 #include <poplarpass/control/constants.h>
+#include <poplarpass/control/loan_count.h>
 #include <poplarpass/control/move_planner.h>
 #include <poplarpass/control/wave_planner.h>
 
@@ -11,53 +12,32 @@
 
 namespace poplarpass::control
 {
-namespace
-{
-auto isAway(const fold::host_state &host) -> bool
-{
-    const auto &place = host.movingTo.empty() ? host.pool : host.movingTo;
-    return place != host.description.pool;
-}
+using internal::borrowedBy;
+using internal::isAway;
+using internal::lentBy;
+using internal::slotsOnTheirWay;
 
-auto countHosts(const planning_view &view, const std::function<bool(const fold::host_state &)> &isCounted) -> int
-{
-    std::ptrdiff_t count = 0;
-    for (const auto &pool : view.pools) {
-        count += std::ranges::count_if(pool.hosts, isCounted);
-    }
-    return static_cast<int>(count);
-}
-
-auto lentBy(const planning_view &view, const core::pool_id &pool) -> int
+namespace
 {
-    return countHosts(view,
-                      [&pool](const fold::host_state &host) { return isAway(host) && host.description.pool == pool; });
-}
-
-auto borrowedBy(const planning_view &view, const core::pool_id &pool) -> int
+auto slotsFor(double expected, const pool_view &pool) -> int
 {
-    return countHosts(view, [&pool](const fold::host_state &host) {
-        const auto &place = host.movingTo.empty() ? host.pool : host.movingTo;
-        return isAway(host) && place == pool;
-    });
+    return static_cast<int>(std::ceil(expected * (1.0 + pool.profile.headroom)));
 }
 
-auto slotsOnTheirWay(const planning_view &view, const core::pool_id &pool) -> int
+auto largestHost(const pool_view &pool) -> int
 {
     int slots = 0;
-    for (const auto &other : view.pools) {
-        for (const auto &host : other.hosts) {
-            slots += host.movingTo == pool && !host.down ? host.description.slots : 0;
-        }
+    for (const auto &host : pool.hosts) {
+        slots = std::max(slots, host.description.slots);
     }
     return slots;
 }
 
-auto neededSlots(const pool_view &pool, std::optional<double> expected) -> int
+auto waitsForWave(const fold::host_state &host, const move_query &query) -> bool
 {
-    const auto promised = config::requiredSlots(pool.pool, pool.profile);
-    const auto forecast = std::ceil(expected.value_or(0.0) * (1.0 + pool.profile.headroom));
-    return std::max(promised, static_cast<int>(forecast));
+    return std::ranges::any_of(query.waves, [&host](const fold::wave_state &wave) {
+        return !wave.finished && !wave.paused && isToMaintain(wave, host);
+    });
 }
 
 auto spareAfterTaking(const pool_view &pool, const fold::host_state &host) -> int
@@ -76,9 +56,16 @@
 }
 } // namespace
 
-auto pool_need::missingSlots() const -> int
+auto pool_need::missingSlots(int tolerance) const -> int
+{
+    const auto missingExpected = expectedSlots - haveSlots;
+    return std::max({0, promisedSlots - haveSlots, missingExpected > tolerance ? missingExpected : 0});
+}
+
+auto forecastTolerance(const config::planning_weights &weights, int slots) -> int
 {
-    return std::max(0, neededSlots - haveSlots);
+    const auto sum = weights.moves + weights.bufferCost;
+    return sum <= 0.0 ? 0 : static_cast<int>(slots * weights.moves / sum);
 }
 
 auto returnDelay(const config::planning_weights &weights, int slots) -> core::duration
@@ -103,7 +90,7 @@
     std::set<core::pool_id> touched;
     for (const auto &pool : query.view.pools) {
         const auto need = needOf(pool, query);
-        if (!noteShortage(pool.pool.name, need, query.now)) {
+        if (!noteShortage(pool, need, query)) {
             continue;
         }
         auto loan = chooseLoan(pool, query);
@@ -123,33 +110,40 @@
 
 auto move_planner::needOf(const pool_view &pool, const move_query &query) const -> pool_need
 {
-    const auto expected = m_hooks.expectedSlots ? m_hooks.expectedSlots(pool.pool.name) : std::nullopt;
     const auto budget = pool.budget();
     pool_need need;
-    need.neededSlots = neededSlots(pool, expected) + waveSlots(pool, query);
+    need.promisedSlots = budget.requiredSlots + waveSlots(pool, query);
+    need.expectedSlots = expectedSlots(pool);
     need.haveSlots = budget.servingSlots - budget.worstLossSlots + slotsOnTheirWay(query.view, pool.pool.name);
     need.isForPromise = budget.spareSlots() < 0;
     return need;
 }
 
-auto move_planner::noteShortage(const core::pool_id &pool, const pool_need &need, core::monotonic_time now) -> bool
+auto move_planner::expectedSlots(const pool_view &pool) const -> int
+{
+    const auto expected = m_hooks.expectedSlots ? m_hooks.expectedSlots(pool.pool.name) : std::nullopt;
+    return slotsFor(expected.value_or(0.0), pool);
+}
+
+auto move_planner::noteShortage(const pool_view &pool, const pool_need &need, const move_query &query) -> bool
 {
-    if (need.missingSlots() == 0) {
-        m_shortSince.erase(pool);
+    if (need.missingSlots(forecastTolerance(query.view.weights, largestHost(pool))) == 0) {
+        m_shortSince.erase(pool.pool.name);
         return false;
     }
-    const auto since = m_shortSince.try_emplace(pool, now).first->second;
-    return now - since >= (need.isForPromise ? borrowForPromiseAfter : borrowAfter);
+    const auto since = m_shortSince.try_emplace(pool.pool.name, query.now).first->second;
+    return query.now - since >= (need.isForPromise ? borrowForPromiseAfter : borrowAfter);
 }
 
-// The pool's own hosts come back before others are lent, and spare pools lend before others. Among equals the host is
-// taken that leaves both pools best off, so that a loan does not put all of the borrower's hosts into one rack or zone.
+// The pool's own hosts come back before others are lent, and spare pools lend before others. Hosts that a
+// wave has done with come first, so that no pool gets more of the wave's work. Among equals the host is taken that
+// leaves both pools best off, so that a loan does not put all of the borrower's hosts into one rack or zone.
 auto move_planner::chooseLoan(const pool_view &borrower, const move_query &query) const -> std::optional<host_move>
 {
     const auto &name = borrower.pool.name;
     const bool mayBorrow = borrowedBy(query.view, name) < borrower.profile.maxBorrowed;
     std::optional<host_move> best;
-    std::tuple<bool, bool, int, int> bestScore;
+    std::tuple<bool, bool, bool, int, int> bestScore;
     for (const auto &lender : query.view.pools) {
         if (&lender == &borrower) {
             continue;
@@ -161,8 +155,8 @@
             if (!(isRecalled || isLent) || !query.isUsable(host) || !maySpare(lender, host, 0, query)) {
                 continue;
             }
-            const std::tuple score{isRecalled, lender.pool.spare, spareAfterJoining(borrower, host),
-                                   spareAfterTaking(lender, host)};
+            const std::tuple score{isRecalled, lender.pool.spare, !waitsForWave(host, query),
+                                   spareAfterJoining(borrower, host), spareAfterTaking(lender, host)};
             if (!best || score > bestScore) {
                 best = host_move{host.description.host, lender.pool.name, name};
                 bestScore = score;
@@ -197,9 +191,8 @@
     if (pool.limitOf(host) != fold::budget_limit::none) {
         return false;
     }
-    const auto expected = m_hooks.expectedSlots ? m_hooks.expectedSlots(pool.pool.name) : std::nullopt;
     const auto promised = config::requiredSlots(pool.pool, pool.profile);
-    const auto needed = neededSlots(pool, expected);
+    const auto needed = std::max(promised, expectedSlots(pool));
     const auto margin = needed * marginPercent / 100 + waveSlots(pool, query);
     return spareAfterTaking(pool, host) >= needed - promised + margin;
 }
@@ -213,10 +206,7 @@
     int largest = 0;
     int slotsOut = 0;
     for (const auto &host : pool.hosts) {
-        const bool isWaiting = std::ranges::any_of(query.waves, [&host](const fold::wave_state &wave) {
-            return !wave.finished && !wave.paused && isToMaintain(wave, host);
-        });
-        largest = std::max(largest, isWaiting ? host.description.slots : 0);
+        largest = std::max(largest, waitsForWave(host, query) ? host.description.slots : 0);
         slotsOut += host.serves() || host.down ? 0 : host.description.slots;
     }
     return std::max(0, largest - slotsOut);
--- a/src/poplarpass/request/key_authority_job.cpp
+++ b/src/poplarpass/request/key_authority_job.cpp
@@ -136,7 +136,7 @@
     }
     delegate_reply reply{order.correlation, order.spec.key, delegate_status::undecided, {}, std::nullopt};
     const auto record = admit(*key, digestOf(order.spec), at);
-    if (!record || order.hops > maxHops) {
+    if (!record || order.hops > maxHops || m_leaving) {
         if (!record && record.error().kind == core::error_kind::key_conflict) {
             reply.status = delegate_status::answered;
             reply.answer = tl::make_unexpected(record.error());
@@ -200,6 +200,7 @@
     key_actions out;
     m_leaving = true;
     m_unhanded = 0;
+    m_handovers.clear();
     std::map<member_ref, handover> batches;
     const auto flush = [this, &out](const member_ref &to, handover &batch) {
         batch.correlation = ++m_lastCorrelation;
@@ -209,15 +210,18 @@
     };
     m_jobs.expire(at.wall);
     m_jobs.forEach([&](const packed_key &key, job_record &record) {
-        const auto holder = holderOf(record);
-        if (!holder && record.state != key_state::answered) {
+        m_unhanded += record.state == key_state::in_progress ? 1 : 0;
+        handed_key handed{unpackKey(key), record.digest, m_jobs.memberAt(record.holder), {}, std::nullopt};
+        for (const auto claimant : record.claimants) {
+            handed.claimants.push_back(m_jobs.memberAt(claimant));
+        }
+        if (record.holder == 0 && handed.claimants.empty() && !record.answer) {
             return;
         }
-        handed_key handed{unpackKey(key), record.digest, holder.value_or(member_ref{}), record.promised, std::nullopt};
         if (record.answer) {
             handed.answer = *record.answer;
         }
-        for (const auto &to : successorsOf(key, holder)) {
+        for (const auto &to : successorsOf(key, handed.holder)) {
             auto &batch = batches[to];
             batch.keys.push_back(handed);
             if (batch.keys.size() >= maxHandoverKeys) {
@@ -238,8 +242,12 @@
     return m_leaving && m_handovers.empty() && m_unhanded == 0;
 }
 
+// A member that leaves itself may have handed its keys on already, so it cannot answer for these.
 auto key_authority::onHandover(const member_ref &from, const handover &keys, instant at, key_actions &out) -> void
 {
+    if (m_leaving) {
+        return;
+    }
     bool whole = true;
     for (const auto &handed : keys.keys) {
         whole = takeHanded(handed, at, out) && whole;
@@ -271,6 +279,9 @@
         settle(s, std::make_shared<const job_answer>(*handed.answer));
         return true;
     }
+    for (const auto &claimant : handed.claimants) {
+        noteClaimant(*record, claimant);
+    }
     if (record->holder != 0 || handed.holder.member.empty() || handed.holder == m_authority.self()) {
         return true;
     }
--- a/src/poplarpass/request/worker_pool.cpp
+++ b/src/poplarpass/request/worker_pool.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/request/constants.h>
 #include <poplarpass/request/worker_pool.h>
 
 #include <algorithm>
@@ -56,25 +57,30 @@
     m_index.erase(found);
     if (index + 1 != m_workers.size()) {
         m_workers[index] = std::move(m_workers.back());
-        m_histories[index] = m_histories.back();
+        m_histories[index] = std::move(m_histories.back());
         m_index[m_workers[index].host] = index;
     }
     m_workers.pop_back();
     m_histories.pop_back();
 }
 
-// A report shows what was running some time before it was given; starts sent after the request cannot be in it.
+// A report is older than most short jobs that it counts. So only the part of others is taken from it, and smoothed; the
+// own part is known exactly.
 auto worker_pool::report(const core::host_id &host, const platform::worker_report &figures,
                          core::monotonic_time requestedAt) -> void
 {
     alter(host, [&figures, requestedAt](worker_view &worker, history &past) {
-        if (requestedAt < past.reportedFor) {
+        if (past.reportedFor && requestedAt < *past.reportedFor) {
             return;
         }
+        const double weight = past.reportedFor ? reportWeight : 1.0;
         past.reportedFor = requestedAt;
-        worker.reportedSlots = figures.usedSlots;
-        worker.reportedConnections = figures.usedConnections;
-        worker.sentSinceReport = 0;
+        std::erase_if(past.sends, [requestedAt](core::monotonic_time sentAt) { return sentAt < requestedAt; });
+        const int ownThen = worker.outstanding - static_cast<int>(past.sends.size());
+        const double others = std::max(0, figures.usedSlots - ownThen);
+        const double otherConnections = std::max(0, figures.usedConnections - ownThen);
+        worker.otherSlots += weight * (others - worker.otherSlots);
+        worker.otherConnections += weight * (otherConnections - worker.otherConnections);
     });
 }
 
@@ -88,11 +94,11 @@
     alter(host, [rate](worker_view &worker, history & /*past*/) { worker.failureRate = rate; });
 }
 
-auto worker_pool::sent(const core::host_id &host, core::monotonic_time /*at*/) -> void
+auto worker_pool::sent(const core::host_id &host, core::monotonic_time at) -> void
 {
-    alter(host, [](worker_view &worker, history & /*past*/) {
+    alter(host, [at](worker_view &worker, history &past) {
         ++worker.outstanding;
-        ++worker.sentSinceReport;
+        past.sends.push_back(at);
     });
 }
 
@@ -100,11 +106,9 @@
 {
     alter(host, [sentAt](worker_view &worker, history &past) {
         worker.outstanding = std::max(0, worker.outstanding - 1);
-        if (sentAt >= past.reportedFor) {
-            --worker.sentSinceReport;
-        } else {
-            worker.reportedSlots = std::max(0, worker.reportedSlots - 1);
-            worker.reportedConnections = std::max(0, worker.reportedConnections - 1);
+        const auto send = std::ranges::find(past.sends, sentAt);
+        if (send != past.sends.end()) {
+            past.sends.erase(send);
         }
     });
 }
@@ -112,7 +116,7 @@
 auto worker_pool::refusedForRoom(const core::host_id &host) -> void
 {
     alter(host, [](worker_view &worker, history & /*past*/) {
-        worker.reportedSlots = std::max(worker.reportedSlots, worker.slots - std::max(worker.sentSinceReport, 0));
+        worker.otherSlots = std::max(worker.otherSlots, static_cast<double>(worker.slots - worker.outstanding));
     });
 }
 
--- a/src/poplarpass/request/worker_pool.h
+++ b/src/poplarpass/request/worker_pool.h
@@ -61,7 +61,8 @@
 
     struct history
     {
-        core::monotonic_time reportedFor;
+        std::optional<core::monotonic_time> reportedFor;
+        std::vector<core::monotonic_time> sends;
     };
 
     template <class change>
