Bound the operators' text so that one log record holds it

Cause: a text whose record exceeds 256 KiB would end the publishing verb in an assertion. Ruled out: a larger record, as every reader would have to take it. Change: texts above 120 KiB are a problem of the file; a test encodes one of the permitted size.

--- a/src/poplarpass/settings/fleet_file.cpp
+++ b/src/poplarpass/settings/fleet_file.cpp
@@ -152,10 +152,19 @@
     in.finish();
     return fleet;
 }
+
+auto tooLarge(std::string_view text, std::string_view file) -> text_problem
+{
+    return {std::string{file}, 1, "", "at most " + std::to_string(maxFleetTextBytes) + " bytes",
+            std::to_string(text.size()) + " bytes"};
+}
 } // namespace
 
 auto parseFleet(std::string_view text, std::string_view file) -> fleet_result
 {
+    if (text.size() > maxFleetTextBytes) {
+        return tl::make_unexpected(std::vector{tooLarge(text, file)});
+    }
     const auto parsed = internal::parseToml(text, file);
     if (!parsed) {
         const auto &problem = parsed.error();
--- a/src/poplarpass/settings/fleet_file.h
+++ b/src/poplarpass/settings/fleet_file.h
@@ -4,6 +4,7 @@
 
 #include <tl/expected.hpp>
 
+#include <cstddef>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,6 +24,9 @@
     auto operator==(const text_problem &) const -> bool = default;
 };
 
+/// \brief Bytes of a text at most, so that one log record holds the text and what was parsed from it.
+inline constexpr std::size_t maxFleetTextBytes = std::size_t{120} * 1024;
+
 /// \brief A parsed configuration, or everything that is wrong in its text.
 using fleet_result = tl::expected<config::fleet_config, std::vector<text_problem>>;
 
--- a/tests/io/fleet_file_test.cpp
+++ b/tests/io/fleet_file_test.cpp
@@ -1,5 +1,6 @@
 #include "test_seed.h"
 
+#include <poplarpass/codec.h>
 #include <poplarpass/config.h>
 #include <poplarpass/settings/fleet_file.h>
 
@@ -10,6 +11,8 @@
 #include <sstream>
 
 namespace config = poplarpass::config;
+namespace codec = poplarpass::codec;
+namespace fold = poplarpass::fold;
 namespace settings = poplarpass::settings;
 
 namespace
@@ -76,6 +79,20 @@
     CHECK(told.find("fleet.toml:16: pool[1].demand: expected no such key, found 3") != std::string::npos);
 }
 
+TEST_CASE("a text of the permitted size fits into one log record", "[settings]")
+{
+    std::string text;
+    while (text.size() < settings::maxFleetTextBytes - 100) {
+        text += "[[team]]\nname=\"t" + std::to_string(text.size()) + "\"\nquota_slots=1\nweight=1\n";
+    }
+    const auto parsed = settings::parseFleet(text, "f");
+    REQUIRE(parsed);
+    const auto record = codec::encodeRecord(fold::config_record{0, "ana", text, *parsed});
+    CHECK(record.size() <= codec::maxRecordBytes);
+    CHECK(codec::decodeRecord(record));
+    CHECK_FALSE(settings::parseFleet(text + std::string(200, ' '), "f"));
+}
+
 TEST_CASE("a text that is no TOML is told with its line", "[settings]")
 {
     const auto parsed = settings::parseFleet("[weights]\nmoves = = 2\n", "f");
