Control: lighter planning view

Cause: a step copied every host with its address and scanned the fleet once for each pool. Ruled out: views of the agreed state without copies; policies try steps on their copy. Change: planning copies carry no address; slots on their way are counted once.

--- a/src/poplarpass/control/loan_count.cpp
+++ b/src/poplarpass/control/loan_count.cpp
@@ -37,15 +37,4 @@
 {
     return countHosts(view, [&pool](const fold::host_state &host) { return isAway(host) && placeOf(host) == pool; });
 }
-
-auto slotsOnTheirWay(const planning_view &view, const core::pool_id &pool) -> int
-{
-    int slots = 0;
-    for (const auto &other : view.pools) {
-        for (const auto &host : other.hosts) {
-            slots += host.movingTo == pool && !host.down ? host.description.slots : 0;
-        }
-    }
-    return slots;
-}
 } // namespace poplarpass::control::internal
--- a/src/poplarpass/control/loan_count.h
+++ b/src/poplarpass/control/loan_count.h
@@ -13,7 +13,4 @@
 
 /// \brief Hosts of other pools that are, or are on their way, in \p pool.
 auto borrowedBy(const planning_view &view, const core::pool_id &pool) -> int;
-
-/// \brief Slots of hosts that move to \p pool.
-auto slotsOnTheirWay(const planning_view &view, const core::pool_id &pool) -> int;
 } // namespace poplarpass::control::internal
--- a/src/poplarpass/control/move_planner.cpp
+++ b/src/poplarpass/control/move_planner.cpp
@@ -15,7 +15,6 @@
 using internal::borrowedBy;
 using internal::isAway;
 using internal::lentBy;
-using internal::slotsOnTheirWay;
 
 namespace
 {
@@ -114,7 +113,7 @@
     pool_need need;
     need.promisedSlots = budget.requiredSlots + waveSlots(pool, query);
     need.expectedSlots = expectedSlots(pool);
-    need.haveSlots = budget.servingSlots - budget.worstLossSlots + slotsOnTheirWay(query.view, pool.pool.name);
+    need.haveSlots = budget.servingSlots - budget.worstLossSlots + pool.incomingSlots;
     need.isForPromise = budget.spareSlots() < 0;
     return need;
 }
--- a/src/poplarpass/control/planning_view.cpp
+++ b/src/poplarpass/control/planning_view.cpp
@@ -19,6 +19,28 @@
     const auto position = std::ranges::find(config.calendars, profile.calendar, &config::calendar::name);
     return position == config.calendars.end() ? std::nullopt : std::optional{*position};
 }
+
+// Addresses are too long to be kept inside their strings, and plans need none.
+auto withoutAddress(const fold::host_state &host) -> fold::host_state
+{
+    fold::host_state copy;
+    copy.description.host = host.description.host;
+    copy.description.region = host.description.region;
+    copy.description.zone = host.description.zone;
+    copy.description.rack = host.description.rack;
+    copy.description.pool = host.description.pool;
+    copy.description.slots = host.description.slots;
+    copy.description.leaving = host.description.leaving;
+    copy.pool = host.pool;
+    copy.generation = host.generation;
+    copy.phase = host.phase;
+    copy.movingTo = host.movingTo;
+    copy.down = host.down;
+    copy.wave = host.wave;
+    copy.maintainedAt = host.maintainedAt;
+    copy.bootId = host.bootId;
+    return copy;
+}
 } // namespace
 
 auto pool_view::budget() const -> fold::budget_view
@@ -57,12 +79,16 @@
             continue;
         }
         indexOf.emplace(pool.name, view.pools.size());
-        view.pools.push_back({pool, *profile, calendarOf(config, *profile), {}});
+        view.pools.push_back({pool, *profile, calendarOf(config, *profile), {}, 0});
     }
     for (const auto &host : hosts) {
         const auto index = indexOf.find(host.pool);
         if (index != indexOf.end()) {
-            view.pools[index->second].hosts.push_back(host);
+            view.pools[index->second].hosts.push_back(withoutAddress(host));
+        }
+        const auto target = host.movingTo.empty() ? indexOf.end() : indexOf.find(host.movingTo);
+        if (target != indexOf.end() && !host.down) {
+            view.pools[target->second].incomingSlots += host.description.slots;
         }
     }
     return view;
--- a/src/poplarpass/control/planning_view.h
+++ b/src/poplarpass/control/planning_view.h
@@ -20,7 +20,8 @@
     config::pool pool; ///< The pool.
     config::profile profile; ///< Profile that it keeps.
     std::optional<config::calendar> calendar; ///< Its profile's calendar; none when it isn't configured.
-    std::vector<fold::host_state> hosts; ///< Hosts that belong to it, and may be changed to try a step.
+    std::vector<fold::host_state> hosts; ///< Hosts that belong to it, without addresses; may be changed to try a step.
+    int incomingSlots = 0; ///< Slots of hosts that are on their way to it.
 
     /// \brief Budget of the pool with its hosts as they are here.
     [[nodiscard]] auto budget() const -> fold::budget_view;
