--- a/tests/decisions/host_controller_test.cpp
+++ b/tests/decisions/host_controller_test.cpp
@@ -164,3 +164,30 @@
     controller.onApplied(first.front());
     CHECK(recordsAt(14, false, {}) != first);
 }
+
+TEST_CASE("what a worker says while an order is under way does not count as its state", "[control][hosts]")
+{
+    const core::host_id host{"w"};
+    const auto at = [](int second) {
+        return core::monotonic_time{seconds{second}};
+    };
+    const platform::order_request drain{platform::worker_order::drain, 1, {}, 0};
+    control::host_tracker tracker;
+    tracker.onPhase({}, at(0));
+    tracker.onSighting({host, true, 1, false, {}, 0, at(9)});
+    CHECK(tracker.isCurrent());
+    tracker.onOrder(drain, at(10));
+    tracker.onSighting({host, true, 1, false, {}, 0, at(11)});
+    CHECK_FALSE(tracker.isCurrent());
+    tracker.onOutcome({host, drain, platform::order_answer{0, 1, true, {}, 0}}, at(13));
+    tracker.onSighting({host, true, 1, false, {}, 0, at(12)});
+    CHECK(tracker.status()->draining);
+    CHECK(tracker.isCurrent());
+    CHECK(tracker.confirmedIdle());
+    tracker.onOrder(drain, at(14));
+    tracker.onOutcome({host, drain, core::failure(core::error_kind::peer_unreachable)}, at(15));
+    CHECK_FALSE(tracker.isCurrent());
+    tracker.onSighting({host, true, 2, false, {}, 0, at(16)});
+    CHECK(tracker.isCurrent());
+    CHECK_FALSE(tracker.confirmedIdle());
+}
