--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace poplarpass::app
@@ -16,6 +17,7 @@
 constexpr core::duration sightingPeriod = std::chrono::seconds{1};
 constexpr core::duration stopTick = std::chrono::milliseconds{50};
 constexpr core::duration handoverLimit = std::chrono::seconds{3};
+constexpr core::duration settleTimeout = std::chrono::seconds{5};
 constexpr core::duration linkOpenTimeout = std::chrono::seconds{1};
 constexpr core::duration defaultAskWait = std::chrono::seconds{1};
 constexpr std::int64_t longestAskWaitMs = 600'000;
@@ -36,6 +38,16 @@
     return {static_cast<std::size_t>(limits.maxRememberedKeys), request::maxAnswerBytes};
 }
 
+auto toWallTime(std::uint64_t unixMs) -> core::wall_time
+{
+    return core::fromUnixMilliseconds(static_cast<std::int64_t>(unixMs));
+}
+
+auto toMember(const fold::entry_run &run) -> request::member_ref
+{
+    return {run.member, run.incarnation};
+}
+
 auto waitOf(const net::http_request &message) -> core::duration
 {
     const auto text = message.query("wait_ms");
@@ -126,8 +138,8 @@
          [this] {
              m_server = std::make_unique<net::http_server>(
                  m_process.loop, m_process.settings.listen.callers, serverLimits(m_process.settings.limits),
-                 [this](net::http_request message, std::shared_ptr<net::responder> caller) {
-                     handle(std::move(message), std::move(caller));
+                 [this](const net::http_request &message, const std::shared_ptr<net::responder> &caller) {
+                     handle(message, caller);
                  },
                  [](const core::error &problem) { return errorResponse({}, problem); });
              m_process.log.log(observe::log_level::info, "listening",
@@ -177,9 +189,25 @@
     } else if (std::holds_alternative<fold::member_join_record>(change)
                || std::holds_alternative<fold::member_leave_record>(change)) {
         useEntries();
+    } else if (const auto *settled = std::get_if<fold::removal_settled_record>(&change)) {
+        m_authority.foldSettled(settled->epoch);
     }
 }
 
+// One record for each removal; whichever entry writes first settles it for all.
+auto entry_process::settleRemovals() -> void
+{
+    const auto epoch = m_authority.epochToSettle();
+    if (!epoch || m_settling || m_log.state().entries().settledEpoch >= *epoch) {
+        return;
+    }
+    m_settling = true;
+    const fold::removal_settled_record settled{*epoch, static_cast<std::uint64_t>(core::toUnixMilliseconds(wallNow()))};
+    const core::record_id id{"settled/" + std::to_string(*epoch) + '/' + m_process.settings.process.name.str() + '/'
+                             + std::to_string(m_process.incarnation)};
+    m_log.publish(id, settled, settleTimeout, [this](const fold::publish_outcome &) { m_settling = false; });
+}
+
 auto entry_process::useState(const fold::fleet_state &state) -> void
 {
     m_runner.useConfig(state.config());
@@ -192,25 +220,28 @@
 {
     const auto &state = m_log.state();
     const auto &history = state.entries();
+    if (m_log.follower().readToEndSince()) {
+        m_peers.useMembers(state.members());
+    }
     if (!m_log.follower().readToEndSince() || history.epoch <= m_entryEpoch) {
         return;
     }
     m_entryEpoch = history.epoch;
     request::membership list;
     list.epoch = history.epoch;
-    list.aloneUntil = core::fromUnixMilliseconds(static_cast<std::int64_t>(history.aloneUntilUnixMs));
-    std::vector<net::peer_address> addresses;
+    list.aloneUntil = toWallTime(history.aloneUntilUnixMs);
     for (const auto &member : state.members()) {
-        addresses.push_back({member.joined.member, member.joined.address});
         if (member.joined.kind == fold::member_kind::entry) {
             list.members.push_back({member.joined.member, member.joined.incarnation});
         }
     }
     for (const auto &loss : history.losses) {
-        list.losses.push_back(
-            {{loss.member, loss.incarnation}, core::fromUnixMilliseconds(static_cast<std::int64_t>(loss.atUnixMs))});
+        list.losses.push_back({toMember(loss.run), loss.epoch, toWallTime(loss.atUnixMs)});
+    }
+    for (const auto &removal : history.unsettled) {
+        list.unsettled.push_back({removal.epoch, {}});
+        std::ranges::transform(removal.before, std::back_inserter(list.unsettled.back().before), toMember);
     }
-    m_peers.useMembers(addresses);
     m_authority.foldEpoch(list, now());
     m_process.log.log(observe::log_level::info, "entry_list",
                       {{"epoch", list.epoch}, {"entries", list.members.size()}});
@@ -275,7 +306,7 @@
     m_process.log.log(observe::log_level::info, "peer_state", {{"offset", reply.offset}, {"taken", taken.has_value()}});
 }
 
-auto entry_process::handle(net::http_request message, std::shared_ptr<net::responder> caller) -> void
+auto entry_process::handle(const net::http_request &message, const std::shared_ptr<net::responder> &caller) -> void
 {
     const auto path = message.path();
     if (path == jobsPath && message.method == "POST") {
@@ -500,6 +531,7 @@
 {
     m_authority.advance(now());
     carryOut(m_keys.advance(now()));
+    settleRemovals();
     m_membership.tick(m_peers.advertisedAddress());
     m_runner.pump();
 }
