Admission: the pool's capacity is known before the first job is judged

Cause: a job with a deadline was refused with deadline_unreachable at an idle entry, because the capacity was set only while jobs waited. Ruled out: leases and membership, which were fresh in /status and /metrics. Change: it is set before each admission.

--- a/src/poplarpass/app/job_runner.cpp
+++ b/src/poplarpass/app/job_runner.cpp
@@ -95,6 +95,7 @@
     wanted.level = spec->level;
     wanted.expected = estimate.typical;
     wanted.deadline = monotonicDeadline(spec->deadline, now);
+    updateCapacity(spec->pool, pool);
     if (auto admitted = pool.queue.submit(wanted, now); !admitted) {
         return tl::make_unexpected(admitted.error());
     }
@@ -159,6 +160,11 @@
     m_pumping = false;
 }
 
+auto job_runner::updateCapacity(const core::pool_id &name, pool_state &pool) -> void
+{
+    pool.queue.setCapacity(m_workers.freeSlots(name) + static_cast<int>(pool.queue.running()));
+}
+
 auto job_runner::pumpPool(const core::pool_id &name, pool_state &pool) -> void
 {
     if (pool.queue.queued() == 0) {
@@ -166,7 +172,7 @@
     }
     expire(pool);
     const auto now = monotonicNow();
-    pool.queue.setCapacity(m_workers.freeSlots(name) + static_cast<int>(pool.queue.running()));
+    updateCapacity(name, pool);
     for (;;) {
         const auto ticket = pool.queue.next(m_workers.freeSlots(name), now);
         if (!ticket) {
--- a/src/poplarpass/app/job_runner.h
+++ b/src/poplarpass/app/job_runner.h
@@ -113,6 +113,7 @@
     auto find(request::ticket_id ticket) -> job *;
     auto checkPlaceable(const request::job_spec &spec, const request::work_estimate &estimate) const
         -> core::result<void>;
+    auto updateCapacity(const core::pool_id &name, pool_state &pool) -> void;
     auto pumpPool(const core::pool_id &name, pool_state &pool) -> void;
     auto expire(pool_state &pool) -> void;
     auto makeRoom(const core::pool_id &name, pool_state &pool) -> void;
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <iostream>
 #include <random>
 #include <thread>
 #include <unistd.h>
@@ -189,7 +190,7 @@
 
 auto deployment::awaitReady() -> bool
 {
-    return eventually([this] {
+    const bool ready = eventually([this] {
         const auto first = status(m_entries.front());
         if (first.value("members", json::array()).size() != m_names.size()) {
             return false;
@@ -199,15 +200,22 @@
             serving += pool.value("serving_slots", 0);
         }
         if (serving != m_workers * 8) {
+            m_lastProblem = "serving slots " + std::to_string(serving);
             return false;
         }
         for (const auto &name : m_entries) {
-            if (httpCall(callers(name), "POST", "/v1/jobs", jobBody(mintKey(), 1)).status != 200) {
+            const auto answer = httpCall(callers(name), "POST", "/v1/jobs", jobBody(mintKey(), 1));
+            if (answer.status != 200) {
+                m_lastProblem = name + " answered " + std::to_string(answer.status) + ' ' + answer.body;
                 return false;
             }
         }
         return true;
     });
+    if (!ready) {
+        std::cout << "not ready: " << m_lastProblem << '\n';
+    }
+    return ready;
 }
 
 auto deployment::logFault(const json &faults) -> void
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -78,6 +78,7 @@
     std::string m_proxyControl;
     std::vector<std::string> m_proxies;
     int m_workers;
+    std::string m_lastProblem;
     std::unique_ptr<child_process> m_platform;
     std::unique_ptr<child_process> m_proxy;
     std::map<std::string, std::unique_ptr<child_process>> m_processes;
