--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -23,14 +23,24 @@
 
 constexpr std::chrono::milliseconds pollPause{50};
 
+// Below the range that bind(0) takes from, so that no other test can take a port between this check and its use; each
+// test process starts its search elsewhere.
 auto freeAddresses(std::size_t count) -> std::vector<std::string>
 {
+    constexpr int firstPort = 10240;
+    constexpr int portCount = 20000;
+    constexpr int portsOfProcess = 40;
+    static int next = getpid() * portsOfProcess;
     boost::asio::io_context loop;
-    std::vector<boost::asio::ip::tcp::acceptor> held;
     std::vector<std::string> addresses;
-    for (std::size_t index = 0; index < count; ++index) {
-        held.emplace_back(loop, boost::asio::ip::tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0});
-        addresses.push_back("127.0.0.1:" + std::to_string(held.back().local_endpoint().port()));
+    while (addresses.size() < count) {
+        const auto port = static_cast<unsigned short>(firstPort + next++ % portCount);
+        boost::asio::ip::tcp::acceptor trial{loop, boost::asio::ip::tcp::v4()};
+        boost::system::error_code taken;
+        trial.bind({boost::asio::ip::make_address("127.0.0.1"), port}, taken);
+        if (!taken) {
+            addresses.push_back("127.0.0.1:" + std::to_string(port));
+        }
     }
     return addresses;
 }
--- a/tests/process/fleet_process_test.cpp
+++ b/tests/process/fleet_process_test.cpp
@@ -61,6 +61,7 @@
         }
         for (auto &answer : answers) {
             const auto got = answer.get();
+            CAPTURE(got.body);
             CHECK(got.status == 200);
             CHECK(json::parse(got.body).value("output", "") == "done:" + key);
         }
