Keys: a peer that is heard again counts as reachable

Cause: process tests found entries that answered home_unreachable for good: a peer that was down when an entry started stayed marked as down, since heartbeats do not reach key_authority and every entry waited for a key message of another. Ruled out: links and membership, which were up. Change: key_authority::reachable(), called at each heartbeat over a link that is up.

--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -256,6 +256,9 @@
             m_process.log.log(observe::log_level::error, "state_digest_mismatch",
                               {{"peer", from.member.str()}, {"offset", beat->foldedOffset}});
         }
+        if (m_peers.isUp(from.member)) {
+            m_keys.reachable(from.member);
+        }
         if (beat->actingEpoch != 0) {
             m_authority.heartbeatReceived(*beat, now());
         }
--- a/src/poplarpass/request/key_authority.cpp
+++ b/src/poplarpass/request/key_authority.cpp
@@ -69,7 +69,7 @@
 auto key_authority::receive(const member_ref &from, const peer_message &message, instant at) -> key_actions
 {
     key_actions out;
-    m_down.erase(from.member);
+    reachable(from.member);
     if (const auto *grant = std::get_if<grant_request>(&message)) {
         onGrantRequest(from, *grant, at, out);
     } else if (const auto *promise = std::get_if<promise_request>(&message)) {
@@ -88,6 +88,11 @@
     return out;
 }
 
+auto key_authority::reachable(const core::member_id &member) -> void
+{
+    m_down.erase(member);
+}
+
 auto key_authority::unreachable(const core::member_id &member, instant at) -> key_actions
 {
     key_actions out;
--- a/src/poplarpass/request/key_authority.h
+++ b/src/poplarpass/request/key_authority.h
@@ -40,6 +40,8 @@
     auto receive(const member_ref &from, const peer_message &message, instant at) -> key_actions;
     /// \brief A message to \p member could not be delivered, or the connection to it ended.
     auto unreachable(const core::member_id &member, instant at) -> key_actions;
+    /// \brief Messages to \p member can be delivered again.
+    auto reachable(const core::member_id &member) -> void;
     /// \brief Handles timeouts and a change of the acting epoch; call after authority::advance().
     auto advance(instant at) -> key_actions;
     /// \brief When advance() must be called next for a timeout, if any.
