Refusals by the configuration claim nothing of a key; operator verbs open their session in one place

Cause: a repeat of a key at an entry with another configuration was told not_run of a job that may have run elsewhere; eleven verbs repeated the same opening. Ruled out: asking the home first, which costs a hop for each mistyped pool. Change: such refusals of keyed requests say unknown; openSession().

--- a/src/poplarpass/app/caller_api.cpp
+++ b/src/poplarpass/app/caller_api.cpp
@@ -147,6 +147,13 @@
     return config.teams.empty() || std::ranges::find(config.teams, team, &config::team::name) != config.teams.end();
 }
 
+// The job may have run by an earlier request with the same key at an entry with a newer or older configuration, so a
+// refusal that rests on the configuration says "not run" only of a request without a key.
+auto refusalOf(const request::job_spec &spec, core::error problem) -> tl::unexpected<core::error>
+{
+    return tl::make_unexpected(spec.key.empty() ? std::move(problem) : request::withoutAuthority(std::move(problem)));
+}
+
 auto retryAfterSeconds(core::duration delay) -> std::int64_t
 {
     return std::chrono::ceil<std::chrono::seconds>(delay).count();
@@ -195,11 +202,11 @@
     }
     auto resolved = resolvePool(pool, service, context.config);
     if (!resolved) {
-        return tl::make_unexpected(resolved.error());
+        return refusalOf(spec, resolved.error());
     }
     spec.pool = *std::move(resolved);
     if (!isKnownTeam(spec.team, context.config)) {
-        return core::failure(core::error_kind::unknown_team, spec.team.str());
+        return refusalOf(spec, {core::error_kind::unknown_team, spec.team.str(), std::nullopt});
     }
     return submission;
 }
--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -347,7 +347,7 @@
 auto entry_process::submit(const net::http_request &message, const std::shared_ptr<net::responder> &caller) -> void
 {
     if (!m_log.follower().hasState()) {
-        caller->respond(errorResponse({}, {core::error_kind::worker_unavailable, "no configuration is known yet", {}}));
+        caller->respond(errorResponse({}, {core::error_kind::home_unreachable, "no configuration is known yet", {}}));
         return;
     }
     auto submission = parseSubmission(message, {m_log.state().config(), wallNow()});
--- a/src/poplarpass/app/operator_session.cpp
+++ b/src/poplarpass/app/operator_session.cpp
@@ -94,4 +94,17 @@
 {
     return core::record_id{std::string{what} + '/' + request::makeUuid7(wallNow(), m_process->random).str()};
 }
+
+auto openSession(const parsed_options &options, console &streams)
+    -> tl::expected<std::unique_ptr<operator_session>, exit_code>
+{
+    auto session = std::make_unique<operator_session>(options.value("config"), streams);
+    if (const auto wrong = session->problem()) {
+        return tl::make_unexpected(*wrong);
+    }
+    if (!session->readToEnd()) {
+        return tl::make_unexpected(exit_code::failure);
+    }
+    return session;
+}
 } // namespace poplarpass::app
--- a/src/poplarpass/app/operator_session.h
+++ b/src/poplarpass/app/operator_session.h
@@ -4,7 +4,10 @@
 #include <poplarpass/app/fleet_log.h>
 #include <poplarpass/app/process_runtime.h>
 
+#include <tl/expected.hpp>
+
 #include <functional>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -58,4 +61,9 @@
     std::vector<seen_revision> m_revisions;
     bool m_atEnd = false;
 };
+
+/// \brief Opens a session by the option --config and reads the log to its end.
+/// \returns how the verb ends, with the reason printed, when that is not possible
+auto openSession(const parsed_options &options, console &streams)
+    -> tl::expected<std::unique_ptr<operator_session>, exit_code>;
 } // namespace poplarpass::app
--- a/src/poplarpass/app/profile_verbs.cpp
+++ b/src/poplarpass/app/profile_verbs.cpp
@@ -48,13 +48,11 @@
     }
     auto problems = config::checkConfig(fleet->config);
     if (options.has("config")) {
-        operator_session session{options.value("config"), streams};
-        if (const auto wrong = session.problem()) {
-            return *wrong;
-        }
-        if (!session.readToEnd()) {
-            return exit_code::failure;
+        const auto opened = openSession(options, streams);
+        if (!opened) {
+            return opened.error();
         }
+        auto &session = **opened;
         problems = config::checkRevision(fleet->config, session.state().config(), session.state().hosts());
     }
     if (!problems.empty()) {
@@ -83,13 +81,11 @@
     if (!fleet) {
         return exit_code::bad_settings;
     }
-    operator_session session{options.value("config"), streams};
-    if (const auto wrong = session.problem()) {
-        return *wrong;
-    }
-    if (!session.readToEnd()) {
-        return exit_code::failure;
+    const auto opened = openSession(options, streams);
+    if (!opened) {
+        return opened.error();
     }
+    auto &session = **opened;
     const auto base = basedOn(options, session.state().revision());
     if (!base) {
         streams.err << "--based-on must be a revision number\n";
@@ -132,13 +128,11 @@
 
 auto list(const parsed_options &options, console &streams) -> exit_code
 {
-    operator_session session{options.value("config"), streams};
-    if (const auto wrong = session.problem()) {
-        return *wrong;
-    }
-    if (!session.readToEnd()) {
-        return exit_code::failure;
+    const auto opened = openSession(options, streams);
+    if (!opened) {
+        return opened.error();
     }
+    auto &session = **opened;
     for (const auto &profile : session.state().config().profiles) {
         printProfile(profile, options, streams);
     }
@@ -151,13 +145,11 @@
         streams.err << "profile show: one NAME is needed; see --help\n";
         return exit_code::usage;
     }
-    operator_session session{options.value("config"), streams};
-    if (const auto wrong = session.problem()) {
-        return *wrong;
-    }
-    if (!session.readToEnd()) {
-        return exit_code::failure;
+    const auto opened = openSession(options, streams);
+    if (!opened) {
+        return opened.error();
     }
+    auto &session = **opened;
     const auto *profile = session.state().findProfile(core::profile_id{options.arguments().front()});
     if (profile == nullptr) {
         streams.err << "no profile '" << options.arguments().front() << "'\n";
@@ -173,13 +165,11 @@
     if (!fleet) {
         return exit_code::bad_settings;
     }
-    operator_session session{options.value("config"), streams};
-    if (const auto wrong = session.problem()) {
-        return *wrong;
-    }
-    if (!session.readToEnd()) {
-        return exit_code::failure;
+    const auto opened = openSession(options, streams);
+    if (!opened) {
+        return opened.error();
     }
+    auto &session = **opened;
     streams.out << "revision " << session.state().revision() << " to " << options.value("fleet") << ":\n"
                 << config::textOf(config::diffOf(session.state().config(), fleet->config)) << '\n';
     return exit_code::success;
@@ -187,13 +177,11 @@
 
 auto history(const parsed_options &options, console &streams) -> exit_code
 {
-    operator_session session{options.value("config"), streams};
-    if (const auto wrong = session.problem()) {
-        return *wrong;
-    }
-    if (!session.readToEnd()) {
-        return exit_code::failure;
+    const auto opened = openSession(options, streams);
+    if (!opened) {
+        return opened.error();
     }
+    auto &session = **opened;
     for (const auto &seen : session.revisions()) {
         const std::string result{seen.outcome.accepted      ? "accepted"
                                      : seen.outcome.refusal ? core::answerOf(seen.outcome.refusal->kind).name
--- a/src/poplarpass/app/status_verbs.cpp
+++ b/src/poplarpass/app/status_verbs.cpp
@@ -48,13 +48,11 @@
 
 auto status(const parsed_options &options, console &streams) -> exit_code
 {
-    operator_session session{options.value("config"), streams};
-    if (const auto wrong = session.problem()) {
-        return *wrong;
-    }
-    if (!session.readToEnd()) {
-        return exit_code::failure;
+    const auto opened = openSession(options, streams);
+    if (!opened) {
+        return opened.error();
     }
+    auto &session = **opened;
     printState(session, options, streams);
     while (options.has("watch")) {
         session.runUntil([] { return false; }, watchPeriod);
@@ -97,13 +95,11 @@
 
 auto showHost(const parsed_options &options, console &streams) -> exit_code
 {
-    operator_session session{options.value("config"), streams};
-    if (const auto wrong = session.problem()) {
-        return *wrong;
-    }
-    if (!session.readToEnd()) {
-        return exit_code::failure;
+    const auto opened = openSession(options, streams);
+    if (!opened) {
+        return opened.error();
     }
+    auto &session = **opened;
     bool found = false;
     for (const auto &host : session.state().hosts()) {
         const bool wanted = options.arguments().empty() || options.arguments().front() == host.description.host.str();
--- a/src/poplarpass/app/wave_verbs.cpp
+++ b/src/poplarpass/app/wave_verbs.cpp
@@ -53,13 +53,11 @@
 
 auto plan(const parsed_options &options, console &streams) -> exit_code
 {
-    operator_session session{options.value("config"), streams};
-    if (const auto wrong = session.problem()) {
-        return *wrong;
-    }
-    if (!session.readToEnd()) {
-        return exit_code::failure;
+    const auto opened = openSession(options, streams);
+    if (!opened) {
+        return opened.error();
     }
+    auto &session = **opened;
     const auto &state = session.state();
     fold::wave_state wave;
     wave.name = core::wave_id{"plan"};
@@ -85,13 +83,11 @@
         streams.err << "one wave NAME is needed; see --help\n";
         return exit_code::usage;
     }
-    operator_session session{options.value("config"), streams};
-    if (const auto wrong = session.problem()) {
-        return *wrong;
-    }
-    if (!session.readToEnd()) {
-        return exit_code::failure;
+    const auto opened = openSession(options, streams);
+    if (!opened) {
+        return opened.error();
     }
+    auto &session = **opened;
     fold::wave_record change;
     change.action = action;
     change.wave = core::wave_id{options.arguments().front()};
@@ -103,13 +99,11 @@
 
 auto status(const parsed_options &options, console &streams) -> exit_code
 {
-    operator_session session{options.value("config"), streams};
-    if (const auto wrong = session.problem()) {
-        return *wrong;
-    }
-    if (!session.readToEnd()) {
-        return exit_code::failure;
+    const auto opened = openSession(options, streams);
+    if (!opened) {
+        return opened.error();
     }
+    auto &session = **opened;
     const auto described = json::parse(describeState(session.state()));
     for (const auto &wave : described["waves"]) {
         if (options.format() == output_format::json) {
