Supervisor: one way to make a child of a part that starts and stops

Cause: entry and control each wrote out the same three children (log, peers, status). Ruled out: a base class for both processes, which would tie their different stops together. Change: childOf(). Behaviour as before.

--- a/src/poplarpass/app/control_process.cpp
+++ b/src/poplarpass/app/control_process.cpp
@@ -73,21 +73,9 @@
 auto control_process::childSpecs() -> std::vector<child_spec>
 {
     return {
-        {"log", [this] { m_log.start(); },
-         [this](const std::function<void()> &done) {
-             m_log.stop();
-             done();
-         }},
-        {"peers", [this] { m_peers.start(); },
-         [this](const std::function<void()> &done) {
-             m_peers.stop();
-             done();
-         }},
-        {"status", [this] { m_status.start(); },
-         [this](const std::function<void()> &done) {
-             m_status.stop();
-             done();
-         }},
+        childOf("log", m_log),
+        childOf("peers", m_peers),
+        childOf("status", m_status),
         {"decisions",
          [this] {
              const auto &timing = m_process.settings.timing;
--- a/src/poplarpass/app/entry_process.cpp
+++ b/src/poplarpass/app/entry_process.cpp
@@ -110,21 +110,9 @@
 auto entry_process::childSpecs() -> std::vector<child_spec>
 {
     return {
-        {"log", [this] { m_log.start(); },
-         [this](const std::function<void()> &done) {
-             m_log.stop();
-             done();
-         }},
-        {"peers", [this] { m_peers.start(); },
-         [this](const std::function<void()> &done) {
-             m_peers.stop();
-             done();
-         }},
-        {"status", [this] { m_status.start(); },
-         [this](const std::function<void()> &done) {
-             m_status.stop();
-             done();
-         }},
+        childOf("log", m_log),
+        childOf("peers", m_peers),
+        childOf("status", m_status),
         {"membership", [] {},
          [this](const std::function<void()> &done) {
              m_membership.leave(m_keys.handedOver(), done);
--- a/src/poplarpass/app/supervisor.h
+++ b/src/poplarpass/app/supervisor.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace poplarpass::app
@@ -18,6 +19,18 @@
     std::function<void(std::function<void()> done)> stop; ///< Stops it gracefully, then calls done once.
 };
 
+/// \brief Child \p name that is \p part, which has start() and a stop() that is done when it returns.
+/// \pre \p part outlives the supervisor
+template <class part_type>
+auto childOf(std::string name, part_type &part) -> child_spec
+{
+    return {std::move(name), [&part] { part.start(); },
+            [&part](const std::function<void()> &done) {
+                part.stop();
+                done();
+            }};
+}
+
 /// \brief How a supervisor treats children that fail.
 struct restart_policy
 {
