--- a/src/poplarpass/app/verbs.cpp
+++ b/src/poplarpass/app/verbs.cpp
@@ -2,12 +2,15 @@
 #include <poplarpass/app/control_process.h>
 #include <poplarpass/app/entry_process.h>
 #include <poplarpass/app/operator_verbs.h>
+#include <poplarpass/host/host_process.h>
 #include <poplarpass/settings.h>
+#include <poplarpass/settings/host_settings.h>
 
 #include <algorithm>
 #include <iterator>
 #include <optional>
 #include <ostream>
+#include <platform/access.h>
 
 namespace poplarpass::app
 {
@@ -83,12 +86,26 @@
     process.run();
     return exit_code::success;
 }
+
+auto runHost(const parsed_options &options, console &streams) -> exit_code
+{
+    const auto path = options.value("config");
+    auto loaded = settings::loadHostSettings(path);
+    if (!loaded) {
+        streams.err << settings::textOf(loaded.error());
+        return exit_code::bad_settings;
+    }
+    host::host_process process{std::move(*loaded), path, ::platform::makePlatformAccess()};
+    process.run();
+    return exit_code::success;
+}
 } // namespace
 
 auto allVerbs() -> std::vector<verb>
 {
     const option_spec config{"config", "settings file", true, true, ""};
     std::vector<verb> verbs{
+        {"host", "runs the process of a host on the users' platform", "", {config}, runHost},
         {"entry", "runs the entry process, which takes jobs of callers", "", {config}, runEntry},
         {"control", "runs the control process, which may hold the control role", "", {config}, runControl},
         {"config check", "checks settings files and shows every error at once", "FILE...", {}, checkConfig},
--- /dev/null
+++ b/src/poplarpass/host/client_request.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <poplarpass/core/error.h>
+#include <poplarpass/jobs/job_spec.h>
+#include <poplarpass/net/http_message.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace poplarpass::host
+{
+/// \brief What a caller asks for.
+enum class client_verb : std::uint8_t {
+    submit, ///< Accept a job.
+    state, ///< How far is a job.
+    cancel, ///< Cancel a job.
+    pending, ///< How many jobs of the queue wait.
+};
+
+/// \brief A caller's request, at any host.
+struct client_request
+{
+    client_verb verb = client_verb::state; ///< What it asks for.
+    jobs::job_id job; ///< Which job; empty for pending.
+    std::string hostName; ///< Host name that the caller asked for.
+    std::string path; ///< Path that the caller asked for.
+    std::string body; ///< Body of a submission.
+    std::uint64_t configVersion = 0; ///< Configuration by which the receiving host judged it.
+};
+
+/// \brief Takes the answer to a request.
+using client_answer = std::function<void(net::http_response)>;
+
+/// \brief Status by which a host says that it does not own the pools.
+inline constexpr int notOwnerStatus = 421;
+
+/// \brief Refusal of a request that was not carried out, with the time to come back.
+auto refusalResponse(int status, std::string_view reason) -> net::http_response;
+
+/// \brief Answer that says nothing but its status and reason.
+auto plainResponse(int status, std::string_view reason) -> net::http_response;
+
+/// \brief Decodes the body of a submission.
+using job_decoder = std::function<core::result<jobs::job_spec>(std::string_view)>;
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/constants.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <poplarpass/core/time.h>
+
+#include <cstddef>
+
+namespace poplarpass::host
+{
+/// \brief Between two turns in which decisions are stored and sent, at least.
+inline constexpr core::duration turnPeriod = std::chrono::milliseconds{15};
+/// \brief Between two turns when nothing happens, at most.
+inline constexpr core::duration idleTurnPeriod = std::chrono::milliseconds{100};
+/// \brief Between a worker's answer and the next renewal.
+inline constexpr core::duration renewalGap = std::chrono::milliseconds{80};
+/// \brief A worker with nothing to report answers a renewal after this.
+inline constexpr std::chrono::milliseconds renewalWait{1500};
+/// \brief Between renewals of a worker that did not answer.
+inline constexpr core::duration renewalRetry = std::chrono::milliseconds{400};
+/// \brief Between reads of what workers say of themselves.
+inline constexpr core::duration workerListPeriod = std::chrono::milliseconds{400};
+/// \brief A read of the operator's records waits this long for a change.
+inline constexpr std::chrono::milliseconds operatorWait{5000};
+/// \brief A read of the ownership waits this long for a record.
+inline constexpr std::chrono::milliseconds ownershipWait{1000};
+/// \brief Between attempts of a call of the store that failed.
+inline constexpr core::duration storeRetry = std::chrono::milliseconds{150};
+/// \brief Between attempts to hand a request to the owner.
+inline constexpr core::duration forwardRetry = std::chrono::milliseconds{60};
+/// \brief An owner that does not answer a request in this time is asked again.
+inline constexpr core::duration forwardTimeout = std::chrono::milliseconds{1200};
+/// \brief Time for a caller's request when neither the caller nor its route says.
+inline constexpr core::duration defaultRequestTime = std::chrono::milliseconds{3000};
+/// \brief Share of a request's time after which it is given up, so that the answer arrives in time.
+inline constexpr double requestTimeShare = 0.8;
+/// \brief When a caller should come back after a refusal, seconds.
+inline constexpr int retryAfterSeconds = 1;
+/// \brief Bytes of records in one append at most.
+inline constexpr std::size_t appendBytes = 900'000;
+/// \brief Callers still arrive this long after a process says that it is not ready.
+inline constexpr core::duration balancerLag = std::chrono::milliseconds{2300};
+/// \brief A stopping process ends this long before it would be killed.
+inline constexpr core::duration stopReserve = std::chrono::milliseconds{700};
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/journal.cpp
@@ -0,0 +1,203 @@
+#include <poplarpass/app/ticker.h>
+#include <poplarpass/codec/job_codec.h>
+#include <poplarpass/host/constants.h>
+#include <poplarpass/host/journal.h>
+#include <poplarpass/jobs/progress_text.h>
+
+#include <algorithm>
+#include <cassert>
+#include <unordered_map>
+#include <utility>
+
+namespace poplarpass::host
+{
+namespace
+{
+constexpr char specPrefix = 'j';
+constexpr char progressPrefix = 'p';
+
+auto sizeOf(const store::keyed_record &record) -> std::size_t
+{
+    return record.key.size() + record.value.size();
+}
+} // namespace
+
+journal::journal(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
+                 std::uint64_t epoch, fenced_hook onFenced)
+    : m_loop{loop}
+    , m_store{records}
+    , m_log{log}
+    , m_epoch{epoch}
+    , m_onFenced{std::move(onFenced)}
+{
+}
+
+auto journal::open(std::function<void()> done) -> void
+{
+    assert(m_batches.empty());
+    m_batches.push_back({{}, {}, {std::move(done)}});
+    startNext();
+}
+
+auto journal::write(const jobs::job_engine &engine, const std::set<jobs::job_id> &changed,
+                    std::function<void()> afterwards) -> void
+{
+    std::size_t bytes = 0;
+    m_batches.emplace_back();
+    for (const auto &id : changed) {
+        const auto *job = engine.find(id);
+        if (job == nullptr) {
+            continue;
+        }
+        if (bytes > appendBytes) {
+            m_batches.emplace_back();
+            bytes = 0;
+        }
+        auto &batch = m_batches.back();
+        if (m_knownSpecs.insert(id.str()).second) {
+            batch.records.push_back({specPrefix + id.str(), codec::encodeJob(*job)});
+            bytes += sizeOf(batch.records.back());
+        }
+        batch.records.push_back({progressPrefix + id.str(), jobs::encodeProgress(*job)});
+        bytes += sizeOf(batch.records.back());
+        batch.jobs.insert(id);
+    }
+    m_batches.back().afterwards.push_back(std::move(afterwards));
+    startNext();
+}
+
+auto journal::remove(std::span<const jobs::job_id> forgotten) -> void
+{
+    if (forgotten.empty()) {
+        return;
+    }
+    batch removal;
+    for (const auto &id : forgotten) {
+        removal.records.push_back({specPrefix + id.str(), {}});
+        removal.records.push_back({progressPrefix + id.str(), {}});
+        m_knownSpecs.erase(id.str());
+    }
+    m_batches.push_back(std::move(removal));
+    startNext();
+}
+
+auto journal::isBusy() const -> bool
+{
+    return !m_batches.empty();
+}
+
+auto journal::isPending(const jobs::job_id &id) const -> bool
+{
+    return std::ranges::any_of(m_batches, [&](const batch &entry) { return entry.jobs.contains(id); });
+}
+
+auto journal::markKnown(const jobs::job_id &id) -> void
+{
+    m_knownSpecs.insert(id.str());
+}
+
+auto journal::stop() -> void
+{
+    *m_alive = false;
+    m_alive = std::make_shared<bool>(false);
+    m_batches.clear();
+}
+
+auto journal::startNext() -> void
+{
+    if (!m_busy && !m_batches.empty()) {
+        m_busy = true;
+        send();
+    }
+}
+
+auto journal::send() -> void
+{
+    store::append_request request;
+    request.to = store::topic::jobs;
+    request.keyedRecords = m_batches.front().records;
+    request.fence = store::writer_fence{m_epoch, m_sequence};
+    m_store.append(std::move(request), [this, alive = m_alive](const store::append_result &answer) {
+        if (*alive) {
+            onAnswer(answer);
+        }
+    });
+}
+
+auto journal::onAnswer(const store::append_result &answer) -> void
+{
+    switch (answer.outcome) {
+    case store::append_outcome::appended:
+        break;
+    case store::append_outcome::refused:
+    case store::append_outcome::unknown:
+        if (!std::exchange(m_troubled, true)) {
+            m_log.log(observe::log_level::warning, "journal_stalled",
+                      {{"epoch", m_epoch}, {"sequence", m_sequence}, {"batches", m_batches.size()}});
+        }
+        retryLater();
+        return;
+    case store::append_outcome::fenced:
+    case store::append_outcome::conflict:
+    case store::append_outcome::out_of_sequence:
+        m_log.log(observe::log_level::warning, "journal_fenced", {{"epoch", m_epoch}, {"sequence", m_sequence}});
+        m_onFenced();
+        return;
+    }
+    if (std::exchange(m_troubled, false)) {
+        m_log.log(observe::log_level::info, "journal_resumed", {{"epoch", m_epoch}, {"sequence", m_sequence}});
+    }
+    ++m_sequence;
+    m_busy = false;
+    const auto stored = std::move(m_batches.front());
+    m_batches.pop_front();
+    const auto alive = m_alive;
+    for (const auto &call : stored.afterwards) {
+        call();
+        if (!*alive) {
+            return;
+        }
+    }
+    startNext();
+}
+
+auto journal::retryLater() -> void
+{
+    app::callAfter(m_loop, storeRetry, [this, alive = m_alive] {
+        if (*alive) {
+            send();
+        }
+    });
+}
+
+auto restoreJobs(const store::newest_result &newest, observe::logger &log) -> std::vector<jobs::job_record>
+{
+    std::unordered_map<std::string, jobs::job_record> found;
+    for (const auto &record : newest.records) {
+        if (record.key.size() < 2 || record.key.front() != specPrefix) {
+            continue;
+        }
+        auto id = record.key.substr(1);
+        auto job = codec::decodeJob(jobs::job_id{id}, record.value);
+        if (job) {
+            found.emplace(std::move(id), std::move(*job));
+        } else {
+            log.log(observe::log_level::error, "job_record_unreadable", {{"job", id}, {"detail", job.error().detail}});
+        }
+    }
+    for (const auto &record : newest.records) {
+        if (record.key.size() < 2 || record.key.front() != progressPrefix) {
+            continue;
+        }
+        const auto job = found.find(record.key.substr(1));
+        if (job != found.end() && !jobs::applyProgress(job->second, record.value)) {
+            log.log(observe::log_level::error, "progress_record_unreadable", {{"job", job->first}});
+        }
+    }
+    std::vector<jobs::job_record> jobs;
+    for (auto &[id, job] : found) {
+        jobs.push_back(std::move(job));
+    }
+    return jobs;
+}
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/journal.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <poplarpass/jobs/job_engine.h>
+#include <poplarpass/observe/logger.h>
+#include <poplarpass/store/record_store.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace boost::asio
+{
+class io_context;
+} // namespace boost::asio
+
+namespace poplarpass::host
+{
+/// \brief Stores the jobs of one owner, batch after batch, and then lets go of what had to wait for it.
+///
+/// Every append carries the owner's epoch and a sequence number. One without an answer is repeated under its number
+/// until the store answers, so it is carried out once.
+class journal
+{
+public:
+    /// \brief Called once when a later owner writes.
+    using fenced_hook = std::function<void()>;
+
+    journal(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
+            std::uint64_t epoch, fenced_hook onFenced);
+
+    /// \brief Makes all appends of earlier owners fail from now on, then calls \p done.
+    auto open(std::function<void()> done) -> void;
+
+    /// \brief Stores the present state of \p changed and then calls \p afterwards.
+    auto write(const jobs::job_engine &engine, const std::set<jobs::job_id> &changed, std::function<void()> afterwards)
+        -> void;
+
+    /// \brief Removes the records of jobs.
+    auto remove(std::span<const jobs::job_id> forgotten) -> void;
+
+    /// \brief Whether an append is in progress.
+    [[nodiscard]] auto isBusy() const -> bool;
+
+    /// \brief Whether changes of \p id are not stored yet.
+    [[nodiscard]] auto isPending(const jobs::job_id &id) const -> bool;
+
+    /// \brief The specification of \p id is in the store already.
+    auto markKnown(const jobs::job_id &id) -> void;
+
+    /// \brief Ends all activity.
+    auto stop() -> void;
+
+private:
+    struct batch
+    {
+        std::vector<store::keyed_record> records;
+        std::set<jobs::job_id> jobs;
+        std::vector<std::function<void()>> afterwards;
+    };
+
+    auto startNext() -> void;
+    auto send() -> void;
+    auto onAnswer(const store::append_result &answer) -> void;
+    auto retryLater() -> void;
+
+    boost::asio::io_context &m_loop;
+    const store::record_store &m_store;
+    observe::logger &m_log;
+    std::uint64_t m_epoch;
+    std::uint64_t m_sequence = 0;
+    fenced_hook m_onFenced;
+    std::unordered_set<std::string> m_knownSpecs;
+    std::deque<batch> m_batches;
+    bool m_busy = false;
+    bool m_troubled = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+/// \brief Jobs read back from the store.
+/// \param newest all records of the topic of jobs
+auto restoreJobs(const store::newest_result &newest, observe::logger &log) -> std::vector<jobs::job_record>;
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/owner_election.cpp
@@ -0,0 +1,230 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/ticker.h>
+#include <poplarpass/host/constants.h>
+#include <poplarpass/host/owner_election.h>
+
+#include <utility>
+
+namespace poplarpass::host
+{
+using observe::log_level;
+
+owner_election::owner_election(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
+                               std::string hostName, std::string address, election_hooks hooks)
+    : m_loop{loop}
+    , m_store{records}
+    , m_log{log}
+    , m_hostName{std::move(hostName)}
+    , m_address{std::move(address)}
+    , m_hooks{std::move(hooks)}
+{
+}
+
+owner_election::~owner_election()
+{
+    *m_alive = false;
+}
+
+auto owner_election::later(core::duration delay, void (owner_election::*step)()) -> void
+{
+    app::callAfter(m_loop, delay, [this, alive = m_alive, step] {
+        if (*alive) {
+            (this->*step)();
+        }
+    });
+}
+
+auto owner_election::start() -> void
+{
+    read();
+}
+
+// A follower waits at the store for the next record; the wait is cut so that silence is noticed in time.
+auto owner_election::read() -> void
+{
+    const auto wait = m_watch.current() ? ownershipWait : std::chrono::milliseconds{100};
+    m_store.read(store::topic::ownership, m_offset, wait, [this, alive = m_alive](const store::read_result &result) {
+        if (*alive) {
+            onRead(result);
+        }
+    });
+}
+
+auto owner_election::onRead(const store::read_result &result) -> void
+{
+    if (result.outcome == store::read_outcome::failed) {
+        if (!std::exchange(m_storeLost, true)) {
+            m_log.log(log_level::warning, "store_lost", {{"topic", "ownership"}, {"effect", "no_takeover"}});
+        }
+        m_watch.onReadFailed();
+        later(storeRetry, &owner_election::read);
+        return;
+    }
+    if (std::exchange(m_storeLost, false)) {
+        m_log.log(log_level::info, "store_regained", {{"topic", "ownership"}, {"offset", m_offset}});
+    }
+    if (result.outcome == store::read_outcome::expired) {
+        m_offset = result.firstOffset;
+        later(core::duration{0}, &owner_election::read);
+        return;
+    }
+    m_watch.onRead(app::monotonicNow());
+    for (const auto &record : result.records) {
+        takeRecord(record);
+        m_offset = record.offset + 1;
+    }
+    considerClaim();
+    // Renewals come in steady steps, so a read that brings one needs no hurry to begin again.
+    later(result.records.empty() ? core::duration{0} : core::duration{std::chrono::milliseconds{20}},
+          &owner_election::read);
+}
+
+auto owner_election::takeRecord(const store::stored_record &record) -> void
+{
+    const auto decoded = owner::decodeOwnerRecord(record.value);
+    if (!decoded) {
+        m_log.log(log_level::warning, "owner_record_unreadable", {{"offset", record.offset}});
+        return;
+    }
+    const auto before = m_watch.current();
+    m_watch.onRecord(*decoded, app::monotonicNow());
+    const auto &current = m_watch.current();
+    const bool changed = before.has_value() != current.has_value() || (before && before->epoch != current->epoch);
+    if (!changed) {
+        return;
+    }
+    m_log.log(log_level::info, "owner_changed",
+              {{"owner", current ? current->host : std::string{"none"}},
+               {"epoch", decoded->epoch},
+               {"offset", record.offset}});
+    if (m_owner && decoded->epoch > m_epoch) {
+        depose();
+    }
+    m_hooks.onOwnerChanged();
+}
+
+auto owner_election::considerClaim() -> void
+{
+    if (!m_owner && !m_claiming && !m_aside && m_watch.shouldClaim(app::monotonicNow(), m_hooks.rank())) {
+        claim();
+    }
+}
+
+// The claim is appended at the end that was read, so that of several claims only one is taken. Its offset, which no
+// other record has, makes the epoch.
+auto owner_election::claim() -> void
+{
+    m_claiming = true;
+    const auto epoch = m_offset + 1;
+    const auto sentAt = app::monotonicNow();
+    m_log.log(log_level::info, "owner_claim", {{"epoch", epoch}, {"rank", m_hooks.rank()}});
+    store::append_request request;
+    request.to = store::topic::ownership;
+    request.records.push_back(
+        owner::encodeOwnerRecord({owner::owner_record_kind::claim, epoch, m_hostName, m_address}));
+    request.expectedEnd = m_offset;
+    request.fence = store::writer_fence{epoch, 0};
+    m_store.append(std::move(request), [this, alive = m_alive, epoch, sentAt](const store::append_result &answer) {
+        if (*alive) {
+            onClaimed(answer, epoch, sentAt);
+        }
+    });
+}
+
+auto owner_election::onClaimed(const store::append_result &answer, std::uint64_t epoch, core::monotonic_time sentAt)
+    -> void
+{
+    m_claiming = false;
+    if (answer.outcome != store::append_outcome::appended) {
+        // Without an answer the claim may still be stored. It then counts for others as a term without renewals.
+        m_log.log(log_level::info, "owner_claim_failed",
+                  {{"epoch", epoch}, {"outcome", static_cast<int>(answer.outcome)}});
+        return;
+    }
+    m_owner = true;
+    m_epoch = epoch;
+    m_sequence = 1;
+    m_log.log(log_level::info, "owner_elected", {{"epoch", epoch}});
+    m_hooks.onElected(epoch, sentAt);
+    later(owner::renewalPeriod, &owner_election::renew);
+}
+
+auto owner_election::appendOwn(owner::owner_record_kind kind, std::function<void(store::append_result)> done) -> void
+{
+    store::append_request request;
+    request.to = store::topic::ownership;
+    request.records.push_back(owner::encodeOwnerRecord({kind, m_epoch, m_hostName, m_address}));
+    request.fence = store::writer_fence{m_epoch, m_sequence};
+    m_store.append(std::move(request), [alive = m_alive, done = std::move(done)](const store::append_result &answer) {
+        if (*alive) {
+            done(answer);
+        }
+    });
+}
+
+auto owner_election::renew() -> void
+{
+    if (!m_owner) {
+        return;
+    }
+    const auto sentAt = app::monotonicNow();
+    appendOwn(owner::owner_record_kind::renewal,
+              [this, sentAt](const store::append_result &answer) { onRenewed(answer, sentAt); });
+}
+
+auto owner_election::onRenewed(const store::append_result &answer, core::monotonic_time sentAt) -> void
+{
+    if (!m_owner) {
+        return;
+    }
+    switch (answer.outcome) {
+    case store::append_outcome::appended:
+        ++m_sequence;
+        m_hooks.onRenewed(sentAt);
+        later(owner::renewalPeriod, &owner_election::renew);
+        return;
+    case store::append_outcome::refused:
+    case store::append_outcome::unknown:
+        later(storeRetry, &owner_election::renew);
+        return;
+    case store::append_outcome::fenced:
+    case store::append_outcome::conflict:
+    case store::append_outcome::out_of_sequence:
+        depose();
+        return;
+    }
+}
+
+auto owner_election::depose() -> void
+{
+    if (std::exchange(m_owner, false)) {
+        m_hooks.onDeposed();
+    }
+}
+
+auto owner_election::drop() -> void
+{
+    m_owner = false;
+}
+
+auto owner_election::standAside() -> void
+{
+    m_aside = true;
+}
+
+auto owner_election::resign(std::function<void()> done) -> void
+{
+    standAside();
+    if (!std::exchange(m_owner, false)) {
+        done();
+        return;
+    }
+    appendOwn(owner::owner_record_kind::resignation,
+              [done = std::move(done)](const store::append_result &) { done(); });
+}
+
+auto owner_election::current() const -> const std::optional<owner::owner_record> &
+{
+    return m_watch.current();
+}
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/owner_election.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <poplarpass/observe/logger.h>
+#include <poplarpass/owner/owner_watch.h>
+#include <poplarpass/store/record_store.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio
+{
+class io_context;
+} // namespace boost::asio
+
+namespace poplarpass::host
+{
+/// \brief What the election tells the process.
+struct election_hooks
+{
+    std::function<void(std::uint64_t, core::monotonic_time)> onElected; ///< This process owns the pools: epoch, time.
+    std::function<void(core::monotonic_time)> onRenewed; ///< A renewal sent at that time is stored.
+    std::function<void()> onDeposed; ///< This process does not own the pools any more.
+    std::function<void()> onOwnerChanged; ///< Another process owns the pools.
+    std::function<unsigned()> rank; ///< Position of this process among those that may claim.
+};
+
+/// \brief Follows the records about ownership, claims it when it is vacant, and renews it.
+class owner_election
+{
+public:
+    owner_election(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
+                   std::string hostName, std::string address, election_hooks hooks);
+    ~owner_election();
+    owner_election(const owner_election &) = delete;
+    auto operator=(const owner_election &) -> owner_election & = delete;
+
+    /// \brief Begins to follow.
+    auto start() -> void;
+
+    /// \brief Never claims again.
+    auto standAside() -> void;
+
+    /// \brief Lets another process claim at once; calls \p done when that is stored or failed.
+    auto resign(std::function<void()> done) -> void;
+
+    /// \brief This process does not own the pools any more, whatever the store says.
+    auto drop() -> void;
+
+    /// \brief Owner as far as is known.
+    [[nodiscard]] auto current() const -> const std::optional<owner::owner_record> &;
+
+private:
+    auto read() -> void;
+    auto onRead(const store::read_result &result) -> void;
+    auto takeRecord(const store::stored_record &record) -> void;
+    auto considerClaim() -> void;
+    auto claim() -> void;
+    auto onClaimed(const store::append_result &answer, std::uint64_t epoch, core::monotonic_time sentAt) -> void;
+    auto renew() -> void;
+    auto onRenewed(const store::append_result &answer, core::monotonic_time sentAt) -> void;
+    auto depose() -> void;
+    auto appendOwn(owner::owner_record_kind kind, std::function<void(store::append_result)> done) -> void;
+    auto later(core::duration delay, void (owner_election::*step)()) -> void;
+
+    boost::asio::io_context &m_loop;
+    const store::record_store &m_store;
+    observe::logger &m_log;
+    std::string m_hostName;
+    std::string m_address;
+    election_hooks m_hooks;
+    owner::owner_watch m_watch;
+    std::uint64_t m_offset = 0;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_sequence = 0;
+    bool m_owner = false;
+    bool m_claiming = false;
+    bool m_aside = false;
+    bool m_storeLost = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -0,0 +1,435 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/ticker.h>
+#include <poplarpass/host/constants.h>
+#include <poplarpass/host/pool_owner.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarpass::host
+{
+using observe::log_level;
+
+pool_owner::pool_owner(pool_owner_environment environment, std::uint64_t epoch, core::monotonic_time claimedAt)
+    : m_env{std::move(environment)}
+    , m_term{epoch, claimedAt}
+    , m_engine{[this](const jobs::decision &made) {
+        note(made);
+    }}
+    , m_journal{m_env.loop, m_env.records, m_env.log, epoch,
+                [this] {
+                    depose("journal");
+                }}
+    , m_startedAt{claimedAt}
+{
+    worker_link_hooks hooks;
+    hooks.mayOrder = [this] {
+        return !m_resigned && m_term.mayOrder(app::monotonicNow());
+    };
+    hooks.onChange = [this] {
+        requestTurn();
+    };
+    hooks.whenStored = [this](std::function<void()> call) {
+        whenStored(std::move(call));
+    };
+    hooks.onFenced = [this] {
+        depose("worker");
+    };
+    m_links = std::make_unique<worker_links>(m_env.loop, m_env.workers, m_engine, m_env.log, epoch, std::move(hooks));
+}
+
+pool_owner::~pool_owner()
+{
+    *m_alive = false;
+    m_journal.stop();
+    for (auto &waiting : m_waiting) {
+        waiting.answer(plainResponse(notOwnerStatus, "not_owner"));
+    }
+}
+
+auto pool_owner::later(core::duration delay, void (pool_owner::*step)()) -> void
+{
+    app::callAfter(m_env.loop, delay, [this, alive = m_alive, step] {
+        if (*alive) {
+            (this->*step)();
+        }
+    });
+}
+
+auto pool_owner::start() -> void
+{
+    m_journal.open([this] { readJobs(); });
+}
+
+auto pool_owner::readJobs() -> void
+{
+    m_env.records.newest(store::topic::jobs, [this, alive = m_alive](const store::newest_result &newest) {
+        if (*alive) {
+            onJobs(newest);
+        }
+    });
+}
+
+auto pool_owner::onJobs(const store::newest_result &newest) -> void
+{
+    if (!newest.complete) {
+        m_env.log.log(log_level::warning, "jobs_unread", {{"epoch", epoch()}});
+        later(storeRetry, &pool_owner::readJobs);
+        return;
+    }
+    const auto now = app::monotonicNow();
+    for (auto &job : restoreJobs(newest, m_env.log)) {
+        m_journal.markKnown(job.id);
+        m_engine.restore(std::move(job), now);
+    }
+    m_env.log.log(log_level::info, "jobs_restored",
+                  {{"epoch", epoch()}, {"jobs", m_engine.jobs().size()}, {"offset", newest.endOffset}});
+    readWorkers();
+}
+
+auto pool_owner::readWorkers() -> void
+{
+    m_env.records.newest(store::topic::worker_records, [this, alive = m_alive](const store::newest_result &newest) {
+        if (*alive) {
+            onWorkers(newest);
+        }
+    });
+}
+
+auto pool_owner::onWorkers(const store::newest_result &newest) -> void
+{
+    if (!newest.complete) {
+        later(storeRetry, &pool_owner::readWorkers);
+        return;
+    }
+    m_entries.clear();
+    for (const auto &record : newest.records) {
+        takeWorkerRecord(record);
+    }
+    m_workerOffset = newest.endOffset;
+    updateWorkers();
+    if (!m_serving) {
+        beginServing();
+    }
+    later(workerListPeriod, &pool_owner::pollWorkers);
+}
+
+auto pool_owner::beginServing() -> void
+{
+    m_serving = true;
+    m_env.log.log(
+        log_level::info, "owner_serving",
+        {{"epoch", epoch()},
+         {"workers", m_entries.size()},
+         {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(app::monotonicNow() - m_startedAt).count()}});
+    auto waiting = std::exchange(m_waiting, {});
+    for (auto &entry : waiting) {
+        serve(entry.request, std::move(entry.answer));
+    }
+    scheduleTurn(app::monotonicNow());
+}
+
+auto pool_owner::pollWorkers() -> void
+{
+    if (m_resigned) {
+        return;
+    }
+    m_env.records.read(store::topic::worker_records, m_workerOffset, std::chrono::milliseconds{0},
+                       [this, alive = m_alive](const store::read_result &result) {
+                           if (*alive) {
+                               onWorkerRecords(result);
+                           }
+                       });
+}
+
+auto pool_owner::onWorkerRecords(const store::read_result &result) -> void
+{
+    if (result.outcome == store::read_outcome::expired) {
+        readWorkers();
+        return;
+    }
+    if (result.outcome == store::read_outcome::read) {
+        for (const auto &record : result.records) {
+            takeWorkerRecord(record);
+            m_workerOffset = record.offset + 1;
+        }
+        updateWorkers();
+    }
+    later(workerListPeriod, &pool_owner::pollWorkers);
+}
+
+auto pool_owner::takeWorkerRecord(const store::stored_record &record) -> void
+{
+    if (record.value.empty()) {
+        m_entries.erase(record.key);
+        return;
+    }
+    auto entry = m_env.decodeWorker(record.key, record.value);
+    if (entry) {
+        m_entries[record.key] = std::move(*entry);
+    } else {
+        m_entries.erase(record.key);
+        m_env.log.log(log_level::warning, "worker_entry_unreadable",
+                      {{"worker", record.key}, {"offset", record.offset}, {"detail", entry.error().detail}});
+    }
+}
+
+auto pool_owner::updateWorkers() -> void
+{
+    std::vector<jobs::worker_entry> entries;
+    entries.reserve(m_entries.size());
+    for (const auto &[id, entry] : m_entries) {
+        entries.push_back(entry);
+    }
+    m_engine.updateWorkers(entries, app::monotonicNow());
+    if (!m_resigned) {
+        m_links->refresh();
+    }
+    requestTurn();
+}
+
+auto pool_owner::handle(const client_request &request, client_answer answer) -> void
+{
+    if (m_resigned) {
+        answer(plainResponse(notOwnerStatus, "not_owner"));
+        return;
+    }
+    if (!m_serving || request.configVersion > m_env.routes.config().version) {
+        m_waiting.push_back({request, std::move(answer)});
+        return;
+    }
+    serve(request, std::move(answer));
+}
+
+auto pool_owner::onConfig() -> void
+{
+    if (!m_serving) {
+        return;
+    }
+    auto waiting = std::exchange(m_waiting, {});
+    for (auto &entry : waiting) {
+        handle(entry.request, std::move(entry.answer));
+    }
+}
+
+auto pool_owner::serve(const client_request &request, client_answer answer) -> void
+{
+    switch (request.verb) {
+    case client_verb::submit:
+        submit(request, answer);
+        return;
+    case client_verb::state:
+        answerState(request, answer);
+        return;
+    case client_verb::cancel:
+        cancel(request, answer);
+        return;
+    case client_verb::pending:
+        answerPending(request, answer);
+        return;
+    }
+}
+
+auto pool_owner::submit(const client_request &request, const client_answer &answer) -> void
+{
+    const auto accept = [answer] {
+        answer(net::makeResponse(200, "{}"));
+    };
+    if (m_engine.find(request.job) != nullptr) {
+        if (m_journal.isPending(request.job)) {
+            whenStored(accept);
+        } else {
+            accept();
+        }
+        return;
+    }
+    const auto match = m_env.routes.match(request.hostName, request.path);
+    if (match.matched == nullptr) {
+        answer(plainResponse(404, "no_such_queue"));
+        return;
+    }
+    // An owner that may have been replaced cannot store the job, and must not say that it never will be.
+    if (!m_term.mayAnswer(app::monotonicNow())) {
+        answer(plainResponse(notOwnerStatus, "not_owner"));
+        return;
+    }
+    auto spec = m_env.decodeJob(request.body);
+    if (!spec) {
+        answer(plainResponse(400, "bad_body"));
+        return;
+    }
+    m_engine.submit(request.job, match.matched->queue, std::move(*spec), app::wallNow());
+    requestTurn();
+    whenStored(accept);
+}
+
+auto pool_owner::answerState(const client_request &request, const client_answer &answer) -> void
+{
+    const auto *job = m_engine.find(request.job);
+    const bool current = m_term.mayAnswer(app::monotonicNow());
+    if (!current && (job == nullptr || job->phase == jobs::job_phase::active)) {
+        answer(plainResponse(notOwnerStatus, "not_owner"));
+        return;
+    }
+    if (job == nullptr) {
+        answer(plainResponse(410, "no_such_job"));
+        return;
+    }
+    if (m_journal.isPending(request.job)) {
+        whenStored([this, request, answer] { answerState(request, answer); });
+        return;
+    }
+    auto state = jobs::nameOf(job->phase);
+    if (job->phase == jobs::job_phase::active && !job->started) {
+        state = "queued";
+    }
+    answer(net::makeResponse(200, R"({"state":")" + std::string{state} + R"("})"));
+}
+
+auto pool_owner::cancel(const client_request &request, const client_answer &answer) -> void
+{
+    if (!m_term.mayAnswer(app::monotonicNow())) {
+        answer(plainResponse(notOwnerStatus, "not_owner"));
+        return;
+    }
+    if (m_engine.cancel(request.job, app::monotonicNow()) == jobs::cancel_outcome::unknown) {
+        answer(plainResponse(410, "no_such_job"));
+        return;
+    }
+    requestTurn();
+    whenStored([answer] { answer(net::makeResponse(200, "{}")); });
+}
+
+auto pool_owner::answerPending(const client_request &request, const client_answer &answer) -> void
+{
+    const auto match = m_env.routes.match(request.hostName, request.path);
+    if (match.matched == nullptr) {
+        answer(plainResponse(404, "no_such_queue"));
+        return;
+    }
+    const auto count = m_engine.pendingCount(match.matched->queue.name);
+    answer(net::makeResponse(200, R"({"pending":)" + std::to_string(count) + "}"));
+}
+
+auto pool_owner::onRenewed(core::monotonic_time sentAt) -> void
+{
+    m_term.onRenewed(sentAt);
+}
+
+auto pool_owner::requestTurn() -> void
+{
+    m_turnWanted = true;
+    if (!m_serving || m_journal.isBusy()) {
+        return;
+    }
+    const auto due = std::max(m_lastTurn + turnPeriod, app::monotonicNow());
+    if (!m_turnPlanned || due < m_turnDue) {
+        scheduleTurn(due);
+    }
+}
+
+auto pool_owner::scheduleTurn(core::monotonic_time due) -> void
+{
+    m_turnPlanned = true;
+    m_turnDue = due;
+    const auto delay = std::max(due - app::monotonicNow(), core::duration{0});
+    app::callAfter(m_env.loop, delay, [this, alive = m_alive, serial = ++m_turnSerial] {
+        if (*alive && serial == m_turnSerial) {
+            turn();
+        }
+    });
+}
+
+// One turn: decide, store what changed, and only then send the orders and the answers that depend on it.
+auto pool_owner::turn() -> void
+{
+    m_turnPlanned = false;
+    if (m_journal.isBusy()) {
+        return;
+    }
+    const auto now = app::monotonicNow();
+    m_lastTurn = now;
+    m_turnWanted = false;
+    if (!m_resigned && m_term.mayOrder(now)) {
+        m_engine.plan(now, app::wallNow());
+    }
+    const auto changed = m_engine.takeChanged();
+    auto orders = m_engine.takeOrders();
+    auto calls = std::exchange(m_afterNextWrite, {});
+    auto release = [this, orders = std::move(orders), calls = std::move(calls), alive = m_alive] {
+        m_links->send(orders);
+        for (const auto &call : calls) {
+            call();
+        }
+        if (*alive && !m_turnPlanned) {
+            scheduleTurn(m_lastTurn + (m_turnWanted ? turnPeriod : idleTurnPeriod));
+        }
+    };
+    if (changed.empty()) {
+        release();
+    } else {
+        m_journal.write(m_engine, changed, std::move(release));
+    }
+}
+
+auto pool_owner::whenStored(std::function<void()> call) -> void
+{
+    m_afterNextWrite.push_back(std::move(call));
+    requestTurn();
+}
+
+auto pool_owner::resign(std::function<void()> done) -> void
+{
+    whenStored([this, done = std::move(done)] {
+        m_env.log.log(log_level::info, "owner_resigns", {{"epoch", epoch()}});
+        done();
+    });
+    m_resigned = true;
+}
+
+auto pool_owner::depose(std::string_view reason) -> void
+{
+    m_env.log.log(log_level::warning, "owner_deposed", {{"epoch", epoch()}, {"noticed_by", reason}});
+    m_resigned = true;
+    app::callAfter(m_env.loop, core::duration{0}, m_env.onDeposed);
+}
+
+auto pool_owner::note(const jobs::decision &made) -> void
+{
+    m_env.log.log(log_level::info, made.event,
+                  {{"id", made.subject},
+                   {"worker", made.worker},
+                   {"run", made.run},
+                   {"reason", made.reason},
+                   {"epoch", m_term.epoch()},
+                   {"config", m_env.routes.config().version}});
+}
+
+auto pool_owner::epoch() const -> std::uint64_t
+{
+    return m_term.epoch();
+}
+
+auto pool_owner::isServing() const -> bool
+{
+    return m_serving && !m_resigned;
+}
+
+auto pool_owner::updateMetrics() -> void
+{
+    const auto &counts = m_engine.counters();
+    auto set = [this](std::string_view name, std::string_view help, std::uint64_t value) {
+        m_env.metrics.gaugeOf(name, help).set(static_cast<double>(value));
+    };
+    set("poplarpass_owner_epoch", "Epoch of this host's term as owner", epoch());
+    set("poplarpass_jobs_known", "Jobs in memory", m_engine.jobs().size());
+    set("poplarpass_jobs_accepted", "Jobs accepted in this term", counts.jobsAccepted);
+    set("poplarpass_jobs_completed", "Jobs completed in this term", counts.jobsCompleted);
+    set("poplarpass_jobs_failed", "Jobs failed in this term", counts.jobsFailed);
+    set("poplarpass_jobs_cancelled", "Jobs cancelled in this term", counts.jobsCancelled);
+    set("poplarpass_starts", "Starts decided in this term", counts.starts);
+    set("poplarpass_starts_rejected", "Starts that workers rejected in this term", counts.startsRejected);
+    set("poplarpass_runs_failed", "Runs that failed in this term", counts.runsFailed);
+    set("poplarpass_runs_lost", "Runs lost in this term", counts.runsLost);
+}
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/pool_owner.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <poplarpass/host/client_request.h>
+#include <poplarpass/host/journal.h>
+#include <poplarpass/host/worker_links.h>
+#include <poplarpass/jobs/job_engine.h>
+#include <poplarpass/observe/logger.h>
+#include <poplarpass/observe/metrics.h>
+#include <poplarpass/owner/owner_watch.h>
+#include <poplarpass/route/route_table.h>
+#include <poplarpass/store/record_store.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplarpass::host
+{
+/// \brief What an owner needs of its process.
+struct pool_owner_environment
+{
+    boost::asio::io_context &loop; ///< Event loop.
+    const store::record_store &records; ///< The store.
+    const worker_calls &workers; ///< Calls of workers.
+    const route::route_table &routes; ///< Configuration in force here.
+    observe::logger &log; ///< Event log.
+    observe::metrics_registry &metrics; ///< Metrics.
+    job_decoder decodeJob; ///< Decodes submissions.
+    std::function<core::result<jobs::worker_entry>(std::string_view, std::string_view)> decodeWorker; ///< Decodes what
+                                                                                                      ///< workers say.
+    std::function<void()> onDeposed; ///< Called when another process owns the pools, or this one cannot go on.
+};
+
+/// \brief The process's term as owner of all pools: it decides, stores and orders.
+class pool_owner
+{
+public:
+    pool_owner(pool_owner_environment environment, std::uint64_t epoch, core::monotonic_time claimedAt);
+    ~pool_owner();
+    pool_owner(const pool_owner &) = delete;
+    auto operator=(const pool_owner &) -> pool_owner & = delete;
+
+    /// \brief Reads what is stored and begins to serve.
+    auto start() -> void;
+
+    /// \brief Takes a caller's request.
+    auto handle(const client_request &request, client_answer answer) -> void;
+
+    /// \brief A newer configuration is in force here.
+    auto onConfig() -> void;
+
+    /// \brief A renewal that was sent at \p sentAt is stored.
+    auto onRenewed(core::monotonic_time sentAt) -> void;
+
+    /// \brief Stops deciding, waits for what is being stored, then calls \p done.
+    auto resign(std::function<void()> done) -> void;
+
+    /// \brief Epoch of this term.
+    [[nodiscard]] auto epoch() const -> std::uint64_t;
+
+    /// \brief Whether requests are served.
+    [[nodiscard]] auto isServing() const -> bool;
+
+    /// \brief Brings the gauges up to date.
+    auto updateMetrics() -> void;
+
+private:
+    struct waiting_request
+    {
+        client_request request;
+        client_answer answer;
+    };
+
+    auto readJobs() -> void;
+    auto onJobs(const store::newest_result &newest) -> void;
+    auto readWorkers() -> void;
+    auto onWorkers(const store::newest_result &newest) -> void;
+    auto pollWorkers() -> void;
+    auto onWorkerRecords(const store::read_result &result) -> void;
+    auto takeWorkerRecord(const store::stored_record &record) -> void;
+    auto updateWorkers() -> void;
+    auto beginServing() -> void;
+    auto serve(const client_request &request, client_answer answer) -> void;
+    auto submit(const client_request &request, const client_answer &answer) -> void;
+    auto answerState(const client_request &request, const client_answer &answer) -> void;
+    auto cancel(const client_request &request, const client_answer &answer) -> void;
+    auto answerPending(const client_request &request, const client_answer &answer) -> void;
+    auto requestTurn() -> void;
+    auto scheduleTurn(core::monotonic_time due) -> void;
+    auto turn() -> void;
+    auto whenStored(std::function<void()> call) -> void;
+    auto note(const jobs::decision &made) -> void;
+    auto depose(std::string_view reason) -> void;
+    auto later(core::duration delay, void (pool_owner::*step)()) -> void;
+
+    pool_owner_environment m_env;
+    owner::owner_term m_term;
+    jobs::job_engine m_engine;
+    journal m_journal;
+    std::unique_ptr<worker_links> m_links;
+    std::map<std::string, jobs::worker_entry> m_entries;
+    std::uint64_t m_workerOffset = 0;
+    std::vector<waiting_request> m_waiting;
+    std::vector<std::function<void()>> m_afterNextWrite;
+    bool m_serving = false;
+    bool m_resigned = false;
+    bool m_turnPlanned = false;
+    bool m_turnWanted = false;
+    std::uint64_t m_turnSerial = 0;
+    core::monotonic_time m_turnDue{};
+    core::monotonic_time m_lastTurn{};
+    core::monotonic_time m_startedAt{};
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/worker_links.cpp
@@ -0,0 +1,193 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/host/constants.h>
+#include <poplarpass/host/worker_links.h>
+
+#include <utility>
+
+namespace poplarpass::host
+{
+worker_links::worker_links(boost::asio::io_context &loop, const worker_calls &calls, jobs::job_engine &engine,
+                           observe::logger &log, std::uint64_t fencingToken, worker_link_hooks hooks)
+    : m_loop{loop}
+    , m_calls{calls}
+    , m_engine{engine}
+    , m_log{log}
+    , m_token{fencingToken}
+    , m_hooks{std::move(hooks)}
+{
+}
+
+worker_links::~worker_links()
+{
+    *m_alive = false;
+}
+
+auto worker_links::refresh() -> void
+{
+    for (const auto &[id, worker] : m_engine.workers().all()) {
+        if (!worker.entry.address.empty() && !m_links[id].busy) {
+            renew(id);
+        }
+    }
+    std::erase_if(m_links, [this](const auto &entry) {
+        return !entry.second.busy && m_engine.workers().find(entry.first) == nullptr;
+    });
+}
+
+auto worker_links::targetOf(const jobs::worker_slot &worker) const -> worker_target
+{
+    return {worker.entry.id, worker.entry.address, m_token};
+}
+
+// A worker that does not answer gets no new lease: an order that is carried out late would let its runs live on, and
+// nobody could tell until when.
+auto worker_links::renew(const jobs::worker_id &id) -> void
+{
+    auto *worker = m_engine.workers().find(id);
+    auto &state = m_links[id];
+    state.busy = false;
+    if (worker == nullptr || worker->entry.address.empty() || !m_hooks.mayOrder()) {
+        return;
+    }
+    if (state.born != worker->entry.born) {
+        state.born = worker->entry.born;
+        state.acknowledgedEnd = 0;
+    }
+    const auto now = app::monotonicNow();
+    renewal_call call;
+    call.target = targetOf(*worker);
+    call.acknowledgedEnd = state.acknowledgedEnd;
+    if (worker->answering) {
+        call.deadlineMs = m_engine.workers().orderLease(*worker, now);
+        call.wait = renewalWait;
+    }
+    state.busy = true;
+    m_calls.renew(call, [this, alive = m_alive, id, now](const renewal_answer &answer) {
+        if (*alive) {
+            onRenewed(id, answer, now);
+        }
+    });
+}
+
+auto worker_links::onRenewed(const jobs::worker_id &id, const renewal_answer &answer, core::monotonic_time sentAt)
+    -> void
+{
+    const auto now = app::monotonicNow();
+    auto *worker = m_engine.workers().find(id);
+    switch (answer.outcome) {
+    case renewal_outcome::fenced:
+        m_hooks.onFenced();
+        return;
+    case renewal_outcome::other_instance:
+        m_log.log(observe::log_level::info, "worker_replaced", {{"worker", id.str()}});
+        m_engine.onOtherInstance(id, now);
+        m_links[id].busy = false;
+        m_hooks.onChange();
+        return;
+    case renewal_outcome::failed:
+        if (worker != nullptr && worker->answering) {
+            m_log.log(observe::log_level::warning, "worker_lost",
+                      {{"worker", id.str()}, {"placed", worker->placed.size()}});
+        }
+        m_engine.onNoReport(id);
+        m_hooks.onChange();
+        renewAfter(id, renewalRetry);
+        return;
+    case renewal_outcome::reported:
+        break;
+    }
+    if (worker != nullptr && !worker->answering) {
+        m_log.log(observe::log_level::info, "worker_regained",
+                  {{"worker", id.str()}, {"born", answer.report.born}, {"running", answer.report.running.size()}});
+    }
+    const bool first = worker != nullptr && !worker->answering;
+    const auto handled = m_engine.onReport(id, answer.report, sentAt, now);
+    m_hooks.onChange();
+    m_hooks.whenStored([this, alive = m_alive, id, born = answer.report.born, handled, first] {
+        if (!*alive) {
+            return;
+        }
+        auto &state = m_links[id];
+        state.born = born;
+        state.acknowledgedEnd = handled;
+        renewAfter(id, first ? core::duration{0} : renewalGap);
+    });
+}
+
+auto worker_links::renewAfter(const jobs::worker_id &id, core::duration delay) -> void
+{
+    app::callAfter(m_loop, delay, [this, alive = m_alive, id] {
+        if (*alive) {
+            renew(id);
+        }
+    });
+}
+
+auto worker_links::send(const jobs::order_batch &orders) -> void
+{
+    for (const auto &order : orders.stops) {
+        sendStop(order);
+    }
+    for (const auto &order : orders.starts) {
+        sendStart(order);
+    }
+    for (const auto &order : orders.paces) {
+        sendPace(order);
+    }
+}
+
+auto worker_links::sendStart(const jobs::start_order &order) -> void
+{
+    const auto now = app::monotonicNow();
+    auto *worker = m_engine.workers().find(order.worker);
+    if (worker == nullptr || !m_hooks.mayOrder()) {
+        m_engine.onStartAnswer(order, jobs::start_answer::unreachable, now);
+        return;
+    }
+    const auto deadline = m_engine.workers().orderLease(*worker, now);
+    m_calls.start(targetOf(*worker), order, deadline, [this, alive = m_alive, order](jobs::start_answer answer) {
+        if (!*alive) {
+            return;
+        }
+        if (answer == jobs::start_answer::fenced) {
+            m_hooks.onFenced();
+            return;
+        }
+        m_engine.onStartAnswer(order, answer, app::monotonicNow());
+        if (answer != jobs::start_answer::started) {
+            m_hooks.onChange();
+        }
+    });
+}
+
+auto worker_links::sendStop(const jobs::stop_order &order) -> void
+{
+    auto *worker = m_engine.workers().find(order.worker);
+    if (worker == nullptr || worker->entry.address.empty() || !m_hooks.mayOrder()) {
+        return;
+    }
+    m_calls.stop(targetOf(*worker), order, [this, alive = m_alive, order](jobs::stop_answer answer) {
+        if (!*alive) {
+            return;
+        }
+        if (answer == jobs::stop_answer::fenced) {
+            m_hooks.onFenced();
+            return;
+        }
+        m_engine.onStopAnswer(order, answer, app::monotonicNow());
+    });
+}
+
+auto worker_links::sendPace(const jobs::pace_order &order) -> void
+{
+    auto *worker = m_engine.workers().find(order.worker);
+    if (worker == nullptr || !m_hooks.mayOrder()) {
+        return;
+    }
+    m_calls.pace(targetOf(*worker), order, [this, alive = m_alive, order](bool paced) {
+        if (*alive && !paced) {
+            m_log.log(observe::log_level::info, "pace_refused", {{"task", order.task}, {"worker", order.worker.str()}});
+        }
+    });
+}
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/jobs.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// \file
+/// Jobs of steps: their state, the workers, and which task starts where.
+
+#include <poplarpass/jobs/constants.h>
+#include <poplarpass/jobs/job_engine.h>
+#include <poplarpass/jobs/job_order.h>
+#include <poplarpass/jobs/job_spec.h>
+#include <poplarpass/jobs/job_state.h>
+#include <poplarpass/jobs/progress_text.h>
+#include <poplarpass/jobs/worker_report.h>
+#include <poplarpass/jobs/worker_table.h>
--- /dev/null
+++ b/src/poplarpass/jobs/constants.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <poplarpass/core/time.h>
+
+#include <cstdint>
+
+namespace poplarpass::jobs
+{
+/// \brief Lease of everything that runs on a worker, from each renewal.
+inline constexpr core::duration workerLease = std::chrono::seconds{5};
+/// \brief A worker's clock advances by at least this share of real time.
+inline constexpr double slowestWorkerClock = 0.98;
+/// \brief Added to the end of a lease before its runs count as ended.
+inline constexpr core::duration leaseMargin = std::chrono::milliseconds{100};
+/// \brief Orders of a former owner of the pools may arrive this long after a takeover.
+inline constexpr core::duration formerOwnerBound = std::chrono::seconds{5};
+/// \brief A worker that has not answered for this long gets no starts.
+inline constexpr core::duration workerSilence = std::chrono::milliseconds{3500};
+/// \brief Between two stops of the same run.
+inline constexpr core::duration stopRepeat = std::chrono::milliseconds{500};
+/// \brief A start that the worker had no room for is tried again after this.
+inline constexpr core::duration roomRetry = std::chrono::milliseconds{150};
+/// \brief A worker that refused a start without doing anything gets no other for this long.
+inline constexpr core::duration unhealthyPause = std::chrono::milliseconds{1000};
+/// \brief First pause of a worker whose runs fail; doubled with each further failure in a row.
+inline constexpr core::duration failurePause = std::chrono::milliseconds{250};
+/// \brief Longest pause of a worker whose runs fail.
+inline constexpr core::duration longestFailurePause = std::chrono::seconds{4};
+/// \brief Failures in a row, of different tasks, after which a worker pauses.
+inline constexpr std::uint32_t failuresBeforePause = 2;
+/// \brief A long-running task that ended starts again no sooner than this.
+inline constexpr core::duration restartPause = std::chrono::milliseconds{50};
+/// \brief Ends that a worker lists at once; a longer list may be cut off.
+inline constexpr std::size_t endsPerReport = 500;
+/// \brief A job is kept for this long after its end at least.
+inline constexpr core::duration endedJobRetention = std::chrono::seconds{150};
+} // namespace poplarpass::jobs
--- /dev/null
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -0,0 +1,317 @@
+#include <poplarpass/jobs/constants.h>
+#include <poplarpass/jobs/job_engine.h>
+#include <poplarpass/jobs/placement.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace poplarpass::jobs
+{
+namespace
+{
+auto isPlaced(task_phase phase) -> bool
+{
+    return phase == task_phase::starting || phase == task_phase::running || phase == task_phase::closing;
+}
+
+/// \brief Calls \p visit with the reference of each task.
+auto forEachTask(const job_record &job, const std::function<void(const task_ref &, std::size_t)> &visit) -> void
+{
+    std::size_t position = 0;
+    for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
+                visit(task_ref{job.id, occurrence, step, index}, position++);
+            }
+        }
+    }
+}
+} // namespace
+
+job_engine::job_engine(std::function<void(const decision &)> note)
+    : m_note{std::move(note)}
+{
+}
+
+// A former owner may have given orders until a moment ago, so a run on record may live as long as its orders can.
+auto job_engine::restore(job_record job, core::monotonic_time now) -> void
+{
+    auto &kept = m_jobs[job.id.str()] = std::move(job);
+    forEachTask(kept, [&](const task_ref &task, std::size_t position) {
+        auto &state = kept.tasks[position];
+        if (!isPlaced(state.phase)) {
+            return;
+        }
+        auto &worker = m_workers.findOrAdd(state.worker);
+        worker.entry.born = std::max(worker.entry.born, state.workerBorn);
+        worker.leaseEnd = std::max(worker.leaseEnd, now + formerOwnerBound + workerLease + leaseMargin);
+        worker.placed.insert(task);
+        worker.used += internal::needOf(kept.spec.steps[task.step]);
+        state.acknowledged = true;
+        state.acknowledgedAt = now;
+        state.closed = state.phase == task_phase::closing;
+        state.closedAt = now;
+        state.startedAt = now;
+        state.lastAtWork = now;
+    });
+    if (kept.phase == job_phase::active) {
+        m_activeJobs[kept.queue.pool].insert(kept.id);
+    } else {
+        kept.endedAt = now;
+    }
+}
+
+auto job_engine::submit(const job_id &id, const queue_policy &queue, job_spec spec, core::wall_time received)
+    -> submit_outcome
+{
+    if (m_jobs.contains(id.str())) {
+        return submit_outcome::known;
+    }
+    auto &job = m_jobs[id.str()] = makeJob(id, queue, std::move(spec), received);
+    m_activeJobs[queue.pool].insert(id);
+    ++m_counters.jobsAccepted;
+    touch(job);
+    say("job_accepted", id.str(), {}, 0, queue.name.str());
+    return submit_outcome::accepted;
+}
+
+auto job_engine::cancel(const job_id &id, core::monotonic_time now) -> cancel_outcome
+{
+    const auto found = m_jobs.find(id.str());
+    if (found == m_jobs.end()) {
+        return cancel_outcome::unknown;
+    }
+    auto &job = found->second;
+    if (job.phase != job_phase::active) {
+        return cancel_outcome::ended;
+    }
+    ++m_counters.jobsCancelled;
+    endJob(job, job_phase::cancelled, now);
+    return cancel_outcome::cancelled;
+}
+
+auto job_engine::find(const job_id &id) const -> const job_record *
+{
+    const auto found = m_jobs.find(id.str());
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+auto job_engine::pendingCount(const queue_id &queue) const -> std::size_t
+{
+    std::size_t count = 0;
+    for (const auto &[pool, ids] : m_activeJobs) {
+        count += static_cast<std::size_t>(std::ranges::count_if(ids, [&](const job_id &id) {
+            const auto &job = m_jobs.at(id.str());
+            return job.queue.name == queue && !job.started;
+        }));
+    }
+    return count;
+}
+
+auto job_engine::takeChanged() -> std::set<job_id>
+{
+    return std::exchange(m_changed, {});
+}
+
+auto job_engine::takeOrders() -> order_batch
+{
+    return std::exchange(m_orders, {});
+}
+
+auto job_engine::workers() -> worker_table &
+{
+    return m_workers;
+}
+
+auto job_engine::jobs() const -> const std::unordered_map<std::string, job_record> &
+{
+    return m_jobs;
+}
+
+auto job_engine::counters() const -> const engine_counters &
+{
+    return m_counters;
+}
+
+auto job_engine::forgetEnded(core::monotonic_time now) -> std::vector<job_id>
+{
+    std::vector<job_id> forgotten;
+    for (const auto &[name, job] : m_jobs) {
+        const bool settled = std::ranges::none_of(job.tasks, [](const auto &task) { return isPlaced(task.phase); });
+        if (job.phase != job_phase::active && settled && now - job.endedAt > endedJobRetention) {
+            forgotten.push_back(job.id);
+        }
+    }
+    for (const auto &id : forgotten) {
+        m_jobs.erase(id.str());
+        m_changed.erase(id);
+    }
+    return forgotten;
+}
+
+auto job_engine::locate(const task_ref &task) -> located_task
+{
+    const auto found = m_jobs.find(task.job.str());
+    if (found == m_jobs.end() || !found->second.has(task)) {
+        return {};
+    }
+    auto &job = found->second;
+    return {&job, &job.tasks[job.positionOf(task.occurrence, task.step, task.index)]};
+}
+
+auto job_engine::activeJobsOf(const core::pool_id &pool) -> std::vector<job_record *>
+{
+    std::vector<job_record *> active;
+    for (const auto &id : m_activeJobs[pool]) {
+        active.push_back(&m_jobs.at(id.str()));
+    }
+    return active;
+}
+
+auto job_engine::touch(const job_record &job) -> void
+{
+    m_changed.insert(job.id);
+}
+
+auto job_engine::say(std::string_view event, const std::string &subject, const worker_id &worker, std::uint32_t run,
+                     std::string_view reason) -> void
+{
+    if (m_note) {
+        m_note(decision{event, subject, worker.str(), run, reason});
+    }
+}
+
+auto job_engine::place(job_record &job, const task_ref &task, worker_slot &worker, std::uint32_t run,
+                       core::monotonic_time now) -> void
+{
+    auto &state = job.tasks[job.positionOf(task.occurrence, task.step, task.index)];
+    assert(state.phase == task_phase::waiting && run > state.run);
+    state.phase = task_phase::starting;
+    state.run = run;
+    state.worker = worker.entry.id;
+    state.workerBorn = worker.entry.born;
+    state.acknowledged = false;
+    state.closed = false;
+    state.stopSentAt = {};
+    state.startedAt = now;
+    state.lastAtWork = now;
+    state.atWork = false;
+    state.percent = 0;
+    state.pace = 100;
+    worker.placed.insert(task);
+    worker.used += internal::needOf(job.spec.steps[task.step]);
+    job.started = true;
+    ++m_counters.starts;
+    touch(job);
+    m_orders.starts.push_back({worker.entry.id, task, run, job.spec.payload, state.checkpoint, {}});
+    say("task_placed", nameOf(task), worker.entry.id, run, "room");
+}
+
+auto job_engine::unplace(const task_ref &task, const job_record &job, task_state &state) -> void
+{
+    auto *worker = m_workers.find(state.worker);
+    if (worker != nullptr && worker->placed.erase(task) > 0) {
+        worker->used -= internal::needOf(job.spec.steps[task.step]);
+    }
+}
+
+auto job_engine::toWaiting(const task_ref &task, job_record &job, task_state &state, core::monotonic_time notBefore)
+    -> void
+{
+    unplace(task, job, state);
+    state.phase = task_phase::waiting;
+    state.notBefore = notBefore;
+    touch(job);
+}
+
+auto job_engine::orderStop(const worker_id &worker, const std::string &task, std::uint32_t run) -> void
+{
+    m_orders.stops.push_back({worker, task, run});
+}
+
+auto job_engine::beginClosing(const task_ref &task, const job_record &job, task_state &state, core::monotonic_time now)
+    -> void
+{
+    state.phase = task_phase::closing;
+    state.closed = false;
+    state.stopSentAt = now;
+    touch(job);
+    orderStop(state.worker, nameOf(task), state.run);
+}
+
+auto job_engine::finishTask(const task_ref &task, job_record &job, task_state &state, core::monotonic_time now) -> void
+{
+    if (state.phase == task_phase::done) {
+        return;
+    }
+    unplace(task, job, state);
+    state.phase = task_phase::done;
+    touch(job);
+    --job.unfinished;
+    --job.openTasks[std::size_t{task.occurrence} * job.spec.steps.size() + task.step];
+    if (job.unfinished == 0 && job.phase == job_phase::active) {
+        ++m_counters.jobsCompleted;
+        endJob(job, job_phase::completed, now);
+    }
+}
+
+auto job_engine::finishGang(const task_ref &task, job_record &job, core::monotonic_time now) -> void
+{
+    for (std::uint32_t index = 0; index < job.spec.steps[task.step].taskCount; ++index) {
+        const task_ref member{task.job, task.occurrence, task.step, index};
+        finishTask(member, job, job.tasks[job.positionOf(member.occurrence, member.step, index)], now);
+    }
+}
+
+auto job_engine::endJob(job_record &job, job_phase phase, core::monotonic_time now) -> void
+{
+    job.phase = phase;
+    job.endedAt = now;
+    m_activeJobs[job.queue.pool].erase(job.id);
+    touch(job);
+    forEachTask(job, [&](const task_ref &task, std::size_t position) {
+        auto &state = job.tasks[position];
+        if (state.phase == task_phase::starting || state.phase == task_phase::running) {
+            beginClosing(task, job, state, now);
+        }
+    });
+    say("job_ended", job.id.str(), {}, 0, nameOf(phase));
+}
+
+auto job_engine::loseAll(worker_slot &worker, std::string_view reason, core::monotonic_time now) -> void
+{
+    const auto placed = worker.placed;
+    for (const auto &task : placed) {
+        const auto [job, state] = locate(task);
+        if (job == nullptr) {
+            continue;
+        }
+        ++m_counters.runsLost;
+        say("run_lost", nameOf(task), worker.entry.id, state->run, reason);
+        toWaiting(task, *job, *state, now);
+    }
+    worker.placed.clear();
+    worker.used = {};
+}
+
+auto job_engine::countFailure(const task_ref &task, job_record &job, task_state &state, core::monotonic_time now)
+    -> void
+{
+    ++state.failures;
+    ++m_counters.runsFailed;
+    touch(job);
+    const auto &step = job.spec.steps[task.step];
+    auto failures = state.failures;
+    if (step.gang) {
+        failures = 0;
+        for (std::uint32_t index = 0; index < step.taskCount; ++index) {
+            failures += job.tasks[job.positionOf(task.occurrence, task.step, index)].failures;
+        }
+    }
+    if (!step.longRunning && failures >= job.queue.maxAttempts && job.phase == job_phase::active) {
+        ++m_counters.jobsFailed;
+        endJob(job, job_phase::failed, now);
+    }
+}
+} // namespace poplarpass::jobs
--- /dev/null
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -0,0 +1,127 @@
+#include <poplarpass/jobs/constants.h>
+#include <poplarpass/jobs/job_engine.h>
+#include <poplarpass/jobs/job_order.h>
+#include <poplarpass/jobs/placement.h>
+
+#include <algorithm>
+
+// Which task starts where.
+namespace poplarpass::jobs
+{
+auto job_engine::plan(core::monotonic_time now, core::wall_time wallTime) -> void
+{
+    expireLeases(now);
+    repeatStops(now);
+    for (const auto &[pool, ids] : m_activeJobs) {
+        if (!ids.empty()) {
+            planPool(pool, now, wallTime);
+        }
+    }
+}
+
+auto job_engine::planPool(const core::pool_id &pool, core::monotonic_time now, core::wall_time wallTime) -> void
+{
+    std::vector<worker_slot *> workers;
+    for (auto &[id, worker] : m_workers.all()) {
+        if (worker.entry.pool == pool && worker.takesStarts(now)) {
+            workers.push_back(&worker);
+        }
+    }
+    if (workers.empty()) {
+        return;
+    }
+    struct ranked_job
+    {
+        job_rank rank;
+        job_record *job;
+    };
+    std::vector<ranked_job> order;
+    for (auto *job : activeJobsOf(pool)) {
+        order.push_back({rankOf(*job, wallTime), job});
+    }
+    std::ranges::sort(order, {}, [](const ranked_job &entry) { return std::pair{entry.rank, entry.job->id}; });
+    for (const auto &entry : order) {
+        planJob(*entry.job, workers, now, wallTime);
+    }
+}
+
+auto job_engine::planJob(job_record &job, std::span<worker_slot *const> workers, core::monotonic_time now,
+                         core::wall_time wallTime) -> void
+{
+    for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+        if (job.spec.repeatCount > 0 && job.dueTime(occurrence) > wallTime) {
+            return;
+        }
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            if (job.openOf(occurrence, step) == 0 || !job.isUnlocked(occurrence, step)) {
+                continue;
+            }
+            if (job.spec.steps[step].gang) {
+                planGang(job, occurrence, step, workers, now);
+            } else {
+                planStep(job, occurrence, step, workers, now);
+            }
+        }
+    }
+}
+
+auto job_engine::planStep(job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                          std::span<worker_slot *const> workers, core::monotonic_time now) -> void
+{
+    const auto first = job.positionOf(occurrence, step, 0);
+    for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
+        const auto &state = job.tasks[first + index];
+        if (state.phase != task_phase::waiting || now < state.notBefore) {
+            continue;
+        }
+        auto *worker = internal::chooseWorker(job, occurrence, step, workers);
+        if (worker == nullptr) {
+            return;
+        }
+        place(job, task_ref{job.id, occurrence, step, index}, *worker, state.run + 1, now);
+    }
+}
+
+// All members start together or none does. The members get one run number and one checkpoint.
+auto job_engine::planGang(job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                          std::span<worker_slot *const> workers, core::monotonic_time now) -> void
+{
+    const auto &spec = job.spec.steps[step];
+    const auto first = job.positionOf(occurrence, step, 0);
+    std::uint32_t run = 0;
+    std::string checkpoint;
+    for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
+        const auto &state = job.tasks[first + index];
+        if (state.phase != task_phase::waiting || now < state.notBefore) {
+            return;
+        }
+        run = std::max(run, state.run);
+        if (!state.checkpoint.empty()) {
+            checkpoint = state.checkpoint;
+        }
+    }
+    // Tried on copies first, so that a gang that does not fit changes nothing.
+    std::vector<worker_slot> copies;
+    for (const auto *worker : workers) {
+        copies.push_back(*worker);
+    }
+    std::vector<worker_slot *> trial;
+    for (auto &copy : copies) {
+        trial.push_back(&copy);
+    }
+    std::vector<worker_slot *> chosen;
+    for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
+        auto *copy = internal::chooseWorker(job, occurrence, step, trial);
+        if (copy == nullptr) {
+            return;
+        }
+        copy->placed.insert(task_ref{job.id, occurrence, step, index});
+        copy->used += internal::needOf(spec);
+        chosen.push_back(workers[static_cast<std::size_t>(copy - copies.data())]);
+    }
+    for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
+        job.tasks[first + index].checkpoint = checkpoint;
+        place(job, task_ref{job.id, occurrence, step, index}, *chosen[index], run + 1, now);
+    }
+}
+} // namespace poplarpass::jobs
--- /dev/null
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -0,0 +1,275 @@
+#include <poplarpass/jobs/constants.h>
+#include <poplarpass/jobs/job_engine.h>
+
+#include <algorithm>
+#include <unordered_set>
+
+// What workers say: entries, renewals, answers to starts and stops.
+namespace poplarpass::jobs
+{
+namespace
+{
+auto runKey(std::string_view task, std::uint32_t run) -> std::string
+{
+    return std::string{task} + "/" + std::to_string(run);
+}
+} // namespace
+
+auto job_engine::updateWorkers(std::span<const worker_entry> entries, core::monotonic_time now) -> void
+{
+    for (const auto &id : m_workers.update(entries, now)) {
+        loseAll(*m_workers.find(id), "worker_restarted", now);
+    }
+    m_workers.dropGone();
+}
+
+auto job_engine::onReport(const worker_id &id, const worker_report &report, core::monotonic_time sentAt,
+                          core::monotonic_time now) -> std::uint64_t
+{
+    auto *worker = m_workers.find(id);
+    if (worker == nullptr) {
+        return 0;
+    }
+    if (report.born > worker->entry.born) {
+        loseAll(*worker, "worker_restarted", now);
+        worker->entry.born = report.born;
+        worker->handledEnd = 0;
+        worker->greeted = false;
+    }
+    worker->clockMs = report.clockMs;
+    worker->clockReadAt = now;
+    worker->answering = true;
+    worker->answeredAt = now;
+    for (const auto &end : report.ended) {
+        if (end.number > worker->handledEnd) {
+            onEnd(*worker, end, now);
+            worker->handledEnd = end.number;
+        }
+    }
+    for (const auto &running : report.running) {
+        onRunning(*worker, running, now);
+    }
+    if (report.ended.size() < endsPerReport) {
+        settleMissing(*worker, report, sentAt, now);
+        worker->greeted = true;
+    }
+    return worker->handledEnd;
+}
+
+auto job_engine::onNoReport(const worker_id &id) -> void
+{
+    if (auto *worker = m_workers.find(id)) {
+        worker->answering = false;
+    }
+}
+
+auto job_engine::onOtherInstance(const worker_id &id, core::monotonic_time now) -> void
+{
+    if (auto *worker = m_workers.find(id)) {
+        worker->answering = false;
+        worker->listed = false;
+        loseAll(*worker, "other_instance", now);
+    }
+}
+
+auto job_engine::onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void
+{
+    noteOutcome(worker, end.how, now);
+    const auto task = taskNamed(end.task);
+    const auto [job, state] = task ? locate(*task) : located_task{};
+    if (job == nullptr) {
+        return;
+    }
+    const bool current = state->run == end.run && state->worker == worker.entry.id;
+    if (current && state->phase != task_phase::waiting && state->phase != task_phase::done) {
+        onEndOfCurrentRun(*task, *job, *state, end, now);
+    } else if (end.how == end_kind::done && state->phase != task_phase::done) {
+        // A run that was given up ended well after all: its newer run is not needed.
+        if (state->phase == task_phase::starting || state->phase == task_phase::running) {
+            orderStop(state->worker, nameOf(*task), state->run);
+        }
+        ++m_counters.runsDone;
+        finishTask(*task, *job, *state, now);
+    } else if (end.how == end_kind::failed && state->phase != task_phase::done) {
+        countFailure(*task, *job, *state, now);
+    }
+}
+
+auto job_engine::onEndOfCurrentRun(const task_ref &task, job_record &job, task_state &state, const ended_run &end,
+                                   core::monotonic_time now) -> void
+{
+    if (!end.checkpoint.empty()) {
+        state.checkpoint = end.checkpoint;
+    }
+    const auto &step = job.spec.steps[task.step];
+    if (end.how == end_kind::done && !step.longRunning) {
+        ++m_counters.runsDone;
+        if (step.gang) {
+            finishGang(task, job, now);
+        } else {
+            finishTask(task, job, state, now);
+        }
+        return;
+    }
+    say("run_ended", nameOf(task), state.worker, state.run, end.how == end_kind::failed ? "failed" : "not_done");
+    toWaiting(task, job, state, step.longRunning ? now + restartPause : now);
+    if (end.how == end_kind::failed) {
+        countFailure(task, job, state, now);
+    }
+}
+
+auto job_engine::noteOutcome(worker_slot &worker, end_kind how, core::monotonic_time now) -> void
+{
+    if (how == end_kind::done) {
+        worker.failuresInRow = 0;
+    } else if (how == end_kind::failed) {
+        ++worker.failuresInRow;
+        if (worker.failuresInRow >= failuresBeforePause) {
+            const auto doublings = std::min<std::uint32_t>(worker.failuresInRow - failuresBeforePause, 4);
+            const auto pause = std::min<core::duration>(failurePause * (1U << doublings), longestFailurePause);
+            worker.pausedUntil = std::max(worker.pausedUntil, now + pause);
+            say("worker_paused", worker.entry.id.str(), worker.entry.id, 0, "runs_fail");
+        }
+    }
+}
+
+auto job_engine::onRunning(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void
+{
+    const auto task = taskNamed(running.task);
+    const auto [job, state] = task ? locate(*task) : located_task{};
+    const bool current = job != nullptr && state->run == running.run && state->worker == worker.entry.id
+        && state->phase != task_phase::waiting && state->phase != task_phase::done;
+    if (!current) {
+        orderStop(worker.entry.id, running.task, running.run);
+        say("stray_run", running.task, worker.entry.id, running.run, "not_current");
+        return;
+    }
+    if (!running.checkpoint.empty()) {
+        state->checkpoint = running.checkpoint;
+    }
+    state->percent = running.percent;
+    state->load = running.load;
+    if (job->spec.steps[task->step].longRunning && running.percent >= 100) {
+        state->atWork = true;
+        state->lastAtWork = now;
+    }
+    if (state->phase == task_phase::starting) {
+        state->phase = task_phase::running;
+        state->acknowledged = true;
+        state->acknowledgedAt = now;
+    }
+    if (job->phase != job_phase::active && state->phase == task_phase::running) {
+        beginClosing(*task, *job, *state, now);
+    }
+}
+
+// A run is gone when the worker was asked after it had acknowledged the run, or a stop of it, and does not list it. In
+// the first report to this owner that holds for all runs of the former one, whose orders the worker refuses from now
+// on.
+auto job_engine::settleMissing(worker_slot &worker, const worker_report &report, core::monotonic_time sentAt,
+                               core::monotonic_time now) -> void
+{
+    std::unordered_set<std::string> listed;
+    for (const auto &running : report.running) {
+        listed.insert(runKey(running.task, running.run));
+    }
+    const auto placed = worker.placed;
+    for (const auto &task : placed) {
+        const auto [job, state] = locate(task);
+        if (job == nullptr || listed.contains(runKey(nameOf(task), state->run))) {
+            continue;
+        }
+        const bool wasThere =
+            state->phase != task_phase::closing && state->acknowledged && state->acknowledgedAt < sentAt;
+        const bool wasClosed = state->phase == task_phase::closing && state->closed && state->closedAt < sentAt;
+        if (wasThere || wasClosed) {
+            m_counters.runsLost += wasThere ? 1 : 0;
+            say("run_lost", nameOf(task), worker.entry.id, state->run, wasClosed ? "closed" : "not_listed");
+            toWaiting(task, *job, *state, now);
+        }
+    }
+}
+
+auto job_engine::onStartAnswer(const start_order &order, start_answer answer, core::monotonic_time now) -> void
+{
+    const auto [job, state] = locate(order.task);
+    auto *worker = m_workers.find(order.worker);
+    if (job == nullptr || state->run != order.run || state->worker != order.worker
+        || (state->phase != task_phase::starting && state->phase != task_phase::closing)) {
+        return;
+    }
+    if (answer == start_answer::started) {
+        state->acknowledged = true;
+        state->acknowledgedAt = now;
+        if (state->phase == task_phase::starting) {
+            state->phase = task_phase::running;
+        }
+        return;
+    }
+    if (answer == start_answer::unknown) {
+        say("start_unanswered", nameOf(order.task), order.worker, order.run, "closing");
+        if (state->phase == task_phase::starting) {
+            beginClosing(order.task, *job, *state, now);
+        }
+        return;
+    }
+    ++m_counters.startsRejected;
+    auto pause = core::duration{0};
+    if (answer == start_answer::no_room) {
+        pause = roomRetry;
+    } else if (answer != start_answer::superseded && answer != start_answer::too_late) {
+        pause = unhealthyPause;
+    }
+    if (worker != nullptr) {
+        worker->pausedUntil = std::max(worker->pausedUntil, now + pause);
+    }
+    say("start_rejected", nameOf(order.task), order.worker, order.run,
+        answer == start_answer::no_room ? "no_room" : "worker_refused");
+    toWaiting(order.task, *job, *state, now);
+    if (answer == start_answer::other_instance) {
+        onOtherInstance(order.worker, now);
+    }
+}
+
+auto job_engine::onStopAnswer(const stop_order &order, stop_answer answer, core::monotonic_time now) -> void
+{
+    if (answer == stop_answer::other_instance) {
+        onOtherInstance(order.worker, now);
+        return;
+    }
+    const auto task = taskNamed(order.task);
+    const auto [job, state] = task ? locate(*task) : located_task{};
+    const bool current = job != nullptr && state->run == order.run && state->worker == order.worker
+        && state->phase == task_phase::closing;
+    if (current && answer == stop_answer::stopped && !state->closed) {
+        state->closed = true;
+        state->closedAt = now;
+    }
+}
+
+auto job_engine::expireLeases(core::monotonic_time now) -> void
+{
+    for (auto &[id, worker] : m_workers.all()) {
+        if (!worker.placed.empty() && now >= worker.leaseEnd && !worker.answering) {
+            loseAll(worker, "lease_lapsed", now);
+        }
+    }
+}
+
+auto job_engine::repeatStops(core::monotonic_time now) -> void
+{
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (!worker.answering) {
+            continue;
+        }
+        for (const auto &task : worker.placed) {
+            const auto [job, state] = locate(task);
+            if (job != nullptr && state->phase == task_phase::closing && !state->closed
+                && now - state->stopSentAt >= stopRepeat) {
+                state->stopSentAt = now;
+                orderStop(id, nameOf(task), state->run);
+            }
+        }
+    }
+}
+} // namespace poplarpass::jobs
--- /dev/null
+++ b/src/poplarpass/jobs/job_order.cpp
@@ -0,0 +1,66 @@
+#include <poplarpass/jobs/job_order.h>
+
+#include <algorithm>
+
+namespace poplarpass::jobs
+{
+namespace
+{
+constexpr std::uint32_t longRunningTier = 0;
+constexpr std::uint32_t timelyTier = 1;
+constexpr std::uint32_t lateTier = 2;
+
+auto remainingWork(const job_record &job) -> std::int64_t
+{
+    std::int64_t work = 0;
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        const auto &spec = job.spec.steps[step];
+        work += std::int64_t{job.openOf(0, step)} * spec.perTask.cpu * spec.estimate.count();
+    }
+    return work;
+}
+
+auto isLongRunning(const job_record &job) -> bool
+{
+    return std::ranges::any_of(job.spec.steps, &step_spec::longRunning);
+}
+} // namespace
+
+auto objectiveOf(const job_record &job) -> core::wall_time
+{
+    const auto chain = std::chrono::duration<double, std::micro>{longestChain(job.spec)};
+    const auto stretched = std::chrono::duration_cast<core::duration>(chain * job.queue.stretch);
+    return job.acceptedAt + stretched + job.queue.targetLatency;
+}
+
+auto remainingChain(const job_record &job) -> std::chrono::milliseconds
+{
+    std::vector<std::chrono::milliseconds> ends;
+    std::chrono::milliseconds longest{0};
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        std::chrono::milliseconds start{0};
+        for (const auto before : job.spec.steps[step].after) {
+            start = std::max(start, ends[before]);
+        }
+        const bool open = job.openOf(0, step) > 0;
+        ends.push_back(start + (open ? job.spec.steps[step].estimate : std::chrono::milliseconds{0}));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+auto rankOf(const job_record &job, core::wall_time now) -> job_rank
+{
+    if (isLongRunning(job)) {
+        return {longRunningTier, job.queue.priority, job.acceptedAt.time_since_epoch().count()};
+    }
+    if (job.spec.repeatCount > 0) {
+        return {timelyTier, job.queue.priority, 0};
+    }
+    const bool timely = now + remainingChain(job) <= objectiveOf(job);
+    if (timely) {
+        return {timelyTier, job.queue.priority, remainingWork(job)};
+    }
+    return {lateTier, job.queue.priority, job.acceptedAt.time_since_epoch().count()};
+}
+} // namespace poplarpass::jobs
--- /dev/null
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -0,0 +1,131 @@
+#include <poplarpass/jobs/job_state.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <charconv>
+
+namespace poplarpass::jobs
+{
+namespace
+{
+constexpr std::size_t partsOfTaskName = 4;
+
+auto numberOf(std::string_view text) -> std::optional<std::uint32_t>
+{
+    std::uint32_t number = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || problem != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+auto splitName(std::string_view text) -> std::vector<std::string_view>
+{
+    std::vector<std::string_view> parts;
+    for (;;) {
+        const auto dot = text.find('.');
+        parts.push_back(text.substr(0, dot));
+        if (dot == std::string_view::npos) {
+            return parts;
+        }
+        text.remove_prefix(dot + 1);
+    }
+}
+} // namespace
+
+auto job_record::positionOf(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) const -> std::size_t
+{
+    assert(step + 1 < stepOffsets.size());
+    return std::size_t{occurrence} * stepOffsets.back() + stepOffsets[step] + index;
+}
+
+auto job_record::has(const task_ref &task) const -> bool
+{
+    return task.occurrence < spec.occurrences() && task.step < spec.steps.size()
+        && task.index < spec.steps[task.step].taskCount;
+}
+
+auto job_record::openOf(std::uint32_t occurrence, std::uint32_t step) const -> std::uint32_t
+{
+    return openTasks[std::size_t{occurrence} * spec.steps.size() + step];
+}
+
+auto job_record::isUnlocked(std::uint32_t occurrence, std::uint32_t step) const -> bool
+{
+    return std::ranges::all_of(spec.steps[step].after,
+                               [&](std::uint32_t before) { return openOf(occurrence, before) == 0; });
+}
+
+auto job_record::dueTime(std::uint32_t occurrence) const -> core::wall_time
+{
+    return spec.repeatCount == 0 ? acceptedAt : spec.firstDue + spec.interval * occurrence;
+}
+
+auto makeJob(job_id id, queue_policy queue, job_spec spec, core::wall_time acceptedAt) -> job_record
+{
+    job_record job;
+    job.id = std::move(id);
+    job.queue = std::move(queue);
+    job.spec = std::move(spec);
+    job.acceptedAt = acceptedAt;
+    std::uint32_t perOccurrence = 0;
+    for (const auto &step : job.spec.steps) {
+        job.stepOffsets.push_back(perOccurrence);
+        perOccurrence += step.taskCount;
+    }
+    job.stepOffsets.push_back(perOccurrence);
+    const auto occurrences = job.spec.occurrences();
+    job.unfinished = perOccurrence * occurrences;
+    job.tasks.resize(job.unfinished);
+    for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence) {
+        for (const auto &step : job.spec.steps) {
+            job.openTasks.push_back(step.taskCount);
+        }
+    }
+    return job;
+}
+
+auto nameOf(const task_ref &task) -> std::string
+{
+    return task.job.str() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
+        + std::to_string(task.index);
+}
+
+auto taskNamed(std::string_view text) -> std::optional<task_ref>
+{
+    const auto parts = splitName(text);
+    if (parts.size() != partsOfTaskName || parts[0].empty()) {
+        return std::nullopt;
+    }
+    const auto occurrence = numberOf(parts[1]);
+    const auto step = numberOf(parts[2]);
+    const auto index = numberOf(parts[3]);
+    if (!occurrence || !step || !index) {
+        return std::nullopt;
+    }
+    return task_ref{job_id{std::string{parts[0]}}, *occurrence, *step, *index};
+}
+
+auto nameOf(job_phase phase) -> std::string_view
+{
+    static constexpr std::array<std::string_view, 4> names{"active", "completed", "failed", "cancelled"};
+    return names.at(static_cast<std::size_t>(phase));
+}
+
+auto longestChain(const job_spec &spec) -> std::chrono::milliseconds
+{
+    std::vector<std::chrono::milliseconds> ends;
+    std::chrono::milliseconds longest{0};
+    for (const auto &step : spec.steps) {
+        std::chrono::milliseconds start{0};
+        for (const auto before : step.after) {
+            start = std::max(start, ends[before]);
+        }
+        ends.push_back(start + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+} // namespace poplarpass::jobs
--- /dev/null
+++ b/src/poplarpass/jobs/progress_text.cpp
@@ -0,0 +1,164 @@
+#include <poplarpass/jobs/progress_text.h>
+
+#include <charconv>
+#include <optional>
+
+// One line of fields separated by spaces: the job's phase, whether it was started, and for each task that is not in
+// its first state: position phase run failures born worker-length:worker checkpoint-length:checkpoint.
+namespace poplarpass::jobs
+{
+namespace
+{
+class text_reader
+{
+public:
+    explicit text_reader(std::string_view text)
+        : m_rest{text}
+    {
+    }
+
+    [[nodiscard]] auto atEnd() const -> bool
+    {
+        return m_rest.empty();
+    }
+
+    template <class number_type>
+    auto number(char separator = ' ') -> std::optional<number_type>
+    {
+        number_type value{};
+        const auto [end, problem] = std::from_chars(m_rest.data(), m_rest.data() + m_rest.size(), value);
+        const auto used = static_cast<std::size_t>(end - m_rest.data());
+        if (problem != std::errc{} || used >= m_rest.size() || m_rest[used] != separator) {
+            return std::nullopt;
+        }
+        m_rest.remove_prefix(used + 1);
+        return value;
+    }
+
+    auto text() -> std::optional<std::string>
+    {
+        const auto length = number<std::size_t>(':');
+        if (!length || m_rest.size() <= *length || m_rest[*length] != ' ') {
+            return std::nullopt;
+        }
+        std::string value{m_rest.substr(0, *length)};
+        m_rest.remove_prefix(*length + 1);
+        return value;
+    }
+
+private:
+    std::string_view m_rest;
+};
+
+auto append(std::string &out, std::int64_t number) -> void
+{
+    out += std::to_string(number);
+    out += ' ';
+}
+
+auto append(std::string &out, std::string_view text) -> void
+{
+    out += std::to_string(text.size());
+    out += ':';
+    out += text;
+    out += ' ';
+}
+
+auto isFirstState(const task_state &state) -> bool
+{
+    return state.phase == task_phase::waiting && state.run == 0 && state.failures == 0;
+}
+
+struct task_progress
+{
+    std::size_t position = 0;
+    task_state state;
+};
+
+auto readTask(text_reader &in) -> std::optional<task_progress>
+{
+    const auto position = in.number<std::size_t>();
+    const auto phase = in.number<int>();
+    const auto run = in.number<std::uint32_t>();
+    const auto failures = in.number<std::uint32_t>();
+    const auto born = in.number<std::int64_t>();
+    auto worker = in.text();
+    auto checkpoint = in.text();
+    const bool whole = position && phase && run && failures && born && worker && checkpoint;
+    if (!whole || *phase < 0 || *phase > static_cast<int>(task_phase::done)) {
+        return std::nullopt;
+    }
+    task_progress progress;
+    progress.position = *position;
+    progress.state.phase = static_cast<task_phase>(*phase);
+    progress.state.run = *run;
+    progress.state.failures = *failures;
+    progress.state.workerBorn = *born;
+    progress.state.worker = worker_id{std::move(*worker)};
+    progress.state.checkpoint = std::move(*checkpoint);
+    return progress;
+}
+
+auto recount(job_record &job) -> void
+{
+    job.unfinished = 0;
+    std::size_t position = 0;
+    std::size_t entry = 0;
+    for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+        for (const auto &step : job.spec.steps) {
+            std::uint32_t open = 0;
+            for (std::uint32_t index = 0; index < step.taskCount; ++index) {
+                open += job.tasks[position++].phase == task_phase::done ? 0 : 1;
+            }
+            job.openTasks[entry++] = open;
+            job.unfinished += open;
+        }
+    }
+}
+} // namespace
+
+auto encodeProgress(const job_record &job) -> std::string
+{
+    std::string out;
+    append(out, static_cast<std::int64_t>(job.phase));
+    append(out, std::int64_t{job.started ? 1 : 0});
+    for (std::size_t position = 0; position < job.tasks.size(); ++position) {
+        const auto &state = job.tasks[position];
+        if (isFirstState(state)) {
+            continue;
+        }
+        const bool done = state.phase == task_phase::done;
+        append(out, static_cast<std::int64_t>(position));
+        append(out, static_cast<std::int64_t>(state.phase));
+        append(out, std::int64_t{state.run});
+        append(out, std::int64_t{state.failures});
+        append(out, done ? 0 : state.workerBorn);
+        append(out, done ? std::string_view{} : std::string_view{state.worker.str()});
+        append(out, done ? std::string_view{} : std::string_view{state.checkpoint});
+    }
+    return out;
+}
+
+auto applyProgress(job_record &job, std::string_view text) -> bool
+{
+    text_reader in{text};
+    const auto phase = in.number<int>();
+    const auto started = in.number<int>();
+    if (!phase || !started || *phase < 0 || *phase > static_cast<int>(job_phase::cancelled)) {
+        return false;
+    }
+    auto tasks = job.tasks;
+    while (!in.atEnd()) {
+        auto progress = readTask(in);
+        if (!progress || progress->position >= tasks.size()) {
+            return false;
+        }
+        tasks[progress->position] = std::move(progress->state);
+    }
+    job.phase = static_cast<job_phase>(*phase);
+    job.started = *started != 0;
+    job.tasks = std::move(tasks);
+    recount(job);
+    return true;
+}
+} // namespace poplarpass::jobs
--- /dev/null
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -0,0 +1,99 @@
+#include <poplarpass/jobs/constants.h>
+#include <poplarpass/jobs/worker_table.h>
+
+#include <algorithm>
+
+namespace poplarpass::jobs
+{
+auto worker_slot::takesStarts(core::monotonic_time now) const -> bool
+{
+    return listed && greeted && answering && !leaving && !entry.draining && now >= pausedUntil
+        && now - answeredAt < workerSilence;
+}
+
+auto worker_slot::free() const -> resources
+{
+    auto rest = entry.capacity;
+    rest -= used;
+    return rest;
+}
+
+auto worker_slot::hasLabel(std::string_view label) const -> bool
+{
+    return std::ranges::find(entry.labels, label) != entry.labels.end();
+}
+
+auto worker_slot::clockAt(core::monotonic_time now) const -> std::int64_t
+{
+    return clockMs + std::chrono::duration_cast<std::chrono::milliseconds>(now - clockReadAt).count();
+}
+
+auto worker_table::update(std::span<const worker_entry> entries, core::monotonic_time now) -> std::vector<worker_id>
+{
+    for (auto &[id, worker] : m_workers) {
+        worker.listed = false;
+    }
+    std::vector<worker_id> ended;
+    for (const auto &entry : entries) {
+        auto &worker = m_workers[entry.id];
+        const bool restarted = worker.entry.born != 0 && entry.born > worker.entry.born;
+        if (restarted) {
+            ended.push_back(entry.id);
+            worker.greeted = false;
+            worker.handledEnd = 0;
+            worker.failuresInRow = 0;
+        }
+        if (entry.born < worker.entry.born) {
+            worker.listed = true;
+            continue;
+        }
+        if (!worker.greeted) {
+            worker.clockMs = entry.clockMs;
+            worker.clockReadAt = now;
+        }
+        worker.entry = entry;
+        worker.listed = true;
+    }
+    return ended;
+}
+
+auto worker_table::find(const worker_id &id) -> worker_slot *
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+auto worker_table::findOrAdd(const worker_id &id) -> worker_slot &
+{
+    auto &worker = m_workers[id];
+    worker.entry.id = id;
+    return worker;
+}
+
+auto worker_table::all() -> std::map<worker_id, worker_slot> &
+{
+    return m_workers;
+}
+
+auto worker_table::all() const -> const std::map<worker_id, worker_slot> &
+{
+    return m_workers;
+}
+
+// The worker's clock read c at the latest at our time t. It reaches c + d at t + d / slowestWorkerClock at the latest.
+auto worker_table::orderLease(worker_slot &worker, core::monotonic_time now) -> std::int64_t
+{
+    const auto deadline =
+        worker.clockAt(now) + std::chrono::duration_cast<std::chrono::milliseconds>(workerLease).count();
+    const auto span =
+        std::chrono::duration<double, std::milli>{static_cast<double>(deadline - worker.clockMs) / slowestWorkerClock};
+    const auto end = worker.clockReadAt + std::chrono::duration_cast<core::duration>(span) + leaseMargin;
+    worker.leaseEnd = std::max(worker.leaseEnd, end);
+    return deadline;
+}
+
+auto worker_table::dropGone() -> void
+{
+    std::erase_if(m_workers, [](const auto &entry) { return !entry.second.listed && entry.second.placed.empty(); });
+}
+} // namespace poplarpass::jobs
--- /dev/null
+++ b/src/poplarpass/jobs/worker_table.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <poplarpass/jobs/worker_report.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace poplarpass::jobs
+{
+/// \brief One worker: what it says of itself, what is placed on it, and until when its runs may live.
+struct worker_slot
+{
+    worker_entry entry; ///< What it last said of itself.
+    bool listed = false; ///< Whether the platform lists it at present.
+    bool greeted = false; ///< Whether it answered a renewal of this owner in this life.
+    bool leaving = false; ///< Whether the system itself is about to take the host away.
+    bool answering = false; ///< Whether its last renewal was answered.
+    core::monotonic_time answeredAt{}; ///< When it last answered a renewal.
+    core::monotonic_time pausedUntil{}; ///< No starts before this time.
+    core::monotonic_time leaseEnd{}; ///< When every run placed so far has surely ended, if nothing else is sent.
+    core::monotonic_time clockReadAt{}; ///< When clockMs was read.
+    std::int64_t clockMs = 0; ///< The worker's clock then, milliseconds.
+    std::uint64_t handledEnd = 0; ///< Number of the last end that was taken in.
+    std::uint32_t failuresInRow = 0; ///< Runs that failed since one ended as done.
+    resources used; ///< What the placed runs take.
+    std::set<task_ref> placed; ///< Tasks whose newest run is, or may be, there.
+
+    /// \brief Whether starts may be sent at \p now.
+    [[nodiscard]] auto takesStarts(core::monotonic_time now) const -> bool;
+
+    /// \brief Resources that no placed run takes.
+    [[nodiscard]] auto free() const -> resources;
+
+    /// \brief Whether the worker has \p label.
+    [[nodiscard]] auto hasLabel(std::string_view label) const -> bool;
+
+    /// \brief The worker's clock at \p now, as far as it is known.
+    [[nodiscard]] auto clockAt(core::monotonic_time now) const -> std::int64_t;
+};
+
+/// \brief All workers by identifier.
+class worker_table
+{
+public:
+    /// \brief Takes in the whole list of entries; workers that are not in it stay while runs may live there.
+    /// \returns workers whose life ended for sure: they started again under the same identifier
+    auto update(std::span<const worker_entry> entries, core::monotonic_time now) -> std::vector<worker_id>;
+
+    /// \brief Worker \p id; null when there is none.
+    auto find(const worker_id &id) -> worker_slot *;
+
+    /// \brief Worker \p id; made when there is none, as one that is not listed.
+    auto findOrAdd(const worker_id &id) -> worker_slot &;
+
+    /// \brief All workers.
+    [[nodiscard]] auto all() -> std::map<worker_id, worker_slot> &;
+
+    /// \brief All workers.
+    [[nodiscard]] auto all() const -> const std::map<worker_id, worker_slot> &;
+
+    /// \brief Deadline on the worker's clock for an order sent at \p now; moves its leaseEnd.
+    auto orderLease(worker_slot &worker, core::monotonic_time now) -> std::int64_t;
+
+    /// \brief Forgets workers that are not listed and have nothing placed.
+    auto dropGone() -> void;
+
+private:
+    std::map<worker_id, worker_slot> m_workers;
+};
+} // namespace poplarpass::jobs
--- /dev/null
+++ b/src/poplarpass/owner/owner_watch.cpp
@@ -0,0 +1,123 @@
+#include <poplarpass/owner/owner_watch.h>
+
+#include <algorithm>
+#include <charconv>
+#include <vector>
+
+namespace poplarpass::owner
+{
+namespace
+{
+constexpr std::size_t fieldCount = 4;
+
+auto fieldsOf(std::string_view text) -> std::vector<std::string_view>
+{
+    std::vector<std::string_view> fields;
+    while (!text.empty()) {
+        const auto end = std::min(text.find(' '), text.size());
+        fields.push_back(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return fields;
+}
+
+auto numberOf(std::string_view text) -> std::optional<std::uint64_t>
+{
+    std::uint64_t number = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return problem == std::errc{} && end == text.data() + text.size() ? std::optional{number} : std::nullopt;
+}
+} // namespace
+
+auto encodeOwnerRecord(const owner_record &record) -> std::string
+{
+    return std::to_string(static_cast<int>(record.kind)) + " " + std::to_string(record.epoch) + " " + record.host + " "
+        + record.address;
+}
+
+auto decodeOwnerRecord(std::string_view text) -> std::optional<owner_record>
+{
+    const auto fields = fieldsOf(text);
+    if (fields.size() != fieldCount) {
+        return std::nullopt;
+    }
+    const auto kind = numberOf(fields[0]);
+    const auto epoch = numberOf(fields[1]);
+    if (!kind || !epoch || *kind > static_cast<std::uint64_t>(owner_record_kind::resignation)) {
+        return std::nullopt;
+    }
+    return owner_record{static_cast<owner_record_kind>(*kind), *epoch, std::string{fields[2]}, std::string{fields[3]}};
+}
+
+auto owner_watch::onRecord(const owner_record &record, core::monotonic_time now) -> void
+{
+    if (record.epoch < m_newestEpoch) {
+        return;
+    }
+    m_newestEpoch = record.epoch;
+    m_quietSince = now;
+    if (record.kind == owner_record_kind::resignation) {
+        m_current.reset();
+        m_vacantSince = now;
+    } else {
+        m_current = record;
+    }
+}
+
+// While the store cannot be read the owner's silence says nothing; it counts anew from the first answer.
+auto owner_watch::onRead(core::monotonic_time now) -> void
+{
+    if (!m_readable) {
+        m_readable = true;
+        m_quietSince = now;
+        m_vacantSince = now;
+    }
+}
+
+auto owner_watch::onReadFailed() -> void
+{
+    m_readable = false;
+}
+
+auto owner_watch::current() const -> const std::optional<owner_record> &
+{
+    return m_current;
+}
+
+auto owner_watch::shouldClaim(core::monotonic_time now, unsigned rank) const -> bool
+{
+    if (!m_readable) {
+        return false;
+    }
+    if (!m_current) {
+        return now >= m_vacantSince + claimStagger * rank;
+    }
+    return now >= m_quietSince + takeoverSilence + claimStagger * rank;
+}
+
+owner_term::owner_term(std::uint64_t epoch, core::monotonic_time claimedAt)
+    : m_epoch{epoch}
+    , m_renewedAt{claimedAt}
+{
+}
+
+auto owner_term::onRenewed(core::monotonic_time sentAt) -> void
+{
+    m_renewedAt = std::max(m_renewedAt, sentAt);
+}
+
+auto owner_term::mayAnswer(core::monotonic_time now) const -> bool
+{
+    return now < m_renewedAt + answerTerm;
+}
+
+auto owner_term::mayOrder(core::monotonic_time now) const -> bool
+{
+    return now < m_renewedAt + orderTerm;
+}
+
+auto owner_term::epoch() const -> std::uint64_t
+{
+    return m_epoch;
+}
+} // namespace poplarpass::owner
--- /dev/null
+++ b/src/poplarpass/owner/owner_watch.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <poplarpass/core/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// Which process owns the pools, as agreed through the store.
+namespace poplarpass::owner
+{
+/// \brief Between two renewals of the owner.
+inline constexpr core::duration renewalPeriod = std::chrono::milliseconds{400};
+/// \brief Without a renewal for this long, seen by a process that reaches the store, the owner is replaced.
+inline constexpr core::duration takeoverSilence = std::chrono::milliseconds{1800};
+/// \brief The owner answers for the state of jobs this long after sending the last renewal that was stored.
+inline constexpr core::duration answerTerm = std::chrono::milliseconds{1600};
+/// \brief The owner gives orders to workers this long after sending the last renewal that was stored.
+inline constexpr core::duration orderTerm = std::chrono::milliseconds{4500};
+/// \brief Between the claims of processes with neighbouring ranks.
+inline constexpr core::duration claimStagger = std::chrono::milliseconds{60};
+
+/// \brief Kind of a record about ownership.
+enum class owner_record_kind : std::uint8_t {
+    claim, ///< A process became owner; the epoch is the record's offset + 1.
+    renewal, ///< The owner is alive.
+    resignation, ///< The owner stops; another may claim at once.
+};
+
+/// \brief One record about ownership.
+struct owner_record
+{
+    owner_record_kind kind = owner_record_kind::claim; ///< Its kind.
+    std::uint64_t epoch = 0; ///< Epoch of its writer.
+    std::string host; ///< Name of its writer.
+    std::string address; ///< "IP:port" at which other hosts reach its writer.
+
+    auto operator==(const owner_record &) const -> bool = default;
+};
+
+/// \brief \p record as text for the store.
+auto encodeOwnerRecord(const owner_record &record) -> std::string;
+
+/// \brief Record that encodeOwnerRecord() wrote, if \p text is one.
+auto decodeOwnerRecord(std::string_view text) -> std::optional<owner_record>;
+
+/// \brief What one process knows of the owner, and when it may claim to be the next.
+class owner_watch
+{
+public:
+    /// \brief Takes in a record in the order of the store.
+    auto onRecord(const owner_record &record, core::monotonic_time now) -> void;
+
+    /// \brief The store answered a read to its end.
+    auto onRead(core::monotonic_time now) -> void;
+
+    /// \brief The store did not answer a read.
+    auto onReadFailed() -> void;
+
+    /// \brief Newest claim that was not resigned; empty when nobody owns the pools.
+    [[nodiscard]] auto current() const -> const std::optional<owner_record> &;
+
+    /// \brief Whether a process should claim now.
+    /// \param rank position among the processes that may claim, to keep them from claiming at once
+    [[nodiscard]] auto shouldClaim(core::monotonic_time now, unsigned rank) const -> bool;
+
+private:
+    std::optional<owner_record> m_current;
+    std::uint64_t m_newestEpoch = 0;
+    bool m_readable = false;
+    core::monotonic_time m_quietSince{};
+    core::monotonic_time m_vacantSince{};
+};
+
+/// \brief One term of ownership, seen by the owner itself.
+class owner_term
+{
+public:
+    /// \param epoch greater than that of all owners before
+    /// \param claimedAt when the claim was sent
+    owner_term(std::uint64_t epoch, core::monotonic_time claimedAt);
+
+    /// \brief A renewal that was sent at \p sentAt is stored.
+    auto onRenewed(core::monotonic_time sentAt) -> void;
+
+    /// \brief Whether the state of jobs here is surely the newest.
+    [[nodiscard]] auto mayAnswer(core::monotonic_time now) const -> bool;
+
+    /// \brief Whether orders may be given to workers.
+    [[nodiscard]] auto mayOrder(core::monotonic_time now) const -> bool;
+
+    /// \brief Fencing token of all orders and epoch of all appends.
+    [[nodiscard]] auto epoch() const -> std::uint64_t;
+
+private:
+    std::uint64_t m_epoch;
+    core::monotonic_time m_renewedAt;
+};
+} // namespace poplarpass::owner
--- /dev/null
+++ b/src/poplarpass/route/route_table.cpp
@@ -0,0 +1,48 @@
+#include <poplarpass/route/route_table.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace poplarpass::route
+{
+namespace
+{
+auto lowerCase(std::string_view text) -> std::string
+{
+    std::string lower{text};
+    std::ranges::transform(lower, lower.begin(),
+                           [](unsigned char sign) { return static_cast<char>(std::tolower(sign)); });
+    return lower;
+}
+} // namespace
+
+auto route_table::update(route_config config) -> bool
+{
+    if (config.version <= m_config.version) {
+        return false;
+    }
+    for (auto &entry : config.routes) {
+        entry.hostName = lowerCase(entry.hostName);
+    }
+    m_config = std::move(config);
+    return true;
+}
+
+auto route_table::match(std::string_view hostName, std::string_view path) const -> route_match
+{
+    const auto wanted = lowerCase(hostName.substr(0, hostName.find(':')));
+    route_match best;
+    for (const auto &entry : m_config.routes) {
+        const bool longer = best.matched == nullptr || entry.pathPrefix.size() > best.matched->pathPrefix.size();
+        if (entry.hostName == wanted && path.starts_with(entry.pathPrefix) && longer) {
+            best = {&entry, path.substr(entry.pathPrefix.size())};
+        }
+    }
+    return best;
+}
+
+auto route_table::config() const -> const route_config &
+{
+    return m_config;
+}
+} // namespace poplarpass::route
--- /dev/null
+++ b/src/poplarpass/settings/host_settings.cpp
@@ -0,0 +1,92 @@
+#include <poplarpass/settings/host_settings.h>
+#include <poplarpass/settings/toml_reader.h>
+
+#include <fstream>
+#include <iterator>
+
+namespace poplarpass::settings
+{
+using internal::toml_reader;
+
+namespace
+{
+constexpr int longestTimeMs = 3'600'000;
+constexpr double longestTimeS = 3'600;
+
+auto readTime(toml_reader &in, std::string_view key) -> std::chrono::milliseconds
+{
+    return std::chrono::milliseconds{in.integer(key, 0, longestTimeMs)};
+}
+
+auto readSeconds(toml_reader &in, std::string_view key) -> std::chrono::milliseconds
+{
+    const auto seconds = std::chrono::duration<double>{in.number(key, 0, longestTimeS)};
+    return std::chrono::duration_cast<std::chrono::milliseconds>(seconds);
+}
+
+auto readListen(toml_reader &in, host_settings &settings) -> void
+{
+    settings.callers = in.text("callers");
+    settings.readiness = in.text("readiness");
+    settings.peers = in.text("peers");
+    settings.metrics = in.text("metrics");
+    in.finish();
+}
+
+auto readPlatform(toml_reader &in, host_settings &settings) -> void
+{
+    settings.store = in.text("store");
+    settings.hostService = in.text("host_service");
+    for (const auto &address : in.texts("advice")) {
+        settings.advice = address;
+    }
+    in.finish();
+}
+
+auto readTiming(toml_reader &in, host_settings &settings) -> void
+{
+    settings.stopGrace = readSeconds(in, "stop_grace_s");
+    settings.longestLease = readTime(in, "longest_lease_ms");
+    settings.migration = readSeconds(in, "migration_s");
+    settings.maintenance = readSeconds(in, "maintenance_s");
+    settings.holderTerm = readTime(in, "holder_term_ms");
+    in.finish();
+}
+} // namespace
+
+auto parseHostSettings(std::string_view text, std::string_view file) -> host_settings_result
+{
+    internal::problem_sink sink{std::string{file}, {}};
+    host_settings settings;
+    const auto document = internal::parseToml(text, file);
+    if (!document) {
+        sink.problems.push_back({std::string{file}, document.error().line, "", "TOML", document.error().description});
+        return tl::make_unexpected(std::move(sink.problems));
+    }
+    toml_reader in{*document, "", sink};
+    settings.name = in.text("name");
+    settings.zone = in.text("zone");
+    settings.logLevel = in.text("log_level");
+    in.table("listen", [&](toml_reader &table) { readListen(table, settings); });
+    in.table("platform", [&](toml_reader &table) { readPlatform(table, settings); });
+    in.table("timing", [&](toml_reader &table) { readTiming(table, settings); });
+    in.finish();
+    if (settings.callers.empty() && sink.problems.empty()) {
+        sink.problems.push_back({std::string{file}, 1, "listen", "a table", "nothing"});
+    }
+    if (!sink.problems.empty()) {
+        return tl::make_unexpected(std::move(sink.problems));
+    }
+    return settings;
+}
+
+auto loadHostSettings(const std::string &path) -> host_settings_result
+{
+    std::ifstream file{path};
+    if (!file) {
+        return tl::make_unexpected(std::vector<text_problem>{{path, 0, "", "a readable file", "none"}});
+    }
+    const std::string text{std::istreambuf_iterator<char>{file}, {}};
+    return parseHostSettings(text, path);
+}
+} // namespace poplarpass::settings
--- /dev/null
+++ b/src/poplarpass/settings/host_settings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <poplarpass/settings/fleet_file.h>
+
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace poplarpass::settings
+{
+/// \brief Settings of one `poplarpass host` process.
+struct host_settings
+{
+    std::string name; ///< Name of the host.
+    std::string zone; ///< Availability zone of the host.
+    std::string callers; ///< "IP:port" for callers.
+    std::string readiness; ///< "IP:port" on which readiness is asked for.
+    std::string peers; ///< "IP:port" for the other hosts.
+    std::string metrics; ///< "IP:port" for metrics.
+    std::string store; ///< "IP:port" of the platform's store.
+    std::string hostService; ///< "IP:port" of the platform's service for hosts of workers.
+    std::string advice; ///< "IP:port" of the service that advises on placement; empty when there is none.
+    std::chrono::milliseconds stopGrace{0}; ///< From the order to stop to the end of the process.
+    std::chrono::milliseconds longestLease{0}; ///< Longest lease that a worker grants.
+    std::chrono::milliseconds migration{0}; ///< Time that a host takes to change its pool.
+    std::chrono::milliseconds maintenance{0}; ///< Time that the maintenance of a host takes.
+    std::chrono::milliseconds holderTerm{0}; ///< Term within which orders for one host come from one holder.
+    std::string logLevel; ///< Least level of events that are written.
+};
+
+/// \brief Settings, or everything that is wrong in the file.
+using host_settings_result = tl::expected<host_settings, std::vector<text_problem>>;
+
+/// \brief Reads the settings of a host from TOML \p text.
+/// \param file name of the file, for the problems
+auto parseHostSettings(std::string_view text, std::string_view file) -> host_settings_result;
+
+/// \brief Reads the settings of a host from the file \p path.
+auto loadHostSettings(const std::string &path) -> host_settings_result;
+} // namespace poplarpass::settings
