Election: claims carry no producer

Change: a claim is only conditional on the end of the topic; the first renewal fences earlier owners; a claim without an answer is read back.

--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -88,6 +88,10 @@
     }
     const auto before = m_watch.current();
     m_watch.onRecord(*decoded, app::monotonicNow());
+    if (decoded->kind == owner::owner_record_kind::claim && decoded->epoch == m_claimedEpoch
+        && decoded->host == m_hostName) {
+        beginTerm(decoded->epoch, m_claimedAt);
+    }
     const auto &current = m_watch.current();
     const bool changed = before.has_value() != current.has_value() || (before && before->epoch != current->epoch);
     if (!changed) {
@@ -111,19 +115,21 @@
 }
 
 // The claim is appended at the end that was read, so that of several claims only one is taken. Its offset, which no
-// other record has, makes the epoch.
+// other record has, makes the epoch. It carries no fence: claims of several processes under one epoch and sequence
+// number would look like repeats of one append, and each would be told that it was stored.
 auto owner_election::claim() -> void
 {
     m_claiming = true;
     const auto epoch = m_offset + 1;
     const auto sentAt = app::monotonicNow();
+    m_claimedAt = sentAt;
     m_log.log(log_level::info, "owner_claim", {{"epoch", epoch}, {"rank", m_hooks.rank()}});
     store::append_request request;
     request.to = store::topic::ownership;
     request.records.push_back(
         owner::encodeOwnerRecord({owner::owner_record_kind::claim, epoch, m_hostName, m_address}));
     request.expectedEnd = m_offset;
-    request.fence = store::writer_fence{epoch, 0};
+    m_claimedEpoch = epoch;
     m_store.append(std::move(request), [this, alive = m_alive, epoch, sentAt](const store::append_result &answer) {
         if (*alive) {
             onClaimed(answer, epoch, sentAt);
@@ -136,17 +142,26 @@
 {
     m_claiming = false;
     if (answer.outcome != store::append_outcome::appended) {
-        // Without an answer the claim may still be stored. It then counts for others as a term without renewals.
+        // Without an answer the claim may still be stored; then it is read back.
         m_log.log(log_level::info, "owner_claim_failed",
                   {{"epoch", epoch}, {"outcome", static_cast<int>(answer.outcome)}});
         return;
     }
+    beginTerm(epoch, sentAt);
+}
+
+auto owner_election::beginTerm(std::uint64_t epoch, core::monotonic_time sentAt) -> void
+{
+    if (m_owner || m_aside) {
+        return;
+    }
     m_owner = true;
     m_epoch = epoch;
-    m_sequence = 1;
+    m_sequence = 0;
     m_log.log(log_level::info, "owner_elected", {{"epoch", epoch}});
     m_hooks.onElected(epoch, sentAt);
-    later(owner::renewalPeriod, &owner_election::renew);
+    // The first renewal makes the store refuse those of earlier owners.
+    renew();
 }
 
 auto owner_election::appendOwn(owner::owner_record_kind kind, std::function<void(store::append_result)> done) -> void
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -57,6 +57,7 @@
     auto considerClaim() -> void;
     auto claim() -> void;
     auto onClaimed(const store::append_result &answer, std::uint64_t epoch, core::monotonic_time sentAt) -> void;
+    auto beginTerm(std::uint64_t epoch, core::monotonic_time sentAt) -> void;
     auto renew() -> void;
     auto onRenewed(const store::append_result &answer, core::monotonic_time sentAt) -> void;
     auto depose() -> void;
@@ -72,6 +73,8 @@
     owner::owner_watch m_watch;
     std::uint64_t m_offset = 0;
     std::uint64_t m_epoch = 0;
+    std::uint64_t m_claimedEpoch = 0;
+    core::monotonic_time m_claimedAt{};
     std::uint64_t m_sequence = 0;
     bool m_owner = false;
     bool m_claiming = false;
