Owner: a job is acknowledged only when its own record is stored

MIXED: an owner whose term had lapsed counted waiting jobs, and a decided start that no worker took made a job begun. Change: unstored covers changes that wait for a batch; pending needs a term that may answer; a job has begun once a worker says so.

--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -236,7 +236,7 @@
         answer(net::makeResponse(200, "{}"));
     };
     if (m_engine.find(request.job) != nullptr) {
-        if (m_journal.isPending(request.job)) {
+        if (isUnstored(request.job)) {
             whenStored(accept);
         } else {
             accept();
@@ -263,6 +263,11 @@
     whenStored(accept);
 }
 
+auto pool_owner::isUnstored(const jobs::job_id &id) const -> bool
+{
+    return m_engine.isChanged(id) || m_journal.isPending(id);
+}
+
 auto pool_owner::answerState(const client_request &request, const client_answer &answer) -> void
 {
     const auto *job = m_engine.find(request.job);
@@ -275,7 +280,7 @@
         answer(plainResponse(410, "no_such_job"));
         return;
     }
-    if (m_journal.isPending(request.job)) {
+    if (isUnstored(request.job)) {
         whenStored([this, request, answer] { answerState(request, answer); });
         return;
     }
@@ -307,6 +312,10 @@
         answer(plainResponse(404, "no_such_queue"));
         return;
     }
+    if (!m_term.mayAnswer(app::monotonicNow())) {
+        answer(plainResponse(notOwnerStatus, "not_owner"));
+        return;
+    }
     const auto count = m_engine.pendingCount(match.matched->queue.name);
     answer(net::makeResponse(200, R"({"pending":)" + std::to_string(count) + "}"));
 }
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -87,6 +87,7 @@
     auto answerState(const client_request &request, const client_answer &answer) -> void;
     auto cancel(const client_request &request, const client_answer &answer) -> void;
     auto answerPending(const client_request &request, const client_answer &answer) -> void;
+    [[nodiscard]] auto isUnstored(const jobs::job_id &id) const -> bool;
     auto requestTurn() -> void;
     auto scheduleTurn(core::monotonic_time due) -> void;
     auto turn() -> void;
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -114,6 +114,11 @@
     return std::exchange(m_changed, {});
 }
 
+auto job_engine::isChanged(const job_id &id) const -> bool
+{
+    return m_changed.contains(id);
+}
+
 auto job_engine::takeOrders() -> order_batch
 {
     return std::exchange(m_orders, {});
@@ -201,7 +206,6 @@
     state.pace = 100;
     worker.placed.insert(task);
     worker.used += internal::needOf(job.spec.steps[task.step]);
-    job.started = true;
     ++m_counters.starts;
     touch(job);
     m_orders.starts.push_back({worker.entry.id, task, run, job.spec.payload, state.checkpoint, {}});
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -104,6 +104,9 @@
     /// \brief Jobs that changed since the last call and have to be stored.
     auto takeChanged() -> std::set<job_id>;
 
+    /// \brief Whether \p id changed since the last takeChanged().
+    [[nodiscard]] auto isChanged(const job_id &id) const -> bool;
+
     /// \brief Orders that were decided since the last call.
     auto takeOrders() -> order_batch;
 
@@ -142,6 +145,7 @@
     auto finishGang(const task_ref &task, job_record &job, core::monotonic_time now) -> void;
     auto endJob(job_record &job, job_phase phase, core::monotonic_time now) -> void;
     auto onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void;
+    auto noteBegun(job_record &job) -> void;
     auto onEndOfCurrentRun(const task_ref &task, job_record &job, task_state &state, const ended_run &end,
                            core::monotonic_time now) -> void;
     auto countFailure(const task_ref &task, job_record &job, task_state &state, core::monotonic_time now) -> void;
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -80,6 +80,7 @@
     if (job == nullptr) {
         return;
     }
+    noteBegun(*job);
     const bool current = state->run == end.run && state->worker == worker.entry.id;
     if (current && state->phase != task_phase::waiting && state->phase != task_phase::done) {
         onEndOfCurrentRun(*task, *job, *state, end, now);
@@ -95,6 +96,14 @@
     }
 }
 
+auto job_engine::noteBegun(job_record &job) -> void
+{
+    if (!job.started) {
+        job.started = true;
+        touch(job);
+    }
+}
+
 auto job_engine::onEndOfCurrentRun(const task_ref &task, job_record &job, task_state &state, const ended_run &end,
                                    core::monotonic_time now) -> void
 {
@@ -144,6 +153,7 @@
         say("stray_run", running.task, worker.entry.id, running.run, "not_current");
         return;
     }
+    noteBegun(*job);
     if (!running.checkpoint.empty()) {
         state->checkpoint = running.checkpoint;
     }
@@ -199,6 +209,7 @@
         return;
     }
     if (answer == start_answer::started) {
+        noteBegun(*job);
         state->acknowledged = true;
         state->acknowledgedAt = now;
         if (state->phase == task_phase::starting) {
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -61,7 +61,7 @@
     core::wall_time acceptedAt{}; ///< When it was first received.
     std::vector<task_state> tasks; ///< By occurrence, then step, then index.
     std::uint32_t unfinished = 0; ///< Tasks that have not ended as done.
-    bool started = false; ///< Whether a start of a task was ever decided.
+    bool started = false; ///< Whether a worker ever began a task.
     std::vector<std::uint32_t> stepOffsets; ///< Position of each step's first task within an occurrence; then its size.
     std::vector<std::uint32_t> openTasks; ///< Tasks not done of each step of each occurrence.
     core::monotonic_time endedAt{}; ///< When it left the phase active.
