Owner: the rest of a silent worker's lease is recorded; shorter reads of the store

Change: an owner records how long a silent worker's runs may still live, and records the end of the silence before it extends the lease again.

--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -19,7 +19,7 @@
 /// \brief Between reads of what workers say of themselves.
 inline constexpr core::duration workerListPeriod = std::chrono::milliseconds{400};
 /// \brief A read of the operator's records waits this long for a change.
-inline constexpr std::chrono::milliseconds operatorWait{5000};
+inline constexpr std::chrono::milliseconds operatorWait{700};
 /// \brief A read of the ownership waits this long for a record.
 inline constexpr std::chrono::milliseconds ownershipWait{1000};
 /// \brief Between attempts of a call of the store that failed.
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <optional>
+#include <sstream>
 #include <unordered_map>
 #include <utility>
 
@@ -15,11 +17,31 @@
 {
 constexpr char specPrefix = 'j';
 constexpr char progressPrefix = 'p';
+constexpr char silencePrefix = 's';
 
 auto sizeOf(const store::keyed_record &record) -> std::size_t
 {
     return record.key.size() + record.value.size();
 }
+
+auto encodeSilence(const jobs::silence_record &silence) -> std::string
+{
+    if (!silence.rest) {
+        return {};
+    }
+    return std::to_string(silence.born) + " " + std::to_string(silence.rest->count());
+}
+
+auto decodeSilence(const store::stored_record &record) -> std::optional<jobs::silence_record>
+{
+    std::istringstream in{record.value};
+    std::int64_t born = 0;
+    std::int64_t rest = 0;
+    if (!(in >> born >> rest) || rest < 0) {
+        return std::nullopt;
+    }
+    return jobs::silence_record{jobs::worker_id{record.key.substr(1)}, born, std::chrono::milliseconds{rest}};
+}
 } // namespace
 
 journal::journal(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
@@ -40,10 +62,13 @@
 }
 
 auto journal::write(const jobs::job_engine &engine, const std::set<jobs::job_id> &changed,
-                    std::function<void()> afterwards) -> void
+                    std::span<const jobs::silence_record> silences, std::function<void()> afterwards) -> void
 {
     std::size_t bytes = 0;
     m_batches.emplace_back();
+    for (const auto &silence : silences) {
+        m_batches.back().records.push_back({silencePrefix + silence.worker.str(), encodeSilence(silence)});
+    }
     for (const auto &id : changed) {
         const auto *job = engine.find(id);
         if (job == nullptr) {
@@ -200,4 +225,20 @@
     }
     return jobs;
 }
+
+auto restoreSilences(const store::newest_result &newest, observe::logger &log) -> std::vector<jobs::silence_record>
+{
+    std::vector<jobs::silence_record> silences;
+    for (const auto &record : newest.records) {
+        if (record.key.size() < 2 || record.key.front() != silencePrefix) {
+            continue;
+        }
+        if (auto silence = decodeSilence(record)) {
+            silences.push_back(std::move(*silence));
+        } else {
+            log.log(observe::log_level::error, "silence_record_unreadable", {{"worker", record.key.substr(1)}});
+        }
+    }
+    return silences;
+}
 } // namespace poplarpass::host
--- a/src/poplarpass/host/journal.h
+++ b/src/poplarpass/host/journal.h
@@ -37,9 +37,9 @@
     /// \brief Makes all appends of earlier owners fail from now on, then calls \p done.
     auto open(std::function<void()> done) -> void;
 
-    /// \brief Stores the present state of \p changed and then calls \p afterwards.
-    auto write(const jobs::job_engine &engine, const std::set<jobs::job_id> &changed, std::function<void()> afterwards)
-        -> void;
+    /// \brief Stores the present state of \p changed and \p silences, and then calls \p afterwards.
+    auto write(const jobs::job_engine &engine, const std::set<jobs::job_id> &changed,
+               std::span<const jobs::silence_record> silences, std::function<void()> afterwards) -> void;
 
     /// \brief Removes the records of jobs.
     auto remove(std::span<const jobs::job_id> forgotten) -> void;
@@ -85,4 +85,8 @@
 /// \brief Jobs read back from the store.
 /// \param newest all records of the topic of jobs
 auto restoreJobs(const store::newest_result &newest, observe::logger &log) -> std::vector<jobs::job_record>;
+
+/// \brief Silent workers as a former owner recorded them.
+/// \param newest all records of the topic of jobs
+auto restoreSilences(const store::newest_result &newest, observe::logger &log) -> std::vector<jobs::silence_record>;
 } // namespace poplarpass::host
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -82,6 +82,9 @@
         m_journal.markKnown(job.id);
         m_engine.restore(std::move(job), now);
     }
+    for (const auto &silence : restoreSilences(newest, m_env.log)) {
+        m_engine.workers().restoreSilence(silence, now);
+    }
     m_env.log.log(log_level::info, "jobs_restored",
                   {{"epoch", epoch()}, {"jobs", m_engine.jobs().size()}, {"offset", newest.endOffset}});
     readWorkers();
@@ -363,6 +366,7 @@
         m_engine.plan(now, app::wallNow());
     }
     const auto changed = m_engine.takeChanged();
+    const auto silences = m_engine.workers().takeSilences(now);
     auto orders = m_engine.takeOrders();
     auto calls = std::exchange(m_afterNextWrite, {});
     auto release = [this, orders = std::move(orders), calls = std::move(calls), alive = m_alive] {
@@ -374,10 +378,10 @@
             scheduleTurn(m_lastTurn + (m_turnWanted ? turnPeriod : idleTurnPeriod));
         }
     };
-    if (changed.empty()) {
+    if (changed.empty() && silences.empty()) {
         release();
     } else {
-        m_journal.write(m_engine, changed, std::move(release));
+        m_journal.write(m_engine, changed, silences, std::move(release));
     }
 }
 
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -14,6 +14,8 @@
 inline constexpr core::duration leaseMargin = std::chrono::milliseconds{100};
 /// \brief Orders of a former owner of the pools may arrive this long after a takeover.
 inline constexpr core::duration formerOwnerBound = std::chrono::seconds{5};
+/// \brief The rest of a silent worker's lease is recorded again each time it has shrunk by this.
+inline constexpr std::chrono::milliseconds silenceRecordStep{1000};
 /// \brief A worker that has not answered for this long gets no starts.
 inline constexpr core::duration workerSilence = std::chrono::milliseconds{3500};
 /// \brief Between two stops of the same run.
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -92,6 +92,37 @@
     return deadline;
 }
 
+// The former owner extended no lease of that worker once the record was written, so its own bound does not count.
+auto worker_table::restoreSilence(const silence_record &record, core::monotonic_time now) -> void
+{
+    auto *worker = find(record.worker);
+    if (worker != nullptr && record.rest && worker->entry.born == record.born) {
+        worker->leaseEnd = now + *record.rest;
+        worker->recordedSilence = record.rest;
+    }
+}
+
+auto worker_table::takeSilences(core::monotonic_time now) -> std::vector<silence_record>
+{
+    std::vector<silence_record> changed;
+    for (auto &[id, worker] : m_workers) {
+        if (worker.answering || worker.placed.empty()) {
+            if (worker.recordedSilence) {
+                changed.push_back({id, worker.entry.born, std::nullopt});
+            }
+            worker.recordedSilence.reset();
+            continue;
+        }
+        const auto rest =
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::max(worker.leaseEnd - now, core::duration{0}));
+        if (!worker.recordedSilence || *worker.recordedSilence - rest >= silenceRecordStep) {
+            worker.recordedSilence = rest;
+            changed.push_back({id, worker.entry.born, rest});
+        }
+    }
+    return changed;
+}
+
 auto worker_table::dropGone() -> void
 {
     std::erase_if(m_workers, [](const auto &entry) { return !entry.second.listed && entry.second.placed.empty(); });
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -26,6 +26,8 @@
     core::monotonic_time clockReadAt{}; ///< When clockMs was read.
     std::int64_t clockMs = 0; ///< The worker's clock then, milliseconds.
     std::uint64_t handledEnd = 0; ///< Number of the last end that was taken in.
+    std::optional<std::chrono::milliseconds>
+        recordedSilence; ///< Rest of its lease as last recorded, while it is silent.
     std::uint32_t failuresInRow = 0; ///< Runs that failed since one ended as done.
     resources used; ///< What the placed runs take.
     std::set<task_ref> placed; ///< Tasks whose newest run is, or may be, there.
@@ -43,6 +45,15 @@
     [[nodiscard]] auto clockAt(core::monotonic_time now) const -> std::int64_t;
 };
 
+/// \brief A worker whose lease is not extended, as recorded for a later owner.
+struct silence_record
+{
+    worker_id worker; ///< The worker.
+    std::int64_t born = 0; ///< Its life.
+    std::optional<std::chrono::milliseconds> rest; ///< Its runs have ended this long after the record was written; none
+                                                   ///< when its lease is extended again.
+};
+
 /// \brief All workers by identifier.
 class worker_table
 {
@@ -66,6 +77,12 @@
     /// \brief Deadline on the worker's clock for an order sent at \p now; moves its leaseEnd.
     auto orderLease(worker_slot &worker, core::monotonic_time now) -> std::int64_t;
 
+    /// \brief Takes in what a former owner recorded of a silent worker.
+    auto restoreSilence(const silence_record &record, core::monotonic_time now) -> void;
+
+    /// \brief Records that have to be stored before the lease of any of these workers is extended again.
+    auto takeSilences(core::monotonic_time now) -> std::vector<silence_record>;
+
     /// \brief Forgets workers that are not listed and have nothing placed.
     auto dropGone() -> void;
 
--- a/src/poplarpass/owner/owner_watch.h
+++ b/src/poplarpass/owner/owner_watch.h
@@ -19,7 +19,7 @@
 /// \brief The owner gives orders to workers this long after sending the last renewal that was stored.
 inline constexpr core::duration orderTerm = std::chrono::milliseconds{4500};
 /// \brief Between the claims of processes with neighbouring ranks.
-inline constexpr core::duration claimStagger = std::chrono::milliseconds{60};
+inline constexpr core::duration claimStagger = std::chrono::milliseconds{25};
 
 /// \brief Kind of a record about ownership.
 enum class owner_record_kind : std::uint8_t {
