Failed runs are counted once each; lost requests are answered

Ruled out: the worker listing the end twice in one life. Also, requests that waited for a batch were never answered when their owner was replaced. Change: a task remembers which runs failed; an answer that is dropped says so.

--- a/src/poplarpass/host/client_request.cpp
+++ b/src/poplarpass/host/client_request.cpp
@@ -1,8 +1,49 @@
 #include <poplarpass/host/client_request.h>
 #include <poplarpass/host/constants.h>
 
+#include <memory>
+#include <utility>
+
 namespace poplarpass::host
 {
+namespace
+{
+/// \brief Holds an answer until it is given.
+class answer_guard
+{
+public:
+    explicit answer_guard(client_answer answer)
+        : m_answer{std::move(answer)}
+    {
+    }
+
+    ~answer_guard()
+    {
+        give(plainResponse(unsettledStatus, "unsettled"));
+    }
+
+    answer_guard(const answer_guard &) = delete;
+    auto operator=(const answer_guard &) -> answer_guard & = delete;
+
+    auto give(net::http_response response) -> void
+    {
+        if (const auto answer = std::exchange(m_answer, nullptr)) {
+            answer(std::move(response));
+        }
+    }
+
+private:
+    client_answer m_answer;
+};
+} // namespace
+
+auto answeredOnce(client_answer answer) -> client_answer
+{
+    return [guard = std::make_shared<answer_guard>(std::move(answer))](net::http_response response) {
+        guard->give(std::move(response));
+    };
+}
+
 auto plainResponse(int status, std::string_view reason) -> net::http_response
 {
     return net::makeResponse(status, R"({"reason":")" + std::string{reason} + R"("})");
--- a/src/poplarpass/host/client_request.h
+++ b/src/poplarpass/host/client_request.h
@@ -33,9 +33,16 @@
 /// \brief Takes the answer to a request.
 using client_answer = std::function<void(net::http_response)>;
 
-/// \brief Status by which a host says that it does not own the pools.
+/// \brief Status by which a host says that it does not own the pools and has done nothing.
 inline constexpr int notOwnerStatus = 421;
 
+/// \brief Status by which a host says that it cannot tell whether the request was carried out.
+inline constexpr int unsettledStatus = 502;
+
+/// \brief Makes sure that a request is answered once, also when what would have answered it is gone.
+/// \returns an answer that says unsettledStatus when its last copy goes without having been called
+auto answeredOnce(client_answer answer) -> client_answer;
+
 /// \brief Refusal of a request that was not carried out, with the time to come back.
 auto refusalResponse(int status, std::string_view reason) -> net::http_response;
 
--- a/src/poplarpass/host/front_door.cpp
+++ b/src/poplarpass/host/front_door.cpp
@@ -203,7 +203,7 @@
 
 auto front_door::onAnswer(const std::shared_ptr<forwarding> &entry, net::http_response response) -> void
 {
-    if (response.status != notOwnerStatus) {
+    if (response.status != notOwnerStatus && response.status != unsettledStatus) {
         std::erase_if(response.headers, [](const net::http_header &field) {
             return field.name != "Content-Type" && field.name != "Retry-After";
         });
@@ -211,7 +211,7 @@
         return;
     }
     // An owner that was replaced while it stored a job cannot tell whether it did.
-    entry->maybeCarriedOut = true;
+    entry->maybeCarriedOut = entry->maybeCarriedOut || response.status == unsettledStatus;
     retry(entry);
 }
 
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -127,7 +127,7 @@
          {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(app::monotonicNow() - m_startedAt).count()}});
     auto waiting = std::exchange(m_waiting, {});
     for (auto &entry : waiting) {
-        serve(entry.request, std::move(entry.answer));
+        handle(entry.request, std::move(entry.answer));
     }
     scheduleTurn(app::monotonicNow());
 }
@@ -201,7 +201,7 @@
         m_waiting.push_back({request, std::move(answer)});
         return;
     }
-    serve(request, std::move(answer));
+    serve(request, answeredOnce(std::move(answer)));
 }
 
 auto pool_owner::onConfig() -> void
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -299,21 +299,29 @@
     worker.used = {};
 }
 
-auto job_engine::countFailure(const task_ref &task, job_record &job, task_state &state, core::monotonic_time now)
-    -> void
+auto job_engine::countFailure(const task_ref &task, job_record &job, task_state &state, std::uint32_t run,
+                              core::monotonic_time now) -> void
 {
-    ++state.failures;
+    const auto &step = job.spec.steps[task.step];
+    if (step.longRunning) {
+        ++m_counters.runsFailed;
+        return;
+    }
+    // A later owner is told of the same end again when the former one had no time to acknowledge it.
+    if (std::ranges::find(state.failedRuns, run) != state.failedRuns.end()) {
+        return;
+    }
     ++m_counters.runsFailed;
+    state.failedRuns.push_back(run);
     touch(job);
-    const auto &step = job.spec.steps[task.step];
-    auto failures = state.failures;
+    auto failures = state.failedRuns.size();
     if (step.gang) {
         failures = 0;
         for (std::uint32_t index = 0; index < step.taskCount; ++index) {
-            failures += job.tasks[job.positionOf(task.occurrence, task.step, index)].failures;
+            failures += job.tasks[job.positionOf(task.occurrence, task.step, index)].failedRuns.size();
         }
     }
-    if (!step.longRunning && failures >= job.queue.maxAttempts && job.phase == job_phase::active) {
+    if (failures >= job.queue.maxAttempts && job.phase == job_phase::active) {
         ++m_counters.jobsFailed;
         endJob(job, job_phase::failed, now);
     }
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -148,7 +148,8 @@
     auto noteBegun(job_record &job) -> void;
     auto onEndOfCurrentRun(const task_ref &task, job_record &job, task_state &state, const ended_run &end,
                            core::monotonic_time now) -> void;
-    auto countFailure(const task_ref &task, job_record &job, task_state &state, core::monotonic_time now) -> void;
+    auto countFailure(const task_ref &task, job_record &job, task_state &state, std::uint32_t run,
+                      core::monotonic_time now) -> void;
     auto noteOutcome(worker_slot &worker, end_kind how, core::monotonic_time now) -> void;
     auto onRunning(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
     auto settleMissing(worker_slot &worker, const worker_report &report, core::monotonic_time sentAt,
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -92,7 +92,7 @@
         ++m_counters.runsDone;
         finishTask(*task, *job, *state, now);
     } else if (end.how == end_kind::failed && state->phase != task_phase::done) {
-        countFailure(*task, *job, *state, now);
+        countFailure(*task, *job, *state, end.run, now);
     }
 }
 
@@ -123,7 +123,7 @@
     say("run_ended", nameOf(task), state.worker, state.run, end.how == end_kind::failed ? "failed" : "not_done");
     toWaiting(task, job, state, step.longRunning ? now + restartPause : now);
     if (end.how == end_kind::failed) {
-        countFailure(task, job, state, now);
+        countFailure(task, job, state, end.run, now);
     }
 }
 
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -23,7 +23,7 @@
 {
     task_phase phase = task_phase::waiting; ///< How far it is.
     std::uint32_t run = 0; ///< Number of its newest run; 0 before the first.
-    std::uint32_t failures = 0; ///< Runs that ended as failed.
+    std::vector<std::uint32_t> failedRuns; ///< Runs that ended as failed, each once; not kept for long-running tasks.
     worker_id worker; ///< Worker of the newest run.
     std::int64_t workerBorn = 0; ///< Life of that worker, Unix milliseconds.
     std::string checkpoint; ///< Newest saved progress; empty for none.
--- a/src/poplarpass/jobs/progress_text.cpp
+++ b/src/poplarpass/jobs/progress_text.cpp
@@ -2,9 +2,10 @@
 
 #include <charconv>
 #include <optional>
+#include <vector>
 
 // One line of fields separated by spaces: the job's phase, whether it was started, and for each task that is not in
-// its first state: position phase run failures born worker-length:worker checkpoint-length:checkpoint.
+// its first state: position phase run failed-count failed... born worker-length:worker checkpoint-length:checkpoint.
 namespace poplarpass::jobs
 {
 namespace
@@ -66,7 +67,7 @@
 
 auto isFirstState(const task_state &state) -> bool
 {
-    return state.phase == task_phase::waiting && state.run == 0 && state.failures == 0;
+    return state.phase == task_phase::waiting && state.run == 0 && state.failedRuns.empty();
 }
 
 struct task_progress
@@ -80,7 +81,15 @@
     const auto position = in.number<std::size_t>();
     const auto phase = in.number<int>();
     const auto run = in.number<std::uint32_t>();
-    const auto failures = in.number<std::uint32_t>();
+    const auto failures = in.number<std::size_t>();
+    std::vector<std::uint32_t> failedRuns;
+    while (failures && failedRuns.size() < *failures) {
+        const auto failed = in.number<std::uint32_t>();
+        if (!failed) {
+            return std::nullopt;
+        }
+        failedRuns.push_back(*failed);
+    }
     const auto born = in.number<std::int64_t>();
     auto worker = in.text();
     auto checkpoint = in.text();
@@ -92,7 +101,7 @@
     progress.position = *position;
     progress.state.phase = static_cast<task_phase>(*phase);
     progress.state.run = *run;
-    progress.state.failures = *failures;
+    progress.state.failedRuns = std::move(failedRuns);
     progress.state.workerBorn = *born;
     progress.state.worker = worker_id{std::move(*worker)};
     progress.state.checkpoint = std::move(*checkpoint);
@@ -131,7 +140,10 @@
         append(out, static_cast<std::int64_t>(position));
         append(out, static_cast<std::int64_t>(state.phase));
         append(out, std::int64_t{state.run});
-        append(out, std::int64_t{state.failures});
+        append(out, static_cast<std::int64_t>(state.failedRuns.size()));
+        for (const auto failed : state.failedRuns) {
+            append(out, std::int64_t{failed});
+        }
         append(out, done ? 0 : state.workerBorn);
         append(out, done ? std::string_view{} : std::string_view{state.worker.str()});
         append(out, done ? std::string_view{} : std::string_view{state.checkpoint});
