Capacity: waves in even steps, hosts moved to where the demand is

Change: the owner drains hosts of a wave in even steps, the emptiest first; long-running tasks leave a host only as their steps allow.

--- /dev/null
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -0,0 +1,345 @@
+#include <poplarpass/capacity/capacity_planner.h>
+#include <poplarpass/capacity/constants.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarpass::capacity
+{
+namespace
+{
+auto slotOf(const host_slot &host, jobs::job_engine &engine) -> jobs::worker_slot *
+{
+    return host.entry.worker.empty() ? nullptr : engine.workers().find(host.entry.worker);
+}
+
+auto isEmpty(const host_slot &host, jobs::job_engine &engine) -> bool
+{
+    const auto *worker = slotOf(host, engine);
+    return worker == nullptr || worker->placed.empty();
+}
+
+/// \brief Share of a host that work takes, for choosing the host that is easiest to drain.
+auto usedOf(const host_slot &host, jobs::job_engine &engine) -> std::int64_t
+{
+    const auto *worker = slotOf(host, engine);
+    return worker == nullptr ? 0 : worker->used.cpu + static_cast<std::int64_t>(worker->placed.size());
+}
+} // namespace
+
+auto capacity_planner::updateHosts(std::span<const host_entry> hosts, core::monotonic_time askedAt,
+                                   core::monotonic_time now) -> void
+{
+    m_hosts.update(hosts, askedAt, now);
+}
+
+auto capacity_planner::addWave(const wave_request &request, core::monotonic_time now) -> void
+{
+    const auto [entry, isNew] = m_waves.try_emplace(request.number);
+    if (!isNew) {
+        return;
+    }
+    auto &wave = entry->second;
+    wave.request = request;
+    wave.deadline = now + request.duration;
+    for (const auto &record : m_restored) {
+        if (record.wave == request.number) {
+            wave.done.insert(record.host);
+        }
+    }
+}
+
+auto capacity_planner::restoreMaintained(const maintained_host &record) -> void
+{
+    m_restored.push_back(record);
+}
+
+auto capacity_planner::onJob(const jobs::job_record &job, core::monotonic_time now) -> void
+{
+    m_demand.onJob(job, now);
+}
+
+auto capacity_planner::plan(jobs::job_engine &engine, std::span<const route::pool_config> pools,
+                            core::monotonic_time now) -> std::vector<host_order>
+{
+    if (!m_hosts.listedAt()) {
+        return {};
+    }
+    trackIdle(engine, now);
+    planWaves(engine, now);
+    planMoves(engine, pools, now);
+    return advanceDrains(engine, now);
+}
+
+auto capacity_planner::trackIdle(jobs::job_engine &engine, core::monotonic_time now) -> void
+{
+    for (auto &[id, host] : m_hosts.all()) {
+        if (!isEmpty(host, engine)) {
+            host.idleSince = now;
+        }
+    }
+}
+
+auto capacity_planner::planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void
+{
+    for (auto &[number, wave] : m_waves) {
+        if (!wave.completed) {
+            planWave(wave, engine, now);
+        }
+    }
+}
+
+// Hosts are taken in even steps over the time of the wave, those that are easiest to drain first.
+auto capacity_planner::planWave(wave_state &wave, jobs::job_engine &engine, core::monotonic_time now) -> void
+{
+    std::vector<host_slot *> left;
+    std::size_t out = 0;
+    std::size_t unfinished = 0;
+    for (const auto &id : wave.request.hosts) {
+        auto *host = m_hosts.find(id);
+        if (host == nullptr) {
+            continue;
+        }
+        const bool ours = host->step != host_step::none && !host->order.pool && host->order.wave == wave.request.number;
+        if (ours || host->entry.condition == host_condition::maintenance) {
+            ++out;
+        }
+        if (wave.done.contains(id)) {
+            continue;
+        }
+        ++unfinished;
+        if (host->step == host_step::none && host->entry.condition == host_condition::up) {
+            left.push_back(host);
+        }
+    }
+    if (unfinished == 0) {
+        wave.completed = true;
+        wave.announced = false;
+        return;
+    }
+    const auto time = std::max<core::duration>(wave.deadline - waveReserve - now, waveStepTime);
+    const auto steps = static_cast<std::size_t>(time / waveStepTime);
+    const auto pace = (unfinished + steps - 1) / steps + 1;
+    const auto limit = std::min<std::size_t>(wave.request.cap, pace);
+    std::ranges::sort(left, {}, [&](const host_slot *host) {
+        return std::pair{usedOf(*host, engine), host->entry.id};
+    });
+    for (auto *host : left) {
+        if (out >= limit) {
+            return;
+        }
+        beginDrain(*host, host_order{host->entry.id, std::nullopt, wave.request.number}, engine, now);
+        ++out;
+    }
+}
+
+auto capacity_planner::beginDrain(host_slot &host, host_order order, jobs::job_engine &engine, core::monotonic_time now)
+    -> void
+{
+    host.step = host_step::draining;
+    host.order = std::move(order);
+    host.since = now;
+    host.formerWorker = host.entry.worker;
+    if (auto *worker = slotOf(host, engine)) {
+        worker->leaving = true;
+    }
+}
+
+auto capacity_planner::stopDrain(host_slot &host, jobs::job_engine &engine, core::monotonic_time now) -> void
+{
+    host.step = host_step::none;
+    host.since = now;
+    if (auto *worker = slotOf(host, engine)) {
+        worker->leaving = false;
+    }
+}
+
+auto capacity_planner::advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>
+{
+    std::vector<host_order> orders;
+    for (auto &[id, host] : m_hosts.all()) {
+        if (host.step != host_step::draining) {
+            continue;
+        }
+        if (host.entry.condition != host_condition::up || host.entry.worker != host.formerWorker) {
+            stopDrain(host, engine, now);
+            continue;
+        }
+        auto *worker = slotOf(host, engine);
+        if (worker != nullptr) {
+            worker->leaving = true;
+            engine.evacuate(*worker, now);
+        }
+        const bool forMove = host.order.pool.has_value();
+        if (isEmpty(host, engine)) {
+            host.step = host_step::ordered;
+            host.since = now;
+            orders.push_back(host.order);
+        } else if (forMove && now - host.since > moveDrainLimit) {
+            stopDrain(host, engine, now);
+        }
+    }
+    return orders;
+}
+
+auto capacity_planner::onOrderAnswer(const host_order &order, host_order_outcome outcome, core::monotonic_time now)
+    -> void
+{
+    auto *host = m_hosts.find(order.host);
+    if (host == nullptr || host->step != host_step::ordered) {
+        return;
+    }
+    host->since = now;
+    switch (outcome) {
+    case host_order_outcome::done:
+        host->step = host_step::away;
+        if (!order.pool) {
+            m_waves[order.wave].done.insert(order.host);
+            m_newlyMaintained.push_back({order.wave, order.host});
+        }
+        return;
+    case host_order_outcome::refused:
+        if (order.pool) {
+            host->unfitPools.insert(*order.pool);
+        } else {
+            m_waves[order.wave].done.insert(order.host);
+        }
+        host->step = host_step::draining;
+        host->formerWorker = {};
+        return;
+    case host_order_outcome::busy:
+    case host_order_outcome::fenced:
+        // The list tells what the host is doing; the drain starts anew if it is still wanted.
+        host->step = host_step::draining;
+        host->formerWorker = {};
+        return;
+    case host_order_outcome::failed:
+    case host_order_outcome::unknown:
+        host->step = host_step::draining;
+        return;
+    }
+}
+
+auto capacity_planner::takeMaintained() -> std::vector<maintained_host>
+{
+    return std::exchange(m_newlyMaintained, {});
+}
+
+auto capacity_planner::takeAnnouncements() -> std::vector<wave_state>
+{
+    std::vector<wave_state> waves;
+    for (auto &[number, wave] : m_waves) {
+        if (!std::exchange(wave.announced, true)) {
+            waves.push_back(wave);
+        }
+    }
+    return waves;
+}
+
+auto capacity_planner::workerOf(const core::host_id &host) -> jobs::worker_id
+{
+    const auto *slot = m_hosts.find(host);
+    return slot == nullptr ? jobs::worker_id{} : slot->entry.worker;
+}
+
+auto capacity_planner::isAwaitingHosts() const -> bool
+{
+    return std::ranges::any_of(m_hosts.all(), [](const auto &entry) { return entry.second.step != host_step::none; });
+}
+
+auto capacity_planner::isInOpenWave(const core::host_id &host) const -> bool
+{
+    return std::ranges::any_of(m_waves, [&](const auto &entry) {
+        const auto &wave = entry.second;
+        const bool named = std::ranges::find(wave.request.hosts, host) != wave.request.hosts.end();
+        return !wave.completed && named && !wave.done.contains(host);
+    });
+}
+
+auto capacity_planner::isFreeForMove(const host_slot &host, core::monotonic_time now) const -> bool
+{
+    return host.step == host_step::none && host.entry.condition == host_condition::up
+        && now - host.idleSince >= idleBeforeMove && now - host.since >= leastStay && !isInOpenWave(host.entry.id);
+}
+
+// Hosts without work go from pools that have more than they need to pools that have less; hosts on standby fill what is
+// left, and hosts that no pool needs for a while go to standby.
+auto capacity_planner::planMoves(jobs::job_engine &engine, std::span<const route::pool_config> pools,
+                                 core::monotonic_time now) -> void
+{
+    struct pool_balance
+    {
+        std::int64_t have = 0;
+        std::int64_t want = 0;
+        bool standby = false;
+    };
+    std::map<core::pool_id, pool_balance> balances;
+    std::int64_t hostCpu = 1;
+    std::size_t moving = 0;
+    for (const auto &[id, host] : m_hosts.all()) {
+        hostCpu = std::max(hostCpu, host.entry.capacity.cpu);
+        const bool leaves = host.step != host_step::none && host.order.pool.has_value();
+        moving += leaves ? 1 : 0;
+        ++balances[leaves ? *host.order.pool : host.entry.pool].have;
+    }
+    std::optional<core::pool_id> standby;
+    for (const auto &pool : pools) {
+        balances[pool.name].standby = pool.standby;
+        if (pool.standby) {
+            standby = pool.name;
+        }
+    }
+    for (const auto &[pool, load] : m_demand.measure(engine, now)) {
+        const auto demand = static_cast<double>(std::max(load.placed + load.waiting, load.offered)) * headroom;
+        const auto hosts =
+            static_cast<std::int64_t>((demand + static_cast<double>(hostCpu) - 1) / static_cast<double>(hostCpu));
+        balances[pool].want = std::max<std::int64_t>(hosts, load.spread + 1);
+    }
+    std::vector<host_slot *> donors;
+    for (auto &[id, host] : m_hosts.all()) {
+        if (isFreeForMove(host, now)) {
+            donors.push_back(&host);
+        }
+    }
+    // Standby last: a host of another pool is paid for already.
+    std::ranges::stable_sort(donors, {}, [&](const host_slot *host) { return balances[host->entry.pool].standby; });
+    const auto move = [&](host_slot &host, const core::pool_id &pool) {
+        --balances[host.entry.pool].have;
+        ++balances[pool].have;
+        ++moving;
+        beginDrain(host, host_order{host.entry.id, pool, 0}, engine, now);
+    };
+    std::vector<core::pool_id> needy;
+    for (const auto &[pool, balance] : balances) {
+        if (!balance.standby && balance.want > balance.have) {
+            needy.push_back(pool);
+        }
+    }
+    std::ranges::sort(needy, std::greater{},
+                      [&](const core::pool_id &pool) { return balances[pool].want - balances[pool].have; });
+    for (const auto &pool : needy) {
+        for (auto *host : donors) {
+            const auto &from = balances[host->entry.pool];
+            const bool spare = from.standby || from.have > from.want;
+            const bool fits = !host->unfitPools.contains(pool);
+            if (balances[pool].want <= balances[pool].have || moving >= movesAtOnce) {
+                break;
+            }
+            if (host->step == host_step::none && spare && fits && host->entry.pool != pool) {
+                move(*host, pool);
+            }
+        }
+    }
+    if (!standby) {
+        return;
+    }
+    for (auto *host : donors) {
+        const auto &from = balances[host->entry.pool];
+        const bool idle = now - host->idleSince >= idleBeforeStandby;
+        if (host->step == host_step::none && !from.standby && from.have > from.want && idle && moving < movesAtOnce
+            && !host->unfitPools.contains(*standby)) {
+            move(*host, *standby);
+        }
+    }
+}
+} // namespace poplarpass::capacity
--- /dev/null
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <poplarpass/capacity/host_table.h>
+#include <poplarpass/capacity/pool_demand.h>
+#include <poplarpass/jobs/job_engine.h>
+#include <poplarpass/route/route_table.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace poplarpass::capacity
+{
+/// \brief How far a wave is.
+struct wave_state
+{
+    wave_request request; ///< What was asked for.
+    core::monotonic_time deadline{}; ///< When all hosts should be done.
+    std::set<core::host_id> done; ///< Hosts whose maintenance began.
+    bool completed = false; ///< Whether no host is left.
+    bool announced = false; ///< Whether its present state was reported.
+};
+
+/// \brief A host whose maintenance began, for the store.
+struct maintained_host
+{
+    std::int64_t wave = 0; ///< Wave.
+    core::host_id host; ///< Host.
+};
+
+/// \brief Decides which hosts are drained, maintained and moved, for the owner of the pools.
+class capacity_planner
+{
+public:
+    /// \brief Takes in the platform's list of hosts, asked for at \p askedAt.
+    auto updateHosts(std::span<const host_entry> hosts, core::monotonic_time askedAt, core::monotonic_time now) -> void;
+
+    /// \brief Takes in a wave; one that is known already changes nothing.
+    auto addWave(const wave_request &request, core::monotonic_time now) -> void;
+
+    /// \brief Takes in what a former owner recorded.
+    auto restoreMaintained(const maintained_host &record) -> void;
+
+    /// \brief Notes an accepted job.
+    auto onJob(const jobs::job_record &job, core::monotonic_time now) -> void;
+
+    /// \brief Decides; drains and evacuates workers in \p engine.
+    /// \param pools pools of the configuration
+    /// \returns orders to give now
+    auto plan(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now)
+        -> std::vector<host_order>;
+
+    /// \brief Takes in the answer to an order.
+    auto onOrderAnswer(const host_order &order, host_order_outcome outcome, core::monotonic_time now) -> void;
+
+    /// \brief Hosts whose maintenance began since the last call.
+    auto takeMaintained() -> std::vector<maintained_host>;
+
+    /// \brief Waves whose state has to be reported; they count as reported from now on.
+    auto takeAnnouncements() -> std::vector<wave_state>;
+
+    /// \brief Worker of a host; empty when there is none.
+    [[nodiscard]] auto workerOf(const core::host_id &host) -> jobs::worker_id;
+
+    /// \brief Whether hosts are on their way, so that the list should be read soon.
+    [[nodiscard]] auto isAwaitingHosts() const -> bool;
+
+private:
+    auto trackIdle(jobs::job_engine &engine, core::monotonic_time now) -> void;
+    auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
+    auto planWave(wave_state &wave, jobs::job_engine &engine, core::monotonic_time now) -> void;
+    auto planMoves(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now)
+        -> void;
+    auto advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>;
+    auto beginDrain(host_slot &host, host_order order, jobs::job_engine &engine, core::monotonic_time now) -> void;
+    auto stopDrain(host_slot &host, jobs::job_engine &engine, core::monotonic_time now) -> void;
+    [[nodiscard]] auto isFreeForMove(const host_slot &host, core::monotonic_time now) const -> bool;
+    [[nodiscard]] auto isInOpenWave(const core::host_id &host) const -> bool;
+
+    host_table m_hosts;
+    demand_meter m_demand;
+    std::map<std::int64_t, wave_state> m_waves;
+    std::vector<maintained_host> m_restored;
+    std::vector<maintained_host> m_newlyMaintained;
+};
+} // namespace poplarpass::capacity
--- /dev/null
+++ b/src/poplarpass/capacity/constants.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <poplarpass/core/time.h>
+
+#include <cstdint>
+
+namespace poplarpass::capacity
+{
+/// \brief Window over which arriving work is averaged.
+inline constexpr core::duration offeredWindow = std::chrono::milliseconds{1200};
+/// \brief A pool is given this share more than it needs.
+inline constexpr double headroom = 1.1;
+/// \brief A host without work for this long may be taken for another pool.
+inline constexpr core::duration idleBeforeMove = std::chrono::milliseconds{300};
+/// \brief A host without work for this long, needed by no pool, is put on standby.
+inline constexpr core::duration idleBeforeStandby = std::chrono::milliseconds{2500};
+/// \brief A host that came to a pool stays there this long at least.
+inline constexpr core::duration leastStay = std::chrono::milliseconds{1500};
+/// \brief Time to drain and maintain one host, as a wave is spread over its duration.
+inline constexpr core::duration waveStepTime = std::chrono::milliseconds{5000};
+/// \brief A wave is planned to end this long before its time is over.
+inline constexpr core::duration waveReserve = std::chrono::milliseconds{2500};
+/// \brief A draining host whose last short tasks take longer than this is taken with them, if its wave is short of
+/// time.
+inline constexpr core::duration drainPatience = std::chrono::milliseconds{4000};
+/// \brief A host that could not be drained for a move within this time stays.
+inline constexpr core::duration moveDrainLimit = std::chrono::milliseconds{4000};
+/// \brief Between two attempts of an order that failed.
+inline constexpr core::duration orderRetry = std::chrono::milliseconds{400};
+/// \brief Hosts on their way to other pools at once at most.
+inline constexpr std::size_t movesAtOnce = 24;
+} // namespace poplarpass::capacity
--- /dev/null
+++ b/src/poplarpass/capacity/host_table.cpp
@@ -0,0 +1,63 @@
+#include <poplarpass/capacity/host_table.h>
+
+namespace poplarpass::capacity
+{
+namespace
+{
+/// \brief Whether a list that was asked for after the order began shows that the host is back.
+auto isBack(const host_slot &host, core::monotonic_time askedAt) -> bool
+{
+    if (host.step != host_step::away || askedAt <= host.since || host.entry.condition != host_condition::up) {
+        return false;
+    }
+    if (host.order.pool) {
+        return host.entry.pool == *host.order.pool;
+    }
+    // A host on standby has no worker by which its return could be told.
+    return host.entry.worker != host.formerWorker || host.formerWorker.empty();
+}
+} // namespace
+
+auto host_table::update(std::span<const host_entry> entries, core::monotonic_time askedAt, core::monotonic_time now)
+    -> void
+{
+    m_listedAt = askedAt;
+    for (auto &[id, host] : m_hosts) {
+        host.listed = false;
+    }
+    for (const auto &entry : entries) {
+        auto &host = m_hosts[entry.id];
+        if (host.entry.worker != entry.worker) {
+            host.idleSince = now;
+        }
+        host.entry = entry;
+        host.listed = true;
+        if (isBack(host, askedAt)) {
+            host.step = host_step::none;
+            host.since = now;
+        }
+    }
+    std::erase_if(m_hosts, [](const auto &entry) { return !entry.second.listed; });
+}
+
+auto host_table::find(const core::host_id &id) -> host_slot *
+{
+    const auto found = m_hosts.find(id);
+    return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+auto host_table::all() -> std::map<core::host_id, host_slot> &
+{
+    return m_hosts;
+}
+
+auto host_table::all() const -> const std::map<core::host_id, host_slot> &
+{
+    return m_hosts;
+}
+
+auto host_table::listedAt() const -> std::optional<core::monotonic_time>
+{
+    return m_listedAt;
+}
+} // namespace poplarpass::capacity
--- /dev/null
+++ b/src/poplarpass/capacity/pool_demand.cpp
@@ -0,0 +1,92 @@
+#include <poplarpass/capacity/constants.h>
+#include <poplarpass/capacity/pool_demand.h>
+
+#include <algorithm>
+
+namespace poplarpass::capacity
+{
+namespace
+{
+constexpr std::int64_t millisecondsPerSecond = 1000;
+
+auto isLongRunning(const jobs::job_record &job) -> bool
+{
+    return std::ranges::any_of(job.spec.steps, &jobs::step_spec::longRunning);
+}
+
+auto workOf(const jobs::job_spec &spec) -> std::int64_t
+{
+    std::int64_t work = 0;
+    for (const auto &step : spec.steps) {
+        work += step.perTask.cpu * std::int64_t{step.taskCount} * step.estimate.count() / millisecondsPerSecond;
+    }
+    return work;
+}
+
+auto addWaiting(const jobs::job_record &job, pool_load &load) -> void
+{
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        const auto &spec = job.spec.steps[step];
+        if (job.openOf(0, step) == 0 || !job.isUnlocked(0, step)) {
+            continue;
+        }
+        const auto first = job.positionOf(0, step, 0);
+        for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
+            if (job.tasks[first + index].phase == jobs::task_phase::waiting && !spec.fills) {
+                load.waiting += spec.perTask.cpu;
+                load.largestTask = std::max(load.largestTask, spec.perTask.cpu);
+            }
+        }
+    }
+}
+
+/// \brief Workers that the tasks of \p job need to stay apart.
+auto spreadOf(const jobs::job_record &job) -> std::uint32_t
+{
+    std::uint32_t spread = 0;
+    for (const auto &step : job.spec.steps) {
+        if (step.longRunning && step.antiAffinity > 0) {
+            spread = std::max(spread, (step.taskCount + step.antiAffinity - 1) / step.antiAffinity);
+        }
+    }
+    return spread;
+}
+} // namespace
+
+auto demand_meter::onJob(const jobs::job_record &job, core::monotonic_time now) -> void
+{
+    if (!isLongRunning(job) && job.spec.repeatCount == 0) {
+        m_arrivals[job.queue.pool].push_back({now, workOf(job.spec)});
+    }
+}
+
+auto demand_meter::measure(jobs::job_engine &engine, core::monotonic_time now) -> std::map<core::pool_id, pool_load>
+{
+    std::map<core::pool_id, pool_load> loads;
+    for (const auto &[id, worker] : engine.workers().all()) {
+        if (worker.listed && !worker.entry.draining && !worker.leaving) {
+            loads[worker.entry.pool].capacity += worker.entry.capacity.cpu;
+            loads[worker.entry.pool].placed += worker.used.cpu;
+        }
+    }
+    for (auto &[pool, arrivals] : m_arrivals) {
+        while (!arrivals.empty() && now - arrivals.front().at > offeredWindow) {
+            arrivals.pop_front();
+        }
+        std::int64_t work = 0;
+        for (const auto &entry : arrivals) {
+            work += entry.work;
+        }
+        const auto windowMs = std::chrono::duration_cast<std::chrono::milliseconds>(offeredWindow).count();
+        loads[pool].offered = work * millisecondsPerSecond / windowMs;
+    }
+    for (const auto &[name, job] : engine.jobs()) {
+        if (job.phase == jobs::job_phase::active) {
+            auto &load = loads[job.queue.pool];
+            addWaiting(job, load);
+            load.spread = std::max(load.spread, spreadOf(job));
+        }
+    }
+    return loads;
+}
+} // namespace poplarpass::capacity
--- /dev/null
+++ b/src/poplarpass/host/capacity_keeper.cpp
@@ -0,0 +1,254 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/ticker.h>
+#include <poplarpass/host/capacity_keeper.h>
+#include <poplarpass/host/constants.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace poplarpass::host
+{
+using observe::log_level;
+
+namespace
+{
+constexpr char maintainedPrefix = 'm';
+constexpr char deadlinePrefix = 'v';
+
+auto numberOf(std::string_view text) -> std::optional<std::int64_t>
+{
+    std::int64_t number = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return problem == std::errc{} && end == text.data() + text.size() ? std::optional{number} : std::nullopt;
+}
+
+auto maintainedKey(const capacity::maintained_host &record) -> std::string
+{
+    return maintainedPrefix + std::to_string(record.wave) + "/" + record.host.str();
+}
+
+auto maintainedOf(std::string_view key) -> std::optional<capacity::maintained_host>
+{
+    const auto slash = key.find('/');
+    const auto wave = slash == std::string_view::npos ? std::nullopt : numberOf(key.substr(1, slash - 1));
+    if (!wave) {
+        return std::nullopt;
+    }
+    return capacity::maintained_host{*wave, core::host_id{std::string{key.substr(slash + 1)}}};
+}
+
+auto nameOf(capacity::host_order_outcome outcome) -> std::string_view
+{
+    static constexpr std::array<std::string_view, 6> names{"done", "fenced", "busy", "refused", "failed", "unknown"};
+    return names.at(static_cast<std::size_t>(outcome));
+}
+} // namespace
+
+capacity_keeper::capacity_keeper(capacity_environment environment)
+    : m_env{std::move(environment)}
+{
+}
+
+capacity_keeper::~capacity_keeper()
+{
+    *m_alive = false;
+}
+
+auto capacity_keeper::later(core::duration delay, void (capacity_keeper::*step)()) -> void
+{
+    app::callAfter(m_env.loop, delay, [this, alive = m_alive, step] {
+        if (*alive) {
+            (this->*step)();
+        }
+    });
+}
+
+auto capacity_keeper::start(const store::newest_result &stored) -> void
+{
+    for (const auto &record : stored.records) {
+        if (record.key.empty()) {
+            continue;
+        }
+        if (record.key.front() == maintainedPrefix) {
+            if (const auto host = maintainedOf(record.key)) {
+                m_planner.restoreMaintained(*host);
+            } else {
+                m_env.log.log(log_level::error, "maintained_record_unreadable", {{"key", record.key}});
+            }
+        } else if (record.key.front() == deadlinePrefix) {
+            const auto wave = numberOf(std::string_view{record.key}.substr(1));
+            const auto deadline = numberOf(record.value);
+            if (wave && deadline) {
+                m_waveDeadlines[*wave] = core::fromUnixMilliseconds(*deadline);
+            } else {
+                m_env.log.log(log_level::error, "wave_record_unreadable", {{"key", record.key}});
+            }
+        }
+    }
+    readHosts();
+}
+
+auto capacity_keeper::onJob(const jobs::job_record &job) -> void
+{
+    m_planner.onJob(job, app::monotonicNow());
+}
+
+auto capacity_keeper::readHosts() -> void
+{
+    const auto askedAt = app::monotonicNow();
+    m_env.hosts.list([this, alive = m_alive, askedAt](const std::optional<std::vector<capacity::host_entry>> &hosts) {
+        if (!*alive) {
+            return;
+        }
+        if (hosts) {
+            m_planner.updateHosts(*hosts, askedAt, app::monotonicNow());
+            m_env.onChange();
+        }
+        if (std::exchange(m_hostsLost, !hosts) != m_hostsLost) {
+            m_env.log.log(hosts ? log_level::info : log_level::warning,
+                          hosts ? "host_service_regained" : "host_service_lost",
+                          {{"effect", hosts ? "none" : "no_moves_no_maintenance"}});
+        }
+        later(m_planner.isAwaitingHosts() ? hostListBusyPeriod : hostListPeriod, &capacity_keeper::readHosts);
+    });
+}
+
+auto capacity_keeper::readWaves() -> void
+{
+    for (const auto &[key, value] : m_env.operatorRecords()) {
+        if (!key.starts_with(m_env.waves.keyPrefix) || value.empty() || m_seenWaves[key] == value) {
+            continue;
+        }
+        m_seenWaves[key] = value;
+        auto wave = m_env.waves.decode(value);
+        if (!wave) {
+            m_env.log.log(log_level::error, "wave_unreadable", {{"key", key}, {"detail", wave.error().detail}});
+            continue;
+        }
+        // The time of a wave counts from when its first owner saw it.
+        const auto now = app::wallNow();
+        const auto [known, isNew] = m_waveDeadlines.try_emplace(wave->number, now + wave->duration);
+        if (isNew) {
+            m_env.stored.writeRecord({deadlinePrefix + std::to_string(wave->number),
+                                      std::to_string(core::toUnixMilliseconds(known->second))});
+        }
+        wave->duration = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::clamp<core::duration>(known->second - now, core::duration{0}, wave->duration));
+        m_env.log.log(log_level::info, "wave_known",
+                      {{"wave", wave->number},
+                       {"hosts", wave->hosts.size()},
+                       {"cap", wave->cap},
+                       {"rest_ms", wave->duration.count()}});
+        m_planner.addWave(*wave, app::monotonicNow());
+    }
+}
+
+auto capacity_keeper::plan() -> void
+{
+    const auto now = app::monotonicNow();
+    if (now - m_lastPlan < capacityPlanPeriod || now < m_env.ordersFrom || !m_env.mayOrder()) {
+        return;
+    }
+    m_lastPlan = now;
+    readWaves();
+    for (const auto &order : m_planner.plan(m_env.engine, m_env.routes.config().pools, now)) {
+        give(order);
+    }
+    recordMaintained();
+    queueStatus();
+}
+
+auto capacity_keeper::give(const capacity::host_order &order) -> void
+{
+    const auto worker = m_planner.workerOf(order.host);
+    m_env.hosts.order(m_env.holder, order,
+                      [this, alive = m_alive, order, worker](capacity::host_order_outcome outcome) {
+                          if (*alive) {
+                              onAnswer(order, worker, outcome);
+                          }
+                      });
+}
+
+auto capacity_keeper::onAnswer(const capacity::host_order &order, const jobs::worker_id &worker,
+                               capacity::host_order_outcome outcome) -> void
+{
+    m_env.log.log(log_level::info, order.pool ? "host_move" : "host_maintenance",
+                  {{"host", order.host.str()},
+                   {"worker", worker.str()},
+                   {"pool", order.pool ? order.pool->str() : std::string{}},
+                   {"wave", order.wave},
+                   {"token", m_env.holder.fencingToken},
+                   {"outcome", nameOf(outcome)}});
+    m_planner.onOrderAnswer(order, outcome, app::monotonicNow());
+    if (outcome == capacity::host_order_outcome::done) {
+        m_env.engine.onWorkerEnded(worker, app::monotonicNow());
+    }
+    if (outcome == capacity::host_order_outcome::fenced) {
+        m_env.onFenced();
+        return;
+    }
+    recordMaintained();
+    m_env.onChange();
+}
+
+auto capacity_keeper::recordMaintained() -> void
+{
+    for (const auto &record : m_planner.takeMaintained()) {
+        m_env.stored.writeRecord({maintainedKey(record), "1"});
+    }
+}
+
+auto capacity_keeper::queueStatus() -> void
+{
+    for (const auto &wave : m_planner.takeAnnouncements()) {
+        m_env.log.log(log_level::info, "wave_status",
+                      {{"wave", wave.request.number},
+                       {"completed", wave.completed},
+                       {"maintained", wave.done.size()},
+                       {"hosts", wave.request.hosts.size()}});
+        m_statusWrites.push_back(
+            {m_env.waves.keyPrefix + std::to_string(wave.request.number), m_env.waves.encodeStatus(wave.completed)});
+    }
+    writeStatus();
+}
+
+auto capacity_keeper::writeStatus() -> void
+{
+    if (m_statusBusy || m_statusWrites.empty()) {
+        return;
+    }
+    m_statusBusy = true;
+    store::append_request request;
+    request.to = store::topic::status_records;
+    request.keyedRecords.push_back({m_statusWrites.front().key, m_statusWrites.front().value});
+    request.fence = store::writer_fence{m_env.holder.fencingToken, m_statusSequence};
+    m_env.records.append(std::move(request), [this, alive = m_alive](const store::append_result &answer) {
+        if (*alive) {
+            m_statusBusy = false;
+            onStatusWritten(answer);
+        }
+    });
+}
+
+auto capacity_keeper::onStatusWritten(const store::append_result &answer) -> void
+{
+    switch (answer.outcome) {
+    case store::append_outcome::appended:
+        ++m_statusSequence;
+        m_statusWrites.pop_front();
+        writeStatus();
+        return;
+    case store::append_outcome::refused:
+    case store::append_outcome::unknown:
+        later(storeRetry, &capacity_keeper::writeStatus);
+        return;
+    case store::append_outcome::fenced:
+    case store::append_outcome::conflict:
+    case store::append_outcome::out_of_sequence:
+        m_env.onFenced();
+        return;
+    }
+}
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/capacity_keeper.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <poplarpass/capacity/capacity_planner.h>
+#include <poplarpass/core/error.h>
+#include <poplarpass/host/host_calls.h>
+#include <poplarpass/host/journal.h>
+#include <poplarpass/observe/logger.h>
+#include <poplarpass/store/record_store.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace poplarpass::host
+{
+/// \brief How waves are read and reported.
+struct wave_codec
+{
+    std::string keyPrefix; ///< Keys of waves among the operator's and the status records begin with this.
+    std::function<core::result<capacity::wave_request>(std::string_view)> decode; ///< Reads a wave.
+    std::function<std::string(bool)> encodeStatus; ///< Report of a wave: whether it is completed.
+};
+
+/// \brief What the keeper needs of its owner.
+struct capacity_environment
+{
+    boost::asio::io_context &loop; ///< Event loop.
+    const store::record_store &records; ///< The store.
+    const host_calls &hosts; ///< Calls of the platform's service for hosts.
+    const wave_codec &waves; ///< Reads and reports waves.
+    const route::route_table &routes; ///< Configuration in force here.
+    observe::logger &log; ///< Event log.
+    journal &stored; ///< The owner's journal.
+    jobs::job_engine &engine; ///< Jobs and workers.
+    host_holder holder; ///< By what right hosts are ordered about.
+    core::monotonic_time ordersFrom{}; ///< No orders before this time: a former holder may have given one just before.
+    std::function<bool()> mayOrder; ///< Whether orders may be given at present.
+    std::function<const std::map<std::string, std::string> &()> operatorRecords; ///< Newest records of the operator.
+    std::function<void()> onChange; ///< Something was learnt: decide again.
+    std::function<void()> onFenced; ///< Hosts obey a later owner.
+};
+
+/// \brief Carries out what the capacity planner decides: reads the list of hosts, orders, reports waves.
+class capacity_keeper
+{
+public:
+    explicit capacity_keeper(capacity_environment environment);
+    ~capacity_keeper();
+    capacity_keeper(const capacity_keeper &) = delete;
+    auto operator=(const capacity_keeper &) -> capacity_keeper & = delete;
+
+    /// \brief Takes in what former owners recorded, and begins.
+    auto start(const store::newest_result &stored) -> void;
+
+    /// \brief Notes an accepted job.
+    auto onJob(const jobs::job_record &job) -> void;
+
+    /// \brief Decides and orders.
+    auto plan() -> void;
+
+private:
+    struct status_write
+    {
+        std::string key;
+        std::string value;
+    };
+
+    auto readHosts() -> void;
+    auto readWaves() -> void;
+    auto give(const capacity::host_order &order) -> void;
+    auto onAnswer(const capacity::host_order &order, const jobs::worker_id &worker,
+                  capacity::host_order_outcome outcome) -> void;
+    auto recordMaintained() -> void;
+    auto queueStatus() -> void;
+    auto writeStatus() -> void;
+    auto onStatusWritten(const store::append_result &answer) -> void;
+    auto later(core::duration delay, void (capacity_keeper::*step)()) -> void;
+
+    capacity_environment m_env;
+    capacity::capacity_planner m_planner;
+    std::map<std::string, std::string> m_seenWaves;
+    std::map<std::int64_t, core::wall_time> m_waveDeadlines;
+    std::deque<status_write> m_statusWrites;
+    std::uint64_t m_statusSequence = 0;
+    bool m_statusBusy = false;
+    bool m_hostsLost = false;
+    core::monotonic_time m_lastPlan{};
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+} // namespace poplarpass::host
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -18,6 +18,12 @@
 inline constexpr core::duration renewalRetry = std::chrono::milliseconds{400};
 /// \brief Between reads of what workers say of themselves.
 inline constexpr core::duration workerListPeriod = std::chrono::milliseconds{400};
+/// \brief Between decisions about hosts, at least.
+inline constexpr core::duration capacityPlanPeriod = std::chrono::milliseconds{40};
+/// \brief Between reads of the list of hosts.
+inline constexpr core::duration hostListPeriod = std::chrono::milliseconds{1000};
+/// \brief The same while hosts are on their way.
+inline constexpr core::duration hostListBusyPeriod = std::chrono::milliseconds{300};
 /// \brief A read of the operator's records waits this long for a change.
 inline constexpr std::chrono::milliseconds operatorWait{700};
 /// \brief A read of the ownership waits this long for a record.
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -45,6 +45,7 @@
     , m_peerHttp{m_loop, clientLimits(connectionsToStore)}
     , m_store{m_access.makeStore(m_platformHttp, m_settings.store)}
     , m_workers{m_access.makeWorkers(m_workerHttp)}
+    , m_hosts{m_access.makeHosts(m_platformHttp, m_settings.hostService)}
     , m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}
 {
 }
@@ -116,7 +117,20 @@
 auto host_process::onElected(std::uint64_t epoch, core::monotonic_time claimedAt) -> void
 {
     pool_owner_environment environment{
-        m_loop, m_store, m_workers, m_routes, m_log, m_metrics, m_access.decodeJob, m_access.decodeWorker, [this] {
+        m_loop,
+        m_store,
+        m_workers,
+        m_routes,
+        m_log,
+        m_metrics,
+        m_access.decodeJob,
+        m_access.decodeWorker,
+        m_hosts,
+        m_access.waves,
+        m_settings.name,
+        m_settings.holderTerm,
+        [this]() -> const std::map<std::string, std::string> & { return m_config->otherRecords(); },
+        [this] {
             onDeposed();
         }};
     m_owner = std::make_unique<pool_owner>(std::move(environment), epoch, claimedAt);
--- a/src/poplarpass/host/host_process.h
+++ b/src/poplarpass/host/host_process.h
@@ -2,6 +2,7 @@
 
 #include <poplarpass/host/config_follower.h>
 #include <poplarpass/host/front_door.h>
+#include <poplarpass/host/host_calls.h>
 #include <poplarpass/host/owner_election.h>
 #include <poplarpass/host/pool_owner.h>
 #include <poplarpass/host/worker_calls.h>
@@ -26,6 +27,8 @@
 {
     std::function<store::record_store(net::http_client &, std::string)> makeStore; ///< Store at an address.
     std::function<worker_calls(net::http_client &)> makeWorkers; ///< Calls of workers.
+    std::function<host_calls(net::http_client &, std::string)> makeHosts; ///< Hosts of workers, at an address.
+    wave_codec waves; ///< Reads and reports waves.
     operator_decoder operators; ///< Reads the operator's records.
     job_decoder decodeJob; ///< Reads submissions.
     std::function<core::result<jobs::worker_entry>(std::string_view, std::string_view)> decodeWorker; ///< Reads what
@@ -71,6 +74,7 @@
     net::http_client m_peerHttp;
     store::record_store m_store;
     worker_calls m_workers;
+    host_calls m_hosts;
     route::route_table m_routes;
     std::unique_ptr<config_follower> m_config;
     std::unique_ptr<front_door> m_front;
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -91,6 +91,17 @@
     startNext();
 }
 
+auto journal::writeRecord(store::keyed_record record) -> void
+{
+    // The first batch may be on its way.
+    if (m_batches.size() > 1) {
+        m_batches.back().records.push_back(std::move(record));
+        return;
+    }
+    m_batches.push_back({{std::move(record)}, {}, {}});
+    startNext();
+}
+
 auto journal::remove(std::span<const jobs::job_id> forgotten) -> void
 {
     if (forgotten.empty()) {
--- a/src/poplarpass/host/journal.h
+++ b/src/poplarpass/host/journal.h
@@ -41,6 +41,9 @@
     auto write(const jobs::job_engine &engine, const std::set<jobs::job_id> &changed,
                std::span<const jobs::silence_record> silences, std::function<void()> afterwards) -> void;
 
+    /// \brief Stores one record beside the jobs.
+    auto writeRecord(store::keyed_record record) -> void;
+
     /// \brief Removes the records of jobs.
     auto remove(std::span<const jobs::job_id> forgotten) -> void;
 
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -36,6 +36,28 @@
         depose("worker");
     };
     m_links = std::make_unique<worker_links>(m_env.loop, m_env.workers, m_engine, m_env.log, epoch, std::move(hooks));
+    m_capacity = makeCapacity();
+}
+
+auto pool_owner::makeCapacity() -> std::unique_ptr<capacity_keeper>
+{
+    capacity_environment environment{m_env.loop,
+                                     m_env.records,
+                                     m_env.hosts,
+                                     m_env.waves,
+                                     m_env.routes,
+                                     m_env.log,
+                                     m_journal,
+                                     m_engine,
+                                     {m_env.hostName, epoch()},
+                                     m_startedAt + m_env.holderTerm,
+                                     [this] { return !m_resigned && m_term.mayAnswer(app::monotonicNow()); },
+                                     m_env.operatorRecords,
+                                     [this] { requestTurn(); },
+                                     [this] {
+                                         depose("host_service");
+                                     }};
+    return std::make_unique<capacity_keeper>(std::move(environment));
 }
 
 pool_owner::~pool_owner()
@@ -85,6 +107,7 @@
     for (const auto &silence : restoreSilences(newest, m_env.log)) {
         m_engine.workers().restoreSilence(silence, now);
     }
+    m_capacity->start(newest);
     m_env.log.log(log_level::info, "jobs_restored",
                   {{"epoch", epoch()}, {"jobs", m_engine.jobs().size()}, {"offset", newest.endOffset}});
     readWorkers();
@@ -262,6 +285,7 @@
         return;
     }
     m_engine.submit(request.job, match.matched->queue, std::move(*spec), app::wallNow());
+    m_capacity->onJob(*m_engine.find(request.job));
     requestTurn();
     whenStored(accept);
 }
@@ -363,6 +387,7 @@
     m_lastTurn = now;
     m_turnWanted = false;
     if (!m_resigned && m_term.mayOrder(now)) {
+        m_capacity->plan();
         m_engine.plan(now, app::wallNow());
     }
     const auto changed = m_engine.takeChanged();
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <poplarpass/host/capacity_keeper.h>
 #include <poplarpass/host/client_request.h>
 #include <poplarpass/host/journal.h>
 #include <poplarpass/host/worker_links.h>
@@ -30,6 +31,11 @@
     job_decoder decodeJob; ///< Decodes submissions.
     std::function<core::result<jobs::worker_entry>(std::string_view, std::string_view)> decodeWorker; ///< Decodes what
                                                                                                       ///< workers say.
+    const host_calls &hosts; ///< Calls of the platform's service for hosts.
+    const wave_codec &waves; ///< Reads and reports waves.
+    std::string hostName; ///< Name of this host.
+    core::duration holderTerm; ///< Term within which orders for one host come from one holder.
+    std::function<const std::map<std::string, std::string> &()> operatorRecords; ///< Newest records of the operator.
     std::function<void()> onDeposed; ///< Called when another process owns the pools, or this one cannot go on.
 };
 
@@ -73,6 +79,7 @@
         client_answer answer;
     };
 
+    auto makeCapacity() -> std::unique_ptr<capacity_keeper>;
     auto readJobs() -> void;
     auto onJobs(const store::newest_result &newest) -> void;
     auto readWorkers() -> void;
@@ -101,6 +108,7 @@
     jobs::job_engine m_engine;
     journal m_journal;
     std::unique_ptr<worker_links> m_links;
+    std::unique_ptr<capacity_keeper> m_capacity;
     std::map<std::string, jobs::worker_entry> m_entries;
     std::uint64_t m_workerOffset = 0;
     std::vector<waiting_request> m_waiting;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -98,6 +98,14 @@
     /// \brief Takes in the answer to a stop.
     auto onStopAnswer(const stop_order &order, stop_answer answer, core::monotonic_time now) -> void;
 
+    /// \brief Moves long-running tasks away from \p worker, as many at once as their steps allow.
+    ///
+    /// A task is stopped only when another worker has room for it.
+    auto evacuate(const worker_slot &worker, core::monotonic_time now) -> void;
+
+    /// \brief Everything on worker \p id has ended, by an order to its host.
+    auto onWorkerEnded(const worker_id &id, core::monotonic_time now) -> void;
+
     /// \brief Decides which tasks start, and which stops to repeat.
     auto plan(core::monotonic_time now, core::wall_time wallTime) -> void;
 
@@ -162,6 +170,8 @@
                  core::wall_time wallTime) -> void;
     auto planStep(job_record &job, std::uint32_t occurrence, std::uint32_t step, std::span<worker_slot *const> workers,
                   core::monotonic_time now) -> void;
+    auto takersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>;
+    auto mayBeAway(const job_record &job, const task_ref &task) const -> bool;
     auto planGang(job_record &job, std::uint32_t occurrence, std::uint32_t step, std::span<worker_slot *const> workers,
                   core::monotonic_time now) -> void;
 
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -19,7 +19,7 @@
     }
 }
 
-auto job_engine::planPool(const core::pool_id &pool, core::monotonic_time now, core::wall_time wallTime) -> void
+auto job_engine::takersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>
 {
     std::vector<worker_slot *> workers;
     for (auto &[id, worker] : m_workers.all()) {
@@ -27,6 +27,46 @@
             workers.push_back(&worker);
         }
     }
+    return workers;
+}
+
+auto job_engine::mayBeAway(const job_record &job, const task_ref &task) const -> bool
+{
+    const auto &step = job.spec.steps[task.step];
+    if (!step.maxUnavailable) {
+        return true;
+    }
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; index < step.taskCount; ++index) {
+        const auto &other = job.tasks[job.positionOf(task.occurrence, task.step, index)];
+        const bool atWork = other.phase == task_phase::running && other.atWork;
+        away += index != task.index && !atWork ? 1 : 0;
+    }
+    return away < *step.maxUnavailable;
+}
+
+auto job_engine::evacuate(const worker_slot &worker, core::monotonic_time now) -> void
+{
+    const auto placed = worker.placed;
+    const auto takers = takersOf(worker.entry.pool, now);
+    for (const auto &task : placed) {
+        const auto [job, state] = locate(task);
+        const bool evacuable = job != nullptr && job->spec.steps[task.step].longRunning
+            && !job->spec.steps[task.step].gang && state->phase == task_phase::running
+            && job->phase == job_phase::active;
+        if (!evacuable || !mayBeAway(*job, task)
+            || internal::chooseWorker(*job, task.occurrence, task.step, takers) == nullptr) {
+            continue;
+        }
+        say("task_evacuated", nameOf(task), worker.entry.id, state->run, "host_leaves");
+        state->atWork = false;
+        beginClosing(task, *job, *state, now);
+    }
+}
+
+auto job_engine::planPool(const core::pool_id &pool, core::monotonic_time now, core::wall_time wallTime) -> void
+{
+    const auto workers = takersOf(pool, now);
     if (workers.empty()) {
         return;
     }
