--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -171,7 +171,7 @@
     auto planStep(job_record &job, std::uint32_t occurrence, std::uint32_t step, std::span<worker_slot *const> workers,
                   core::monotonic_time now) -> void;
     auto takersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>;
-    auto mayBeAway(const job_record &job, const task_ref &task) const -> bool;
+    auto mayBeAway(const job_record &job, const task_ref &task, core::monotonic_time now) -> bool;
     auto planGang(job_record &job, std::uint32_t occurrence, std::uint32_t step, std::span<worker_slot *const> workers,
                   core::monotonic_time now) -> void;
 
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -30,7 +30,7 @@
     return workers;
 }
 
-auto job_engine::mayBeAway(const job_record &job, const task_ref &task) const -> bool
+auto job_engine::mayBeAway(const job_record &job, const task_ref &task, core::monotonic_time now) -> bool
 {
     const auto &step = job.spec.steps[task.step];
     if (!step.maxUnavailable) {
@@ -39,7 +39,10 @@
     std::uint32_t away = 0;
     for (std::uint32_t index = 0; index < step.taskCount; ++index) {
         const auto &other = job.tasks[job.positionOf(task.occurrence, task.step, index)];
-        const bool atWork = other.phase == task_phase::running && other.atWork;
+        const auto *worker = m_workers.find(other.worker);
+        // What a silent worker last said does not count: it may be gone.
+        const bool heard = worker != nullptr && worker->answering && now - worker->answeredAt < workerSilence;
+        const bool atWork = heard && other.phase == task_phase::running && other.atWork;
         away += index != task.index && !atWork ? 1 : 0;
     }
     return away < *step.maxUnavailable;
@@ -54,7 +57,7 @@
         const bool evacuable = job != nullptr && job->spec.steps[task.step].longRunning
             && !job->spec.steps[task.step].gang && state->phase == task_phase::running
             && job->phase == job_phase::active;
-        if (!evacuable || !mayBeAway(*job, task)
+        if (!evacuable || !mayBeAway(*job, task, now)
             || internal::chooseWorker(*job, task.occurrence, task.step, takers) == nullptr) {
             continue;
         }
