Hosts announce the owner to each other; former owners confirm that they stopped

Ruled out: links between hosts (up). Change: hosts enrol in the store; an owner tells each of them, again until it is heard.

--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -24,6 +24,12 @@
 inline constexpr core::duration hostListPeriod = std::chrono::milliseconds{1000};
 /// \brief The same while hosts are on their way.
 inline constexpr core::duration hostListBusyPeriod = std::chrono::milliseconds{300};
+/// \brief Between announcements of the owner to hosts that all know it.
+inline constexpr core::duration announcementPeriod = std::chrono::seconds{3};
+/// \brief Between announcements while some host does not know the owner.
+inline constexpr core::duration announcementRetry = std::chrono::milliseconds{500};
+/// \brief Time for a host to take note of an announcement.
+inline constexpr core::duration announcementTimeout = std::chrono::milliseconds{600};
 /// \brief A read of the operator's records waits this long for a change.
 inline constexpr std::chrono::milliseconds operatorWait{700};
 /// \brief A read of the ownership waits this long for a record.
--- a/src/poplarpass/host/front_door.cpp
+++ b/src/poplarpass/host/front_door.cpp
@@ -2,6 +2,7 @@
 #include <poplarpass/app/ticker.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/front_door.h>
+#include <poplarpass/host/owner_announcer.h>
 
 #include <algorithm>
 #include <array>
@@ -259,6 +260,11 @@
 
 auto front_door::onPeer(const net::http_request &request, const std::shared_ptr<net::responder> &peer) -> void
 {
+    if (const auto announced = request.header(ownerHeader); !announced.empty()) {
+        m_env.onAnnouncement(announced);
+        peer->respond(plainResponse(200, "noted"));
+        return;
+    }
     const auto decoded = fromPeer(request);
     if (!decoded) {
         peer->respond(plainResponse(400, "bad_peer_request"));
--- a/src/poplarpass/host/front_door.h
+++ b/src/poplarpass/host/front_door.h
@@ -24,6 +24,7 @@
     observe::metrics_registry &metrics; ///< Metrics.
     std::function<bool(const client_request &, client_answer)> handleHere; ///< Takes a request if this process owns
                                                                            ///< the pools.
+    std::function<void(std::string_view)> onAnnouncement; ///< Another host announced an owner.
     std::function<std::optional<std::string>()> ownerAddress; ///< "IP:port" of the owner, if one is known.
 };
 
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -12,7 +12,8 @@
 
 namespace
 {
-constexpr unsigned rankCount = 8;
+constexpr unsigned rankCount = 4;
+constexpr core::duration freshStart = std::chrono::seconds{15};
 constexpr std::size_t connectionsPerWorker = 12;
 constexpr std::size_t connectionsToStore = 16;
 
@@ -60,7 +61,11 @@
             m_owner->onConfig();
         }
     });
+    m_startedAt = app::monotonicNow();
     m_election = makeElection();
+    m_announcer = std::make_unique<owner_announcer>(m_loop, m_store, m_peerHttp, m_log, m_settings.name,
+                                                    m_settings.peers);
+    m_announcer->enrol();
     listen();
     m_config->start();
     m_election->start();
@@ -78,6 +83,11 @@
         m_log,
         m_metrics,
         [this](const client_request &request, client_answer answer) { return handleHere(request, std::move(answer)); },
+        [this](std::string_view announced) {
+            if (const auto record = owner::decodeOwnerRecord(announced)) {
+                m_election->onAnnouncement(*record);
+            }
+        },
         [this] {
             return ownerAddress();
         }};
@@ -133,8 +143,14 @@
         [this] {
             onDeposed();
         }};
-    m_owner = std::make_unique<pool_owner>(std::move(environment), epoch, claimedAt);
+    m_owner = std::make_unique<pool_owner>(std::move(environment), epoch, claimedAt, m_election->formerOwners());
     m_owner->start();
+    m_announcer->announce({owner::owner_record_kind::claim, epoch, m_settings.name, m_settings.peers},
+                          [this](const std::string &host) {
+                              if (m_owner) {
+                                  m_owner->onConfirmed(host);
+                              }
+                          });
 }
 
 auto host_process::onDeposed() -> void
@@ -143,6 +159,7 @@
         m_log.log(log_level::warning, "owner_ends", {{"epoch", m_owner->epoch()}});
         m_owner.reset();
     }
+    m_announcer->stop();
     m_election->drop();
 }
 
@@ -164,10 +181,12 @@
     return current->address;
 }
 
-// The same at each start, and mostly different between hosts.
+// Mostly different between hosts. When hosts are restarted in turn, one that was restarted a moment ago stays.
 auto host_process::rank() const -> unsigned
 {
-    return static_cast<unsigned>(std::hash<std::string>{}(m_settings.name) % rankCount);
+    const auto byName = static_cast<unsigned>(std::hash<std::string>{}(m_settings.name) % rankCount);
+    const bool fresh = app::monotonicNow() - m_startedAt < freshStart;
+    return fresh ? byName : byName + rankCount;
 }
 
 auto host_process::isReady() const -> bool
@@ -227,6 +246,7 @@
     const auto resignation = [this] {
         m_election->resign([this] {
             m_log.log(log_level::info, "resigned", {});
+            m_announcer->stop();
             m_owner.reset();
         });
     };
--- a/src/poplarpass/host/host_process.h
+++ b/src/poplarpass/host/host_process.h
@@ -3,6 +3,7 @@
 #include <poplarpass/host/config_follower.h>
 #include <poplarpass/host/front_door.h>
 #include <poplarpass/host/host_calls.h>
+#include <poplarpass/host/owner_announcer.h>
 #include <poplarpass/host/owner_election.h>
 #include <poplarpass/host/pool_owner.h>
 #include <poplarpass/host/worker_calls.h>
@@ -79,10 +80,12 @@
     std::unique_ptr<config_follower> m_config;
     std::unique_ptr<front_door> m_front;
     std::unique_ptr<owner_election> m_election;
+    std::unique_ptr<owner_announcer> m_announcer;
     std::unique_ptr<pool_owner> m_owner;
     std::unique_ptr<net::http_server> m_readiness;
     std::unique_ptr<net::http_server> m_metricsServer;
     boost::asio::signal_set m_signals;
+    core::monotonic_time m_startedAt{};
     bool m_stopping = false;
     core::monotonic_time m_stopAt{};
 };
--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -238,6 +238,24 @@
               [done = std::move(done)](const store::append_result &) { done(); });
 }
 
+auto owner_election::onAnnouncement(const owner::owner_record &record) -> void
+{
+    if (!m_watch.onAnnouncement(record, app::monotonicNow())) {
+        return;
+    }
+    m_log.log(log_level::info, "owner_changed",
+              {{"owner", record.host}, {"epoch", record.epoch}, {"learnt_from", "announcement"}});
+    if (m_owner && record.epoch > m_epoch) {
+        depose();
+    }
+    m_hooks.onOwnerChanged();
+}
+
+auto owner_election::formerOwners() const -> std::vector<std::string>
+{
+    return m_watch.formerOwners(m_epoch, app::monotonicNow());
+}
+
 auto owner_election::current() const -> const std::optional<owner::owner_record> &
 {
     return m_watch.current();
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -47,6 +47,12 @@
     /// \brief This process does not own the pools any more, whatever the store says.
     auto drop() -> void;
 
+    /// \brief Takes in what another owner announced itself.
+    auto onAnnouncement(const owner::owner_record &record) -> void;
+
+    /// \brief Names of former owners that may still give orders.
+    [[nodiscard]] auto formerOwners() const -> std::vector<std::string>;
+
     /// \brief Owner as far as is known.
     [[nodiscard]] auto current() const -> const std::optional<owner::owner_record> &;
 
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -10,7 +10,8 @@
 {
 using observe::log_level;
 
-pool_owner::pool_owner(pool_owner_environment environment, std::uint64_t epoch, core::monotonic_time claimedAt)
+pool_owner::pool_owner(pool_owner_environment environment, std::uint64_t epoch, core::monotonic_time claimedAt,
+                       std::vector<std::string> formerOwners)
     : m_env{std::move(environment)}
     , m_term{epoch, claimedAt}
     , m_engine{[this](const jobs::decision &made) {
@@ -20,6 +21,7 @@
                 [this] {
                     depose("journal");
                 }}
+    , m_formerOwners{formerOwners.begin(), formerOwners.end()}
     , m_startedAt{claimedAt}
 {
     worker_link_hooks hooks;
@@ -100,10 +102,12 @@
         return;
     }
     const auto now = app::monotonicNow();
+    const auto ordersUntil = m_formerOwners.empty() ? now : now + owner::orderTerm;
     for (auto &job : restoreJobs(newest, m_env.log)) {
         m_journal.markKnown(job.id);
-        m_engine.restore(std::move(job), now);
+        m_engine.restore(std::move(job), now, ordersUntil);
     }
+    m_restored = true;
     for (const auto &silence : restoreSilences(newest, m_env.log)) {
         m_engine.workers().restoreSilence(silence, now);
     }
@@ -352,6 +356,14 @@
     m_term.onRenewed(sentAt);
 }
 
+auto pool_owner::onConfirmed(const std::string &name) -> void
+{
+    if (m_formerOwners.erase(name) > 0 && m_formerOwners.empty() && m_restored) {
+        m_env.log.log(log_level::info, "former_owners_stopped", {{"epoch", epoch()}, {"last", name}});
+        m_engine.workers().boundFormerOrders(app::monotonicNow());
+    }
+}
+
 auto pool_owner::requestTurn() -> void
 {
     m_turnWanted = true;
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,7 +44,9 @@
 class pool_owner
 {
 public:
-    pool_owner(pool_owner_environment environment, std::uint64_t epoch, core::monotonic_time claimedAt);
+    /// \param formerOwners names of hosts that may still give orders as former owners
+    pool_owner(pool_owner_environment environment, std::uint64_t epoch, core::monotonic_time claimedAt,
+               std::vector<std::string> formerOwners);
     ~pool_owner();
     pool_owner(const pool_owner &) = delete;
     auto operator=(const pool_owner &) -> pool_owner & = delete;
@@ -60,6 +63,9 @@
     /// \brief A renewal that was sent at \p sentAt is stored.
     auto onRenewed(core::monotonic_time sentAt) -> void;
 
+    /// \brief The host \p name gives no orders of a former term.
+    auto onConfirmed(const std::string &name) -> void;
+
     /// \brief Stops deciding, waits for what is being stored, then calls \p done.
     auto resign(std::function<void()> done) -> void;
 
@@ -113,6 +119,8 @@
     std::uint64_t m_workerOffset = 0;
     std::vector<waiting_request> m_waiting;
     std::vector<std::function<void()>> m_afterNextWrite;
+    std::set<std::string> m_formerOwners;
+    bool m_restored = false;
     bool m_serving = false;
     bool m_resigned = false;
     bool m_turnPlanned = false;
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -12,8 +12,8 @@
 inline constexpr double slowestWorkerClock = 0.98;
 /// \brief Added to the end of a lease before its runs count as ended.
 inline constexpr core::duration leaseMargin = std::chrono::milliseconds{100};
-/// \brief Orders of a former owner of the pools may arrive this long after a takeover.
-inline constexpr core::duration formerOwnerBound = std::chrono::seconds{5};
+/// \brief The same in real time, on a worker's slowest clock.
+inline constexpr core::duration longestRealLease = std::chrono::milliseconds{5110};
 /// \brief The rest of a silent worker's lease is recorded again each time it has shrunk by this.
 inline constexpr std::chrono::milliseconds silenceRecordStep{1000};
 /// \brief A worker that has not answered for this long gets no starts.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -35,7 +35,7 @@
 }
 
 // A former owner may have given orders until a moment ago, so a run on record may live as long as its orders can.
-auto job_engine::restore(job_record job, core::monotonic_time now) -> void
+auto job_engine::restore(job_record job, core::monotonic_time now, core::monotonic_time ordersUntil) -> void
 {
     auto &kept = m_jobs[job.id.str()] = std::move(job);
     forEachTask(kept, [&](const task_ref &task, std::size_t position) {
@@ -45,7 +45,7 @@
         }
         auto &worker = m_workers.findOrAdd(state.worker);
         worker.entry.born = std::max(worker.entry.born, state.workerBorn);
-        worker.leaseEnd = std::max(worker.leaseEnd, now + formerOwnerBound + workerLease + leaseMargin);
+        worker.leaseEnd = std::max(worker.leaseEnd, ordersUntil + longestRealLease + leaseMargin);
         worker.placed.insert(task);
         worker.used += internal::needOf(kept.spec.steps[task.step]);
         state.acknowledged = true;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -63,7 +63,8 @@
     explicit job_engine(std::function<void(const decision &)> note);
 
     /// \brief Takes in a job from the store, before anything else.
-    auto restore(job_record job, core::monotonic_time now) -> void;
+    /// \param ordersUntil former owners may give orders until then
+    auto restore(job_record job, core::monotonic_time now, core::monotonic_time ordersUntil) -> void;
 
     /// \brief A caller submits a job.
     /// \pre the specification was checked: steps come after earlier ones, and no step is empty
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -102,6 +102,15 @@
     }
 }
 
+auto worker_table::boundFormerOrders(core::monotonic_time ordersUntil) -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        if (!worker.greeted) {
+            worker.leaseEnd = std::min(worker.leaseEnd, ordersUntil + longestRealLease + leaseMargin);
+        }
+    }
+}
+
 auto worker_table::takeSilences(core::monotonic_time now) -> std::vector<silence_record>
 {
     std::vector<silence_record> changed;
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -80,6 +80,9 @@
     /// \brief Takes in what a former owner recorded of a silent worker.
     auto restoreSilence(const silence_record &record, core::monotonic_time now) -> void;
 
+    /// \brief No former owner gives orders after \p ordersUntil: shortens the leases that were taken to last longer.
+    auto boundFormerOrders(core::monotonic_time ordersUntil) -> void;
+
     /// \brief Records that have to be stored before the lease of any of these workers is extended again.
     auto takeSilences(core::monotonic_time now) -> std::vector<silence_record>;
 
--- a/src/poplarpass/owner/owner_watch.cpp
+++ b/src/poplarpass/owner/owner_watch.cpp
@@ -9,6 +9,7 @@
 namespace
 {
 constexpr std::size_t fieldCount = 4;
+constexpr core::duration seenOwnerRetention = std::chrono::seconds{30};
 
 auto fieldsOf(std::string_view text) -> std::vector<std::string_view>
 {
@@ -56,6 +57,7 @@
     }
     m_newestEpoch = record.epoch;
     m_quietSince = now;
+    noteSeen(record, now);
     if (record.kind == owner_record_kind::resignation) {
         m_current.reset();
         m_vacantSince = now;
@@ -64,6 +66,42 @@
     }
 }
 
+auto owner_watch::noteSeen(const owner_record &record, core::monotonic_time now) -> void
+{
+    const auto found = std::ranges::find(m_seenOwners, record.epoch, &seen_owner::epoch);
+    auto &seen = found == m_seenOwners.end() ? m_seenOwners.emplace_back() : *found;
+    seen.epoch = record.epoch;
+    seen.host = record.host;
+    seen.heardAt = now;
+    seen.resigned = record.kind == owner_record_kind::resignation;
+    std::erase_if(m_seenOwners, [now](const seen_owner &entry) { return now - entry.heardAt > seenOwnerRetention; });
+}
+
+// A follower hears of a renewal after it was sent, so an owner that was heard of longer ago than its term gives no
+// orders any more. One that resigned had stopped before.
+auto owner_watch::formerOwners(std::uint64_t epoch, core::monotonic_time now) const -> std::vector<std::string>
+{
+    std::vector<std::string> former;
+    for (const auto &seen : m_seenOwners) {
+        if (seen.epoch < epoch && !seen.resigned && now - seen.heardAt <= orderTerm) {
+            former.push_back(seen.host);
+        }
+    }
+    return former;
+}
+
+auto owner_watch::onAnnouncement(const owner_record &record, core::monotonic_time now) -> bool
+{
+    if (record.epoch <= m_newestEpoch) {
+        return false;
+    }
+    m_newestEpoch = record.epoch;
+    m_current = record;
+    m_quietSince = now;
+    noteSeen(record, now);
+    return true;
+}
+
 // While the store cannot be read the owner's silence says nothing; it counts anew from the first answer.
 auto owner_watch::onRead(core::monotonic_time now) -> void
 {
--- a/src/poplarpass/owner/owner_watch.h
+++ b/src/poplarpass/owner/owner_watch.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// Which process owns the pools, as agreed through the store.
 namespace poplarpass::owner
@@ -52,6 +53,13 @@
     /// \brief Takes in a record in the order of the store.
     auto onRecord(const owner_record &record, core::monotonic_time now) -> void;
 
+    /// \brief Takes in what an owner announced itself; older news changes nothing.
+    /// \returns whether it was news
+    auto onAnnouncement(const owner_record &record, core::monotonic_time now) -> bool;
+
+    /// \brief Former owners that may still give orders at \p now, by name; \p epoch is the term that follows them.
+    [[nodiscard]] auto formerOwners(std::uint64_t epoch, core::monotonic_time now) const -> std::vector<std::string>;
+
     /// \brief The store answered a read to its end.
     auto onRead(core::monotonic_time now) -> void;
 
@@ -66,9 +74,21 @@
     [[nodiscard]] auto shouldClaim(core::monotonic_time now, unsigned rank) const -> bool;
 
 private:
+    /// \brief An owner, and when it was last heard of.
+    struct seen_owner
+    {
+        std::uint64_t epoch = 0;
+        std::string host;
+        core::monotonic_time heardAt{};
+        bool resigned = false;
+    };
+
+    auto noteSeen(const owner_record &record, core::monotonic_time now) -> void;
+
     std::optional<owner_record> m_current;
     std::uint64_t m_newestEpoch = 0;
     bool m_readable = false;
+    std::vector<seen_owner> m_seenOwners;
     core::monotonic_time m_quietSince{};
     core::monotonic_time m_vacantSince{};
 };
