Takeover after a restart of all hosts: at once, and with less to read

Change: a host claims at once when the owner was a former process of its own; the store keeps of a settled job only how it ended.

--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -18,6 +18,8 @@
 inline constexpr core::duration renewalRetry = std::chrono::milliseconds{400};
 /// \brief Between reads of what workers say of themselves.
 inline constexpr core::duration workerListPeriod = std::chrono::milliseconds{400};
+/// \brief Between looks for jobs that can be forgotten.
+inline constexpr core::duration housekeepingPeriod = std::chrono::seconds{1};
 /// \brief Between decisions about hosts, at least.
 inline constexpr core::duration capacityPlanPeriod = std::chrono::milliseconds{40};
 /// \brief Between reads of the list of hosts.
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -79,13 +79,20 @@
             bytes = 0;
         }
         auto &batch = m_batches.back();
+        batch.jobs.insert(id);
+        if (job->isSettled()) {
+            if (m_knownSpecs.erase(id.str()) > 0) {
+                batch.records.push_back({specPrefix + id.str(), {}});
+            }
+            batch.records.push_back({progressPrefix + id.str(), jobs::encodeEnd(job->phase)});
+            continue;
+        }
         if (m_knownSpecs.insert(id.str()).second) {
             batch.records.push_back({specPrefix + id.str(), codec::encodeJob(*job)});
             bytes += sizeOf(batch.records.back());
         }
         batch.records.push_back({progressPrefix + id.str(), jobs::encodeProgress(*job)});
         bytes += sizeOf(batch.records.back());
-        batch.jobs.insert(id);
     }
     m_batches.back().afterwards.push_back(std::move(afterwards));
     startNext();
@@ -225,7 +232,12 @@
         if (record.key.size() < 2 || record.key.front() != progressPrefix) {
             continue;
         }
-        const auto job = found.find(record.key.substr(1));
+        auto id = record.key.substr(1);
+        if (const auto end = jobs::decodeEnd(record.value)) {
+            found.insert_or_assign(id, jobs::makeEndedJob(jobs::job_id{id}, *end));
+            continue;
+        }
+        const auto job = found.find(id);
         if (job != found.end() && !jobs::applyProgress(job->second, record.value)) {
             log.log(observe::log_level::error, "progress_record_unreadable", {{"job", job->first}});
         }
--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -109,7 +109,7 @@
 
 auto owner_election::considerClaim() -> void
 {
-    if (!m_owner && !m_claiming && !m_aside && m_watch.shouldClaim(app::monotonicNow(), m_hooks.rank())) {
+    if (!m_owner && !m_claiming && !m_aside && m_watch.shouldClaim(app::monotonicNow(), m_hostName, m_hooks.rank())) {
         claim();
     }
 }
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -104,7 +104,9 @@
     const auto now = app::monotonicNow();
     const auto ordersUntil = m_formerOwners.empty() ? now : now + owner::orderTerm;
     for (auto &job : restoreJobs(newest, m_env.log)) {
-        m_journal.markKnown(job.id);
+        if (!job.spec.steps.empty()) {
+            m_journal.markKnown(job.id);
+        }
         m_engine.restore(std::move(job), now, ordersUntil);
     }
     m_restored = true;
@@ -157,6 +159,15 @@
         handle(entry.request, std::move(entry.answer));
     }
     scheduleTurn(app::monotonicNow());
+    later(housekeepingPeriod, &pool_owner::forgetEnded);
+}
+
+auto pool_owner::forgetEnded() -> void
+{
+    if (!m_resigned) {
+        m_journal.remove(m_engine.forgetEnded(app::monotonicNow()));
+        later(housekeepingPeriod, &pool_owner::forgetEnded);
+    }
 }
 
 auto pool_owner::pollWorkers() -> void
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -34,6 +34,8 @@
 inline constexpr core::duration restartPause = std::chrono::milliseconds{50};
 /// \brief Ends that a worker lists at once; a longer list may be cut off.
 inline constexpr std::size_t endsPerReport = 500;
+/// \brief The tasks of an ended job are kept for this long.
+inline constexpr core::duration settledJobDetail = std::chrono::seconds{3};
 /// \brief A job is kept for this long after its end at least.
 inline constexpr core::duration endedJobRetention = std::chrono::seconds{150};
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -142,10 +142,16 @@
 auto job_engine::forgetEnded(core::monotonic_time now) -> std::vector<job_id>
 {
     std::vector<job_id> forgotten;
-    for (const auto &[name, job] : m_jobs) {
-        const bool settled = std::ranges::none_of(job.tasks, [](const auto &task) { return isPlaced(task.phase); });
-        if (job.phase != job_phase::active && settled && now - job.endedAt > endedJobRetention) {
+    for (auto &[name, job] : m_jobs) {
+        if (!job.isSettled() || now - job.endedAt < settledJobDetail || m_changed.contains(job.id)) {
+            continue;
+        }
+        if (now - job.endedAt > endedJobRetention) {
             forgotten.push_back(job.id);
+        } else if (!job.tasks.empty()) {
+            const auto endedAt = job.endedAt;
+            job = makeEndedJob(job.id, job.phase);
+            job.endedAt = endedAt;
         }
     }
     for (const auto &id : forgotten) {
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -128,7 +128,7 @@
     /// \brief Figures since the start.
     [[nodiscard]] auto counters() const -> const engine_counters &;
 
-    /// \brief Forgets jobs that ended long ago.
+    /// \brief Forgets jobs that ended long ago, and the tasks of those that ended a moment ago.
     /// \returns the forgotten ones, whose records may be removed
     auto forgetEnded(core::monotonic_time now) -> std::vector<job_id>;
 
--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -41,6 +41,13 @@
     return std::size_t{occurrence} * stepOffsets.back() + stepOffsets[step] + index;
 }
 
+auto job_record::isSettled() const -> bool
+{
+    return phase != job_phase::active && std::ranges::none_of(tasks, [](const task_state &task) {
+               return task.phase != task_phase::waiting && task.phase != task_phase::done;
+           });
+}
+
 auto job_record::has(const task_ref &task) const -> bool
 {
     return task.occurrence < spec.occurrences() && task.step < spec.steps.size()
@@ -87,6 +94,15 @@
     return job;
 }
 
+auto makeEndedJob(job_id id, job_phase phase) -> job_record
+{
+    job_record job;
+    job.id = std::move(id);
+    job.phase = phase;
+    job.started = true;
+    return job;
+}
+
 auto nameOf(const task_ref &task) -> std::string
 {
     return task.job.str() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -66,6 +66,9 @@
     std::vector<std::uint32_t> openTasks; ///< Tasks not done of each step of each occurrence.
     core::monotonic_time endedAt{}; ///< When it left the phase active.
 
+    /// \brief Whether the job has ended and nothing of it runs, so that only its phase is kept.
+    [[nodiscard]] auto isSettled() const -> bool;
+
     /// \brief Position of a task in tasks.
     /// \pre the reference is within the job
     [[nodiscard]] auto positionOf(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) const
@@ -87,6 +90,9 @@
 /// \brief Job with all tasks waiting.
 auto makeJob(job_id id, queue_policy queue, job_spec spec, core::wall_time acceptedAt) -> job_record;
 
+/// \brief Job of which only the end is known.
+auto makeEndedJob(job_id id, job_phase phase) -> job_record;
+
 /// \brief Name of a task on the wire and in logs: ID.OCCURRENCE.STEP.INDEX.
 auto nameOf(const task_ref &task) -> std::string;
 
--- a/src/poplarpass/jobs/progress_text.cpp
+++ b/src/poplarpass/jobs/progress_text.cpp
@@ -10,6 +10,8 @@
 {
 namespace
 {
+constexpr char endMark = 'e';
+
 class text_reader
 {
 public:
@@ -151,6 +153,19 @@
     return out;
 }
 
+auto encodeEnd(job_phase phase) -> std::string
+{
+    return endMark + std::to_string(static_cast<int>(phase));
+}
+
+auto decodeEnd(std::string_view text) -> std::optional<job_phase>
+{
+    if (text.size() != 2 || text[0] != endMark || text[1] <= '0' || text[1] > '3') {
+        return std::nullopt;
+    }
+    return static_cast<job_phase>(text[1] - '0');
+}
+
 auto applyProgress(job_record &job, std::string_view text) -> bool
 {
     text_reader in{text};
--- a/src/poplarpass/owner/owner_watch.cpp
+++ b/src/poplarpass/owner/owner_watch.cpp
@@ -122,7 +122,8 @@
     return m_current;
 }
 
-auto owner_watch::shouldClaim(core::monotonic_time now, unsigned rank) const -> bool
+// An owner on the asking process's own host was an earlier process of that host: it has ended.
+auto owner_watch::shouldClaim(core::monotonic_time now, std::string_view host, unsigned rank) const -> bool
 {
     if (!m_readable) {
         return false;
@@ -130,6 +131,9 @@
     if (!m_current) {
         return now >= m_vacantSince + claimStagger * rank;
     }
+    if (m_current->host == host) {
+        return true;
+    }
     return now >= m_quietSince + takeoverSilence + claimStagger * rank;
 }
 
--- a/src/poplarpass/owner/owner_watch.h
+++ b/src/poplarpass/owner/owner_watch.h
@@ -70,8 +70,9 @@
     [[nodiscard]] auto current() const -> const std::optional<owner_record> &;
 
     /// \brief Whether a process should claim now.
+    /// \param host name of the process's host
     /// \param rank position among the processes that may claim, to keep them from claiming at once
-    [[nodiscard]] auto shouldClaim(core::monotonic_time now, unsigned rank) const -> bool;
+    [[nodiscard]] auto shouldClaim(core::monotonic_time now, std::string_view host, unsigned rank) const -> bool;
 
 private:
     /// \brief An owner, and when it was last heard of.
