--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -242,6 +242,11 @@
     return slot == nullptr ? jobs::worker_id{} : slot->entry.worker;
 }
 
+auto capacity_planner::balances() const -> const std::map<core::pool_id, pool_balance> &
+{
+    return m_balances;
+}
+
 auto capacity_planner::isAwaitingHosts() const -> bool
 {
     return std::ranges::any_of(m_hosts.all(), [](const auto &entry) { return entry.second.step != host_step::none; });
@@ -267,13 +272,8 @@
 auto capacity_planner::planMoves(jobs::job_engine &engine, std::span<const route::pool_config> pools,
                                  core::monotonic_time now) -> void
 {
-    struct pool_balance
-    {
-        std::int64_t have = 0;
-        std::int64_t want = 0;
-        bool standby = false;
-    };
-    std::map<core::pool_id, pool_balance> balances;
+    m_balances.clear();
+    auto &balances = m_balances;
     std::int64_t hostCpu = 1;
     std::size_t moving = 0;
     for (const auto &[id, host] : m_hosts.all()) {
@@ -290,9 +290,10 @@
         }
     }
     for (const auto &[pool, load] : m_demand.measure(engine, now)) {
-        const auto demand = static_cast<double>(std::max(load.placed + load.waiting, load.offered)) * headroom;
+        const auto demand = static_cast<double>(std::max(load.placed, load.offered) + load.waiting) * headroom;
         const auto hosts =
             static_cast<std::int64_t>((demand + static_cast<double>(hostCpu) - 1) / static_cast<double>(hostCpu));
+        balances[pool].load = load;
         balances[pool].want = std::max<std::int64_t>(hosts, load.spread + 1);
     }
     std::vector<host_slot *> donors;
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -31,6 +31,15 @@
     core::host_id host; ///< Host.
 };
 
+/// \brief What one pool has and needs.
+struct pool_balance
+{
+    pool_load load; ///< What it is asked for.
+    std::int64_t have = 0; ///< Hosts in it or on their way to it.
+    std::int64_t want = 0; ///< Hosts that it needs.
+    bool standby = false; ///< Whether its hosts are off.
+};
+
 /// \brief Decides which hosts are drained, maintained and moved, for the owner of the pools.
 class capacity_planner
 {
@@ -53,6 +62,9 @@
     auto plan(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now)
         -> std::vector<host_order>;
 
+    /// \brief What each pool had and needed when plan() was last called.
+    [[nodiscard]] auto balances() const -> const std::map<core::pool_id, pool_balance> &;
+
     /// \brief Takes in the answer to an order.
     auto onOrderAnswer(const host_order &order, host_order_outcome outcome, core::monotonic_time now) -> void;
 
@@ -82,6 +94,7 @@
 
     host_table m_hosts;
     demand_meter m_demand;
+    std::map<core::pool_id, pool_balance> m_balances;
     std::map<std::int64_t, wave_state> m_waves;
     std::vector<maintained_host> m_restored;
     std::vector<maintained_host> m_newlyMaintained;
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -8,6 +8,10 @@
 {
 /// \brief Window over which arriving work is averaged.
 inline constexpr core::duration offeredWindow = std::chrono::milliseconds{1200};
+/// \brief Window in which the rise of a turn shows first.
+inline constexpr core::duration riseWindow = std::chrono::milliseconds{400};
+/// \brief Jobs that must have come in the rise window for it to count.
+inline constexpr std::size_t riseJobs = 4;
 /// \brief A pool is given this share more than it needs.
 inline constexpr double headroom = 1.1;
 /// \brief A host without work for this long may be taken for another pool.
--- a/src/poplarpass/capacity/pool_demand.cpp
+++ b/src/poplarpass/capacity/pool_demand.cpp
@@ -40,6 +40,11 @@
     }
 }
 
+auto perSecond(std::int64_t work, core::duration window) -> std::int64_t
+{
+    return work * millisecondsPerSecond / std::chrono::duration_cast<std::chrono::milliseconds>(window).count();
+}
+
 /// \brief Workers that the tasks of \p job need to stay apart.
 auto spreadOf(const jobs::job_record &job) -> std::uint32_t
 {
@@ -74,11 +79,18 @@
             arrivals.pop_front();
         }
         std::int64_t work = 0;
+        std::int64_t recentWork = 0;
+        std::size_t recentJobs = 0;
         for (const auto &entry : arrivals) {
             work += entry.work;
+            const bool recent = now - entry.at <= riseWindow;
+            recentWork += recent ? entry.work : 0;
+            recentJobs += recent ? 1 : 0;
+        }
+        loads[pool].offered = perSecond(work, offeredWindow);
+        if (recentJobs >= riseJobs) {
+            loads[pool].offered = std::max(loads[pool].offered, perSecond(recentWork, riseWindow));
         }
-        const auto windowMs = std::chrono::duration_cast<std::chrono::milliseconds>(offeredWindow).count();
-        loads[pool].offered = work * millisecondsPerSecond / windowMs;
     }
     for (const auto &[name, job] : engine.jobs()) {
         if (job.phase == jobs::job_phase::active) {
--- a/src/poplarpass/host/capacity_keeper.cpp
+++ b/src/poplarpass/host/capacity_keeper.cpp
@@ -158,6 +158,25 @@
     }
     recordMaintained();
     queueStatus();
+    logLoads(now);
+}
+
+auto capacity_keeper::logLoads(core::monotonic_time now) -> void
+{
+    if (now - m_lastLoadLog < loadLogPeriod) {
+        return;
+    }
+    m_lastLoadLog = now;
+    for (const auto &[pool, balance] : m_planner.balances()) {
+        m_env.log.log(log_level::info, "pool_load",
+                      {{"pool", pool.str()},
+                       {"hosts", balance.have},
+                       {"hosts_wanted", balance.want},
+                       {"cpu", balance.load.capacity},
+                       {"cpu_placed", balance.load.placed},
+                       {"cpu_waiting", balance.load.waiting},
+                       {"cpu_offered", balance.load.offered}});
+    }
 }
 
 auto capacity_keeper::give(const capacity::host_order &order) -> void
--- a/src/poplarpass/host/capacity_keeper.h
+++ b/src/poplarpass/host/capacity_keeper.h
@@ -73,6 +73,7 @@
     auto onAnswer(const capacity::host_order &order, const jobs::worker_id &worker,
                   capacity::host_order_outcome outcome) -> void;
     auto recordMaintained() -> void;
+    auto logLoads(core::monotonic_time now) -> void;
     auto queueStatus() -> void;
     auto writeStatus() -> void;
     auto onStatusWritten(const store::append_result &answer) -> void;
@@ -87,6 +88,7 @@
     bool m_statusBusy = false;
     bool m_hostsLost = false;
     core::monotonic_time m_lastPlan{};
+    core::monotonic_time m_lastLoadLog{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -22,6 +22,8 @@
 inline constexpr core::duration housekeepingPeriod = std::chrono::seconds{1};
 /// \brief Between decisions about hosts, at least.
 inline constexpr core::duration capacityPlanPeriod = std::chrono::milliseconds{40};
+/// \brief Between log lines on the load of the pools.
+inline constexpr core::duration loadLogPeriod = std::chrono::milliseconds{500};
 /// \brief Between reads of the list of hosts.
 inline constexpr core::duration hostListPeriod = std::chrono::milliseconds{1000};
 /// \brief The same while hosts are on their way.
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -63,8 +63,8 @@
     });
     m_startedAt = app::monotonicNow();
     m_election = makeElection();
-    m_announcer = std::make_unique<owner_announcer>(m_loop, m_store, m_peerHttp, m_log, m_settings.name,
-                                                    m_settings.peers);
+    m_announcer =
+        std::make_unique<owner_announcer>(m_loop, m_store, m_peerHttp, m_log, m_settings.name, m_settings.peers);
     m_announcer->enrol();
     listen();
     m_config->start();
