Capacity: hosts are emptied for a pool in need; a wave yields to it

Change: hosts of a wave may move before their maintenance; hosts with short tasks only are drained for a pool in need; the list of workers is read every 0.15 s while hosts are on their way.

--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -2,6 +2,8 @@
 #include <poplarpass/capacity/constants.h>
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace poplarpass::capacity
@@ -66,8 +68,9 @@
         return {};
     }
     trackIdle(engine, now);
+    measure(engine, pools, now);
+    planMoves(engine, now);
     planWaves(engine, now);
-    planMoves(engine, pools, now);
     return advanceDrains(engine, now);
 }
 
@@ -89,7 +92,8 @@
     }
 }
 
-// Hosts are taken in even steps over the time of the wave, those that are easiest to drain first.
+// Hosts that are easy to drain and that no pool waits for are taken at once; the others follow in even steps, so that
+// the wave ends in time.
 auto capacity_planner::planWave(wave_state &wave, jobs::job_engine &engine, core::monotonic_time now) -> void
 {
     std::vector<host_slot *> left;
@@ -117,10 +121,10 @@
         wave.announced = false;
         return;
     }
-    const auto time = std::max<core::duration>(wave.deadline - waveReserve - now, waveStepTime);
-    const auto steps = static_cast<std::size_t>(time / waveStepTime);
-    const auto pace = (unfinished + steps - 1) / steps + 1;
-    const auto limit = std::min<std::size_t>(wave.request.cap, pace);
+    const auto slots = std::min<std::size_t>(wave.request.cap, waveSlots);
+    const auto steps = std::max<std::int64_t>((wave.deadline - waveReserve - now) / waveStepTime, 1);
+    const bool late = unfinished > slots * static_cast<std::size_t>(steps - 1);
+    const auto limit = late ? std::size_t{wave.request.cap} : slots;
     std::ranges::sort(left, {}, [&](const host_slot *host) {
         return std::pair{usedOf(*host, engine), host->entry.id};
     });
@@ -128,11 +132,22 @@
         if (out >= limit) {
             return;
         }
+        const auto &balance = m_balances[host->entry.pool];
+        const bool wanted = balance.want > balance.have || (balance.standby && isAnyPoolShort());
+        if (!late && wanted) {
+            continue;
+        }
         beginDrain(*host, host_order{host->entry.id, std::nullopt, wave.request.number}, engine, now);
         ++out;
     }
 }
 
+auto capacity_planner::isAnyPoolShort() const -> bool
+{
+    return std::ranges::any_of(
+        m_balances, [](const auto &entry) { return !entry.second.standby && entry.second.want > entry.second.have; });
+}
+
 auto capacity_planner::beginDrain(host_slot &host, host_order order, jobs::job_engine &engine, core::monotonic_time now)
     -> void
 {
@@ -252,94 +267,112 @@
     return std::ranges::any_of(m_hosts.all(), [](const auto &entry) { return entry.second.step != host_step::none; });
 }
 
-auto capacity_planner::isInOpenWave(const core::host_id &host) const -> bool
-{
-    return std::ranges::any_of(m_waves, [&](const auto &entry) {
-        const auto &wave = entry.second;
-        const bool named = std::ranges::find(wave.request.hosts, host) != wave.request.hosts.end();
-        return !wave.completed && named && !wave.done.contains(host);
-    });
-}
-
-auto capacity_planner::isFreeForMove(const host_slot &host, core::monotonic_time now) const -> bool
-{
-    return host.step == host_step::none && host.entry.condition == host_condition::up
-        && now - host.idleSince >= idleBeforeMove && now - host.since >= leastStay && !isInOpenWave(host.entry.id);
-}
-
-// Hosts without work go from pools that have more than they need to pools that have less; hosts on standby fill what is
-// left, and hosts that no pool needs for a while go to standby.
-auto capacity_planner::planMoves(jobs::job_engine &engine, std::span<const route::pool_config> pools,
-                                 core::monotonic_time now) -> void
+auto capacity_planner::measure(jobs::job_engine &engine, std::span<const route::pool_config> pools,
+                               core::monotonic_time now) -> void
 {
     m_balances.clear();
-    auto &balances = m_balances;
     std::int64_t hostCpu = 1;
-    std::size_t moving = 0;
     for (const auto &[id, host] : m_hosts.all()) {
         hostCpu = std::max(hostCpu, host.entry.capacity.cpu);
         const bool leaves = host.step != host_step::none && host.order.pool.has_value();
-        moving += leaves ? 1 : 0;
-        ++balances[leaves ? *host.order.pool : host.entry.pool].have;
+        ++m_balances[leaves ? *host.order.pool : host.entry.pool].have;
     }
-    std::optional<core::pool_id> standby;
     for (const auto &pool : pools) {
-        balances[pool.name].standby = pool.standby;
-        if (pool.standby) {
-            standby = pool.name;
-        }
+        m_balances[pool.name].standby = pool.standby;
     }
     for (const auto &[pool, load] : m_demand.measure(engine, now)) {
         const auto demand = static_cast<double>(std::max(load.placed, load.offered) + load.waiting) * headroom;
-        const auto hosts =
-            static_cast<std::int64_t>((demand + static_cast<double>(hostCpu) - 1) / static_cast<double>(hostCpu));
-        balances[pool].load = load;
-        balances[pool].want = std::max<std::int64_t>(hosts, load.spread + 1);
+        const auto hosts = static_cast<std::int64_t>(std::ceil(demand / static_cast<double>(hostCpu)));
+        m_balances[pool].load = load;
+        m_balances[pool].want = std::max<std::int64_t>(hosts, load.spread + 1);
     }
+}
+
+auto capacity_planner::move(host_slot &host, const core::pool_id &pool, jobs::job_engine &engine,
+                            core::monotonic_time now) -> void
+{
+    --m_balances[host.entry.pool].have;
+    ++m_balances[pool].have;
+    beginDrain(host, host_order{host.entry.id, pool, 0}, engine, now);
+}
+
+auto capacity_planner::movesInProgress() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_hosts.all(), [](const auto &entry) {
+        return entry.second.step != host_step::none && entry.second.order.pool.has_value();
+    }));
+}
+
+// Hosts go from pools that have more than they need to pools that have less: first those without work, then those on
+// standby, then those that are emptied soonest. Hosts that no pool needs for a while go to standby.
+auto capacity_planner::planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void
+{
     std::vector<host_slot *> donors;
     for (auto &[id, host] : m_hosts.all()) {
-        if (isFreeForMove(host, now)) {
+        if (host.step == host_step::none && host.entry.condition == host_condition::up
+            && now - host.since >= leastStay) {
             donors.push_back(&host);
         }
     }
-    // Standby last: a host of another pool is paid for already.
-    std::ranges::stable_sort(donors, {}, [&](const host_slot *host) { return balances[host->entry.pool].standby; });
-    const auto move = [&](host_slot &host, const core::pool_id &pool) {
-        --balances[host.entry.pool].have;
-        ++balances[pool].have;
-        ++moving;
-        beginDrain(host, host_order{host.entry.id, pool, 0}, engine, now);
-    };
+    std::ranges::stable_sort(donors, {}, [&](const host_slot *host) {
+        return std::tuple{usedOf(*host, engine) > 0, m_balances[host->entry.pool].standby, usedOf(*host, engine)};
+    });
     std::vector<core::pool_id> needy;
-    for (const auto &[pool, balance] : balances) {
+    for (const auto &[pool, balance] : m_balances) {
         if (!balance.standby && balance.want > balance.have) {
             needy.push_back(pool);
         }
     }
     std::ranges::sort(needy, std::greater{},
-                      [&](const core::pool_id &pool) { return balances[pool].want - balances[pool].have; });
+                      [&](const core::pool_id &pool) { return m_balances[pool].want - m_balances[pool].have; });
     for (const auto &pool : needy) {
-        for (auto *host : donors) {
-            const auto &from = balances[host->entry.pool];
-            const bool spare = from.standby || from.have > from.want;
-            const bool fits = !host->unfitPools.contains(pool);
-            if (balances[pool].want <= balances[pool].have || moving >= movesAtOnce) {
-                break;
-            }
-            if (host->step == host_step::none && spare && fits && host->entry.pool != pool) {
-                move(*host, pool);
-            }
+        fillPool(pool, donors, engine, now);
+    }
+    retireIdle(donors, engine, now);
+}
+
+auto capacity_planner::fillPool(const core::pool_id &pool, std::span<host_slot *const> donors, jobs::job_engine &engine,
+                                core::monotonic_time now) -> void
+{
+    for (auto *host : donors) {
+        const auto &balance = m_balances[pool];
+        if (balance.want <= balance.have || movesInProgress() >= movesAtOnce) {
+            return;
+        }
+        const auto &from = m_balances[host->entry.pool];
+        const bool spare = from.standby || from.have > from.want;
+        const bool idle = from.standby || now - host->idleSince >= idleBeforeMove;
+        const bool drainable = idle || isDrainedSoon(*host, engine);
+        if (host->step == host_step::none && spare && drainable && host->entry.pool != pool
+            && !host->unfitPools.contains(pool)) {
+            move(*host, pool, engine, now);
         }
     }
-    if (!standby) {
+}
+
+// Short tasks end by themselves; long-running ones would have to move first.
+auto capacity_planner::isDrainedSoon(const host_slot &host, jobs::job_engine &engine) const -> bool
+{
+    const auto *worker = slotOf(host, engine);
+    return worker != nullptr && std::ranges::none_of(worker->placed, [&](const jobs::task_ref &task) {
+               const auto *job = engine.find(task.job);
+               return job == nullptr || job->spec.steps[task.step].longRunning;
+           });
+}
+
+auto capacity_planner::retireIdle(std::span<host_slot *const> donors, jobs::job_engine &engine,
+                                  core::monotonic_time now) -> void
+{
+    const auto standby = std::ranges::find_if(m_balances, [](const auto &entry) { return entry.second.standby; });
+    if (standby == m_balances.end()) {
         return;
     }
     for (auto *host : donors) {
-        const auto &from = balances[host->entry.pool];
+        const auto &from = m_balances[host->entry.pool];
         const bool idle = now - host->idleSince >= idleBeforeStandby;
-        if (host->step == host_step::none && !from.standby && from.have > from.want && idle && moving < movesAtOnce
-            && !host->unfitPools.contains(*standby)) {
-            move(*host, *standby);
+        if (host->step == host_step::none && !from.standby && from.have > from.want && idle
+            && movesInProgress() < movesAtOnce && !host->unfitPools.contains(standby->first)) {
+            move(*host, standby->first, engine, now);
         }
     }
 }
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -84,13 +84,18 @@
     auto trackIdle(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWave(wave_state &wave, jobs::job_engine &engine, core::monotonic_time now) -> void;
-    auto planMoves(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now)
-        -> void;
+    auto measure(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now) -> void;
+    auto planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void;
+    auto fillPool(const core::pool_id &pool, std::span<host_slot *const> donors, jobs::job_engine &engine,
+                  core::monotonic_time now) -> void;
+    auto retireIdle(std::span<host_slot *const> donors, jobs::job_engine &engine, core::monotonic_time now) -> void;
+    auto move(host_slot &host, const core::pool_id &pool, jobs::job_engine &engine, core::monotonic_time now) -> void;
+    [[nodiscard]] auto movesInProgress() const -> std::size_t;
+    [[nodiscard]] auto isDrainedSoon(const host_slot &host, jobs::job_engine &engine) const -> bool;
+    [[nodiscard]] auto isAnyPoolShort() const -> bool;
     auto advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>;
     auto beginDrain(host_slot &host, host_order order, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto stopDrain(host_slot &host, jobs::job_engine &engine, core::monotonic_time now) -> void;
-    [[nodiscard]] auto isFreeForMove(const host_slot &host, core::monotonic_time now) const -> bool;
-    [[nodiscard]] auto isInOpenWave(const core::host_id &host) const -> bool;
 
     host_table m_hosts;
     demand_meter m_demand;
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -22,6 +22,8 @@
 inline constexpr core::duration leastStay = std::chrono::milliseconds{1500};
 /// \brief Time to drain and maintain one host, as a wave is spread over its duration.
 inline constexpr core::duration waveStepTime = std::chrono::milliseconds{5000};
+/// \brief Hosts of a wave out at once while there is time.
+inline constexpr std::size_t waveSlots = 5;
 /// \brief A wave is planned to end this long before its time is over.
 inline constexpr core::duration waveReserve = std::chrono::milliseconds{2500};
 /// \brief A draining host whose last short tasks take longer than this is taken with them, if its wave is short of
--- a/src/poplarpass/host/capacity_keeper.cpp
+++ b/src/poplarpass/host/capacity_keeper.cpp
@@ -95,6 +95,11 @@
     m_planner.onJob(job, app::monotonicNow());
 }
 
+auto capacity_keeper::isAwaitingHosts() const -> bool
+{
+    return m_planner.isAwaitingHosts();
+}
+
 auto capacity_keeper::readHosts() -> void
 {
     const auto askedAt = app::monotonicNow();
--- a/src/poplarpass/host/capacity_keeper.h
+++ b/src/poplarpass/host/capacity_keeper.h
@@ -57,6 +57,9 @@
     /// \brief Notes an accepted job.
     auto onJob(const jobs::job_record &job) -> void;
 
+    /// \brief Whether hosts are on their way to a pool.
+    [[nodiscard]] auto isAwaitingHosts() const -> bool;
+
     /// \brief Decides and orders.
     auto plan() -> void;
 
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -34,6 +34,8 @@
 inline constexpr core::duration announcementRetry = std::chrono::milliseconds{500};
 /// \brief Time for a host to take note of an announcement.
 inline constexpr core::duration announcementTimeout = std::chrono::milliseconds{600};
+/// \brief The same while hosts are on their way to a pool.
+inline constexpr core::duration workerListBusyPeriod = std::chrono::milliseconds{150};
 /// \brief A read of the operator's records waits this long for a change.
 inline constexpr std::chrono::milliseconds operatorWait{700};
 /// \brief A read of the ownership waits this long for a record.
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -143,7 +143,7 @@
     if (!m_serving) {
         beginServing();
     }
-    later(workerListPeriod, &pool_owner::pollWorkers);
+    pollWorkersLater();
 }
 
 auto pool_owner::beginServing() -> void
@@ -170,6 +170,11 @@
     }
 }
 
+auto pool_owner::pollWorkersLater() -> void
+{
+    later(m_capacity->isAwaitingHosts() ? workerListBusyPeriod : workerListPeriod, &pool_owner::pollWorkers);
+}
+
 auto pool_owner::pollWorkers() -> void
 {
     if (m_resigned) {
@@ -196,7 +201,7 @@
         }
         updateWorkers();
     }
-    later(workerListPeriod, &pool_owner::pollWorkers);
+    pollWorkersLater();
 }
 
 auto pool_owner::takeWorkerRecord(const store::stored_record &record) -> void
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -90,6 +90,7 @@
     auto onJobs(const store::newest_result &newest) -> void;
     auto readWorkers() -> void;
     auto onWorkers(const store::newest_result &newest) -> void;
+    auto pollWorkersLater() -> void;
     auto pollWorkers() -> void;
     auto onWorkerRecords(const store::read_result &result) -> void;
     auto takeWorkerRecord(const store::stored_record &record) -> void;
