--- /dev/null
+++ b/tests/decisions/job_engine_test.cpp
@@ -0,0 +1,314 @@
+#include "jobs_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace tests::jobs_fixture;
+
+namespace
+{
+const jobs::job_id jobId{"00000000000000aa"};
+
+auto startAll(jobs::job_engine &engine, std::int64_t now) -> std::vector<jobs::start_order>
+{
+    engine.plan(at(now), wallAt(now));
+    const auto orders = engine.takeOrders();
+    for (const auto &order : orders.starts) {
+        engine.onStartAnswer(order, jobs::start_answer::started, at(now));
+    }
+    return orders.starts;
+}
+
+auto endOf(std::uint64_t number, const jobs::start_order &order, jobs::end_kind how) -> jobs::ended_run
+{
+    return {number, jobs::nameOf(order.task), order.run, how, {}};
+}
+} // namespace
+
+TEST_CASE("A job's steps run in order and complete it", "[jobs]")
+{
+    auto engine = engineWith({worker("a")});
+    auto second = step(1);
+    second.after = {0};
+    CHECK(engine.submit(jobId, queue(), jobOf({step(2), second}), wallAt(0)) == jobs::submit_outcome::accepted);
+    CHECK(engine.submit(jobId, queue(), jobOf({step(2), second}), wallAt(0)) == jobs::submit_outcome::known);
+
+    const auto first = startAll(engine, 10);
+    REQUIRE(first.size() == 2);
+    CHECK(std::ranges::all_of(first, [](const auto &order) { return order.task.step == 0; }));
+
+    auto ends = report();
+    ends.ended = {endOf(1, first[0], jobs::end_kind::done)};
+    ends.running = {{jobs::nameOf(first[1].task), first[1].run, {}, 50, 0}};
+    engine.onReport(jobs::worker_id{"a"}, ends, at(20), at(21));
+    CHECK(startAll(engine, 30).empty());
+
+    ends.running.clear();
+    ends.ended.push_back(endOf(2, first[1], jobs::end_kind::done));
+    CHECK(engine.onReport(jobs::worker_id{"a"}, ends, at(40), at(41)) == 2);
+    const auto last = startAll(engine, 50);
+    REQUIRE(last.size() == 1);
+    CHECK(last[0].task.step == 1);
+
+    auto end = report();
+    end.ended = {endOf(3, last[0], jobs::end_kind::done)};
+    engine.onReport(jobs::worker_id{"a"}, end, at(60), at(61));
+    CHECK(engine.find(jobId)->phase == jobs::job_phase::completed);
+}
+
+TEST_CASE("A start without an answer is closed before the task starts again", "[jobs]")
+{
+    auto engine = engineWith({worker("a")});
+    engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    engine.plan(at(10), wallAt(10));
+    const auto order = engine.takeOrders().starts.at(0);
+    engine.onStartAnswer(order, jobs::start_answer::unknown, at(1000));
+    const auto stops = engine.takeOrders().stops;
+    REQUIRE(stops.size() == 1);
+
+    // A report that does not list the run says nothing while the start may still be on its way.
+    engine.onReport(jobs::worker_id{"a"}, report(), at(1010), at(1011));
+    engine.plan(at(1020), wallAt(1020));
+    CHECK(engine.takeOrders().starts.empty());
+
+    engine.onStopAnswer(stops[0], jobs::stop_answer::stopped, at(1030));
+    engine.onReport(jobs::worker_id{"a"}, report(), at(1040), at(1041));
+    engine.plan(at(1050), wallAt(1050));
+    const auto again = engine.takeOrders().starts;
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run == order.run + 1);
+}
+
+TEST_CASE("Runs on a silent worker count until its lease has surely lapsed", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    engine.plan(at(10), wallAt(10));
+    const auto order = engine.takeOrders().starts.at(0);
+    auto &slot = *engine.workers().find(order.worker);
+    engine.workers().orderLease(slot, at(10));
+    engine.onStartAnswer(order, jobs::start_answer::started, at(12));
+    engine.onNoReport(order.worker);
+
+    const auto leaseEnd = std::chrono::duration_cast<std::chrono::milliseconds>(slot.leaseEnd - at(0)).count();
+    CHECK(leaseEnd >= 5000 / 0.98);
+    engine.plan(at(leaseEnd - 10), wallAt(leaseEnd - 10));
+    CHECK(engine.takeOrders().starts.empty());
+    const auto other = order.worker.str() == "a" ? "b" : "a";
+    engine.onReport(jobs::worker_id{other}, report(), at(leaseEnd - 5), at(leaseEnd - 4));
+    engine.plan(at(leaseEnd + 1), wallAt(leaseEnd + 1));
+    const auto again = engine.takeOrders().starts;
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].worker.str() == other);
+}
+
+TEST_CASE("A worker that started again runs nothing of before", "[jobs]")
+{
+    auto engine = engineWith({worker("a", 1)});
+    engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    REQUIRE(startAll(engine, 10).size() == 1);
+    engine.updateWorkers(std::vector{worker("a", 2)}, at(20));
+    engine.onReport(jobs::worker_id{"a"}, report(2), at(21), at(22));
+    const auto again = startAll(engine, 30);
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run == 2);
+}
+
+TEST_CASE("A job fails when a task has failed as often as its queue allows, each run counted once", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    engine.submit(jobId, queue(2), jobOf({step(1)}), wallAt(0));
+    const auto first = startAll(engine, 10).at(0);
+    auto ends = report();
+    ends.ended = {endOf(1, first, jobs::end_kind::failed)};
+    engine.onReport(first.worker, ends, at(20), at(21));
+
+    // The next owner is told of the same end once more.
+    auto restored = jobs::makeJob(jobId, queue(2), jobOf({step(1)}), wallAt(0));
+    REQUIRE(jobs::applyProgress(restored, jobs::encodeProgress(*engine.find(jobId))));
+    auto next = jobs::job_engine{nullptr};
+    next.restore(restored, at(100), at(100));
+    next.updateWorkers(std::vector{worker("a"), worker("b")}, at(100));
+    next.onReport(first.worker, ends, at(100), at(101));
+    CHECK(next.find(jobId)->phase == jobs::job_phase::active);
+
+    const auto second = startAll(next, 110).at(0);
+    auto more = report();
+    more.ended = {endOf(second.worker == first.worker ? 2U : 1U, second, jobs::end_kind::failed)};
+    next.onReport(second.worker, more, at(120), at(121));
+    CHECK(next.find(jobId)->phase == jobs::job_phase::failed);
+}
+
+TEST_CASE("Queued until a worker has begun a task; a rejected start is none", "[jobs]")
+{
+    auto engine = engineWith({worker("a")});
+    engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    engine.plan(at(10), wallAt(10));
+    const auto order = engine.takeOrders().starts.at(0);
+    CHECK(engine.pendingCount(jobs::queue_id{"queue"}) == 1);
+    engine.onStartAnswer(order, jobs::start_answer::no_room, at(11));
+    CHECK(engine.pendingCount(jobs::queue_id{"queue"}) == 1);
+    CHECK(startAll(engine, 500).size() == 1);
+    CHECK(engine.pendingCount(jobs::queue_id{"queue"}) == 0);
+}
+
+TEST_CASE("A job counts as unstored from its submission on", "[jobs]")
+{
+    auto engine = engineWith({worker("a")});
+    engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    CHECK(engine.isChanged(jobId));
+    CHECK(engine.takeChanged().contains(jobId));
+    CHECK_FALSE(engine.isChanged(jobId));
+}
+
+TEST_CASE("A cancelled job's runs are stopped until each has ended", "[jobs]")
+{
+    auto engine = engineWith({worker("a")});
+    engine.submit(jobId, queue(), jobOf({step(2)}), wallAt(0));
+    const auto started = startAll(engine, 10);
+    CHECK(engine.cancel(jobId, at(20)) == jobs::cancel_outcome::cancelled);
+    CHECK(engine.takeOrders().stops.size() == 2);
+    engine.plan(at(600), wallAt(600));
+    CHECK(engine.takeOrders().stops.size() == 2);
+    auto ends = report();
+    ends.ended = {endOf(1, started[0], jobs::end_kind::stopped), endOf(2, started[1], jobs::end_kind::stopped)};
+    engine.onReport(jobs::worker_id{"a"}, ends, at(610), at(611));
+    CHECK(engine.find(jobId)->isSettled());
+    CHECK(engine.cancel(jobId, at(620)) == jobs::cancel_outcome::ended);
+    CHECK(engine.cancel(jobs::job_id{"none"}, at(620)) == jobs::cancel_outcome::unknown);
+}
+
+TEST_CASE("Placement keeps to labels, anti-affinity and room", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    auto apart = step(3);
+    apart.antiAffinity = 1;
+    engine.submit(jobId, queue(), jobOf({apart}), wallAt(0));
+    const auto spread = startAll(engine, 10);
+    REQUIRE(spread.size() == 2);
+    CHECK(spread[0].worker != spread[1].worker);
+
+    auto labelled = step(1);
+    labelled.requirement = "rack-b";
+    const jobs::job_id other{"00000000000000bb"};
+    engine.submit(other, queue(), jobOf({labelled}), wallAt(0));
+    const auto placed = startAll(engine, 20);
+    REQUIRE(placed.size() == 1);
+    CHECK(placed[0].worker.str() == "b");
+
+    const jobs::job_id large{"00000000000000cc"};
+    engine.submit(large, queue(), jobOf({step(1, hostCpu + 1)}), wallAt(0));
+    CHECK(startAll(engine, 30).empty());
+}
+
+TEST_CASE("A gang starts whole or not at all, with one run number", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    auto gang = step(3, 9000);
+    gang.gang = true;
+    engine.submit(jobId, queue(), jobOf({gang}), wallAt(0));
+    CHECK(startAll(engine, 10).empty());
+
+    auto fitting = step(2, 9000);
+    fitting.gang = true;
+    const jobs::job_id other{"00000000000000bb"};
+    engine.submit(other, queue(), jobOf({fitting}), wallAt(0));
+    const auto members = startAll(engine, 20);
+    REQUIRE(members.size() == 2);
+    CHECK(members[0].run == members[1].run);
+    auto ends = report();
+    ends.ended = {endOf(1, members[0], jobs::end_kind::done)};
+    engine.onReport(members[0].worker, ends, at(30), at(31));
+    CHECK(engine.find(other)->phase == jobs::job_phase::completed);
+}
+
+TEST_CASE("Occurrences start when they are due", "[jobs]")
+{
+    auto engine = engineWith({worker("a")});
+    auto timed = jobOf({step(1)});
+    timed.repeatCount = 2;
+    timed.firstDue = wallAt(1000);
+    timed.interval = std::chrono::milliseconds{500};
+    engine.submit(jobId, queue(), timed, wallAt(0));
+    CHECK(startAll(engine, 990).empty());
+    const auto first = startAll(engine, 1000);
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].task.occurrence == 0);
+    const auto second = startAll(engine, 1500);
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].task.occurrence == 1);
+}
+
+namespace
+{
+/// \brief Engine with a long-running job of two tasks at work on two of three workers, one of which may be away.
+auto engineAtWork() -> jobs::job_engine
+{
+    auto engine = engineWith({worker("a"), worker("b"), worker("c")});
+    auto lasting = step(2);
+    lasting.longRunning = true;
+    lasting.antiAffinity = 1;
+    lasting.maxUnavailable = 1;
+    engine.submit(jobId, queue(), jobOf({lasting}), wallAt(0));
+    for (const auto &order : startAll(engine, 10)) {
+        auto atWork = report();
+        atWork.running = {{jobs::nameOf(order.task), order.run, {}, 100, 0}};
+        engine.onReport(order.worker, atWork, at(20), at(21));
+    }
+    return engine;
+}
+
+auto workerOfTask(const jobs::job_engine &engine, std::uint32_t index) -> jobs::worker_id
+{
+    return engine.find(jobId)->tasks.at(index).worker;
+}
+} // namespace
+
+TEST_CASE("An evacuation takes away no more tasks than the step allows", "[jobs]")
+{
+    auto engine = engineAtWork();
+    for (std::uint32_t index = 0; index < 2; ++index) {
+        auto &slot = *engine.workers().find(workerOfTask(engine, index));
+        slot.leaving = true;
+        engine.evacuate(slot, at(30));
+    }
+    CHECK(engine.takeOrders().stops.size() == 1);
+}
+
+TEST_CASE("What a silent worker last said does not count as being at work", "[jobs]")
+{
+    auto engine = engineAtWork();
+    engine.onNoReport(workerOfTask(engine, 0));
+    auto &slot = *engine.workers().find(workerOfTask(engine, 1));
+    slot.leaving = true;
+    engine.evacuate(slot, at(30));
+    CHECK(engine.takeOrders().stops.empty());
+}
+
+TEST_CASE("A silent worker's rest of lease is handed to the next owner", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    const auto order = startAll(engine, 10).at(0);
+    engine.workers().orderLease(*engine.workers().find(order.worker), at(10));
+    engine.onNoReport(order.worker);
+    const auto silences = engine.workers().takeSilences(at(1000));
+    REQUIRE(silences.size() == 1);
+    REQUIRE(silences[0].rest);
+    CHECK(engine.workers().takeSilences(at(1010)).empty());
+
+    auto restored = jobs::makeJob(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    REQUIRE(jobs::applyProgress(restored, jobs::encodeProgress(*engine.find(jobId))));
+    auto next = jobs::job_engine{nullptr};
+    next.restore(restored, at(2000), at(6500));
+    const auto before = next.workers().find(order.worker)->leaseEnd;
+    next.workers().restoreSilence(silences[0], at(2000));
+    CHECK(next.workers().find(order.worker)->leaseEnd == at(2000) + *silences[0].rest);
+    CHECK(next.workers().find(order.worker)->leaseEnd < before);
+
+    // The end of the silence is recorded before a lease is extended again.
+    engine.onReport(order.worker, report(), at(1020), at(1021));
+    const auto ended = engine.workers().takeSilences(at(1030));
+    CHECK((ended.empty() || !ended[0].rest));
+}
--- /dev/null
+++ b/tests/decisions/jobs_fixture.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <poplarpass/jobs.h>
+
+#include <string>
+#include <vector>
+
+/// Small jobs and workers for tests of poplarpass::jobs.
+namespace tests::jobs_fixture
+{
+namespace core = poplarpass::core;
+namespace jobs = poplarpass::jobs;
+
+inline constexpr std::int64_t hostCpu = 16'000;
+
+/// \brief Monotonic time \p milliseconds after the start of a test.
+inline auto at(std::int64_t milliseconds) -> core::monotonic_time
+{
+    return core::monotonic_time{std::chrono::seconds{1000} + std::chrono::milliseconds{milliseconds}};
+}
+
+/// \brief Wall time \p milliseconds after the start of a test.
+inline auto wallAt(std::int64_t milliseconds) -> core::wall_time
+{
+    return core::fromUnixMilliseconds(1'800'000'000'000 + milliseconds);
+}
+
+inline auto step(std::uint32_t count, std::int64_t cpu = 1000, std::int64_t estimateMs = 1000) -> jobs::step_spec
+{
+    jobs::step_spec made;
+    made.taskCount = count;
+    made.perTask = {cpu, 100, 0};
+    made.estimate = std::chrono::milliseconds{estimateMs};
+    return made;
+}
+
+inline auto jobOf(std::vector<jobs::step_spec> steps) -> jobs::job_spec
+{
+    jobs::job_spec spec;
+    spec.payload = "payload";
+    spec.steps = std::move(steps);
+    return spec;
+}
+
+inline auto queue(std::uint32_t maxAttempts = 3) -> jobs::queue_policy
+{
+    jobs::queue_policy policy;
+    policy.name = jobs::queue_id{"queue"};
+    policy.pool = core::pool_id{"pool"};
+    policy.maxAttempts = maxAttempts;
+    policy.stretch = 1.6;
+    policy.targetLatency = std::chrono::milliseconds{600};
+    return policy;
+}
+
+inline auto worker(const std::string &id, std::int64_t born = 1, const std::string &pool = "pool") -> jobs::worker_entry
+{
+    jobs::worker_entry entry;
+    entry.id = jobs::worker_id{id};
+    entry.born = born;
+    entry.pool = core::pool_id{pool};
+    entry.address = "10.0.0.1:80";
+    entry.capacity = {hostCpu, 32'000, 0};
+    entry.labels = {"kind", "rack-" + id};
+    return entry;
+}
+
+inline auto report(std::int64_t born = 1) -> jobs::worker_report
+{
+    jobs::worker_report made;
+    made.born = born;
+    made.clockMs = 1;
+    return made;
+}
+
+/// \brief Engine with the given workers, all of which have answered a renewal.
+inline auto engineWith(const std::vector<jobs::worker_entry> &workers) -> jobs::job_engine
+{
+    jobs::job_engine engine{nullptr};
+    engine.updateWorkers(workers, at(0));
+    for (const auto &entry : workers) {
+        engine.onReport(entry.id, report(entry.born), at(0), at(0));
+    }
+    return engine;
+}
+} // namespace tests::jobs_fixture
--- /dev/null
+++ b/tests/decisions/owner_watch_test.cpp
@@ -0,0 +1,106 @@
+#include <poplarpass/owner/owner_watch.h>
+
+#include <catch2/catch.hpp>
+
+namespace core = poplarpass::core;
+namespace owner = poplarpass::owner;
+
+namespace
+{
+auto at(std::int64_t milliseconds) -> core::monotonic_time
+{
+    return core::monotonic_time{std::chrono::seconds{1000} + std::chrono::milliseconds{milliseconds}};
+}
+
+auto record(owner::owner_record_kind kind, std::uint64_t epoch, const std::string &host) -> owner::owner_record
+{
+    return {kind, epoch, host, "10.0.0.1:7000"};
+}
+
+constexpr auto claim = owner::owner_record_kind::claim;
+constexpr auto renewal = owner::owner_record_kind::renewal;
+constexpr auto resignation = owner::owner_record_kind::resignation;
+} // namespace
+
+TEST_CASE("Records of ownership are read back as written", "[owner]")
+{
+    const auto written = record(renewal, 17, "edge-1");
+    CHECK(owner::decodeOwnerRecord(owner::encodeOwnerRecord(written)) == written);
+    CHECK_FALSE(owner::decodeOwnerRecord(""));
+    CHECK_FALSE(owner::decodeOwnerRecord("9 1 a b"));
+    CHECK_FALSE(owner::decodeOwnerRecord("1 x a b"));
+    CHECK_FALSE(owner::decodeOwnerRecord("1 2 a"));
+}
+
+TEST_CASE("An owner is replaced after its silence, as far as the store can be read", "[owner]")
+{
+    owner::owner_watch watch;
+    CHECK_FALSE(watch.shouldClaim(at(0), "b", 0));
+    watch.onRead(at(0));
+    CHECK(watch.shouldClaim(at(0), "b", 0));
+    CHECK_FALSE(watch.shouldClaim(at(0), "b", 1));
+    watch.onRecord(record(claim, 1, "a"), at(10));
+    watch.onRecord(record(renewal, 1, "a"), at(400));
+    CHECK_FALSE(watch.shouldClaim(at(1500), "b", 0));
+    CHECK(watch.shouldClaim(at(400) + owner::takeoverSilence, "b", 0));
+
+    SECTION("an outage of the store is no silence of the owner")
+    {
+        watch.onReadFailed();
+        CHECK_FALSE(watch.shouldClaim(at(9000), "b", 0));
+        watch.onRead(at(9000));
+        CHECK_FALSE(watch.shouldClaim(at(9100), "b", 0));
+        CHECK(watch.shouldClaim(at(9000) + owner::takeoverSilence, "b", 0));
+    }
+    SECTION("after a resignation at once")
+    {
+        watch.onRecord(record(resignation, 1, "a"), at(600));
+        CHECK(watch.shouldClaim(at(600), "b", 0));
+    }
+    SECTION("a former process of the same host has ended")
+    {
+        CHECK(watch.shouldClaim(at(401), "a", 0));
+    }
+    SECTION("records of an older owner change nothing")
+    {
+        watch.onRecord(record(claim, 5, "c"), at(700));
+        watch.onRecord(record(renewal, 1, "a"), at(800));
+        REQUIRE(watch.current());
+        CHECK(watch.current()->host == "c");
+    }
+}
+
+TEST_CASE("Announcements tell of a newer owner only", "[owner]")
+{
+    owner::owner_watch watch;
+    watch.onRead(at(0));
+    watch.onRecord(record(claim, 3, "a"), at(10));
+    CHECK_FALSE(watch.onAnnouncement(record(claim, 2, "b"), at(20)));
+    CHECK(watch.onAnnouncement(record(claim, 9, "b"), at(20)));
+    CHECK(watch.current()->host == "b");
+}
+
+TEST_CASE("Former owners count until they resigned or their term is over", "[owner]")
+{
+    owner::owner_watch watch;
+    watch.onRead(at(0));
+    watch.onRecord(record(claim, 1, "a"), at(10));
+    watch.onRecord(record(claim, 5, "b"), at(2000));
+    watch.onRecord(record(resignation, 5, "b"), at(2500));
+    CHECK(watch.formerOwners(9, at(3000)) == std::vector<std::string>{"a"});
+    CHECK(watch.formerOwners(9, at(10) + owner::orderTerm + std::chrono::milliseconds{1}).empty());
+}
+
+TEST_CASE("An owner answers for a shorter time than others wait, and orders for longer", "[owner]")
+{
+    owner::owner_term term{7, at(0)};
+    CHECK(term.epoch() == 7);
+    CHECK(owner::answerTerm < owner::takeoverSilence);
+    CHECK(term.mayAnswer(at(0) + owner::answerTerm - std::chrono::milliseconds{1}));
+    CHECK_FALSE(term.mayAnswer(at(0) + owner::answerTerm));
+    CHECK(term.mayOrder(at(0) + owner::answerTerm));
+    CHECK_FALSE(term.mayOrder(at(0) + owner::orderTerm));
+    term.onRenewed(at(1000));
+    term.onRenewed(at(500));
+    CHECK(term.mayAnswer(at(1000) + owner::answerTerm - std::chrono::milliseconds{1}));
+}
--- /dev/null
+++ b/tests/decisions/progress_text_test.cpp
@@ -0,0 +1,59 @@
+#include "jobs_fixture.h"
+#include "test_seed.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace tests::jobs_fixture;
+
+TEST_CASE("Progress is read back as it was written", "[jobs]")
+{
+    auto job = jobs::makeJob(jobs::job_id{"00000000000000aa"}, queue(), jobOf({step(3), step(2)}), wallAt(0));
+    job.started = true;
+    job.tasks[0].phase = jobs::task_phase::done;
+    job.tasks[1].phase = jobs::task_phase::running;
+    job.tasks[1].run = 4;
+    job.tasks[1].failedRuns = {1, 3};
+    job.tasks[1].worker = jobs::worker_id{"a worker with spaces"};
+    job.tasks[1].workerBorn = 1'800'000'000'123;
+    job.tasks[1].checkpoint = "0 1:2";
+    auto read = jobs::makeJob(job.id, queue(), jobOf({step(3), step(2)}), wallAt(0));
+    REQUIRE(jobs::applyProgress(read, jobs::encodeProgress(job)));
+    CHECK(read.started);
+    CHECK(read.unfinished == 4);
+    CHECK(read.openOf(0, 0) == 2);
+    CHECK(read.tasks[1].run == 4);
+    CHECK(read.tasks[1].failedRuns == job.tasks[1].failedRuns);
+    CHECK(read.tasks[1].worker == job.tasks[1].worker);
+    CHECK(read.tasks[1].workerBorn == job.tasks[1].workerBorn);
+    CHECK(read.tasks[1].checkpoint == job.tasks[1].checkpoint);
+}
+
+TEST_CASE("Progress that cannot be read changes nothing", "[jobs]")
+{
+    auto job = jobs::makeJob(jobs::job_id{"00000000000000aa"}, queue(), jobOf({step(2)}), wallAt(0));
+    job.tasks[0].phase = jobs::task_phase::running;
+    job.tasks[0].run = 1;
+    job.tasks[0].worker = jobs::worker_id{"w"};
+    const auto text = jobs::encodeProgress(job);
+    std::mt19937 random{tests::baseSeed()};
+    for (int round = 0; round < 2000; ++round) {
+        auto broken = text;
+        broken[random() % broken.size()] = static_cast<char>(random() % 256);
+        broken.resize(random() % (broken.size() + 1));
+        auto read = jobs::makeJob(job.id, queue(), jobOf({step(2)}), wallAt(0));
+        if (!jobs::applyProgress(read, broken)) {
+            CHECK(read.unfinished == 2);
+            CHECK(read.tasks[0].run == 0);
+        }
+    }
+}
+
+TEST_CASE("The end of a settled job", "[jobs]")
+{
+    CHECK(jobs::decodeEnd(jobs::encodeEnd(jobs::job_phase::failed)) == jobs::job_phase::failed);
+    CHECK_FALSE(jobs::decodeEnd("e0"));
+    CHECK_FALSE(jobs::decodeEnd("e4"));
+    CHECK_FALSE(jobs::decodeEnd(""));
+}
