A later owner goes on stopping what the former one was stopping

Ruled out: late appends (they are fenced). Found by reading; the test failed before the change. Change: a run that is listed after its stop should have ended is stopped again.

--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -18,6 +18,8 @@
 inline constexpr std::chrono::milliseconds silenceRecordStep{1000};
 /// \brief A worker that has not answered for this long gets no starts.
 inline constexpr core::duration workerSilence = std::chrono::milliseconds{3500};
+/// \brief A run that was told to stop has ended after this.
+inline constexpr core::duration stopTime = std::chrono::milliseconds{600};
 /// \brief Between two stops of the same run.
 inline constexpr core::duration stopRepeat = std::chrono::milliseconds{500};
 /// \brief A start that the worker had no room for is tried again after this.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -50,8 +50,9 @@
         worker.used += internal::needOf(kept.spec.steps[task.step]);
         state.acknowledged = true;
         state.acknowledgedAt = now;
+        // A stop of the former owner counts as answered only if the worker does not list the run any more.
         state.closed = state.phase == task_phase::closing;
-        state.closedAt = now;
+        state.closedAt = now - stopTime;
         state.startedAt = now;
         state.lastAtWork = now;
     });
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -176,6 +176,10 @@
         state->acknowledged = true;
         state->acknowledgedAt = now;
     }
+    if (state->phase == task_phase::closing && state->closed && now - state->closedAt >= stopTime) {
+        state->closed = false;
+        say("stop_repeated", running.task, worker.entry.id, running.run, "still_listed");
+    }
     if (job->phase != job_phase::active && state->phase == task_phase::running) {
         beginClosing(*task, *job, *state, now);
     }
--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -312,3 +312,22 @@
     const auto ended = engine.workers().takeSilences(at(1030));
     CHECK((ended.empty() || !ended[0].rest));
 }
+
+TEST_CASE("A later owner goes on stopping what the former one was stopping", "[jobs]")
+{
+    auto engine = engineWith({worker("a")});
+    engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    const auto order = startAll(engine, 10).at(0);
+    engine.cancel(jobId, at(20));
+
+    auto restored = jobs::makeJob(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    REQUIRE(jobs::applyProgress(restored, jobs::encodeProgress(*engine.find(jobId))));
+    auto next = jobs::job_engine{nullptr};
+    next.restore(restored, at(100), at(100));
+    next.updateWorkers(std::vector{worker("a")}, at(100));
+    auto stillRunning = report();
+    stillRunning.running = {{jobs::nameOf(order.task), order.run, {}, 10, 0}};
+    next.onReport(order.worker, stillRunning, at(110), at(111));
+    next.plan(at(120), wallAt(120));
+    CHECK(next.takeOrders().stops.size() == 1);
+}
