Simulation of jobs: workers that fail in every way, owners that come and go

Plays the engine on a stepped clock; a checker that sees only starts, ends and acknowledgements finds two runs at once, starts after a noted end, before their time or after the last attempt, and acknowledged jobs that never end.

--- /dev/null
+++ b/tests/decisions/jobs_sim_world.cpp
@@ -0,0 +1,392 @@
+#include "jobs_sim_world.h"
+
+#include <algorithm>
+
+namespace tests::jobs_sim
+{
+namespace
+{
+constexpr std::int64_t tickMs = 20;
+constexpr std::int64_t workerCount = 6;
+constexpr std::int64_t longestLeaseMs = 10'000;
+constexpr std::int64_t ordersTermMs = 4500;
+constexpr std::int64_t takeoverMs = 1800;
+
+auto stepKey(const std::string &job, std::uint32_t step) -> std::string
+{
+    return job + "/" + std::to_string(step);
+}
+} // namespace
+
+world::world(std::uint64_t seed)
+    : m_random{seed}
+{
+    for (std::int64_t index = 0; index < workerCount; ++index) {
+        sim_worker made;
+        made.id = "w" + std::to_string(index);
+        m_workers[made.id] = made;
+    }
+    takeOver();
+}
+
+auto world::chance(double share) -> bool
+{
+    return std::uniform_real_distribution<double>{0, 1}(m_random) < share;
+}
+
+auto world::play(std::int64_t milliseconds, std::int64_t limit) -> void
+{
+    while (m_now < milliseconds) {
+        tick(true);
+    }
+    const auto end = m_now + limit;
+    while (m_now < end && !allEnded()) {
+        tick(false);
+    }
+    settled = allEnded();
+}
+
+auto world::allEnded() -> bool
+{
+    const auto &engine = *m_owners.back()->engine;
+    return std::ranges::all_of(m_acknowledgedJobs, [&](const std::string &id) {
+        const auto *job = engine.find(jobs::job_id{id});
+        return job != nullptr && job->phase != jobs::job_phase::active;
+    });
+}
+
+auto world::tick(bool withTrouble) -> void
+{
+    m_now += tickMs;
+    if (withTrouble) {
+        trouble();
+        submitSome();
+    }
+    for (auto &[id, worker] : m_workers) {
+        advance(worker);
+    }
+    for (std::size_t index = 0; index < m_delayed.size(); ++index) {
+        if (m_delayed[index].at <= m_now && m_delayed[index].call) {
+            const auto call = std::exchange(m_delayed[index].call, nullptr);
+            call();
+        }
+    }
+    std::erase_if(m_delayed, [](const delayed_call &entry) { return !entry.call; });
+    for (std::size_t index = 0; index < m_owners.size(); ++index) {
+        if (m_owners[index]->alive) {
+            turn(*m_owners[index]);
+        }
+    }
+}
+
+auto world::submitSome() -> void
+{
+    if (!chance(0.08)) {
+        return;
+    }
+    auto &owner = *m_owners.back();
+    auto second = step(1 + static_cast<std::uint32_t>(m_random() % 3), 1000, 400);
+    second.after = {0};
+    const auto spec = jobOf({step(1 + static_cast<std::uint32_t>(m_random() % 4), 2000, 600), second});
+    const jobs::job_id id{"job" + std::to_string(m_specs.size())};
+    m_specs[id.str()] = spec;
+    owner.engine->submit(id, queue(4), spec, wallAt(m_now));
+}
+
+auto world::trouble() -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        if (chance(0.001)) {
+            worker.darkUntil = m_now + 500 + static_cast<std::int64_t>(m_random() % 9000);
+        }
+        if (chance(0.0007)) {
+            // Dies with all that it runs, and starts again under its identifier.
+            worker.running.clear();
+            worker.ended.clear();
+            worker.highestEnded.clear();
+            worker.lastNumber = 0;
+            worker.highestToken = 0;
+            worker.leaseEnd = 0;
+            worker.bornAt = m_now;
+            ++worker.born;
+            ++restarts;
+        }
+    }
+    if (chance(0.003)) {
+        takeOver();
+    }
+}
+
+// The former owner may be dead, or alive and without the store: then it gives orders until its own term is over.
+auto world::takeOver() -> void
+{
+    bool formerStopped = true;
+    if (!m_owners.empty()) {
+        ++takeovers;
+        auto &former = *m_owners.back();
+        former.alive = chance(0.5);
+        former.ordersUntil = m_now + ordersTermMs - takeoverMs;
+        formerStopped = !former.alive && chance(0.5);
+    }
+    auto next = std::make_unique<sim_owner>();
+    next->epoch = ++m_store.epoch;
+    next->engine = std::make_unique<jobs::job_engine>(nullptr);
+    next->ordersUntil = std::numeric_limits<std::int64_t>::max();
+    const auto ordersUntil = at(formerStopped ? m_now : m_now + ordersTermMs);
+    for (const auto &[id, spec] : m_store.specs) {
+        auto job = spec;
+        if (!jobs::applyProgress(job, m_store.progress.at(id))) {
+            breaches.push_back("unreadable progress: " + id);
+        }
+        next->engine->restore(std::move(job), at(m_now), ordersUntil);
+    }
+    for (const auto &[id, silence] : m_store.silences) {
+        next->engine->workers().restoreSilence(silence, at(m_now));
+    }
+    m_owners.push_back(std::move(next));
+}
+
+auto world::clockOf(const sim_worker &worker) const -> std::int64_t
+{
+    return static_cast<std::int64_t>(static_cast<double>(m_now - worker.bornAt) * 0.985);
+}
+
+auto world::reach(const sim_worker &worker) -> bool
+{
+    return worker.up && m_now >= worker.darkUntil;
+}
+
+auto world::turn(sim_owner &owner) -> void
+{
+    std::vector<jobs::worker_entry> entries;
+    for (const auto &[id, state] : m_workers) {
+        auto entry = worker(id, state.born);
+        entry.clockMs = clockOf(state);
+        entries.push_back(entry);
+    }
+    owner.engine->updateWorkers(entries, at(m_now));
+    for (auto &[id, state] : m_workers) {
+        if (owner.alive && chance(0.15)) {
+            renew(owner, state);
+        }
+    }
+    if (!owner.alive || m_now >= owner.ordersUntil) {
+        return;
+    }
+    owner.engine->plan(at(m_now), wallAt(m_now));
+    const auto changed = owner.engine->takeChanged();
+    const auto silences = owner.engine->workers().takeSilences(at(m_now));
+    const auto orders = owner.engine->takeOrders();
+    if (!store(owner, changed, silences)) {
+        return;
+    }
+    for (const auto &order : orders.stops) {
+        sendStop(owner, order);
+    }
+    for (const auto &order : orders.starts) {
+        sendStart(owner, order);
+    }
+}
+
+auto world::store(sim_owner &owner, const std::set<jobs::job_id> &changed,
+                  const std::vector<jobs::silence_record> &silences) -> bool
+{
+    if (owner.epoch < m_store.epoch) {
+        // Refused: the owner cannot store anything, and sends nothing that depends on it.
+        owner.alive = changed.empty() && silences.empty();
+        return owner.alive;
+    }
+    for (const auto &id : changed) {
+        const auto *job = owner.engine->find(id);
+        m_store.specs.try_emplace(id.str(), jobs::makeJob(id, job->queue, job->spec, job->acceptedAt));
+        m_store.progress[id.str()] = jobs::encodeProgress(*job);
+        submitted += m_acknowledgedJobs.insert(id.str()).second ? 1 : 0;
+        if (job->phase == jobs::job_phase::completed) {
+            ++completed;
+        }
+    }
+    for (const auto &silence : silences) {
+        m_store.silences[silence.worker.str()] = silence;
+    }
+    return true;
+}
+
+auto world::renew(sim_owner &owner, sim_worker &worker) -> void
+{
+    const jobs::worker_id id{worker.id};
+    auto *slot = owner.engine->workers().find(id);
+    if (slot == nullptr || m_now >= owner.ordersUntil) {
+        return;
+    }
+    const bool extends = slot->answering;
+    const auto deadline = extends ? owner.engine->workers().orderLease(*slot, at(m_now)) : 0;
+    if (!reach(worker)) {
+        owner.engine->onNoReport(id);
+        return;
+    }
+    if (owner.epoch < worker.highestToken) {
+        owner.alive = false;
+        return;
+    }
+    worker.highestToken = owner.epoch;
+    auto &life = owner.lifeOfAcknowledged[worker.id];
+    auto &seen = owner.acknowledged[worker.id];
+    if (life != slot->entry.born) {
+        life = slot->entry.born;
+        seen = 0;
+    }
+    while (!worker.ended.empty() && worker.ended.front().number <= seen) {
+        const auto &end = worker.ended.front();
+        if (end.how == jobs::end_kind::done) {
+            m_doneNoted.insert(end.task);
+        }
+        worker.ended.pop_front();
+    }
+    if (extends) {
+        worker.leaseEnd = std::max(worker.leaseEnd, std::min(deadline, clockOf(worker) + longestLeaseMs));
+    }
+    if (chance(0.05)) {
+        owner.engine->onNoReport(id);
+        return;
+    }
+    jobs::worker_report answer;
+    answer.born = worker.born;
+    answer.clockMs = clockOf(worker);
+    for (const auto &[task, run] : worker.running) {
+        answer.running.push_back({task, run.number, {}, 10, 0});
+    }
+    answer.ended.assign(worker.ended.begin(), worker.ended.end());
+    const auto handled = owner.engine->onReport(id, answer, at(m_now), at(m_now));
+    const auto changed = owner.engine->takeChanged();
+    if (store(owner, changed, {})) {
+        life = worker.born;
+        seen = handled;
+    }
+}
+
+auto world::sendStart(sim_owner &owner, const jobs::start_order &order) -> void
+{
+    auto &worker = m_workers.at(order.worker.str());
+    auto *slot = owner.engine->workers().find(order.worker);
+    const auto deadline = owner.engine->workers().orderLease(*slot, at(m_now));
+    const auto born = slot->entry.born;
+    const auto token = owner.epoch;
+    if (chance(0.05)) {
+        // No answer; carried out late or never.
+        if (chance(0.7)) {
+            m_delayed.push_back({m_now + 200 + static_cast<std::int64_t>(m_random() % 9000),
+                                 [this, &worker, born, token, order, deadline] {
+                                     if (reach(worker)) {
+                                         carryOutStart(worker, born, token, order, deadline);
+                                     }
+                                 }});
+        }
+        owner.engine->onStartAnswer(order, jobs::start_answer::unknown, at(m_now));
+        return;
+    }
+    if (!reach(worker)) {
+        owner.engine->onStartAnswer(order, jobs::start_answer::unknown, at(m_now));
+        return;
+    }
+    const auto answer = carryOutStart(worker, born, token, order, deadline);
+    if (answer == jobs::start_answer::fenced) {
+        owner.alive = false;
+        return;
+    }
+    owner.engine->onStartAnswer(order, chance(0.03) ? jobs::start_answer::unknown : answer, at(m_now));
+}
+
+auto world::carryOutStart(sim_worker &worker, std::int64_t born, std::uint64_t token, const jobs::start_order &order,
+                          std::int64_t deadline) -> jobs::start_answer
+{
+    const auto task = jobs::nameOf(order.task);
+    // An order that waits at a worker dies with it.
+    if (born != worker.born) {
+        return jobs::start_answer::unknown;
+    }
+    if (token < worker.highestToken) {
+        return jobs::start_answer::fenced;
+    }
+    worker.highestToken = token;
+    if (order.run <= worker.highestEnded[task] || worker.running.contains(task)) {
+        const bool same = worker.running.contains(task) && worker.running[task].number == order.run;
+        return same ? jobs::start_answer::started : jobs::start_answer::superseded;
+    }
+    if (deadline <= clockOf(worker)) {
+        return jobs::start_answer::too_late;
+    }
+    worker.leaseEnd = std::max(worker.leaseEnd, std::min(deadline, clockOf(worker) + longestLeaseMs));
+    checkStart(task, worker.id);
+    const auto length = 200 + static_cast<std::int64_t>(m_random() % 1200);
+    worker.running[task] = {order.run, m_now + length, chance(0.02)};
+    return jobs::start_answer::started;
+}
+
+auto world::checkStart(const std::string &task, const std::string &on) -> void
+{
+    for (const auto &[id, other] : m_workers) {
+        if (other.running.contains(task)) {
+            breaches.push_back("two runs at once: " + task + " on " + id + " and " + on);
+        }
+    }
+    if (m_doneNoted.contains(task)) {
+        breaches.push_back("started after its end was noted: " + task);
+    }
+    const auto ref = jobs::taskNamed(task);
+    const auto &spec = m_specs.at(ref->job.str());
+    for (const auto before : spec.steps[ref->step].after) {
+        if (m_doneTasks[stepKey(ref->job.str(), before)].size() < spec.steps[before].taskCount) {
+            breaches.push_back("started before its time: " + task);
+        }
+    }
+    if (m_failedRuns[task] >= 4) {
+        breaches.push_back("started after its last attempt: " + task);
+    }
+}
+
+auto world::sendStop(sim_owner &owner, const jobs::stop_order &order) -> void
+{
+    auto &worker = m_workers.at(order.worker.str());
+    if (!reach(worker) || chance(0.05)) {
+        owner.engine->onStopAnswer(order, jobs::stop_answer::unknown, at(m_now));
+        return;
+    }
+    if (owner.epoch < worker.highestToken) {
+        owner.alive = false;
+        return;
+    }
+    worker.highestToken = owner.epoch;
+    const auto running = worker.running.find(order.task);
+    if (running != worker.running.end() && running->second.number == order.run) {
+        endRun(worker, order.task, jobs::end_kind::stopped);
+    }
+    auto &highest = worker.highestEnded[order.task];
+    highest = std::max(highest, order.run);
+    owner.engine->onStopAnswer(order, jobs::stop_answer::stopped, at(m_now));
+}
+
+auto world::endRun(sim_worker &worker, const std::string &task, jobs::end_kind how) -> void
+{
+    const auto run = worker.running.at(task).number;
+    worker.running.erase(task);
+    worker.highestEnded[task] = std::max(worker.highestEnded[task], run);
+    worker.ended.push_back({++worker.lastNumber, task, run, how, {}});
+    if (how == jobs::end_kind::done) {
+        const auto ref = jobs::taskNamed(task);
+        m_doneTasks[stepKey(ref->job.str(), ref->step)].insert(task);
+    }
+    m_failedRuns[task] += how == jobs::end_kind::failed ? 1 : 0;
+}
+
+auto world::advance(sim_worker &worker) -> void
+{
+    const auto running = worker.running;
+    for (const auto &[task, run] : running) {
+        if (clockOf(worker) >= worker.leaseEnd) {
+            endRun(worker, task, jobs::end_kind::lapsed);
+        } else if (m_now >= run.endsAt) {
+            endRun(worker, task, run.fails ? jobs::end_kind::failed : jobs::end_kind::done);
+        }
+    }
+}
+} // namespace tests::jobs_sim
--- /dev/null
+++ b/tests/decisions/jobs_sim_world.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "jobs_fixture.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/// Plays jobs on workers that fail in every way, under owners that come and go, on a stepped clock.
+namespace tests::jobs_sim
+{
+using namespace tests::jobs_fixture;
+
+/// \brief One worker as it really is.
+struct sim_worker
+{
+    struct run
+    {
+        std::uint32_t number = 0;
+        std::int64_t endsAt = 0;
+        bool fails = false;
+    };
+
+    std::string id;
+    std::int64_t born = 1;
+    std::int64_t bornAt = 0; ///< Its clock starts here.
+    bool up = true;
+    std::int64_t darkUntil = 0; ///< Nothing reaches it before this.
+    std::uint64_t highestToken = 0;
+    std::int64_t leaseEnd = 0;
+    std::map<std::string, run> running;
+    std::map<std::string, std::uint32_t> highestEnded;
+    std::deque<jobs::ended_run> ended;
+    std::uint64_t lastNumber = 0;
+};
+
+/// \brief An owner: its engine, and what waits for the store.
+struct sim_owner
+{
+    std::uint64_t epoch = 0;
+    std::unique_ptr<jobs::job_engine> engine;
+    std::map<std::string, std::uint64_t> acknowledged; ///< By worker: last end that is stored.
+    std::map<std::string, std::int64_t> lifeOfAcknowledged;
+    bool alive = true;
+    std::int64_t ordersUntil = 0; ///< Its term, as the owner knows it.
+};
+
+/// \brief The stored state.
+struct sim_store
+{
+    std::uint64_t epoch = 0;
+    std::map<std::string, jobs::job_record> specs;
+    std::map<std::string, std::string> progress;
+    std::map<std::string, jobs::silence_record> silences;
+};
+
+/// \brief The world; breaches of a rule are listed in \c breaches.
+class world
+{
+public:
+    explicit world(std::uint64_t seed);
+
+    /// \brief Plays \p milliseconds with trouble, then until all is done or \p limit milliseconds have passed.
+    auto play(std::int64_t milliseconds, std::int64_t limit) -> void;
+
+    std::vector<std::string> breaches; ///< Rules that were broken.
+    std::size_t completed = 0; ///< Jobs that were shown as completed.
+    std::size_t submitted = 0; ///< Jobs that were acknowledged.
+    std::size_t takeovers = 0; ///< Owners that followed another.
+    std::size_t restarts = 0; ///< Workers that started again.
+    bool settled = false; ///< Whether every acknowledged job ended.
+
+private:
+    struct delayed_call
+    {
+        std::int64_t at = 0;
+        std::function<void()> call;
+    };
+
+    auto tick(bool trouble) -> void;
+    auto submitSome() -> void;
+    auto trouble() -> void;
+    auto takeOver() -> void;
+    auto turn(sim_owner &owner) -> void;
+    auto store(sim_owner &owner, const std::set<jobs::job_id> &changed,
+               const std::vector<jobs::silence_record> &silences) -> bool;
+    auto renew(sim_owner &owner, sim_worker &worker) -> void;
+    auto reach(const sim_worker &worker) -> bool;
+    auto sendStart(sim_owner &owner, const jobs::start_order &order) -> void;
+    auto carryOutStart(sim_worker &worker, std::int64_t born, std::uint64_t token, const jobs::start_order &order,
+                       std::int64_t deadline) -> jobs::start_answer;
+    auto sendStop(sim_owner &owner, const jobs::stop_order &order) -> void;
+    auto endRun(sim_worker &worker, const std::string &task, jobs::end_kind how) -> void;
+    auto advance(sim_worker &worker) -> void;
+    auto checkStart(const std::string &task, const std::string &worker) -> void;
+    auto clockOf(const sim_worker &worker) const -> std::int64_t;
+    auto chance(double share) -> bool;
+    auto allEnded() -> bool;
+
+    std::mt19937_64 m_random;
+    std::int64_t m_now = 0;
+    sim_store m_store;
+    std::vector<std::unique_ptr<sim_owner>> m_owners;
+    std::map<std::string, sim_worker> m_workers;
+    std::vector<delayed_call> m_delayed;
+    std::set<std::string> m_doneNoted; ///< Tasks whose end as done was acknowledged.
+    std::map<std::string, std::uint32_t> m_failedRuns;
+    std::set<std::string> m_acknowledgedJobs;
+    std::map<std::string, jobs::job_spec> m_specs;
+    std::map<std::string, std::set<std::string>> m_doneTasks; ///< By job and step.
+};
+} // namespace tests::jobs_sim
