Simulation: an end noted only after its lease lapsed keeps nobody from starting

The trace: the run ended at 1,640 ms on a worker that nobody reached, its lease lapsed, run 2 was ordered (unanswered, carried out late), and the end of run 1 was acknowledged 120 ms before.

--- a/tests/decisions/jobs_sim_world.h
+++ b/tests/decisions/jobs_sim_world.h
@@ -37,6 +37,7 @@
     std::map<std::string, std::uint32_t> highestEnded;
     std::deque<jobs::ended_run> ended;
     std::uint64_t lastNumber = 0;
+    std::uint64_t lastBeforeLapse = 0; ///< Newest end from before the lease last lapsed.
 };
 
 /// \brief An owner: its engine, and what waits for the store.
