Tests of the adapter and of hosts; bounds on the tasks of a job

Found by the tests: a job record or submission with huge counts ended in an exception; unknown keys of a table of a host's settings were reported twice. What must wait for the store (acknowledgements, starts, ends) is shown with a store in memory that withholds or loses its answers.

--- a/src/poplarpass/codec/job_codec.cpp
+++ b/src/poplarpass/codec/job_codec.cpp
@@ -80,17 +80,6 @@
     return queue;
 }
 
-auto stepsAreSound(const jobs::job_spec &spec) -> bool
-{
-    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-        for (const auto before : spec.steps[step].after) {
-            if (before >= step) {
-                return false;
-            }
-        }
-    }
-    return !spec.steps.empty();
-}
 } // namespace
 
 auto encodeJob(const jobs::job_record &job) -> std::string
@@ -123,7 +112,7 @@
         spec.repeatCount = in.at("repeat").get<std::uint32_t>();
         spec.firstDue = core::fromUnixMilliseconds(in.at("first_ms").get<std::int64_t>());
         spec.interval = std::chrono::milliseconds{in.at("interval_ms").get<std::int64_t>()};
-        if (!stepsAreSound(spec)) {
+        if (!jobs::isSound(spec)) {
             return core::failure(core::error_kind::malformed_message, "job record: steps");
         }
         const core::wall_time accepted{core::duration{in.at("accepted_us").get<std::int64_t>()}};
--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -70,6 +70,20 @@
     return spec.repeatCount == 0 ? acceptedAt : spec.firstDue + spec.interval * occurrence;
 }
 
+auto isSound(const job_spec &spec) -> bool
+{
+    std::uint64_t tasks = 0;
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        const auto &entry = spec.steps[step];
+        const bool ordered = std::ranges::all_of(entry.after, [step](std::uint32_t before) { return before < step; });
+        if (entry.taskCount == 0 || !ordered) {
+            return false;
+        }
+        tasks += entry.taskCount;
+    }
+    return tasks > 0 && tasks <= maxTasksOfJob && tasks * spec.occurrences() <= maxTasksOfJob;
+}
+
 auto makeJob(job_id id, queue_policy queue, job_spec spec, core::wall_time acceptedAt) -> job_record
 {
     job_record job;
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -87,7 +87,15 @@
     [[nodiscard]] auto dueTime(std::uint32_t occurrence) const -> core::wall_time;
 };
 
+/// \brief Tasks of a job at most, over all occurrences.
+inline constexpr std::uint64_t maxTasksOfJob = 200'000;
+
+/// \brief Whether \p spec can be run: it has steps, none is empty, each comes after earlier ones, and there are not too
+/// many tasks.
+auto isSound(const job_spec &spec) -> bool;
+
 /// \brief Job with all tasks waiting.
+/// \pre isSound(spec)
 auto makeJob(job_id id, queue_policy queue, job_spec spec, core::wall_time acceptedAt) -> job_record;
 
 /// \brief Job of which only the end is known.
--- a/src/poplarpass/settings/host_settings.cpp
+++ b/src/poplarpass/settings/host_settings.cpp
@@ -30,7 +30,6 @@
     settings.readiness = in.text("readiness");
     settings.peers = in.text("peers");
     settings.metrics = in.text("metrics");
-    in.finish();
 }
 
 auto readPlatform(toml_reader &in, host_settings &settings) -> void
@@ -40,7 +39,6 @@
     for (const auto &address : in.texts("advice")) {
         settings.advice = address;
     }
-    in.finish();
 }
 
 auto readTiming(toml_reader &in, host_settings &settings) -> void
@@ -50,7 +48,6 @@
     settings.migration = readSeconds(in, "migration_s");
     settings.maintenance = readSeconds(in, "maintenance_s");
     settings.holderTerm = readTime(in, "holder_term_ms");
-    in.finish();
 }
 } // namespace
 
--- /dev/null
+++ b/tests/io/host_fixture.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <poplarpass/app/clock.h>
+#include <poplarpass/host/pool_owner.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// A store, workers and hosts in memory, for tests of poplarpass::host.
+namespace tests
+{
+namespace core = poplarpass::core;
+namespace host = poplarpass::host;
+namespace jobs = poplarpass::jobs;
+namespace store = poplarpass::store;
+
+/// \brief Store in memory with the fences of the platform's; answers can be withheld.
+class memory_store
+{
+public:
+    explicit memory_store(boost::asio::io_context &loop)
+        : m_loop{loop}
+    {
+    }
+
+    /// \brief Calls for one process.
+    auto calls() -> store::record_store
+    {
+        store::record_store made;
+        made.append = [this](store::append_request request, std::function<void(store::append_result)> done) {
+            if (withheld) {
+                held.push_back([this, request, done] { done(carryOut(request)); });
+                return;
+            }
+            boost::asio::post(m_loop, [this, request = std::move(request), done = std::move(done)] {
+                const auto result = carryOut(request);
+                done(loseAnswers ? store::append_result{} : result);
+            });
+        };
+        made.read = [this](store::topic topic, std::uint64_t from, std::chrono::milliseconds,
+                           std::function<void(store::read_result)> done) {
+            boost::asio::post(m_loop, [this, topic, from, done = std::move(done)] { done(read(topic, from)); });
+        };
+        made.newest = [this](store::topic topic, std::function<void(store::newest_result)> done) {
+            boost::asio::post(m_loop, [this, topic, done = std::move(done)] { done(newest(topic)); });
+        };
+        return made;
+    }
+
+    /// \brief Lets the withheld appends be carried out.
+    auto release() -> void
+    {
+        withheld = false;
+        auto waiting = std::exchange(held, {});
+        for (const auto &call : waiting) {
+            call();
+        }
+    }
+
+    /// \brief Appends a record of a worker or the operator.
+    auto put(store::topic topic, const std::string &key, const std::string &value) -> void
+    {
+        auto &records = m_topics[topic];
+        records.push_back({records.size(), key, value});
+    }
+
+    /// \brief Records of \p topic.
+    auto records(store::topic topic) -> const std::vector<store::stored_record> &
+    {
+        return m_topics[topic];
+    }
+
+    bool withheld = false; ///< Whether appends wait.
+    bool loseAnswers = false; ///< Whether appends are carried out without an answer.
+    std::vector<std::function<void()>> held; ///< Appends that wait.
+
+private:
+    struct writer
+    {
+        std::uint64_t epoch = 0;
+        std::uint64_t next = 0;
+        store::append_result last;
+    };
+
+    auto carryOut(const store::append_request &request) -> store::append_result
+    {
+        auto &records = m_topics[request.to];
+        auto &known = m_writers[request.to];
+        if (request.fence) {
+            if (request.fence->epoch < known.epoch) {
+                return {store::append_outcome::fenced, 0, 0};
+            }
+            if (request.fence->epoch == known.epoch && request.fence->sequence + 1 == known.next) {
+                return known.last;
+            }
+            if (request.fence->epoch == known.epoch && request.fence->sequence != known.next) {
+                return {store::append_outcome::out_of_sequence, 0, 0};
+            }
+        }
+        if (request.expectedEnd && *request.expectedEnd != records.size()) {
+            return {store::append_outcome::conflict, 0, records.size()};
+        }
+        const store::append_result result{store::append_outcome::appended, records.size(), 0};
+        for (const auto &value : request.records) {
+            records.push_back({records.size(), {}, value});
+        }
+        for (const auto &record : request.keyedRecords) {
+            records.push_back({records.size(), record.key, record.value});
+        }
+        if (request.fence) {
+            known = {request.fence->epoch, request.fence->sequence + 1, result};
+        }
+        return result;
+    }
+
+    auto read(store::topic topic, std::uint64_t from) -> store::read_result
+    {
+        const auto &records = m_topics[topic];
+        store::read_result result;
+        result.outcome = store::read_outcome::read;
+        result.endOffset = records.size();
+        for (auto offset = from; offset < records.size(); ++offset) {
+            result.records.push_back(records[offset]);
+        }
+        return result;
+    }
+
+    auto newest(store::topic topic) -> store::newest_result
+    {
+        std::map<std::string, store::stored_record> byKey;
+        for (const auto &record : m_topics[topic]) {
+            byKey[record.key] = record;
+        }
+        store::newest_result result;
+        result.complete = true;
+        result.endOffset = m_topics[topic].size();
+        for (const auto &[key, record] : byKey) {
+            if (!record.value.empty()) {
+                result.records.push_back(record);
+            }
+        }
+        return result;
+    }
+
+    boost::asio::io_context &m_loop;
+    std::map<store::topic, std::vector<store::stored_record>> m_topics;
+    std::map<store::topic, writer> m_writers;
+};
+
+/// \brief Runs \p loop until \p reached, or fails the wait after many turns of the loop's clock.
+inline auto runUntil(boost::asio::io_context &loop, const std::function<bool()> &reached) -> bool
+{
+    constexpr auto longest = std::chrono::seconds{60};
+    const auto end = std::chrono::steady_clock::now() + longest;
+    while (!reached() && std::chrono::steady_clock::now() < end) {
+        loop.restart();
+        loop.run_one_for(std::chrono::milliseconds{100});
+    }
+    return reached();
+}
+} // namespace tests
--- /dev/null
+++ b/tests/io/host_settings_test.cpp
@@ -0,0 +1,56 @@
+#include <poplarpass/settings/host_settings.h>
+
+#include <catch2/catch.hpp>
+
+namespace settings = poplarpass::settings;
+
+namespace
+{
+const std::string sound = R"(name = "edge-1"
+zone = "z"
+log_level = "info"
+[listen]
+callers = "10.0.0.1:1"
+readiness = "10.0.0.1:2"
+peers = "10.0.0.1:3"
+metrics = "10.0.0.1:4"
+[platform]
+store = "10.0.0.2:1"
+host_service = "10.0.0.2:2"
+advice = []
+[timing]
+stop_grace_s = 6
+longest_lease_ms = 10000
+migration_s = 1.5
+maintenance_s = 2
+holder_term_ms = 3000
+)";
+} // namespace
+
+TEST_CASE("Settings of a host are read", "[settings]")
+{
+    const auto read = settings::parseHostSettings(sound, "host.toml");
+    REQUIRE(read);
+    CHECK(read->name == "edge-1");
+    CHECK(read->advice.empty());
+    CHECK(read->migration == std::chrono::milliseconds{1500});
+    CHECK(read->stopGrace == std::chrono::seconds{6});
+}
+
+TEST_CASE("Each problem of a host's settings is named with its line", "[settings]")
+{
+    auto wrong = sound;
+    wrong.replace(wrong.find("holder_term_ms = 3000"), 21, "holder_term_ms = \"x\"");
+    wrong += "odd = 1\n";
+    const auto read = settings::parseHostSettings(wrong, "host.toml");
+    REQUIRE_FALSE(read);
+    for (const auto &problem : read.error()) {
+        UNSCOPED_INFO(problem.key << " line " << problem.line);
+    }
+    REQUIRE(read.error().size() == 2);
+    CHECK(read.error()[0].key == "timing.holder_term_ms");
+    CHECK(read.error()[0].line == 18);
+    CHECK(read.error()[1].key == "timing.odd");
+    CHECK_FALSE(settings::parseHostSettings("[=", "host.toml"));
+    CHECK_FALSE(settings::loadHostSettings("/nowhere/host.toml"));
+}
--- /dev/null
+++ b/tests/io/pool_owner_test.cpp
@@ -0,0 +1,261 @@
+#include "host_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tests;
+
+namespace
+{
+constexpr std::string_view jobText = "one task";
+
+/// \brief An owner with one worker whose answers the test holds in its hands.
+struct owner_fixture
+{
+    boost::asio::io_context loop;
+    memory_store memory{loop};
+    store::record_store records = memory.calls();
+    poplarpass::observe::logger log{quietOptions()};
+    poplarpass::observe::metrics_registry metrics;
+    poplarpass::route::route_table routes;
+    host::worker_calls workers;
+    host::host_calls hosts;
+    host::wave_codec waves{"wave/", nullptr, nullptr};
+    std::map<std::string, std::string> operatorRecords;
+    std::vector<jobs::start_order> starts;
+    std::vector<host::renewal_call> renewals;
+    std::vector<std::function<void(host::renewal_answer)>> renewalAnswers;
+    jobs::worker_report report;
+    bool deposed = false;
+    std::unique_ptr<host::pool_owner> owner;
+
+    owner_fixture()
+    {
+        poplarpass::route::route_config config;
+        config.version = 1;
+        poplarpass::route::route entry;
+        entry.hostName = "jobs.example";
+        entry.pathPrefix = "/q/";
+        entry.queue.name = jobs::queue_id{"queue"};
+        entry.queue.pool = core::pool_id{"pool"};
+        config.routes = {entry};
+        routes.update(config);
+        memory.put(store::topic::worker_records, "w1", "entry");
+        report.born = 5;
+        report.clockMs = 1000;
+        workers.renew = [this](const host::renewal_call &call, std::function<void(host::renewal_answer)> done) {
+            renewals.push_back(call);
+            if (renewals.size() == 1) {
+                boost::asio::post(loop, [this, done] { done({host::renewal_outcome::reported, report}); });
+            } else {
+                renewalAnswers.push_back(std::move(done));
+            }
+        };
+        workers.start = [this](const host::worker_target &, const jobs::start_order &order, std::int64_t,
+                               const std::function<void(jobs::start_answer)> &done) {
+            starts.push_back(order);
+            boost::asio::post(loop, [done] { done(jobs::start_answer::started); });
+        };
+        workers.stop = [](const host::worker_target &, const jobs::stop_order &,
+                          const std::function<void(jobs::stop_answer)> &) {
+        };
+        hosts.list = [](const auto &) {
+        };
+    }
+
+    static auto quietOptions() -> poplarpass::observe::logger_options
+    {
+        poplarpass::observe::logger_options options;
+        options.sink = [](poplarpass::observe::log_level, std::string_view) {
+        };
+        return options;
+    }
+
+    static auto decodeWorker(std::string_view id) -> jobs::worker_entry
+    {
+        jobs::worker_entry entry;
+        entry.id = jobs::worker_id{std::string{id}};
+        entry.born = 5;
+        entry.pool = core::pool_id{"pool"};
+        entry.address = "10.0.0.1:80";
+        entry.capacity = {16'000, 32'000, 0};
+        return entry;
+    }
+
+    static auto decodeJob(std::string_view text) -> core::result<jobs::job_spec>
+    {
+        if (text != jobText) {
+            return core::failure(core::error_kind::invalid_request, "unknown");
+        }
+        jobs::job_spec spec;
+        spec.steps.resize(1);
+        spec.steps[0].taskCount = 1;
+        return spec;
+    }
+
+    auto begin(std::uint64_t epoch) -> void
+    {
+        host::pool_owner_environment environment{
+            loop,
+            records,
+            workers,
+            routes,
+            log,
+            metrics,
+            decodeJob,
+            [](std::string_view id, std::string_view) -> core::result<jobs::worker_entry> { return decodeWorker(id); },
+            hosts,
+            waves,
+            "host-1",
+            std::chrono::seconds{3},
+            [this]() -> const std::map<std::string, std::string> & { return operatorRecords; },
+            [this] {
+                deposed = true;
+            }};
+        owner = std::make_unique<host::pool_owner>(std::move(environment), epoch, poplarpass::app::monotonicNow(),
+                                                   std::vector<std::string>{});
+        owner->start();
+    }
+
+    static auto request(host::client_verb verb, const std::string &job, std::string_view body = {})
+        -> host::client_request
+    {
+        host::client_request made;
+        made.verb = verb;
+        made.job = jobs::job_id{job};
+        made.hostName = "jobs.example";
+        made.path = "/q/" + job;
+        made.body = body;
+        return made;
+    }
+
+    auto ask(const host::client_request &asked, int &status) -> void
+    {
+        owner->handle(asked, [&status](const poplarpass::net::http_response &response) { status = response.status; });
+    }
+
+    auto keepTerm() -> void
+    {
+        owner->onRenewed(poplarpass::app::monotonicNow());
+    }
+};
+
+const std::string jobName = "00000000000000aa";
+} // namespace
+
+TEST_CASE("A submission is acknowledged, and its task started, only when it is stored", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.renewals.size() >= 2; }));
+    fixture.keepTerm();
+    fixture.memory.withheld = true;
+    int first = 0;
+    int again = 0;
+    int state = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), first);
+    REQUIRE(runUntil(fixture.loop, [&] { return !fixture.memory.held.empty(); }));
+    fixture.keepTerm();
+    fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), again);
+    fixture.ask(owner_fixture::request(host::client_verb::state, jobName), state);
+    fixture.loop.restart();
+    fixture.loop.poll();
+    CHECK(first == 0);
+    CHECK(again == 0);
+    CHECK(state == 0);
+    CHECK(fixture.starts.empty());
+
+    fixture.memory.release();
+    CHECK(runUntil(fixture.loop, [&] { return first == 200 && again == 200 && state == 200; }));
+    CHECK(runUntil(fixture.loop, [&] { return fixture.starts.size() == 1; }));
+}
+
+TEST_CASE("An end is acknowledged to the worker only when it is stored", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.renewals.size() >= 2; }));
+    fixture.keepTerm();
+    int status = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.starts.size() == 1; }));
+    fixture.keepTerm();
+    fixture.memory.withheld = true;
+    fixture.report.ended = {{1, jobs::nameOf(fixture.starts[0].task), 1, jobs::end_kind::done, {}}};
+    const auto asked = fixture.renewals.size();
+    fixture.renewalAnswers.back()({host::renewal_outcome::reported, fixture.report});
+    REQUIRE(runUntil(fixture.loop, [&] { return !fixture.memory.held.empty(); }));
+    fixture.loop.restart();
+    fixture.loop.poll();
+    CHECK(fixture.renewals.size() == asked);
+    fixture.memory.release();
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.renewals.size() > asked; }));
+    CHECK(fixture.renewals.back().acknowledgedEnd == 1);
+}
+
+TEST_CASE("An owner whose term is over does not say that a job is unknown", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    fixture.keepTerm();
+    int status = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::state, jobName), status);
+    CHECK(status == 410);
+    fixture.owner.reset();
+    fixture.begin(2);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    const auto started = poplarpass::app::monotonicNow();
+    REQUIRE(runUntil(fixture.loop,
+                     [&] { return poplarpass::app::monotonicNow() - started > poplarpass::owner::answerTerm; }));
+    fixture.ask(owner_fixture::request(host::client_verb::state, jobName), status);
+    CHECK(status == host::notOwnerStatus);
+    fixture.ask(owner_fixture::request(host::client_verb::pending, ""), status);
+    CHECK(status == host::notOwnerStatus);
+}
+
+TEST_CASE("An owner that a later one has fenced off stops, and its requests are answered as unsettled", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    fixture.keepTerm();
+    store::append_request later;
+    later.to = store::topic::jobs;
+    later.fence = store::writer_fence{2, 0};
+    bool appended = false;
+    fixture.records.append(later, [&](const store::append_result &) { appended = true; });
+    REQUIRE(runUntil(fixture.loop, [&] { return appended; }));
+    int status = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.deposed; }));
+    fixture.owner.reset();
+    CHECK(status == host::unsettledStatus);
+}
+
+TEST_CASE("A job survives its owner, also when the store's answers are lost", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    fixture.keepTerm();
+    fixture.memory.loseAnswers = true;
+    int status = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
+    const auto stored = fixture.memory.records(store::topic::jobs).size();
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.memory.records(store::topic::jobs).size() > stored; }));
+    fixture.memory.loseAnswers = false;
+    REQUIRE(runUntil(fixture.loop, [&] { return status == 200; }));
+    std::size_t specs = 0;
+    for (const auto &record : fixture.memory.records(store::topic::jobs)) {
+        specs += record.key == "j" + jobName ? 1 : 0;
+    }
+    CHECK(specs == 1);
+
+    fixture.owner.reset();
+    fixture.begin(2);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    fixture.keepTerm();
+    int state = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::state, jobName), state);
+    CHECK(runUntil(fixture.loop, [&] { return state == 200; }));
+}
--- /dev/null
+++ b/tests/io/users_platform_test.cpp
@@ -0,0 +1,187 @@
+#include "test_seed.h"
+
+#include <poplarpass/codec/job_codec.h>
+
+#include <catch2/catch.hpp>
+
+#include <platform/host_client.h>
+#include <platform/records.h>
+#include <platform/store_client.h>
+#include <platform/worker_client.h>
+#include <random>
+#include <string>
+
+namespace core = poplarpass::core;
+namespace jobs = poplarpass::jobs;
+namespace store = poplarpass::store;
+
+namespace
+{
+const std::string configText = R"({"version":7,"routes":[{"name":"r-1","hostname":"One.example","path_prefix":"/q/",
+"kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":600,"priority":1,"service":"pool-a","max_attempts":2,
+"stretch":1.6,"advice":{"decide_ms":5,"period_ms":2,"valid_ms":3000}}],"services":[{"name":"pool-a","max_conns":64,
+"enforces_capacity":true,"standby":false},{"name":"spare","enforces_capacity":true,"standby":true}],
+"limits":{"max_body_bytes":1000}})";
+
+const std::string entryText = R"({"service":"pool-a","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":8,
+"state":"ready","cold_remaining_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],
+"clock_ms":482113,"seq":4,"born":1792580994169})";
+
+const std::string jobText = R"x({"spec":"(text)","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,
+"affinity":"r1-3"},{"count":20,"cpu":2000,"mem_mb":1024,"estimate_ms":7000,"after":[0],"checkpointing":true,
+"long_running":true,"max_unavailable":0,"anti_affinity":2,"fills":true,"target_ms":40,"image":"i"}]})x";
+
+const std::string reportText = R"x({"born":17,"clock_ms":482113,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00bb",41,7]],
+"ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})x";
+
+const std::string pageText = R"({"machines":[{"machine":"m-1","pool":"pool-a","state":"upkeep","zone":"z",
+"labels":["a","r1-2"],"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"id":"i-7"},{"machine":"m-2","pool":"spare",
+"state":"up","zone":"z","labels":[],"capacity":{"cpu":1,"mem_mb":1,"gpu":0},"id":null},{"machine":"m-3"}],
+"next_token":"t"})";
+
+/// \brief Calls \p read with many broken variants of \p text; it must neither throw nor crash.
+auto breakInManyWays(const std::string &text, const std::function<void(const std::string &)> &read) -> void
+{
+    std::mt19937_64 random{tests::baseSeed()};
+    for (int round = 0; round < 1500; ++round) {
+        auto broken = text;
+        const auto changes = 1 + random() % 4;
+        for (std::uint64_t change = 0; change < changes; ++change) {
+            broken[random() % broken.size()] = static_cast<char>(random() % 256);
+        }
+        if (round % 3 == 0) {
+            broken.resize(random() % broken.size());
+        }
+        read(broken);
+    }
+}
+} // namespace
+
+TEST_CASE("The operator's configuration is decoded into routes and pools", "[platform]")
+{
+    const auto config = platform::decodeConfig(configText);
+    REQUIRE(config);
+    CHECK(config->version == 7);
+    REQUIRE(config->routes.size() == 1);
+    const auto &queue = config->routes[0].queue;
+    CHECK(queue.pool.str() == "pool-a");
+    CHECK(queue.priority == 1);
+    CHECK(queue.maxAttempts == 2);
+    CHECK(queue.stretch == 1.6);
+    REQUIRE(queue.advice);
+    CHECK(queue.advice->validity == std::chrono::milliseconds{3000});
+    CHECK(config->pools.at(1).standby);
+    CHECK(config->maxBodyBytes == 1000);
+    const auto unreadable = platform::decodeConfig(R"({"version":"x","routes":[],"services":[]})");
+    REQUIRE_FALSE(unreadable);
+    CHECK(unreadable.error().detail == "config: version");
+    breakInManyWays(configText, [](const std::string &text) { (void)platform::decodeConfig(text); });
+}
+
+TEST_CASE("A worker's entry is decoded; one that cannot be read names its field", "[platform]")
+{
+    const auto entry = platform::decodeWorkerEntry("i-1", entryText);
+    REQUIRE(entry);
+    CHECK(entry->id.str() == "i-1");
+    CHECK(entry->born == 1792580994169);
+    CHECK(entry->capacity == jobs::resources{16000, 32768, 0});
+    CHECK_FALSE(entry->draining);
+    for (const auto *text : {R"({"service":"a"})", R"([])", "\xff\xfe", R"({"service":1})", ""}) {
+        CHECK_FALSE(platform::decodeWorkerEntry("i-1", text));
+    }
+    auto unknownState = entryText;
+    unknownState.replace(unknownState.find("ready"), 5, "dizzy");
+    REQUIRE_FALSE(platform::decodeWorkerEntry("i-1", unknownState));
+    CHECK(platform::decodeWorkerEntry("i-1", unknownState).error().detail == "worker entry: state");
+    breakInManyWays(entryText, [](const std::string &text) { (void)platform::decodeWorkerEntry("i", text); });
+}
+
+TEST_CASE("A job is decoded, stored and read back unchanged", "[platform]")
+{
+    const auto spec = platform::decodeJob(jobText);
+    REQUIRE(spec);
+    REQUIRE(spec->steps.size() == 2);
+    CHECK(spec->steps[0].affinityRack == "r1-3");
+    CHECK(spec->steps[1].longRunning);
+    CHECK(spec->steps[1].maxUnavailable == 0U);
+    CHECK_FALSE(spec->steps[0].maxUnavailable);
+    jobs::queue_policy queue;
+    queue.name = jobs::queue_id{"q"};
+    queue.stretch = 1.25;
+    queue.advice = jobs::advice_policy{};
+    const auto job = jobs::makeJob(jobs::job_id{"5c0e7a21d94b36f8"}, queue, *spec, core::fromUnixMilliseconds(77));
+    const auto bytes = poplarpass::codec::encodeJob(job);
+    const auto read = poplarpass::codec::decodeJob(job.id, bytes);
+    REQUIRE(read);
+    CHECK(read->spec == job.spec);
+    CHECK(read->queue == job.queue);
+    CHECK(read->acceptedAt == job.acceptedAt);
+    for (const auto *text : {R"({"steps":[]})", R"({"spec":"a"})", R"({"steps":[{"count":0}]})",
+                             R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":-1}]})", "{"}) {
+        CHECK_FALSE(platform::decodeJob(text));
+    }
+    breakInManyWays(jobText, [](const std::string &text) { (void)platform::decodeJob(text); });
+    breakInManyWays(bytes, [&](const std::string &text) { (void)poplarpass::codec::decodeJob(job.id, text); });
+}
+
+TEST_CASE("A worker's lists of runs are decoded whole or not at all", "[platform]")
+{
+    const auto report = platform::decodeReport(reportText);
+    REQUIRE(report);
+    CHECK(report->born == 17);
+    CHECK(report->running.at(0).load == 7);
+    CHECK(report->ended.at(0).how == jobs::end_kind::done);
+    CHECK_FALSE(platform::decodeReport(R"({"clock_ms":1,"running":[["t",1]],"ended":[]})"));
+    CHECK_FALSE(platform::decodeReport(R"({"clock_ms":1,"running":[],"ended":[[1,"t",1,"odd",""]]})"));
+    CHECK_FALSE(platform::decodeReport(R"({"running":[],"ended":[]})"));
+    breakInManyWays(reportText, [](const std::string &text) { (void)platform::decodeReport(text); });
+}
+
+TEST_CASE("Machines become hosts; entries that cannot be read are left out", "[platform]")
+{
+    const auto page = platform::decodeMachinePage(pageText);
+    REQUIRE(page);
+    REQUIRE(page->hosts.size() == 2);
+    CHECK(page->hosts[0].condition == poplarpass::capacity::host_condition::maintenance);
+    CHECK(page->hosts[1].worker.empty());
+    CHECK(page->nextToken == "t");
+    breakInManyWays(pageText, [](const std::string &text) { (void)platform::decodeMachinePage(text); });
+}
+
+TEST_CASE("A wave is decoded and its state reported", "[platform]")
+{
+    const auto wave = platform::decodeWave(R"({"wave":3,"machines":["m-1","m-2"],"duration_s":20,"cap":2})");
+    REQUIRE(wave);
+    CHECK(wave->number == 3);
+    CHECK(wave->hosts.size() == 2);
+    CHECK(wave->duration == std::chrono::seconds{20});
+    CHECK(wave->cap == 2);
+    CHECK_FALSE(platform::decodeWave(R"({"wave":3,"machines":[1],"duration_s":20,"cap":2})"));
+    CHECK(platform::encodeWaveStatus(true) == R"({"state":"completed"})");
+}
+
+TEST_CASE("Records are framed as the store reads them", "[platform]")
+{
+    store::append_request request;
+    request.records = {"ab", "c"};
+    CHECK(platform::frameRecords(request) == std::string("\0\0\0\2ab\0\0\0\1c", 11));
+    request.records.clear();
+    request.keyedRecords = {{"k", "v"}};
+    CHECK(platform::frameRecords(request) == std::string("\0\0\0\3\1kv", 7));
+
+    const auto header = std::string("\0\0\0\0\0\0\0\7", 8) + std::string("\0\0\0\0\0\0\0\2", 8);
+    const auto plain = platform::unframeRecords(header + std::string("\0\0\0\2ab\0\0\0\1c", 11), 5, false);
+    REQUIRE(plain.outcome == store::read_outcome::read);
+    CHECK(plain.endOffset == 7);
+    CHECK(plain.firstOffset == 2);
+    REQUIRE(plain.records.size() == 2);
+    CHECK(plain.records[1].offset == 6);
+    CHECK(plain.records[1].value == "c");
+    const auto keyed = platform::unframeRecords(header + std::string("\0\0\0\3\1kv", 7), 5, true);
+    REQUIRE(keyed.records.size() == 1);
+    CHECK(keyed.records[0].key == "k");
+    CHECK(keyed.records[0].value == "v");
+    CHECK(platform::unframeRecords(header + std::string("\0\0\0\x9z", 5), 5, false).outcome
+          == store::read_outcome::failed);
+    CHECK(platform::unframeRecords("short", 0, false).outcome == store::read_outcome::failed);
+}
