--- /dev/null
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -0,0 +1,231 @@
+#include "jobs_fixture.h"
+
+#include <poplarpass/capacity/capacity_planner.h>
+#include <poplarpass/capacity/constants.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace tests::jobs_fixture;
+
+namespace
+{
+namespace capacity = poplarpass::capacity;
+namespace route = poplarpass::route;
+
+auto hostOf(const std::string &name, const std::string &pool, bool off = false) -> capacity::host_entry
+{
+    capacity::host_entry entry;
+    entry.id = core::host_id{"h-" + name};
+    entry.pool = core::pool_id{pool};
+    entry.worker = off ? jobs::worker_id{} : jobs::worker_id{name};
+    entry.capacity = {hostCpu, 32'000, 0};
+    return entry;
+}
+
+/// \brief Two pools and one on standby, with the hosts given.
+struct planner_fixture
+{
+    std::vector<capacity::host_entry> hosts;
+    std::vector<jobs::worker_entry> entries;
+    jobs::job_engine engine{nullptr};
+    capacity::capacity_planner planner;
+    std::vector<route::pool_config> pools{{core::pool_id{"busy"}, true, false},
+                                          {core::pool_id{"calm"}, true, false},
+                                          {core::pool_id{"spare"}, true, true}};
+    std::int64_t now = 0;
+
+    auto add(const std::string &name, const std::string &pool) -> void
+    {
+        const bool off = pool == "spare";
+        hosts.push_back(hostOf(name, pool, off));
+        if (!off) {
+            entries.push_back(worker(name, 1, pool));
+        }
+    }
+
+    auto begin() -> void
+    {
+        engine.updateWorkers(entries, at(0));
+        for (const auto &entry : entries) {
+            engine.onReport(entry.id, report(), at(0), at(0));
+        }
+        planner.updateHosts(hosts, at(0), at(0));
+    }
+
+    auto plan(std::int64_t time) -> std::vector<capacity::host_order>
+    {
+        now = time;
+        for (const auto &entry : entries) {
+            engine.onReport(entry.id, reportOf(entry.id), at(now), at(now));
+        }
+        return planner.plan(engine, pools, at(now));
+    }
+
+    auto reportOf(const jobs::worker_id &id) -> jobs::worker_report
+    {
+        auto made = report();
+        for (const auto &task : engine.workers().find(id)->placed) {
+            const auto &job = *engine.find(task.job);
+            const auto &state = job.tasks[job.positionOf(task.occurrence, task.step, task.index)];
+            made.running.push_back({jobs::nameOf(task), state.run, {}, 100, 0});
+        }
+        return made;
+    }
+
+    auto submit(const std::string &id, const std::string &pool, std::vector<jobs::step_spec> steps, std::int64_t time)
+        -> void
+    {
+        auto policy = queue();
+        policy.pool = core::pool_id{pool};
+        engine.submit(jobs::job_id{id}, policy, jobOf(std::move(steps)), wallAt(time));
+        planner.onJob(*engine.find(jobs::job_id{id}), at(time));
+        engine.plan(at(time), wallAt(time));
+        for (const auto &order : engine.takeOrders().starts) {
+            engine.onStartAnswer(order, jobs::start_answer::started, at(time));
+        }
+    }
+};
+
+auto movesTo(const std::vector<capacity::host_order> &orders, const std::string &pool) -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(orders, [&](const auto &order) { return order.pool && order.pool->str() == pool; }));
+}
+} // namespace
+
+TEST_CASE("Hosts go to the pool that is asked for more than it holds, idle ones before those on standby", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("b1", "busy");
+    for (const auto *name : {"c1", "c2", "c3"}) {
+        fixture.add(name, "calm");
+    }
+    fixture.add("s1", "spare");
+    fixture.begin();
+    fixture.submit("job", "busy", {step(30, 1000)}, 2000);
+    const auto orders = fixture.plan(2100);
+    CHECK(movesTo(orders, "busy") == 2);
+    CHECK(std::ranges::none_of(orders, [](const auto &order) { return order.host.str() == "h-s1"; }));
+}
+
+TEST_CASE("A host that a pool refuses to have is not offered to it again", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("b1", "busy");
+    fixture.add("c1", "calm");
+    fixture.add("c2", "calm");
+    fixture.begin();
+    fixture.submit("job", "busy", {step(24, 1000)}, 2000);
+    const auto first = fixture.plan(2100);
+    REQUIRE(movesTo(first, "busy") == 1);
+    fixture.planner.onOrderAnswer(first[0], capacity::host_order_outcome::refused, at(2110));
+    (void)fixture.plan(2120);
+    const auto second = fixture.plan(4000);
+    CHECK(std::ranges::none_of(
+        second, [&](const auto &order) { return order.host == first[0].host && order.pool == first[0].pool; }));
+}
+
+TEST_CASE("Hosts that no pool needs for a while go to standby, but not the last that a pool needs", "[capacity]")
+{
+    planner_fixture fixture;
+    for (const auto *name : {"b1", "b2", "b3"}) {
+        fixture.add(name, "busy");
+    }
+    fixture.add("s1", "spare");
+    fixture.begin();
+    fixture.submit("job", "busy", {step(1)}, 10);
+    CHECK(fixture.plan(100).empty());
+    const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(capacity::idleBeforeStandby).count();
+    const auto orders = fixture.plan(idle + 200);
+    CHECK(movesTo(orders, "spare") == 2);
+}
+
+TEST_CASE("A host is ordered away only when nothing runs on it", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("b1", "busy");
+    fixture.add("c1", "calm");
+    fixture.begin();
+    fixture.submit("short", "busy", {step(2, 1000)}, 10);
+    fixture.planner.addWave({1, {core::host_id{"h-b1"}}, std::chrono::milliseconds{4000}, 1}, at(20));
+    for (std::int64_t time = 100; time < 2000; time += 100) {
+        for (const auto &order : fixture.plan(time)) {
+            CHECK(fixture.engine.workers().find(fixture.planner.workerOf(order.host))->placed.empty());
+        }
+    }
+    CHECK(fixture.engine.workers().find(jobs::worker_id{"b1"})->leaving);
+}
+
+TEST_CASE("A wave ends in time, within its cap, and is said to be completed only then", "[capacity]")
+{
+    constexpr std::int64_t waveMs = 24'000;
+    constexpr std::int64_t maintenanceMs = 2000;
+    constexpr std::size_t cap = 4;
+    planner_fixture fixture;
+    std::vector<core::host_id> named;
+    for (int index = 0; index < 20; ++index) {
+        fixture.add("b" + std::to_string(index), "busy");
+        named.emplace_back("h-b" + std::to_string(index));
+    }
+    fixture.begin();
+    fixture.planner.addWave({1, named, std::chrono::milliseconds{waveMs}, cap}, at(0));
+    std::map<std::string, std::int64_t> downUntil;
+    std::set<std::string> maintained;
+    bool completed = false;
+    for (std::int64_t time = 50; time <= waveMs; time += 50) {
+        for (auto &host : fixture.hosts) {
+            const auto down = downUntil.find(host.id.str());
+            if (down != downUntil.end() && time >= down->second
+                && host.condition == capacity::host_condition::maintenance) {
+                host.condition = capacity::host_condition::up;
+                host.worker = jobs::worker_id{host.worker.str() + "'"};
+                fixture.entries.push_back(worker(host.worker.str(), 1, "busy"));
+            }
+        }
+        fixture.engine.updateWorkers(fixture.entries, at(time));
+        fixture.planner.updateHosts(fixture.hosts, at(time), at(time));
+        for (const auto &order : fixture.plan(time)) {
+            if (order.pool) {
+                fixture.planner.onOrderAnswer(order, capacity::host_order_outcome::refused, at(time));
+                continue;
+            }
+            const auto host = std::ranges::find(fixture.hosts, order.host, &capacity::host_entry::id);
+            host->condition = capacity::host_condition::maintenance;
+            downUntil[order.host.str()] = time + maintenanceMs;
+            maintained.insert(order.host.str());
+            fixture.planner.onOrderAnswer(order, capacity::host_order_outcome::done, at(time));
+        }
+        const auto down = std::ranges::count_if(
+            fixture.hosts, [](const auto &host) { return host.condition == capacity::host_condition::maintenance; });
+        REQUIRE(static_cast<std::size_t>(down) <= cap);
+        for (const auto &wave : fixture.planner.takeAnnouncements()) {
+            completed = completed || wave.completed;
+            CHECK((!wave.completed || maintained.size() == named.size()));
+        }
+    }
+    CHECK(maintained.size() == named.size());
+    CHECK(completed);
+}
+
+TEST_CASE("What a former owner maintained is not maintained again", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("b1", "busy");
+    fixture.add("b2", "busy");
+    fixture.begin();
+    fixture.planner.restoreMaintained({1, core::host_id{"h-b1"}});
+    fixture.planner.addWave({1, {core::host_id{"h-b1"}, core::host_id{"h-b2"}}, std::chrono::milliseconds{6000}, 2},
+                            at(0));
+    std::set<std::string> ordered;
+    for (std::int64_t time = 100; time < 3000; time += 100) {
+        for (const auto &order : fixture.plan(time)) {
+            if (!order.pool) {
+                ordered.insert(order.host.str());
+                fixture.planner.onOrderAnswer(order, capacity::host_order_outcome::done, at(time));
+            }
+        }
+    }
+    CHECK(ordered == std::set<std::string>{"h-b2"});
+}
--- /dev/null
+++ b/tests/decisions/job_order_test.cpp
@@ -0,0 +1,123 @@
+#include "jobs_fixture.h"
+#include "test_seed.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <random>
+
+using namespace tests::jobs_fixture;
+
+namespace
+{
+/// \brief A job of the played load: one step of equal tasks.
+struct played_job
+{
+    jobs::job_record record;
+    std::int64_t arrivedAt = 0;
+    std::int64_t runMs = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t left = 0;
+    std::int64_t doneAt = -1;
+};
+
+using order_of = std::function<jobs::job_rank(const played_job &, std::int64_t)>;
+
+/// \brief A turn: for four seconds five times what the pool holds on average, then a twentieth.
+auto turnOf(std::uint64_t seed) -> std::vector<played_job>
+{
+    std::mt19937_64 random{seed};
+    std::vector<played_job> load;
+    double next = 0;
+    while (next < 10'000) {
+        const double perSecond = next < 4000 ? 30.0 : 0.5;
+        next += std::exponential_distribution<double>{perSecond / 1000}(random);
+        played_job job;
+        job.arrivedAt = static_cast<std::int64_t>(next);
+        job.runMs = 400 + static_cast<std::int64_t>(random() % 1600);
+        job.waiting = 2 + static_cast<std::uint32_t>(random() % 10);
+        job.left = job.waiting;
+        job.record = jobs::makeJob(jobs::job_id{std::to_string(load.size())}, queue(),
+                                   jobOf({step(job.waiting, 1000, job.runMs)}), wallAt(job.arrivedAt));
+        load.push_back(std::move(job));
+    }
+    return load;
+}
+
+/// \brief Plays the load on a pool of \p slots one-core places.
+/// \returns callers that were served within their objective
+auto servedInTime(std::vector<played_job> load, std::uint32_t slots, const order_of &order) -> std::size_t
+{
+    struct running
+    {
+        std::int64_t endsAt;
+        std::size_t job;
+
+        auto operator>(const running &other) const -> bool
+        {
+            return endsAt > other.endsAt;
+        }
+    };
+    std::priority_queue<running, std::vector<running>, std::greater<>> busy;
+    for (std::int64_t now = 0; now < 60'000; now += 10) {
+        while (!busy.empty() && busy.top().endsAt <= now) {
+            auto &job = load[busy.top().job];
+            busy.pop();
+            job.doneAt = --job.left == 0 ? now : job.doneAt;
+            job.record.openTasks[0] = job.left;
+        }
+        while (busy.size() < slots) {
+            std::optional<std::size_t> best;
+            for (std::size_t index = 0; index < load.size() && load[index].arrivedAt <= now; ++index) {
+                if (load[index].waiting > 0 && (!best || order(load[index], now) < order(load[*best], now))) {
+                    best = index;
+                }
+            }
+            if (!best) {
+                break;
+            }
+            --load[*best].waiting;
+            busy.push({now + load[*best].runMs, *best});
+        }
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(load, [](const played_job &job) {
+        return job.doneAt >= 0 && wallAt(job.doneAt) <= jobs::objectiveOf(job.record);
+    }));
+}
+} // namespace
+
+TEST_CASE("In a turn that its pool cannot hold, more callers are served in time than by arrival", "[jobs][load]")
+{
+    constexpr std::uint32_t slots = 100;
+    std::size_t ranked = 0;
+    std::size_t byArrival = 0;
+    for (std::uint64_t round = 0; round < 5; ++round) {
+        const auto load = turnOf(tests::baseSeed() + round);
+        ranked += servedInTime(
+            load, slots, [](const played_job &job, std::int64_t now) { return jobs::rankOf(job.record, wallAt(now)); });
+        byArrival += servedInTime(load, slots, [](const played_job &job, std::int64_t) {
+            return jobs::job_rank{0, 0, job.arrivedAt};
+        });
+    }
+    INFO("by rank " << ranked << ", by arrival " << byArrival);
+    CHECK(ranked > byArrival + byArrival / 5);
+}
+
+TEST_CASE("Long-running work comes first, then what can still be in time, then the rest by arrival", "[jobs]")
+{
+    const auto jobWith = [](jobs::step_spec made, std::int64_t acceptedMs) {
+        return jobs::makeJob(jobs::job_id{"j"}, queue(), jobOf({std::move(made)}), wallAt(acceptedMs));
+    };
+    auto lasting = step(1);
+    lasting.longRunning = true;
+    const auto now = wallAt(10'000);
+    const auto timely = jobs::rankOf(jobWith(step(1), 9'900), now);
+    const auto late = jobs::rankOf(jobWith(step(1), 1'000), now);
+    const auto later = jobs::rankOf(jobWith(step(1), 2'000), now);
+    CHECK(jobs::rankOf(jobWith(lasting, 9'000), now) < timely);
+    CHECK(timely < late);
+    CHECK(late < later);
+    CHECK(jobs::rankOf(jobWith(step(2), 9'900), now) > timely);
+}
