Capacity: a new owner waits only for hosts ordered a moment ago; a wave leaves a pool what it needs

Change: each order to a host is on record before it is given, and a later owner waits out the term of just that host; hosts that leave for maintenance do not count as the pool's, and while there is time none leaves that its pool needs.

--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -21,6 +21,24 @@
     return worker == nullptr || worker->placed.empty();
 }
 
+/// \brief Time until the last short task of a host should have ended.
+auto drainTimeOf(const host_slot &host, jobs::job_engine &engine, core::monotonic_time now) -> core::duration
+{
+    const auto *worker = slotOf(host, engine);
+    core::duration longest{0};
+    if (worker == nullptr) {
+        return longest;
+    }
+    for (const auto &task : worker->placed) {
+        const auto *job = engine.find(task.job);
+        if (job != nullptr && job->has(task)) {
+            const auto &state = job->tasks[job->positionOf(task.occurrence, task.step, task.index)];
+            longest = std::max<core::duration>(longest, state.startedAt + job->spec.steps[task.step].estimate - now);
+        }
+    }
+    return longest;
+}
+
 /// \brief Share of a host that work takes, for choosing the host that is easiest to drain.
 auto usedOf(const host_slot &host, jobs::job_engine &engine) -> std::int64_t
 {
@@ -56,6 +74,20 @@
     m_restored.push_back(record);
 }
 
+auto capacity_planner::restoreOrder(const core::host_id &host, core::monotonic_time time) -> void
+{
+    m_notBefore[host] = time;
+}
+
+auto capacity_planner::awaitsMaintenance(const host_slot &host) const -> bool
+{
+    return std::ranges::any_of(m_waves, [&](const auto &entry) {
+        const auto &wave = entry.second;
+        const bool named = std::ranges::find(wave.request.hosts, host.entry.id) != wave.request.hosts.end();
+        return !wave.completed && named && !wave.done.contains(host.entry.id);
+    });
+}
+
 auto capacity_planner::onJob(const jobs::job_record &job, core::monotonic_time now) -> void
 {
     m_demand.onJob(job, now);
@@ -133,11 +165,12 @@
             return;
         }
         const auto &balance = m_balances[host->entry.pool];
-        const bool wanted = balance.want > balance.have || (balance.standby && isAnyPoolShort());
+        const bool wanted = balance.need >= balance.have || (balance.standby && isAnyPoolShort());
         if (!late && wanted) {
             continue;
         }
         beginDrain(*host, host_order{host->entry.id, std::nullopt, wave.request.number}, engine, now);
+        --m_balances[host->entry.pool].have;
         ++out;
     }
 }
@@ -186,7 +219,9 @@
             engine.evacuate(*worker, now);
         }
         const bool forMove = host.order.pool.has_value();
-        if (isEmpty(host, engine)) {
+        const auto notBefore = m_notBefore.find(id);
+        const bool mayOrder = notBefore == m_notBefore.end() || now >= notBefore->second;
+        if (isEmpty(host, engine) && mayOrder) {
             host.step = host_step::ordered;
             host.since = now;
             orders.push_back(host.order);
@@ -271,11 +306,16 @@
                                core::monotonic_time now) -> void
 {
     m_balances.clear();
+    std::set<core::pool_id> maintained;
     std::int64_t hostCpu = 1;
     for (const auto &[id, host] : m_hosts.all()) {
         hostCpu = std::max(hostCpu, host.entry.capacity.cpu);
-        const bool leaves = host.step != host_step::none && host.order.pool.has_value();
-        ++m_balances[leaves ? *host.order.pool : host.entry.pool].have;
+        const bool moves = host.step != host_step::none && host.order.pool.has_value();
+        const bool out = host.step != host_step::none && !host.order.pool;
+        m_balances[moves ? *host.order.pool : host.entry.pool].have += out ? 0 : 1;
+        if (awaitsMaintenance(host)) {
+            maintained.insert(host.entry.pool);
+        }
     }
     for (const auto &pool : pools) {
         m_balances[pool.name].standby = pool.standby;
@@ -284,7 +324,9 @@
         const auto demand = static_cast<double>(std::max(load.placed, load.offered) + load.waiting) * headroom;
         const auto hosts = static_cast<std::int64_t>(std::ceil(demand / static_cast<double>(hostCpu)));
         m_balances[pool].load = load;
-        m_balances[pool].want = std::max<std::int64_t>(hosts, load.spread + 1);
+        auto &balance = m_balances[pool];
+        balance.need = std::max<std::int64_t>(hosts, load.spread + 1);
+        balance.want = balance.need + (maintained.contains(pool) ? 1 : 0);
     }
 }
 
@@ -315,7 +357,8 @@
         }
     }
     std::ranges::stable_sort(donors, {}, [&](const host_slot *host) {
-        return std::tuple{usedOf(*host, engine) > 0, m_balances[host->entry.pool].standby, usedOf(*host, engine)};
+        return std::tuple{usedOf(*host, engine) > 0, m_balances[host->entry.pool].standby,
+                          drainTimeOf(*host, engine, now)};
     });
     std::vector<core::pool_id> needy;
     for (const auto &[pool, balance] : m_balances) {
@@ -356,7 +399,7 @@
     const auto *worker = slotOf(host, engine);
     return worker != nullptr && std::ranges::none_of(worker->placed, [&](const jobs::task_ref &task) {
                const auto *job = engine.find(task.job);
-               return job == nullptr || job->spec.steps[task.step].longRunning;
+               return job == nullptr || !job->has(task) || job->spec.steps[task.step].longRunning;
            });
 }
 
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -35,8 +35,9 @@
 struct pool_balance
 {
     pool_load load; ///< What it is asked for.
-    std::int64_t have = 0; ///< Hosts in it or on their way to it.
-    std::int64_t want = 0; ///< Hosts that it needs.
+    std::int64_t have = 0; ///< Hosts in it or on their way to it, without those that leave for their maintenance.
+    std::int64_t need = 0; ///< Hosts that its load takes.
+    std::int64_t want = 0; ///< The same, and one more while hosts of it are to be maintained.
     bool standby = false; ///< Whether its hosts are off.
 };
 
@@ -53,6 +54,9 @@
     /// \brief Takes in what a former owner recorded.
     auto restoreMaintained(const maintained_host &record) -> void;
 
+    /// \brief A former owner ordered \p host about: no order for it before \p time.
+    auto restoreOrder(const core::host_id &host, core::monotonic_time time) -> void;
+
     /// \brief Notes an accepted job.
     auto onJob(const jobs::job_record &job, core::monotonic_time now) -> void;
 
@@ -93,6 +97,7 @@
     [[nodiscard]] auto movesInProgress() const -> std::size_t;
     [[nodiscard]] auto isDrainedSoon(const host_slot &host, jobs::job_engine &engine) const -> bool;
     [[nodiscard]] auto isAnyPoolShort() const -> bool;
+    [[nodiscard]] auto awaitsMaintenance(const host_slot &host) const -> bool;
     auto advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>;
     auto beginDrain(host_slot &host, host_order order, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto stopDrain(host_slot &host, jobs::job_engine &engine, core::monotonic_time now) -> void;
@@ -101,6 +106,7 @@
     demand_meter m_demand;
     std::map<core::pool_id, pool_balance> m_balances;
     std::map<std::int64_t, wave_state> m_waves;
+    std::map<core::host_id, core::monotonic_time> m_notBefore;
     std::vector<maintained_host> m_restored;
     std::vector<maintained_host> m_newlyMaintained;
 };
--- a/src/poplarpass/host/capacity_keeper.cpp
+++ b/src/poplarpass/host/capacity_keeper.cpp
@@ -16,6 +16,8 @@
 {
 constexpr char maintainedPrefix = 'm';
 constexpr char deadlinePrefix = 'v';
+constexpr char orderPrefix = 'o';
+constexpr core::duration holderMargin = std::chrono::milliseconds{700};
 
 auto numberOf(std::string_view text) -> std::optional<std::int64_t>
 {
@@ -68,28 +70,45 @@
 auto capacity_keeper::start(const store::newest_result &stored) -> void
 {
     for (const auto &record : stored.records) {
-        if (record.key.empty()) {
-            continue;
-        }
-        if (record.key.front() == maintainedPrefix) {
-            if (const auto host = maintainedOf(record.key)) {
-                m_planner.restoreMaintained(*host);
-            } else {
-                m_env.log.log(log_level::error, "maintained_record_unreadable", {{"key", record.key}});
-            }
-        } else if (record.key.front() == deadlinePrefix) {
-            const auto wave = numberOf(std::string_view{record.key}.substr(1));
-            const auto deadline = numberOf(record.value);
-            if (wave && deadline) {
-                m_waveDeadlines[*wave] = core::fromUnixMilliseconds(*deadline);
-            } else {
-                m_env.log.log(log_level::error, "wave_record_unreadable", {{"key", record.key}});
-            }
+        if (!record.key.empty()) {
+            restoreRecord(record);
         }
     }
     readHosts();
 }
 
+auto capacity_keeper::restoreRecord(const store::stored_record &record) -> void
+{
+    const auto rest = std::string_view{record.key}.substr(1);
+    const auto number = numberOf(record.value);
+    bool readable = true;
+    if (record.key.front() == maintainedPrefix) {
+        const auto host = maintainedOf(record.key);
+        readable = host.has_value();
+        if (host) {
+            m_planner.restoreMaintained(*host);
+        }
+    } else if (record.key.front() == deadlinePrefix) {
+        const auto wave = numberOf(rest);
+        readable = wave && number;
+        if (readable) {
+            m_waveDeadlines[*wave] = core::fromUnixMilliseconds(*number);
+        }
+    } else if (record.key.front() == orderPrefix) {
+        readable = number.has_value();
+        if (number) {
+            // Hosts' clocks differ a little, and an order takes a moment from its record to its effect.
+            const auto age = app::wallNow() - core::fromUnixMilliseconds(*number);
+            const auto wait = std::clamp<core::duration>(m_env.holderTerm + holderMargin - age, core::duration{0},
+                                                         m_env.holderTerm + holderMargin);
+            m_planner.restoreOrder(core::host_id{std::string{rest}}, app::monotonicNow() + wait);
+        }
+    }
+    if (!readable) {
+        m_env.log.log(log_level::error, "capacity_record_unreadable", {{"key", record.key}});
+    }
+}
+
 auto capacity_keeper::onJob(const jobs::job_record &job) -> void
 {
     m_planner.onJob(job, app::monotonicNow());
@@ -153,13 +172,13 @@
 auto capacity_keeper::plan() -> void
 {
     const auto now = app::monotonicNow();
-    if (now - m_lastPlan < capacityPlanPeriod || now < m_env.ordersFrom || !m_env.mayOrder()) {
+    if (now - m_lastPlan < capacityPlanPeriod || !m_env.mayOrder()) {
         return;
     }
     m_lastPlan = now;
     readWaves();
     for (const auto &order : m_planner.plan(m_env.engine, m_env.routes.config().pools, now)) {
-        give(order);
+        record(order);
     }
     recordMaintained();
     queueStatus();
@@ -184,6 +203,23 @@
     }
 }
 
+// The next owner must know of the order when it is carried out, so that it does not give another one too soon.
+auto capacity_keeper::record(const capacity::host_order &order) -> void
+{
+    m_env.stored.writeRecord({orderPrefix + order.host.str(), std::to_string(core::toUnixMilliseconds(app::wallNow()))},
+                             [this, alive = m_alive, order] {
+                                 if (!*alive) {
+                                     return;
+                                 }
+                                 if (m_env.mayOrder()) {
+                                     give(order);
+                                 } else {
+                                     m_planner.onOrderAnswer(order, capacity::host_order_outcome::failed,
+                                                             app::monotonicNow());
+                                 }
+                             });
+}
+
 auto capacity_keeper::give(const capacity::host_order &order) -> void
 {
     const auto worker = m_planner.workerOf(order.host);
--- a/src/poplarpass/host/capacity_keeper.h
+++ b/src/poplarpass/host/capacity_keeper.h
@@ -35,7 +35,7 @@
     journal &stored; ///< The owner's journal.
     jobs::job_engine &engine; ///< Jobs and workers.
     host_holder holder; ///< By what right hosts are ordered about.
-    core::monotonic_time ordersFrom{}; ///< No orders before this time: a former holder may have given one just before.
+    core::duration holderTerm{}; ///< Term within which orders for one host come from one holder.
     std::function<bool()> mayOrder; ///< Whether orders may be given at present.
     std::function<const std::map<std::string, std::string> &()> operatorRecords; ///< Newest records of the operator.
     std::function<void()> onChange; ///< Something was learnt: decide again.
@@ -72,6 +72,8 @@
 
     auto readHosts() -> void;
     auto readWaves() -> void;
+    auto restoreRecord(const store::stored_record &record) -> void;
+    auto record(const capacity::host_order &order) -> void;
     auto give(const capacity::host_order &order) -> void;
     auto onAnswer(const capacity::host_order &order, const jobs::worker_id &worker,
                   capacity::host_order_outcome outcome) -> void;
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -98,14 +98,17 @@
     startNext();
 }
 
-auto journal::writeRecord(store::keyed_record record) -> void
+auto journal::writeRecord(store::keyed_record record, std::function<void()> afterwards) -> void
 {
     // The first batch may be on its way.
-    if (m_batches.size() > 1) {
-        m_batches.back().records.push_back(std::move(record));
-        return;
+    if (m_batches.size() < 2) {
+        m_batches.emplace_back();
+    }
+    auto &batch = m_batches.back();
+    batch.records.push_back(std::move(record));
+    if (afterwards) {
+        batch.afterwards.push_back(std::move(afterwards));
     }
-    m_batches.push_back({{std::move(record)}, {}, {}});
     startNext();
 }
 
--- a/src/poplarpass/host/journal.h
+++ b/src/poplarpass/host/journal.h
@@ -41,8 +41,8 @@
     auto write(const jobs::job_engine &engine, const std::set<jobs::job_id> &changed,
                std::span<const jobs::silence_record> silences, std::function<void()> afterwards) -> void;
 
-    /// \brief Stores one record beside the jobs.
-    auto writeRecord(store::keyed_record record) -> void;
+    /// \brief Stores one record beside the jobs and then calls \p afterwards, if it is set.
+    auto writeRecord(store::keyed_record record, std::function<void()> afterwards = nullptr) -> void;
 
     /// \brief Removes the records of jobs.
     auto remove(std::span<const jobs::job_id> forgotten) -> void;
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -52,7 +52,7 @@
                                      m_journal,
                                      m_engine,
                                      {m_env.hostName, epoch()},
-                                     m_startedAt + m_env.holderTerm,
+                                     m_env.holderTerm,
                                      [this] { return !m_resigned && m_term.mayAnswer(app::monotonicNow()); },
                                      m_env.operatorRecords,
                                      [this] { requestTurn(); },
@@ -258,7 +258,7 @@
     }
 }
 
-auto pool_owner::serve(const client_request &request, client_answer answer) -> void
+auto pool_owner::serve(const client_request &request, const client_answer &answer) -> void
 {
     switch (request.verb) {
     case client_verb::submit:
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -97,7 +97,7 @@
     auto updateWorkers() -> void;
     auto beginServing() -> void;
     auto forgetEnded() -> void;
-    auto serve(const client_request &request, client_answer answer) -> void;
+    auto serve(const client_request &request, const client_answer &answer) -> void;
     auto submit(const client_request &request, const client_answer &answer) -> void;
     auto answerState(const client_request &request, const client_answer &answer) -> void;
     auto cancel(const client_request &request, const client_answer &answer) -> void;
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -209,6 +209,45 @@
     CHECK(completed);
 }
 
+TEST_CASE("A host that a former owner ordered a moment ago gets no order before its time; others do at once",
+          "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("b1", "busy");
+    fixture.add("c1", "calm");
+    fixture.add("c2", "calm");
+    fixture.add("c3", "calm");
+    fixture.begin();
+    fixture.planner.restoreOrder(core::host_id{"h-c1"}, at(4000));
+    fixture.submit("job", "busy", {step(60, 1000)}, 2000);
+    const auto first = fixture.plan(2100);
+    CHECK(movesTo(first, "busy") >= 1);
+    CHECK(std::ranges::none_of(first, [](const auto &order) { return order.host.str() == "h-c1"; }));
+}
+
+TEST_CASE("A wave leaves a pool the hosts that it needs while there is time", "[capacity]")
+{
+    planner_fixture fixture;
+    std::vector<core::host_id> named;
+    for (const auto *name : {"b1", "b2", "b3"}) {
+        fixture.add(name, "busy");
+        named.emplace_back(std::string{"h-"} + name);
+    }
+    fixture.begin();
+    auto lasting = step(2, 4000);
+    lasting.longRunning = true;
+    lasting.antiAffinity = 1;
+    lasting.maxUnavailable = 1;
+    fixture.submit("job", "busy", {lasting}, 10);
+    fixture.planner.addWave({1, named, std::chrono::milliseconds{24'000}, 3}, at(20));
+    (void)fixture.plan(100);
+    std::size_t leaving = 0;
+    for (const auto &[id, worker] : fixture.engine.workers().all()) {
+        leaving += worker.leaving ? 1 : 0;
+    }
+    CHECK(leaving == 0);
+}
+
 TEST_CASE("What a former owner maintained is not maintained again", "[capacity]")
 {
     planner_fixture fixture;
--- a/tests/decisions/jobs_sim_world.cpp
+++ b/tests/decisions/jobs_sim_world.cpp
@@ -65,16 +65,15 @@
     for (auto &[id, worker] : m_workers) {
         advance(worker);
     }
-    for (std::size_t index = 0; index < m_delayed.size(); ++index) {
-        if (m_delayed[index].at <= m_now && m_delayed[index].call) {
-            const auto call = std::exchange(m_delayed[index].call, nullptr);
-            call();
-        }
-    }
-    std::erase_if(m_delayed, [](const delayed_call &entry) { return !entry.call; });
-    for (std::size_t index = 0; index < m_owners.size(); ++index) {
-        if (m_owners[index]->alive) {
-            turn(*m_owners[index]);
+    const auto due = std::ranges::partition(m_delayed, [this](const auto &entry) { return entry.at > m_now; });
+    const std::vector<delayed_call> calls{due.begin(), due.end()};
+    m_delayed.erase(due.begin(), due.end());
+    for (const auto &entry : calls) {
+        entry.call();
+    }
+    for (const auto &owner : m_owners) {
+        if (owner->alive) {
+            turn(*owner);
         }
     }
 }
@@ -328,7 +327,8 @@
 {
     for (const auto &[id, other] : m_workers) {
         if (other.running.contains(task)) {
-            breaches.push_back("two runs at once: " + task + " on " + id + " and " + on);
+            breaches.push_back("two runs at once: " + task);
+            breaches.back().append(" on ").append(id).append(" and ").append(on);
         }
     }
     if (m_doneNoted.contains(task)) {
