Owner: jobs that come while the store is busy are parked; refusals while it is away are true and at once

Ruled out: the links. Change: a submission takes part in nothing until the store has answered; after 0.9 s of silence it is refused with the time to come back, which is true. Each request has a timer of its own; jobs that are known are answered for always.

--- a/src/poplarpass/host/client_request.cpp
+++ b/src/poplarpass/host/client_request.cpp
@@ -49,10 +49,10 @@
     return net::makeResponse(status, R"({"reason":")" + std::string{reason} + R"("})");
 }
 
-auto refusalResponse(int status, std::string_view reason) -> net::http_response
+auto refusalResponse(int status, std::string_view reason, int retryAfter) -> net::http_response
 {
     auto response = plainResponse(status, reason);
-    response.headers.push_back({"Retry-After", std::to_string(retryAfterSeconds)});
+    response.headers.push_back({"Retry-After", std::to_string(retryAfter)});
     return response;
 }
 } // namespace poplarpass::host
--- a/src/poplarpass/host/client_request.h
+++ b/src/poplarpass/host/client_request.h
@@ -44,7 +44,8 @@
 auto answeredOnce(client_answer answer) -> client_answer;
 
 /// \brief Refusal of a request that was not carried out, with the time to come back.
-auto refusalResponse(int status, std::string_view reason) -> net::http_response;
+/// \param retryAfter when to come back, seconds
+auto refusalResponse(int status, std::string_view reason, int retryAfter) -> net::http_response;
 
 /// \brief Answer that says nothing but its status and reason.
 auto plainResponse(int status, std::string_view reason) -> net::http_response;
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -52,6 +52,12 @@
 inline constexpr double requestTimeShare = 0.8;
 /// \brief When a caller should come back after a refusal, seconds.
 inline constexpr int retryAfterSeconds = 1;
+/// \brief The same when the store has been away for longStall.
+inline constexpr int longRetryAfterSeconds = 2;
+/// \brief An append that takes longer than this means that the store is away: submissions are refused.
+inline constexpr core::duration refusalStall = std::chrono::milliseconds{900};
+/// \brief The store has been away for long.
+inline constexpr core::duration longStall = std::chrono::seconds{2};
 /// \brief Bytes of records in one append at most.
 inline constexpr std::size_t appendBytes = 900'000;
 /// \brief Callers still arrive this long after a process says that it is not ready.
--- a/src/poplarpass/host/front_door.cpp
+++ b/src/poplarpass/host/front_door.cpp
@@ -90,6 +90,8 @@
     core::monotonic_time receivedAt{};
     core::monotonic_time giveUpAt{};
     bool maybeCarriedOut = false;
+    bool handedOver = false; ///< Whether the owner has it, and did not answer yet.
+    bool answered = false;
     unsigned attempts = 0;
 };
 
@@ -124,7 +126,7 @@
 auto front_door::onCaller(const net::http_request &request, const std::shared_ptr<net::responder> &caller) -> void
 {
     if (m_env.routes.config().version == 0) {
-        caller->respond(refusalResponse(503, "no_configuration"));
+        caller->respond(refusalResponse(503, "no_configuration", retryAfterSeconds));
         return;
     }
     const auto hostName = request.header("Host");
@@ -163,13 +165,23 @@
         + std::chrono::duration_cast<core::duration>(std::chrono::duration<double, std::micro>{time}
                                                      * requestTimeShare);
     ++m_inProgress;
+    app::callAfter(m_env.loop, entry->giveUpAt - entry->receivedAt, [this, alive = m_alive, entry] {
+        if (*alive && !entry->answered) {
+            entry->maybeCarriedOut = entry->maybeCarriedOut || entry->handedOver;
+            giveUp(entry);
+        }
+    });
     forward(entry);
 }
 
 auto front_door::forward(const std::shared_ptr<forwarding> &entry) -> void
 {
+    if (entry->answered) {
+        return;
+    }
     entry->request.configVersion = m_env.routes.config().version;
     ++entry->attempts;
+    entry->handedOver = true;
     const bool taken = m_env.handleHere(entry->request, [this, alive = m_alive, entry](net::http_response response) {
         if (*alive) {
             onAnswer(entry, std::move(response));
@@ -182,6 +194,7 @@
     if (address) {
         send(entry, *address);
     } else {
+        entry->handedOver = false;
         retry(entry);
     }
 }
@@ -198,6 +211,7 @@
                              return;
                          }
                          entry->maybeCarriedOut = entry->maybeCarriedOut || sent == net::sent_state::maybe_sent;
+                         entry->handedOver = false;
                          retry(entry);
                      });
 }
@@ -213,13 +227,13 @@
     }
     // An owner that was replaced while it stored a job cannot tell whether it did.
     entry->maybeCarriedOut = entry->maybeCarriedOut || response.status == unsettledStatus;
+    entry->handedOver = false;
     retry(entry);
 }
 
 auto front_door::retry(const std::shared_ptr<forwarding> &entry) -> void
 {
-    if (app::monotonicNow() + forwardRetry >= entry->giveUpAt) {
-        giveUp(entry);
+    if (entry->answered) {
         return;
     }
     app::callAfter(m_env.loop, forwardRetry, [this, alive = m_alive, entry] {
@@ -241,11 +255,15 @@
          {"maybe_stored", submitted},
          {"ms",
           std::chrono::duration_cast<std::chrono::milliseconds>(app::monotonicNow() - entry->receivedAt).count()}});
-    finish(entry, submitted ? plainResponse(504, "outcome_unknown") : refusalResponse(503, "no_owner"));
+    finish(entry,
+           submitted ? plainResponse(504, "outcome_unknown") : refusalResponse(503, "no_owner", retryAfterSeconds));
 }
 
 auto front_door::finish(const std::shared_ptr<forwarding> &entry, net::http_response response) -> void
 {
+    if (std::exchange(entry->answered, true)) {
+        return;
+    }
     --m_inProgress;
     static constexpr std::array<std::string_view, 4> verbNames{"submit", "state", "cancel", "pending"};
     const auto verb = verbNames.at(static_cast<std::size_t>(entry->request.verb));
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/app/clock.h>
 #include <poplarpass/app/ticker.h>
 #include <poplarpass/codec/job_codec.h>
 #include <poplarpass/host/constants.h>
@@ -45,12 +46,13 @@
 } // namespace
 
 journal::journal(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
-                 std::uint64_t epoch, fenced_hook onFenced)
+                 std::uint64_t epoch, fenced_hook onFenced, std::function<void()> onIdle)
     : m_loop{loop}
     , m_store{records}
     , m_log{log}
     , m_epoch{epoch}
     , m_onFenced{std::move(onFenced)}
+    , m_onIdle{std::move(onIdle)}
 {
 }
 
@@ -132,6 +134,11 @@
     return !m_batches.empty();
 }
 
+auto journal::stalledFor(core::monotonic_time now) const -> core::duration
+{
+    return m_busy ? now - m_sentAt : core::duration{0};
+}
+
 auto journal::isPending(const jobs::job_id &id) const -> bool
 {
     return std::ranges::any_of(m_batches, [&](const batch &entry) { return entry.jobs.contains(id); });
@@ -153,6 +160,7 @@
 {
     if (!m_busy && !m_batches.empty()) {
         m_busy = true;
+        m_sentAt = app::monotonicNow();
         send();
     }
 }
@@ -204,7 +212,11 @@
             return;
         }
     }
-    startNext();
+    if (m_batches.empty()) {
+        m_onIdle();
+    } else {
+        startNext();
+    }
 }
 
 auto journal::retryLater() -> void
--- a/src/poplarpass/host/journal.h
+++ b/src/poplarpass/host/journal.h
@@ -31,8 +31,9 @@
     /// \brief Called once when a later owner writes.
     using fenced_hook = std::function<void()>;
 
+    /// \param onIdle called whenever everything is stored
     journal(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
-            std::uint64_t epoch, fenced_hook onFenced);
+            std::uint64_t epoch, fenced_hook onFenced, std::function<void()> onIdle);
 
     /// \brief Makes all appends of earlier owners fail from now on, then calls \p done.
     auto open(std::function<void()> done) -> void;
@@ -50,6 +51,9 @@
     /// \brief Whether an append is in progress.
     [[nodiscard]] auto isBusy() const -> bool;
 
+    /// \brief How long the store has not taken an append; zero while it does.
+    [[nodiscard]] auto stalledFor(core::monotonic_time now) const -> core::duration;
+
     /// \brief Whether changes of \p id are not stored yet.
     [[nodiscard]] auto isPending(const jobs::job_id &id) const -> bool;
 
@@ -78,10 +82,12 @@
     std::uint64_t m_epoch;
     std::uint64_t m_sequence = 0;
     fenced_hook m_onFenced;
+    std::function<void()> m_onIdle;
     std::unordered_set<std::string> m_knownSpecs;
     std::deque<batch> m_batches;
     bool m_busy = false;
     bool m_troubled = false;
+    core::monotonic_time m_sentAt{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -17,9 +17,13 @@
     , m_engine{[this](const jobs::decision &made) {
         note(made);
     }}
-    , m_journal{m_env.loop, m_env.records, m_env.log, epoch,
+    , m_journal{m_env.loop,
+                m_env.records,
+                m_env.log,
+                epoch,
+                [this] { depose("journal"); },
                 [this] {
-                    depose("journal");
+                    onStored();
                 }}
     , m_formerOwners{formerOwners.begin(), formerOwners.end()}
     , m_startedAt{claimedAt}
@@ -294,7 +298,10 @@
         answer(plainResponse(404, "no_such_queue"));
         return;
     }
-    // An owner that may have been replaced cannot store the job, and must not say that it never will be.
+    if (m_journal.isBusy()) {
+        park(request, answer);
+        return;
+    }
     if (!m_term.mayAnswer(app::monotonicNow())) {
         answer(plainResponse(notOwnerStatus, "not_owner"));
         return;
@@ -310,6 +317,42 @@
     whenStored(accept);
 }
 
+// A job that came while the store is busy takes no part in anything until the store has answered. So it costs no time,
+// as the next append could not begin sooner, and if the store stays away the refusal of the job is true.
+auto pool_owner::park(const client_request &request, const client_answer &answer) -> void
+{
+    m_parked.push_back({request, answer});
+    if (m_journal.stalledFor(app::monotonicNow()) >= refusalStall) {
+        refuseParked();
+    } else if (m_parked.size() == 1) {
+        later(refusalStall, &pool_owner::refuseParked);
+    }
+}
+
+auto pool_owner::refuseParked() -> void
+{
+    const auto stalled = m_journal.stalledFor(app::monotonicNow());
+    if (m_parked.empty() || stalled < refusalStall) {
+        return;
+    }
+    const auto retryAfter = stalled >= longStall ? longRetryAfterSeconds : retryAfterSeconds;
+    for (const auto &entry : std::exchange(m_parked, {})) {
+        m_env.log.log(log_level::warning, "job_refused",
+                      {{"id", entry.request.job.str()},
+                       {"reason", "store_away"},
+                       {"stalled_ms", std::chrono::duration_cast<std::chrono::milliseconds>(stalled).count()},
+                       {"retry_after_s", retryAfter}});
+        entry.answer(refusalResponse(503, "store_away", retryAfter));
+    }
+}
+
+auto pool_owner::admitParked() -> void
+{
+    for (const auto &entry : std::exchange(m_parked, {})) {
+        submit(entry.request, entry.answer);
+    }
+}
+
 auto pool_owner::isUnstored(const jobs::job_id &id) const -> bool
 {
     return m_engine.isChanged(id) || m_journal.isPending(id);
@@ -318,8 +361,7 @@
 auto pool_owner::answerState(const client_request &request, const client_answer &answer) -> void
 {
     const auto *job = m_engine.find(request.job);
-    const bool current = m_term.mayAnswer(app::monotonicNow());
-    if (!current && (job == nullptr || job->phase == jobs::job_phase::active)) {
+    if (job == nullptr && !m_term.mayAnswer(app::monotonicNow())) {
         answer(plainResponse(notOwnerStatus, "not_owner"));
         return;
     }
@@ -409,6 +451,7 @@
 {
     m_turnPlanned = false;
     if (m_journal.isBusy()) {
+        m_turnWanted = true;
         return;
     }
     const auto now = app::monotonicNow();
@@ -438,6 +481,14 @@
     }
 }
 
+auto pool_owner::onStored() -> void
+{
+    admitParked();
+    if (m_serving && !m_turnPlanned) {
+        scheduleTurn(m_lastTurn + (m_turnWanted ? turnPeriod : idleTurnPeriod));
+    }
+}
+
 auto pool_owner::whenStored(std::function<void()> call) -> void
 {
     m_afterNextWrite.push_back(std::move(call));
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -99,6 +99,9 @@
     auto forgetEnded() -> void;
     auto serve(const client_request &request, const client_answer &answer) -> void;
     auto submit(const client_request &request, const client_answer &answer) -> void;
+    auto park(const client_request &request, const client_answer &answer) -> void;
+    auto refuseParked() -> void;
+    auto admitParked() -> void;
     auto answerState(const client_request &request, const client_answer &answer) -> void;
     auto cancel(const client_request &request, const client_answer &answer) -> void;
     auto answerPending(const client_request &request, const client_answer &answer) -> void;
@@ -106,6 +109,7 @@
     auto requestTurn() -> void;
     auto scheduleTurn(core::monotonic_time due) -> void;
     auto turn() -> void;
+    auto onStored() -> void;
     auto whenStored(std::function<void()> call) -> void;
     auto note(const jobs::decision &made) -> void;
     auto depose(std::string_view reason) -> void;
@@ -120,6 +124,7 @@
     std::map<std::string, jobs::worker_entry> m_entries;
     std::uint64_t m_workerOffset = 0;
     std::vector<waiting_request> m_waiting;
+    std::vector<waiting_request> m_parked;
     std::vector<std::function<void()>> m_afterNextWrite;
     std::set<std::string> m_formerOwners;
     bool m_restored = false;
