--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -183,12 +183,19 @@
         return;
     }
     const auto sentAt = app::monotonicNow();
+    m_renewing = true;
     appendOwn(owner::owner_record_kind::renewal,
               [this, sentAt](const store::append_result &answer) { onRenewed(answer, sentAt); });
 }
 
 auto owner_election::onRenewed(const store::append_result &answer, core::monotonic_time sentAt) -> void
 {
+    m_renewing = false;
+    if (m_onResigned) {
+        m_sequence += answer.outcome == store::append_outcome::appended ? 1 : 0;
+        sendResignation();
+        return;
+    }
     if (!m_owner) {
         return;
     }
@@ -234,8 +241,24 @@
         done();
         return;
     }
-    appendOwn(owner::owner_record_kind::resignation,
-              [done = std::move(done)](const store::append_result &) { done(); });
+    m_onResigned = std::move(done);
+    if (!m_renewing) {
+        sendResignation();
+    }
+}
+
+// The resignation must not share its sequence number with a renewal on its way: the store would take it for a repeat.
+auto owner_election::sendResignation() -> void
+{
+    appendOwn(owner::owner_record_kind::resignation, [this](const store::append_result &answer) {
+        const bool again =
+            answer.outcome == store::append_outcome::refused || answer.outcome == store::append_outcome::unknown;
+        if (again) {
+            later(storeRetry, &owner_election::sendResignation);
+        } else {
+            m_onResigned();
+        }
+    });
 }
 
 auto owner_election::onAnnouncement(const owner::owner_record &record) -> void
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -66,6 +66,7 @@
     auto beginTerm(std::uint64_t epoch, core::monotonic_time sentAt) -> void;
     auto renew() -> void;
     auto onRenewed(const store::append_result &answer, core::monotonic_time sentAt) -> void;
+    auto sendResignation() -> void;
     auto depose() -> void;
     auto appendOwn(owner::owner_record_kind kind, std::function<void(store::append_result)> done) -> void;
     auto later(core::duration delay, void (owner_election::*step)()) -> void;
@@ -82,6 +83,8 @@
     std::uint64_t m_claimedEpoch = 0;
     core::monotonic_time m_claimedAt{};
     std::uint64_t m_sequence = 0;
+    std::function<void()> m_onResigned;
+    bool m_renewing = false;
     bool m_owner = false;
     bool m_claiming = false;
     bool m_aside = false;
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -87,6 +87,7 @@
 auto pool_owner::start() -> void
 {
     m_journal.open([this] { readJobs(); });
+    readWorkers();
 }
 
 auto pool_owner::readJobs() -> void
@@ -120,7 +121,9 @@
     m_capacity->start(newest);
     m_env.log.log(log_level::info, "jobs_restored",
                   {{"epoch", epoch()}, {"jobs", m_engine.jobs().size()}, {"offset", newest.endOffset}});
-    readWorkers();
+    if (m_workersRead) {
+        beginServing();
+    }
 }
 
 auto pool_owner::readWorkers() -> void
@@ -143,8 +146,10 @@
         takeWorkerRecord(record);
     }
     m_workerOffset = newest.endOffset;
-    updateWorkers();
-    if (!m_serving) {
+    m_workersRead = true;
+    if (m_serving) {
+        updateWorkers();
+    } else if (m_restored) {
         beginServing();
     }
     pollWorkersLater();
@@ -153,6 +158,7 @@
 auto pool_owner::beginServing() -> void
 {
     m_serving = true;
+    updateWorkers();
     m_env.log.log(
         log_level::info, "owner_serving",
         {{"epoch", epoch()},
@@ -203,7 +209,9 @@
             takeWorkerRecord(record);
             m_workerOffset = record.offset + 1;
         }
-        updateWorkers();
+        if (m_serving) {
+            updateWorkers();
+        }
     }
     pollWorkersLater();
 }
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -128,6 +128,7 @@
     std::vector<std::function<void()>> m_afterNextWrite;
     std::set<std::string> m_formerOwners;
     bool m_restored = false;
+    bool m_workersRead = false;
     bool m_serving = false;
     bool m_resigned = false;
     bool m_turnPlanned = false;
--- a/tests/io/owner_election_test.cpp
+++ b/tests/io/owner_election_test.cpp
@@ -111,3 +111,21 @@
         {poplarpass::owner::owner_record_kind::claim, first.epochs[0] + 50, "b", "10.0.0.2:1"});
     CHECK(first.deposed);
 }
+
+TEST_CASE("A resignation does not get lost behind a renewal that is still on its way", "[host]")
+{
+    boost::asio::io_context loop;
+    memory_store memory{loop};
+    candidate first{loop, memory, "a"};
+    first.election.start();
+    REQUIRE(runUntil(loop, [&] { return first.renewals > 0; }));
+    candidate second{loop, memory, "b"};
+    second.election.start();
+    memory.withheld = true;
+    REQUIRE(runUntil(loop, [&] { return !memory.held.empty(); }));
+    bool resigned = false;
+    first.election.resign([&] { resigned = true; });
+    memory.release();
+    REQUIRE(runUntil(loop, [&] { return resigned && !second.epochs.empty(); }));
+    CHECK(second.election.formerOwners().empty());
+}
