--- /dev/null
+++ b/src/poplarpass/app/explain_verb.cpp
@@ -0,0 +1,110 @@
+#include <poplarpass/app/explain_verb.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <istream>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace poplarpass::app
+{
+namespace
+{
+constexpr std::int64_t namedGapMs = 500;
+
+/// \brief Events that explain why a job waits, whichever job it is.
+constexpr std::array<std::string_view, 8> surroundings{"owner_elected", "owner_serving",   "owner_deposed",
+                                                       "owner_resigns", "journal_stalled", "journal_resumed",
+                                                       "worker_lost",   "worker_regained"};
+
+struct log_line
+{
+    std::int64_t atMs = 0;
+    bool own = false;
+    std::string text;
+};
+
+auto valueOf(std::string_view line, std::string_view key) -> std::string_view
+{
+    const auto wanted = " " + std::string{key} + "=";
+    const auto found = line.find(wanted);
+    if (found == std::string_view::npos) {
+        return {};
+    }
+    const auto begin = found + wanted.size();
+    return line.substr(begin, line.find(' ', begin) - begin);
+}
+
+/// \brief Milliseconds within the day of a line's time, "time=2026-10-21T11:09:53.024Z".
+auto timeOf(std::string_view line) -> std::optional<std::int64_t>
+{
+    const auto found = line.find("time=");
+    constexpr std::size_t clockOffset = 16;
+    constexpr std::size_t clockLength = 12;
+    if (found == std::string_view::npos || line.size() < found + clockOffset + clockLength) {
+        return std::nullopt;
+    }
+    const std::string clock{line.substr(found + clockOffset, clockLength)};
+    int hour = 0;
+    int minute = 0;
+    int second = 0;
+    int millisecond = 0;
+    if (std::sscanf(clock.c_str(), "%2d:%2d:%2d.%3d", &hour, &minute, &second, &millisecond) != 4) {
+        return std::nullopt;
+    }
+    return ((std::int64_t{hour} * 60 + minute) * 60 + second) * 1000 + millisecond;
+}
+
+auto concerns(std::string_view line, std::string_view job) -> bool
+{
+    const auto subject = valueOf(line, "id");
+    return subject == job || (subject.starts_with(job) && subject.substr(job.size()).starts_with('.'));
+}
+
+auto isSurrounding(std::string_view line) -> bool
+{
+    return std::ranges::find(surroundings, valueOf(line, "event")) != surroundings.end();
+}
+
+auto readLines(std::string_view job, std::istream &in) -> std::vector<log_line>
+{
+    std::vector<log_line> lines;
+    for (std::string text; std::getline(in, text);) {
+        const bool own = concerns(text, job);
+        const auto time = timeOf(text);
+        if (time && (own || isSurrounding(text))) {
+            lines.push_back({*time, own, text.substr(text.find("time="))});
+        }
+    }
+    std::ranges::stable_sort(lines, {}, &log_line::atMs);
+    return lines;
+}
+} // namespace
+
+auto explainJob(std::string_view job, std::istream &in, std::ostream &out) -> std::size_t
+{
+    const auto lines = readLines(job, in);
+    const auto first = std::ranges::find(lines, true, &log_line::own);
+    const auto last = std::ranges::find(lines.rbegin(), lines.rend(), true, &log_line::own);
+    if (first == lines.end()) {
+        out << "no line names job " << job << '\n';
+        return 0;
+    }
+    std::size_t count = 0;
+    std::int64_t before = first->atMs;
+    for (auto line = first; line != last.base(); ++line) {
+        if (line->atMs - before >= namedGapMs) {
+            out << "  ... " << line->atMs - before << " ms without a line of this job\n";
+        }
+        out << (line->own ? "" : "  beside: ") << line->text << '\n';
+        count += line->own ? 1 : 0;
+        before = line->atMs;
+    }
+    return count;
+}
+} // namespace poplarpass::app
--- a/src/poplarpass/app/verbs.cpp
+++ b/src/poplarpass/app/verbs.cpp
@@ -1,12 +1,14 @@
 #include <poplarpass/app/command_line.h>
 #include <poplarpass/app/control_process.h>
 #include <poplarpass/app/entry_process.h>
+#include <poplarpass/app/explain_verb.h>
 #include <poplarpass/app/operator_verbs.h>
 #include <poplarpass/host/host_process.h>
 #include <poplarpass/settings.h>
 #include <poplarpass/settings/host_settings.h>
 
 #include <algorithm>
+#include <iostream>
 #include <iterator>
 #include <optional>
 #include <ostream>
@@ -87,6 +89,15 @@
     return exit_code::success;
 }
 
+auto explain(const parsed_options &options, console &streams) -> exit_code
+{
+    if (options.arguments().size() != 1) {
+        streams.err << "job explain: one ID is needed; see --help\n";
+        return exit_code::usage;
+    }
+    return explainJob(options.arguments().front(), std::cin, streams.out) > 0 ? exit_code::success : exit_code::failure;
+}
+
 auto runHost(const parsed_options &options, console &streams) -> exit_code
 {
     const auto path = options.value("config");
@@ -106,6 +117,7 @@
     const option_spec config{"config", "settings file", true, true, ""};
     std::vector<verb> verbs{
         {"host", "runs the process of a host on the users' platform", "", {config}, runHost},
+        {"job explain", "tells a job's story from the logs of all hosts on standard input", "ID", {}, explain},
         {"entry", "runs the entry process, which takes jobs of callers", "", {config}, runEntry},
         {"control", "runs the control process, which may hold the control role", "", {config}, runControl},
         {"config check", "checks settings files and shows every error at once", "FILE...", {}, checkConfig},
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -2,8 +2,10 @@
 #include <poplarpass/app/ticker.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/host_process.h>
+#include <poplarpass/observe/line_writer.h>
 
 #include <csignal>
+#include <unistd.h>
 #include <utility>
 
 namespace poplarpass::host
@@ -22,6 +24,9 @@
     observe::logger_options options;
     options.processName = settings.name;
     options.level = observe::logLevelNamed(settings.logLevel).value_or(log_level::info);
+    options.sink = [writer = std::make_shared<observe::line_writer>(STDOUT_FILENO)](log_level, std::string_view line) {
+        writer->write(line);
+    };
     return options;
 }
 
--- /dev/null
+++ b/src/poplarpass/observe/line_writer.cpp
@@ -0,0 +1,57 @@
+#include <poplarpass/observe/line_writer.h>
+
+#include <algorithm>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+
+namespace poplarpass::observe
+{
+line_writer::line_writer(int descriptor)
+    : m_descriptor{descriptor}
+{
+}
+
+auto line_writer::write(std::string_view line) -> void
+{
+    if (m_kept.size() + line.size() > keptBytes) {
+        flush();
+    }
+    if (m_kept.size() + line.size() > keptBytes) {
+        ++m_dropped;
+        ++m_unreported;
+        return;
+    }
+    if (m_unreported > 0) {
+        m_kept += "event=log_lines_dropped count=" + std::to_string(m_unreported) + "\n";
+        m_unreported = 0;
+    }
+    m_kept += line;
+    m_kept += '\n';
+    flush();
+}
+
+// A pipe that polls as writable takes PIPE_BUF bytes without blocking, whatever its flags are.
+auto line_writer::flush() -> void
+{
+    std::size_t written = 0;
+    while (written < m_kept.size()) {
+        pollfd state{m_descriptor, POLLOUT, 0};
+        if (poll(&state, 1, 0) <= 0 || (state.revents & POLLOUT) == 0) {
+            break;
+        }
+        const auto chunk = std::min<std::size_t>(m_kept.size() - written, PIPE_BUF);
+        const auto result = ::write(m_descriptor, m_kept.data() + written, chunk);
+        if (result <= 0) {
+            break;
+        }
+        written += static_cast<std::size_t>(result);
+    }
+    m_kept.erase(0, written);
+}
+
+auto line_writer::droppedCount() const -> std::uint64_t
+{
+    return m_dropped;
+}
+} // namespace poplarpass::observe
--- /dev/null
+++ b/tests/io/line_writer_test.cpp
@@ -0,0 +1,67 @@
+#include <poplarpass/observe/line_writer.h>
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <string>
+#include <unistd.h>
+
+namespace
+{
+/// \brief A pipe whose reading end the test drains when it likes.
+struct test_pipe
+{
+    test_pipe()
+    {
+        REQUIRE(pipe(ends.data()) == 0);
+    }
+
+    ~test_pipe()
+    {
+        close(ends[0]);
+        close(ends[1]);
+    }
+
+    test_pipe(const test_pipe &) = delete;
+    auto operator=(const test_pipe &) -> test_pipe & = delete;
+
+    auto read() const -> std::string
+    {
+        std::string text(1 << 20, '\0');
+        const auto size = ::read(ends[0], text.data(), text.size());
+        text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+        return text;
+    }
+
+    std::array<int, 2> ends{};
+};
+} // namespace
+
+TEST_CASE("Lines reach a reader in order", "[observe]")
+{
+    test_pipe pipe;
+    poplarpass::observe::line_writer writer{pipe.ends[1]};
+    writer.write("one");
+    writer.write("two");
+    CHECK(pipe.read() == "one\ntwo\n");
+}
+
+TEST_CASE("A reader that has stopped holds nobody up; what was left out is counted and said", "[observe]")
+{
+    test_pipe pipe;
+    poplarpass::observe::line_writer writer{pipe.ends[1]};
+    const std::string line(1000, 'x');
+    constexpr int lines = 1000;
+    for (int index = 0; index < lines; ++index) {
+        writer.write(line);
+    }
+    CHECK(writer.droppedCount() > 0);
+    CHECK(writer.droppedCount() < lines);
+    auto text = pipe.read();
+    writer.write("after");
+    text += pipe.read();
+    writer.write("last");
+    text += pipe.read();
+    CHECK(text.find("event=log_lines_dropped count=" + std::to_string(writer.droppedCount())) != std::string::npos);
+    CHECK(text.ends_with("last\n"));
+}
