Slow runs are given up; a later owner keeps runs that the former was about to stop

Slow and standing runs (srv_slow, srv_grey hang) were waited for without end: now a run that lags twice behind its step's others is stopped and started elsewhere, and its worker pauses.

--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -14,6 +14,8 @@
 
 namespace
 {
+// Lines of one event a second; each start and end of the heaviest days gets its line.
+constexpr std::uint32_t eventsPerSecond = 400;
 constexpr unsigned rankCount = 4;
 constexpr core::duration freshStart = std::chrono::seconds{15};
 constexpr std::size_t connectionsPerWorker = 12;
@@ -23,6 +25,7 @@
 {
     observe::logger_options options;
     options.processName = settings.name;
+    options.burst = eventsPerSecond;
     options.level = observe::logLevelNamed(settings.logLevel).value_or(log_level::info);
     options.sink = [writer = std::make_shared<observe::line_writer>(STDOUT_FILENO)](log_level, std::string_view line) {
         writer->write(line);
--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -86,7 +86,7 @@
         return;
     case renewal_outcome::failed:
         if (worker != nullptr && worker->answering) {
-            m_log.log(observe::log_level::warning, "worker_lost",
+            m_log.log(worker->leaving ? observe::log_level::debug : observe::log_level::warning, "worker_lost",
                       {{"worker", id.str()}, {"placed", worker->placed.size()}});
         }
         m_engine.onNoReport(id);
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -20,6 +20,18 @@
 inline constexpr core::duration workerSilence = std::chrono::milliseconds{3500};
 /// \brief A run that was told to stop has ended after this.
 inline constexpr core::duration stopTime = std::chrono::milliseconds{600};
+/// \brief Between looks for runs that are slow.
+inline constexpr core::duration stragglerPeriod = std::chrono::milliseconds{200};
+/// \brief A run is not judged before this.
+inline constexpr core::duration stragglerAge = std::chrono::milliseconds{700};
+/// \brief A run is given up when what is left of it takes this many times what a whole run takes elsewhere.
+inline constexpr double stragglerFactor = 2.0;
+/// \brief A long-running task that has not come to work for this long starts elsewhere.
+inline constexpr core::duration idleLimit = std::chrono::milliseconds{3500};
+/// \brief Times that a task is given up for being slow at most.
+inline constexpr std::uint32_t mostRelocations = 2;
+/// \brief A worker with a slow run gets no starts for this long.
+inline constexpr core::duration slowWorkerPause = std::chrono::milliseconds{1500};
 /// \brief Between two stops of the same run.
 inline constexpr core::duration stopRepeat = std::chrono::milliseconds{500};
 /// \brief A start that the worker had no room for is tried again after this.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -51,6 +51,7 @@
         state.acknowledged = true;
         state.acknowledgedAt = now;
         // A stop of the former owner counts as answered only if the worker does not list the run any more.
+        state.inherited = state.phase == task_phase::closing;
         state.closed = state.phase == task_phase::closing;
         state.closedAt = now - stopTime;
         state.startedAt = now;
@@ -257,6 +258,7 @@
         return;
     }
     unplace(task, job, state);
+    state.ranFor = state.acknowledged ? now - state.acknowledgedAt : core::duration{0};
     state.phase = task_phase::done;
     touch(job);
     --job.unfinished;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -166,6 +166,8 @@
     auto loseAll(worker_slot &worker, std::string_view reason, core::monotonic_time now) -> void;
     auto expireLeases(core::monotonic_time now) -> void;
     auto repeatStops(core::monotonic_time now) -> void;
+    auto relocateStragglers(core::monotonic_time now) -> void;
+    auto considerRelocation(const task_ref &task, worker_slot &worker, core::monotonic_time now) -> void;
     auto planPool(const core::pool_id &pool, core::monotonic_time now, core::wall_time wallTime) -> void;
     auto planJob(job_record &job, std::span<worker_slot *const> workers, core::monotonic_time now,
                  core::wall_time wallTime) -> void;
@@ -182,6 +184,7 @@
     worker_table m_workers;
     std::set<job_id> m_changed;
     order_batch m_orders;
+    core::monotonic_time m_stragglersAt{};
     engine_counters m_counters;
 };
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -12,6 +12,7 @@
 {
     expireLeases(now);
     repeatStops(now);
+    relocateStragglers(now);
     for (const auto &[pool, ids] : m_activeJobs) {
         if (!ids.empty()) {
             planPool(pool, now, wallTime);
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <unordered_set>
+#include <utility>
 
 // What workers say: entries, renewals, answers to starts and stops.
 namespace poplarpass::jobs
@@ -166,12 +167,15 @@
         state->checkpoint = running.checkpoint;
     }
     state->percent = running.percent;
+    state->reportedAt = now;
     state->load = running.load;
     if (job->spec.steps[task->step].longRunning && running.percent >= 100) {
         state->atWork = true;
         state->lastAtWork = now;
     }
-    if (state->phase == task_phase::starting) {
+    // The former owner's stop is refused from now on; whether one is still right is for this owner to decide anew.
+    const bool keeps = std::exchange(state->inherited, false) && job->phase == job_phase::active;
+    if (state->phase == task_phase::starting || keeps) {
         state->phase = task_phase::running;
         state->acknowledged = true;
         state->acknowledgedAt = now;
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -33,9 +33,13 @@
     core::monotonic_time acknowledgedAt{}; ///< When it did.
     core::monotonic_time startedAt{}; ///< When the run was decided.
     core::monotonic_time notBefore{}; ///< No new start before this time.
+    bool inherited = false; ///< Whether a former owner began to close this run, and nothing was heard of it since.
     bool closed = false; ///< Whether the worker answered a stop of this run.
     core::monotonic_time closedAt{}; ///< When it did.
     core::monotonic_time stopSentAt{}; ///< When a stop was last sent.
+    core::monotonic_time reportedAt{}; ///< When the worker last listed the run.
+    core::duration ranFor{0}; ///< Run time of a task that is done, as far as this owner saw it.
+    std::uint32_t relocations = 0; ///< Runs that were given up for being slow.
     std::uint32_t percent = 0; ///< Progress or readiness that the worker reported.
     bool atWork = false; ///< Whether a long-running task was reported at work.
     core::monotonic_time lastAtWork{}; ///< When a long-running task was last seen at work.
--- /dev/null
+++ b/src/poplarpass/jobs/stragglers.cpp
@@ -0,0 +1,116 @@
+#include <poplarpass/jobs/constants.h>
+#include <poplarpass/jobs/job_engine.h>
+#include <poplarpass/jobs/placement.h>
+#include <poplarpass/jobs/stragglers.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace poplarpass::jobs
+{
+namespace internal
+{
+namespace
+{
+constexpr std::uint32_t tellingPercent = 10;
+constexpr double wholePercent = 100.0;
+/// \brief Estimates are rough, so that a run may take this many times its own.
+constexpr int estimateSlack = 3;
+
+auto projectedRunTime(const task_state &state) -> std::optional<core::duration>
+{
+    if (state.phase == task_phase::done && state.ranFor > core::duration{0}) {
+        return state.ranFor;
+    }
+    if (state.phase != task_phase::running || state.percent < tellingPercent) {
+        return std::nullopt;
+    }
+    const auto age = std::chrono::duration<double, std::micro>{state.reportedAt - state.acknowledgedAt};
+    return std::chrono::duration_cast<core::duration>(age * (wholePercent / state.percent));
+}
+} // namespace
+
+auto usualRunTime(const job_record &job, const task_ref &task) -> core::duration
+{
+    const auto &step = job.spec.steps[task.step];
+    const auto &own = job.tasks[job.positionOf(task.occurrence, task.step, task.index)];
+    std::vector<core::duration> times;
+    for (std::uint32_t index = 0; index < step.taskCount; ++index) {
+        const auto &other = job.tasks[job.positionOf(task.occurrence, task.step, index)];
+        const auto time = index != task.index && other.worker != own.worker ? projectedRunTime(other) : std::nullopt;
+        if (time) {
+            times.push_back(*time);
+        }
+    }
+    if (times.empty()) {
+        return std::max<core::duration>(step.estimate * estimateSlack, stragglerAge);
+    }
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::ranges::nth_element(times, middle);
+    return *middle;
+}
+
+auto remainingOf(const task_state &state) -> std::optional<core::duration>
+{
+    if (state.percent == 0) {
+        return std::nullopt;
+    }
+    const auto age = std::chrono::duration<double, std::micro>{state.reportedAt - state.acknowledgedAt};
+    return std::chrono::duration_cast<core::duration>(age * ((wholePercent - state.percent) / state.percent));
+}
+
+auto isStraggler(const job_record &job, const task_ref &task, core::monotonic_time now) -> bool
+{
+    const auto &step = job.spec.steps[task.step];
+    const auto &state = job.tasks[job.positionOf(task.occurrence, task.step, task.index)];
+    if (state.phase != task_phase::running || step.gang || state.relocations >= mostRelocations) {
+        return false;
+    }
+    if (step.longRunning) {
+        return !state.atWork && now - state.startedAt > idleLimit;
+    }
+    if (state.reportedAt - state.acknowledgedAt < stragglerAge) {
+        return false;
+    }
+    const auto usual = usualRunTime(job, task);
+    const auto limit =
+        std::chrono::duration_cast<core::duration>(std::chrono::duration<double, std::micro>{usual} * stragglerFactor);
+    const auto remaining = remainingOf(state);
+    return remaining ? *remaining > limit : state.reportedAt - state.acknowledgedAt > limit;
+}
+} // namespace internal
+
+auto job_engine::relocateStragglers(core::monotonic_time now) -> void
+{
+    if (now - m_stragglersAt < stragglerPeriod) {
+        return;
+    }
+    m_stragglersAt = now;
+    for (auto &[id, worker] : m_workers.all()) {
+        if (!worker.answering || worker.leaving) {
+            continue;
+        }
+        const auto placed = worker.placed;
+        for (const auto &task : placed) {
+            considerRelocation(task, worker, now);
+        }
+    }
+}
+
+auto job_engine::considerRelocation(const task_ref &task, worker_slot &worker, core::monotonic_time now) -> void
+{
+    const auto [job, state] = locate(task);
+    if (job == nullptr || job->phase != job_phase::active || !internal::isStraggler(*job, task, now)) {
+        return;
+    }
+    auto takers = takersOf(worker.entry.pool, now);
+    std::erase(takers, &worker);
+    if (internal::chooseWorker(*job, task.occurrence, task.step, takers) == nullptr) {
+        return;
+    }
+    ++state->relocations;
+    worker.pausedUntil = std::max(worker.pausedUntil, now + slowWorkerPause);
+    say("run_given_up", nameOf(task), worker.entry.id, state->run, "slow");
+    beginClosing(task, *job, *state, now);
+}
+} // namespace poplarpass::jobs
--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -331,3 +331,25 @@
     next.plan(at(120), wallAt(120));
     CHECK(next.takeOrders().stops.size() == 1);
 }
+
+TEST_CASE("A later owner keeps a run of an active job that the former one was about to stop", "[jobs]")
+{
+    auto engine = engineAtWork();
+    auto &leaving = *engine.workers().find(workerOfTask(engine, 0));
+    leaving.leaving = true;
+    engine.evacuate(leaving, at(30));
+    REQUIRE(engine.takeOrders().stops.size() == 1);
+
+    auto lasting = engine.find(jobId)->spec;
+    auto restored = jobs::makeJob(jobId, queue(), lasting, wallAt(0));
+    REQUIRE(jobs::applyProgress(restored, jobs::encodeProgress(*engine.find(jobId))));
+    auto next = jobs::job_engine{nullptr};
+    next.restore(restored, at(100), at(100));
+    next.updateWorkers(std::vector{worker("a"), worker("b"), worker("c")}, at(100));
+    auto stillRunning = report();
+    stillRunning.running = {{jobs::nameOf({jobId, 0, 0, 0}), 1, {}, 100, 0}};
+    next.onReport(workerOfTask(engine, 0), stillRunning, at(110), at(111));
+    next.plan(at(120), wallAt(120));
+    CHECK(next.takeOrders().stops.empty());
+    CHECK(next.find(jobId)->tasks[0].phase == jobs::task_phase::running);
+}
