Election: an owner says how long its silence may last; lapsed owners refuse at once

Change: each renewal says after which silence others may claim, 1.0 s, or 1.8 s while the store is slow; reads end when a claim is due; a lapsed owner refuses with the time to come back, having done nothing.

--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -115,9 +115,14 @@
     hooks.onElected = [this](std::uint64_t epoch, core::monotonic_time claimedAt) {
         onElected(epoch, claimedAt);
     };
-    hooks.onRenewed = [this](core::monotonic_time sentAt) {
+    hooks.onRenewing = [this](core::monotonic_time sentAt, core::duration silence) {
         if (m_owner) {
-            m_owner->onRenewed(sentAt);
+            m_owner->onRenewing(sentAt, silence);
+        }
+    };
+    hooks.onRenewed = [this](core::monotonic_time sentAt, core::duration silence) {
+        if (m_owner) {
+            m_owner->onRenewed(sentAt, silence);
         }
     };
     hooks.onDeposed = [this] {
@@ -153,12 +158,13 @@
         }};
     m_owner = std::make_unique<pool_owner>(std::move(environment), epoch, claimedAt, m_election->formerOwners());
     m_owner->start();
-    m_announcer->announce({owner::owner_record_kind::claim, epoch, m_settings.name, m_settings.peers},
-                          [this](const std::string &host) {
-                              if (m_owner) {
-                                  m_owner->onConfirmed(host);
-                              }
-                          });
+    m_announcer->announce(
+        {owner::owner_record_kind::claim, epoch, m_settings.name, m_settings.peers, owner::longSilence},
+        [this](const std::string &host) {
+            if (m_owner) {
+                m_owner->onConfirmed(host);
+            }
+        });
 }
 
 auto host_process::onDeposed() -> void
--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -3,6 +3,7 @@
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/owner_election.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace poplarpass::host
@@ -42,7 +43,11 @@
 // A follower waits at the store for the next record; the wait is cut so that silence is noticed in time.
 auto owner_election::read() -> void
 {
-    const auto wait = m_watch.current() ? ownershipWait : std::chrono::milliseconds{100};
+    const auto due = m_watch.claimDue(m_hostName, m_hooks.rank());
+    const auto untilDue = due ? *due - app::monotonicNow() : core::duration{0};
+    const auto rest = m_owner ? core::duration{ownershipWait} : untilDue;
+    const auto wait =
+        std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(rest), shortestOwnershipWait, ownershipWait);
     m_store.read(store::topic::ownership, m_offset, wait, [this, alive = m_alive](const store::read_result &result) {
         if (*alive) {
             onRead(result);
@@ -127,7 +132,7 @@
     store::append_request request;
     request.to = store::topic::ownership;
     request.records.push_back(
-        owner::encodeOwnerRecord({owner::owner_record_kind::claim, epoch, m_hostName, m_address}));
+        owner::encodeOwnerRecord({owner::owner_record_kind::claim, epoch, m_hostName, m_address, owner::longSilence}));
     request.expectedEnd = m_offset;
     m_claimedEpoch = epoch;
     m_store.append(std::move(request), [this, alive = m_alive, epoch, sentAt](const store::append_result &answer) {
@@ -164,11 +169,12 @@
     renew();
 }
 
-auto owner_election::appendOwn(owner::owner_record_kind kind, std::function<void(store::append_result)> done) -> void
+auto owner_election::appendOwn(owner::owner_record_kind kind, core::duration silence,
+                               std::function<void(store::append_result)> done) -> void
 {
     store::append_request request;
     request.to = store::topic::ownership;
-    request.records.push_back(owner::encodeOwnerRecord({kind, m_epoch, m_hostName, m_address}));
+    request.records.push_back(owner::encodeOwnerRecord({kind, m_epoch, m_hostName, m_address, silence}));
     request.fence = store::writer_fence{m_epoch, m_sequence};
     m_store.append(std::move(request), [alive = m_alive, done = std::move(done)](const store::append_result &answer) {
         if (*alive) {
@@ -184,13 +190,17 @@
     }
     const auto sentAt = app::monotonicNow();
     m_renewing = true;
-    appendOwn(owner::owner_record_kind::renewal,
-              [this, sentAt](const store::append_result &answer) { onRenewed(answer, sentAt); });
+    const auto silence = owner::silenceFor(m_renewalLatency);
+    m_hooks.onRenewing(sentAt, silence);
+    appendOwn(owner::owner_record_kind::renewal, silence,
+              [this, sentAt, silence](const store::append_result &answer) { onRenewed(answer, sentAt, silence); });
 }
 
-auto owner_election::onRenewed(const store::append_result &answer, core::monotonic_time sentAt) -> void
+auto owner_election::onRenewed(const store::append_result &answer, core::monotonic_time sentAt, core::duration silence)
+    -> void
 {
     m_renewing = false;
+    m_renewalLatency = app::monotonicNow() - sentAt;
     if (m_onResigned) {
         m_sequence += answer.outcome == store::append_outcome::appended ? 1 : 0;
         sendResignation();
@@ -202,7 +212,7 @@
     switch (answer.outcome) {
     case store::append_outcome::appended:
         ++m_sequence;
-        m_hooks.onRenewed(sentAt);
+        m_hooks.onRenewed(sentAt, silence);
         later(owner::renewalPeriod, &owner_election::renew);
         return;
     case store::append_outcome::refused:
@@ -250,7 +260,7 @@
 // The resignation must not share its sequence number with a renewal on its way: the store would take it for a repeat.
 auto owner_election::sendResignation() -> void
 {
-    appendOwn(owner::owner_record_kind::resignation, [this](const store::append_result &answer) {
+    appendOwn(owner::owner_record_kind::resignation, owner::longSilence, [this](const store::append_result &answer) {
         const bool again =
             answer.outcome == store::append_outcome::refused || answer.outcome == store::append_outcome::unknown;
         if (again) {
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -19,7 +19,8 @@
 struct election_hooks
 {
     std::function<void(std::uint64_t, core::monotonic_time)> onElected; ///< This process owns the pools: epoch, time.
-    std::function<void(core::monotonic_time)> onRenewed; ///< A renewal sent at that time is stored.
+    std::function<void(core::monotonic_time, core::duration)> onRenewing; ///< A renewal is sent: time, silence granted.
+    std::function<void(core::monotonic_time, core::duration)> onRenewed; ///< It is stored: the same.
     std::function<void()> onDeposed; ///< This process does not own the pools any more.
     std::function<void()> onOwnerChanged; ///< Another process owns the pools.
     std::function<unsigned()> rank; ///< Position of this process among those that may claim.
@@ -65,10 +66,11 @@
     auto onClaimed(const store::append_result &answer, std::uint64_t epoch, core::monotonic_time sentAt) -> void;
     auto beginTerm(std::uint64_t epoch, core::monotonic_time sentAt) -> void;
     auto renew() -> void;
-    auto onRenewed(const store::append_result &answer, core::monotonic_time sentAt) -> void;
+    auto onRenewed(const store::append_result &answer, core::monotonic_time sentAt, core::duration silence) -> void;
     auto sendResignation() -> void;
     auto depose() -> void;
-    auto appendOwn(owner::owner_record_kind kind, std::function<void(store::append_result)> done) -> void;
+    auto appendOwn(owner::owner_record_kind kind, core::duration silence,
+                   std::function<void(store::append_result)> done) -> void;
     auto later(core::duration delay, void (owner_election::*step)()) -> void;
 
     boost::asio::io_context &m_loop;
@@ -84,6 +86,7 @@
     core::monotonic_time m_claimedAt{};
     std::uint64_t m_sequence = 0;
     std::function<void()> m_onResigned;
+    core::duration m_renewalLatency = owner::longSilence;
     bool m_renewing = false;
     bool m_owner = false;
     bool m_claiming = false;
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -311,7 +311,7 @@
         return;
     }
     if (!m_term.mayAnswer(app::monotonicNow())) {
-        answer(plainResponse(notOwnerStatus, "not_owner"));
+        refuseLapsed(request, answer);
         return;
     }
     auto spec = m_env.decodeJob(request.body);
@@ -361,6 +361,19 @@
     }
 }
 
+// The term lapses when the store does not take the owner's renewals. Nothing is done with the request, and waiting here
+// would help nobody: by the time to come back either the store answers again or another host owns the pools.
+auto pool_owner::refuseLapsed(const client_request &request, const client_answer &answer) -> void
+{
+    m_env.log.log(log_level::warning, "request_refused",
+                  {{"id", request.job.str()},
+                   {"verb", static_cast<int>(request.verb)},
+                   {"reason", "term_lapsed"},
+                   {"epoch", epoch()},
+                   {"retry_after_s", retryAfterSeconds}});
+    answer(refusalResponse(503, "store_away", retryAfterSeconds));
+}
+
 auto pool_owner::isUnstored(const jobs::job_id &id) const -> bool
 {
     return m_engine.isChanged(id) || m_journal.isPending(id);
@@ -370,7 +383,7 @@
 {
     const auto *job = m_engine.find(request.job);
     if (job == nullptr && !m_term.mayAnswer(app::monotonicNow())) {
-        answer(plainResponse(notOwnerStatus, "not_owner"));
+        refuseLapsed(request, answer);
         return;
     }
     if (job == nullptr) {
@@ -391,7 +404,7 @@
 auto pool_owner::cancel(const client_request &request, const client_answer &answer) -> void
 {
     if (!m_term.mayAnswer(app::monotonicNow())) {
-        answer(plainResponse(notOwnerStatus, "not_owner"));
+        refuseLapsed(request, answer);
         return;
     }
     if (m_engine.cancel(request.job, app::monotonicNow()) == jobs::cancel_outcome::unknown) {
@@ -410,16 +423,21 @@
         return;
     }
     if (!m_term.mayAnswer(app::monotonicNow())) {
-        answer(plainResponse(notOwnerStatus, "not_owner"));
+        refuseLapsed(request, answer);
         return;
     }
     const auto count = m_engine.pendingCount(match.matched->queue.name);
     answer(net::makeResponse(200, R"({"pending":)" + std::to_string(count) + "}"));
 }
 
-auto pool_owner::onRenewed(core::monotonic_time sentAt) -> void
+auto pool_owner::onRenewing(core::monotonic_time sentAt, core::duration silence) -> void
+{
+    m_term.onRenewing(sentAt, silence);
+}
+
+auto pool_owner::onRenewed(core::monotonic_time sentAt, core::duration silence) -> void
 {
-    m_term.onRenewed(sentAt);
+    m_term.onRenewed(sentAt, silence);
 }
 
 auto pool_owner::onConfirmed(const std::string &name) -> void
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -60,8 +60,11 @@
     /// \brief A newer configuration is in force here.
     auto onConfig() -> void;
 
+    /// \brief A renewal that grants others a claim after \p silence is about to be sent.
+    auto onRenewing(core::monotonic_time sentAt, core::duration silence) -> void;
+
     /// \brief A renewal that was sent at \p sentAt is stored.
-    auto onRenewed(core::monotonic_time sentAt) -> void;
+    auto onRenewed(core::monotonic_time sentAt, core::duration silence) -> void;
 
     /// \brief The host \p name gives no orders of a former term.
     auto onConfirmed(const std::string &name) -> void;
@@ -101,6 +104,7 @@
     auto submit(const client_request &request, const client_answer &answer) -> void;
     auto park(const client_request &request, const client_answer &answer) -> void;
     auto refuseParked() -> void;
+    auto refuseLapsed(const client_request &request, const client_answer &answer) -> void;
     auto admitParked() -> void;
     auto answerState(const client_request &request, const client_answer &answer) -> void;
     auto cancel(const client_request &request, const client_answer &answer) -> void;
--- a/src/poplarpass/owner/owner_watch.cpp
+++ b/src/poplarpass/owner/owner_watch.cpp
@@ -8,7 +8,7 @@
 {
 namespace
 {
-constexpr std::size_t fieldCount = 4;
+constexpr std::size_t fieldCount = 5;
 constexpr core::duration seenOwnerRetention = std::chrono::seconds{30};
 
 auto fieldsOf(std::string_view text) -> std::vector<std::string_view>
@@ -30,10 +30,15 @@
 }
 } // namespace
 
+auto silenceFor(core::duration latency) -> core::duration
+{
+    return latency <= quickRenewal ? shortSilence : longSilence;
+}
+
 auto encodeOwnerRecord(const owner_record &record) -> std::string
 {
     return std::to_string(static_cast<int>(record.kind)) + " " + std::to_string(record.epoch) + " " + record.host + " "
-        + record.address;
+        + record.address + " " + std::to_string(record.silence.count());
 }
 
 auto decodeOwnerRecord(std::string_view text) -> std::optional<owner_record>
@@ -44,10 +49,12 @@
     }
     const auto kind = numberOf(fields[0]);
     const auto epoch = numberOf(fields[1]);
-    if (!kind || !epoch || *kind > static_cast<std::uint64_t>(owner_record_kind::resignation)) {
+    const auto silence = numberOf(fields[4]);
+    if (!kind || !epoch || !silence || *kind > static_cast<std::uint64_t>(owner_record_kind::resignation)) {
         return std::nullopt;
     }
-    return owner_record{static_cast<owner_record_kind>(*kind), *epoch, std::string{fields[2]}, std::string{fields[3]}};
+    return owner_record{static_cast<owner_record_kind>(*kind), *epoch, std::string{fields[2]}, std::string{fields[3]},
+                        core::duration{static_cast<core::duration::rep>(*silence)}};
 }
 
 auto owner_watch::onRecord(const owner_record &record, core::monotonic_time now) -> void
@@ -123,34 +130,48 @@
 }
 
 // An owner on the asking process's own host was an earlier process of that host: it has ended.
-auto owner_watch::shouldClaim(core::monotonic_time now, std::string_view host, unsigned rank) const -> bool
+auto owner_watch::claimDue(std::string_view host, unsigned rank) const -> std::optional<core::monotonic_time>
 {
     if (!m_readable) {
-        return false;
+        return std::nullopt;
     }
     if (!m_current) {
-        return now >= m_vacantSince + claimStagger * rank;
+        return m_vacantSince + claimStagger * rank;
     }
     if (m_current->host == host) {
-        return true;
+        return m_quietSince;
     }
-    return now >= m_quietSince + takeoverSilence + claimStagger * rank;
+    return m_quietSince + m_current->silence + claimStagger * rank;
+}
+
+auto owner_watch::shouldClaim(core::monotonic_time now, std::string_view host, unsigned rank) const -> bool
+{
+    const auto due = claimDue(host, rank);
+    return due && now >= *due;
 }
 
 owner_term::owner_term(std::uint64_t epoch, core::monotonic_time claimedAt)
     : m_epoch{epoch}
     , m_renewedAt{claimedAt}
+    , m_answerEnd{claimedAt + longSilence - answerMargin}
+{
+}
+
+// The renewal may be stored without the owner hearing of it, so what it grants counts from its sending.
+auto owner_term::onRenewing(core::monotonic_time sentAt, core::duration silence) -> void
 {
+    m_answerEnd = std::min(m_answerEnd, sentAt + silence - answerMargin);
 }
 
-auto owner_term::onRenewed(core::monotonic_time sentAt) -> void
+auto owner_term::onRenewed(core::monotonic_time sentAt, core::duration silence) -> void
 {
     m_renewedAt = std::max(m_renewedAt, sentAt);
+    m_answerEnd = sentAt + silence - answerMargin;
 }
 
 auto owner_term::mayAnswer(core::monotonic_time now) const -> bool
 {
-    return now < m_renewedAt + answerTerm;
+    return now < m_answerEnd;
 }
 
 auto owner_term::mayOrder(core::monotonic_time now) const -> bool
--- a/src/poplarpass/owner/owner_watch.h
+++ b/src/poplarpass/owner/owner_watch.h
@@ -12,11 +12,15 @@
 namespace poplarpass::owner
 {
 /// \brief Between two renewals of the owner.
-inline constexpr core::duration renewalPeriod = std::chrono::milliseconds{400};
-/// \brief Without a renewal for this long, seen by a process that reaches the store, the owner is replaced.
-inline constexpr core::duration takeoverSilence = std::chrono::milliseconds{1800};
-/// \brief The owner answers for the state of jobs this long after sending the last renewal that was stored.
-inline constexpr core::duration answerTerm = std::chrono::milliseconds{1600};
+inline constexpr core::duration renewalPeriod = std::chrono::milliseconds{300};
+/// \brief An owner that has been silent for this long is replaced, while the store answers quickly.
+inline constexpr core::duration shortSilence = std::chrono::milliseconds{1000};
+/// \brief The same while the store is slow.
+inline constexpr core::duration longSilence = std::chrono::milliseconds{1800};
+/// \brief The store answers quickly when a renewal took no longer than this.
+inline constexpr core::duration quickRenewal = std::chrono::milliseconds{60};
+/// \brief The owner answers for the state of jobs until this long before others may replace it.
+inline constexpr core::duration answerMargin = std::chrono::milliseconds{200};
 /// \brief The owner gives orders to workers this long after sending the last renewal that was stored.
 inline constexpr core::duration orderTerm = std::chrono::milliseconds{4500};
 /// \brief Between the claims of processes with neighbouring ranks.
@@ -36,10 +40,14 @@
     std::uint64_t epoch = 0; ///< Epoch of its writer.
     std::string host; ///< Name of its writer.
     std::string address; ///< "IP:port" at which other hosts reach its writer.
+    core::duration silence = longSilence; ///< Others may claim when they hear nothing for this long after the record.
 
     auto operator==(const owner_record &) const -> bool = default;
 };
 
+/// \brief Silence to grant in the next renewal when the last one took \p latency.
+auto silenceFor(core::duration latency) -> core::duration;
+
 /// \brief \p record as text for the store.
 auto encodeOwnerRecord(const owner_record &record) -> std::string;
 
@@ -69,9 +77,13 @@
     /// \brief Newest claim that was not resigned; empty when nobody owns the pools.
     [[nodiscard]] auto current() const -> const std::optional<owner_record> &;
 
-    /// \brief Whether a process should claim now.
+    /// \brief When a process should claim if it hears nothing until then; nothing while the store cannot be read.
     /// \param host name of the process's host
     /// \param rank position among the processes that may claim, to keep them from claiming at once
+    [[nodiscard]] auto claimDue(std::string_view host, unsigned rank) const -> std::optional<core::monotonic_time>;
+
+    /// \brief Whether a process should claim now.
+    /// \sa claimDue
     [[nodiscard]] auto shouldClaim(core::monotonic_time now, std::string_view host, unsigned rank) const -> bool;
 
 private:
@@ -102,8 +114,11 @@
     /// \param claimedAt when the claim was sent
     owner_term(std::uint64_t epoch, core::monotonic_time claimedAt);
 
+    /// \brief A renewal that grants others a claim after \p silence is about to be sent.
+    auto onRenewing(core::monotonic_time sentAt, core::duration silence) -> void;
+
     /// \brief A renewal that was sent at \p sentAt is stored.
-    auto onRenewed(core::monotonic_time sentAt) -> void;
+    auto onRenewed(core::monotonic_time sentAt, core::duration silence) -> void;
 
     /// \brief Whether the state of jobs here is surely the newest.
     [[nodiscard]] auto mayAnswer(core::monotonic_time now) const -> bool;
@@ -117,5 +132,6 @@
 private:
     std::uint64_t m_epoch;
     core::monotonic_time m_renewedAt;
+    core::monotonic_time m_answerEnd;
 };
 } // namespace poplarpass::owner
