--- /dev/null
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -0,0 +1,134 @@
+#include <poplarpass/capacity/capacity_planner.h>
+#include <poplarpass/capacity/constants.h>
+#include <poplarpass/capacity/host_load.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+// Which hosts move to which pool.
+namespace poplarpass::capacity
+{
+using internal::drainTimeOf;
+using internal::slotOf;
+using internal::usedOf;
+
+auto capacity_planner::measure(jobs::job_engine &engine, std::span<const route::pool_config> pools,
+                               core::monotonic_time now) -> void
+{
+    m_balances.clear();
+    std::set<core::pool_id> maintained;
+    std::int64_t hostCpu = 1;
+    for (const auto &[id, host] : m_hosts.all()) {
+        hostCpu = std::max(hostCpu, host.entry.capacity.cpu);
+        const bool moves = host.step != host_step::none && host.order.pool.has_value();
+        const bool out = host.step != host_step::none && !host.order.pool;
+        m_balances[moves ? *host.order.pool : host.entry.pool].have += out ? 0 : 1;
+        if (awaitsMaintenance(host)) {
+            maintained.insert(host.entry.pool);
+        }
+    }
+    for (const auto &pool : pools) {
+        m_balances[pool.name].standby = pool.standby;
+    }
+    for (const auto &[pool, load] : m_demand.measure(engine, now)) {
+        const auto demand = static_cast<double>(std::max(load.placed, load.offered) + load.waiting) * headroom;
+        const auto hosts = static_cast<std::int64_t>(std::ceil(demand / static_cast<double>(hostCpu)));
+        m_balances[pool].load = load;
+        auto &balance = m_balances[pool];
+        balance.need = std::max<std::int64_t>(hosts, load.spread + 1);
+        balance.want = balance.need + (maintained.contains(pool) ? 1 : 0);
+    }
+}
+
+auto capacity_planner::move(host_slot &host, const core::pool_id &pool, jobs::job_engine &engine,
+                            core::monotonic_time now) -> void
+{
+    --m_balances[host.entry.pool].have;
+    ++m_balances[pool].have;
+    beginDrain(host, host_order{host.entry.id, pool, 0}, engine, now);
+}
+
+auto capacity_planner::movesInProgress() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_hosts.all(), [](const auto &entry) {
+        return entry.second.step != host_step::none && entry.second.order.pool.has_value();
+    }));
+}
+
+// Hosts go from pools that have more than they need to pools that have less: first those without work, then those on
+// standby, then those that are emptied soonest. Hosts that no pool needs for a while go to standby.
+auto capacity_planner::planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void
+{
+    std::vector<host_slot *> donors;
+    for (auto &[id, host] : m_hosts.all()) {
+        if (host.step == host_step::none && host.entry.condition == host_condition::up
+            && now - host.since >= leastStay) {
+            donors.push_back(&host);
+        }
+    }
+    std::ranges::stable_sort(donors, {}, [&](const host_slot *host) {
+        return std::tuple{usedOf(*host, engine) > 0, m_balances[host->entry.pool].standby,
+                          drainTimeOf(*host, engine, now)};
+    });
+    std::vector<core::pool_id> needy;
+    for (const auto &[pool, balance] : m_balances) {
+        if (!balance.standby && balance.want > balance.have) {
+            needy.push_back(pool);
+        }
+    }
+    std::ranges::sort(needy, std::greater{},
+                      [&](const core::pool_id &pool) { return m_balances[pool].want - m_balances[pool].have; });
+    for (const auto &pool : needy) {
+        fillPool(pool, donors, engine, now);
+    }
+    retireIdle(donors, engine, now);
+}
+
+auto capacity_planner::fillPool(const core::pool_id &pool, std::span<host_slot *const> donors, jobs::job_engine &engine,
+                                core::monotonic_time now) -> void
+{
+    for (auto *host : donors) {
+        const auto &balance = m_balances[pool];
+        if (balance.want <= balance.have || movesInProgress() >= movesAtOnce) {
+            return;
+        }
+        const auto &from = m_balances[host->entry.pool];
+        const bool spare = from.standby || from.have > from.want;
+        const bool idle = from.standby || now - host->idleSince >= idleBeforeMove;
+        const bool drainable = idle || isDrainedSoon(*host, engine);
+        if (host->step == host_step::none && spare && drainable && host->entry.pool != pool
+            && !host->unfitPools.contains(pool)) {
+            move(*host, pool, engine, now);
+        }
+    }
+}
+
+// Short tasks end by themselves; long-running ones would have to move first.
+auto capacity_planner::isDrainedSoon(const host_slot &host, jobs::job_engine &engine) const -> bool
+{
+    const auto *worker = slotOf(host, engine);
+    return worker != nullptr && std::ranges::none_of(worker->placed, [&](const jobs::task_ref &task) {
+               const auto *job = engine.find(task.job);
+               return job == nullptr || !job->has(task) || job->spec.steps[task.step].longRunning;
+           });
+}
+
+auto capacity_planner::retireIdle(std::span<host_slot *const> donors, jobs::job_engine &engine,
+                                  core::monotonic_time now) -> void
+{
+    const auto standby = std::ranges::find_if(m_balances, [](const auto &entry) { return entry.second.standby; });
+    if (standby == m_balances.end()) {
+        return;
+    }
+    for (auto *host : donors) {
+        const auto &from = m_balances[host->entry.pool];
+        const bool idle = now - host->idleSince >= idleBeforeStandby;
+        if (host->step == host_step::none && !from.standby && from.have > from.want && idle
+            && movesInProgress() < movesAtOnce && !host->unfitPools.contains(standby->first)) {
+            move(*host, standby->first, engine, now);
+        }
+    }
+}
+} // namespace poplarpass::capacity
--- /dev/null
+++ b/src/poplarpass/host.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// \file
+/// The process of a host on the users' platform.
+
+#include <poplarpass/host/host_process.h>
--- /dev/null
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -0,0 +1,196 @@
+#include <poplarpass/app/clock.h>
+#include <poplarpass/app/ticker.h>
+#include <poplarpass/host/constants.h>
+#include <poplarpass/host/pool_owner.h>
+
+#include <utility>
+
+// Callers' requests at the owner.
+namespace poplarpass::host
+{
+using observe::log_level;
+
+auto pool_owner::handle(const client_request &request, client_answer answer) -> void
+{
+    if (m_resigned) {
+        answer(plainResponse(notOwnerStatus, "not_owner"));
+        return;
+    }
+    if (!m_serving || request.configVersion > m_env.routes.config().version) {
+        m_waiting.push_back({request, std::move(answer)});
+        return;
+    }
+    serve(request, answeredOnce(std::move(answer)));
+}
+
+auto pool_owner::onConfig() -> void
+{
+    if (!m_serving) {
+        return;
+    }
+    auto waiting = std::exchange(m_waiting, {});
+    for (auto &entry : waiting) {
+        handle(entry.request, std::move(entry.answer));
+    }
+}
+
+auto pool_owner::serve(const client_request &request, const client_answer &answer) -> void
+{
+    switch (request.verb) {
+    case client_verb::submit:
+        submit(request, answer);
+        return;
+    case client_verb::state:
+        answerState(request, answer);
+        return;
+    case client_verb::cancel:
+        cancel(request, answer);
+        return;
+    case client_verb::pending:
+        answerPending(request, answer);
+        return;
+    }
+}
+
+auto pool_owner::submit(const client_request &request, const client_answer &answer) -> void
+{
+    const auto accept = [answer] {
+        answer(net::makeResponse(200, "{}"));
+    };
+    if (m_engine.find(request.job) != nullptr) {
+        if (isUnstored(request.job)) {
+            whenStored(accept);
+        } else {
+            accept();
+        }
+        return;
+    }
+    const auto match = m_env.routes.match(request.hostName, request.path);
+    if (match.matched == nullptr) {
+        answer(plainResponse(404, "no_such_queue"));
+        return;
+    }
+    if (m_journal.isBusy()) {
+        park(request, answer);
+        return;
+    }
+    if (!m_term.mayAnswer(app::monotonicNow())) {
+        refuseLapsed(request, answer);
+        return;
+    }
+    auto spec = m_env.decodeJob(request.body);
+    if (!spec) {
+        answer(plainResponse(400, "bad_body"));
+        return;
+    }
+    m_engine.submit(request.job, match.matched->queue, std::move(*spec), app::wallNow());
+    m_capacity->onJob(*m_engine.find(request.job));
+    requestTurn();
+    whenStored(accept);
+}
+
+// A job that came while the store is busy takes no part in anything until the store has answered. So it costs no time,
+// as the next append could not begin sooner, and if the store stays away the refusal of the job is true.
+auto pool_owner::park(const client_request &request, const client_answer &answer) -> void
+{
+    m_parked.push_back({request, answer});
+    if (m_journal.stalledFor(app::monotonicNow()) >= refusalStall) {
+        refuseParked();
+    } else if (m_parked.size() == 1) {
+        later(refusalStall, &pool_owner::refuseParked);
+    }
+}
+
+auto pool_owner::refuseParked() -> void
+{
+    const auto stalled = m_journal.stalledFor(app::monotonicNow());
+    if (m_parked.empty() || stalled < refusalStall) {
+        return;
+    }
+    const auto retryAfter = stalled >= longStall ? longRetryAfterSeconds : retryAfterSeconds;
+    for (const auto &entry : std::exchange(m_parked, {})) {
+        m_env.log.log(log_level::warning, "job_refused",
+                      {{"id", entry.request.job.str()},
+                       {"reason", "store_away"},
+                       {"stalled_ms", std::chrono::duration_cast<std::chrono::milliseconds>(stalled).count()},
+                       {"retry_after_s", retryAfter}});
+        entry.answer(refusalResponse(503, "store_away", retryAfter));
+    }
+}
+
+auto pool_owner::admitParked() -> void
+{
+    for (const auto &entry : std::exchange(m_parked, {})) {
+        submit(entry.request, entry.answer);
+    }
+}
+
+// The term lapses when the store does not take the owner's renewals. Nothing is done with the request, and waiting here
+// would help nobody: by the time to come back either the store answers again or another host owns the pools.
+auto pool_owner::refuseLapsed(const client_request &request, const client_answer &answer) -> void
+{
+    m_env.log.log(log_level::warning, "request_refused",
+                  {{"id", request.job.str()},
+                   {"verb", static_cast<int>(request.verb)},
+                   {"reason", "term_lapsed"},
+                   {"epoch", epoch()},
+                   {"retry_after_s", retryAfterSeconds}});
+    answer(refusalResponse(503, "store_away", retryAfterSeconds));
+}
+
+auto pool_owner::isUnstored(const jobs::job_id &id) const -> bool
+{
+    return m_engine.isChanged(id) || m_journal.isPending(id);
+}
+
+auto pool_owner::answerState(const client_request &request, const client_answer &answer) -> void
+{
+    const auto *job = m_engine.find(request.job);
+    if (job == nullptr && !m_term.mayAnswer(app::monotonicNow())) {
+        refuseLapsed(request, answer);
+        return;
+    }
+    if (job == nullptr) {
+        answer(plainResponse(410, "no_such_job"));
+        return;
+    }
+    if (isUnstored(request.job)) {
+        whenStored([this, request, answer] { answerState(request, answer); });
+        return;
+    }
+    auto state = jobs::nameOf(job->phase);
+    if (job->phase == jobs::job_phase::active && !job->started) {
+        state = "queued";
+    }
+    answer(net::makeResponse(200, R"({"state":")" + std::string{state} + R"("})"));
+}
+
+auto pool_owner::cancel(const client_request &request, const client_answer &answer) -> void
+{
+    if (!m_term.mayAnswer(app::monotonicNow())) {
+        refuseLapsed(request, answer);
+        return;
+    }
+    if (m_engine.cancel(request.job, app::monotonicNow()) == jobs::cancel_outcome::unknown) {
+        answer(plainResponse(410, "no_such_job"));
+        return;
+    }
+    requestTurn();
+    whenStored([answer] { answer(net::makeResponse(200, "{}")); });
+}
+
+auto pool_owner::answerPending(const client_request &request, const client_answer &answer) -> void
+{
+    const auto match = m_env.routes.match(request.hostName, request.path);
+    if (match.matched == nullptr) {
+        answer(plainResponse(404, "no_such_queue"));
+        return;
+    }
+    if (!m_term.mayAnswer(app::monotonicNow())) {
+        refuseLapsed(request, answer);
+        return;
+    }
+    const auto count = m_engine.pendingCount(match.matched->queue.name);
+    answer(net::makeResponse(200, R"({"pending":)" + std::to_string(count) + "}"));
+}
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/owner.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// \file
+/// Umbrella header of the module owner.
+
+#include <poplarpass/owner/owner_watch.h>
--- /dev/null
+++ b/src/poplarpass/route.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// \file
+/// Umbrella header of the module route.
+
+#include <poplarpass/route/route_table.h>
--- /dev/null
+++ b/src/poplarpass/store.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// \file
+/// Umbrella header of the module store.
+
+#include <poplarpass/store/record_store.h>
--- a/tests/io/pool_owner_test.cpp
+++ b/tests/io/pool_owner_test.cpp
@@ -262,3 +262,32 @@
     fixture.ask(owner_fixture::request(host::client_verb::state, jobName), state);
     CHECK(runUntil(fixture.loop, [&] { return state == 200; }));
 }
+
+TEST_CASE("While the store stays away a new job is refused, and the refusal is true", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    fixture.keepTerm();
+    fixture.memory.withheld = true;
+    int onItsWay = 0;
+    int parked = 0;
+    const std::string other = "00000000000000bb";
+    fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), onItsWay);
+    REQUIRE(runUntil(fixture.loop, [&] { return !fixture.memory.held.empty(); }));
+    fixture.ask(owner_fixture::request(host::client_verb::submit, other, jobText), parked);
+    REQUIRE(runUntil(fixture.loop, [&] { return parked != 0; }));
+    CHECK(parked == 503);
+    CHECK(onItsWay == 0);
+
+    fixture.memory.release();
+    REQUIRE(runUntil(fixture.loop, [&] { return onItsWay != 0; }));
+    CHECK(onItsWay == 200);
+    fixture.keepTerm();
+    int state = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::state, other), state);
+    CHECK(state == 410);
+    for (const auto &record : fixture.memory.records(store::topic::jobs)) {
+        CHECK(record.key.find(other) == std::string::npos);
+    }
+}
