--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -55,6 +55,7 @@
     , m_store{m_access.makeStore(m_platformHttp, m_settings.store)}
     , m_workers{m_access.makeWorkers(m_workerHttp)}
     , m_hosts{m_access.makeHosts(m_platformHttp, m_settings.hostService)}
+    , m_advice{m_access.makeAdvice(m_platformHttp, m_settings.advice)}
     , m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}
 {
 }
@@ -148,6 +149,7 @@
         m_metrics,
         m_access.decodeJob,
         m_access.decodeWorker,
+        m_advice,
         m_hosts,
         m_access.waves,
         m_settings.name,
--- a/src/poplarpass/host/host_process.h
+++ b/src/poplarpass/host/host_process.h
@@ -28,6 +28,7 @@
 {
     std::function<store::record_store(net::http_client &, std::string)> makeStore; ///< Store at an address.
     std::function<worker_calls(net::http_client &)> makeWorkers; ///< Calls of workers.
+    std::function<advice_calls(net::http_client &, std::string)> makeAdvice; ///< Advice on placement, at an address.
     std::function<host_calls(net::http_client &, std::string)> makeHosts; ///< Hosts of workers, at an address.
     wave_codec waves; ///< Reads and reports waves.
     operator_decoder operators; ///< Reads the operator's records.
@@ -76,6 +77,7 @@
     store::record_store m_store;
     worker_calls m_workers;
     host_calls m_hosts;
+    advice_calls m_advice;
     route::route_table m_routes;
     std::unique_ptr<config_follower> m_config;
     std::unique_ptr<front_door> m_front;
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -303,6 +303,9 @@
         m_capacity->plan();
         m_engine.plan(now, app::wallNow());
     }
+    for (const auto &request : m_engine.takeAdviceRequests()) {
+        askAdvice(request);
+    }
     const auto changed = m_engine.takeChanged();
     const auto silences = m_engine.workers().takeSilences(now);
     auto orders = m_engine.takeOrders();
@@ -323,6 +326,19 @@
     }
 }
 
+auto pool_owner::askAdvice(const jobs::advice_request &request) -> void
+{
+    const auto sentAt = app::monotonicNow();
+    m_env.advice.ask(
+        request,
+        [this, alive = m_alive, request, sentAt](const std::optional<std::vector<jobs::advice_ticket>> &tickets) {
+            if (*alive) {
+                m_engine.onAdvice(request, tickets, sentAt, app::monotonicNow());
+                requestTurn();
+            }
+        });
+}
+
 auto pool_owner::onStored() -> void
 {
     admitParked();
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <poplarpass/host/advice_calls.h>
 #include <poplarpass/host/capacity_keeper.h>
 #include <poplarpass/host/client_request.h>
 #include <poplarpass/host/journal.h>
@@ -32,6 +33,7 @@
     job_decoder decodeJob; ///< Decodes submissions.
     std::function<core::result<jobs::worker_entry>(std::string_view, std::string_view)> decodeWorker; ///< Decodes what
                                                                                                       ///< workers say.
+    const advice_calls &advice; ///< Calls of the service for advice.
     const host_calls &hosts; ///< Calls of the platform's service for hosts.
     const wave_codec &waves; ///< Reads and reports waves.
     std::string hostName; ///< Name of this host.
@@ -114,6 +116,7 @@
     auto scheduleTurn(core::monotonic_time due) -> void;
     auto turn() -> void;
     auto onStored() -> void;
+    auto askAdvice(const jobs::advice_request &request) -> void;
     auto whenStored(std::function<void()> call) -> void;
     auto note(const jobs::decision &made) -> void;
     auto depose(std::string_view reason) -> void;
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -32,6 +32,10 @@
 inline constexpr std::uint32_t mostRelocations = 2;
 /// \brief A worker with a slow run gets no starts for this long.
 inline constexpr core::duration slowWorkerPause = std::chrono::milliseconds{1500};
+/// \brief Workers that one question for advice names at most.
+inline constexpr std::size_t workersPerAdvice = 30;
+/// \brief Between questions for advice when one was not answered.
+inline constexpr core::duration adviceRetry = std::chrono::milliseconds{300};
 /// \brief Between two stops of the same run.
 inline constexpr core::duration stopRepeat = std::chrono::milliseconds{500};
 /// \brief A start that the worker had no room for is tried again after this.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -126,6 +126,22 @@
     return std::exchange(m_orders, {});
 }
 
+auto job_engine::takeAdviceRequests() -> std::vector<advice_request>
+{
+    return std::exchange(m_adviceRequests, {});
+}
+
+auto job_engine::onAdvice(const advice_request &request, const std::optional<std::vector<advice_ticket>> &tickets,
+                          core::monotonic_time sentAt, core::monotonic_time now) -> void
+{
+    if (tickets) {
+        m_advice.onAnswer(request, *tickets, sentAt);
+    } else {
+        m_advice.onNoAnswer(request, now);
+    }
+    say("advice", request.step, {}, 0, tickets ? "answered" : "not_answered");
+}
+
 auto job_engine::workers() -> worker_table &
 {
     return m_workers;
@@ -216,7 +232,8 @@
     worker.used += internal::needOf(job.spec.steps[task.step]);
     ++m_counters.starts;
     touch(job);
-    m_orders.starts.push_back({worker.entry.id, task, run, job.spec.payload, state.checkpoint, {}});
+    auto ticket = job.queue.advice ? m_advice.ticketOf(stepNameOf(task), worker.entry.id) : std::string{};
+    m_orders.starts.push_back({worker.entry.id, task, run, job.spec.payload, state.checkpoint, std::move(ticket)});
     say("task_placed", nameOf(task), worker.entry.id, run, "room");
 }
 
@@ -282,6 +299,7 @@
     job.phase = phase;
     job.endedAt = now;
     m_activeJobs[job.queue.pool].erase(job.id);
+    m_advice.forget(job.id);
     touch(job);
     forEachTask(job, [&](const task_ref &task, std::size_t position) {
         auto &state = job.tasks[position];
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <poplarpass/jobs/advice_book.h>
 #include <poplarpass/jobs/job_state.h>
 #include <poplarpass/jobs/worker_table.h>
 
@@ -107,6 +108,13 @@
     /// \brief Everything on worker \p id has ended, by an order to its host.
     auto onWorkerEnded(const worker_id &id, core::monotonic_time now) -> void;
 
+    /// \brief Questions for advice that came up since the last call.
+    auto takeAdviceRequests() -> std::vector<advice_request>;
+
+    /// \brief Takes in the answer to a question that was sent at \p sentAt; nothing when there was none.
+    auto onAdvice(const advice_request &request, const std::optional<std::vector<advice_ticket>> &tickets,
+                  core::monotonic_time sentAt, core::monotonic_time now) -> void;
+
     /// \brief Decides which tasks start, and which stops to repeat.
     auto plan(core::monotonic_time now, core::wall_time wallTime) -> void;
 
@@ -171,6 +179,8 @@
     auto planPool(const core::pool_id &pool, core::monotonic_time now, core::wall_time wallTime) -> void;
     auto planJob(job_record &job, std::span<worker_slot *const> workers, core::monotonic_time now,
                  core::wall_time wallTime) -> void;
+    auto advisedWorkers(const job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                        std::span<worker_slot *const> workers, core::monotonic_time now) -> std::vector<worker_slot *>;
     auto planStep(job_record &job, std::uint32_t occurrence, std::uint32_t step, std::span<worker_slot *const> workers,
                   core::monotonic_time now) -> void;
     auto takersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>;
@@ -184,6 +194,8 @@
     worker_table m_workers;
     std::set<job_id> m_changed;
     order_batch m_orders;
+    advice_book m_advice;
+    std::vector<advice_request> m_adviceRequests;
     core::monotonic_time m_stragglersAt{};
     engine_counters m_counters;
 };
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -100,15 +100,30 @@
             if (job.openOf(occurrence, step) == 0 || !job.isUnlocked(occurrence, step)) {
                 continue;
             }
+            const auto able = advisedWorkers(job, occurrence, step, workers, now);
             if (job.spec.steps[step].gang) {
-                planGang(job, occurrence, step, workers, now);
+                planGang(job, occurrence, step, able, now);
             } else {
-                planStep(job, occurrence, step, workers, now);
+                planStep(job, occurrence, step, able, now);
             }
         }
     }
 }
 
+auto job_engine::advisedWorkers(const job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                                std::span<worker_slot *const> workers, core::monotonic_time now)
+    -> std::vector<worker_slot *>
+{
+    if (!job.queue.advice) {
+        return {workers.begin(), workers.end()};
+    }
+    const auto name = stepNameOf({job.id, occurrence, step, 0});
+    if (auto request = m_advice.ask(name, *job.queue.advice, workers, now)) {
+        m_adviceRequests.push_back(std::move(*request));
+    }
+    return m_advice.allowed(name, workers, now);
+}
+
 auto job_engine::planStep(job_record &job, std::uint32_t occurrence, std::uint32_t step,
                           std::span<worker_slot *const> workers, core::monotonic_time now) -> void
 {
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -241,10 +241,14 @@
         return;
     }
     ++m_counters.startsRejected;
+    if (answer == start_answer::no_ticket) {
+        m_advice.onRefused(stepNameOf(order.task), order.worker);
+    }
     auto pause = core::duration{0};
     if (answer == start_answer::no_room) {
         pause = roomRetry;
-    } else if (answer != start_answer::superseded && answer != start_answer::too_late) {
+    } else if (answer != start_answer::superseded && answer != start_answer::too_late
+               && answer != start_answer::no_ticket) {
         pause = unhealthyPause;
     }
     if (worker != nullptr) {
--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -117,10 +117,14 @@
     return job;
 }
 
+auto stepNameOf(const task_ref &task) -> std::string
+{
+    return task.job.str() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step);
+}
+
 auto nameOf(const task_ref &task) -> std::string
 {
-    return task.job.str() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
-        + std::to_string(task.index);
+    return stepNameOf(task) + "." + std::to_string(task.index);
 }
 
 auto taskNamed(std::string_view text) -> std::optional<task_ref>
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -108,6 +108,9 @@
 /// \brief Name of a task on the wire and in logs: ID.OCCURRENCE.STEP.INDEX.
 auto nameOf(const task_ref &task) -> std::string;
 
+/// \brief Name of a task's step: ID.OCCURRENCE.STEP.
+auto stepNameOf(const task_ref &task) -> std::string;
+
 /// \brief Task with the name \p text, if it is one.
 auto taskNamed(std::string_view text) -> std::optional<task_ref>;
 
--- a/src/poplarpass/jobs/worker_report.h
+++ b/src/poplarpass/jobs/worker_report.h
@@ -112,7 +112,7 @@
     std::uint32_t percent = 100; ///< Share, percent.
 };
 
-/// \brief Everything that is to be sent to workers.
+/// \brief Everything that is to be sent to workers and advisers.
 struct order_batch
 {
     std::vector<start_order> starts; ///< Runs to start.
--- /dev/null
+++ b/tests/decisions/advice_test.cpp
@@ -0,0 +1,70 @@
+#include "jobs_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tests::jobs_fixture;
+
+namespace
+{
+const jobs::job_id jobId{"00000000000000aa"};
+
+auto advisedQueue() -> jobs::queue_policy
+{
+    auto policy = queue();
+    policy.advice = jobs::advice_policy{std::chrono::milliseconds{5}, std::chrono::milliseconds{2},
+                                        std::chrono::milliseconds{3000}};
+    return policy;
+}
+
+/// \brief Plans and returns the questions that came up.
+auto questionsAt(jobs::job_engine &engine, std::int64_t now) -> std::vector<jobs::advice_request>
+{
+    for (const auto *id : {"a", "b"}) {
+        auto made = report();
+        for (const auto &task : engine.workers().find(jobs::worker_id{id})->placed) {
+            made.running.push_back({jobs::nameOf(task), 1, {}, 5, 0});
+        }
+        engine.onReport(jobs::worker_id{id}, made, at(now), at(now));
+    }
+    engine.plan(at(now), wallAt(now));
+    return engine.takeAdviceRequests();
+}
+} // namespace
+
+TEST_CASE("A start on an advised queue waits for a ticket and carries it", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    engine.submit(jobId, advisedQueue(), jobOf({step(2)}), wallAt(0));
+    const auto asked = questionsAt(engine, 10);
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].step == "00000000000000aa.0.0");
+    CHECK(asked[0].workers.size() == 2);
+    CHECK(engine.takeOrders().starts.empty());
+    CHECK(questionsAt(engine, 20).empty());
+
+    engine.onAdvice(asked[0], std::vector<jobs::advice_ticket>{{jobs::worker_id{"b"}, "t-b"}}, at(10), at(30));
+    CHECK(questionsAt(engine, 40).empty());
+    const auto starts = engine.takeOrders().starts;
+    REQUIRE(starts.size() == 2);
+    for (const auto &start : starts) {
+        CHECK(start.worker.str() == "b");
+        CHECK(start.ticket == "t-b");
+    }
+}
+
+TEST_CASE("Advice is asked for again when it ends, was refused, or was not answered", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    engine.submit(jobId, advisedQueue(), jobOf({step(1, hostCpu + 1)}), wallAt(0));
+    const auto asked = questionsAt(engine, 10);
+    REQUIRE(asked.size() == 1);
+    engine.onAdvice(asked[0], std::nullopt, at(10), at(500));
+    CHECK(questionsAt(engine, 510).empty());
+    const auto again = questionsAt(engine, 900);
+    REQUIRE(again.size() == 1);
+    engine.onAdvice(again[0], std::vector<jobs::advice_ticket>{{jobs::worker_id{"a"}, "t-a"}}, at(900), at(910));
+    CHECK(questionsAt(engine, 3000).empty());
+    const auto renewed = questionsAt(engine, 3950);
+    REQUIRE(renewed.size() == 1);
+    CHECK(renewed[0].workers == std::vector{jobs::worker_id{"a"}});
+}
--- a/tests/io/pool_owner_test.cpp
+++ b/tests/io/pool_owner_test.cpp
@@ -18,6 +18,7 @@
     poplarpass::observe::metrics_registry metrics;
     poplarpass::route::route_table routes;
     host::worker_calls workers;
+    host::advice_calls advice;
     host::host_calls hosts;
     host::wave_codec waves{"wave/", nullptr, nullptr};
     std::map<std::string, std::string> operatorRecords;
@@ -103,6 +104,7 @@
             metrics,
             decodeJob,
             [](std::string_view id, std::string_view) -> core::result<jobs::worker_entry> { return decodeWorker(id); },
+            advice,
             hosts,
             waves,
             "host-1",
--- a/tests/io/users_platform_test.cpp
+++ b/tests/io/users_platform_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <platform/advice_client.h>
 #include <platform/host_client.h>
 #include <platform/records.h>
 #include <platform/store_client.h>
@@ -185,3 +186,16 @@
           == store::read_outcome::failed);
     CHECK(platform::unframeRecords("short", 0, false).outcome == store::read_outcome::failed);
 }
+
+TEST_CASE("Advice is decoded into tickets", "[platform]")
+{
+    const std::string text = R"({"allowed":[["i-7f3a91c2","c81e-7a21d94b"]],"valid_ms":3000})";
+    const auto tickets = platform::decodeAdvice(text);
+    REQUIRE(tickets);
+    REQUIRE(tickets->size() == 1);
+    CHECK(tickets->at(0).worker.str() == "i-7f3a91c2");
+    CHECK(tickets->at(0).ticket == "c81e-7a21d94b");
+    CHECK_FALSE(platform::decodeAdvice(R"({"allowed":[["a"]]})"));
+    CHECK_FALSE(platform::decodeAdvice(R"({})"));
+    breakInManyWays(text, [](const std::string &broken) { (void)platform::decodeAdvice(broken); });
+}
