--- a/src/poplarpass/settings/host_settings.cpp
+++ b/src/poplarpass/settings/host_settings.cpp
@@ -44,9 +44,6 @@
 auto readTiming(toml_reader &in, host_settings &settings) -> void
 {
     settings.stopGrace = readSeconds(in, "stop_grace_s");
-    settings.longestLease = readTime(in, "longest_lease_ms");
-    settings.migration = readSeconds(in, "migration_s");
-    settings.maintenance = readSeconds(in, "maintenance_s");
     settings.holderTerm = readTime(in, "holder_term_ms");
 }
 } // namespace
--- a/src/poplarpass/settings/host_settings.h
+++ b/src/poplarpass/settings/host_settings.h
@@ -24,9 +24,6 @@
     std::string hostService; ///< "IP:port" of the platform's service for hosts of workers.
     std::string advice; ///< "IP:port" of the service that advises on placement; empty when there is none.
     std::chrono::milliseconds stopGrace{0}; ///< From the order to stop to the end of the process.
-    std::chrono::milliseconds longestLease{0}; ///< Longest lease that a worker grants.
-    std::chrono::milliseconds migration{0}; ///< Time that a host takes to change its pool.
-    std::chrono::milliseconds maintenance{0}; ///< Time that the maintenance of a host takes.
     std::chrono::milliseconds holderTerm{0}; ///< Term within which orders for one host come from one holder.
     std::string logLevel; ///< Least level of events that are written.
 };
--- a/tests/io/host_settings_test.cpp
+++ b/tests/io/host_settings_test.cpp
@@ -19,10 +19,7 @@
 host_service = "10.0.0.2:2"
 advice = []
 [timing]
-stop_grace_s = 6
-longest_lease_ms = 10000
-migration_s = 1.5
-maintenance_s = 2
+stop_grace_s = 6.5
 holder_term_ms = 3000
 )";
 } // namespace
@@ -33,8 +30,8 @@
     REQUIRE(read);
     CHECK(read->name == "edge-1");
     CHECK(read->advice.empty());
-    CHECK(read->migration == std::chrono::milliseconds{1500});
-    CHECK(read->stopGrace == std::chrono::seconds{6});
+    CHECK(read->holderTerm == std::chrono::milliseconds{3000});
+    CHECK(read->stopGrace == std::chrono::milliseconds{6500});
 }
 
 TEST_CASE("Each problem of a host's settings is named with its line", "[settings]")
@@ -49,7 +46,7 @@
     }
     REQUIRE(read.error().size() == 2);
     CHECK(read.error()[0].key == "timing.holder_term_ms");
-    CHECK(read.error()[0].line == 18);
+    CHECK(read.error()[0].line == 15);
     CHECK(read.error()[1].key == "timing.odd");
     CHECK_FALSE(settings::parseHostSettings("[=", "host.toml"));
     CHECK_FALSE(settings::loadHostSettings("/nowhere/host.toml"));
