--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -36,6 +36,16 @@
 inline constexpr std::size_t workersPerAdvice = 30;
 /// \brief Between questions for advice when one was not answered.
 inline constexpr core::duration adviceRetry = std::chrono::milliseconds{300};
+/// \brief Tasks that fill stop when a serving task's tail reaches this share of its target.
+inline constexpr double paceDownTail = 0.9;
+/// \brief They come back while all tails are below this share.
+inline constexpr double paceUpTail = 0.6;
+/// \brief Share by which they come back, percent.
+inline constexpr std::uint32_t paceStep = 25;
+/// \brief Share of a task that is not held back, percent.
+inline constexpr std::uint32_t fullPace = 100;
+/// \brief Between two steps back.
+inline constexpr core::duration paceStepTime = std::chrono::seconds{1};
 /// \brief Between two stops of the same run.
 inline constexpr core::duration stopRepeat = std::chrono::milliseconds{500};
 /// \brief A start that the worker had no room for is tried again after this.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -47,7 +47,7 @@
         worker.entry.born = std::max(worker.entry.born, state.workerBorn);
         worker.leaseEnd = std::max(worker.leaseEnd, ordersUntil + longestRealLease + leaseMargin);
         worker.placed.insert(task);
-        worker.used += internal::needOf(kept.spec.steps[task.step]);
+        internal::occupy(worker, kept.spec.steps[task.step]);
         state.acknowledged = true;
         state.acknowledgedAt = now;
         // A stop of the former owner counts as answered only if the worker does not list the run any more.
@@ -229,7 +229,7 @@
     state.percent = 0;
     state.pace = 100;
     worker.placed.insert(task);
-    worker.used += internal::needOf(job.spec.steps[task.step]);
+    internal::occupy(worker, job.spec.steps[task.step]);
     ++m_counters.starts;
     touch(job);
     auto ticket = job.queue.advice ? m_advice.ticketOf(stepNameOf(task), worker.entry.id) : std::string{};
@@ -241,7 +241,7 @@
 {
     auto *worker = m_workers.find(state.worker);
     if (worker != nullptr && worker->placed.erase(task) > 0) {
-        worker->used -= internal::needOf(job.spec.steps[task.step]);
+        internal::vacate(*worker, job.spec.steps[task.step]);
     }
 }
 
@@ -324,6 +324,8 @@
     }
     worker.placed.clear();
     worker.used = {};
+    worker.fillers = 0;
+    worker.servers = 0;
 }
 
 auto job_engine::countFailure(const task_ref &task, job_record &job, task_state &state, std::uint32_t run,
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -174,6 +174,7 @@
     auto loseAll(worker_slot &worker, std::string_view reason, core::monotonic_time now) -> void;
     auto expireLeases(core::monotonic_time now) -> void;
     auto repeatStops(core::monotonic_time now) -> void;
+    auto paceFillers(worker_slot &worker, core::monotonic_time now) -> void;
     auto relocateStragglers(core::monotonic_time now) -> void;
     auto considerRelocation(const task_ref &task, worker_slot &worker, core::monotonic_time now) -> void;
     auto planPool(const core::pool_id &pool, core::monotonic_time now, core::wall_time wallTime) -> void;
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -50,6 +50,7 @@
     for (const auto &running : report.running) {
         onRunning(*worker, running, now);
     }
+    paceFillers(*worker, now);
     if (report.ended.size() < endsPerReport) {
         settleMissing(*worker, report, sentAt, now);
         worker->greeted = true;
--- /dev/null
+++ b/src/poplarpass/jobs/pacing.cpp
@@ -0,0 +1,54 @@
+#include <poplarpass/jobs/constants.h>
+#include <poplarpass/jobs/job_engine.h>
+#include <poplarpass/jobs/pacing.h>
+
+#include <algorithm>
+
+namespace poplarpass::jobs
+{
+namespace internal
+{
+auto nextPace(std::uint32_t pace, double worstTail, core::duration sinceChange) -> std::uint32_t
+{
+    if (worstTail >= paceDownTail) {
+        return 0;
+    }
+    if (worstTail <= paceUpTail && sinceChange >= paceStepTime) {
+        return std::min(pace + paceStep, fullPace);
+    }
+    return pace;
+}
+} // namespace internal
+
+auto job_engine::paceFillers(worker_slot &worker, core::monotonic_time now) -> void
+{
+    double worstTail = 0;
+    std::vector<task_ref> fillers;
+    for (const auto &task : worker.placed) {
+        const auto [job, state] = locate(task);
+        if (job == nullptr || state->phase != task_phase::running) {
+            continue;
+        }
+        const auto &step = job->spec.steps[task.step];
+        if (step.fills) {
+            fillers.push_back(task);
+        } else if (step.target.count() > 0) {
+            worstTail =
+                std::max(worstTail, static_cast<double>(state->load) / static_cast<double>(step.target.count()));
+        }
+    }
+    const auto next = internal::nextPace(worker.fillerPace, worstTail, now - worker.pacedAt);
+    if (next != worker.fillerPace) {
+        worker.fillerPace = next;
+        worker.pacedAt = now;
+        say("fillers_paced", worker.entry.id.str(), worker.entry.id, next, worstTail >= paceDownTail ? "tail" : "room");
+    }
+    for (const auto &task : fillers) {
+        const auto [job, state] = locate(task);
+        if (state->pace != worker.fillerPace) {
+            state->pace = worker.fillerPace;
+            m_orders.paces.push_back({worker.entry.id, nameOf(task), state->run, state->pace});
+        }
+    }
+}
+} // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/placement.cpp
+++ b/src/poplarpass/jobs/placement.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 constexpr std::int64_t rackMatchBonus = std::int64_t{1} << 40;
+constexpr std::int64_t disturbancePenalty = std::int64_t{1} << 42;
 
 auto tasksOfStepOn(const job_record &job, std::uint32_t occurrence, std::uint32_t step, const worker_slot &worker)
     -> std::uint32_t
@@ -34,6 +35,9 @@
     if (spec.longRunning) {
         score = worker.free().cpu - need.cpu;
     }
+    // Tasks that fill and tasks that serve disturb each other.
+    const bool disturbs = spec.fills ? worker.servers > 0 : spec.target.count() > 0 && worker.fillers > 0;
+    score -= disturbs ? disturbancePenalty : 0;
     if (!spec.affinityRack.empty() && worker.hasLabel(spec.affinityRack)) {
         score += rackMatchBonus;
     }
@@ -53,6 +57,20 @@
     return need;
 }
 
+auto occupy(worker_slot &worker, const step_spec &step) -> void
+{
+    worker.used += needOf(step);
+    worker.fillers += step.fills ? 1 : 0;
+    worker.servers += step.target.count() > 0 && !step.fills ? 1 : 0;
+}
+
+auto vacate(worker_slot &worker, const step_spec &step) -> void
+{
+    worker.used -= needOf(step);
+    worker.fillers -= step.fills ? 1 : 0;
+    worker.servers -= step.target.count() > 0 && !step.fills ? 1 : 0;
+}
+
 auto rackOf(const worker_slot &worker) -> std::string_view
 {
     return worker.entry.labels.empty() ? std::string_view{} : std::string_view{worker.entry.labels.back()};
--- a/src/poplarpass/jobs/placement.h
+++ b/src/poplarpass/jobs/placement.h
@@ -11,6 +11,10 @@
 /// \brief What a run of \p step takes from a worker; steps that fill take processor time only as others leave it.
 auto needOf(const step_spec &step) -> resources;
 
+/// \brief Counts a run of \p step in or out at a worker.
+auto occupy(worker_slot &worker, const step_spec &step) -> void;
+auto vacate(worker_slot &worker, const step_spec &step) -> void;
+
 /// \brief Label of the worker that names its rack; empty when there is none.
 auto rackOf(const worker_slot &worker) -> std::string_view;
 
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -29,6 +29,10 @@
     std::optional<std::chrono::milliseconds>
         recordedSilence; ///< Rest of its lease as last recorded, while it is silent.
     std::uint32_t failuresInRow = 0; ///< Runs that failed since one ended as done.
+    std::uint32_t fillerPace = 100; ///< Share at which tasks that fill may work there, percent.
+    core::monotonic_time pacedAt{}; ///< When that share was last changed.
+    std::uint32_t fillers = 0; ///< Placed runs of steps that fill.
+    std::uint32_t servers = 0; ///< Placed runs of steps with a target.
     resources used; ///< What the placed runs take.
     std::set<task_ref> placed; ///< Tasks whose newest run is, or may be, there.
 
--- /dev/null
+++ b/tests/decisions/pacing_test.cpp
@@ -0,0 +1,89 @@
+#include "jobs_fixture.h"
+
+#include <poplarpass/jobs/pacing.h>
+
+#include <catch2/catch.hpp>
+
+using namespace tests::jobs_fixture;
+
+namespace
+{
+const jobs::job_id servingId{"00000000000000aa"};
+const jobs::job_id fillingId{"00000000000000bb"};
+
+auto serving() -> jobs::step_spec
+{
+    auto made = step(1, 1000, 0);
+    made.longRunning = true;
+    made.target = std::chrono::milliseconds{40};
+    return made;
+}
+
+auto filling() -> jobs::step_spec
+{
+    auto made = step(1, hostCpu, 1000);
+    made.fills = true;
+    return made;
+}
+
+auto startAll(jobs::job_engine &engine, std::int64_t now) -> std::vector<jobs::start_order>
+{
+    engine.plan(at(now), wallAt(now));
+    const auto starts = engine.takeOrders().starts;
+    for (const auto &order : starts) {
+        engine.onStartAnswer(order, jobs::start_answer::started, at(now));
+    }
+    return starts;
+}
+
+/// \brief Reports the serving task's tail, in milliseconds, from the only worker.
+auto pacesAfter(jobs::job_engine &engine, std::int64_t tail, std::int64_t now) -> std::vector<jobs::pace_order>
+{
+    auto made = report();
+    made.running = {{jobs::nameOf({servingId, 0, 0, 0}), 1, {}, 100, tail},
+                    {jobs::nameOf({fillingId, 0, 0, 0}), 1, {}, 10, 3}};
+    engine.onReport(jobs::worker_id{"a"}, made, at(now), at(now));
+    return engine.takeOrders().paces;
+}
+} // namespace
+
+TEST_CASE("Tasks that fill stop when a tail nears its target, and come back in steps", "[jobs]")
+{
+    auto engine = engineWith({worker("a")});
+    engine.submit(servingId, queue(), jobOf({serving()}), wallAt(0));
+    engine.submit(fillingId, queue(), jobOf({filling()}), wallAt(0));
+    REQUIRE(startAll(engine, 10).size() == 2);
+    CHECK(pacesAfter(engine, 20, 500).empty());
+    const auto down = pacesAfter(engine, 41, 1000);
+    REQUIRE(down.size() == 1);
+    CHECK(down[0].percent == 0);
+    CHECK(pacesAfter(engine, 20, 1500).empty());
+    const auto up = pacesAfter(engine, 20, 2100);
+    REQUIRE(up.size() == 1);
+    CHECK(up[0].percent == 25);
+    CHECK(pacesAfter(engine, 30, 4000).empty());
+}
+
+TEST_CASE("The step response: to nothing at once, back to the whole in four seconds", "[jobs]")
+{
+    std::uint32_t pace = 100;
+    pace = jobs::internal::nextPace(pace, 1.2, std::chrono::seconds{0});
+    CHECK(pace == 0);
+    for (const std::uint32_t expected : {25U, 50U, 75U, 100U, 100U}) {
+        pace = jobs::internal::nextPace(pace, 0.3, std::chrono::seconds{1});
+        CHECK(pace == expected);
+    }
+    CHECK(jobs::internal::nextPace(50, 0.75, std::chrono::seconds{9}) == 50);
+}
+
+TEST_CASE("Tasks that fill go where nobody serves, if there is such a worker", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    engine.submit(servingId, queue(), jobOf({serving()}), wallAt(0));
+    const auto first = startAll(engine, 10);
+    REQUIRE(first.size() == 1);
+    engine.submit(fillingId, queue(), jobOf({filling()}), wallAt(0));
+    const auto second = startAll(engine, 20);
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].worker != first[0].worker);
+}
