--- a/tests/decisions/pacing_test.cpp
+++ b/tests/decisions/pacing_test.cpp
@@ -29,7 +29,7 @@
 auto startAll(jobs::job_engine &engine, std::int64_t now) -> std::vector<jobs::start_order>
 {
     engine.plan(at(now), wallAt(now));
-    const auto starts = engine.takeOrders().starts;
+    auto starts = engine.takeOrders().starts;
     for (const auto &order : starts) {
         engine.onStartAnswer(order, jobs::start_answer::started, at(now));
     }
