One copy of what stood twice; less work in each capacity turn; what nothing used is gone

Change: core::wholeNumber, longestChain with a length for each step, job_spec::isLongRunning, planNextTurn, handleWaiting; the planner visits active jobs only and keeps the count of moves. Behaviour is meant to stay as it is.

--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -18,11 +18,13 @@
                                core::monotonic_time now) -> void
 {
     m_balances.clear();
+    m_moving = 0;
     std::set<core::pool_id> maintained;
     std::int64_t hostCpu = 1;
     for (const auto &[id, host] : m_hosts.all()) {
         hostCpu = std::max(hostCpu, host.entry.capacity.cpu);
         const bool moves = host.step != host_step::none && host.order.pool.has_value();
+        m_moving += moves ? 1 : 0;
         const bool out = host.step != host_step::none && !host.order.pool;
         m_balances[moves ? *host.order.pool : host.entry.pool].have += out ? 0 : 1;
         if (awaitsMaintenance(host)) {
@@ -47,16 +49,10 @@
 {
     --m_balances[host.entry.pool].have;
     ++m_balances[pool].have;
+    ++m_moving;
     beginDrain(host, host_order{host.entry.id, pool, 0}, engine, now);
 }
 
-auto capacity_planner::movesInProgress() const -> std::size_t
-{
-    return static_cast<std::size_t>(std::ranges::count_if(m_hosts.all(), [](const auto &entry) {
-        return entry.second.step != host_step::none && entry.second.order.pool.has_value();
-    }));
-}
-
 // Hosts go from pools that have more than they need to pools that have less: first those without work, then those on
 // standby, then those that are emptied soonest. Hosts that no pool needs for a while go to standby.
 auto capacity_planner::planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void
@@ -91,7 +87,7 @@
 {
     for (auto *host : donors) {
         const auto &balance = m_balances[pool];
-        if (balance.want <= balance.have || movesInProgress() >= movesAtOnce) {
+        if (balance.want <= balance.have || m_moving >= movesAtOnce) {
             return;
         }
         const auto &from = m_balances[host->entry.pool];
@@ -125,8 +121,8 @@
     for (auto *host : donors) {
         const auto &from = m_balances[host->entry.pool];
         const bool idle = now - host->idleSince >= idleBeforeStandby;
-        if (host->step == host_step::none && !from.standby && from.have > from.want && idle
-            && movesInProgress() < movesAtOnce && !host->unfitPools.contains(standby->first)) {
+        if (host->step == host_step::none && !from.standby && from.have > from.want && idle && m_moving < movesAtOnce
+            && !host->unfitPools.contains(standby->first)) {
             move(*host, standby->first, engine, now);
         }
     }
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -94,7 +94,6 @@
                   core::monotonic_time now) -> void;
     auto retireIdle(std::span<host_slot *const> donors, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto move(host_slot &host, const core::pool_id &pool, jobs::job_engine &engine, core::monotonic_time now) -> void;
-    [[nodiscard]] auto movesInProgress() const -> std::size_t;
     [[nodiscard]] auto isDrainedSoon(const host_slot &host, jobs::job_engine &engine) const -> bool;
     [[nodiscard]] auto isAnyPoolShort() const -> bool;
     [[nodiscard]] auto awaitsMaintenance(const host_slot &host) const -> bool;
@@ -105,6 +104,7 @@
     host_table m_hosts;
     demand_meter m_demand;
     std::map<core::pool_id, pool_balance> m_balances;
+    std::size_t m_moving = 0; ///< Hosts that are to change their pool.
     std::map<std::int64_t, wave_state> m_waves;
     std::map<core::host_id, core::monotonic_time> m_notBefore;
     std::vector<maintained_host> m_restored;
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -26,13 +26,8 @@
 inline constexpr std::size_t waveSlots = 5;
 /// \brief A wave is planned to end this long before its time is over.
 inline constexpr core::duration waveReserve = std::chrono::milliseconds{2500};
-/// \brief A draining host whose last short tasks take longer than this is taken with them, if its wave is short of
-/// time.
-inline constexpr core::duration drainPatience = std::chrono::milliseconds{4000};
 /// \brief A host that could not be drained for a move within this time stays.
 inline constexpr core::duration moveDrainLimit = std::chrono::milliseconds{4000};
-/// \brief Between two attempts of an order that failed.
-inline constexpr core::duration orderRetry = std::chrono::milliseconds{400};
 /// \brief Hosts on their way to other pools at once at most.
 inline constexpr std::size_t movesAtOnce = 24;
 } // namespace poplarpass::capacity
--- a/src/poplarpass/capacity/pool_demand.cpp
+++ b/src/poplarpass/capacity/pool_demand.cpp
@@ -9,11 +9,6 @@
 {
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
-auto isLongRunning(const jobs::job_record &job) -> bool
-{
-    return std::ranges::any_of(job.spec.steps, &jobs::step_spec::longRunning);
-}
-
 auto workOf(const jobs::job_spec &spec) -> std::int64_t
 {
     std::int64_t work = 0;
@@ -60,7 +55,7 @@
 
 auto demand_meter::onJob(const jobs::job_record &job, core::monotonic_time now) -> void
 {
-    if (!isLongRunning(job) && job.spec.repeatCount == 0) {
+    if (!job.spec.isLongRunning() && job.spec.repeatCount == 0) {
         m_arrivals[job.queue.pool].push_back({now, workOf(job.spec)});
     }
 }
@@ -92,13 +87,11 @@
             loads[pool].offered = std::max(loads[pool].offered, perSecond(recentWork, riseWindow));
         }
     }
-    for (const auto &[name, job] : engine.jobs()) {
-        if (job.phase == jobs::job_phase::active) {
-            auto &load = loads[job.queue.pool];
-            addWaiting(job, load);
-            load.spread = std::max(load.spread, spreadOf(job));
-        }
-    }
+    engine.forEachActive([&](const jobs::job_record &job) {
+        auto &load = loads[job.queue.pool];
+        addWaiting(job, load);
+        load.spread = std::max(load.spread, spreadOf(job));
+    });
     return loads;
 }
 } // namespace poplarpass::capacity
--- a/src/poplarpass/host/capacity_keeper.cpp
+++ b/src/poplarpass/host/capacity_keeper.cpp
@@ -1,11 +1,11 @@
 #include <poplarpass/app/clock.h>
 #include <poplarpass/app/ticker.h>
+#include <poplarpass/core/number_text.h>
 #include <poplarpass/host/capacity_keeper.h>
 #include <poplarpass/host/constants.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 namespace poplarpass::host
@@ -19,13 +19,6 @@
 constexpr char orderPrefix = 'o';
 constexpr core::duration holderMargin = std::chrono::milliseconds{700};
 
-auto numberOf(std::string_view text) -> std::optional<std::int64_t>
-{
-    std::int64_t number = 0;
-    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
-    return problem == std::errc{} && end == text.data() + text.size() ? std::optional{number} : std::nullopt;
-}
-
 auto maintainedKey(const capacity::maintained_host &record) -> std::string
 {
     return maintainedPrefix + std::to_string(record.wave) + "/" + record.host.str();
@@ -34,7 +27,8 @@
 auto maintainedOf(std::string_view key) -> std::optional<capacity::maintained_host>
 {
     const auto slash = key.find('/');
-    const auto wave = slash == std::string_view::npos ? std::nullopt : numberOf(key.substr(1, slash - 1));
+    const auto wave =
+        slash == std::string_view::npos ? std::nullopt : core::wholeNumber<std::int64_t>(key.substr(1, slash - 1));
     if (!wave) {
         return std::nullopt;
     }
@@ -80,7 +74,7 @@
 auto capacity_keeper::restoreRecord(const store::stored_record &record) -> void
 {
     const auto rest = std::string_view{record.key}.substr(1);
-    const auto number = numberOf(record.value);
+    const auto number = core::wholeNumber<std::int64_t>(record.value);
     bool readable = true;
     if (record.key.front() == maintainedPrefix) {
         const auto host = maintainedOf(record.key);
@@ -89,7 +83,7 @@
             m_planner.restoreMaintained(*host);
         }
     } else if (record.key.front() == deadlinePrefix) {
-        const auto wave = numberOf(rest);
+        const auto wave = core::wholeNumber<std::int64_t>(rest);
         readable = wave && number;
         if (readable) {
             m_waveDeadlines[*wave] = core::fromUnixMilliseconds(*number);
--- a/src/poplarpass/host/front_door.cpp
+++ b/src/poplarpass/host/front_door.cpp
@@ -1,5 +1,6 @@
 #include <poplarpass/app/clock.h>
 #include <poplarpass/app/ticker.h>
+#include <poplarpass/core/number_text.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/front_door.h>
 #include <poplarpass/host/owner_announcer.h>
@@ -7,7 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
 #include <utility>
 
 namespace poplarpass::host
@@ -23,14 +23,6 @@
 constexpr std::string_view deadlineHeader = "Poplarpass-Deadline-Ms";
 constexpr std::size_t jobIdLength = 16;
 
-auto numberOf(std::string_view text) -> std::optional<std::uint64_t>
-{
-    std::uint64_t number = 0;
-    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
-    const bool whole = problem == std::errc{} && !text.empty() && end == text.data() + text.size();
-    return whole ? std::optional{number} : std::nullopt;
-}
-
 auto isJobId(std::string_view text) -> bool
 {
     return text.size() == jobIdLength
@@ -66,8 +58,8 @@
 
 auto fromPeer(const net::http_request &call) -> std::optional<client_request>
 {
-    const auto verb = numberOf(call.header(verbHeader));
-    const auto version = numberOf(call.header(configHeader));
+    const auto verb = core::wholeNumber<std::uint64_t>(call.header(verbHeader));
+    const auto version = core::wholeNumber<std::uint64_t>(call.header(configHeader));
     if (!verb || !version || *verb > static_cast<std::uint64_t>(client_verb::pending)) {
         return std::nullopt;
     }
@@ -155,7 +147,7 @@
     entry->request.body = request.body;
     entry->caller = caller;
     entry->receivedAt = app::monotonicNow();
-    const auto stated = numberOf(request.header(deadlineHeader));
+    const auto stated = core::wholeNumber<std::uint64_t>(request.header(deadlineHeader));
     core::duration time =
         match.matched->timeout.count() > 0 ? core::duration{match.matched->timeout} : defaultRequestTime;
     if (stated) {
@@ -164,7 +156,6 @@
     entry->giveUpAt = entry->receivedAt
         + std::chrono::duration_cast<core::duration>(std::chrono::duration<double, std::micro>{time}
                                                      * requestTimeShare);
-    ++m_inProgress;
     app::callAfter(m_env.loop, entry->giveUpAt - entry->receivedAt, [this, alive = m_alive, entry] {
         if (*alive && !entry->answered) {
             entry->maybeCarriedOut = entry->maybeCarriedOut || entry->handedOver;
@@ -264,7 +255,6 @@
     if (std::exchange(entry->answered, true)) {
         return;
     }
-    --m_inProgress;
     static constexpr std::array<std::string_view, 4> verbNames{"submit", "state", "cancel", "pending"};
     const auto verb = verbNames.at(static_cast<std::size_t>(entry->request.verb));
     m_env.metrics.histogramOf("poplarpass_request_seconds", "Time to answer a caller", {{"verb", std::string{verb}}})
@@ -304,9 +294,4 @@
     m_callers->setOnDrained(std::move(done));
     m_callers->drain();
 }
-
-auto front_door::inProgress() const -> std::size_t
-{
-    return m_inProgress;
-}
 } // namespace poplarpass::host
--- a/src/poplarpass/host/front_door.h
+++ b/src/poplarpass/host/front_door.h
@@ -46,9 +46,6 @@
     /// \brief Accepts no more callers, and calls \p done when all are answered.
     auto drain(std::function<void()> done) -> void;
 
-    /// \brief Requests of callers that are not answered yet.
-    [[nodiscard]] auto inProgress() const -> std::size_t;
-
 private:
     struct forwarding;
 
@@ -64,7 +61,6 @@
     front_door_environment m_env;
     std::unique_ptr<net::http_server> m_callers;
     std::unique_ptr<net::http_server> m_peerServer;
-    std::size_t m_inProgress = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -129,8 +129,6 @@
     hooks.onDeposed = [this] {
         onDeposed();
     };
-    hooks.onOwnerChanged = [] {
-    };
     hooks.rank = [this] {
         return rank();
     };
@@ -257,7 +255,6 @@
 {
     m_stopping = true;
     m_log.log(log_level::info, "stopping", {{"owner", m_owner != nullptr}});
-    m_stopAt = app::monotonicNow() + m_settings.stopGrace - stopReserve;
     m_election->standAside();
     const auto resignation = [this] {
         m_election->resign([this] {
--- a/src/poplarpass/host/host_process.h
+++ b/src/poplarpass/host/host_process.h
@@ -89,6 +89,5 @@
     boost::asio::signal_set m_signals;
     core::monotonic_time m_startedAt{};
     bool m_stopping = false;
-    core::monotonic_time m_stopAt{};
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -152,7 +152,6 @@
 auto journal::stop() -> void
 {
     *m_alive = false;
-    m_alive = std::make_shared<bool>(false);
     m_batches.clear();
 }
 
--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -109,7 +109,6 @@
     if (m_owner && decoded->epoch > m_epoch) {
         depose();
     }
-    m_hooks.onOwnerChanged();
 }
 
 auto owner_election::considerClaim() -> void
@@ -281,7 +280,6 @@
     if (m_owner && record.epoch > m_epoch) {
         depose();
     }
-    m_hooks.onOwnerChanged();
 }
 
 auto owner_election::formerOwners() const -> std::vector<std::string>
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -22,7 +22,6 @@
     std::function<void(core::monotonic_time, core::duration)> onRenewing; ///< A renewal is sent: time, silence granted.
     std::function<void(core::monotonic_time, core::duration)> onRenewed; ///< It is stored: the same.
     std::function<void()> onDeposed; ///< This process does not own the pools any more.
-    std::function<void()> onOwnerChanged; ///< Another process owns the pools.
     std::function<unsigned()> rank; ///< Position of this process among those that may claim.
 };
 
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -164,10 +164,7 @@
         {{"epoch", epoch()},
          {"workers", m_entries.size()},
          {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(app::monotonicNow() - m_startedAt).count()}});
-    auto waiting = std::exchange(m_waiting, {});
-    for (auto &entry : waiting) {
-        handle(entry.request, std::move(entry.answer));
-    }
+    handleWaiting();
     scheduleTurn(app::monotonicNow());
     later(housekeepingPeriod, &pool_owner::forgetEnded);
 }
@@ -315,8 +312,8 @@
         for (const auto &call : calls) {
             call();
         }
-        if (*alive && !m_turnPlanned) {
-            scheduleTurn(m_lastTurn + (m_turnWanted ? turnPeriod : idleTurnPeriod));
+        if (*alive) {
+            planNextTurn();
         }
     };
     if (changed.empty() && silences.empty()) {
@@ -342,7 +339,14 @@
 auto pool_owner::onStored() -> void
 {
     admitParked();
-    if (m_serving && !m_turnPlanned) {
+    if (m_serving) {
+        planNextTurn();
+    }
+}
+
+auto pool_owner::planNextTurn() -> void
+{
+    if (!m_turnPlanned) {
         scheduleTurn(m_lastTurn + (m_turnWanted ? turnPeriod : idleTurnPeriod));
     }
 }
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -112,7 +112,9 @@
     auto cancel(const client_request &request, const client_answer &answer) -> void;
     auto answerPending(const client_request &request, const client_answer &answer) -> void;
     [[nodiscard]] auto isUnstored(const jobs::job_id &id) const -> bool;
+    auto handleWaiting() -> void;
     auto requestTurn() -> void;
+    auto planNextTurn() -> void;
     auto scheduleTurn(core::monotonic_time due) -> void;
     auto turn() -> void;
     auto onStored() -> void;
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -25,11 +25,14 @@
 
 auto pool_owner::onConfig() -> void
 {
-    if (!m_serving) {
-        return;
+    if (m_serving) {
+        handleWaiting();
     }
-    auto waiting = std::exchange(m_waiting, {});
-    for (auto &entry : waiting) {
+}
+
+auto pool_owner::handleWaiting() -> void
+{
+    for (auto &entry : std::exchange(m_waiting, {})) {
         handle(entry.request, std::move(entry.answer));
     }
 }
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -55,7 +55,6 @@
         state.closed = state.phase == task_phase::closing;
         state.closedAt = now - stopTime;
         state.startedAt = now;
-        state.lastAtWork = now;
     });
     if (kept.phase == job_phase::active) {
         m_activeJobs[kept.queue.pool].insert(kept.id);
@@ -102,12 +101,7 @@
 auto job_engine::pendingCount(const queue_id &queue) const -> std::size_t
 {
     std::size_t count = 0;
-    for (const auto &[pool, ids] : m_activeJobs) {
-        count += static_cast<std::size_t>(std::ranges::count_if(ids, [&](const job_id &id) {
-            const auto &job = m_jobs.at(id.str());
-            return job.queue.name == queue && !job.started;
-        }));
-    }
+    forEachActive([&](const job_record &job) { count += job.queue.name == queue && !job.started ? 1 : 0; });
     return count;
 }
 
@@ -147,6 +141,15 @@
     return m_workers;
 }
 
+auto job_engine::forEachActive(const std::function<void(const job_record &)> &visit) const -> void
+{
+    for (const auto &[pool, ids] : m_activeJobs) {
+        for (const auto &id : ids) {
+            visit(m_jobs.at(id.str()));
+        }
+    }
+}
+
 auto job_engine::jobs() const -> const std::unordered_map<std::string, job_record> &
 {
     return m_jobs;
@@ -174,7 +177,6 @@
     }
     for (const auto &id : forgotten) {
         m_jobs.erase(id.str());
-        m_changed.erase(id);
     }
     return forgotten;
 }
@@ -224,7 +226,6 @@
     state.closed = false;
     state.stopSentAt = {};
     state.startedAt = now;
-    state.lastAtWork = now;
     state.atWork = false;
     state.percent = 0;
     state.pace = 100;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -130,6 +130,9 @@
     /// \brief Workers.
     [[nodiscard]] auto workers() -> worker_table &;
 
+    /// \brief Calls \p visit with each job that has not ended.
+    auto forEachActive(const std::function<void(const job_record &)> &visit) const -> void;
+
     /// \brief All jobs.
     [[nodiscard]] auto jobs() const -> const std::unordered_map<std::string, job_record> &;
 
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -175,7 +175,7 @@
             return;
         }
         copy->placed.insert(task_ref{job.id, occurrence, step, index});
-        copy->used += internal::needOf(spec);
+        internal::occupy(*copy, spec);
         chosen.push_back(workers[static_cast<std::size_t>(copy - copies.data())]);
     }
     for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -172,7 +172,6 @@
     state->load = running.load;
     if (job->spec.steps[task->step].longRunning && running.percent >= 100) {
         state->atWork = true;
-        state->lastAtWork = now;
     }
     // The former owner's stop is refused from now on; whether one is still right is for this owner to decide anew.
     const bool keeps = std::exchange(state->inherited, false) && job->phase == job_phase::active;
--- a/src/poplarpass/jobs/job_order.cpp
+++ b/src/poplarpass/jobs/job_order.cpp
@@ -20,38 +20,27 @@
     return work;
 }
 
-auto isLongRunning(const job_record &job) -> bool
-{
-    return std::ranges::any_of(job.spec.steps, &step_spec::longRunning);
-}
 } // namespace
 
 auto objectiveOf(const job_record &job) -> core::wall_time
 {
-    const auto chain = std::chrono::duration<double, std::micro>{longestChain(job.spec)};
+    const auto chain = std::chrono::duration<double, std::micro>{
+        longestChain(job.spec, [&](std::uint32_t step) { return job.spec.steps[step].estimate; })};
     const auto stretched = std::chrono::duration_cast<core::duration>(chain * job.queue.stretch);
     return job.acceptedAt + stretched + job.queue.targetLatency;
 }
 
 auto remainingChain(const job_record &job) -> std::chrono::milliseconds
 {
-    std::vector<std::chrono::milliseconds> ends;
-    std::chrono::milliseconds longest{0};
-    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-        std::chrono::milliseconds start{0};
-        for (const auto before : job.spec.steps[step].after) {
-            start = std::max(start, ends[before]);
-        }
+    return longestChain(job.spec, [&](std::uint32_t step) {
         const bool open = job.openOf(0, step) > 0;
-        ends.push_back(start + (open ? job.spec.steps[step].estimate : std::chrono::milliseconds{0}));
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
+        return open ? job.spec.steps[step].estimate : std::chrono::milliseconds{0};
+    });
 }
 
 auto rankOf(const job_record &job, core::wall_time now) -> job_rank
 {
-    if (isLongRunning(job)) {
+    if (job.spec.isLongRunning()) {
         return {longRunningTier, job.queue.priority, job.acceptedAt.time_since_epoch().count()};
     }
     if (job.spec.repeatCount > 0) {
--- a/src/poplarpass/jobs/job_spec.h
+++ b/src/poplarpass/jobs/job_spec.h
@@ -3,6 +3,7 @@
 #include <poplarpass/core/string_id.h>
 #include <poplarpass/core/time.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -88,6 +89,12 @@
         return repeatCount == 0 ? 1 : repeatCount;
     }
 
+    /// \brief Whether any step runs until the job is cancelled.
+    [[nodiscard]] auto isLongRunning() const -> bool
+    {
+        return std::ranges::any_of(steps, &step_spec::longRunning);
+    }
+
     auto operator==(const job_spec &) const -> bool = default;
 };
 
--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -1,9 +1,9 @@
+#include <poplarpass/core/number_text.h>
 #include <poplarpass/jobs/job_state.h>
 
 #include <algorithm>
 #include <array>
 #include <cassert>
-#include <charconv>
 
 namespace poplarpass::jobs
 {
@@ -11,16 +11,6 @@
 {
 constexpr std::size_t partsOfTaskName = 4;
 
-auto numberOf(std::string_view text) -> std::optional<std::uint32_t>
-{
-    std::uint32_t number = 0;
-    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (text.empty() || problem != std::errc{} || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return number;
-}
-
 auto splitName(std::string_view text) -> std::vector<std::string_view>
 {
     std::vector<std::string_view> parts;
@@ -133,9 +123,9 @@
     if (parts.size() != partsOfTaskName || parts[0].empty()) {
         return std::nullopt;
     }
-    const auto occurrence = numberOf(parts[1]);
-    const auto step = numberOf(parts[2]);
-    const auto index = numberOf(parts[3]);
+    const auto occurrence = core::wholeNumber<std::uint32_t>(parts[1]);
+    const auto step = core::wholeNumber<std::uint32_t>(parts[2]);
+    const auto index = core::wholeNumber<std::uint32_t>(parts[3]);
     if (!occurrence || !step || !index) {
         return std::nullopt;
     }
@@ -148,16 +138,17 @@
     return names.at(static_cast<std::size_t>(phase));
 }
 
-auto longestChain(const job_spec &spec) -> std::chrono::milliseconds
+auto longestChain(const job_spec &spec, const std::function<std::chrono::milliseconds(std::uint32_t)> &lengthOf)
+    -> std::chrono::milliseconds
 {
     std::vector<std::chrono::milliseconds> ends;
     std::chrono::milliseconds longest{0};
-    for (const auto &step : spec.steps) {
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
         std::chrono::milliseconds start{0};
-        for (const auto before : step.after) {
+        for (const auto before : spec.steps[step].after) {
             start = std::max(start, ends[before]);
         }
-        ends.push_back(start + step.estimate);
+        ends.push_back(start + lengthOf(step));
         longest = std::max(longest, ends.back());
     }
     return longest;
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -42,7 +43,6 @@
     std::uint32_t relocations = 0; ///< Runs that were given up for being slow.
     std::uint32_t percent = 0; ///< Progress or readiness that the worker reported.
     bool atWork = false; ///< Whether a long-running task was reported at work.
-    core::monotonic_time lastAtWork{}; ///< When a long-running task was last seen at work.
     std::int64_t load = 0; ///< Tail of response times in ms, or processor use, as the worker reported.
     std::uint32_t pace = 100; ///< Share at which it may work, percent.
 };
@@ -117,6 +117,8 @@
 /// \brief Name of \p phase in logs.
 auto nameOf(job_phase phase) -> std::string_view;
 
-/// \brief Length of the longest chain of estimates through the steps.
-auto longestChain(const job_spec &spec) -> std::chrono::milliseconds;
+/// \brief Length of the longest chain through the steps.
+/// \param lengthOf length of the step with that number
+auto longestChain(const job_spec &spec, const std::function<std::chrono::milliseconds(std::uint32_t)> &lengthOf)
+    -> std::chrono::milliseconds;
 } // namespace poplarpass::jobs
--- a/src/poplarpass/owner/owner_watch.cpp
+++ b/src/poplarpass/owner/owner_watch.cpp
@@ -1,7 +1,7 @@
+#include <poplarpass/core/number_text.h>
 #include <poplarpass/owner/owner_watch.h>
 
 #include <algorithm>
-#include <charconv>
 #include <vector>
 
 namespace poplarpass::owner
@@ -21,13 +21,6 @@
     }
     return fields;
 }
-
-auto numberOf(std::string_view text) -> std::optional<std::uint64_t>
-{
-    std::uint64_t number = 0;
-    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
-    return problem == std::errc{} && end == text.data() + text.size() ? std::optional{number} : std::nullopt;
-}
 } // namespace
 
 auto silenceFor(core::duration latency) -> core::duration
@@ -47,9 +40,9 @@
     if (fields.size() != fieldCount) {
         return std::nullopt;
     }
-    const auto kind = numberOf(fields[0]);
-    const auto epoch = numberOf(fields[1]);
-    const auto silence = numberOf(fields[4]);
+    const auto kind = core::wholeNumber<std::uint64_t>(fields[0]);
+    const auto epoch = core::wholeNumber<std::uint64_t>(fields[1]);
+    const auto silence = core::wholeNumber<std::uint64_t>(fields[4]);
     if (!kind || !epoch || !silence || *kind > static_cast<std::uint64_t>(owner_record_kind::resignation)) {
         return std::nullopt;
     }
--- a/tests/io/owner_election_test.cpp
+++ b/tests/io/owner_election_test.cpp
@@ -39,8 +39,6 @@
         made.onDeposed = [this] {
             deposed = true;
         };
-        made.onOwnerChanged = [] {
-        };
         made.rank = [] {
             return 0U;
         };
