--- a/src/poplarpass/app/ticker.cpp
+++ b/src/poplarpass/app/ticker.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/app/clock.h>
 #include <poplarpass/app/ticker.h>
 
 #include <boost/asio/io_context.hpp>
@@ -62,4 +63,15 @@
         }
     });
 }
+
+auto timeOf(boost::asio::io_context &loop) -> core::time_source
+{
+    core::time_source time;
+    time.now = monotonicNow;
+    time.wallNow = wallNow;
+    time.callAfter = [&loop](core::duration delay, std::function<void()> callback) {
+        callAfter(loop, delay, std::move(callback));
+    };
+    return time;
+}
 } // namespace poplarpass::app
--- a/src/poplarpass/app/ticker.h
+++ b/src/poplarpass/app/ticker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <poplarpass/core/time.h>
+#include <poplarpass/core/time_source.h>
 
 #include <functional>
 #include <memory>
@@ -34,4 +34,7 @@
 
 /// \brief Calls \p callback once after \p delay on \p loop.
 auto callAfter(boost::asio::io_context &loop, core::duration delay, std::function<void()> callback) -> void;
+
+/// \brief The process's clocks, and a timer on \p loop, which must live as long.
+auto timeOf(boost::asio::io_context &loop) -> core::time_source;
 } // namespace poplarpass::app
--- /dev/null
+++ b/src/poplarpass/host/caller_request.cpp
@@ -0,0 +1,76 @@
+#include <poplarpass/core/number_text.h>
+#include <poplarpass/host/caller_request.h>
+#include <poplarpass/host/constants.h>
+
+#include <algorithm>
+#include <cctype>
+#include <optional>
+
+namespace poplarpass::host
+{
+namespace
+{
+constexpr std::string_view deadlineHeader = "Poplarpass-Deadline-Ms";
+constexpr std::size_t jobIdLength = 16;
+
+auto isJobId(std::string_view text) -> bool
+{
+    return text.size() == jobIdLength
+        && std::ranges::all_of(text, [](unsigned char sign) { return std::isxdigit(sign) != 0; });
+}
+
+auto verbOf(std::string_view method, std::string_view rest) -> std::optional<client_verb>
+{
+    if (rest.empty()) {
+        return method == "GET" ? std::optional{client_verb::pending} : std::nullopt;
+    }
+    if (method == "POST") {
+        return client_verb::submit;
+    }
+    if (method == "GET") {
+        return client_verb::state;
+    }
+    return method == "DELETE" ? std::optional{client_verb::cancel} : std::nullopt;
+}
+
+auto timeFor(const net::http_request &call, std::chrono::milliseconds routeTimeout) -> core::duration
+{
+    const core::duration time = routeTimeout.count() > 0 ? core::duration{routeTimeout} : defaultRequestTime;
+    const auto stated = core::wholeNumber<std::uint64_t>(call.header(deadlineHeader));
+    return stated ? std::min<core::duration>(time, std::chrono::milliseconds{*stated}) : time;
+}
+} // namespace
+
+auto readCallerRequest(const net::http_request &call, const route::route_table &routes)
+    -> tl::expected<caller_request, net::http_response>
+{
+    const auto &config = routes.config();
+    if (config.version == 0) {
+        return tl::unexpected{refusalResponse(503, "no_configuration", retryAfterSeconds)};
+    }
+    const auto hostName = call.header("Host");
+    const auto path = call.path();
+    const auto match = routes.match(hostName, path);
+    if (match.matched == nullptr) {
+        return tl::unexpected{plainResponse(404, "no_such_queue")};
+    }
+    const auto verb = verbOf(call.method, match.rest);
+    if (!verb) {
+        return tl::unexpected{plainResponse(405, "bad_method")};
+    }
+    if (*verb != client_verb::pending && !isJobId(match.rest)) {
+        return tl::unexpected{plainResponse(400, "bad_job_id")};
+    }
+    if (call.body.size() > config.maxBodyBytes) {
+        return tl::unexpected{plainResponse(413, "body_too_large")};
+    }
+    caller_request read;
+    read.request.verb = *verb;
+    read.request.job = jobs::job_id{std::string{match.rest}};
+    read.request.hostName = hostName;
+    read.request.path = path;
+    read.request.body = call.body;
+    read.time = timeFor(call, match.matched->timeout);
+    return read;
+}
+} // namespace poplarpass::host
--- a/src/poplarpass/host/capacity_keeper.cpp
+++ b/src/poplarpass/host/capacity_keeper.cpp
@@ -1,5 +1,3 @@
-#include <poplarpass/app/clock.h>
-#include <poplarpass/app/ticker.h>
 #include <poplarpass/core/number_text.h>
 #include <poplarpass/host/capacity_keeper.h>
 #include <poplarpass/host/constants.h>
@@ -47,20 +45,6 @@
 {
 }
 
-capacity_keeper::~capacity_keeper()
-{
-    *m_alive = false;
-}
-
-auto capacity_keeper::later(core::duration delay, void (capacity_keeper::*step)()) -> void
-{
-    app::callAfter(m_env.loop, delay, [this, alive = m_alive, step] {
-        if (*alive) {
-            (this->*step)();
-        }
-    });
-}
-
 auto capacity_keeper::start(const store::newest_result &stored) -> void
 {
     for (const auto &record : stored.records) {
@@ -92,10 +76,10 @@
         readable = number.has_value();
         if (number) {
             // Hosts' clocks differ a little, and an order takes a moment from its record to its effect.
-            const auto age = app::wallNow() - core::fromUnixMilliseconds(*number);
+            const auto age = m_env.time.wallNow() - core::fromUnixMilliseconds(*number);
             const auto wait = std::clamp<core::duration>(m_env.holderTerm + holderMargin - age, core::duration{0},
                                                          m_env.holderTerm + holderMargin);
-            m_planner.restoreOrder(core::host_id{std::string{rest}}, app::monotonicNow() + wait);
+            m_planner.restoreOrder(core::host_id{std::string{rest}}, m_env.time.now() + wait);
         }
     }
     if (!readable) {
@@ -105,7 +89,7 @@
 
 auto capacity_keeper::onJob(const jobs::job_record &job) -> void
 {
-    m_planner.onJob(job, app::monotonicNow());
+    m_planner.onJob(job, m_env.time.now());
 }
 
 auto capacity_keeper::isAwaitingHosts() const -> bool
@@ -115,13 +99,10 @@
 
 auto capacity_keeper::readHosts() -> void
 {
-    const auto askedAt = app::monotonicNow();
-    m_env.hosts.list([this, alive = m_alive, askedAt](const std::optional<std::vector<capacity::host_entry>> &hosts) {
-        if (!*alive) {
-            return;
-        }
+    const auto askedAt = m_env.time.now();
+    m_env.hosts.list(m_life.guard([this, askedAt](const std::optional<std::vector<capacity::host_entry>> &hosts) {
         if (hosts) {
-            m_planner.updateHosts(*hosts, askedAt, app::monotonicNow());
+            m_planner.updateHosts(*hosts, askedAt, m_env.time.now());
             m_env.onChange();
         }
         if (std::exchange(m_hostsLost, !hosts) != m_hostsLost) {
@@ -129,8 +110,9 @@
                           hosts ? "host_service_regained" : "host_service_lost",
                           {{"effect", hosts ? "none" : "no_moves_no_maintenance"}});
         }
-        later(m_planner.isAwaitingHosts() ? hostListBusyPeriod : hostListPeriod, &capacity_keeper::readHosts);
-    });
+        m_env.time.callAfter(m_planner.isAwaitingHosts() ? hostListBusyPeriod : hostListPeriod,
+                             m_life.guard([this] { readHosts(); }));
+    }));
 }
 
 auto capacity_keeper::readWaves() -> void
@@ -146,7 +128,7 @@
             continue;
         }
         // The time of a wave counts from when its first owner saw it.
-        const auto now = app::wallNow();
+        const auto now = m_env.time.wallNow();
         const auto [known, isNew] = m_waveDeadlines.try_emplace(wave->number, now + wave->duration);
         if (isNew) {
             m_env.stored.writeRecord({deadlinePrefix + std::to_string(wave->number),
@@ -159,13 +141,13 @@
                        {"hosts", wave->hosts.size()},
                        {"cap", wave->cap},
                        {"rest_ms", wave->duration.count()}});
-        m_planner.addWave(*wave, app::monotonicNow());
+        m_planner.addWave(*wave, m_env.time.now());
     }
 }
 
 auto capacity_keeper::plan() -> void
 {
-    const auto now = app::monotonicNow();
+    const auto now = m_env.time.now();
     if (now - m_lastPlan < capacityPlanPeriod || !m_env.mayOrder()) {
         return;
     }
@@ -200,29 +182,23 @@
 // The next owner must know of the order when it is carried out, so that it does not give another one too soon.
 auto capacity_keeper::record(const capacity::host_order &order) -> void
 {
-    m_env.stored.writeRecord({orderPrefix + order.host.str(), std::to_string(core::toUnixMilliseconds(app::wallNow()))},
-                             [this, alive = m_alive, order] {
-                                 if (!*alive) {
-                                     return;
-                                 }
-                                 if (m_env.mayOrder()) {
-                                     give(order);
-                                 } else {
-                                     m_planner.onOrderAnswer(order, capacity::host_order_outcome::failed,
-                                                             app::monotonicNow());
-                                 }
-                             });
+    m_env.stored.writeRecord(
+        {orderPrefix + order.host.str(), std::to_string(core::toUnixMilliseconds(m_env.time.wallNow()))},
+        m_life.guard([this, order] {
+            if (m_env.mayOrder()) {
+                give(order);
+            } else {
+                m_planner.onOrderAnswer(order, capacity::host_order_outcome::failed, m_env.time.now());
+            }
+        }));
 }
 
 auto capacity_keeper::give(const capacity::host_order &order) -> void
 {
     const auto worker = m_planner.workerOf(order.host);
-    m_env.hosts.order(m_env.holder, order,
-                      [this, alive = m_alive, order, worker](capacity::host_order_outcome outcome) {
-                          if (*alive) {
-                              onAnswer(order, worker, outcome);
-                          }
-                      });
+    m_env.hosts.order(m_env.holder, order, m_life.guard([this, order, worker](capacity::host_order_outcome outcome) {
+        onAnswer(order, worker, outcome);
+    }));
 }
 
 auto capacity_keeper::onAnswer(const capacity::host_order &order, const jobs::worker_id &worker,
@@ -235,9 +211,9 @@
                    {"wave", order.wave},
                    {"token", m_env.holder.fencingToken},
                    {"outcome", nameOf(outcome)}});
-    m_planner.onOrderAnswer(order, outcome, app::monotonicNow());
+    m_planner.onOrderAnswer(order, outcome, m_env.time.now());
     if (outcome == capacity::host_order_outcome::done) {
-        m_env.engine.onWorkerEnded(worker, app::monotonicNow());
+        m_env.engine.onWorkerEnded(worker, m_env.time.now());
     }
     if (outcome == capacity::host_order_outcome::fenced) {
         m_env.onFenced();
@@ -278,12 +254,10 @@
     request.to = store::topic::status_records;
     request.keyedRecords.push_back({m_statusWrites.front().key, m_statusWrites.front().value});
     request.fence = store::writer_fence{m_env.holder.fencingToken, m_statusSequence};
-    m_env.records.append(std::move(request), [this, alive = m_alive](const store::append_result &answer) {
-        if (*alive) {
-            m_statusBusy = false;
-            onStatusWritten(answer);
-        }
-    });
+    m_env.records.append(std::move(request), m_life.guard([this](const store::append_result &answer) {
+        m_statusBusy = false;
+        onStatusWritten(answer);
+    }));
 }
 
 auto capacity_keeper::onStatusWritten(const store::append_result &answer) -> void
@@ -296,7 +270,7 @@
         return;
     case store::append_outcome::refused:
     case store::append_outcome::unknown:
-        later(storeRetry, &capacity_keeper::writeStatus);
+        m_env.time.callAfter(storeRetry, m_life.guard([this] { writeStatus(); }));
         return;
     case store::append_outcome::fenced:
     case store::append_outcome::conflict:
--- a/src/poplarpass/host/capacity_keeper.h
+++ b/src/poplarpass/host/capacity_keeper.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <poplarpass/capacity/capacity_planner.h>
-#include <poplarpass/core/error.h>
+#include <poplarpass/core/lifetime.h>
+#include <poplarpass/core/time_source.h>
 #include <poplarpass/host/host_calls.h>
 #include <poplarpass/host/journal.h>
+#include <poplarpass/host/wave_codec.h>
 #include <poplarpass/observe/logger.h>
 #include <poplarpass/store/record_store.h>
 
@@ -15,18 +17,10 @@
 
 namespace poplarpass::host
 {
-/// \brief How waves are read and reported.
-struct wave_codec
-{
-    std::string keyPrefix; ///< Keys of waves among the operator's and the status records begin with this.
-    std::function<core::result<capacity::wave_request>(std::string_view)> decode; ///< Reads a wave.
-    std::function<std::string(bool)> encodeStatus; ///< Report of a wave: whether it is completed.
-};
-
 /// \brief What the keeper needs of its owner.
 struct capacity_environment
 {
-    boost::asio::io_context &loop; ///< Event loop.
+    const core::time_source &time; ///< Clocks and timer.
     const store::record_store &records; ///< The store.
     const host_calls &hosts; ///< Calls of the platform's service for hosts.
     const wave_codec &waves; ///< Reads and reports waves.
@@ -47,9 +41,6 @@
 {
 public:
     explicit capacity_keeper(capacity_environment environment);
-    ~capacity_keeper();
-    capacity_keeper(const capacity_keeper &) = delete;
-    auto operator=(const capacity_keeper &) -> capacity_keeper & = delete;
 
     /// \brief Takes in what former owners recorded, and begins.
     auto start(const store::newest_result &stored) -> void;
@@ -82,7 +73,6 @@
     auto queueStatus() -> void;
     auto writeStatus() -> void;
     auto onStatusWritten(const store::append_result &answer) -> void;
-    auto later(core::duration delay, void (capacity_keeper::*step)()) -> void;
 
     capacity_environment m_env;
     capacity::capacity_planner m_planner;
@@ -94,6 +84,6 @@
     bool m_hostsLost = false;
     core::monotonic_time m_lastPlan{};
     core::monotonic_time m_lastLoadLog{};
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    core::lifetime m_life;
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/host/client_request.cpp
+++ b/src/poplarpass/host/client_request.cpp
@@ -1,6 +1,7 @@
 #include <poplarpass/host/client_request.h>
 #include <poplarpass/host/constants.h>
 
+#include <array>
 #include <memory>
 #include <utility>
 
@@ -37,6 +38,12 @@
 };
 } // namespace
 
+auto nameOf(client_verb verb) -> std::string_view
+{
+    static constexpr std::array<std::string_view, 4> names{"submit", "state", "cancel", "pending"};
+    return names.at(static_cast<std::size_t>(verb));
+}
+
 auto answeredOnce(client_answer answer) -> client_answer
 {
     return [guard = std::make_shared<answer_guard>(std::move(answer))](net::http_response response) {
--- a/src/poplarpass/host/client_request.h
+++ b/src/poplarpass/host/client_request.h
@@ -19,6 +19,9 @@
     pending, ///< How many jobs of the queue wait.
 };
 
+/// \brief Name of \p verb in logs and metrics.
+auto nameOf(client_verb verb) -> std::string_view;
+
 /// \brief A caller's request, at any host.
 struct client_request
 {
--- a/src/poplarpass/host/config_follower.cpp
+++ b/src/poplarpass/host/config_follower.cpp
@@ -1,4 +1,3 @@
-#include <poplarpass/app/ticker.h>
 #include <poplarpass/host/config_follower.h>
 #include <poplarpass/host/constants.h>
 
@@ -8,10 +7,10 @@
 {
 using observe::log_level;
 
-config_follower::config_follower(boost::asio::io_context &loop, const store::record_store &records,
+config_follower::config_follower(const core::time_source &time, const store::record_store &records,
                                  observe::logger &log, operator_decoder decoder, route::route_table &routes,
                                  std::function<void()> onConfig)
-    : m_loop{loop}
+    : m_time{time}
     , m_store{records}
     , m_log{log}
     , m_decoder{std::move(decoder)}
@@ -20,20 +19,6 @@
 {
 }
 
-config_follower::~config_follower()
-{
-    *m_alive = false;
-}
-
-auto config_follower::later(core::duration delay, void (config_follower::*step)()) -> void
-{
-    app::callAfter(m_loop, delay, [this, alive = m_alive, step] {
-        if (*alive) {
-            (this->*step)();
-        }
-    });
-}
-
 auto config_follower::start() -> void
 {
     readAll();
@@ -41,18 +26,15 @@
 
 auto config_follower::readAll() -> void
 {
-    m_store.newest(store::topic::operator_records, [this, alive = m_alive](const store::newest_result &newest) {
-        if (*alive) {
-            onAll(newest);
-        }
-    });
+    m_store.newest(store::topic::operator_records,
+                   m_life.guard([this](const store::newest_result &newest) { onAll(newest); }));
 }
 
 auto config_follower::onAll(const store::newest_result &newest) -> void
 {
     if (!newest.complete) {
         lost();
-        later(storeRetry, &config_follower::readAll);
+        m_time.callAfter(storeRetry, m_life.guard([this] { readAll(); }));
         return;
     }
     m_otherRecords.clear();
@@ -67,11 +49,7 @@
 auto config_follower::follow() -> void
 {
     m_store.read(store::topic::operator_records, m_offset, operatorWait,
-                 [this, alive = m_alive](const store::read_result &result) {
-                     if (*alive) {
-                         onRecords(result);
-                     }
-                 });
+                 m_life.guard([this](const store::read_result &result) { onRecords(result); }));
 }
 
 auto config_follower::onRecords(const store::read_result &result) -> void
@@ -79,7 +57,7 @@
     switch (result.outcome) {
     case store::read_outcome::failed:
         lost();
-        later(storeRetry, &config_follower::follow);
+        m_time.callAfter(storeRetry, m_life.guard([this] { follow(); }));
         return;
     case store::read_outcome::expired:
         readAll();
@@ -94,7 +72,7 @@
         take(record);
         m_offset = record.offset + 1;
     }
-    later(core::duration{0}, &config_follower::follow);
+    m_time.callAfter(core::duration{0}, m_life.guard([this] { follow(); }));
 }
 
 auto config_follower::take(const store::stored_record &record) -> void
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -40,7 +40,9 @@
 inline constexpr std::chrono::milliseconds operatorWait{700};
 /// \brief A read of the ownership waits this long for a record.
 inline constexpr std::chrono::milliseconds ownershipWait{1000};
-/// \brief The same when a claim is due soon.
+/// \brief Between reads of the ownership while records come.
+inline constexpr core::duration ownershipGap = std::chrono::milliseconds{20};
+/// \brief A read of the ownership waits this long when a claim is due soon.
 inline constexpr std::chrono::milliseconds shortestOwnershipWait{30};
 /// \brief Between attempts of a call of the store that failed.
 inline constexpr core::duration storeRetry = std::chrono::milliseconds{150};
--- /dev/null
+++ b/src/poplarpass/host/host_core.cpp
@@ -0,0 +1,203 @@
+#include <poplarpass/host/constants.h>
+#include <poplarpass/host/host_core.h>
+
+#include <functional>
+#include <utility>
+
+namespace poplarpass::host
+{
+using observe::log_level;
+
+namespace
+{
+constexpr unsigned rankCount = 4;
+constexpr core::duration freshStart = std::chrono::seconds{15};
+} // namespace
+
+host_core::host_core(host_environment environment)
+    : m_env{std::move(environment)}
+    , m_startedAt{m_env.time.now()}
+    , m_config{m_env.time,
+               m_env.records,
+               m_env.log,
+               m_env.decoders.operators,
+               m_routes,
+               [this] {
+                   if (m_owner) {
+                       m_owner->onConfig();
+                   }
+               }}
+    , m_election{m_env.time, m_env.records, m_env.log, m_env.name, m_env.address, makeElectionHooks()}
+    , m_announcer{m_env.time, m_env.records, m_env.peers, m_env.log, m_env.name, m_env.address}
+    , m_forwarder{makeForwarder()}
+{
+}
+
+auto host_core::makeForwarder() -> request_forwarder
+{
+    return request_forwarder{
+        {m_env.time, m_env.peers, m_routes, m_env.log,
+         [this](const client_request &request, client_answer answer) { return handleHere(request, std::move(answer)); },
+         [this] {
+             return ownerAddress();
+         }}};
+}
+
+auto host_core::makeElectionHooks() -> election_hooks
+{
+    election_hooks hooks;
+    hooks.onElected = [this](std::uint64_t epoch, core::monotonic_time claimedAt) {
+        onElected(epoch, claimedAt);
+    };
+    hooks.onRenewing = [this](core::monotonic_time sentAt, core::duration silence) {
+        if (m_owner) {
+            m_owner->onRenewing(sentAt, silence);
+        }
+    };
+    hooks.onRenewed = [this](core::monotonic_time sentAt, core::duration silence) {
+        if (m_owner) {
+            m_owner->onRenewed(sentAt, silence);
+        }
+    };
+    hooks.onDeposed = [this] {
+        onDeposed();
+    };
+    hooks.rank = [this] {
+        return rank();
+    };
+    return hooks;
+}
+
+auto host_core::start() -> void
+{
+    m_announcer.enrol();
+    m_config.start();
+    m_election.start();
+}
+
+auto host_core::onElected(std::uint64_t epoch, core::monotonic_time claimedAt) -> void
+{
+    pool_owner_environment environment{
+        m_env.time,
+        m_env.records,
+        m_env.workers,
+        m_routes,
+        m_env.log,
+        m_env.metrics,
+        m_env.decoders,
+        m_env.advice,
+        m_env.hosts,
+        m_env.name,
+        m_env.holderTerm,
+        [this]() -> const std::map<std::string, std::string> & { return m_config.otherRecords(); },
+        [this] {
+            onDeposed();
+        }};
+    m_owner = std::make_unique<pool_owner>(std::move(environment), epoch, claimedAt, m_election.formerOwners());
+    m_owner->start();
+    m_announcer.announce({owner::owner_record_kind::claim, epoch, m_env.name, m_env.address, owner::longSilence},
+                         [this](const std::string &host) {
+                             if (m_owner) {
+                                 m_owner->onConfirmed(host);
+                             }
+                         });
+}
+
+auto host_core::onDeposed() -> void
+{
+    if (m_owner) {
+        m_env.log.log(log_level::warning, "owner_ends", {{"epoch", m_owner->epoch()}});
+        m_owner.reset();
+    }
+    m_announcer.stop();
+    m_election.drop();
+}
+
+auto host_core::take(client_request request, core::duration time, client_answer answer) -> void
+{
+    m_forwarder.take(std::move(request), time, std::move(answer));
+}
+
+auto host_core::takeHanded(const client_request &request, client_answer answer) -> void
+{
+    if (m_owner) {
+        m_owner->handle(request, std::move(answer));
+    } else {
+        answer(plainResponse(notOwnerStatus, "not_owner"));
+    }
+}
+
+auto host_core::handleHere(const client_request &request, client_answer answer) -> bool
+{
+    if (!m_owner) {
+        return false;
+    }
+    m_owner->handle(request, std::move(answer));
+    return true;
+}
+
+auto host_core::onAnnouncement(const owner::owner_record &record) -> void
+{
+    m_election.onAnnouncement(record);
+}
+
+auto host_core::standDown() -> void
+{
+    m_stopping = true;
+    m_election.standAside();
+    const auto resignation = [this] {
+        m_election.resign([this] {
+            m_env.log.log(log_level::info, "resigned", {});
+            m_announcer.stop();
+            m_owner.reset();
+        });
+    };
+    if (m_owner && m_owner->isServing()) {
+        m_owner->resign(resignation);
+    } else {
+        resignation();
+    }
+}
+
+auto host_core::ownerAddress() const -> std::optional<std::string>
+{
+    const auto &current = m_election.current();
+    if (!current || current->host == m_env.name) {
+        return std::nullopt;
+    }
+    return current->address;
+}
+
+// Mostly different between hosts. When hosts are restarted in turn, one that was restarted a moment ago stays.
+auto host_core::rank() const -> unsigned
+{
+    const auto byName = static_cast<unsigned>(std::hash<std::string>{}(m_env.name) % rankCount);
+    const bool fresh = m_env.time.now() - m_startedAt < freshStart;
+    return fresh ? byName : byName + rankCount;
+}
+
+auto host_core::isReady() const -> bool
+{
+    return !m_stopping && m_routes.config().version > 0 && m_election.current().has_value();
+}
+
+auto host_core::ownsPools() const -> bool
+{
+    return m_owner != nullptr;
+}
+
+auto host_core::routes() const -> const route::route_table &
+{
+    return m_routes;
+}
+
+auto host_core::updateMetrics() -> void
+{
+    if (m_owner) {
+        m_owner->updateMetrics();
+    }
+    m_env.metrics.gaugeOf("poplarpass_config_version", "Configuration in force")
+        .set(static_cast<double>(m_routes.config().version));
+    m_env.metrics.gaugeOf("poplarpass_owns_pools", "Whether this host owns the pools").set(m_owner ? 1 : 0);
+}
+} // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/host_core.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <poplarpass/host/config_follower.h>
+#include <poplarpass/host/owner_announcer.h>
+#include <poplarpass/host/owner_election.h>
+#include <poplarpass/host/peer_calls.h>
+#include <poplarpass/host/pool_owner.h>
+#include <poplarpass/host/request_forwarder.h>
+#include <poplarpass/observe/logger.h>
+#include <poplarpass/observe/metrics.h>
+#include <poplarpass/route/route_table.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace poplarpass::host
+{
+/// \brief What a host needs of its process.
+struct host_environment
+{
+    std::string name; ///< Name of this host.
+    std::string address; ///< "IP:port" at which other hosts reach it.
+    core::duration holderTerm{}; ///< Term within which orders for one host of workers come from one holder.
+    const core::time_source &time; ///< Clocks and timer.
+    const store::record_store &records; ///< The store.
+    const worker_calls &workers; ///< Calls of workers.
+    const host_calls &hosts; ///< Calls of the platform's service for hosts.
+    const advice_calls &advice; ///< Calls of the service for advice.
+    const peer_calls &peers; ///< Calls of the other hosts.
+    const platform_decoders &decoders; ///< Formats of the platform.
+    observe::logger &log; ///< Event log.
+    observe::metrics_registry &metrics; ///< Metrics.
+};
+
+/// \brief All that a host does, without sockets, signals and clocks of its own.
+class host_core
+{
+public:
+    explicit host_core(host_environment environment);
+
+    /// \brief Begins to follow the store; from then on this host may come to own the pools.
+    auto start() -> void;
+
+    /// \brief Answers a caller's \p request once, at the latest shortly before \p time has passed.
+    auto take(client_request request, core::duration time, client_answer answer) -> void;
+
+    /// \brief Answers a request that another host handed on; with notOwnerStatus if this host does not own the pools.
+    auto takeHanded(const client_request &request, client_answer answer) -> void;
+
+    /// \brief Another host announced an owner.
+    auto onAnnouncement(const owner::owner_record &record) -> void;
+
+    /// \brief Never owns the pools again; hands them over if it does. Requests go on being served.
+    auto standDown() -> void;
+
+    /// \brief Whether callers can be served here.
+    [[nodiscard]] auto isReady() const -> bool;
+
+    /// \brief Whether this host owns the pools.
+    [[nodiscard]] auto ownsPools() const -> bool;
+
+    /// \brief Configuration in force here.
+    [[nodiscard]] auto routes() const -> const route::route_table &;
+
+    /// \brief Brings the gauges of what is believed up to date.
+    auto updateMetrics() -> void;
+
+private:
+    auto makeElectionHooks() -> election_hooks;
+    auto makeForwarder() -> request_forwarder;
+    auto onElected(std::uint64_t epoch, core::monotonic_time claimedAt) -> void;
+    auto onDeposed() -> void;
+    auto handleHere(const client_request &request, client_answer answer) -> bool;
+    [[nodiscard]] auto ownerAddress() const -> std::optional<std::string>;
+    [[nodiscard]] auto rank() const -> unsigned;
+
+    host_environment m_env;
+    core::monotonic_time m_startedAt;
+    route::route_table m_routes;
+    config_follower m_config;
+    owner_election m_election;
+    owner_announcer m_announcer;
+    request_forwarder m_forwarder;
+    std::unique_ptr<pool_owner> m_owner;
+    bool m_stopping = false;
+};
+} // namespace poplarpass::host
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -1,5 +1,3 @@
-#include <poplarpass/app/clock.h>
-#include <poplarpass/app/ticker.h>
 #include <poplarpass/codec/job_codec.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/journal.h>
@@ -45,9 +43,9 @@
 }
 } // namespace
 
-journal::journal(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
+journal::journal(const core::time_source &time, const store::record_store &records, observe::logger &log,
                  std::uint64_t epoch, fenced_hook onFenced, std::function<void()> onIdle)
-    : m_loop{loop}
+    : m_time{time}
     , m_store{records}
     , m_log{log}
     , m_epoch{epoch}
@@ -151,7 +149,7 @@
 
 auto journal::stop() -> void
 {
-    *m_alive = false;
+    m_life.end();
     m_batches.clear();
 }
 
@@ -159,7 +157,7 @@
 {
     if (!m_busy && !m_batches.empty()) {
         m_busy = true;
-        m_sentAt = app::monotonicNow();
+        m_sentAt = m_time.now();
         send();
     }
 }
@@ -170,11 +168,7 @@
     request.to = store::topic::jobs;
     request.keyedRecords = m_batches.front().records;
     request.fence = store::writer_fence{m_epoch, m_sequence};
-    m_store.append(std::move(request), [this, alive = m_alive](const store::append_result &answer) {
-        if (*alive) {
-            onAnswer(answer);
-        }
-    });
+    m_store.append(std::move(request), m_life.guard([this](const store::append_result &answer) { onAnswer(answer); }));
 }
 
 auto journal::onAnswer(const store::append_result &answer) -> void
@@ -204,7 +198,7 @@
     m_busy = false;
     const auto stored = std::move(m_batches.front());
     m_batches.pop_front();
-    const auto alive = m_alive;
+    const auto alive = m_life.flag();
     for (const auto &call : stored.afterwards) {
         call();
         if (!*alive) {
@@ -220,11 +214,7 @@
 
 auto journal::retryLater() -> void
 {
-    app::callAfter(m_loop, storeRetry, [this, alive = m_alive] {
-        if (*alive) {
-            send();
-        }
-    });
+    m_time.callAfter(storeRetry, m_life.guard([this] { send(); }));
 }
 
 auto restoreJobs(const store::newest_result &newest, observe::logger &log) -> std::vector<jobs::job_record>
--- a/src/poplarpass/host/journal.h
+++ b/src/poplarpass/host/journal.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <poplarpass/core/lifetime.h>
+#include <poplarpass/core/time_source.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/observe/logger.h>
 #include <poplarpass/store/record_store.h>
@@ -14,11 +16,6 @@
 #include <unordered_set>
 #include <vector>
 
-namespace boost::asio
-{
-class io_context;
-} // namespace boost::asio
-
 namespace poplarpass::host
 {
 /// \brief Stores the jobs of one owner, batch after batch, and then lets go of what had to wait for it.
@@ -32,7 +29,7 @@
     using fenced_hook = std::function<void()>;
 
     /// \param onIdle called whenever everything is stored
-    journal(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
+    journal(const core::time_source &time, const store::record_store &records, observe::logger &log,
             std::uint64_t epoch, fenced_hook onFenced, std::function<void()> onIdle);
 
     /// \brief Makes all appends of earlier owners fail from now on, then calls \p done.
@@ -76,7 +73,7 @@
     auto onAnswer(const store::append_result &answer) -> void;
     auto retryLater() -> void;
 
-    boost::asio::io_context &m_loop;
+    const core::time_source &m_time;
     const store::record_store &m_store;
     observe::logger &m_log;
     std::uint64_t m_epoch;
@@ -88,7 +85,7 @@
     bool m_busy = false;
     bool m_troubled = false;
     core::monotonic_time m_sentAt{};
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    core::lifetime m_life;
 };
 
 /// \brief Jobs read back from the store.
--- a/src/poplarpass/host/owner_announcer.cpp
+++ b/src/poplarpass/host/owner_announcer.cpp
@@ -1,4 +1,3 @@
-#include <poplarpass/app/ticker.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/owner_announcer.h>
 
@@ -8,10 +7,10 @@
 {
 using observe::log_level;
 
-owner_announcer::owner_announcer(boost::asio::io_context &loop, const store::record_store &records,
-                                 net::http_client &peers, observe::logger &log, std::string hostName,
+owner_announcer::owner_announcer(const core::time_source &time, const store::record_store &records,
+                                 const peer_calls &peers, observe::logger &log, std::string hostName,
                                  std::string address)
-    : m_loop{loop}
+    : m_time{time}
     , m_store{records}
     , m_peers{peers}
     , m_log{log}
@@ -20,31 +19,21 @@
 {
 }
 
-owner_announcer::~owner_announcer()
-{
-    *m_alive = false;
-}
-
 auto owner_announcer::enrol() -> void
 {
     store::append_request request;
     request.to = store::topic::hosts;
     request.keyedRecords.push_back({m_hostName, m_address});
-    m_store.append(std::move(request), [this, alive = m_alive](const store::append_result &answer) {
-        if (!*alive || answer.outcome == store::append_outcome::appended) {
-            return;
+    m_store.append(std::move(request), m_life.guard([this](const store::append_result &answer) {
+        if (answer.outcome != store::append_outcome::appended) {
+            m_time.callAfter(storeRetry, m_life.guard([this] { enrol(); }));
         }
-        app::callAfter(m_loop, storeRetry, [this, alive] {
-            if (*alive) {
-                enrol();
-            }
-        });
-    });
+    }));
 }
 
 auto owner_announcer::announce(const owner::owner_record &record, confirmed_hook onConfirmed) -> void
 {
-    m_announcement = owner::encodeOwnerRecord(record);
+    m_announcement = record;
     m_onConfirmed = std::move(onConfirmed);
     m_confirmed.clear();
     round(++m_serial);
@@ -59,8 +48,8 @@
 // The list is read in each round, so that a host that came since is told too.
 auto owner_announcer::round(std::uint64_t serial) -> void
 {
-    m_store.newest(store::topic::hosts, [this, alive = m_alive, serial](const store::newest_result &newest) {
-        if (!*alive || serial != m_serial) {
+    m_store.newest(store::topic::hosts, m_life.guard([this, serial](const store::newest_result &newest) {
+        if (serial != m_serial) {
             return;
         }
         for (const auto &record : newest.records) {
@@ -73,31 +62,21 @@
                 tell(host, address, serial);
             }
         }
-        app::callAfter(m_loop, allKnow ? announcementPeriod : announcementRetry, [this, alive, serial] {
-            if (*alive && serial == m_serial) {
+        m_time.callAfter(allKnow ? announcementPeriod : announcementRetry, m_life.guard([this, serial] {
+            if (serial == m_serial) {
                 round(serial);
             }
-        });
-    });
+        }));
+    }));
 }
 
 auto owner_announcer::tell(const std::string &host, const std::string &address, std::uint64_t serial) -> void
 {
-    net::http_request call;
-    call.method = "POST";
-    call.target = "/owner";
-    call.headers.push_back({std::string{ownerHeader}, m_announcement});
-    m_peers.send(
-        address, std::move(call), announcementTimeout,
-        [this, alive = m_alive, host, serial](const core::result<net::http_response> &answer, net::sent_state) {
-            if (!*alive || serial != m_serial) {
-                return;
-            }
-            const bool taken = answer && answer->status == 200;
-            if (taken && !std::exchange(m_confirmed[host], true)) {
-                m_log.log(log_level::info, "owner_announced", {{"host", host}});
-                m_onConfirmed(host);
-            }
-        });
+    m_peers.announce(address, m_announcement, m_life.guard([this, host, serial](bool noted) {
+        if (serial == m_serial && noted && !std::exchange(m_confirmed[host], true)) {
+            m_log.log(log_level::info, "owner_announced", {{"host", host}});
+            m_onConfirmed(host);
+        }
+    }));
 }
 } // namespace poplarpass::host
--- a/src/poplarpass/host/owner_announcer.h
+++ b/src/poplarpass/host/owner_announcer.h
@@ -1,6 +1,8 @@
 #pragma once
 
-#include <poplarpass/net/http_client.h>
+#include <poplarpass/core/lifetime.h>
+#include <poplarpass/core/time_source.h>
+#include <poplarpass/host/peer_calls.h>
 #include <poplarpass/observe/logger.h>
 #include <poplarpass/owner/owner_watch.h>
 #include <poplarpass/store/record_store.h>
@@ -10,16 +12,8 @@
 #include <memory>
 #include <string>
 
-namespace boost::asio
-{
-class io_context;
-} // namespace boost::asio
-
 namespace poplarpass::host
 {
-/// \brief Header that carries an announcement of the owner between hosts.
-inline constexpr std::string_view ownerHeader = "X-Poplarpass-Owner";
-
 /// \brief Tells the other hosts who owns the pools, so that a host that cannot reach the store finds the owner.
 class owner_announcer
 {
@@ -27,11 +21,8 @@
     /// \brief Called with the name of a host that has taken note of an announcement: it gives no orders any more.
     using confirmed_hook = std::function<void(const std::string &)>;
 
-    owner_announcer(boost::asio::io_context &loop, const store::record_store &records, net::http_client &peers,
+    owner_announcer(const core::time_source &time, const store::record_store &records, const peer_calls &peers,
                     observe::logger &log, std::string hostName, std::string address);
-    ~owner_announcer();
-    owner_announcer(const owner_announcer &) = delete;
-    auto operator=(const owner_announcer &) -> owner_announcer & = delete;
 
     /// \brief Records this host among the hosts, until that is stored.
     auto enrol() -> void;
@@ -46,17 +37,17 @@
     auto round(std::uint64_t serial) -> void;
     auto tell(const std::string &host, const std::string &address, std::uint64_t serial) -> void;
 
-    boost::asio::io_context &m_loop;
+    const core::time_source &m_time;
     const store::record_store &m_store;
-    net::http_client &m_peers;
+    const peer_calls &m_peers;
     observe::logger &m_log;
     std::string m_hostName;
     std::string m_address;
-    std::string m_announcement;
+    owner::owner_record m_announcement;
     confirmed_hook m_onConfirmed;
     std::map<std::string, std::string> m_hosts;
     std::map<std::string, bool> m_confirmed;
     std::uint64_t m_serial = 0;
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    core::lifetime m_life;
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -1,5 +1,3 @@
-#include <poplarpass/app/clock.h>
-#include <poplarpass/app/ticker.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/owner_election.h>
 
@@ -10,9 +8,9 @@
 {
 using observe::log_level;
 
-owner_election::owner_election(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
+owner_election::owner_election(const core::time_source &time, const store::record_store &records, observe::logger &log,
                                std::string hostName, std::string address, election_hooks hooks)
-    : m_loop{loop}
+    : m_time{time}
     , m_store{records}
     , m_log{log}
     , m_hostName{std::move(hostName)}
@@ -21,20 +19,6 @@
 {
 }
 
-owner_election::~owner_election()
-{
-    *m_alive = false;
-}
-
-auto owner_election::later(core::duration delay, void (owner_election::*step)()) -> void
-{
-    app::callAfter(m_loop, delay, [this, alive = m_alive, step] {
-        if (*alive) {
-            (this->*step)();
-        }
-    });
-}
-
 auto owner_election::start() -> void
 {
     read();
@@ -44,15 +28,12 @@
 auto owner_election::read() -> void
 {
     const auto due = m_watch.claimDue(m_hostName, m_hooks.rank());
-    const auto untilDue = due ? *due - app::monotonicNow() : core::duration{0};
+    const auto untilDue = due ? *due - m_time.now() : core::duration{0};
     const auto rest = m_owner ? core::duration{ownershipWait} : untilDue;
     const auto wait =
         std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(rest), shortestOwnershipWait, ownershipWait);
-    m_store.read(store::topic::ownership, m_offset, wait, [this, alive = m_alive](const store::read_result &result) {
-        if (*alive) {
-            onRead(result);
-        }
-    });
+    m_store.read(store::topic::ownership, m_offset, wait,
+                 m_life.guard([this](const store::read_result &result) { onRead(result); }));
 }
 
 auto owner_election::onRead(const store::read_result &result) -> void
@@ -62,7 +43,7 @@
             m_log.log(log_level::warning, "store_lost", {{"topic", "ownership"}, {"effect", "no_takeover"}});
         }
         m_watch.onReadFailed();
-        later(storeRetry, &owner_election::read);
+        m_time.callAfter(storeRetry, m_life.guard([this] { read(); }));
         return;
     }
     if (std::exchange(m_storeLost, false)) {
@@ -70,18 +51,17 @@
     }
     if (result.outcome == store::read_outcome::expired) {
         m_offset = result.firstOffset;
-        later(core::duration{0}, &owner_election::read);
+        m_time.callAfter(core::duration{0}, m_life.guard([this] { read(); }));
         return;
     }
-    m_watch.onRead(app::monotonicNow());
+    m_watch.onRead(m_time.now());
     for (const auto &record : result.records) {
         takeRecord(record);
         m_offset = record.offset + 1;
     }
     considerClaim();
     // Renewals come in steady steps, so a read that brings one needs no hurry to begin again.
-    later(result.records.empty() ? core::duration{0} : core::duration{std::chrono::milliseconds{20}},
-          &owner_election::read);
+    m_time.callAfter(result.records.empty() ? core::duration{0} : ownershipGap, m_life.guard([this] { read(); }));
 }
 
 auto owner_election::takeRecord(const store::stored_record &record) -> void
@@ -92,7 +72,7 @@
         return;
     }
     const auto before = m_watch.current();
-    m_watch.onRecord(*decoded, app::monotonicNow());
+    m_watch.onRecord(*decoded, m_time.now());
     if (decoded->kind == owner::owner_record_kind::claim && decoded->epoch == m_claimedEpoch
         && decoded->host == m_hostName) {
         beginTerm(decoded->epoch, m_claimedAt);
@@ -113,7 +93,7 @@
 
 auto owner_election::considerClaim() -> void
 {
-    if (!m_owner && !m_claiming && !m_aside && m_watch.shouldClaim(app::monotonicNow(), m_hostName, m_hooks.rank())) {
+    if (!m_owner && !m_claiming && !m_aside && m_watch.shouldClaim(m_time.now(), m_hostName, m_hooks.rank())) {
         claim();
     }
 }
@@ -125,7 +105,7 @@
 {
     m_claiming = true;
     const auto epoch = m_offset + 1;
-    const auto sentAt = app::monotonicNow();
+    const auto sentAt = m_time.now();
     m_claimedAt = sentAt;
     m_log.log(log_level::info, "owner_claim", {{"epoch", epoch}, {"rank", m_hooks.rank()}});
     store::append_request request;
@@ -134,11 +114,9 @@
         owner::encodeOwnerRecord({owner::owner_record_kind::claim, epoch, m_hostName, m_address, owner::longSilence}));
     request.expectedEnd = m_offset;
     m_claimedEpoch = epoch;
-    m_store.append(std::move(request), [this, alive = m_alive, epoch, sentAt](const store::append_result &answer) {
-        if (*alive) {
-            onClaimed(answer, epoch, sentAt);
-        }
-    });
+    m_store.append(std::move(request), m_life.guard([this, epoch, sentAt](const store::append_result &answer) {
+        onClaimed(answer, epoch, sentAt);
+    }));
 }
 
 auto owner_election::onClaimed(const store::append_result &answer, std::uint64_t epoch, core::monotonic_time sentAt)
@@ -175,11 +153,7 @@
     request.to = store::topic::ownership;
     request.records.push_back(owner::encodeOwnerRecord({kind, m_epoch, m_hostName, m_address, silence}));
     request.fence = store::writer_fence{m_epoch, m_sequence};
-    m_store.append(std::move(request), [alive = m_alive, done = std::move(done)](const store::append_result &answer) {
-        if (*alive) {
-            done(answer);
-        }
-    });
+    m_store.append(std::move(request), m_life.guard(std::move(done)));
 }
 
 auto owner_election::renew() -> void
@@ -187,7 +161,7 @@
     if (!m_owner) {
         return;
     }
-    const auto sentAt = app::monotonicNow();
+    const auto sentAt = m_time.now();
     m_renewing = true;
     const auto silence = owner::silenceFor(m_renewalLatency);
     m_hooks.onRenewing(sentAt, silence);
@@ -199,7 +173,7 @@
     -> void
 {
     m_renewing = false;
-    m_renewalLatency = app::monotonicNow() - sentAt;
+    m_renewalLatency = m_time.now() - sentAt;
     if (m_onResigned) {
         m_sequence += answer.outcome == store::append_outcome::appended ? 1 : 0;
         sendResignation();
@@ -212,11 +186,11 @@
     case store::append_outcome::appended:
         ++m_sequence;
         m_hooks.onRenewed(sentAt, silence);
-        later(owner::renewalPeriod, &owner_election::renew);
+        m_time.callAfter(owner::renewalPeriod, m_life.guard([this] { renew(); }));
         return;
     case store::append_outcome::refused:
     case store::append_outcome::unknown:
-        later(storeRetry, &owner_election::renew);
+        m_time.callAfter(storeRetry, m_life.guard([this] { renew(); }));
         return;
     case store::append_outcome::fenced:
     case store::append_outcome::conflict:
@@ -263,7 +237,7 @@
         const bool again =
             answer.outcome == store::append_outcome::refused || answer.outcome == store::append_outcome::unknown;
         if (again) {
-            later(storeRetry, &owner_election::sendResignation);
+            m_time.callAfter(storeRetry, m_life.guard([this] { sendResignation(); }));
         } else {
             m_onResigned();
         }
@@ -272,7 +246,7 @@
 
 auto owner_election::onAnnouncement(const owner::owner_record &record) -> void
 {
-    if (!m_watch.onAnnouncement(record, app::monotonicNow())) {
+    if (!m_watch.onAnnouncement(record, m_time.now())) {
         return;
     }
     m_log.log(log_level::info, "owner_changed",
@@ -284,7 +258,7 @@
 
 auto owner_election::formerOwners() const -> std::vector<std::string>
 {
-    return m_watch.formerOwners(m_epoch, app::monotonicNow());
+    return m_watch.formerOwners(m_epoch, m_time.now());
 }
 
 auto owner_election::current() const -> const std::optional<owner::owner_record> &
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <poplarpass/core/lifetime.h>
+#include <poplarpass/core/time_source.h>
 #include <poplarpass/observe/logger.h>
 #include <poplarpass/owner/owner_watch.h>
 #include <poplarpass/store/record_store.h>
@@ -8,11 +10,6 @@
 #include <memory>
 #include <string>
 
-namespace boost::asio
-{
-class io_context;
-} // namespace boost::asio
-
 namespace poplarpass::host
 {
 /// \brief What the election tells the process.
@@ -29,11 +26,8 @@
 class owner_election
 {
 public:
-    owner_election(boost::asio::io_context &loop, const store::record_store &records, observe::logger &log,
+    owner_election(const core::time_source &time, const store::record_store &records, observe::logger &log,
                    std::string hostName, std::string address, election_hooks hooks);
-    ~owner_election();
-    owner_election(const owner_election &) = delete;
-    auto operator=(const owner_election &) -> owner_election & = delete;
 
     /// \brief Begins to follow.
     auto start() -> void;
@@ -70,9 +64,8 @@
     auto depose() -> void;
     auto appendOwn(owner::owner_record_kind kind, core::duration silence,
                    std::function<void(store::append_result)> done) -> void;
-    auto later(core::duration delay, void (owner_election::*step)()) -> void;
 
-    boost::asio::io_context &m_loop;
+    const core::time_source &m_time;
     const store::record_store &m_store;
     observe::logger &m_log;
     std::string m_hostName;
@@ -91,6 +84,6 @@
     bool m_claiming = false;
     bool m_aside = false;
     bool m_storeLost = false;
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    core::lifetime m_life;
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -1,5 +1,3 @@
-#include <poplarpass/app/clock.h>
-#include <poplarpass/app/ticker.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/pool_owner.h>
 
@@ -17,7 +15,7 @@
     , m_engine{[this](const jobs::decision &made) {
         note(made);
     }}
-    , m_journal{m_env.loop,
+    , m_journal{m_env.time,
                 m_env.records,
                 m_env.log,
                 epoch,
@@ -30,7 +28,7 @@
 {
     worker_link_hooks hooks;
     hooks.mayOrder = [this] {
-        return !m_resigned && m_term.mayOrder(app::monotonicNow());
+        return !m_resigned && m_term.mayOrder(m_env.time.now());
     };
     hooks.onChange = [this] {
         requestTurn();
@@ -41,23 +39,23 @@
     hooks.onFenced = [this] {
         depose("worker");
     };
-    m_links = std::make_unique<worker_links>(m_env.loop, m_env.workers, m_engine, m_env.log, epoch, std::move(hooks));
+    m_links = std::make_unique<worker_links>(m_env.time, m_env.workers, m_engine, m_env.log, epoch, std::move(hooks));
     m_capacity = makeCapacity();
 }
 
 auto pool_owner::makeCapacity() -> std::unique_ptr<capacity_keeper>
 {
-    capacity_environment environment{m_env.loop,
+    capacity_environment environment{m_env.time,
                                      m_env.records,
                                      m_env.hosts,
-                                     m_env.waves,
+                                     m_env.decoders.waves,
                                      m_env.routes,
                                      m_env.log,
                                      m_journal,
                                      m_engine,
                                      {m_env.hostName, epoch()},
                                      m_env.holderTerm,
-                                     [this] { return !m_resigned && m_term.mayAnswer(app::monotonicNow()); },
+                                     [this] { return !m_resigned && m_term.mayAnswer(m_env.time.now()); },
                                      m_env.operatorRecords,
                                      [this] { requestTurn(); },
                                      [this] {
@@ -68,22 +66,13 @@
 
 pool_owner::~pool_owner()
 {
-    *m_alive = false;
+    m_life.end();
     m_journal.stop();
     for (auto &waiting : m_waiting) {
         waiting.answer(plainResponse(notOwnerStatus, "not_owner"));
     }
 }
 
-auto pool_owner::later(core::duration delay, void (pool_owner::*step)()) -> void
-{
-    app::callAfter(m_env.loop, delay, [this, alive = m_alive, step] {
-        if (*alive) {
-            (this->*step)();
-        }
-    });
-}
-
 auto pool_owner::start() -> void
 {
     m_journal.open([this] { readJobs(); });
@@ -92,21 +81,18 @@
 
 auto pool_owner::readJobs() -> void
 {
-    m_env.records.newest(store::topic::jobs, [this, alive = m_alive](const store::newest_result &newest) {
-        if (*alive) {
-            onJobs(newest);
-        }
-    });
+    m_env.records.newest(store::topic::jobs,
+                         m_life.guard([this](const store::newest_result &newest) { onJobs(newest); }));
 }
 
 auto pool_owner::onJobs(const store::newest_result &newest) -> void
 {
     if (!newest.complete) {
         m_env.log.log(log_level::warning, "jobs_unread", {{"epoch", epoch()}});
-        later(storeRetry, &pool_owner::readJobs);
+        m_env.time.callAfter(storeRetry, m_life.guard([this] { readJobs(); }));
         return;
     }
-    const auto now = app::monotonicNow();
+    const auto now = m_env.time.now();
     const auto ordersUntil = m_formerOwners.empty() ? now : now + owner::orderTerm;
     for (auto &job : restoreJobs(newest, m_env.log)) {
         if (!job.spec.steps.empty()) {
@@ -128,17 +114,14 @@
 
 auto pool_owner::readWorkers() -> void
 {
-    m_env.records.newest(store::topic::worker_records, [this, alive = m_alive](const store::newest_result &newest) {
-        if (*alive) {
-            onWorkers(newest);
-        }
-    });
+    m_env.records.newest(store::topic::worker_records,
+                         m_life.guard([this](const store::newest_result &newest) { onWorkers(newest); }));
 }
 
 auto pool_owner::onWorkers(const store::newest_result &newest) -> void
 {
     if (!newest.complete) {
-        later(storeRetry, &pool_owner::readWorkers);
+        m_env.time.callAfter(storeRetry, m_life.guard([this] { readWorkers(); }));
         return;
     }
     m_entries.clear();
@@ -163,23 +146,24 @@
         log_level::info, "owner_serving",
         {{"epoch", epoch()},
          {"workers", m_entries.size()},
-         {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(app::monotonicNow() - m_startedAt).count()}});
+         {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_env.time.now() - m_startedAt).count()}});
     handleWaiting();
-    scheduleTurn(app::monotonicNow());
-    later(housekeepingPeriod, &pool_owner::forgetEnded);
+    scheduleTurn(m_env.time.now());
+    m_env.time.callAfter(housekeepingPeriod, m_life.guard([this] { forgetEnded(); }));
 }
 
 auto pool_owner::forgetEnded() -> void
 {
     if (!m_resigned) {
-        m_journal.remove(m_engine.forgetEnded(app::monotonicNow()));
-        later(housekeepingPeriod, &pool_owner::forgetEnded);
+        m_journal.remove(m_engine.forgetEnded(m_env.time.now()));
+        m_env.time.callAfter(housekeepingPeriod, m_life.guard([this] { forgetEnded(); }));
     }
 }
 
 auto pool_owner::pollWorkersLater() -> void
 {
-    later(m_capacity->isAwaitingHosts() ? workerListBusyPeriod : workerListPeriod, &pool_owner::pollWorkers);
+    m_env.time.callAfter(m_capacity->isAwaitingHosts() ? workerListBusyPeriod : workerListPeriod,
+                         m_life.guard([this] { pollWorkers(); }));
 }
 
 auto pool_owner::pollWorkers() -> void
@@ -188,11 +172,7 @@
         return;
     }
     m_env.records.read(store::topic::worker_records, m_workerOffset, std::chrono::milliseconds{0},
-                       [this, alive = m_alive](const store::read_result &result) {
-                           if (*alive) {
-                               onWorkerRecords(result);
-                           }
-                       });
+                       m_life.guard([this](const store::read_result &result) { onWorkerRecords(result); }));
 }
 
 auto pool_owner::onWorkerRecords(const store::read_result &result) -> void
@@ -219,7 +199,7 @@
         m_entries.erase(record.key);
         return;
     }
-    auto entry = m_env.decodeWorker(record.key, record.value);
+    auto entry = m_env.decoders.decodeWorker(record.key, record.value);
     if (entry) {
         m_entries[record.key] = std::move(*entry);
     } else {
@@ -236,7 +216,7 @@
     for (const auto &[id, entry] : m_entries) {
         entries.push_back(entry);
     }
-    m_engine.updateWorkers(entries, app::monotonicNow());
+    m_engine.updateWorkers(entries, m_env.time.now());
     if (!m_resigned) {
         m_links->refresh();
     }
@@ -257,7 +237,7 @@
 {
     if (m_formerOwners.erase(name) > 0 && m_formerOwners.empty() && m_restored) {
         m_env.log.log(log_level::info, "former_owners_stopped", {{"epoch", epoch()}, {"last", name}});
-        m_engine.workers().boundFormerOrders(app::monotonicNow());
+        m_engine.workers().boundFormerOrders(m_env.time.now());
     }
 }
 
@@ -267,7 +247,7 @@
     if (!m_serving || m_journal.isBusy()) {
         return;
     }
-    const auto due = std::max(m_lastTurn + turnPeriod, app::monotonicNow());
+    const auto due = std::max(m_lastTurn + turnPeriod, m_env.time.now());
     if (!m_turnPlanned || due < m_turnDue) {
         scheduleTurn(due);
     }
@@ -277,12 +257,12 @@
 {
     m_turnPlanned = true;
     m_turnDue = due;
-    const auto delay = std::max(due - app::monotonicNow(), core::duration{0});
-    app::callAfter(m_env.loop, delay, [this, alive = m_alive, serial = ++m_turnSerial] {
-        if (*alive && serial == m_turnSerial) {
+    const auto delay = std::max(due - m_env.time.now(), core::duration{0});
+    m_env.time.callAfter(delay, m_life.guard([this, serial = ++m_turnSerial] {
+        if (serial == m_turnSerial) {
             turn();
         }
-    });
+    }));
 }
 
 // One turn: decide, store what changed, and only then send the orders and the answers that depend on it.
@@ -293,12 +273,12 @@
         m_turnWanted = true;
         return;
     }
-    const auto now = app::monotonicNow();
+    const auto now = m_env.time.now();
     m_lastTurn = now;
     m_turnWanted = false;
     if (!m_resigned && m_term.mayOrder(now)) {
         m_capacity->plan();
-        m_engine.plan(now, app::wallNow());
+        m_engine.plan(now, m_env.time.wallNow());
     }
     for (const auto &request : m_engine.takeAdviceRequests()) {
         askAdvice(request);
@@ -307,7 +287,7 @@
     const auto silences = m_engine.workers().takeSilences(now);
     auto orders = m_engine.takeOrders();
     auto calls = std::exchange(m_afterNextWrite, {});
-    auto release = [this, orders = std::move(orders), calls = std::move(calls), alive = m_alive] {
+    auto release = [this, orders = std::move(orders), calls = std::move(calls), alive = m_life.flag()] {
         m_links->send(orders);
         for (const auto &call : calls) {
             call();
@@ -325,15 +305,12 @@
 
 auto pool_owner::askAdvice(const jobs::advice_request &request) -> void
 {
-    const auto sentAt = app::monotonicNow();
+    const auto sentAt = m_env.time.now();
     m_env.advice.ask(
-        request,
-        [this, alive = m_alive, request, sentAt](const std::optional<std::vector<jobs::advice_ticket>> &tickets) {
-            if (*alive) {
-                m_engine.onAdvice(request, tickets, sentAt, app::monotonicNow());
-                requestTurn();
-            }
-        });
+        request, m_life.guard([this, request, sentAt](const std::optional<std::vector<jobs::advice_ticket>> &tickets) {
+            m_engine.onAdvice(request, tickets, sentAt, m_env.time.now());
+            requestTurn();
+        }));
 }
 
 auto pool_owner::onStored() -> void
@@ -370,7 +347,7 @@
 {
     m_env.log.log(log_level::warning, "owner_deposed", {{"epoch", epoch()}, {"noticed_by", reason}});
     m_resigned = true;
-    app::callAfter(m_env.loop, core::duration{0}, m_env.onDeposed);
+    m_env.time.callAfter(core::duration{0}, m_life.guard(m_env.onDeposed));
 }
 
 auto pool_owner::note(const jobs::decision &made) -> void
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <poplarpass/core/lifetime.h>
+#include <poplarpass/core/time_source.h>
 #include <poplarpass/host/advice_calls.h>
 #include <poplarpass/host/capacity_keeper.h>
 #include <poplarpass/host/client_request.h>
 #include <poplarpass/host/journal.h>
+#include <poplarpass/host/platform_decoders.h>
 #include <poplarpass/host/worker_links.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/observe/logger.h>
@@ -24,18 +27,15 @@
 /// \brief What an owner needs of its process.
 struct pool_owner_environment
 {
-    boost::asio::io_context &loop; ///< Event loop.
+    const core::time_source &time; ///< Clocks and timer.
     const store::record_store &records; ///< The store.
     const worker_calls &workers; ///< Calls of workers.
     const route::route_table &routes; ///< Configuration in force here.
     observe::logger &log; ///< Event log.
     observe::metrics_registry &metrics; ///< Metrics.
-    job_decoder decodeJob; ///< Decodes submissions.
-    std::function<core::result<jobs::worker_entry>(std::string_view, std::string_view)> decodeWorker; ///< Decodes what
-                                                                                                      ///< workers say.
+    const platform_decoders &decoders; ///< Formats of the platform.
     const advice_calls &advice; ///< Calls of the service for advice.
     const host_calls &hosts; ///< Calls of the platform's service for hosts.
-    const wave_codec &waves; ///< Reads and reports waves.
     std::string hostName; ///< Name of this host.
     core::duration holderTerm; ///< Term within which orders for one host come from one holder.
     std::function<const std::map<std::string, std::string> &()> operatorRecords; ///< Newest records of the operator.
@@ -122,7 +122,6 @@
     auto whenStored(std::function<void()> call) -> void;
     auto note(const jobs::decision &made) -> void;
     auto depose(std::string_view reason) -> void;
-    auto later(core::duration delay, void (pool_owner::*step)()) -> void;
 
     pool_owner_environment m_env;
     owner::owner_term m_term;
@@ -146,6 +145,6 @@
     core::monotonic_time m_turnDue{};
     core::monotonic_time m_lastTurn{};
     core::monotonic_time m_startedAt{};
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    core::lifetime m_life;
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -1,5 +1,3 @@
-#include <poplarpass/app/clock.h>
-#include <poplarpass/app/ticker.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/pool_owner.h>
 
@@ -77,16 +75,16 @@
         park(request, answer);
         return;
     }
-    if (!m_term.mayAnswer(app::monotonicNow())) {
+    if (!m_term.mayAnswer(m_env.time.now())) {
         refuseLapsed(request, answer);
         return;
     }
-    auto spec = m_env.decodeJob(request.body);
+    auto spec = m_env.decoders.decodeJob(request.body);
     if (!spec) {
         answer(plainResponse(400, "bad_body"));
         return;
     }
-    m_engine.submit(request.job, match.matched->queue, std::move(*spec), app::wallNow());
+    m_engine.submit(request.job, match.matched->queue, std::move(*spec), m_env.time.wallNow());
     m_capacity->onJob(*m_engine.find(request.job));
     requestTurn();
     whenStored(accept);
@@ -97,16 +95,16 @@
 auto pool_owner::park(const client_request &request, const client_answer &answer) -> void
 {
     m_parked.push_back({request, answer});
-    if (m_journal.stalledFor(app::monotonicNow()) >= refusalStall) {
+    if (m_journal.stalledFor(m_env.time.now()) >= refusalStall) {
         refuseParked();
     } else if (m_parked.size() == 1) {
-        later(refusalStall, &pool_owner::refuseParked);
+        m_env.time.callAfter(refusalStall, m_life.guard([this] { refuseParked(); }));
     }
 }
 
 auto pool_owner::refuseParked() -> void
 {
-    const auto stalled = m_journal.stalledFor(app::monotonicNow());
+    const auto stalled = m_journal.stalledFor(m_env.time.now());
     if (m_parked.empty() || stalled < refusalStall) {
         return;
     }
@@ -134,7 +132,7 @@
 {
     m_env.log.log(log_level::warning, "request_refused",
                   {{"id", request.job.str()},
-                   {"verb", static_cast<int>(request.verb)},
+                   {"verb", nameOf(request.verb)},
                    {"reason", "term_lapsed"},
                    {"epoch", epoch()},
                    {"retry_after_s", retryAfterSeconds}});
@@ -149,7 +147,7 @@
 auto pool_owner::answerState(const client_request &request, const client_answer &answer) -> void
 {
     const auto *job = m_engine.find(request.job);
-    if (job == nullptr && !m_term.mayAnswer(app::monotonicNow())) {
+    if (job == nullptr && !m_term.mayAnswer(m_env.time.now())) {
         refuseLapsed(request, answer);
         return;
     }
@@ -170,11 +168,11 @@
 
 auto pool_owner::cancel(const client_request &request, const client_answer &answer) -> void
 {
-    if (!m_term.mayAnswer(app::monotonicNow())) {
+    if (!m_term.mayAnswer(m_env.time.now())) {
         refuseLapsed(request, answer);
         return;
     }
-    if (m_engine.cancel(request.job, app::monotonicNow()) == jobs::cancel_outcome::unknown) {
+    if (m_engine.cancel(request.job, m_env.time.now()) == jobs::cancel_outcome::unknown) {
         answer(plainResponse(410, "no_such_job"));
         return;
     }
@@ -189,7 +187,7 @@
         answer(plainResponse(404, "no_such_queue"));
         return;
     }
-    if (!m_term.mayAnswer(app::monotonicNow())) {
+    if (!m_term.mayAnswer(m_env.time.now())) {
         refuseLapsed(request, answer);
         return;
     }
--- /dev/null
+++ b/src/poplarpass/host/request_forwarder.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <poplarpass/core/lifetime.h>
+#include <poplarpass/core/time_source.h>
+#include <poplarpass/host/peer_calls.h>
+#include <poplarpass/observe/logger.h>
+#include <poplarpass/route/route_table.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace poplarpass::host
+{
+/// \brief What the forwarder needs of its process.
+struct forwarder_environment
+{
+    const core::time_source &time; ///< Clocks and timer.
+    const peer_calls &peers; ///< Calls of the other hosts.
+    const route::route_table &routes; ///< Configuration in force here.
+    observe::logger &log; ///< Event log.
+    std::function<bool(const client_request &, client_answer)> handleHere; ///< Takes a request if this process owns
+                                                                           ///< the pools.
+    std::function<std::optional<std::string>()> ownerAddress; ///< "IP:port" of the owner, if one is known.
+};
+
+/// \brief Hands callers' requests to the owner of the pools, whoever that is meanwhile, and gives up in time.
+class request_forwarder
+{
+public:
+    explicit request_forwarder(forwarder_environment environment);
+
+    /// \brief Answers \p request once, at the latest shortly before \p time has passed.
+    auto take(client_request request, core::duration time, client_answer answer) -> void;
+
+private:
+    struct forwarding;
+
+    auto forward(const std::shared_ptr<forwarding> &entry) -> void;
+    auto send(const std::shared_ptr<forwarding> &entry, const std::string &address) -> void;
+    auto onAnswer(const std::shared_ptr<forwarding> &entry, net::http_response response) -> void;
+    auto retry(const std::shared_ptr<forwarding> &entry) -> void;
+    auto giveUp(const std::shared_ptr<forwarding> &entry) -> void;
+
+    forwarder_environment m_env;
+    core::lifetime m_life;
+};
+} // namespace poplarpass::host
--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -1,4 +1,3 @@
-#include <poplarpass/app/clock.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/worker_links.h>
 
@@ -6,9 +5,9 @@
 
 namespace poplarpass::host
 {
-worker_links::worker_links(boost::asio::io_context &loop, const worker_calls &calls, jobs::job_engine &engine,
+worker_links::worker_links(const core::time_source &time, const worker_calls &calls, jobs::job_engine &engine,
                            observe::logger &log, std::uint64_t fencingToken, worker_link_hooks hooks)
-    : m_loop{loop}
+    : m_time{time}
     , m_calls{calls}
     , m_engine{engine}
     , m_log{log}
@@ -17,11 +16,6 @@
 {
 }
 
-worker_links::~worker_links()
-{
-    *m_alive = false;
-}
-
 auto worker_links::refresh() -> void
 {
     for (const auto &[id, worker] : m_engine.workers().all()) {
@@ -53,7 +47,7 @@
         state.born = worker->entry.born;
         state.acknowledgedEnd = 0;
     }
-    const auto now = app::monotonicNow();
+    const auto now = m_time.now();
     renewal_call call;
     call.target = targetOf(*worker);
     call.acknowledgedEnd = state.acknowledgedEnd;
@@ -62,17 +56,13 @@
         call.wait = renewalWait;
     }
     state.busy = true;
-    m_calls.renew(call, [this, alive = m_alive, id, now](const renewal_answer &answer) {
-        if (*alive) {
-            onRenewed(id, answer, now);
-        }
-    });
+    m_calls.renew(call, m_life.guard([this, id, now](const renewal_answer &answer) { onRenewed(id, answer, now); }));
 }
 
 auto worker_links::onRenewed(const jobs::worker_id &id, const renewal_answer &answer, core::monotonic_time sentAt)
     -> void
 {
-    const auto now = app::monotonicNow();
+    const auto now = m_time.now();
     auto *worker = m_engine.workers().find(id);
     switch (answer.outcome) {
     case renewal_outcome::fenced:
@@ -103,24 +93,17 @@
     const bool first = worker != nullptr && !worker->answering;
     const auto handled = m_engine.onReport(id, answer.report, sentAt, now);
     m_hooks.onChange();
-    m_hooks.whenStored([this, alive = m_alive, id, born = answer.report.born, handled, first] {
-        if (!*alive) {
-            return;
-        }
+    m_hooks.whenStored(m_life.guard([this, id, born = answer.report.born, handled, first] {
         auto &state = m_links[id];
         state.born = born;
         state.acknowledgedEnd = handled;
         renewAfter(id, first ? core::duration{0} : renewalGap);
-    });
+    }));
 }
 
 auto worker_links::renewAfter(const jobs::worker_id &id, core::duration delay) -> void
 {
-    app::callAfter(m_loop, delay, [this, alive = m_alive, id] {
-        if (*alive) {
-            renew(id);
-        }
-    });
+    m_time.callAfter(delay, m_life.guard([this, id] { renew(id); }));
 }
 
 auto worker_links::send(const jobs::order_batch &orders) -> void
@@ -138,26 +121,23 @@
 
 auto worker_links::sendStart(const jobs::start_order &order) -> void
 {
-    const auto now = app::monotonicNow();
+    const auto now = m_time.now();
     auto *worker = m_engine.workers().find(order.worker);
     if (worker == nullptr || !m_hooks.mayOrder()) {
         m_engine.onStartAnswer(order, jobs::start_answer::unreachable, now);
         return;
     }
     const auto deadline = m_engine.workers().orderLease(*worker, now);
-    m_calls.start(targetOf(*worker), order, deadline, [this, alive = m_alive, order](jobs::start_answer answer) {
-        if (!*alive) {
-            return;
-        }
+    m_calls.start(targetOf(*worker), order, deadline, m_life.guard([this, order](jobs::start_answer answer) {
         if (answer == jobs::start_answer::fenced) {
             m_hooks.onFenced();
             return;
         }
-        m_engine.onStartAnswer(order, answer, app::monotonicNow());
+        m_engine.onStartAnswer(order, answer, m_time.now());
         if (answer != jobs::start_answer::started) {
             m_hooks.onChange();
         }
-    });
+    }));
 }
 
 auto worker_links::sendStop(const jobs::stop_order &order) -> void
@@ -166,16 +146,13 @@
     if (worker == nullptr || worker->entry.address.empty() || !m_hooks.mayOrder()) {
         return;
     }
-    m_calls.stop(targetOf(*worker), order, [this, alive = m_alive, order](jobs::stop_answer answer) {
-        if (!*alive) {
-            return;
-        }
+    m_calls.stop(targetOf(*worker), order, m_life.guard([this, order](jobs::stop_answer answer) {
         if (answer == jobs::stop_answer::fenced) {
             m_hooks.onFenced();
             return;
         }
-        m_engine.onStopAnswer(order, answer, app::monotonicNow());
-    });
+        m_engine.onStopAnswer(order, answer, m_time.now());
+    }));
 }
 
 auto worker_links::sendPace(const jobs::pace_order &order) -> void
@@ -184,10 +161,10 @@
     if (worker == nullptr || !m_hooks.mayOrder()) {
         return;
     }
-    m_calls.pace(targetOf(*worker), order, [this, alive = m_alive, order](bool paced) {
-        if (*alive && !paced) {
+    m_calls.pace(targetOf(*worker), order, m_life.guard([this, order](bool paced) {
+        if (!paced) {
             m_log.log(observe::log_level::info, "pace_refused", {{"task", order.task}, {"worker", order.worker.str()}});
         }
-    });
+    }));
 }
 } // namespace poplarpass::host
--- a/src/poplarpass/host/worker_links.h
+++ b/src/poplarpass/host/worker_links.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <poplarpass/app/ticker.h>
+#include <poplarpass/core/lifetime.h>
+#include <poplarpass/core/time_source.h>
 #include <poplarpass/host/worker_calls.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/observe/logger.h>
@@ -24,11 +25,8 @@
 class worker_links
 {
 public:
-    worker_links(boost::asio::io_context &loop, const worker_calls &calls, jobs::job_engine &engine,
+    worker_links(const core::time_source &time, const worker_calls &calls, jobs::job_engine &engine,
                  observe::logger &log, std::uint64_t fencingToken, worker_link_hooks hooks);
-    ~worker_links();
-    worker_links(const worker_links &) = delete;
-    auto operator=(const worker_links &) -> worker_links & = delete;
 
     /// \brief Starts a link to each listed worker that has none.
     auto refresh() -> void;
@@ -52,13 +50,13 @@
     auto sendPace(const jobs::pace_order &order) -> void;
     [[nodiscard]] auto targetOf(const jobs::worker_slot &worker) const -> worker_target;
 
-    boost::asio::io_context &m_loop;
+    const core::time_source &m_time;
     const worker_calls &m_calls;
     jobs::job_engine &m_engine;
     observe::logger &m_log;
     std::uint64_t m_token;
     worker_link_hooks m_hooks;
     std::map<jobs::worker_id, link> m_links;
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    core::lifetime m_life;
 };
 } // namespace poplarpass::host
--- a/tests/decisions/jobs_sim_world.cpp
+++ b/tests/decisions/jobs_sim_world.cpp
@@ -8,7 +8,7 @@
 {
 constexpr std::int64_t tickMs = 20;
 constexpr std::int64_t workerCount = 6;
-constexpr std::int64_t longestLeaseMs = 10'000;
+constexpr double workerClockRate = 0.985;
 constexpr std::int64_t ordersTermMs = 4500;
 constexpr std::int64_t takeoverMs = 1800;
 
@@ -22,9 +22,11 @@
     : m_random{seed}
 {
     for (std::int64_t index = 0; index < workerCount; ++index) {
-        sim_worker made;
-        made.id = "w" + std::to_string(index);
-        m_workers[made.id] = made;
+        const auto id = "w" + std::to_string(index);
+        auto &made = m_workers[id];
+        made.id = id;
+        made.model =
+            std::make_unique<fakes::worker_model>(watchOf(id), workerClockRate, jobs::resources{hostCpu, 32'000, 0});
     }
     takeOver();
 }
@@ -63,7 +65,7 @@
         submitSome();
     }
     for (auto &[id, worker] : m_workers) {
-        advance(worker);
+        worker.model->advance(m_now);
     }
     const auto due = std::ranges::partition(m_delayed, [this](const auto &entry) { return entry.at > m_now; });
     const std::vector<delayed_call> calls{due.begin(), due.end()};
@@ -100,15 +102,7 @@
         }
         if (chance(0.0007)) {
             // Dies with all that it runs, and starts again under its identifier.
-            worker.running.clear();
-            worker.ended.clear();
-            worker.highestEnded.clear();
-            worker.lastNumber = 0;
-            worker.lastBeforeLapse = 0;
-            worker.highestToken = 0;
-            worker.leaseEnd = 0;
-            worker.bornAt = m_now;
-            ++worker.born;
+            worker.model->restart(m_now);
             ++restarts;
         }
     }
@@ -146,22 +140,17 @@
     m_owners.push_back(std::move(next));
 }
 
-auto world::clockOf(const sim_worker &worker) const -> std::int64_t
-{
-    return static_cast<std::int64_t>(static_cast<double>(m_now - worker.bornAt) * 0.985);
-}
-
 auto world::reach(const sim_worker &worker) -> bool
 {
-    return worker.up && m_now >= worker.darkUntil;
+    return m_now >= worker.darkUntil;
 }
 
 auto world::turn(sim_owner &owner) -> void
 {
     std::vector<jobs::worker_entry> entries;
     for (const auto &[id, state] : m_workers) {
-        auto entry = worker(id, state.born);
-        entry.clockMs = clockOf(state);
+        auto entry = worker(id, state.model->born());
+        entry.clockMs = state.model->clockAt(m_now);
         entries.push_back(entry);
     }
     owner.engine->updateWorkers(entries, at(m_now));
@@ -224,43 +213,25 @@
         owner.engine->onNoReport(id);
         return;
     }
-    if (owner.epoch < worker.highestToken) {
-        owner.alive = false;
-        return;
-    }
-    worker.highestToken = owner.epoch;
     auto &life = owner.lifeOfAcknowledged[worker.id];
     auto &seen = owner.acknowledged[worker.id];
     if (life != slot->entry.born) {
         life = slot->entry.born;
         seen = 0;
     }
-    while (!worker.ended.empty() && worker.ended.front().number <= seen) {
-        const auto &end = worker.ended.front();
-        // An end that is acknowledged only after the lease has lapsed came too late to keep another from starting it.
-        if (end.how == jobs::end_kind::done && end.number > worker.lastBeforeLapse) {
-            m_doneNoted.insert(end.task);
-        }
-        worker.ended.pop_front();
-    }
-    if (extends) {
-        worker.leaseEnd = std::max(worker.leaseEnd, std::min(deadline, clockOf(worker) + longestLeaseMs));
+    if (!worker.model->renew(owner.epoch, seen, extends ? std::optional{deadline} : std::nullopt, m_now)) {
+        owner.alive = false;
+        return;
     }
     if (chance(0.05)) {
         owner.engine->onNoReport(id);
         return;
     }
-    jobs::worker_report answer;
-    answer.born = worker.born;
-    answer.clockMs = clockOf(worker);
-    for (const auto &[task, run] : worker.running) {
-        answer.running.push_back({task, run.number, {}, 10, 0});
-    }
-    answer.ended.assign(worker.ended.begin(), worker.ended.end());
+    const auto answer = worker.model->report(m_now);
     const auto handled = owner.engine->onReport(id, answer, at(m_now), at(m_now));
     const auto changed = owner.engine->takeChanged();
     if (store(owner, changed, {})) {
-        life = worker.born;
+        life = answer.born;
         seen = handled;
     }
 }
@@ -300,33 +271,40 @@
 auto world::carryOutStart(sim_worker &worker, std::int64_t born, std::uint64_t token, const jobs::start_order &order,
                           std::int64_t deadline) -> jobs::start_answer
 {
-    const auto task = jobs::nameOf(order.task);
     // An order that waits at a worker dies with it.
-    if (born != worker.born) {
+    if (born != worker.model->born()) {
         return jobs::start_answer::unknown;
     }
-    if (token < worker.highestToken) {
-        return jobs::start_answer::fenced;
-    }
-    worker.highestToken = token;
-    if (order.run <= worker.highestEnded[task] || worker.running.contains(task)) {
-        const bool same = worker.running.contains(task) && worker.running[task].number == order.run;
-        return same ? jobs::start_answer::started : jobs::start_answer::superseded;
-    }
-    if (deadline <= clockOf(worker)) {
-        return jobs::start_answer::too_late;
-    }
-    worker.leaseEnd = std::max(worker.leaseEnd, std::min(deadline, clockOf(worker) + longestLeaseMs));
-    checkStart(task, worker.id);
-    const auto length = 200 + static_cast<std::int64_t>(m_random() % 1200);
-    worker.running[task] = {order.run, m_now + length, chance(0.02)};
-    return jobs::start_answer::started;
+    fakes::start_command command;
+    command.token = token;
+    command.task = jobs::nameOf(order.task);
+    command.run = order.run;
+    command.deadlineMs = deadline;
+    command.need = m_specs.at(order.task.job.str()).steps[order.task.step].perTask;
+    command.lengthMs = 200 + static_cast<std::int64_t>(m_random() % 1200);
+    command.fails = chance(0.02);
+    return worker.model->start(command, m_now);
+}
+
+auto world::watchOf(const std::string &worker) -> fakes::worker_watch
+{
+    fakes::worker_watch watch;
+    watch.onStart = [this, worker](const std::string &task, std::uint32_t) {
+        checkStart(task, worker);
+    };
+    watch.onEnd = [this](const std::string &task, std::uint32_t, jobs::end_kind how) {
+        noteEnd(task, how);
+    };
+    watch.onDoneNoted = [this](const std::string &task) {
+        m_doneNoted.insert(task);
+    };
+    return watch;
 }
 
 auto world::checkStart(const std::string &task, const std::string &on) -> void
 {
     for (const auto &[id, other] : m_workers) {
-        if (other.running.contains(task)) {
+        if (other.model->isRunning(task)) {
             breaches.push_back("two runs at once: " + task);
             breaches.back().append(" on ").append(id).append(" and ").append(on);
         }
@@ -353,45 +331,20 @@
         owner.engine->onStopAnswer(order, jobs::stop_answer::unknown, at(m_now));
         return;
     }
-    if (owner.epoch < worker.highestToken) {
+    const auto answer = worker.model->stop(owner.epoch, order.task, order.run, m_now);
+    if (answer == jobs::stop_answer::fenced) {
         owner.alive = false;
         return;
     }
-    worker.highestToken = owner.epoch;
-    const auto running = worker.running.find(order.task);
-    if (running != worker.running.end() && running->second.number == order.run) {
-        endRun(worker, order.task, jobs::end_kind::stopped);
-    }
-    auto &highest = worker.highestEnded[order.task];
-    highest = std::max(highest, order.run);
-    owner.engine->onStopAnswer(order, jobs::stop_answer::stopped, at(m_now));
+    owner.engine->onStopAnswer(order, answer, at(m_now));
 }
 
-auto world::endRun(sim_worker &worker, const std::string &task, jobs::end_kind how) -> void
+auto world::noteEnd(const std::string &task, jobs::end_kind how) -> void
 {
-    const auto run = worker.running.at(task).number;
-    worker.running.erase(task);
-    worker.highestEnded[task] = std::max(worker.highestEnded[task], run);
-    worker.ended.push_back({++worker.lastNumber, task, run, how, {}});
     if (how == jobs::end_kind::done) {
         const auto ref = jobs::taskNamed(task);
         m_doneTasks[stepKey(ref->job.str(), ref->step)].insert(task);
     }
     m_failedRuns[task] += how == jobs::end_kind::failed ? 1 : 0;
 }
-
-auto world::advance(sim_worker &worker) -> void
-{
-    const auto running = worker.running;
-    if (clockOf(worker) >= worker.leaseEnd) {
-        worker.lastBeforeLapse = worker.lastNumber;
-    }
-    for (const auto &[task, run] : running) {
-        if (clockOf(worker) >= worker.leaseEnd) {
-            endRun(worker, task, jobs::end_kind::lapsed);
-        } else if (m_now >= run.endsAt) {
-            endRun(worker, task, run.fails ? jobs::end_kind::failed : jobs::end_kind::done);
-        }
-    }
-}
 } // namespace tests::jobs_sim
--- a/tests/decisions/jobs_sim_world.h
+++ b/tests/decisions/jobs_sim_world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fakes/worker_model.h"
 #include "jobs_fixture.h"
 
 #include <deque>
@@ -16,28 +17,12 @@
 {
 using namespace tests::jobs_fixture;
 
-/// \brief One worker as it really is.
+/// \brief One worker, and whether it can be reached.
 struct sim_worker
 {
-    struct run
-    {
-        std::uint32_t number = 0;
-        std::int64_t endsAt = 0;
-        bool fails = false;
-    };
-
     std::string id;
-    std::int64_t born = 1;
-    std::int64_t bornAt = 0; ///< Its clock starts here.
-    bool up = true;
+    std::unique_ptr<fakes::worker_model> model;
     std::int64_t darkUntil = 0; ///< Nothing reaches it before this.
-    std::uint64_t highestToken = 0;
-    std::int64_t leaseEnd = 0;
-    std::map<std::string, run> running;
-    std::map<std::string, std::uint32_t> highestEnded;
-    std::deque<jobs::ended_run> ended;
-    std::uint64_t lastNumber = 0;
-    std::uint64_t lastBeforeLapse = 0; ///< Newest end from before the lease last lapsed.
 };
 
 /// \brief An owner: its engine, and what waits for the store.
@@ -96,10 +81,9 @@
     auto carryOutStart(sim_worker &worker, std::int64_t born, std::uint64_t token, const jobs::start_order &order,
                        std::int64_t deadline) -> jobs::start_answer;
     auto sendStop(sim_owner &owner, const jobs::stop_order &order) -> void;
-    auto endRun(sim_worker &worker, const std::string &task, jobs::end_kind how) -> void;
-    auto advance(sim_worker &worker) -> void;
+    auto watchOf(const std::string &worker) -> fakes::worker_watch;
+    auto noteEnd(const std::string &task, jobs::end_kind how) -> void;
     auto checkStart(const std::string &task, const std::string &worker) -> void;
-    auto clockOf(const sim_worker &worker) const -> std::int64_t;
     auto chance(double share) -> bool;
     auto allEnded() -> bool;
 
--- a/tests/fakes/control_world.h
+++ b/tests/fakes/control_world.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "event_queue.h"
+
 #include <poplarpass/config/calendar.h>
 #include <poplarpass/control.h>
 #include <poplarpass/core.h>
@@ -38,24 +40,6 @@
     std::function<control::move_policy()> moves; ///< One policy for each process; none when empty.
 };
 
-/// \brief Messages that are under way, in the order of their arrival.
-class event_queue
-{
-public:
-    auto at(core::monotonic_time time, std::function<void()> action) -> void;
-    auto runUntil(core::monotonic_time time, core::monotonic_time &now) -> void;
-
-private:
-    struct event
-    {
-        core::monotonic_time time;
-        std::uint64_t sequence;
-        std::function<void()> action;
-    };
-    std::vector<event> m_heap;
-    std::uint64_t m_sequence = 0;
-};
-
 /// \brief One worker as the platform keeps it.
 struct fake_worker
 {
--- a/tests/io/host_fixture.h
+++ b/tests/io/host_fixture.h
@@ -1,12 +1,9 @@
 #pragma once
 
-#include <poplarpass/app/clock.h>
-#include <poplarpass/host/pool_owner.h>
+#include "fakes/stepped_time.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
+#include <poplarpass/host/pool_owner.h>
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,12 +18,15 @@
 namespace jobs = poplarpass::jobs;
 namespace store = poplarpass::store;
 
+/// \brief Time that a call takes.
+inline constexpr core::duration callTime = std::chrono::milliseconds{4};
+
 /// \brief Store in memory with the fences of the platform's; answers can be withheld.
 class memory_store
 {
 public:
-    explicit memory_store(boost::asio::io_context &loop)
-        : m_loop{loop}
+    explicit memory_store(fakes::stepped_time &time)
+        : m_time{time}
     {
     }
 
@@ -39,17 +39,17 @@
                 held.push_back([this, request, done] { done(carryOut(request)); });
                 return;
             }
-            boost::asio::post(m_loop, [this, request = std::move(request), done = std::move(done)] {
+            m_time.after(callTime, [this, request = std::move(request), done = std::move(done)] {
                 const auto result = carryOut(request);
                 done(loseAnswers ? store::append_result{} : result);
             });
         };
         made.read = [this](store::topic topic, std::uint64_t from, std::chrono::milliseconds,
                            std::function<void(store::read_result)> done) {
-            boost::asio::post(m_loop, [this, topic, from, done = std::move(done)] { done(read(topic, from)); });
+            m_time.after(callTime, [this, topic, from, done = std::move(done)] { done(read(topic, from)); });
         };
         made.newest = [this](store::topic topic, std::function<void(store::newest_result)> done) {
-            boost::asio::post(m_loop, [this, topic, done = std::move(done)] { done(newest(topic)); });
+            m_time.after(callTime, [this, topic, done = std::move(done)] { done(newest(topic)); });
         };
         return made;
     }
@@ -149,20 +149,9 @@
         return result;
     }
 
-    boost::asio::io_context &m_loop;
+    fakes::stepped_time &m_time;
     std::map<store::topic, std::vector<store::stored_record>> m_topics;
     std::map<store::topic, writer> m_writers;
 };
 
-/// \brief Runs \p loop until \p reached, or fails the wait after many turns of the loop's clock.
-inline auto runUntil(boost::asio::io_context &loop, const std::function<bool()> &reached) -> bool
-{
-    constexpr auto longest = std::chrono::seconds{60};
-    const auto end = std::chrono::steady_clock::now() + longest;
-    while (!reached() && std::chrono::steady_clock::now() < end) {
-        loop.restart();
-        loop.run_one_for(std::chrono::milliseconds{100});
-    }
-    return reached();
-}
 } // namespace tests
--- a/tests/io/owner_election_test.cpp
+++ b/tests/io/owner_election_test.cpp
@@ -19,9 +19,10 @@
 /// \brief One process that may own the pools.
 struct candidate
 {
-    candidate(boost::asio::io_context &loop, memory_store &memory, const std::string &name)
-        : records{memory.calls()}
-        , election{loop, records, log, name, "10.0.0.1:1", hooks()}
+    candidate(fakes::stepped_time &time, memory_store &memory, const std::string &name)
+        : clock{time.source()}
+        , records{memory.calls()}
+        , election{clock, records, log, name, "10.0.0.1:1", hooks()}
     {
     }
 
@@ -45,6 +46,7 @@
         return made;
     }
 
+    core::time_source clock;
     store::record_store records;
     poplarpass::observe::logger log{quietOptions()};
     std::vector<std::uint64_t> epochs;
@@ -56,57 +58,57 @@
 
 TEST_CASE("Of processes that claim at once, one becomes owner", "[host]")
 {
-    boost::asio::io_context loop;
-    memory_store memory{loop};
-    candidate first{loop, memory, "a"};
-    candidate second{loop, memory, "b"};
-    candidate third{loop, memory, "c"};
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate first{time, memory, "a"};
+    candidate second{time, memory, "b"};
+    candidate third{time, memory, "c"};
     first.election.start();
     second.election.start();
     third.election.start();
     const auto elected = [&] {
         return first.epochs.size() + second.epochs.size() + third.epochs.size();
     };
-    REQUIRE(runUntil(loop, [&] { return elected() > 0 && first.renewals + second.renewals + third.renewals >= 2; }));
+    REQUIRE(time.runUntil([&] { return elected() > 0 && first.renewals + second.renewals + third.renewals >= 2; }));
     CHECK(elected() == 1);
 }
 
 TEST_CASE("A claim whose answer is lost is read back", "[host]")
 {
-    boost::asio::io_context loop;
-    memory_store memory{loop};
+    fakes::stepped_time time;
+    memory_store memory{time};
     memory.loseAnswers = true;
-    candidate only{loop, memory, "a"};
+    candidate only{time, memory, "a"};
     only.election.start();
-    REQUIRE(runUntil(loop, [&] { return !only.epochs.empty(); }));
+    REQUIRE(time.runUntil([&] { return !only.epochs.empty(); }));
     memory.loseAnswers = false;
-    CHECK(runUntil(loop, [&] { return only.renewals > 0; }));
+    CHECK(time.runUntil([&] { return only.renewals > 0; }));
     CHECK(only.epochs.size() == 1);
 }
 
 TEST_CASE("After a resignation another process owns the pools at once, under a greater epoch", "[host]")
 {
-    boost::asio::io_context loop;
-    memory_store memory{loop};
-    candidate first{loop, memory, "a"};
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate first{time, memory, "a"};
     first.election.start();
-    REQUIRE(runUntil(loop, [&] { return first.renewals > 0; }));
-    candidate second{loop, memory, "b"};
+    REQUIRE(time.runUntil([&] { return first.renewals > 0; }));
+    candidate second{time, memory, "b"};
     second.election.start();
     bool resigned = false;
     first.election.resign([&] { resigned = true; });
-    REQUIRE(runUntil(loop, [&] { return resigned && !second.epochs.empty(); }));
+    REQUIRE(time.runUntil([&] { return resigned && !second.epochs.empty(); }));
     CHECK(second.epochs[0] > first.epochs[0]);
     CHECK(second.election.formerOwners().empty());
 }
 
 TEST_CASE("An owner that hears of a later one stops", "[host]")
 {
-    boost::asio::io_context loop;
-    memory_store memory{loop};
-    candidate first{loop, memory, "a"};
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate first{time, memory, "a"};
     first.election.start();
-    REQUIRE(runUntil(loop, [&] { return first.renewals > 0; }));
+    REQUIRE(time.runUntil([&] { return first.renewals > 0; }));
     first.election.onAnnouncement({poplarpass::owner::owner_record_kind::claim, first.epochs[0] + 50, "b", "10.0.0.2:1",
                                    poplarpass::owner::longSilence});
     CHECK(first.deposed);
@@ -114,18 +116,18 @@
 
 TEST_CASE("A resignation does not get lost behind a renewal that is still on its way", "[host]")
 {
-    boost::asio::io_context loop;
-    memory_store memory{loop};
-    candidate first{loop, memory, "a"};
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate first{time, memory, "a"};
     first.election.start();
-    REQUIRE(runUntil(loop, [&] { return first.renewals > 0; }));
-    candidate second{loop, memory, "b"};
+    REQUIRE(time.runUntil([&] { return first.renewals > 0; }));
+    candidate second{time, memory, "b"};
     second.election.start();
     memory.withheld = true;
-    REQUIRE(runUntil(loop, [&] { return !memory.held.empty(); }));
+    REQUIRE(time.runUntil([&] { return !memory.held.empty(); }));
     bool resigned = false;
     first.election.resign([&] { resigned = true; });
     memory.release();
-    REQUIRE(runUntil(loop, [&] { return resigned && !second.epochs.empty(); }));
+    REQUIRE(time.runUntil([&] { return resigned && !second.epochs.empty(); }));
     CHECK(second.election.formerOwners().empty());
 }
--- a/tests/io/pool_owner_test.cpp
+++ b/tests/io/pool_owner_test.cpp
@@ -11,8 +11,9 @@
 /// \brief An owner with one worker whose answers the test holds in its hands.
 struct owner_fixture
 {
-    boost::asio::io_context loop;
-    memory_store memory{loop};
+    fakes::stepped_time time;
+    memory_store memory{time};
+    core::time_source clock = time.source();
     store::record_store records = memory.calls();
     poplarpass::observe::logger log{quietOptions()};
     poplarpass::observe::metrics_registry metrics;
@@ -20,12 +21,12 @@
     host::worker_calls workers;
     host::advice_calls advice;
     host::host_calls hosts;
-    host::wave_codec waves{"wave/", nullptr, nullptr};
     std::map<std::string, std::string> operatorRecords;
     std::vector<jobs::start_order> starts;
     std::vector<host::renewal_call> renewals;
     std::vector<std::function<void(host::renewal_answer)>> renewalAnswers;
     jobs::worker_report report;
+    host::platform_decoders decoders;
     bool deposed = false;
     std::unique_ptr<host::pool_owner> owner;
 
@@ -46,7 +47,7 @@
         workers.renew = [this](const host::renewal_call &call, std::function<void(host::renewal_answer)> done) {
             renewals.push_back(call);
             if (renewals.size() == 1) {
-                boost::asio::post(loop, [this, done] { done({host::renewal_outcome::reported, report}); });
+                time.after(callTime, [this, done] { done({host::renewal_outcome::reported, report}); });
             } else {
                 renewalAnswers.push_back(std::move(done));
             }
@@ -54,13 +55,17 @@
         workers.start = [this](const host::worker_target &, const jobs::start_order &order, std::int64_t,
                                const std::function<void(jobs::start_answer)> &done) {
             starts.push_back(order);
-            boost::asio::post(loop, [done] { done(jobs::start_answer::started); });
+            time.after(callTime, [done] { done(jobs::start_answer::started); });
         };
         workers.stop = [](const host::worker_target &, const jobs::stop_order &,
                           const std::function<void(jobs::stop_answer)> &) {
         };
         hosts.list = [](const auto &) {
         };
+        decoders.decodeJob = decodeJob;
+        decoders.decodeWorker = [](std::string_view id, std::string_view) -> core::result<jobs::worker_entry> {
+            return decodeWorker(id);
+        };
     }
 
     static auto quietOptions() -> poplarpass::observe::logger_options
@@ -96,25 +101,23 @@
     auto begin(std::uint64_t epoch) -> void
     {
         host::pool_owner_environment environment{
-            loop,
+            clock,
             records,
             workers,
             routes,
             log,
             metrics,
-            decodeJob,
-            [](std::string_view id, std::string_view) -> core::result<jobs::worker_entry> { return decodeWorker(id); },
+            decoders,
             advice,
             hosts,
-            waves,
             "host-1",
             std::chrono::seconds{3},
             [this]() -> const std::map<std::string, std::string> & { return operatorRecords; },
             [this] {
                 deposed = true;
             }};
-        owner = std::make_unique<host::pool_owner>(std::move(environment), epoch, poplarpass::app::monotonicNow(),
-                                                   std::vector<std::string>{});
+        owner =
+            std::make_unique<host::pool_owner>(std::move(environment), epoch, time.now(), std::vector<std::string>{});
         owner->start();
     }
 
@@ -137,7 +140,7 @@
 
     auto keepTerm() -> void
     {
-        owner->onRenewed(poplarpass::app::monotonicNow(), poplarpass::owner::longSilence);
+        owner->onRenewed(time.now(), poplarpass::owner::longSilence);
     }
 };
 
@@ -148,49 +151,47 @@
 {
     owner_fixture fixture;
     fixture.begin(1);
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.renewals.size() >= 2; }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals.size() >= 2; }));
     fixture.keepTerm();
     fixture.memory.withheld = true;
     int first = 0;
     int again = 0;
     int state = 0;
     fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), first);
-    REQUIRE(runUntil(fixture.loop, [&] { return !fixture.memory.held.empty(); }));
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.memory.held.empty(); }));
     fixture.keepTerm();
     fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), again);
     fixture.ask(owner_fixture::request(host::client_verb::state, jobName), state);
-    fixture.loop.restart();
-    fixture.loop.poll();
+    fixture.time.runFor(callTime);
     CHECK(first == 0);
     CHECK(again == 0);
     CHECK(state == 0);
     CHECK(fixture.starts.empty());
 
     fixture.memory.release();
-    CHECK(runUntil(fixture.loop, [&] { return first == 200 && again == 200 && state == 200; }));
-    CHECK(runUntil(fixture.loop, [&] { return fixture.starts.size() == 1; }));
+    CHECK(fixture.time.runUntil([&] { return first == 200 && again == 200 && state == 200; }));
+    CHECK(fixture.time.runUntil([&] { return fixture.starts.size() == 1; }));
 }
 
 TEST_CASE("An end is acknowledged to the worker only when it is stored", "[host]")
 {
     owner_fixture fixture;
     fixture.begin(1);
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.renewals.size() >= 2; }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals.size() >= 2; }));
     fixture.keepTerm();
     int status = 0;
     fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.starts.size() == 1; }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.starts.size() == 1; }));
     fixture.keepTerm();
     fixture.memory.withheld = true;
     fixture.report.ended = {{1, jobs::nameOf(fixture.starts[0].task), 1, jobs::end_kind::done, {}}};
     const auto asked = fixture.renewals.size();
     fixture.renewalAnswers.back()({host::renewal_outcome::reported, fixture.report});
-    REQUIRE(runUntil(fixture.loop, [&] { return !fixture.memory.held.empty(); }));
-    fixture.loop.restart();
-    fixture.loop.poll();
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.memory.held.empty(); }));
+    fixture.time.runFor(callTime);
     CHECK(fixture.renewals.size() == asked);
     fixture.memory.release();
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.renewals.size() > asked; }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals.size() > asked; }));
     CHECK(fixture.renewals.back().acknowledgedEnd == 1);
 }
 
@@ -198,17 +199,15 @@
 {
     owner_fixture fixture;
     fixture.begin(1);
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
     fixture.keepTerm();
     int status = 0;
     fixture.ask(owner_fixture::request(host::client_verb::state, jobName), status);
     CHECK(status == 410);
     fixture.owner.reset();
     fixture.begin(2);
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
-    const auto started = poplarpass::app::monotonicNow();
-    REQUIRE(runUntil(fixture.loop,
-                     [&] { return poplarpass::app::monotonicNow() - started > poplarpass::owner::longSilence; }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
+    fixture.time.runFor(poplarpass::owner::longSilence + callTime);
     for (const auto verb :
          {host::client_verb::state, host::client_verb::pending, host::client_verb::cancel, host::client_verb::submit}) {
         status = 0;
@@ -222,17 +221,17 @@
 {
     owner_fixture fixture;
     fixture.begin(1);
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
     fixture.keepTerm();
     store::append_request later;
     later.to = store::topic::jobs;
     later.fence = store::writer_fence{2, 0};
     bool appended = false;
     fixture.records.append(later, [&](const store::append_result &) { appended = true; });
-    REQUIRE(runUntil(fixture.loop, [&] { return appended; }));
+    REQUIRE(fixture.time.runUntil([&] { return appended; }));
     int status = 0;
     fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.deposed; }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.deposed; }));
     fixture.owner.reset();
     CHECK(status == host::unsettledStatus);
 }
@@ -241,15 +240,15 @@
 {
     owner_fixture fixture;
     fixture.begin(1);
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
     fixture.keepTerm();
     fixture.memory.loseAnswers = true;
     int status = 0;
     fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
     const auto stored = fixture.memory.records(store::topic::jobs).size();
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.memory.records(store::topic::jobs).size() > stored; }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.memory.records(store::topic::jobs).size() > stored; }));
     fixture.memory.loseAnswers = false;
-    REQUIRE(runUntil(fixture.loop, [&] { return status == 200; }));
+    REQUIRE(fixture.time.runUntil([&] { return status == 200; }));
     std::size_t specs = 0;
     for (const auto &record : fixture.memory.records(store::topic::jobs)) {
         specs += record.key == "j" + jobName ? 1 : 0;
@@ -258,32 +257,32 @@
 
     fixture.owner.reset();
     fixture.begin(2);
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
     fixture.keepTerm();
     int state = 0;
     fixture.ask(owner_fixture::request(host::client_verb::state, jobName), state);
-    CHECK(runUntil(fixture.loop, [&] { return state == 200; }));
+    CHECK(fixture.time.runUntil([&] { return state == 200; }));
 }
 
 TEST_CASE("While the store stays away a new job is refused, and the refusal is true", "[host]")
 {
     owner_fixture fixture;
     fixture.begin(1);
-    REQUIRE(runUntil(fixture.loop, [&] { return fixture.owner->isServing(); }));
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
     fixture.keepTerm();
     fixture.memory.withheld = true;
     int onItsWay = 0;
     int parked = 0;
     const std::string other = "00000000000000bb";
     fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), onItsWay);
-    REQUIRE(runUntil(fixture.loop, [&] { return !fixture.memory.held.empty(); }));
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.memory.held.empty(); }));
     fixture.ask(owner_fixture::request(host::client_verb::submit, other, jobText), parked);
-    REQUIRE(runUntil(fixture.loop, [&] { return parked != 0; }));
+    REQUIRE(fixture.time.runUntil([&] { return parked != 0; }));
     CHECK(parked == 503);
     CHECK(onItsWay == 0);
 
     fixture.memory.release();
-    REQUIRE(runUntil(fixture.loop, [&] { return onItsWay != 0; }));
+    REQUIRE(fixture.time.runUntil([&] { return onItsWay != 0; }));
     CHECK(onItsWay == 200);
     fixture.keepTerm();
     int state = 0;
