Runs around a worker's restart, unanswered long-running starts, workers that leave

Causes: (1) a start on its way when its worker restarts under its identifier may run in the new life; the owner took all placed runs for lost as soon as the store showed the new life, and started them elsewhere: two runs at once. (2) a lease given by the former clock lasts up to the longest the worker grants on the new one. (3) a long-running start without an answer was stopped although it had come to work, beside others that were away. (4) a long-running run was given up for idle by the clock alone, when its worker had not been heard of. (5) an evacuation did not ask whether advice allows the other worker. (6) long-running tasks stayed on workers that said they leave. Ruled out: that the worker refuses such starts (it does not know them); waiting out the lease after every restart (5 s of work lost each time). Change: what an earlier life ran is settled by the new life's first report: listed runs are kept, runs acknowledged before the birth are lost, others are stopped first. A life begins in one place (worker_table::beginLife). Long-running starts without an answer wait for the next report. Draining workers are evacuated.

--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -14,6 +14,8 @@
 inline constexpr core::duration leaseMargin = std::chrono::milliseconds{100};
 /// \brief The same in real time, on a worker's slowest clock.
 inline constexpr core::duration longestRealLease = std::chrono::milliseconds{5110};
+/// \brief Longest lease that a worker grants, in real time on its slowest clock.
+inline constexpr core::duration longestGrantedLease = std::chrono::milliseconds{10'210};
 /// \brief The rest of a silent worker's lease is recorded again each time it has shrunk by this.
 inline constexpr std::chrono::milliseconds silenceRecordStep{1000};
 /// \brief A worker that has not answered for this long gets no starts.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -226,6 +226,7 @@
     state.closed = false;
     state.stopSentAt = {};
     state.startedAt = now;
+    state.unansweredAt.reset();
     state.atWork = false;
     state.percent = 0;
     state.pace = 100;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -39,6 +39,13 @@
     std::string_view reason; ///< What decided it.
 };
 
+/// \brief Tasks of a pool whose turn had come, and that found room only on workers that may not run them.
+struct pool_misfit
+{
+    std::uint32_t steps = 0; ///< Steps with such tasks.
+    std::string requirement; ///< Label that all of them require; empty when any other worker may do.
+};
+
 /// \brief Counts for metrics.
 struct engine_counters
 {
@@ -118,6 +125,9 @@
     /// \brief Decides which tasks start, and which stops to repeat.
     auto plan(core::monotonic_time now, core::wall_time wallTime) -> void;
 
+    /// \brief Pools whose workers could not take what waits although there was room, since the last call.
+    auto takeMisfits() -> std::map<core::pool_id, pool_misfit>;
+
     /// \brief Jobs that changed since the last call and have to be stored.
     auto takeChanged() -> std::set<job_id>;
 
@@ -165,6 +175,8 @@
     auto finishGang(const task_ref &task, job_record &job, core::monotonic_time now) -> void;
     auto endJob(job_record &job, job_phase phase, core::monotonic_time now) -> void;
     auto onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void;
+    auto settleEarlierLife(worker_slot &worker, const worker_report &report, core::monotonic_time sentAt,
+                           core::monotonic_time now) -> void;
     auto noteBegun(job_record &job) -> void;
     auto onEndOfCurrentRun(const task_ref &task, job_record &job, task_state &state, const ended_run &end,
                            core::monotonic_time now) -> void;
@@ -180,17 +192,21 @@
     auto paceFillers(worker_slot &worker, core::monotonic_time now) -> void;
     auto relocateStragglers(core::monotonic_time now) -> void;
     auto considerRelocation(const task_ref &task, worker_slot &worker, core::monotonic_time now) -> void;
+    auto evacuateLeaving(core::monotonic_time now) -> void;
     auto planPool(const core::pool_id &pool, core::monotonic_time now, core::wall_time wallTime) -> void;
     auto planJob(job_record &job, std::span<worker_slot *const> workers, core::monotonic_time now,
                  core::wall_time wallTime) -> void;
     auto advisedWorkers(const job_record &job, std::uint32_t occurrence, std::uint32_t step,
                         std::span<worker_slot *const> workers, core::monotonic_time now) -> std::vector<worker_slot *>;
+    /// \returns whether nothing that could start now is left
     auto planStep(job_record &job, std::uint32_t occurrence, std::uint32_t step, std::span<worker_slot *const> workers,
-                  core::monotonic_time now) -> void;
+                  core::monotonic_time now) -> bool;
     auto takersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>;
     auto mayBeAway(const job_record &job, const task_ref &task, core::monotonic_time now) -> bool;
+    /// \returns whether nothing that could start now is left
     auto planGang(job_record &job, std::uint32_t occurrence, std::uint32_t step, std::span<worker_slot *const> workers,
-                  core::monotonic_time now) -> void;
+                  core::monotonic_time now) -> bool;
+    auto noteMisfit(const job_record &job, std::uint32_t step, std::span<worker_slot *const> workers) -> void;
 
     std::function<void(const decision &)> m_note;
     std::unordered_map<std::string, job_record> m_jobs;
@@ -200,6 +216,7 @@
     order_batch m_orders;
     advice_book m_advice;
     std::vector<advice_request> m_adviceRequests;
+    std::map<core::pool_id, pool_misfit> m_misfits;
     core::monotonic_time m_stragglersAt{};
     engine_counters m_counters;
 };
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -4,6 +4,7 @@
 #include <poplarpass/jobs/placement.h>
 
 #include <algorithm>
+#include <utility>
 
 // Which task starts where.
 namespace poplarpass::jobs
@@ -13,6 +14,7 @@
     expireLeases(now);
     repeatStops(now);
     relocateStragglers(now);
+    evacuateLeaving(now);
     for (const auto &[pool, ids] : m_activeJobs) {
         if (!ids.empty()) {
             planPool(pool, now, wallTime);
@@ -52,14 +54,18 @@
 auto job_engine::evacuate(const worker_slot &worker, core::monotonic_time now) -> void
 {
     const auto placed = worker.placed;
-    const auto takers = takersOf(worker.entry.pool, now);
+    const auto pool = takersOf(worker.entry.pool, now);
     for (const auto &task : placed) {
         const auto [job, state] = locate(task);
         const bool evacuable = job != nullptr && job->spec.steps[task.step].longRunning
             && !job->spec.steps[task.step].gang && state->phase == task_phase::running
             && job->phase == job_phase::active;
-        if (!evacuable || !mayBeAway(*job, task, now)
-            || internal::chooseWorker(*job, task.occurrence, task.step, takers) == nullptr) {
+        if (!evacuable || !mayBeAway(*job, task, now)) {
+            continue;
+        }
+        const auto takers = advisedWorkers(*job, task.occurrence, task.step, pool, now);
+        if (internal::chooseWorker(*job, task.occurrence, task.step, takers) == nullptr) {
+            noteMisfit(*job, task.step, pool);
             continue;
         }
         say("task_evacuated", nameOf(task), worker.entry.id, state->run, "host_leaves");
@@ -68,6 +74,16 @@
     }
 }
 
+// A worker that says that it leaves ends everything soon; its long-running tasks go before.
+auto job_engine::evacuateLeaving(core::monotonic_time now) -> void
+{
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (worker.listed && worker.answering && worker.entry.draining) {
+            evacuate(worker, now);
+        }
+    }
+}
+
 auto job_engine::planPool(const core::pool_id &pool, core::monotonic_time now, core::wall_time wallTime) -> void
 {
     const auto workers = takersOf(pool, now);
@@ -101,10 +117,10 @@
                 continue;
             }
             const auto able = advisedWorkers(job, occurrence, step, workers, now);
-            if (job.spec.steps[step].gang) {
-                planGang(job, occurrence, step, able, now);
-            } else {
-                planStep(job, occurrence, step, able, now);
+            const bool placed = job.spec.steps[step].gang ? planGang(job, occurrence, step, able, now)
+                                                          : planStep(job, occurrence, step, able, now);
+            if (!placed) {
+                noteMisfit(job, step, workers);
             }
         }
     }
@@ -124,8 +140,28 @@
     return m_advice.allowed(name, workers, now);
 }
 
+// Where there is no room at all, the load of the pool says so; here it is the kind of the workers that is missing.
+auto job_engine::noteMisfit(const job_record &job, std::uint32_t step, std::span<worker_slot *const> workers) -> void
+{
+    const auto &spec = job.spec.steps[step];
+    const auto need = internal::needOf(spec);
+    const bool room = std::ranges::any_of(workers, [&](const auto *worker) { return worker->free().holds(need); });
+    if (!room || spec.fills) {
+        return;
+    }
+    auto &misfit = m_misfits[job.queue.pool];
+    const bool same = misfit.steps == 0 || misfit.requirement == spec.requirement;
+    misfit.requirement = same ? spec.requirement : std::string{};
+    ++misfit.steps;
+}
+
+auto job_engine::takeMisfits() -> std::map<core::pool_id, pool_misfit>
+{
+    return std::exchange(m_misfits, {});
+}
+
 auto job_engine::planStep(job_record &job, std::uint32_t occurrence, std::uint32_t step,
-                          std::span<worker_slot *const> workers, core::monotonic_time now) -> void
+                          std::span<worker_slot *const> workers, core::monotonic_time now) -> bool
 {
     const auto first = job.positionOf(occurrence, step, 0);
     for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
@@ -135,15 +171,16 @@
         }
         auto *worker = internal::chooseWorker(job, occurrence, step, workers);
         if (worker == nullptr) {
-            return;
+            return false;
         }
         place(job, task_ref{job.id, occurrence, step, index}, *worker, state.run + 1, now);
     }
+    return true;
 }
 
 // All members start together or none does. The members get one run number and one checkpoint.
 auto job_engine::planGang(job_record &job, std::uint32_t occurrence, std::uint32_t step,
-                          std::span<worker_slot *const> workers, core::monotonic_time now) -> void
+                          std::span<worker_slot *const> workers, core::monotonic_time now) -> bool
 {
     const auto &spec = job.spec.steps[step];
     const auto first = job.positionOf(occurrence, step, 0);
@@ -152,7 +189,7 @@
     for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
         const auto &state = job.tasks[first + index];
         if (state.phase != task_phase::waiting || now < state.notBefore) {
-            return;
+            return true;
         }
         run = std::max(run, state.run);
         if (!state.checkpoint.empty()) {
@@ -172,7 +209,7 @@
     for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
         auto *copy = internal::chooseWorker(job, occurrence, step, trial);
         if (copy == nullptr) {
-            return;
+            return false;
         }
         copy->placed.insert(task_ref{job.id, occurrence, step, index});
         internal::occupy(*copy, spec);
@@ -182,5 +219,6 @@
         job.tasks[first + index].checkpoint = checkpoint;
         place(job, task_ref{job.id, occurrence, step, index}, *chosen[index], run + 1, now);
     }
+    return true;
 }
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -14,13 +14,20 @@
 {
     return std::string{task} + "/" + std::to_string(run);
 }
+
+auto runsListedIn(const worker_report &report) -> std::unordered_set<std::string>
+{
+    std::unordered_set<std::string> listed;
+    for (const auto &running : report.running) {
+        listed.insert(runKey(running.task, running.run));
+    }
+    return listed;
+}
 } // namespace
 
 auto job_engine::updateWorkers(std::span<const worker_entry> entries, core::monotonic_time now) -> void
 {
-    for (const auto &id : m_workers.update(entries, now)) {
-        loseAll(*m_workers.find(id), "worker_restarted", now);
-    }
+    m_workers.update(entries, now);
     m_workers.dropGone();
 }
 
@@ -31,11 +38,13 @@
     if (worker == nullptr) {
         return 0;
     }
-    if (report.born > worker->entry.born) {
-        loseAll(*worker, "worker_restarted", now);
-        worker->entry.born = report.born;
-        worker->handledEnd = 0;
-        worker->greeted = false;
+    const auto born = std::max(report.born, worker->entry.born);
+    if (report.born != 0 && report.born < born) {
+        return 0;
+    }
+    if (born != worker->reportedBorn) {
+        worker_table::beginLife(*worker, born);
+        settleEarlierLife(*worker, report, sentAt, now);
     }
     worker->clockMs = report.clockMs;
     worker->clockReadAt = now;
@@ -58,6 +67,40 @@
     return worker->handledEnd;
 }
 
+// What the worker acknowledged before it was born ran in an earlier life, and died with it. An order that was on its
+// way meanwhile may have reached either life, so such a run is stopped here before its task starts again.
+auto job_engine::settleEarlierLife(worker_slot &worker, const worker_report &report, core::monotonic_time sentAt,
+                                   core::monotonic_time now) -> void
+{
+    const std::chrono::duration<double, std::milli> age{static_cast<double>(report.clockMs) / slowestWorkerClock};
+    const auto bornAfter = sentAt - std::chrono::duration_cast<core::duration>(age);
+    // On a clock that began anew, a lease by the former clock lasts as long as the worker grants at all.
+    if (worker.leaseOrderedAt >= bornAfter) {
+        worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseOrderedAt + longestGrantedLease + leaseMargin);
+    }
+    const auto listed = runsListedIn(report);
+    const auto placed = worker.placed;
+    for (const auto &task : placed) {
+        const auto [job, state] = locate(task);
+        if (job == nullptr || state->workerBorn >= worker.entry.born) {
+            continue;
+        }
+        const bool isListed = listed.contains(runKey(nameOf(task), state->run));
+        if (!isListed && state->acknowledged && state->acknowledgedAt < bornAfter) {
+            ++m_counters.runsLost;
+            say("run_lost", nameOf(task), worker.entry.id, state->run, "worker_restarted");
+            toWaiting(task, *job, *state, now);
+            continue;
+        }
+        state->workerBorn = worker.entry.born;
+        touch(*job);
+        if (state->phase == task_phase::closing || (!isListed && !state->acknowledged)) {
+            say("run_given_up", nameOf(task), worker.entry.id, state->run, "worker_restarted");
+            beginClosing(task, *job, *state, now);
+        }
+    }
+}
+
 auto job_engine::onNoReport(const worker_id &id) -> void
 {
     if (auto *worker = m_workers.find(id)) {
@@ -195,16 +238,19 @@
 auto job_engine::settleMissing(worker_slot &worker, const worker_report &report, core::monotonic_time sentAt,
                                core::monotonic_time now) -> void
 {
-    std::unordered_set<std::string> listed;
-    for (const auto &running : report.running) {
-        listed.insert(runKey(running.task, running.run));
-    }
+    const auto listed = runsListedIn(report);
     const auto placed = worker.placed;
     for (const auto &task : placed) {
         const auto [job, state] = locate(task);
         if (job == nullptr || listed.contains(runKey(nameOf(task), state->run))) {
             continue;
         }
+        const bool neverCame = state->phase == task_phase::starting && !state->acknowledged && state->unansweredAt
+            && *state->unansweredAt < sentAt;
+        if (neverCame) {
+            beginClosing(task, *job, *state, now);
+            continue;
+        }
         const bool wasThere =
             state->phase != task_phase::closing && state->acknowledged && state->acknowledgedAt < sentAt;
         const bool wasClosed = state->phase == task_phase::closing && state->closed && state->closedAt < sentAt;
@@ -234,8 +280,12 @@
         return;
     }
     if (answer == start_answer::unknown) {
-        say("start_unanswered", nameOf(order.task), order.worker, order.run, "closing");
-        if (state->phase == task_phase::starting) {
+        // A long-running task that came to work is not taken away again: the next report tells.
+        const bool waits = job->spec.steps[order.task.step].longRunning && state->phase == task_phase::starting;
+        say("start_unanswered", nameOf(order.task), order.worker, order.run, waits ? "waiting" : "closing");
+        if (waits) {
+            state->unansweredAt = now;
+        } else if (state->phase == task_phase::starting) {
             beginClosing(order.task, *job, *state, now);
         }
         return;
--- a/src/poplarpass/jobs/stragglers.cpp
+++ b/src/poplarpass/jobs/stragglers.cpp
@@ -59,7 +59,7 @@
     return std::chrono::duration_cast<core::duration>(age * ((wholePercent - state.percent) / state.percent));
 }
 
-auto isStraggler(const job_record &job, const task_ref &task, core::monotonic_time now) -> bool
+auto isStraggler(const job_record &job, const task_ref &task) -> bool
 {
     const auto &step = job.spec.steps[task.step];
     const auto &state = job.tasks[job.positionOf(task.occurrence, task.step, task.index)];
@@ -67,7 +67,8 @@
         return false;
     }
     if (step.longRunning) {
-        return !state.atWork && now - state.startedAt > idleLimit;
+        // A worker that was not heard of may have brought it to work meanwhile.
+        return !state.atWork && state.reportedAt - state.acknowledgedAt > idleLimit;
     }
     if (state.reportedAt - state.acknowledgedAt < stragglerAge) {
         return false;
@@ -100,7 +101,7 @@
 auto job_engine::considerRelocation(const task_ref &task, worker_slot &worker, core::monotonic_time now) -> void
 {
     const auto [job, state] = locate(task);
-    if (job == nullptr || job->phase != job_phase::active || !internal::isStraggler(*job, task, now)) {
+    if (job == nullptr || job->phase != job_phase::active || !internal::isStraggler(*job, task)) {
         return;
     }
     auto takers = takersOf(worker.entry.pool, now);
--- a/src/poplarpass/jobs/stragglers.h
+++ b/src/poplarpass/jobs/stragglers.h
@@ -17,5 +17,5 @@
 /// \brief Whether a run is so slow that its task is done sooner by a new run elsewhere.
 ///
 /// Answers workers that turn slow, or on which runs stand still, while their health is good.
-auto isStraggler(const job_record &job, const task_ref &task, core::monotonic_time now) -> bool;
+auto isStraggler(const job_record &job, const task_ref &task) -> bool;
 } // namespace poplarpass::jobs::internal
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -28,20 +28,16 @@
     return clockMs + std::chrono::duration_cast<std::chrono::milliseconds>(now - clockReadAt).count();
 }
 
-auto worker_table::update(std::span<const worker_entry> entries, core::monotonic_time now) -> std::vector<worker_id>
+auto worker_table::update(std::span<const worker_entry> entries, core::monotonic_time now) -> void
 {
     for (auto &[id, worker] : m_workers) {
         worker.listed = false;
     }
-    std::vector<worker_id> ended;
     for (const auto &entry : entries) {
         auto &worker = m_workers[entry.id];
-        const bool restarted = worker.entry.born != 0 && entry.born > worker.entry.born;
-        if (restarted) {
-            ended.push_back(entry.id);
+        if (worker.entry.born != 0 && entry.born > worker.entry.born) {
             worker.greeted = false;
-            worker.handledEnd = 0;
-            worker.failuresInRow = 0;
+            worker.answering = false;
         }
         if (entry.born < worker.entry.born) {
             worker.listed = true;
@@ -54,7 +50,15 @@
         worker.entry = entry;
         worker.listed = true;
     }
-    return ended;
+}
+
+auto worker_table::beginLife(worker_slot &worker, std::int64_t born) -> void
+{
+    worker.entry.born = born;
+    worker.reportedBorn = born;
+    worker.greeted = false;
+    worker.handledEnd = 0;
+    worker.failuresInRow = 0;
 }
 
 auto worker_table::find(const worker_id &id) -> worker_slot *
@@ -89,6 +93,7 @@
         std::chrono::duration<double, std::milli>{static_cast<double>(deadline - worker.clockMs) / slowestWorkerClock};
     const auto end = worker.clockReadAt + std::chrono::duration_cast<core::duration>(span) + leaseMargin;
     worker.leaseEnd = std::max(worker.leaseEnd, end);
+    worker.leaseOrderedAt = now;
     return deadline;
 }
 
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -18,10 +18,12 @@
     worker_entry entry; ///< What it last said of itself.
     bool listed = false; ///< Whether the platform lists it at present.
     bool greeted = false; ///< Whether it answered a renewal of this owner in this life.
+    std::int64_t reportedBorn = 0; ///< Life that reported last; 0 before the first report.
     bool leaving = false; ///< Whether the system itself is about to take the host away.
     bool answering = false; ///< Whether its last renewal was answered.
     core::monotonic_time answeredAt{}; ///< When it last answered a renewal.
     core::monotonic_time pausedUntil{}; ///< No starts before this time.
+    core::monotonic_time leaseOrderedAt{}; ///< When an order with a lease was last sent.
     core::monotonic_time leaseEnd{}; ///< When every run placed so far has surely ended, if nothing else is sent.
     core::monotonic_time clockReadAt{}; ///< When clockMs was read.
     std::int64_t clockMs = 0; ///< The worker's clock then, milliseconds.
@@ -63,8 +65,9 @@
 {
 public:
     /// \brief Takes in the whole list of entries; workers that are not in it stay while runs may live there.
-    /// \returns workers whose life ended for sure: they started again under the same identifier
-    auto update(std::span<const worker_entry> entries, core::monotonic_time now) -> std::vector<worker_id>;
+    ///
+    /// What ran in an earlier life of a worker stays placed until the new life has reported.
+    auto update(std::span<const worker_entry> entries, core::monotonic_time now) -> void;
 
     /// \brief Worker \p id; null when there is none.
     auto find(const worker_id &id) -> worker_slot *;
@@ -93,6 +96,9 @@
     /// \brief Forgets workers that are not listed and have nothing placed.
     auto dropGone() -> void;
 
+    /// \brief A new life of \p worker reported: nothing that was known of an earlier one holds.
+    static auto beginLife(worker_slot &worker, std::int64_t born) -> void;
+
 private:
     std::map<worker_id, worker_slot> m_workers;
 };
--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -115,6 +115,52 @@
     CHECK(again[0].run == 2);
 }
 
+TEST_CASE("A start that was on its way when its worker started again is stopped before the task starts anew", "[jobs]")
+{
+    auto engine = engineWith({worker("a", 1)});
+    engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    engine.plan(at(10), wallAt(10));
+    const auto order = engine.takeOrders().starts.at(0);
+    // The new life got the start, and its list of runs was made a moment before.
+    engine.updateWorkers(std::vector{worker("a", 2)}, at(20));
+    engine.onReport(jobs::worker_id{"a"}, report(2), at(21), at(22));
+    engine.onStartAnswer(order, jobs::start_answer::started, at(23));
+    engine.plan(at(30), wallAt(30));
+    const auto orders = engine.takeOrders();
+    CHECK(orders.starts.empty());
+    REQUIRE(orders.stops.size() == 1);
+
+    engine.onStopAnswer(orders.stops[0], jobs::stop_answer::stopped, at(40));
+    engine.onReport(jobs::worker_id{"a"}, report(2), at(50), at(51));
+    const auto again = startAll(engine, 60);
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run == order.run + 1);
+}
+
+TEST_CASE("An evacuation waits for a worker that advice allows", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    auto lasting = step(1);
+    lasting.longRunning = true;
+    lasting.maxUnavailable = 1;
+    auto policy = queue();
+    policy.advice =
+        jobs::advice_policy{std::chrono::milliseconds{1}, std::chrono::milliseconds{1}, std::chrono::seconds{60}};
+    engine.submit(jobId, policy, jobOf({lasting}), wallAt(0));
+    engine.plan(at(10), wallAt(10));
+    const auto asked = engine.takeAdviceRequests();
+    REQUIRE(asked.size() == 1);
+    engine.onAdvice(asked[0], std::vector<jobs::advice_ticket>{{jobs::worker_id{"a"}, "t"}}, at(10), at(11));
+    REQUIRE(startAll(engine, 20).size() == 1);
+    auto listed = report();
+    listed.running = {{jobs::nameOf(jobs::task_ref{jobId, 0, 0, 0}), 1, {}, 100, 0}};
+    engine.onReport(jobs::worker_id{"a"}, listed, at(30), at(31));
+    auto &leaving = *engine.workers().find(jobs::worker_id{"a"});
+    leaving.leaving = true;
+    engine.evacuate(leaving, at(40));
+    CHECK(engine.takeOrders().stops.empty());
+}
+
 TEST_CASE("A job fails when a task has failed as often as its queue allows, each run counted once", "[jobs]")
 {
     auto engine = engineWith({worker("a"), worker("b")});
