Hosts whose orders were done before are used again; orders need to know the host's worker; misfits get hosts

(2) a machine that was lost comes back with a worker that the list (read each second) does not show; the drain of the former, dead worker counted as finished and the order ended the tasks of the new one beside others that were away. (3) a pool shrunk to the hosts that its load needs may hold none that advice, a label or anti-affinity allows for a step: the step waited for ever with idle hosts elsewhere. Change: a host listed as up 3 s after its order is back; orders for a host with a silent worker wait for a list that was asked for after it was found empty; a pool with misfits gets one host more at a time, with the label that is required.

--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -42,6 +42,32 @@
         balance.need = std::max<std::int64_t>(hosts, load.spread + 1);
         balance.want = balance.need + (maintained.contains(pool) ? 1 : 0);
     }
+    considerMisfits(engine, now);
+}
+
+// One host more at a time, as only its arrival tells whether it helps: advice may turn it down as well.
+auto capacity_planner::considerMisfits(jobs::job_engine &engine, core::monotonic_time now) -> void
+{
+    const auto misfits = engine.takeMisfits();
+    std::erase_if(m_misfits, [&](const auto &entry) { return !misfits.contains(entry.first); });
+    for (const auto &[pool, misfit] : misfits) {
+        auto &balance = m_balances[pool];
+        balance.requirement = misfit.requirement;
+        const auto [known, isNew] = m_misfits.try_emplace(pool, misfit_hosts{0, now});
+        auto &hosts = known->second;
+        const bool arrived = hosts.extra == 0 || balance.have >= balance.want + hosts.extra;
+        if (!isNew && arrived && now - hosts.since >= misfitPatience && hosts.extra < mostMisfitHosts) {
+            hosts.extra = std::max(hosts.extra + 1, balance.have + 1 - balance.want);
+            hosts.since = now;
+        }
+        balance.want += hosts.extra;
+    }
+}
+
+auto capacity_planner::mayHelp(const host_slot &host, const pool_balance &balance) const -> bool
+{
+    return balance.requirement.empty()
+        || std::ranges::find(host.entry.labels, balance.requirement) != host.entry.labels.end();
 }
 
 auto capacity_planner::move(host_slot &host, const core::pool_id &pool, jobs::job_engine &engine,
@@ -95,7 +121,7 @@
         const bool idle = from.standby || now - host->idleSince >= idleBeforeMove;
         const bool drainable = idle || isDrainedSoon(*host, engine);
         if (host->step == host_step::none && spare && drainable && host->entry.pool != pool
-            && !host->unfitPools.contains(pool)) {
+            && !host->unfitPools.contains(pool) && mayHelp(*host, balance)) {
             move(*host, pool, engine, now);
         }
     }
--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -55,6 +55,7 @@
     if (!m_hosts.listedAt()) {
         return {};
     }
+    takeBack(engine);
     trackIdle(engine, now);
     measure(engine, pools, now);
     planMoves(engine, now);
@@ -62,6 +63,17 @@
     return advanceDrains(engine, now);
 }
 
+// The worker of a host that nothing is done with takes work again.
+auto capacity_planner::takeBack(jobs::job_engine &engine) -> void
+{
+    for (auto &[id, host] : m_hosts.all()) {
+        auto *worker = slotOf(host, engine);
+        if (host.step == host_step::none && host.entry.condition == host_condition::up && worker != nullptr) {
+            worker->leaving = false;
+        }
+    }
+}
+
 auto capacity_planner::trackIdle(jobs::job_engine &engine, core::monotonic_time now) -> void
 {
     for (auto &[id, host] : m_hosts.all()) {
@@ -77,6 +89,7 @@
     host.step = host_step::draining;
     host.order = std::move(order);
     host.since = now;
+    host.emptyAt.reset();
     host.formerWorker = host.entry.worker;
     if (auto *worker = slotOf(host, engine)) {
         worker->leaving = true;
@@ -92,6 +105,15 @@
     }
 }
 
+// A machine that was lost may be back with a worker that the list does not show yet, and that has work already.
+auto capacity_planner::isWorkerKnown(const host_slot &host, jobs::job_engine &engine, core::monotonic_time now) const
+    -> bool
+{
+    const auto *worker = slotOf(host, engine);
+    const bool heard = worker != nullptr && worker->answering && now - worker->answeredAt < workerProof;
+    return heard || host.entry.worker.empty() || *m_hosts.listedAt() > *host.emptyAt;
+}
+
 auto capacity_planner::advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>
 {
     std::vector<host_order> orders;
@@ -111,7 +133,12 @@
         const bool forMove = host.order.pool.has_value();
         const auto notBefore = m_notBefore.find(id);
         const bool mayOrder = notBefore == m_notBefore.end() || now >= notBefore->second;
-        if (isEmpty(host, engine) && mayOrder) {
+        if (!isEmpty(host, engine)) {
+            host.emptyAt.reset();
+        } else if (!host.emptyAt) {
+            host.emptyAt = now;
+        }
+        if (host.emptyAt && mayOrder && isWorkerKnown(host, engine, now)) {
             host.step = host_step::ordered;
             host.since = now;
             orders.push_back(host.order);
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -39,6 +39,7 @@
     std::int64_t need = 0; ///< Hosts that its load takes.
     std::int64_t want = 0; ///< The same, and one more while hosts of it are to be maintained.
     bool standby = false; ///< Whether its hosts are off.
+    std::string requirement; ///< Label that hosts on their way to it should have; empty for any.
 };
 
 /// \brief Decides which hosts are drained, maintained and moved, for the owner of the pools.
@@ -85,10 +86,13 @@
     [[nodiscard]] auto isAwaitingHosts() const -> bool;
 
 private:
+    auto takeBack(jobs::job_engine &engine) -> void;
     auto trackIdle(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWave(wave_state &wave, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto measure(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now) -> void;
+    auto considerMisfits(jobs::job_engine &engine, core::monotonic_time now) -> void;
+    [[nodiscard]] auto mayHelp(const host_slot &host, const pool_balance &balance) const -> bool;
     auto planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto fillPool(const core::pool_id &pool, std::span<host_slot *const> donors, jobs::job_engine &engine,
                   core::monotonic_time now) -> void;
@@ -98,12 +102,22 @@
     [[nodiscard]] auto isAnyPoolShort() const -> bool;
     [[nodiscard]] auto awaitsMaintenance(const host_slot &host) const -> bool;
     auto advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>;
+    [[nodiscard]] auto isWorkerKnown(const host_slot &host, jobs::job_engine &engine, core::monotonic_time now) const
+        -> bool;
     auto beginDrain(host_slot &host, host_order order, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto stopDrain(host_slot &host, jobs::job_engine &engine, core::monotonic_time now) -> void;
 
     host_table m_hosts;
     demand_meter m_demand;
+    /// \brief Hosts that a pool gets because its own may not run what waits.
+    struct misfit_hosts
+    {
+        std::int64_t extra = 0;
+        core::monotonic_time since{}; ///< When what waits was first seen, or the last such host was asked for.
+    };
+
     std::map<core::pool_id, pool_balance> m_balances;
+    std::map<core::pool_id, misfit_hosts> m_misfits;
     std::size_t m_moving = 0; ///< Hosts that are to change their pool.
     std::map<std::int64_t, wave_state> m_waves;
     std::map<core::host_id, core::monotonic_time> m_notBefore;
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -14,6 +14,10 @@
 inline constexpr std::size_t riseJobs = 4;
 /// \brief A pool is given this share more than it needs.
 inline constexpr double headroom = 1.1;
+/// \brief A pool whose workers may not run what waits gets another host after this, and again after it came.
+inline constexpr core::duration misfitPatience = std::chrono::milliseconds{500};
+/// \brief Hosts that a pool gets for that reason at most.
+inline constexpr std::int64_t mostMisfitHosts = 6;
 /// \brief A host without work for this long may be taken for another pool.
 inline constexpr core::duration idleBeforeMove = std::chrono::milliseconds{300};
 /// \brief A host without work for this long, needed by no pool, is put on standby.
@@ -26,6 +30,10 @@
 inline constexpr std::size_t waveSlots = 5;
 /// \brief A wave is planned to end this long before its time is over.
 inline constexpr core::duration waveReserve = std::chrono::milliseconds{2500};
+/// \brief A host that is listed as up this long after its maintenance was ordered is back, also with the same worker.
+inline constexpr core::duration returnPatience = std::chrono::milliseconds{3000};
+/// \brief A worker that answered this long ago is still the worker of its host.
+inline constexpr core::duration workerProof = std::chrono::milliseconds{1800};
 /// \brief A host that could not be drained for a move within this time stays.
 inline constexpr core::duration moveDrainLimit = std::chrono::milliseconds{4000};
 /// \brief Hosts on their way to other pools at once at most.
--- a/src/poplarpass/capacity/host_table.cpp
+++ b/src/poplarpass/capacity/host_table.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/capacity/constants.h>
 #include <poplarpass/capacity/host_table.h>
 
 namespace poplarpass::capacity
@@ -5,6 +6,8 @@
 namespace
 {
 /// \brief Whether a list that was asked for after the order began shows that the host is back.
+///
+/// An order that is repeated because its answer was lost may have been done before: then no other worker follows.
 auto isBack(const host_slot &host, core::monotonic_time askedAt) -> bool
 {
     if (host.step != host_step::away || askedAt <= host.since || host.entry.condition != host_condition::up) {
@@ -14,7 +17,8 @@
         return host.entry.pool == *host.order.pool;
     }
     // A host on standby has no worker by which its return could be told.
-    return host.entry.worker != host.formerWorker || host.formerWorker.empty();
+    const bool isChanged = host.entry.worker != host.formerWorker || host.formerWorker.empty();
+    return isChanged || askedAt - host.since >= returnPatience;
 }
 } // namespace
 
--- a/src/poplarpass/capacity/host_table.h
+++ b/src/poplarpass/capacity/host_table.h
@@ -81,6 +81,7 @@
     core::monotonic_time since{}; ///< When the step began.
     jobs::worker_id formerWorker; ///< Worker before the order.
     core::monotonic_time idleSince{}; ///< Since when nothing is placed on its worker.
+    std::optional<core::monotonic_time> emptyAt; ///< When it was first found empty while it is drained.
     std::set<core::pool_id> unfitPools; ///< Pools that refused it.
 };
 
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -248,6 +248,86 @@
     CHECK(leaving == 0);
 }
 
+TEST_CASE("A host whose maintenance had been done before its answer came is used again", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("a", "busy");
+    fixture.add("b", "busy");
+    fixture.begin();
+    capacity::wave_request wave;
+    wave.number = 1;
+    wave.hosts = {core::host_id{"h-a"}};
+    wave.duration = std::chrono::seconds{20};
+    fixture.planner.addWave(wave, at(0));
+    const auto first = fixture.plan(100);
+    REQUIRE(first.size() == 1);
+
+    // The answer was lost; a list shows the worker that followed, and the repeated order is answered as done.
+    fixture.planner.onOrderAnswer(first[0], capacity::host_order_outcome::unknown, at(1600));
+    fixture.hosts[0] = hostOf("a2", "busy");
+    fixture.hosts[0].id = core::host_id{"h-a"};
+    fixture.entries[0] = worker("a2", 1, "busy");
+    fixture.engine.updateWorkers(fixture.entries, at(2500));
+    fixture.engine.onReport(jobs::worker_id{"a2"}, report(), at(2500), at(2500));
+    fixture.planner.updateHosts(fixture.hosts, at(2500), at(2500));
+    auto orders = fixture.plan(2600);
+    for (std::int64_t time = 2700; orders.empty() && time < 6000; time += 100) {
+        orders = fixture.plan(time);
+    }
+    REQUIRE(orders.size() == 1);
+    const auto done = fixture.now + 10;
+    fixture.planner.onOrderAnswer(orders[0], capacity::host_order_outcome::done, at(done));
+    fixture.engine.onWorkerEnded(jobs::worker_id{"a2"}, at(done));
+    for (auto time = done + 300; time < done + 5000; time += 300) {
+        fixture.planner.updateHosts(fixture.hosts, at(time), at(time));
+        fixture.plan(time + 10);
+    }
+    CHECK(fixture.engine.workers().find(jobs::worker_id{"a2"})->takesStarts(at(fixture.now)));
+}
+
+TEST_CASE("A host whose worker is silent is ordered away only when a new list still shows that worker", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("a", "busy");
+    fixture.add("b", "busy");
+    fixture.begin();
+    capacity::wave_request wave;
+    wave.number = 1;
+    wave.hosts = {core::host_id{"h-a"}};
+    wave.duration = std::chrono::seconds{20};
+    fixture.planner.addWave(wave, at(0));
+    fixture.engine.onNoReport(jobs::worker_id{"a"});
+    CHECK(fixture.planner.plan(fixture.engine, fixture.pools, at(100)).empty());
+    CHECK(fixture.planner.plan(fixture.engine, fixture.pools, at(200)).empty());
+
+    // The machine is back with a worker that may have work already.
+    fixture.hosts[0] = hostOf("a2", "busy");
+    fixture.hosts[0].id = core::host_id{"h-a"};
+    fixture.planner.updateHosts(fixture.hosts, at(300), at(310));
+    CHECK(fixture.planner.plan(fixture.engine, fixture.pools, at(320)).empty());
+}
+
+TEST_CASE("A pool whose workers may not run what waits gets hosts until one may", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("a", "busy");
+    fixture.add("b", "spare");
+    fixture.add("c", "spare");
+    fixture.hosts[2].labels = {"special"};
+    fixture.begin();
+    auto special = step(1);
+    special.requirement = "special";
+    fixture.submit("0000000000000001", "busy", {special}, 2000);
+    std::vector<capacity::host_order> orders;
+    for (std::int64_t time = 2000; orders.empty() && time < 4000; time += 50) {
+        fixture.engine.plan(at(time), wallAt(time));
+        orders = fixture.plan(time);
+    }
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].host == core::host_id{"h-c"});
+    CHECK(orders[0].pool == core::pool_id{"busy"});
+}
+
 TEST_CASE("What a former owner maintained is not maintained again", "[capacity]")
 {
     planner_fixture fixture;
