A simulation of whole systems: hosts, store, workers, service for hosts, advice, callers on a stepped clock

Change: tests/system plays four hosts (host_core, unchanged) with 25 kinds of trouble at random, alone and together, and a checker that sees only what callers, workers and machines see. The first versions of the checker were wrong where traces showed the case allowed: ends count once they are noted; a frozen host is not thawed early; being at work is judged at the moment of the order, not at the last tick.

--- a/tests/decisions/jobs_sim_world.cpp
+++ b/tests/decisions/jobs_sim_world.cpp
@@ -295,8 +295,10 @@
     watch.onEnd = [this](const std::string &task, std::uint32_t, jobs::end_kind how) {
         noteEnd(task, how);
     };
-    watch.onDoneNoted = [this](const std::string &task) {
-        m_doneNoted.insert(task);
+    watch.onNoted = [this](const jobs::ended_run &end) {
+        if (end.how == jobs::end_kind::done) {
+            m_doneNoted.insert(end.task);
+        }
     };
     return watch;
 }
--- a/tests/fakes/worker_model.cpp
+++ b/tests/fakes/worker_model.cpp
@@ -115,8 +115,8 @@
     while (!m_ended.empty() && m_ended.front().number <= last) {
         const auto &end = m_ended.front();
         // An end that is acknowledged only after the lease has lapsed came too late to keep another from starting it.
-        if (end.how == jobs::end_kind::done && end.number > m_lastBeforeLapse) {
-            m_watch.onDoneNoted(end.task);
+        if (end.number > m_lastBeforeLapse) {
+            m_watch.onNoted(end);
         }
         m_ended.pop_front();
     }
--- a/tests/fakes/worker_model.h
+++ b/tests/fakes/worker_model.h
@@ -34,7 +34,7 @@
 {
     std::function<void(const std::string &, std::uint32_t)> onStart; ///< A run begins: task, run.
     std::function<void(const std::string &, std::uint32_t, jobs::end_kind)> onEnd; ///< A run ended.
-    std::function<void(const std::string &)> onDoneNoted; ///< The end as done of this task was acknowledged for good.
+    std::function<void(const jobs::ended_run &)> onNoted; ///< An end was acknowledged for good.
 };
 
 /// \brief One worker as it really is: leases, fencing, runs and ends. Times are milliseconds of the test.
--- /dev/null
+++ b/tests/system/rule_checker.cpp
@@ -0,0 +1,296 @@
+#include "rule_checker.h"
+
+#include <algorithm>
+
+namespace tests::system_sim
+{
+namespace
+{
+constexpr std::int64_t visibleMs = 3000;
+constexpr std::int64_t cancelMs = 3000;
+constexpr std::int64_t earlyMs = 250;
+constexpr std::int64_t noticeMs = 4500;
+constexpr std::int64_t atWorkMs = 120; ///< A task that was seen at work this long ago is taken to be.
+constexpr int accepted = 200;
+
+auto taskName(const std::string &job, std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) -> std::string
+{
+    return jobs::nameOf(jobs::task_ref{jobs::job_id{job}, occurrence, step, index});
+}
+
+auto forEachTask(const std::string &job, const jobs::job_spec &spec,
+                 const std::function<void(const std::string &, std::uint32_t)> &visit) -> void
+{
+    for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
+        for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < spec.steps[step].taskCount; ++index) {
+                visit(taskName(job, occurrence, step, index), step);
+            }
+        }
+    }
+}
+} // namespace
+
+rule_checker::rule_checker(sim_network &network)
+    : m_network{network}
+{
+}
+
+auto rule_checker::broken(const std::string &rule, const std::string &what) -> void
+{
+    if (m_said.insert(rule + what).second) {
+        breaches.push_back(rule + " at " + std::to_string(m_network.nowMs()) + " ms: " + what);
+    }
+}
+
+auto rule_checker::onSubmitted(const std::string &job, const jobs::job_spec &spec, const jobs::queue_policy &queue)
+    -> void
+{
+    auto &known = m_jobs[job];
+    known.spec = spec;
+    known.queue = queue;
+}
+
+auto rule_checker::onSubmitAnswer(const std::string &job, std::optional<int> status) -> void
+{
+    auto &known = m_jobs.at(job);
+    if (status == accepted) {
+        known.maybeAccepted = true;
+        known.acceptedAt = known.acceptedAt.value_or(m_network.nowMs());
+    } else if (!status || (*status != 503 && *status != 429)) {
+        known.maybeAccepted = true;
+    }
+}
+
+auto rule_checker::onCancelSent(const std::string &job) -> void
+{
+    auto &known = m_jobs.at(job);
+    known.cancelSentAt = known.cancelSentAt.value_or(m_network.nowMs());
+}
+
+auto rule_checker::onCancelled(const std::string &job) -> void
+{
+    auto &known = m_jobs.at(job);
+    known.cancelledAt = known.cancelledAt.value_or(m_network.nowMs());
+}
+
+auto rule_checker::isDone(const std::string &job) const -> bool
+{
+    bool done = true;
+    forEachTask(job, m_jobs.at(job).spec, [&](const std::string &task, std::uint32_t) {
+        const auto view = m_tasks.find(task);
+        done = done && view != m_tasks.end() && view->second.done;
+    });
+    return done;
+}
+
+auto rule_checker::isFailed(const std::string &id, const known_job &job) const -> bool
+{
+    bool failed = false;
+    forEachTask(id, job.spec, [&](const std::string &task, std::uint32_t) {
+        const auto view = m_tasks.find(task);
+        failed = failed || (view != m_tasks.end() && view->second.failed >= job.queue.maxAttempts);
+    });
+    return failed;
+}
+
+auto rule_checker::onState(const std::string &job, const std::string &state, bool inTouch) -> void
+{
+    const auto &known = m_jobs.at(job);
+    if (state == "completed" && !isDone(job)) {
+        broken("MIXED", job + " is shown as completed and is not");
+    }
+    if (state == "failed" && !isFailed(job, known)) {
+        broken("LOST", job + " is shown as failed without cause");
+    }
+    if (state == "cancelled" && !known.cancelSentAt) {
+        broken("LOST", job + " is shown as cancelled, and nobody cancelled it");
+    }
+    const bool visible = known.acceptedAt && m_network.nowMs() > *known.acceptedAt + visibleMs;
+    if (state.empty() && visible && !known.cancelSentAt && inTouch) {
+        broken("LOST", job + " was accepted and is not known");
+    }
+}
+
+auto rule_checker::onStart(const std::string &worker, const core::pool_id &pool, const std::string &task, bool inTouch)
+    -> void
+{
+    const auto ref = jobs::taskNamed(task);
+    const auto found = ref ? m_jobs.find(ref->job.str()) : m_jobs.end();
+    if (found == m_jobs.end()) {
+        broken("UNASKED", task + " is of no job");
+        return;
+    }
+    auto &job = found->second;
+    job.started = true;
+    auto &view = m_tasks[task];
+    if (!view.runningOn.empty()) {
+        broken("TWICE", task + " starts on " + worker + " and runs on " + *view.runningOn.begin());
+    }
+    if (pool != job.queue.pool) {
+        broken("ROUTE", task + " starts in the pool " + pool.str());
+    }
+    if (inTouch && job.cancelledAt && m_network.nowMs() > *job.cancelledAt + cancelMs) {
+        broken("UNASKED", task + " starts after its cancellation");
+    }
+    checkOrder(job, *ref);
+    view.runningOn.insert(worker);
+    ++view.starts;
+    checkEnds(task);
+}
+
+// Only ends that are noted, then or later, forbid a start after them.
+auto rule_checker::checkEnds(const std::string &task) -> void
+{
+    const auto &view = m_tasks[task];
+    const auto ref = jobs::taskNamed(task);
+    const auto &job = m_jobs.at(ref->job.str());
+    std::uint32_t failed = 0;
+    for (const auto &end : view.ends) {
+        const bool startedSince = view.starts > end.startsBefore;
+        if (end.noted && end.how == jobs::end_kind::done && startedSince) {
+            broken("TWICE", task + " started after its end in run " + std::to_string(end.run) + " was noted");
+        }
+        failed += end.noted && end.how == jobs::end_kind::failed ? 1 : 0;
+        if (failed >= job.queue.maxAttempts && startedSince && !job.spec.steps[ref->step].longRunning) {
+            broken("BUDGET", task + " started after its last attempt");
+        }
+    }
+}
+
+auto rule_checker::checkOrder(const known_job &job, const jobs::task_ref &task) -> void
+{
+    const auto name = jobs::nameOf(task);
+    for (const auto before : job.spec.steps[task.step].after) {
+        for (std::uint32_t index = 0; index < job.spec.steps[before].taskCount; ++index) {
+            if (!m_tasks[taskName(task.job.str(), task.occurrence, before, index)].done) {
+                broken("ORDER", name + " starts before an earlier step is done");
+                return;
+            }
+        }
+    }
+    if (job.spec.repeatCount > 0) {
+        const auto due = job.spec.firstDue + job.spec.interval * task.occurrence;
+        if (m_network.time.wallNow() + std::chrono::milliseconds{earlyMs} < due) {
+            broken("ORDER", name + " starts before it is due");
+        }
+    }
+}
+
+auto rule_checker::onEnd(const std::string &worker, const std::string &task, std::uint32_t run,
+                         std::optional<jobs::end_kind> how) -> void
+{
+    auto &view = m_tasks[task];
+    view.runningOn.erase(worker);
+    view.done = view.done || how == jobs::end_kind::done;
+    view.failed += how == jobs::end_kind::failed ? 1 : 0;
+    if (how == jobs::end_kind::done || how == jobs::end_kind::failed) {
+        view.ends.push_back({run, *how, view.starts, false});
+    }
+}
+
+auto rule_checker::onNoted(const jobs::ended_run &end) -> void
+{
+    for (auto &known : m_tasks[end.task].ends) {
+        known.noted = known.noted || known.run == end.run;
+    }
+    checkEnds(end.task);
+}
+
+auto rule_checker::onAtWork(const std::string &task) -> void
+{
+    auto &view = m_tasks[task];
+    view.lastAtWork = m_network.nowMs();
+    view.orderedAway = false;
+}
+
+auto rule_checker::isAway(const task_view &view, const known_job &job) const -> bool
+{
+    if (view.orderedAway) {
+        return true;
+    }
+    const auto last = view.lastAtWork.value_or(job.acceptedAt.value_or(m_network.nowMs()));
+    return m_network.nowMs() > last + noticeMs;
+}
+
+auto rule_checker::onOrderedAway(const std::string &task) -> void
+{
+    const auto ref = jobs::taskNamed(task);
+    const auto &job = m_jobs.at(ref->job.str());
+    const auto &step = job.spec.steps[ref->step];
+    auto &view = m_tasks[task];
+    const bool atWork = view.lastAtWork && m_network.nowMs() <= *view.lastAtWork + atWorkMs;
+    if (!step.maxUnavailable || !atWork || job.cancelSentAt) {
+        return;
+    }
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; index < step.taskCount; ++index) {
+        const auto other = taskName(ref->job.str(), ref->occurrence, ref->step, index);
+        away += other != task && isAway(m_tasks[other], job) ? 1 : 0;
+    }
+    if (away >= *step.maxUnavailable) {
+        broken("AVAIL", task + " is ordered away while " + std::to_string(away) + " others are");
+    }
+    view.orderedAway = true;
+}
+
+auto rule_checker::isHeldUpByAdvice(const std::string &id, const known_job &job) const -> bool
+{
+    bool heldUp = false;
+    forEachTask(id, job.spec, [&](const std::string &task, std::uint32_t) {
+        const auto view = m_tasks.find(task);
+        const bool done = view != m_tasks.end() && view->second.done;
+        const auto step = jobs::stepNameOf(*jobs::taskNamed(task));
+        heldUp = heldUp || (job.queue.advice && !done && !isAllowedAnywhere(step, job.queue.pool));
+    });
+    return heldUp;
+}
+
+auto rule_checker::isOwed(const std::string &id, const known_job &job) const -> bool
+{
+    if (!job.acceptedAt) {
+        return false;
+    }
+    bool running = false;
+    bool allAtWork = true;
+    forEachTask(id, job.spec, [&](const std::string &task, std::uint32_t) {
+        const auto view = m_tasks.find(task);
+        const bool seen = view != m_tasks.end();
+        running = running || (seen && !view->second.runningOn.empty());
+        allAtWork =
+            allAtWork && seen && view->second.lastAtWork && m_network.nowMs() <= *view->second.lastAtWork + atWorkMs;
+    });
+    if (job.cancelledAt) {
+        return running;
+    }
+    if (isHeldUpByAdvice(id, job)) {
+        return false;
+    }
+    if (job.spec.isLongRunning()) {
+        return !allAtWork;
+    }
+    return !isDone(id) && !isFailed(id, job);
+}
+
+auto rule_checker::isSettled() const -> bool
+{
+    return std::ranges::none_of(m_jobs, [this](const auto &entry) { return isOwed(entry.first, entry.second); });
+}
+
+auto rule_checker::checkEnd() -> void
+{
+    for (const auto &[id, job] : m_jobs) {
+        if (isOwed(id, job)) {
+            broken("LOST", id + (job.cancelledAt ? " was cancelled and runs on" : " was accepted and is not done"));
+        }
+        if (job.started && !job.maybeAccepted) {
+            broken("REFUSED", id + " was refused, and ran");
+        }
+    }
+}
+
+auto rule_checker::all() const -> const std::map<std::string, known_job> &
+{
+    return m_jobs;
+}
+} // namespace tests::system_sim
--- /dev/null
+++ b/tests/system/sim_callers.cpp
@@ -0,0 +1,194 @@
+#include "sim_callers.h"
+
+#include <poplarpass/core/number_text.h>
+
+#include <cstdio>
+
+namespace tests::system_sim
+{
+namespace
+{
+constexpr int mostTries = 5;
+constexpr int acceptedStatus = 200;
+constexpr int unknownStatus = 410;
+
+auto step(std::uint32_t count, std::int64_t cpu, std::int64_t estimateMs) -> jobs::step_spec
+{
+    jobs::step_spec made;
+    made.taskCount = count;
+    made.perTask = {cpu, 100, 0};
+    made.estimate = std::chrono::milliseconds{estimateMs};
+    return made;
+}
+
+auto stateIn(const std::string &body) -> std::string
+{
+    const std::string key = R"("state":")";
+    const auto begin = body.find(key);
+    if (begin == std::string::npos) {
+        return {};
+    }
+    const auto rest = body.substr(begin + key.size());
+    return rest.substr(0, rest.find('"'));
+}
+} // namespace
+
+sim_callers::sim_callers(sim_network &network, sim_hosts &hosts, rule_checker &rules)
+    : m_network{network}
+    , m_hosts{hosts}
+    , m_rules{rules}
+{
+}
+
+auto sim_callers::anyHost() -> sim_host &
+{
+    auto &all = m_hosts.all();
+    return *all[static_cast<std::size_t>(m_network.pick(0, static_cast<std::int64_t>(all.size()) - 1))];
+}
+
+auto sim_callers::anySpec() -> jobs::job_spec
+{
+    jobs::job_spec spec;
+    if (m_network.chance(0.06)) {
+        auto lasting = step(3, 1500, 900);
+        lasting.longRunning = true;
+        lasting.maxUnavailable = 1;
+        spec.steps = {lasting};
+        return spec;
+    }
+    const auto count = static_cast<std::uint32_t>(m_network.pick(1, 4));
+    spec.steps = {step(count, 2000, m_network.pick(300, 1200))};
+    if (m_network.chance(0.5)) {
+        auto second = step(static_cast<std::uint32_t>(m_network.pick(1, 3)), 1000, m_network.pick(200, 900));
+        second.after = {0};
+        spec.steps.push_back(second);
+    }
+    if (m_network.chance(0.08)) {
+        spec.repeatCount = 2;
+        spec.firstDue = m_network.time.wallNow() + m_network.pickTime(200, 2500);
+        spec.interval = std::chrono::milliseconds{m_network.pick(400, 2500)};
+    }
+    spec.payload = m_network.chance(0.04) ? "fails" : "works";
+    return spec;
+}
+
+auto sim_callers::submitAny() -> void
+{
+    const auto queue = static_cast<std::size_t>(m_network.pick(0, static_cast<std::int64_t>(queues.size()) - 1));
+    const auto id = submit(queues[queue], anySpec());
+    if (m_specs[m_specOf[id]].isLongRunning() ? m_network.chance(0.6) : m_network.chance(0.15)) {
+        m_network.time.after(m_network.pickTime(50, 9000), [this, id] {
+            if (m_rules.all().at(id).acceptedAt) {
+                cancel(id);
+            }
+        });
+    }
+}
+
+auto sim_callers::submit(const sim_queue &queue, const jobs::job_spec &spec) -> std::string
+{
+    std::array<char, 17> id{};
+    std::snprintf(id.data(), id.size(), "%016zx", m_specs.size() + 1);
+    const std::string name{id.data()};
+    m_specOf[name] = m_specs.size();
+    m_specs.push_back(spec);
+    m_prefixOf[name] = queue.prefix;
+    m_rules.onSubmitted(name, spec, queue.policy);
+    attempt(name, mostTries);
+    return name;
+}
+
+auto sim_callers::callTo(const std::string &job, std::string_view method) const -> net::http_request
+{
+    net::http_request call;
+    call.method = method;
+    call.target = m_prefixOf.at(job) + job;
+    call.headers = {{"Host", "jobs.example"}, {"Poplarpass-Deadline-Ms", "3000"}};
+    if (method == "POST") {
+        call.body = std::to_string(m_specOf.at(job));
+    }
+    return call;
+}
+
+auto sim_callers::decode(std::string_view body) const -> core::result<jobs::job_spec>
+{
+    const auto index = core::wholeNumber<std::uint64_t>(body);
+    if (!index || *index >= m_specs.size()) {
+        return core::failure(core::error_kind::invalid_request, "no such specification");
+    }
+    return m_specs[*index];
+}
+
+auto sim_callers::attempt(const std::string &job, int triesLeft) -> void
+{
+    m_hosts.send(anyHost(), callTo(job, "POST"),
+                 [this, job, triesLeft](const std::optional<net::http_response> &answer) {
+                     onSubmitAnswer(job, triesLeft, answer);
+                 });
+}
+
+auto sim_callers::onSubmitAnswer(const std::string &job, int triesLeft, const std::optional<net::http_response> &answer)
+    -> void
+{
+    m_rules.onSubmitAnswer(job, answer ? std::optional{answer->status} : std::nullopt);
+    if (answer && answer->status == acceptedStatus) {
+        onAccepted(job);
+        return;
+    }
+    answer ? ++refused : ++unanswered;
+    if (triesLeft > 1) {
+        m_network.time.after(m_network.pickTime(100, 1200), [this, job, triesLeft] { attempt(job, triesLeft - 1); });
+    }
+}
+
+auto sim_callers::onAccepted(const std::string &job) -> void
+{
+    askLater(job);
+    if (m_network.chance(0.1)) {
+        m_network.time.after(m_network.pickTime(200, 6000), [this, job] { attempt(job, 1); });
+    }
+}
+
+auto sim_callers::askLater(const std::string &job) -> void
+{
+    m_network.time.after(m_network.pickTime(400, 3000), [this, job] { ask(job, true); });
+}
+
+auto sim_callers::ask(const std::string &job, bool again) -> void
+{
+    auto &one = anyHost();
+    m_hosts.send(one, callTo(job, "GET"), [this, &one, job, again](const std::optional<net::http_response> &answer) {
+        const bool known = answer && answer->status == acceptedStatus;
+        const auto state = known ? stateIn(answer->body) : std::string{};
+        if (known || (answer && answer->status == unknownStatus)) {
+            m_rules.onState(job, state, m_hosts.isInTouch(one));
+        }
+        if (!again) {
+            unknownAtEnd += known ? 0 : 1;
+        } else if (state.empty() || state == "queued" || state == "active") {
+            askLater(job);
+        }
+    });
+}
+
+auto sim_callers::cancel(const std::string &job) -> void
+{
+    m_rules.onCancelSent(job);
+    m_hosts.send(anyHost(), callTo(job, "DELETE"), [this, job](const std::optional<net::http_response> &answer) {
+        if (answer && (answer->status == acceptedStatus || answer->status == unknownStatus)) {
+            m_rules.onCancelled(job);
+            return;
+        }
+        m_network.time.after(m_network.pickTime(200, 900), [this, job] { cancel(job); });
+    });
+}
+
+auto sim_callers::askAll() -> void
+{
+    for (const auto &[id, job] : m_rules.all()) {
+        if (job.acceptedAt && !job.cancelSentAt) {
+            ask(id, false);
+        }
+    }
+}
+} // namespace tests::system_sim
--- /dev/null
+++ b/tests/system/system_sim_test.cpp
@@ -0,0 +1,54 @@
+#include "system_world.h"
+#include "test_seed.h"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+namespace
+{
+using tests::system_sim::system_world;
+
+constexpr int histories = 40;
+constexpr std::chrono::seconds troubleTime{30};
+constexpr std::chrono::seconds calmTime{60};
+} // namespace
+
+TEST_CASE("A whole system under every trouble breaks no rule, and settles when the trouble is over", "[system][sim]")
+{
+    std::size_t takeovers = 0;
+    std::size_t finished = 0;
+    std::map<std::string, std::size_t> troubles;
+    for (int history = 0; history < histories; ++history) {
+        const auto seed = tests::baseSeed() + static_cast<std::uint64_t>(history);
+        INFO("seed " << seed);
+        system_world world{seed};
+        world.play(troubleTime, calmTime);
+        for (const auto &breach : world.breaches()) {
+            UNSCOPED_INFO(breach);
+        }
+        REQUIRE(world.breaches().empty());
+        takeovers += world.takeovers;
+        finished += world.finished;
+        for (const auto &[name, count] : world.troubles) {
+            troubles[name] += count;
+        }
+    }
+    for (const auto &[name, count] : troubles) {
+        std::cout << "trouble=" << name << " count=" << count << '\n';
+    }
+    CHECK(takeovers > histories);
+    CHECK(finished > histories * 20);
+    CHECK(troubles.size() == 25);
+}
+
+TEST_CASE("The same seed plays the same history", "[system][sim]")
+{
+    const auto digestOf = [](std::uint64_t seed) {
+        system_world world{seed};
+        world.play(std::chrono::seconds{6}, calmTime);
+        return world.digest();
+    };
+    CHECK(digestOf(tests::baseSeed()) == digestOf(tests::baseSeed()));
+    CHECK(digestOf(tests::baseSeed()) != digestOf(tests::baseSeed() + 1));
+}
