An owner that resigns ends cleanly; renewals after a failed one acknowledge nothing

Causes: (1) of the system simulation crashed, the address sanitizer names it: of the calls that wait for an append, one may be the resignation that ends the owner, and the next one then runs in an owner that is gone. (2): after a renewal without an answer the next one may reach a new life of the worker, whose ends have the numbers that the former life's had, and acknowledged them unseen: the task ran again after its end was noted. Change: the owner looks whether it is still there after each call; a failed renewal sets the acknowledged number to zero, which only repeats ends. A restart that the store shows extends the worker's lease to what it may grant on its new clock. The simulation lets a restarted worker be down for a moment, as a machine is, and judges the end when callers' last cancellations are through. Tests: two in pool_owner_test; both fail without the change.

--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -291,10 +291,12 @@
         m_links->send(orders);
         for (const auto &call : calls) {
             call();
+            // A resignation may have ended this owner.
+            if (!*alive) {
+                return;
+            }
         }
-        if (*alive) {
-            planNextTurn();
-        }
+        planNextTurn();
     };
     if (changed.empty() && silences.empty()) {
         release();
--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -79,6 +79,8 @@
             m_log.log(worker->leaving ? observe::log_level::debug : observe::log_level::warning, "worker_lost",
                       {{"worker", id.str()}, {"placed", worker->placed.size()}});
         }
+        // The next answer may be of a new life, whose ends have the same numbers.
+        m_links[id].acknowledgedEnd = 0;
         m_engine.onNoReport(id);
         m_hooks.onChange();
         renewAfter(id, renewalRetry);
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -38,6 +38,8 @@
         if (worker.entry.born != 0 && entry.born > worker.entry.born) {
             worker.greeted = false;
             worker.answering = false;
+            // On a clock that began anew, a lease by the former clock lasts as long as the worker grants at all.
+            worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseOrderedAt + longestGrantedLease + leaseMargin);
         }
         if (entry.born < worker.entry.born) {
             worker.listed = true;
--- a/tests/io/pool_owner_test.cpp
+++ b/tests/io/pool_owner_test.cpp
@@ -236,6 +236,55 @@
     CHECK(status == host::unsettledStatus);
 }
 
+TEST_CASE("What still waits at an owner that has resigned is answered as unsettled", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals.size() >= 2; }));
+    fixture.keepTerm();
+    int status = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
+    REQUIRE(fixture.time.runUntil([&] { return status == 200 && fixture.starts.size() == 1; }));
+    fixture.memory.withheld = true;
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.memory.held.empty(); }));
+    int state = 0;
+    int other = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::state, jobName), state);
+    fixture.ask(owner_fixture::request(host::client_verb::submit, "00000000000000bb", jobText), other);
+    fixture.memory.release();
+    fixture.memory.withheld = true;
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.memory.held.empty(); }));
+    // The run ends and the owner resigns while the state waits, so it waits again, behind the resignation.
+    fixture.report.ended = {{1, jobs::nameOf(fixture.starts[0].task), 1, jobs::end_kind::done, {}}};
+    fixture.renewalAnswers.back()({host::renewal_outcome::reported, fixture.report});
+    fixture.owner->resign([&] { fixture.owner.reset(); });
+    CHECK(state == 0);
+    fixture.memory.release();
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner == nullptr; }));
+    fixture.time.runFor(std::chrono::seconds{1});
+    CHECK(state == host::unsettledStatus);
+}
+
+TEST_CASE("A renewal after one that failed acknowledges nothing", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals.size() >= 2; }));
+    fixture.keepTerm();
+    int status = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.starts.size() == 1; }));
+    fixture.report.ended = {{1, jobs::nameOf(fixture.starts[0].task), 1, jobs::end_kind::done, {}}};
+    const auto asked = fixture.renewals.size();
+    fixture.renewalAnswers.back()({host::renewal_outcome::reported, fixture.report});
+    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals.size() > asked; }));
+    CHECK(fixture.renewals.back().acknowledgedEnd == 1);
+    const auto before = fixture.renewals.size();
+    fixture.renewalAnswers.back()({host::renewal_outcome::failed, {}});
+    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals.size() > before; }));
+    CHECK(fixture.renewals.back().acknowledgedEnd == 0);
+}
+
 TEST_CASE("A job survives its owner, also when the store's answers are lost", "[host]")
 {
     owner_fixture fixture;
--- a/tests/system/sim_fleet.cpp
+++ b/tests/system/sim_fleet.cpp
@@ -199,8 +199,15 @@
     }
     takeDown(machine);
     if (sameIdentifier) {
-        machine.model->restart(m_network.nowMs());
-        writeEntry(machine);
+        machine.condition = capacity::host_condition::down;
+        m_network.time.after(m_network.pickTime(200, 2500), [this, &machine, worker = machine.worker] {
+            if (machine.condition == capacity::host_condition::down && machine.worker == worker) {
+                machine.condition = capacity::host_condition::up;
+                machine.drainingSince.reset();
+                machine.model->restart(m_network.nowMs());
+                writeEntry(machine);
+            }
+        });
         return;
     }
     machine.condition = capacity::host_condition::down;
--- a/tests/system/system_world.cpp
+++ b/tests/system/system_world.cpp
@@ -382,6 +382,11 @@
     while (m_network.time.now() < rest) {
         tick(false);
     }
+    // What callers cancelled a moment ago, or workers that left a moment ago took away, is settled soon.
+    const auto last = rest + std::chrono::seconds{20};
+    while (m_network.time.now() < last && !isSettled()) {
+        tick(false);
+    }
     m_rules.checkEnd();
     if (m_callers.unknownAtEnd > 0) {
         m_rules.broken("LOST", std::to_string(m_callers.unknownAtEnd) + " jobs are not known at the end");
