Long-running tasks are packed; a pool short of hosts for long gets one that holds such tasks

Cause: long-running tasks went to the emptiest workers, so a few of them pinned four to seven hosts of each pool, which could neither stand by nor serve a pool in its turn. Change: they are placed by best fit like all tasks (the exception is gone); when a pool has been short of hosts for 6 s, a spare host with long-running tasks is emptied for it, as few at once as their steps allow.

--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -11,6 +11,7 @@
 namespace poplarpass::capacity
 {
 using internal::drainTimeOf;
+using internal::longRunningOn;
 using internal::slotOf;
 using internal::usedOf;
 
@@ -43,6 +44,7 @@
         balance.want = balance.need + (maintained.contains(pool) ? 1 : 0);
     }
     considerMisfits(engine, now);
+    noteShortages(now);
 }
 
 // One host more at a time, as only its arrival tells whether it helps: advice may turn it down as well.
@@ -91,7 +93,7 @@
         }
     }
     std::ranges::stable_sort(donors, {}, [&](const host_slot *host) {
-        return std::tuple{usedOf(*host, engine) > 0, m_balances[host->entry.pool].standby,
+        return std::tuple{usedOf(*host, engine) > 0, m_balances[host->entry.pool].standby, longRunningOn(*host, engine),
                           drainTimeOf(*host, engine, now)};
     });
     std::vector<core::pool_id> needy;
@@ -119,7 +121,7 @@
         const auto &from = m_balances[host->entry.pool];
         const bool spare = from.standby || from.have > from.want;
         const bool idle = from.standby || now - host->idleSince >= idleBeforeMove;
-        const bool drainable = idle || isDrainedSoon(*host, engine);
+        const bool drainable = idle || isDrainedSoon(*host, pool, engine, now);
         if (host->step == host_step::none && spare && drainable && host->entry.pool != pool
             && !host->unfitPools.contains(pool) && mayHelp(*host, balance)) {
             move(*host, pool, engine, now);
@@ -127,14 +129,25 @@
     }
 }
 
-// Short tasks end by themselves; long-running ones would have to move first.
-auto capacity_planner::isDrainedSoon(const host_slot &host, jobs::job_engine &engine) const -> bool
+// Short tasks end by themselves. Long-running ones have to move to other hosts of their pool, as few at once as their
+// steps allow, which costs more than a short shortage.
+auto capacity_planner::isDrainedSoon(const host_slot &host, const core::pool_id &pool, jobs::job_engine &engine,
+                                     core::monotonic_time now) const -> bool
 {
-    const auto *worker = slotOf(host, engine);
-    return worker != nullptr && std::ranges::none_of(worker->placed, [&](const jobs::task_ref &task) {
-               const auto *job = engine.find(task.job);
-               return job == nullptr || !job->has(task) || job->spec.steps[task.step].longRunning;
-           });
+    const auto since = m_shortSince.find(pool);
+    const bool isLong = since != m_shortSince.end() && now - since->second >= shortagePatience;
+    return slotOf(host, engine) != nullptr && (isLong || longRunningOn(host, engine) == 0);
+}
+
+auto capacity_planner::noteShortages(core::monotonic_time now) -> void
+{
+    for (const auto &[pool, balance] : m_balances) {
+        if (!balance.standby && balance.want > balance.have) {
+            m_shortSince.try_emplace(pool, now);
+        } else {
+            m_shortSince.erase(pool);
+        }
+    }
 }
 
 auto capacity_planner::retireIdle(std::span<host_slot *const> donors, jobs::job_engine &engine,
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -91,6 +91,7 @@
     auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWave(wave_state &wave, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto measure(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now) -> void;
+    auto noteShortages(core::monotonic_time now) -> void;
     auto considerMisfits(jobs::job_engine &engine, core::monotonic_time now) -> void;
     [[nodiscard]] auto mayHelp(const host_slot &host, const pool_balance &balance) const -> bool;
     auto planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void;
@@ -98,7 +99,8 @@
                   core::monotonic_time now) -> void;
     auto retireIdle(std::span<host_slot *const> donors, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto move(host_slot &host, const core::pool_id &pool, jobs::job_engine &engine, core::monotonic_time now) -> void;
-    [[nodiscard]] auto isDrainedSoon(const host_slot &host, jobs::job_engine &engine) const -> bool;
+    [[nodiscard]] auto isDrainedSoon(const host_slot &host, const core::pool_id &pool, jobs::job_engine &engine,
+                                     core::monotonic_time now) const -> bool;
     [[nodiscard]] auto isAnyPoolShort() const -> bool;
     [[nodiscard]] auto awaitsMaintenance(const host_slot &host) const -> bool;
     auto advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>;
@@ -118,6 +120,7 @@
 
     std::map<core::pool_id, pool_balance> m_balances;
     std::map<core::pool_id, misfit_hosts> m_misfits;
+    std::map<core::pool_id, core::monotonic_time> m_shortSince; ///< Pools that have fewer hosts than they want.
     std::size_t m_moving = 0; ///< Hosts that are to change their pool.
     std::map<std::int64_t, wave_state> m_waves;
     std::map<core::host_id, core::monotonic_time> m_notBefore;
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -36,6 +36,8 @@
 inline constexpr core::duration workerProof = std::chrono::milliseconds{1800};
 /// \brief A host that could not be drained for a move within this time stays.
 inline constexpr core::duration moveDrainLimit = std::chrono::milliseconds{4000};
+/// \brief Hosts with long-running tasks are emptied for a pool that has been short of hosts for this long.
+inline constexpr core::duration shortagePatience = std::chrono::seconds{6};
 /// \brief Hosts on their way to other pools at once at most.
 inline constexpr std::size_t movesAtOnce = 24;
 } // namespace poplarpass::capacity
--- a/src/poplarpass/capacity/host_load.cpp
+++ b/src/poplarpass/capacity/host_load.cpp
@@ -32,6 +32,18 @@
     return longest;
 }
 
+auto longRunningOn(const host_slot &host, jobs::job_engine &engine) -> std::size_t
+{
+    const auto *worker = slotOf(host, engine);
+    if (worker == nullptr) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(worker->placed, [&](const jobs::task_ref &task) {
+        const auto *job = engine.find(task.job);
+        return job != nullptr && job->has(task) && job->spec.steps[task.step].longRunning;
+    }));
+}
+
 auto usedOf(const host_slot &host, jobs::job_engine &engine) -> std::int64_t
 {
     const auto *worker = slotOf(host, engine);
--- a/src/poplarpass/capacity/host_load.h
+++ b/src/poplarpass/capacity/host_load.h
@@ -14,6 +14,9 @@
 /// \brief Time until the last short task of a host should have ended.
 auto drainTimeOf(const host_slot &host, jobs::job_engine &engine, core::monotonic_time now) -> core::duration;
 
+/// \brief Long-running tasks on a host's worker.
+auto longRunningOn(const host_slot &host, jobs::job_engine &engine) -> std::size_t;
+
 /// \brief Share of a host that work takes, for choosing the host that is easiest to drain.
 auto usedOf(const host_slot &host, jobs::job_engine &engine) -> std::int64_t;
 } // namespace poplarpass::capacity::internal
--- a/src/poplarpass/jobs/placement.cpp
+++ b/src/poplarpass/jobs/placement.cpp
@@ -32,9 +32,6 @@
     const auto &spec = job.spec.steps[step];
     const auto need = needOf(spec);
     std::int64_t score = -(worker.free().cpu - need.cpu);
-    if (spec.longRunning) {
-        score = worker.free().cpu - need.cpu;
-    }
     // Tasks that fill and tasks that serve disturb each other.
     const bool disturbs = spec.fills ? worker.servers > 0 : spec.target.count() > 0 && worker.fillers > 0;
     score -= disturbs ? disturbancePenalty : 0;
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -307,6 +307,34 @@
     CHECK(fixture.planner.plan(fixture.engine, fixture.pools, at(320)).empty());
 }
 
+TEST_CASE("Hosts with long-running tasks are emptied only for a pool that is short of hosts for long", "[capacity]")
+{
+    planner_fixture fixture;
+    for (const auto *name : {"a", "b", "c"}) {
+        fixture.add(name, "calm");
+    }
+    fixture.add("d", "busy");
+    fixture.begin();
+    // One long-running task on each host of the calm pool, and more work in the busy one than its host holds.
+    auto lasting = step(1, 9000);
+    lasting.longRunning = true;
+    for (const auto *job : {"0000000000000001", "0000000000000002", "0000000000000003"}) {
+        fixture.submit(job, "calm", {lasting}, 0);
+    }
+    fixture.submit("0000000000000004", "busy", {step(60, 1000, 60'000)}, 2000);
+    const auto leaving = [&] {
+        return std::ranges::count_if(fixture.engine.workers().all(), [](const auto &entry) {
+            return entry.second.leaving && !entry.second.placed.empty();
+        });
+    };
+    fixture.plan(3000);
+    CHECK(leaving() == 0);
+    fixture.plan(5000);
+    CHECK(leaving() == 0);
+    fixture.plan(9100);
+    CHECK(leaving() > 0);
+}
+
 TEST_CASE("A pool whose workers may not run what waits gets hosts until one may", "[capacity]")
 {
     planner_fixture fixture;
--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -248,6 +248,21 @@
     CHECK(startAll(engine, 30).empty());
 }
 
+TEST_CASE("Long-running tasks share workers, as far as they may be together, so that others can be moved", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b"), worker("c")});
+    auto lasting = step(2);
+    lasting.longRunning = true;
+    lasting.antiAffinity = 1;
+    engine.submit(jobs::job_id{"0000000000000001"}, queue(), jobOf({lasting}), wallAt(0));
+    REQUIRE(startAll(engine, 10).size() == 2);
+    engine.submit(jobs::job_id{"0000000000000002"}, queue(), jobOf({lasting}), wallAt(20));
+    REQUIRE(startAll(engine, 30).size() == 2);
+    const auto empty =
+        std::ranges::count_if(engine.workers().all(), [](const auto &entry) { return entry.second.placed.empty(); });
+    CHECK(empty == 1);
+}
+
 TEST_CASE("A gang starts whole or not at all, with one run number", "[jobs]")
 {
     auto engine = engineWith({worker("a"), worker("b")});
--- a/tests/fakes/worker_model.h
+++ b/tests/fakes/worker_model.h
@@ -83,6 +83,9 @@
     /// \brief Number of its present life.
     [[nodiscard]] auto born() const -> std::int64_t;
 
+    /// \brief What no run takes.
+    [[nodiscard]] auto free() const -> jobs::resources;
+
     /// \brief Whether there are ends that were not acknowledged.
     [[nodiscard]] auto hasEnds() const -> bool;
 
@@ -101,7 +104,6 @@
     auto end(const std::string &task, jobs::end_kind how) -> void;
     auto extend(std::int64_t deadlineMs, std::int64_t nowMs) -> void;
     auto acknowledge(std::uint64_t last) -> void;
-    [[nodiscard]] auto free() const -> jobs::resources;
 
     worker_watch m_watch;
     double m_clockRate;
