From a request's id to its cause: closed list of events, inputs with their age, times of calls and jobs

Event names were free strings, compared with the page by nobody; a decision about a worker did not say which life of it and how old its report was; failures shared the log's budget with successes; calls of the store, workers and services and the waits of jobs were not measured. Change: host/events lists all events, 'poplarpass config events' prints them, tests compare the list with the sources (both ways), with docs/OPERATIONS.md and with what a simulated system logs. Decisions carry born and heard_ms of their worker; what went wrong is logged as warning, and the budget is by name and level. poplarpass_call_seconds by service, call and outcome, poplarpass_job_queue_seconds, poplarpass_job_seconds, poplarpass_takeover_seconds; gauges of owner, offsets and ages. Outcomes are named in one place each.

--- a/src/poplarpass/app/verbs.cpp
+++ b/src/poplarpass/app/verbs.cpp
@@ -3,6 +3,7 @@
 #include <poplarpass/app/entry_process.h>
 #include <poplarpass/app/explain_verb.h>
 #include <poplarpass/app/operator_verbs.h>
+#include <poplarpass/host/events.h>
 #include <poplarpass/host/host_process.h>
 #include <poplarpass/settings.h>
 #include <poplarpass/settings/host_settings.h>
@@ -63,6 +64,12 @@
     return exit_code::success;
 }
 
+auto printEvents(const parsed_options &, console &streams) -> exit_code
+{
+    streams.out << host::describeEvents();
+    return exit_code::success;
+}
+
 auto runEntry(const parsed_options &options, console &streams) -> exit_code
 {
     const auto loaded = loadSettings(options, streams);
@@ -123,6 +130,7 @@
         {"config check", "checks settings files and shows every error at once", "FILE...", {}, checkConfig},
         {"config keys", "prints the table of settings", "", {}, printKeys},
         {"config errors", "prints the table of error kinds", "", {}, printErrors},
+        {"config events", "prints the table of events that a host logs", "", {}, printEvents},
     };
     for (auto group : {profileVerbs(), waveVerbs(), statusVerbs()}) {
         std::ranges::move(group, std::back_inserter(verbs));
--- a/src/poplarpass/capacity/host_table.cpp
+++ b/src/poplarpass/capacity/host_table.cpp
@@ -1,6 +1,8 @@
 #include <poplarpass/capacity/constants.h>
 #include <poplarpass/capacity/host_table.h>
 
+#include <array>
+
 namespace poplarpass::capacity
 {
 namespace
@@ -22,6 +24,12 @@
 }
 } // namespace
 
+auto nameOf(host_order_outcome outcome) -> std::string_view
+{
+    static constexpr std::array<std::string_view, 6> names{"done", "fenced", "busy", "refused", "failed", "no_answer"};
+    return names.at(static_cast<std::size_t>(outcome));
+}
+
 auto host_table::update(std::span<const host_entry> entries, core::monotonic_time askedAt, core::monotonic_time now)
     -> void
 {
--- a/src/poplarpass/capacity/host_table.h
+++ b/src/poplarpass/capacity/host_table.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -63,6 +64,9 @@
     unknown, ///< No answer; it may have been carried out, or will be.
 };
 
+/// \brief Name of \p outcome in logs and metrics.
+auto nameOf(host_order_outcome outcome) -> std::string_view;
+
 /// \brief What the system is doing with a host.
 enum class host_step : std::uint8_t {
     none, ///< Nothing.
--- a/src/poplarpass/host/capacity_keeper.cpp
+++ b/src/poplarpass/host/capacity_keeper.cpp
@@ -3,7 +3,6 @@
 #include <poplarpass/host/constants.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace poplarpass::host
@@ -32,12 +31,6 @@
     }
     return capacity::maintained_host{*wave, core::host_id{std::string{key.substr(slash + 1)}}};
 }
-
-auto nameOf(capacity::host_order_outcome outcome) -> std::string_view
-{
-    static constexpr std::array<std::string_view, 6> names{"done", "fenced", "busy", "refused", "failed", "unknown"};
-    return names.at(static_cast<std::size_t>(outcome));
-}
 } // namespace
 
 capacity_keeper::capacity_keeper(capacity_environment environment)
--- a/src/poplarpass/host/config_follower.cpp
+++ b/src/poplarpass/host/config_follower.cpp
@@ -42,6 +42,7 @@
         take(record);
     }
     m_offset = newest.endOffset;
+    m_readAt = m_time.now();
     follow();
 }
 
@@ -65,6 +66,7 @@
     case store::read_outcome::read:
         break;
     }
+    m_readAt = m_time.now();
     if (std::exchange(m_storeLost, false)) {
         m_log.log(log_level::info, "store_regained", {{"topic", "operator"}, {"offset", m_offset}});
     }
@@ -104,6 +106,16 @@
     }
 }
 
+auto config_follower::offset() const -> std::uint64_t
+{
+    return m_offset;
+}
+
+auto config_follower::readAt() const -> core::monotonic_time
+{
+    return m_readAt;
+}
+
 auto config_follower::otherRecords() const -> const std::map<std::string, std::string> &
 {
     return m_otherRecords;
--- a/src/poplarpass/host/config_follower.h
+++ b/src/poplarpass/host/config_follower.h
@@ -25,6 +25,12 @@
     /// \brief Begins to follow.
     auto start() -> void;
 
+    /// \brief Position up to which the operator's records were read.
+    [[nodiscard]] auto offset() const -> std::uint64_t;
+
+    /// \brief When the store last answered.
+    [[nodiscard]] auto readAt() const -> core::monotonic_time;
+
     /// \brief Newest record of each key of the operator but the configuration.
     [[nodiscard]] auto otherRecords() const -> const std::map<std::string, std::string> &;
 
@@ -44,6 +50,7 @@
     std::function<void()> m_onConfig;
     std::map<std::string, std::string> m_otherRecords;
     std::uint64_t m_offset = 0;
+    core::monotonic_time m_readAt{};
     bool m_storeLost = false;
     core::lifetime m_life;
 };
--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -196,8 +196,23 @@
     if (m_owner) {
         m_owner->updateMetrics();
     }
-    m_env.metrics.gaugeOf("poplarpass_config_version", "Configuration in force")
-        .set(static_cast<double>(m_routes.config().version));
-    m_env.metrics.gaugeOf("poplarpass_owns_pools", "Whether this host owns the pools").set(m_owner ? 1 : 0);
+    const auto set = [this](std::string_view name, std::string_view help, double value) {
+        m_env.metrics.gaugeOf(name, help).set(value);
+    };
+    const auto age = [now = m_env.time.now()](core::monotonic_time since) {
+        return std::chrono::duration<double>(now - since).count();
+    };
+    const auto &owner = m_election.current();
+    set("poplarpass_owns_pools", "Whether this host owns the pools", m_owner ? 1 : 0);
+    set("poplarpass_known_owner_epoch", "Epoch of the owner that this host knows; 0 for none",
+        owner ? static_cast<double>(owner->epoch) : 0);
+    set("poplarpass_ownership_offset", "Position up to which the records about ownership were read",
+        static_cast<double>(m_election.offset()));
+    set("poplarpass_ownership_age_seconds", "Since the store last answered about ownership", age(m_election.readAt()));
+    set("poplarpass_config_version", "Configuration in force", static_cast<double>(m_routes.config().version));
+    set("poplarpass_config_offset", "Position up to which the operator's records were read",
+        static_cast<double>(m_config.offset()));
+    set("poplarpass_config_age_seconds", "Since the store last answered about the configuration",
+        age(m_config.readAt()));
 }
 } // namespace poplarpass::host
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -51,10 +51,11 @@
     , m_platformHttp{m_loop, clientLimits(connectionsToStore)}
     , m_workerHttp{m_loop, clientLimits(connectionsPerWorker)}
     , m_peerHttp{m_loop, clientLimits(connectionsToStore)}
-    , m_store{m_access.makeStore(m_platformHttp, m_settings.store)}
-    , m_workers{m_access.makeWorkers(m_workerHttp)}
-    , m_hosts{m_access.makeHosts(m_platformHttp, m_settings.hostService)}
-    , m_advice{m_access.makeAdvice(m_platformHttp, m_settings.advice)}
+    , m_measures{m_time, m_metrics}
+    , m_store{measured(m_access.makeStore(m_platformHttp, m_settings.store), m_measures)}
+    , m_workers{measured(m_access.makeWorkers(m_workerHttp), m_measures)}
+    , m_hosts{measured(m_access.makeHosts(m_platformHttp, m_settings.hostService), m_measures)}
+    , m_advice{measured(m_access.makeAdvice(m_platformHttp, m_settings.advice), m_measures)}
     , m_peers{makePeerCalls(m_peerHttp)}
     , m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}
 {
--- a/src/poplarpass/host/host_process.h
+++ b/src/poplarpass/host/host_process.h
@@ -3,6 +3,7 @@
 #include <poplarpass/core/time_source.h>
 #include <poplarpass/host/front_door.h>
 #include <poplarpass/host/host_core.h>
+#include <poplarpass/host/measured_calls.h>
 #include <poplarpass/net/http_client.h>
 #include <poplarpass/net/http_server.h>
 #include <poplarpass/observe/logger.h>
@@ -60,6 +61,7 @@
     net::http_client m_platformHttp;
     net::http_client m_workerHttp;
     net::http_client m_peerHttp;
+    call_measures m_measures;
     store::record_store m_store;
     worker_calls m_workers;
     host_calls m_hosts;
--- /dev/null
+++ b/src/poplarpass/host/measured_calls.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <poplarpass/core/time_source.h>
+#include <poplarpass/host/advice_calls.h>
+#include <poplarpass/host/host_calls.h>
+#include <poplarpass/host/worker_calls.h>
+#include <poplarpass/observe/metrics.h>
+#include <poplarpass/store/record_store.h>
+
+namespace poplarpass::host
+{
+/// \brief Where calls are measured; must live as long as the calls.
+struct call_measures
+{
+    const core::time_source &time; ///< Clock.
+    observe::metrics_registry &metrics; ///< Gets poplarpass_call_seconds by service, call and outcome.
+};
+
+/// \brief \p calls, each measured until its answer.
+///
+/// A read or a renewal that waits for news is measured with its wait.
+auto measured(store::record_store calls, call_measures measures) -> store::record_store;
+
+/// \copydoc measured(store::record_store, call_measures)
+auto measured(worker_calls calls, call_measures measures) -> worker_calls;
+
+/// \copydoc measured(store::record_store, call_measures)
+auto measured(host_calls calls, call_measures measures) -> host_calls;
+
+/// \copydoc measured(store::record_store, call_measures)
+auto measured(advice_calls calls, call_measures measures) -> advice_calls;
+} // namespace poplarpass::host
--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -54,7 +54,8 @@
         m_time.callAfter(core::duration{0}, m_life.guard([this] { read(); }));
         return;
     }
-    m_watch.onRead(m_time.now());
+    m_readAt = m_time.now();
+    m_watch.onRead(m_readAt);
     for (const auto &record : result.records) {
         takeRecord(record);
         m_offset = record.offset + 1;
@@ -125,8 +126,7 @@
     m_claiming = false;
     if (answer.outcome != store::append_outcome::appended) {
         // Without an answer the claim may still be stored; then it is read back.
-        m_log.log(log_level::info, "owner_claim_failed",
-                  {{"epoch", epoch}, {"outcome", static_cast<int>(answer.outcome)}});
+        m_log.log(log_level::info, "owner_claim_failed", {{"epoch", epoch}, {"outcome", nameOf(answer.outcome)}});
         return;
     }
     beginTerm(epoch, sentAt);
@@ -261,6 +261,16 @@
     return m_watch.formerOwners(m_epoch, m_time.now());
 }
 
+auto owner_election::offset() const -> std::uint64_t
+{
+    return m_offset;
+}
+
+auto owner_election::readAt() const -> core::monotonic_time
+{
+    return m_readAt;
+}
+
 auto owner_election::current() const -> const std::optional<owner::owner_record> &
 {
     return m_watch.current();
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -47,6 +47,12 @@
     /// \brief Names of former owners that may still give orders.
     [[nodiscard]] auto formerOwners() const -> std::vector<std::string>;
 
+    /// \brief Position up to which the records about ownership were read.
+    [[nodiscard]] auto offset() const -> std::uint64_t;
+
+    /// \brief When the store last answered.
+    [[nodiscard]] auto readAt() const -> core::monotonic_time;
+
     /// \brief Owner as far as is known.
     [[nodiscard]] auto current() const -> const std::optional<owner::owner_record> &;
 
@@ -73,6 +79,7 @@
     election_hooks m_hooks;
     owner::owner_watch m_watch;
     std::uint64_t m_offset = 0;
+    core::monotonic_time m_readAt{};
     std::uint64_t m_epoch = 0;
     std::uint64_t m_claimedEpoch = 0;
     core::monotonic_time m_claimedAt{};
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -2,16 +2,30 @@
 #include <poplarpass/host/pool_owner.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace poplarpass::host
 {
 using observe::log_level;
 
+namespace
+{
+/// \brief Weight of a decision; what went wrong has a budget of its own in the log.
+auto levelOf(const jobs::decision &made) -> log_level
+{
+    static constexpr std::array<std::string_view, 5> troubles{"run_lost", "run_given_up", "start_rejected",
+                                                              "start_unanswered", "worker_paused"};
+    const bool isTrouble = made.reason == "failed" || std::ranges::find(troubles, made.event) != troubles.end();
+    return isTrouble ? log_level::warning : log_level::info;
+}
+} // namespace
+
 pool_owner::pool_owner(pool_owner_environment environment, std::uint64_t epoch, core::monotonic_time claimedAt,
                        std::vector<std::string> formerOwners)
     : m_env{std::move(environment)}
     , m_term{epoch, claimedAt}
+    , m_times{m_env.metrics}
     , m_engine{[this](const jobs::decision &made) {
         note(made);
     }}
@@ -147,6 +161,8 @@
         {{"epoch", epoch()},
          {"workers", m_entries.size()},
          {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_env.time.now() - m_startedAt).count()}});
+    m_env.metrics.histogramOf("poplarpass_takeover_seconds", "From the claim of the pools to serving")
+        .record(m_env.time.now() - m_startedAt);
     handleWaiting();
     scheduleTurn(m_env.time.now());
     m_env.time.callAfter(housekeepingPeriod, m_life.guard([this] { forgetEnded(); }));
@@ -354,13 +370,22 @@
 
 auto pool_owner::note(const jobs::decision &made) -> void
 {
-    m_env.log.log(log_level::info, made.event,
-                  {{"id", made.subject},
-                   {"worker", made.worker},
-                   {"run", made.run},
-                   {"reason", made.reason},
-                   {"epoch", m_term.epoch()},
-                   {"config", m_env.routes.config().version}});
+    const auto now = m_env.time.now();
+    m_times.onDecision(made, now);
+    std::vector<observe::field> fields{{"id", made.subject}};
+    if (!made.worker.empty()) {
+        fields.emplace_back("worker", made.worker);
+        fields.emplace_back("run", made.run);
+        if (const auto *worker = m_engine.workers().find(jobs::worker_id{made.worker})) {
+            const auto heard = std::chrono::duration_cast<std::chrono::milliseconds>(now - worker->answeredAt);
+            fields.emplace_back("born", worker->entry.born);
+            fields.emplace_back("heard_ms", heard.count());
+        }
+    }
+    fields.emplace_back("reason", made.reason);
+    fields.emplace_back("epoch", m_term.epoch());
+    fields.emplace_back("config", m_env.routes.config().version);
+    m_env.log.logFields(levelOf(made), made.event, fields);
 }
 
 auto pool_owner::epoch() const -> std::uint64_t
@@ -380,6 +405,10 @@
         m_env.metrics.gaugeOf(name, help).set(static_cast<double>(value));
     };
     set("poplarpass_owner_epoch", "Epoch of this host's term as owner", epoch());
+    set("poplarpass_workers_offset", "Position up to which the workers' records were read", m_workerOffset);
+    set("poplarpass_journal_stalled_ms", "Since the append in progress was sent",
+        static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_journal.stalledFor(m_env.time.now())).count()));
     set("poplarpass_jobs_known", "Jobs in memory", m_engine.jobs().size());
     set("poplarpass_jobs_accepted", "Jobs accepted in this term", counts.jobsAccepted);
     set("poplarpass_jobs_completed", "Jobs completed in this term", counts.jobsCompleted);
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -5,6 +5,7 @@
 #include <poplarpass/host/advice_calls.h>
 #include <poplarpass/host/capacity_keeper.h>
 #include <poplarpass/host/client_request.h>
+#include <poplarpass/host/job_times.h>
 #include <poplarpass/host/journal.h>
 #include <poplarpass/host/platform_decoders.h>
 #include <poplarpass/host/worker_links.h>
@@ -125,6 +126,7 @@
 
     pool_owner_environment m_env;
     owner::owner_term m_term;
+    job_times m_times;
     jobs::job_engine m_engine;
     journal m_journal;
     std::unique_ptr<worker_links> m_links;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -177,7 +177,7 @@
     auto onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void;
     auto settleEarlierLife(worker_slot &worker, const worker_report &report, core::monotonic_time sentAt,
                            core::monotonic_time now) -> void;
-    auto noteBegun(job_record &job) -> void;
+    auto noteBegun(job_record &job, const worker_slot &worker) -> void;
     auto onEndOfCurrentRun(const task_ref &task, job_record &job, task_state &state, const ended_run &end,
                            core::monotonic_time now) -> void;
     auto countFailure(const task_ref &task, job_record &job, task_state &state, std::uint32_t run,
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -133,7 +133,7 @@
     if (job == nullptr) {
         return;
     }
-    noteBegun(*job);
+    noteBegun(*job, worker);
     const bool current = state->run == end.run && state->worker == worker.entry.id;
     if (current && state->phase != task_phase::waiting && state->phase != task_phase::done) {
         onEndOfCurrentRun(*task, *job, *state, end, now);
@@ -149,11 +149,12 @@
     }
 }
 
-auto job_engine::noteBegun(job_record &job) -> void
+auto job_engine::noteBegun(job_record &job, const worker_slot &worker) -> void
 {
     if (!job.started) {
         job.started = true;
         touch(job);
+        say("job_started", job.id.str(), worker.entry.id, 0, "begun");
     }
 }
 
@@ -206,7 +207,7 @@
         say("stray_run", running.task, worker.entry.id, running.run, "not_current");
         return;
     }
-    noteBegun(*job);
+    noteBegun(*job, worker);
     if (!running.checkpoint.empty()) {
         state->checkpoint = running.checkpoint;
     }
@@ -271,7 +272,9 @@
         return;
     }
     if (answer == start_answer::started) {
-        noteBegun(*job);
+        if (worker != nullptr) {
+            noteBegun(*job, *worker);
+        }
         state->acknowledged = true;
         state->acknowledgedAt = now;
         if (state->phase == task_phase::starting) {
@@ -304,8 +307,7 @@
     if (worker != nullptr) {
         worker->pausedUntil = std::max(worker->pausedUntil, now + pause);
     }
-    say("start_rejected", nameOf(order.task), order.worker, order.run,
-        answer == start_answer::no_room ? "no_room" : "worker_refused");
+    say("start_rejected", nameOf(order.task), order.worker, order.run, nameOf(answer));
     toWaiting(order.task, *job, *state, now);
     if (answer == start_answer::other_instance) {
         onOtherInstance(order.worker, now);
--- a/src/poplarpass/jobs/worker_report.h
+++ b/src/poplarpass/jobs/worker_report.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace poplarpass::jobs
@@ -84,6 +85,12 @@
     unknown, ///< No answer that says so.
 };
 
+/// \brief Name of \p answer in logs and metrics.
+auto nameOf(start_answer answer) -> std::string_view;
+
+/// \brief Name of \p answer in logs and metrics.
+auto nameOf(stop_answer answer) -> std::string_view;
+
 /// \brief An order to start a run; sent after its record is stored.
 struct start_order
 {
--- a/src/poplarpass/observe/logger.cpp
+++ b/src/poplarpass/observe/logger.cpp
@@ -139,12 +139,14 @@
 struct logger::implementation
 {
     logger_options options;
-    std::map<std::string, internal::event_window, std::less<>> windows;
+    // One budget for each name and level, so that what went well leaves room for what went wrong.
+    std::array<std::map<std::string, internal::event_window, std::less<>>, internal::levelNames.size()> windowsOf;
     std::uint64_t dropped = 0;
 
     // The number of events dropped before this one, or nothing if this one is to be dropped.
-    auto admit(std::string_view name, core::wall_time now) -> std::optional<std::uint64_t>
+    auto admit(log_level level, std::string_view name, core::wall_time now) -> std::optional<std::uint64_t>
     {
+        auto &windows = windowsOf.at(static_cast<std::size_t>(level));
         auto found = windows.find(name);
         if (found == windows.end()) {
             if (windows.size() >= internal::maxEventNames) {
@@ -235,7 +237,7 @@
         return;
     }
     const auto now = m_implementation->options.now();
-    const auto droppedBefore = m_implementation->admit(name, now);
+    const auto droppedBefore = m_implementation->admit(level, name, now);
     if (!droppedBefore) {
         return;
     }
--- a/src/poplarpass/observe/logger.h
+++ b/src/poplarpass/observe/logger.h
@@ -90,7 +90,8 @@
 
 /// \brief Writes events, one line of key=value pairs each.
 ///
-/// Events of one name beyond options.burst in a period are dropped; the first one that is written later says how many.
+/// Events of one name and level beyond options.burst in a period are dropped; the first one that is written later says
+/// how many.
 class logger
 {
 public:
--- a/src/poplarpass/store/record_store.h
+++ b/src/poplarpass/store/record_store.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// The product's view of the store in which everything lies that has to last.
@@ -54,6 +56,14 @@
     unknown, ///< No answer; it may have been carried out, or will be.
 };
 
+/// \brief Name of \p outcome in logs and metrics.
+constexpr auto nameOf(append_outcome outcome) -> std::string_view
+{
+    constexpr std::array<std::string_view, 6> names{"appended",        "conflict", "fenced",
+                                                    "out_of_sequence", "refused",  "no_answer"};
+    return names.at(static_cast<std::size_t>(outcome));
+}
+
 /// \brief Answer to an append.
 struct append_result
 {
@@ -77,6 +87,13 @@
     failed, ///< The store did not answer.
 };
 
+/// \brief Name of \p outcome in logs and metrics.
+constexpr auto nameOf(read_outcome outcome) -> std::string_view
+{
+    constexpr std::array<std::string_view, 3> names{"read", "expired", "failed"};
+    return names.at(static_cast<std::size_t>(outcome));
+}
+
 /// \brief Answer to a read.
 struct read_result
 {
--- a/tests/io/observe_test.cpp
+++ b/tests/io/observe_test.cpp
@@ -115,6 +115,16 @@
     CHECK_FALSE(observe::logLevelNamed("loud"));
 }
 
+TEST_CASE("what went wrong is logged beside any number of successes of the same event", "[observe]")
+{
+    kept_log log;
+    for (int index = 0; index < 50; ++index) {
+        log.logger.log(observe::log_level::info, "job_ended");
+    }
+    log.logger.log(observe::log_level::warning, "job_ended");
+    CHECK(log.lines.back().find("level=warning") != std::string::npos);
+}
+
 TEST_CASE("metrics are rendered as Prometheus text", "[observe]")
 {
     observe::metrics_registry metrics;
--- a/tests/system/system_sim_test.cpp
+++ b/tests/system/system_sim_test.cpp
@@ -1,8 +1,11 @@
 #include "system_world.h"
 #include "test_seed.h"
 
+#include <poplarpass/host/events.h>
+
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <iostream>
 
 namespace
@@ -28,6 +31,11 @@
             UNSCOPED_INFO(breach);
         }
         REQUIRE(world.breaches().empty());
+        for (const auto &name : world.eventNames) {
+            CAPTURE(name);
+            REQUIRE(std::ranges::any_of(poplarpass::host::allEvents(),
+                                        [&](const auto &event) { return event.name == name; }));
+        }
         takeovers += world.takeovers;
         finished += world.finished;
         for (const auto &[name, count] : world.troubles) {
