A run whose stop by a former owner may be in progress does not count as at work

The former owner had told 0.0.3 to stop 0.26 s before; the new one saw it listed with 100 percent, kept it as running, and took it for at work when it evacuated 0.0.2 3 ms later. A stop takes up to 0.4 s. Ruled out: a lost record (the closing was stored before the stop was sent, and was read). Change: such a run is kept as before, and counts as at work from 0.6 s after the takeover on. Test: one in job_engine_test, fails without the change.

--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -54,6 +54,7 @@
         state.inherited = state.phase == task_phase::closing;
         state.closed = state.phase == task_phase::closing;
         state.closedAt = now - stopTime;
+        state.atWorkFrom = now + (state.inherited ? stopTime : core::duration{0});
         state.startedAt = now;
     });
     if (kept.phase == job_phase::active) {
@@ -227,6 +228,7 @@
     state.stopSentAt = {};
     state.startedAt = now;
     state.unansweredAt.reset();
+    state.atWorkFrom = now;
     state.atWork = false;
     state.percent = 0;
     state.pace = 100;
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -214,7 +214,7 @@
     state->percent = running.percent;
     state->reportedAt = now;
     state->load = running.load;
-    if (job->spec.steps[task->step].longRunning && running.percent >= 100) {
+    if (job->spec.steps[task->step].longRunning && running.percent >= 100 && now >= state->atWorkFrom) {
         state->atWork = true;
     }
     // The former owner's stop is refused from now on; whether one is still right is for this owner to decide anew.
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -44,6 +44,8 @@
     core::duration ranFor{0}; ///< Run time of a task that is done, as far as this owner saw it.
     std::uint32_t relocations = 0; ///< Runs that were given up for being slow.
     std::uint32_t percent = 0; ///< Progress or readiness that the worker reported.
+    core::monotonic_time atWorkFrom{}; ///< Not at work before this, whatever the worker lists: a former owner's stop
+                                       ///< may be in progress.
     bool atWork = false; ///< Whether a long-running task was reported at work.
     std::int64_t load = 0; ///< Tail of response times in ms, or processor use, as the worker reported.
     std::uint32_t pace = 100; ///< Share at which it may work, percent.
--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -393,6 +393,42 @@
     CHECK(next.takeOrders().stops.size() == 1);
 }
 
+TEST_CASE("A later owner takes nobody away while a stop of the former one may be in progress", "[jobs]")
+{
+    auto engine = engineAtWork();
+    const auto first = workerOfTask(engine, 0);
+    const auto second = workerOfTask(engine, 1);
+    auto &leaving = *engine.workers().find(first);
+    leaving.leaving = true;
+    engine.evacuate(leaving, at(30));
+    REQUIRE(engine.takeOrders().stops.size() == 1);
+
+    auto restored = jobs::makeJob(jobId, queue(), engine.find(jobId)->spec, wallAt(0));
+    REQUIRE(jobs::applyProgress(restored, jobs::encodeProgress(*engine.find(jobId))));
+    auto next = jobs::job_engine{nullptr};
+    next.restore(restored, at(100), at(100));
+    next.updateWorkers(std::vector{worker("a"), worker("b"), worker("c")}, at(100));
+    const auto listAll = [&](std::int64_t time) {
+        for (const auto *id : {"a", "b", "c"}) {
+            auto made = report();
+            for (std::uint32_t index = 0; index < 2; ++index) {
+                if (workerOfTask(engine, index) == jobs::worker_id{id}) {
+                    made.running.push_back({jobs::nameOf({jobId, 0, 0, index}), 1, {}, 100, 0});
+                }
+            }
+            next.onReport(jobs::worker_id{id}, made, at(time), at(time));
+        }
+    };
+    listAll(110);
+    auto &other = *next.workers().find(second);
+    other.leaving = true;
+    next.evacuate(other, at(120));
+    CHECK(next.takeOrders().stops.empty());
+    listAll(800);
+    next.evacuate(other, at(810));
+    CHECK(next.takeOrders().stops.size() == 1);
+}
+
 TEST_CASE("A later owner keeps a run of an active job that the former one was about to stop", "[jobs]")
 {
     auto engine = engineAtWork();
