What one turn records goes in one append; parked submissions are refused when the store stalls later

A turn's records went in three appends one after the other: the first record of a host order at once, the other orders, then the jobs. Besides, a parked submission was looked at once after 0.9 s; if a new append had just begun, never again until the next one came. Ruled out: the owner frozen (its timers ran) or without its term (requests were refused for 0.2 s only). Tests: journal_test (2).

--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -64,10 +64,13 @@
 auto journal::write(const jobs::job_engine &engine, const std::set<jobs::job_id> &changed,
                     std::span<const jobs::silence_record> silences, std::function<void()> afterwards) -> void
 {
+    auto &open = openBatch();
     std::size_t bytes = 0;
-    m_batches.emplace_back();
+    for (const auto &record : open.records) {
+        bytes += sizeOf(record);
+    }
     for (const auto &silence : silences) {
-        m_batches.back().records.push_back({silencePrefix + silence.worker.str(), encodeSilence(silence)});
+        open.records.push_back({silencePrefix + silence.worker.str(), encodeSilence(silence)});
     }
     for (const auto &id : changed) {
         const auto *job = engine.find(id);
@@ -95,21 +98,37 @@
         bytes += sizeOf(batch.records.back());
     }
     m_batches.back().afterwards.push_back(std::move(afterwards));
-    startNext();
+    startSoon();
 }
 
-auto journal::writeRecord(store::keyed_record record, std::function<void()> afterwards) -> void
+// The batch that is on its way takes nothing more.
+auto journal::openBatch() -> batch &
 {
-    // The first batch may be on its way.
-    if (m_batches.size() < 2) {
+    if (m_batches.size() <= (m_busy ? 1U : 0U)) {
         m_batches.emplace_back();
     }
-    auto &batch = m_batches.back();
+    return m_batches.back();
+}
+
+// What one turn decides about jobs, hosts and waves goes in one append: with a slow store each append counts.
+auto journal::startSoon() -> void
+{
+    if (!m_busy && !std::exchange(m_startPlanned, true)) {
+        m_time.callAfter(core::duration{0}, m_life.guard([this] {
+            m_startPlanned = false;
+            startNext();
+        }));
+    }
+}
+
+auto journal::writeRecord(store::keyed_record record, std::function<void()> afterwards) -> void
+{
+    auto &batch = openBatch();
     batch.records.push_back(std::move(record));
     if (afterwards) {
         batch.afterwards.push_back(std::move(afterwards));
     }
-    startNext();
+    startSoon();
 }
 
 auto journal::remove(std::span<const jobs::job_id> forgotten) -> void
@@ -117,14 +136,13 @@
     if (forgotten.empty()) {
         return;
     }
-    batch removal;
+    auto &removal = openBatch();
     for (const auto &id : forgotten) {
         removal.records.push_back({specPrefix + id.str(), {}});
         removal.records.push_back({progressPrefix + id.str(), {}});
         m_knownSpecs.erase(id.str());
     }
-    m_batches.push_back(std::move(removal));
-    startNext();
+    startSoon();
 }
 
 auto journal::isBusy() const -> bool
--- a/src/poplarpass/host/journal.h
+++ b/src/poplarpass/host/journal.h
@@ -68,6 +68,8 @@
         std::vector<std::function<void()>> afterwards;
     };
 
+    auto openBatch() -> batch &;
+    auto startSoon() -> void;
     auto startNext() -> void;
     auto send() -> void;
     auto onAnswer(const store::append_result &answer) -> void;
@@ -83,6 +85,7 @@
     std::unordered_set<std::string> m_knownSpecs;
     std::deque<batch> m_batches;
     bool m_busy = false;
+    bool m_startPlanned = false;
     bool m_troubled = false;
     core::monotonic_time m_sentAt{};
     core::lifetime m_life;
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -107,6 +107,7 @@
     auto submit(const client_request &request, const client_answer &answer) -> void;
     auto park(const client_request &request, const client_answer &answer) -> void;
     auto refuseParked() -> void;
+    auto refuseParkedAfter(core::duration delay) -> void;
     auto refuseLapsed(const client_request &request, const client_answer &answer) -> void;
     auto admitParked() -> void;
     auto answerState(const client_request &request, const client_answer &answer) -> void;
@@ -142,6 +143,7 @@
     bool m_serving = false;
     bool m_resigned = false;
     bool m_turnPlanned = false;
+    bool m_refusalPlanned = false;
     bool m_turnWanted = false;
     std::uint64_t m_turnSerial = 0;
     core::monotonic_time m_turnDue{};
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -95,17 +95,17 @@
 auto pool_owner::park(const client_request &request, const client_answer &answer) -> void
 {
     m_parked.push_back({request, answer});
-    if (m_journal.stalledFor(m_env.time.now()) >= refusalStall) {
-        refuseParked();
-    } else if (m_parked.size() == 1) {
-        m_env.time.callAfter(refusalStall, m_life.guard([this] { refuseParked(); }));
-    }
+    refuseParked();
 }
 
 auto pool_owner::refuseParked() -> void
 {
     const auto stalled = m_journal.stalledFor(m_env.time.now());
-    if (m_parked.empty() || stalled < refusalStall) {
+    if (m_parked.empty()) {
+        return;
+    }
+    if (stalled < refusalStall) {
+        refuseParkedAfter(refusalStall - stalled);
         return;
     }
     const auto retryAfter = stalled >= longStall ? longRetryAfterSeconds : retryAfterSeconds;
@@ -119,6 +119,16 @@
     }
 }
 
+auto pool_owner::refuseParkedAfter(core::duration delay) -> void
+{
+    if (!std::exchange(m_refusalPlanned, true)) {
+        m_env.time.callAfter(delay, m_life.guard([this] {
+            m_refusalPlanned = false;
+            refuseParked();
+        }));
+    }
+}
+
 auto pool_owner::admitParked() -> void
 {
     for (const auto &entry : std::exchange(m_parked, {})) {
--- a/tests/fakes/worker_model.cpp
+++ b/tests/fakes/worker_model.cpp
@@ -168,6 +168,12 @@
     return m_running.contains(task);
 }
 
+auto worker_model::runOf(const std::string &task) const -> std::uint32_t
+{
+    const auto found = m_running.find(task);
+    return found == m_running.end() ? 0 : found->second.run;
+}
+
 auto worker_model::isAtWork(const std::string &task, std::int64_t nowMs) const -> bool
 {
     const auto found = m_running.find(task);
--- a/tests/fakes/worker_model.h
+++ b/tests/fakes/worker_model.h
@@ -71,6 +71,9 @@
     /// \brief Whether \p task runs.
     [[nodiscard]] auto isRunning(const std::string &task) const -> bool;
 
+    /// \brief Number of the run of \p task; 0 when it does not run.
+    [[nodiscard]] auto runOf(const std::string &task) const -> std::uint32_t;
+
     /// \brief Whether \p task has been at work here for its time to get ready.
     [[nodiscard]] auto isAtWork(const std::string &task, std::int64_t nowMs) const -> bool;
 
--- a/tests/io/host_fixture.h
+++ b/tests/io/host_fixture.h
@@ -21,6 +21,15 @@
 /// \brief Time that a call takes.
 inline constexpr core::duration callTime = std::chrono::milliseconds{4};
 
+/// \brief Options of a logger that writes nothing.
+inline auto quietOptions() -> poplarpass::observe::logger_options
+{
+    poplarpass::observe::logger_options options;
+    options.sink = [](poplarpass::observe::log_level, std::string_view) {
+    };
+    return options;
+}
+
 /// \brief Store in memory with the fences of the platform's; answers can be withheld.
 class memory_store
 {
@@ -35,6 +44,7 @@
     {
         store::record_store made;
         made.append = [this](store::append_request request, std::function<void(store::append_result)> done) {
+            ++appends;
             if (withheld) {
                 held.push_back([this, request, done] { done(carryOut(request)); });
                 return;
@@ -77,6 +87,7 @@
         return m_topics[topic];
     }
 
+    std::size_t appends = 0; ///< Appends that were asked for.
     bool withheld = false; ///< Whether appends wait.
     bool loseAnswers = false; ///< Whether appends are carried out without an answer.
     std::vector<std::function<void()>> held; ///< Appends that wait.
--- /dev/null
+++ b/tests/io/journal_test.cpp
@@ -0,0 +1,68 @@
+#include "host_fixture.h"
+
+#include <poplarpass/host/journal.h>
+
+#include <catch2/catch.hpp>
+
+using namespace tests;
+
+namespace
+{
+/// \brief A journal over a store in memory.
+struct journal_fixture
+{
+    fakes::stepped_time time;
+    core::time_source clock = time.source();
+    memory_store memory{time};
+    store::record_store records = memory.calls();
+    poplarpass::observe::logger log{quietOptions()};
+    jobs::job_engine engine{nullptr};
+    int idle = 0;
+    host::journal journal{clock, records, log, 1, nullptr, [this] {
+                              ++idle;
+                          }};
+
+    journal_fixture()
+    {
+        bool open = false;
+        journal.open([&] { open = true; });
+        REQUIRE(time.runUntil([&] { return open; }));
+        time.runFor(callTime);
+    }
+};
+} // namespace
+
+TEST_CASE("What one turn records goes in one append", "[host]")
+{
+    journal_fixture fixture;
+    fixture.memory.withheld = true;
+    std::vector<int> stored;
+    fixture.journal.writeRecord({"o1", "x"}, [&] { stored.push_back(1); });
+    fixture.journal.writeRecord({"o2", "x"}, [&] { stored.push_back(2); });
+    fixture.journal.write(fixture.engine, {}, {}, [&] { stored.push_back(3); });
+    fixture.time.runFor(callTime);
+    CHECK(fixture.memory.held.size() == 1);
+    CHECK(stored.empty());
+    fixture.memory.release();
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.journal.isBusy(); }));
+    CHECK(stored == std::vector{1, 2, 3});
+    CHECK(fixture.memory.records(store::topic::jobs).size() == 2);
+}
+
+TEST_CASE("What is recorded while an append is on its way goes together in the next", "[host]")
+{
+    journal_fixture fixture;
+    const auto before = fixture.memory.appends;
+    fixture.memory.withheld = true;
+    fixture.journal.writeRecord({"o1", "x"});
+    fixture.time.runFor(callTime);
+    REQUIRE(fixture.memory.held.size() == 1);
+    for (const auto *key : {"o2", "o3", "o4"}) {
+        fixture.journal.writeRecord({key, "x"});
+    }
+    fixture.memory.release();
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.journal.isBusy(); }));
+    CHECK(fixture.memory.appends == before + 2);
+    CHECK(fixture.memory.records(store::topic::jobs).size() == 4);
+    CHECK(fixture.idle > 0);
+}
--- a/tests/io/owner_election_test.cpp
+++ b/tests/io/owner_election_test.cpp
@@ -8,14 +8,6 @@
 
 namespace
 {
-auto quietOptions() -> poplarpass::observe::logger_options
-{
-    poplarpass::observe::logger_options options;
-    options.sink = [](poplarpass::observe::log_level, std::string_view) {
-    };
-    return options;
-}
-
 /// \brief One process that may own the pools.
 struct candidate
 {
--- a/tests/io/pool_owner_test.cpp
+++ b/tests/io/pool_owner_test.cpp
@@ -68,14 +68,6 @@
         };
     }
 
-    static auto quietOptions() -> poplarpass::observe::logger_options
-    {
-        poplarpass::observe::logger_options options;
-        options.sink = [](poplarpass::observe::log_level, std::string_view) {
-        };
-        return options;
-    }
-
     static auto decodeWorker(std::string_view id) -> jobs::worker_entry
     {
         jobs::worker_entry entry;
--- a/tests/system/sim_fleet.cpp
+++ b/tests/system/sim_fleet.cpp
@@ -424,7 +424,7 @@
         return jobs::stop_answer::other_instance;
     }
     std::ranges::for_each(m_machines, [this](const auto &other) { noteAtWork(*other); });
-    if (isSound(*machine) && machine->model->isRunning(order.task)) {
+    if (isSound(*machine) && machine->model->runOf(order.task) == order.run) {
         m_rules.onOrderedAway(order.task);
     }
     return machine->model->stop(target.fencingToken, order.task, order.run, m_network.nowMs(),
