Bounds on what waits at a host and on tasks in memory; the settings file is watched

Change: 4000 requests a host, 4000 and 16 MB at the owner, 250000 tasks; beyond them 503 at once with Retry-After, true: nothing was done. The file's time is looked at each second; addresses that differ are named as effective at the next start. poplarpass_request_seconds carries the status, the separate counter is gone.

--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -58,12 +58,22 @@
 inline constexpr int retryAfterSeconds = 1;
 /// \brief The same when the store has been away for longStall.
 inline constexpr int longRetryAfterSeconds = 2;
+/// \brief Callers' requests at one host that have no answer yet, at most; others are refused at once.
+inline constexpr std::size_t mostForwarded = 4000;
+/// \brief Requests that wait at the owner for the store, and as many for its start, at most.
+inline constexpr std::size_t mostWaiting = 4000;
+/// \brief Bytes of their bodies at most.
+inline constexpr std::size_t mostWaitingBytes = std::size_t{16} * 1024 * 1024;
+/// \brief Tasks in memory at the owner, over all jobs; jobs beyond are refused.
+inline constexpr std::size_t mostTasks = 250'000;
 /// \brief An append that takes longer than this means that the store is away: submissions are refused.
 inline constexpr core::duration refusalStall = std::chrono::milliseconds{900};
 /// \brief The store has been away for long.
 inline constexpr core::duration longStall = std::chrono::seconds{2};
 /// \brief Bytes of records in one append at most.
 inline constexpr std::size_t appendBytes = 900'000;
+/// \brief Between looks at the settings file.
+inline constexpr core::duration settingsPeriod = std::chrono::seconds{1};
 /// \brief Callers still arrive this long after a process says that it is not ready.
 inline constexpr core::duration balancerLag = std::chrono::milliseconds{2300};
 /// \brief A stopping process ends this long before it would be killed.
--- a/src/poplarpass/host/front_door.cpp
+++ b/src/poplarpass/host/front_door.cpp
@@ -64,11 +64,10 @@
 auto front_door::count(std::string_view verb, int status, core::duration took) -> void
 {
     const std::string name{verb};
-    m_metrics.histogramOf("poplarpass_request_seconds", "Time to answer a caller", {{"verb", name}}).record(took);
     m_metrics
-        .counterOf("poplarpass_requests_total", "Answered requests of callers",
-                   {{"status", std::to_string(status)}, {"verb", name}})
-        .add();
+        .histogramOf("poplarpass_request_seconds", "Time to answer a caller",
+                     {{"status", std::to_string(status)}, {"verb", name}})
+        .record(took);
 }
 
 auto front_door::onPeer(const net::http_request &call, const std::shared_ptr<net::responder> &peer) -> void
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -5,6 +5,7 @@
 #include <poplarpass/observe/line_writer.h>
 
 #include <csignal>
+#include <system_error>
 #include <unistd.h>
 #include <utility>
 
@@ -70,6 +71,9 @@
     listen();
     m_core->start();
     awaitSignals();
+    std::error_code problem;
+    m_settingsWrittenAt = std::filesystem::last_write_time(m_settingsPath, problem);
+    watchSettings();
     m_loop.run();
     m_log.log(log_level::info, "stop", {});
 }
@@ -119,6 +123,17 @@
     });
 }
 
+// The platform writes the file anew also without a signal.
+auto host_process::watchSettings() -> void
+{
+    std::error_code problem;
+    const auto writtenAt = std::filesystem::last_write_time(m_settingsPath, problem);
+    if (!problem && writtenAt != std::exchange(m_settingsWrittenAt, writtenAt)) {
+        reload();
+    }
+    m_time.callAfter(settingsPeriod, [this] { watchSettings(); });
+}
+
 auto host_process::reload() -> void
 {
     auto loaded = settings::loadHostSettings(m_settingsPath);
@@ -129,7 +144,10 @@
         return;
     }
     m_log.setLevel(observe::logLevelNamed(loaded->logLevel).value_or(log_level::info));
-    m_log.log(log_level::info, "reload", {{"log_level", loaded->logLevel}});
+    // Addresses hold until the process starts again.
+    const bool needsRestart = settings::differsInAddresses(*loaded, m_settings);
+    m_log.log(needsRestart ? log_level::warning : log_level::info, "reload",
+              {{"log_level", loaded->logLevel}, {"effect", needsRestart ? "addresses_at_next_start" : "all"}});
 }
 
 // The balancer goes on sending callers for a while, so they are served until it has noticed.
--- a/src/poplarpass/host/host_process.h
+++ b/src/poplarpass/host/host_process.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <filesystem>
 #include <functional>
 #include <memory>
 #include <string>
@@ -49,6 +50,7 @@
     auto awaitSignals() -> void;
     auto beginStop() -> void;
     auto endStop() -> void;
+    auto watchSettings() -> void;
     auto reload() -> void;
 
     settings::host_settings m_settings;
@@ -72,6 +74,7 @@
     std::unique_ptr<net::http_server> m_readiness;
     std::unique_ptr<net::http_server> m_metricsServer;
     boost::asio::signal_set m_signals;
+    std::filesystem::file_time_type m_settingsWrittenAt;
     bool m_stopping = false;
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -82,7 +82,7 @@
 {
     m_life.end();
     m_journal.stop();
-    for (auto &waiting : m_waiting) {
+    for (const auto &waiting : m_waiting.takeAll()) {
         waiting.answer(plainResponse(notOwnerStatus, "not_owner"));
     }
 }
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -8,6 +8,7 @@
 #include <poplarpass/host/job_times.h>
 #include <poplarpass/host/journal.h>
 #include <poplarpass/host/platform_decoders.h>
+#include <poplarpass/host/waiting_requests.h>
 #include <poplarpass/host/worker_links.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/observe/logger.h>
@@ -85,12 +86,6 @@
     auto updateMetrics() -> void;
 
 private:
-    struct waiting_request
-    {
-        client_request request;
-        client_answer answer;
-    };
-
     auto makeCapacity() -> std::unique_ptr<capacity_keeper>;
     auto readJobs() -> void;
     auto onJobs(const store::newest_result &newest) -> void;
@@ -106,6 +101,8 @@
     auto serve(const client_request &request, const client_answer &answer) -> void;
     auto submit(const client_request &request, const client_answer &answer) -> void;
     auto park(const client_request &request, const client_answer &answer) -> void;
+    auto refuse(const client_request &request, const client_answer &answer, std::string_view reason, int retryAfter)
+        -> void;
     auto refuseParked() -> void;
     auto refuseParkedAfter(core::duration delay) -> void;
     auto refuseLapsed(const client_request &request, const client_answer &answer) -> void;
@@ -134,8 +131,8 @@
     std::unique_ptr<capacity_keeper> m_capacity;
     std::map<std::string, jobs::worker_entry> m_entries;
     std::uint64_t m_workerOffset = 0;
-    std::vector<waiting_request> m_waiting;
-    std::vector<waiting_request> m_parked;
+    waiting_requests m_waiting; ///< For this owner to serve, or for its configuration.
+    waiting_requests m_parked; ///< Submissions that wait for the store.
     std::vector<std::function<void()>> m_afterNextWrite;
     std::set<std::string> m_formerOwners;
     bool m_restored = false;
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -15,7 +15,11 @@
         return;
     }
     if (!m_serving || request.configVersion > m_env.routes.config().version) {
-        m_waiting.push_back({request, std::move(answer)});
+        if (m_waiting.isFull()) {
+            refuse(request, answer, "too_many", retryAfterSeconds);
+        } else {
+            m_waiting.add({request, std::move(answer)});
+        }
         return;
     }
     serve(request, answeredOnce(std::move(answer)));
@@ -30,7 +34,7 @@
 
 auto pool_owner::handleWaiting() -> void
 {
-    for (auto &entry : std::exchange(m_waiting, {})) {
+    for (auto &entry : m_waiting.takeAll()) {
         handle(entry.request, std::move(entry.answer));
     }
 }
@@ -84,6 +88,10 @@
         answer(plainResponse(400, "bad_body"));
         return;
     }
+    if (m_engine.taskCount() + jobs::taskCountOf(*spec) > mostTasks) {
+        refuse(request, answer, "too_many_tasks", longRetryAfterSeconds);
+        return;
+    }
     m_engine.submit(request.job, match.matched->queue, std::move(*spec), m_env.time.wallNow());
     m_capacity->onJob(*m_engine.find(request.job));
     requestTurn();
@@ -94,14 +102,31 @@
 // as the next append could not begin sooner, and if the store stays away the refusal of the job is true.
 auto pool_owner::park(const client_request &request, const client_answer &answer) -> void
 {
-    m_parked.push_back({request, answer});
+    if (m_parked.isFull()) {
+        refuse(request, answer, "too_many", retryAfterSeconds);
+        return;
+    }
+    m_parked.add({request, answer});
     refuseParked();
 }
 
+// Nothing was done with the request.
+auto pool_owner::refuse(const client_request &request, const client_answer &answer, std::string_view reason,
+                        int retryAfter) -> void
+{
+    m_env.log.log(log_level::warning, "request_refused",
+                  {{"id", request.job.str()},
+                   {"verb", nameOf(request.verb)},
+                   {"reason", reason},
+                   {"epoch", epoch()},
+                   {"retry_after_s", retryAfter}});
+    answer(refusalResponse(503, reason, retryAfter));
+}
+
 auto pool_owner::refuseParked() -> void
 {
     const auto stalled = m_journal.stalledFor(m_env.time.now());
-    if (m_parked.empty()) {
+    if (m_parked.isEmpty()) {
         return;
     }
     if (stalled < refusalStall) {
@@ -109,7 +134,7 @@
         return;
     }
     const auto retryAfter = stalled >= longStall ? longRetryAfterSeconds : retryAfterSeconds;
-    for (const auto &entry : std::exchange(m_parked, {})) {
+    for (const auto &entry : m_parked.takeAll()) {
         m_env.log.log(log_level::warning, "job_refused",
                       {{"id", entry.request.job.str()},
                        {"reason", "store_away"},
@@ -131,7 +156,7 @@
 
 auto pool_owner::admitParked() -> void
 {
-    for (const auto &entry : std::exchange(m_parked, {})) {
+    for (const auto &entry : m_parked.takeAll()) {
         submit(entry.request, entry.answer);
     }
 }
@@ -140,13 +165,7 @@
 // would help nobody: by the time to come back either the store answers again or another host owns the pools.
 auto pool_owner::refuseLapsed(const client_request &request, const client_answer &answer) -> void
 {
-    m_env.log.log(log_level::warning, "request_refused",
-                  {{"id", request.job.str()},
-                   {"verb", nameOf(request.verb)},
-                   {"reason", "term_lapsed"},
-                   {"epoch", epoch()},
-                   {"retry_after_s", retryAfterSeconds}});
-    answer(refusalResponse(503, "store_away", retryAfterSeconds));
+    refuse(request, answer, "term_lapsed", retryAfterSeconds);
 }
 
 auto pool_owner::isUnstored(const jobs::job_id &id) const -> bool
--- a/src/poplarpass/host/request_forwarder.cpp
+++ b/src/poplarpass/host/request_forwarder.cpp
@@ -34,9 +34,23 @@
 
 auto request_forwarder::take(client_request request, core::duration time, client_answer answer) -> void
 {
+    if (m_open >= mostForwarded) {
+        m_env.log.log(log_level::warning, "request_refused",
+                      {{"id", request.job.str()},
+                       {"verb", nameOf(request.verb)},
+                       {"reason", "too_many"},
+                       {"open", m_open},
+                       {"retry_after_s", retryAfterSeconds}});
+        answer(refusalResponse(503, "too_many", retryAfterSeconds));
+        return;
+    }
+    ++m_open;
     auto entry = std::make_shared<forwarding>();
     entry->request = std::move(request);
-    entry->answer = std::move(answer);
+    entry->answer = m_life.guard([this, answer = std::move(answer)](net::http_response response) {
+        --m_open;
+        answer(std::move(response));
+    });
     entry->receivedAt = m_env.time.now();
     const auto share = std::chrono::duration<double, std::micro>{time} * requestTimeShare;
     m_env.time.callAfter(std::chrono::duration_cast<core::duration>(share), m_life.guard([this, entry] {
--- a/src/poplarpass/host/request_forwarder.h
+++ b/src/poplarpass/host/request_forwarder.h
@@ -6,6 +6,7 @@
 #include <poplarpass/observe/logger.h>
 #include <poplarpass/route/route_table.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -44,6 +45,7 @@
     auto giveUp(const std::shared_ptr<forwarding> &entry) -> void;
 
     forwarder_environment m_env;
+    std::size_t m_open = 0; ///< Requests without an answer.
     core::lifetime m_life;
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -38,6 +38,7 @@
 auto job_engine::restore(job_record job, core::monotonic_time now, core::monotonic_time ordersUntil) -> void
 {
     auto &kept = m_jobs[job.id.str()] = std::move(job);
+    m_taskCount += kept.tasks.size();
     forEachTask(kept, [&](const task_ref &task, std::size_t position) {
         auto &state = kept.tasks[position];
         if (!isPlaced(state.phase)) {
@@ -71,6 +72,7 @@
         return submit_outcome::known;
     }
     auto &job = m_jobs[id.str()] = makeJob(id, queue, std::move(spec), received);
+    m_taskCount += job.tasks.size();
     m_activeJobs[queue.pool].insert(id);
     ++m_counters.jobsAccepted;
     touch(job);
@@ -156,6 +158,11 @@
     return m_jobs;
 }
 
+auto job_engine::taskCount() const -> std::size_t
+{
+    return m_taskCount;
+}
+
 auto job_engine::counters() const -> const engine_counters &
 {
     return m_counters;
@@ -172,11 +179,13 @@
             forgotten.push_back(job.id);
         } else if (!job.tasks.empty()) {
             const auto endedAt = job.endedAt;
+            m_taskCount -= job.tasks.size();
             job = makeEndedJob(job.id, job.phase);
             job.endedAt = endedAt;
         }
     }
     for (const auto &id : forgotten) {
+        m_taskCount -= m_jobs.at(id.str()).tasks.size();
         m_jobs.erase(id.str());
     }
     return forgotten;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -146,6 +146,9 @@
     /// \brief All jobs.
     [[nodiscard]] auto jobs() const -> const std::unordered_map<std::string, job_record> &;
 
+    /// \brief Tasks in memory, over all jobs.
+    [[nodiscard]] auto taskCount() const -> std::size_t;
+
     /// \brief Figures since the start.
     [[nodiscard]] auto counters() const -> const engine_counters &;
 
@@ -219,5 +222,6 @@
     std::map<core::pool_id, pool_misfit> m_misfits;
     core::monotonic_time m_stragglersAt{};
     engine_counters m_counters;
+    std::size_t m_taskCount = 0;
 };
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -60,6 +60,15 @@
     return spec.repeatCount == 0 ? acceptedAt : spec.firstDue + spec.interval * occurrence;
 }
 
+auto taskCountOf(const job_spec &spec) -> std::uint64_t
+{
+    std::uint64_t tasks = 0;
+    for (const auto &step : spec.steps) {
+        tasks += step.taskCount;
+    }
+    return tasks * spec.occurrences();
+}
+
 auto isSound(const job_spec &spec) -> bool
 {
     std::uint64_t tasks = 0;
@@ -71,7 +80,7 @@
         }
         tasks += entry.taskCount;
     }
-    return tasks > 0 && tasks <= maxTasksOfJob && tasks * spec.occurrences() <= maxTasksOfJob;
+    return tasks > 0 && tasks <= maxTasksOfJob && taskCountOf(spec) <= maxTasksOfJob;
 }
 
 auto makeJob(job_id id, queue_policy queue, job_spec spec, core::wall_time acceptedAt) -> job_record
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -98,6 +98,9 @@
 /// \brief Tasks of a job at most, over all occurrences.
 inline constexpr std::uint64_t maxTasksOfJob = 200'000;
 
+/// \brief Tasks of \p spec over all occurrences.
+auto taskCountOf(const job_spec &spec) -> std::uint64_t;
+
 /// \brief Whether \p spec can be run: it has steps, none is empty, each comes after earlier ones, and there are not too
 /// many tasks.
 auto isSound(const job_spec &spec) -> bool;
--- a/src/poplarpass/settings/host_settings.cpp
+++ b/src/poplarpass/settings/host_settings.cpp
@@ -3,6 +3,7 @@
 
 #include <fstream>
 #include <iterator>
+#include <tuple>
 
 namespace poplarpass::settings
 {
@@ -48,6 +49,15 @@
 }
 } // namespace
 
+auto differsInAddresses(const host_settings &first, const host_settings &second) -> bool
+{
+    const auto addressesOf = [](const host_settings &entry) {
+        return std::tie(entry.name, entry.callers, entry.readiness, entry.peers, entry.metrics, entry.store,
+                        entry.hostService, entry.advice);
+    };
+    return addressesOf(first) != addressesOf(second);
+}
+
 auto parseHostSettings(std::string_view text, std::string_view file) -> host_settings_result
 {
     internal::problem_sink sink{std::string{file}, {}};
--- a/src/poplarpass/settings/host_settings.h
+++ b/src/poplarpass/settings/host_settings.h
@@ -31,6 +31,9 @@
 /// \brief Settings, or everything that is wrong in the file.
 using host_settings_result = tl::expected<host_settings, std::vector<text_problem>>;
 
+/// \brief Whether the two differ in an address that a process uses from its start to its end.
+auto differsInAddresses(const host_settings &first, const host_settings &second) -> bool;
+
 /// \brief Reads the settings of a host from TOML \p text.
 /// \param file name of the file, for the problems
 auto parseHostSettings(std::string_view text, std::string_view file) -> host_settings_result;
--- a/tests/io/pool_owner_test.cpp
+++ b/tests/io/pool_owner_test.cpp
@@ -1,7 +1,11 @@
 #include "host_fixture.h"
 
+#include <poplarpass/host/constants.h>
+
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace tests;
 
 namespace
@@ -228,6 +232,31 @@
     CHECK(status == host::unsettledStatus);
 }
 
+TEST_CASE("Beyond what an owner holds, submissions are refused at once and never run", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals.size() >= 2; }));
+    fixture.keepTerm();
+    fixture.memory.withheld = true;
+    int first = 0;
+    fixture.ask(owner_fixture::request(host::client_verb::submit, jobName, jobText), first);
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.memory.held.empty(); }));
+    std::vector<int> statuses(host::mostWaiting + 3);
+    std::size_t number = 0;
+    for (auto &status : statuses) {
+        fixture.ask(owner_fixture::request(host::client_verb::submit, std::to_string(++number), jobText), status);
+    }
+    CHECK(std::ranges::count(statuses, 503) == 3);
+    CHECK(statuses.back() == 503);
+    CHECK(statuses.front() == 0);
+    fixture.memory.release();
+    REQUIRE(fixture.time.runUntil([&] { return statuses.front() == 200; }));
+    for (const auto &record : fixture.memory.records(store::topic::jobs)) {
+        CHECK(record.key != "j" + std::to_string(number));
+    }
+}
+
 TEST_CASE("What still waits at an owner that has resigned is answered as unsettled", "[host]")
 {
     owner_fixture fixture;
