--- a/src/poplarpass/app/explain_verb.cpp
+++ b/src/poplarpass/app/explain_verb.cpp
@@ -18,9 +18,9 @@
 constexpr std::int64_t namedGapMs = 500;
 
 /// \brief Events that explain why a job waits, whichever job it is.
-constexpr std::array<std::string_view, 8> surroundings{"owner_elected", "owner_serving",   "owner_deposed",
-                                                       "owner_resigns", "journal_stalled", "journal_resumed",
-                                                       "worker_lost",   "worker_regained"};
+constexpr std::array<std::string_view, 9> surroundings{"owner_elected",   "owner_serving", "owner_deposed",
+                                                       "owner_resigns",   "journal_slow",  "journal_stalled",
+                                                       "journal_resumed", "worker_lost",   "worker_regained"};
 
 struct log_line
 {
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -68,6 +68,8 @@
 inline constexpr std::size_t mostTasks = 250'000;
 /// \brief An append that takes longer than this means that the store is away: submissions are refused.
 inline constexpr core::duration refusalStall = std::chrono::milliseconds{900};
+/// \brief An append that took longer than this is logged.
+inline constexpr core::duration slowAppend = std::chrono::milliseconds{250};
 /// \brief The store has been away for long.
 inline constexpr core::duration longStall = std::chrono::seconds{2};
 /// \brief Bytes of records in one append at most.
--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -37,6 +37,8 @@
     event_description{"journal_fenced", "the store refuses this owner's appends: a later one has written",
                       "epoch, sequence"},
     event_description{"journal_resumed", "the store takes the owner's appends again", "epoch, sequence"},
+    event_description{"journal_slow", "the store took long for an append: jobs and starts waited for it",
+                      "epoch, sequence, records, ms"},
     event_description{"journal_stalled",
                       "the store does not take the owner's appends: nothing starts, no job is taken in",
                       "epoch, sequence, batches"},
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -212,6 +212,13 @@
     if (std::exchange(m_troubled, false)) {
         m_log.log(observe::log_level::info, "journal_resumed", {{"epoch", m_epoch}, {"sequence", m_sequence}});
     }
+    if (const auto took = m_time.now() - m_sentAt; took >= slowAppend) {
+        m_log.log(observe::log_level::warning, "journal_slow",
+                  {{"epoch", m_epoch},
+                   {"sequence", m_sequence},
+                   {"records", m_batches.front().records.size()},
+                   {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count()}});
+    }
     ++m_sequence;
     m_busy = false;
     const auto stored = std::move(m_batches.front());
--- a/tests/io/journal_test.cpp
+++ b/tests/io/journal_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace tests;
 
 namespace
@@ -15,13 +17,23 @@
     core::time_source clock = time.source();
     memory_store memory{time};
     store::record_store records = memory.calls();
-    poplarpass::observe::logger log{quietOptions()};
+    std::vector<std::string> lines;
+    poplarpass::observe::logger log{keptOptions()};
     jobs::job_engine engine{nullptr};
     int idle = 0;
     host::journal journal{clock, records, log, 1, nullptr, [this] {
                               ++idle;
                           }};
 
+    auto keptOptions() -> poplarpass::observe::logger_options
+    {
+        auto options = quietOptions();
+        options.sink = [this](poplarpass::observe::log_level, std::string_view line) {
+            lines.emplace_back(line);
+        };
+        return options;
+    }
+
     journal_fixture()
     {
         bool open = false;
@@ -49,6 +61,18 @@
     CHECK(fixture.memory.records(store::topic::jobs).size() == 2);
 }
 
+TEST_CASE("An append that takes long is told in the log", "[host]")
+{
+    journal_fixture fixture;
+    fixture.memory.withheld = true;
+    fixture.journal.writeRecord({"o1", "x"});
+    fixture.time.runFor(std::chrono::milliseconds{400});
+    fixture.memory.release();
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.journal.isBusy(); }));
+    CHECK(std::ranges::any_of(fixture.lines,
+                              [](const auto &line) { return line.find("event=journal_slow") != std::string::npos; }));
+}
+
 TEST_CASE("What is recorded while an append is on its way goes together in the next", "[host]")
 {
     journal_fixture fixture;
--- a/tests/io/measures_test.cpp
+++ b/tests/io/measures_test.cpp
@@ -8,7 +8,6 @@
 namespace
 {
 namespace host = poplarpass::host;
-namespace jobs = poplarpass::jobs;
 namespace store = poplarpass::store;
 namespace observe = poplarpass::observe;
 
--- a/tests/system/sim_callers.cpp
+++ b/tests/system/sim_callers.cpp
@@ -89,7 +89,7 @@
 {
     std::array<char, 17> id{};
     std::snprintf(id.data(), id.size(), "%016zx", m_specs.size() + 1);
-    const std::string name{id.data()};
+    std::string name{id.data()};
     m_specOf[name] = m_specs.size();
     m_specs.push_back(spec);
     m_prefixOf[name] = queue.prefix;
--- a/tests/system/sim_fleet.cpp
+++ b/tests/system/sim_fleet.cpp
@@ -279,7 +279,7 @@
     };
 }
 
-auto sim_fleet::workersFor(fleet_caller caller) -> host::worker_calls
+auto sim_fleet::workersFor(const fleet_caller &caller) -> host::worker_calls
 {
     host::worker_calls calls;
     calls.renew = [this, caller](const host::renewal_call &call, std::function<void(host::renewal_answer)> done) {
@@ -431,7 +431,7 @@
                                 m_network.pick(1, stopTimeMs));
 }
 
-auto sim_fleet::hostsFor(fleet_caller caller) -> host::host_calls
+auto sim_fleet::hostsFor(const fleet_caller &caller) -> host::host_calls
 {
     host::host_calls calls;
     calls.list = [this, caller](std::function<void(std::optional<std::vector<capacity::host_entry>>)> done) {
@@ -583,7 +583,7 @@
     });
 }
 
-auto sim_fleet::adviceFor(process_port port) -> host::advice_calls
+auto sim_fleet::adviceFor(const process_port &port) -> host::advice_calls
 {
     host::advice_calls calls;
     calls.ask = [this, port](const jobs::advice_request &request,
--- a/tests/system/sim_fleet.h
+++ b/tests/system/sim_fleet.h
@@ -70,13 +70,13 @@
     auto addMachines(const core::pool_id &pool, int count, bool standby) -> void;
 
     /// \brief Calls of workers for one process.
-    auto workersFor(fleet_caller caller) -> host::worker_calls;
+    auto workersFor(const fleet_caller &caller) -> host::worker_calls;
 
     /// \brief Calls of the service for hosts for one process.
-    auto hostsFor(fleet_caller caller) -> host::host_calls;
+    auto hostsFor(const fleet_caller &caller) -> host::host_calls;
 
     /// \brief Calls of the service for advice for one process.
-    auto adviceFor(process_port port) -> host::advice_calls;
+    auto adviceFor(const process_port &port) -> host::advice_calls;
 
     /// \brief Lets workers work, write their entries and expire.
     auto tick() -> void;
--- a/tests/system/sim_hosts.cpp
+++ b/tests/system/sim_hosts.cpp
@@ -262,7 +262,7 @@
     m_network.call<answer_type>(
         caller, fate, one.up ? callerTimeout : m_network.pickTime(1, 5), std::nullopt,
         [this, &one, incarnation = one.incarnation, call](std::function<void(answer_type)> answer) {
-            deliver(one, incarnation, [this, &one, incarnation, call, answer = std::move(answer)] {
+            deliver(one, incarnation, [&one, incarnation, call, answer = std::move(answer)] {
                 auto read = host::readCallerRequest(call, one.core->routes());
                 if (!read) {
                     answer(std::move(read.error()));
--- a/tests/system/sim_store.cpp
+++ b/tests/system/sim_store.cpp
@@ -33,10 +33,10 @@
 }
 
 // A store that is down refuses half of the calls at once and leaves the other half without an answer.
-auto sim_store::callsFor(process_port port) -> store::record_store
+auto sim_store::callsFor(const process_port &port) -> store::record_store
 {
     store::record_store calls;
-    calls.append = [this, port](store::append_request request, std::function<void(store::append_result)> done) {
+    calls.append = [this, port](const store::append_request &request, std::function<void(store::append_result)> done) {
         const auto fate = fateOf(port.name, true);
         const bool refuses = !fate.arrives && !faults.cutHosts.contains(port.name) && m_network.chance(0.5);
         const store::append_result lost{refuses ? store::append_outcome::refused : store::append_outcome::unknown, 0,
--- a/tests/system/sim_store.h
+++ b/tests/system/sim_store.h
@@ -29,7 +29,7 @@
     explicit sim_store(sim_network &network);
 
     /// \brief Calls for one process.
-    auto callsFor(process_port port) -> store::record_store;
+    auto callsFor(const process_port &port) -> store::record_store;
 
     /// \brief A worker or the operator writes a record; without a value it is dropped.
     auto put(store::topic topic, const std::string &key, const std::string &value) -> void;
--- a/tests/system/system_sim_test.cpp
+++ b/tests/system/system_sim_test.cpp
@@ -12,7 +12,7 @@
 {
 using tests::system_sim::system_world;
 
-constexpr int histories = 40;
+constexpr std::size_t histories = 40;
 constexpr std::chrono::seconds troubleTime{30};
 constexpr std::chrono::seconds calmTime{60};
 } // namespace
@@ -22,8 +22,8 @@
     std::size_t takeovers = 0;
     std::size_t finished = 0;
     std::map<std::string, std::size_t> troubles;
-    for (int history = 0; history < histories; ++history) {
-        const auto seed = tests::baseSeed() + static_cast<std::uint64_t>(history);
+    for (std::size_t history = 0; history < histories; ++history) {
+        const auto seed = tests::baseSeed() + history;
         INFO("seed " << seed);
         system_world world{seed};
         world.play(troubleTime, calmTime);
