One follower of keyed topics; the owner's list of workers is a class of its own

A read of the workers' list that failed left no line. Change: host/keyed_follower, used by config_follower and worker_list; store_lost and store_regained name the topic 'workers'.

--- a/src/poplarpass/host/config_follower.cpp
+++ b/src/poplarpass/host/config_follower.cpp
@@ -10,79 +10,48 @@
 config_follower::config_follower(const core::time_source &time, const store::record_store &records,
                                  observe::logger &log, operator_decoder decoder, route::route_table &routes,
                                  std::function<void()> onConfig)
-    : m_time{time}
-    , m_store{records}
-    , m_log{log}
+    : m_log{log}
     , m_decoder{std::move(decoder)}
     , m_routes{routes}
     , m_onConfig{std::move(onConfig)}
+    , m_follower{
+          time, records, log, {store::topic::operator_records, "operator", "config_kept", operatorWait}, makeHooks()}
 {
 }
 
-auto config_follower::start() -> void
-{
-    readAll();
-}
-
-auto config_follower::readAll() -> void
-{
-    m_store.newest(store::topic::operator_records,
-                   m_life.guard([this](const store::newest_result &newest) { onAll(newest); }));
-}
-
-auto config_follower::onAll(const store::newest_result &newest) -> void
+auto config_follower::makeHooks() -> follower_hooks
 {
-    if (!newest.complete) {
-        lost();
-        m_time.callAfter(storeRetry, m_life.guard([this] { readAll(); }));
-        return;
-    }
-    m_otherRecords.clear();
-    for (const auto &record : newest.records) {
+    follower_hooks hooks;
+    hooks.onRestart = [this] {
+        m_otherRecords.clear();
+    };
+    hooks.onRecord = [this](const store::stored_record &record) {
         take(record);
-    }
-    m_offset = newest.endOffset;
-    m_readAt = m_time.now();
-    follow();
+    };
+    hooks.onCaughtUp = [] {
+    };
+    hooks.pause = [] {
+        return core::duration{0};
+    };
+    return hooks;
 }
 
-// Until the first configuration the record may come at any moment, so the wait is the same.
-auto config_follower::follow() -> void
+auto config_follower::start() -> void
 {
-    m_store.read(store::topic::operator_records, m_offset, operatorWait,
-                 m_life.guard([this](const store::read_result &result) { onRecords(result); }));
+    m_follower.start();
 }
 
-auto config_follower::onRecords(const store::read_result &result) -> void
+auto config_follower::take(const store::stored_record &record) -> void
 {
-    switch (result.outcome) {
-    case store::read_outcome::failed:
-        lost();
-        m_time.callAfter(storeRetry, m_life.guard([this] { follow(); }));
-        return;
-    case store::read_outcome::expired:
-        readAll();
-        return;
-    case store::read_outcome::read:
-        break;
-    }
-    m_readAt = m_time.now();
-    if (std::exchange(m_storeLost, false)) {
-        m_log.log(log_level::info, "store_regained", {{"topic", "operator"}, {"offset", m_offset}});
-    }
-    for (const auto &record : result.records) {
-        take(record);
-        m_offset = record.offset + 1;
+    if (record.key == m_decoder.configKey) {
+        takeConfig(record);
+    } else {
+        m_otherRecords[record.key] = record.value;
     }
-    m_time.callAfter(core::duration{0}, m_life.guard([this] { follow(); }));
 }
 
-auto config_follower::take(const store::stored_record &record) -> void
+auto config_follower::takeConfig(const store::stored_record &record) -> void
 {
-    if (record.key != m_decoder.configKey) {
-        m_otherRecords[record.key] = record.value;
-        return;
-    }
     auto config = m_decoder.decodeConfig(record.value);
     if (!config) {
         m_log.log(log_level::error, "config_unreadable",
@@ -98,22 +67,14 @@
     }
 }
 
-auto config_follower::lost() -> void
-{
-    if (!std::exchange(m_storeLost, true)) {
-        m_log.log(log_level::warning, "store_lost",
-                  {{"topic", "operator"}, {"effect", "config_kept"}, {"version", m_routes.config().version}});
-    }
-}
-
 auto config_follower::offset() const -> std::uint64_t
 {
-    return m_offset;
+    return m_follower.offset();
 }
 
 auto config_follower::readAt() const -> core::monotonic_time
 {
-    return m_readAt;
+    return m_follower.readAt();
 }
 
 auto config_follower::otherRecords() const -> const std::map<std::string, std::string> &
--- a/src/poplarpass/host/config_follower.h
+++ b/src/poplarpass/host/config_follower.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include <poplarpass/core/lifetime.h>
-#include <poplarpass/core/time_source.h>
+#include <poplarpass/host/keyed_follower.h>
 #include <poplarpass/host/platform_decoders.h>
 #include <poplarpass/observe/logger.h>
 #include <poplarpass/route/route_table.h>
@@ -9,7 +8,6 @@
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 
 namespace poplarpass::host
@@ -35,23 +33,15 @@
     [[nodiscard]] auto otherRecords() const -> const std::map<std::string, std::string> &;
 
 private:
-    auto readAll() -> void;
-    auto onAll(const store::newest_result &newest) -> void;
-    auto follow() -> void;
-    auto onRecords(const store::read_result &result) -> void;
+    auto makeHooks() -> follower_hooks;
     auto take(const store::stored_record &record) -> void;
-    auto lost() -> void;
+    auto takeConfig(const store::stored_record &record) -> void;
 
-    const core::time_source &m_time;
-    const store::record_store &m_store;
     observe::logger &m_log;
     operator_decoder m_decoder;
     route::route_table &m_routes;
     std::function<void()> m_onConfig;
     std::map<std::string, std::string> m_otherRecords;
-    std::uint64_t m_offset = 0;
-    core::monotonic_time m_readAt{};
-    bool m_storeLost = false;
-    core::lifetime m_life;
+    keyed_follower m_follower;
 };
 } // namespace poplarpass::host
--- /dev/null
+++ b/src/poplarpass/host/keyed_follower.cpp
@@ -0,0 +1,100 @@
+#include <poplarpass/host/constants.h>
+#include <poplarpass/host/keyed_follower.h>
+
+#include <utility>
+
+namespace poplarpass::host
+{
+using observe::log_level;
+
+keyed_follower::keyed_follower(const core::time_source &time, const store::record_store &records, observe::logger &log,
+                               followed_topic followed, follower_hooks hooks)
+    : m_time{time}
+    , m_store{records}
+    , m_log{log}
+    , m_followed{followed}
+    , m_hooks{std::move(hooks)}
+{
+}
+
+auto keyed_follower::start() -> void
+{
+    readAll();
+}
+
+auto keyed_follower::readAll() -> void
+{
+    m_store.newest(m_followed.topic, m_life.guard([this](const store::newest_result &newest) { onAll(newest); }));
+}
+
+auto keyed_follower::onAll(const store::newest_result &newest) -> void
+{
+    if (!newest.complete) {
+        lost(&keyed_follower::readAll);
+        return;
+    }
+    m_hooks.onRestart();
+    for (const auto &record : newest.records) {
+        m_hooks.onRecord(record);
+    }
+    m_offset = newest.endOffset;
+    caughtUp();
+}
+
+auto keyed_follower::follow() -> void
+{
+    m_store.read(m_followed.topic, m_offset, m_followed.wait,
+                 m_life.guard([this](const store::read_result &result) { onRecords(result); }));
+}
+
+auto keyed_follower::onRecords(const store::read_result &result) -> void
+{
+    switch (result.outcome) {
+    case store::read_outcome::failed:
+        lost(&keyed_follower::follow);
+        return;
+    case store::read_outcome::expired:
+        readAll();
+        return;
+    case store::read_outcome::read:
+        break;
+    }
+    for (const auto &record : result.records) {
+        m_hooks.onRecord(record);
+        m_offset = record.offset + 1;
+    }
+    caughtUp();
+}
+
+auto keyed_follower::caughtUp() -> void
+{
+    m_readAt = m_time.now();
+    if (std::exchange(m_storeLost, false)) {
+        m_log.log(log_level::info, "store_regained", {{"topic", m_followed.name}, {"offset", m_offset}});
+    }
+    const auto alive = m_life.flag();
+    m_hooks.onCaughtUp();
+    if (*alive) {
+        m_time.callAfter(m_hooks.pause(), m_life.guard([this] { follow(); }));
+    }
+}
+
+auto keyed_follower::lost(void (keyed_follower::*again)()) -> void
+{
+    if (!std::exchange(m_storeLost, true)) {
+        m_log.log(log_level::warning, "store_lost",
+                  {{"topic", m_followed.name}, {"effect", m_followed.lossEffect}, {"offset", m_offset}});
+    }
+    m_time.callAfter(storeRetry, m_life.guard([this, again] { (this->*again)(); }));
+}
+
+auto keyed_follower::offset() const -> std::uint64_t
+{
+    return m_offset;
+}
+
+auto keyed_follower::readAt() const -> core::monotonic_time
+{
+    return m_readAt;
+}
+} // namespace poplarpass::host
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -53,10 +53,23 @@
     hooks.onFenced = [this] {
         depose("worker");
     };
+    m_workers = makeWorkerList();
     m_links = std::make_unique<worker_links>(m_env.time, m_env.workers, m_engine, m_env.log, epoch, std::move(hooks));
     m_capacity = makeCapacity();
 }
 
+auto pool_owner::makeWorkerList() -> std::unique_ptr<worker_list>
+{
+    const auto onRead = [this] {
+        onWorkers();
+    };
+    const auto pause = [this] {
+        return m_capacity->isAwaitingHosts() ? workerListBusyPeriod : workerListPeriod;
+    };
+    return std::make_unique<worker_list>(m_env.time, m_env.records, m_env.log, m_env.decoders.decodeWorker, onRead,
+                                         pause);
+}
+
 auto pool_owner::makeCapacity() -> std::unique_ptr<capacity_keeper>
 {
     capacity_environment environment{m_env.time,
@@ -90,7 +103,7 @@
 auto pool_owner::start() -> void
 {
     m_journal.open([this] { readJobs(); });
-    readWorkers();
+    m_workers->start();
 }
 
 auto pool_owner::readJobs() -> void
@@ -121,35 +134,18 @@
     m_capacity->start(newest);
     m_env.log.log(log_level::info, "jobs_restored",
                   {{"epoch", epoch()}, {"jobs", m_engine.jobs().size()}, {"offset", newest.endOffset}});
-    if (m_workersRead) {
+    if (m_workers->isRead()) {
         beginServing();
     }
 }
 
-auto pool_owner::readWorkers() -> void
+auto pool_owner::onWorkers() -> void
 {
-    m_env.records.newest(store::topic::worker_records,
-                         m_life.guard([this](const store::newest_result &newest) { onWorkers(newest); }));
-}
-
-auto pool_owner::onWorkers(const store::newest_result &newest) -> void
-{
-    if (!newest.complete) {
-        m_env.time.callAfter(storeRetry, m_life.guard([this] { readWorkers(); }));
-        return;
-    }
-    m_entries.clear();
-    for (const auto &record : newest.records) {
-        takeWorkerRecord(record);
-    }
-    m_workerOffset = newest.endOffset;
-    m_workersRead = true;
     if (m_serving) {
         updateWorkers();
     } else if (m_restored) {
         beginServing();
     }
-    pollWorkersLater();
 }
 
 auto pool_owner::beginServing() -> void
@@ -159,7 +155,7 @@
     m_env.log.log(
         log_level::info, "owner_serving",
         {{"epoch", epoch()},
-         {"workers", m_entries.size()},
+         {"workers", m_workers->entries().size()},
          {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_env.time.now() - m_startedAt).count()}});
     m_env.metrics.histogramOf("poplarpass_takeover_seconds", "From the claim of the pools to serving")
         .record(m_env.time.now() - m_startedAt);
@@ -176,63 +172,9 @@
     }
 }
 
-auto pool_owner::pollWorkersLater() -> void
-{
-    m_env.time.callAfter(m_capacity->isAwaitingHosts() ? workerListBusyPeriod : workerListPeriod,
-                         m_life.guard([this] { pollWorkers(); }));
-}
-
-auto pool_owner::pollWorkers() -> void
-{
-    if (m_resigned) {
-        return;
-    }
-    m_env.records.read(store::topic::worker_records, m_workerOffset, std::chrono::milliseconds{0},
-                       m_life.guard([this](const store::read_result &result) { onWorkerRecords(result); }));
-}
-
-auto pool_owner::onWorkerRecords(const store::read_result &result) -> void
-{
-    if (result.outcome == store::read_outcome::expired) {
-        readWorkers();
-        return;
-    }
-    if (result.outcome == store::read_outcome::read) {
-        for (const auto &record : result.records) {
-            takeWorkerRecord(record);
-            m_workerOffset = record.offset + 1;
-        }
-        if (m_serving) {
-            updateWorkers();
-        }
-    }
-    pollWorkersLater();
-}
-
-auto pool_owner::takeWorkerRecord(const store::stored_record &record) -> void
-{
-    if (record.value.empty()) {
-        m_entries.erase(record.key);
-        return;
-    }
-    auto entry = m_env.decoders.decodeWorker(record.key, record.value);
-    if (entry) {
-        m_entries[record.key] = std::move(*entry);
-    } else {
-        m_entries.erase(record.key);
-        m_env.log.log(log_level::warning, "worker_entry_unreadable",
-                      {{"worker", record.key}, {"offset", record.offset}, {"detail", entry.error().detail}});
-    }
-}
-
 auto pool_owner::updateWorkers() -> void
 {
-    std::vector<jobs::worker_entry> entries;
-    entries.reserve(m_entries.size());
-    for (const auto &[id, entry] : m_entries) {
-        entries.push_back(entry);
-    }
-    m_engine.updateWorkers(entries, m_env.time.now());
+    m_engine.updateWorkers(m_workers->entries(), m_env.time.now());
     if (!m_resigned) {
         m_links->refresh();
     }
@@ -405,7 +347,7 @@
         m_env.metrics.gaugeOf(name, help).set(static_cast<double>(value));
     };
     set("poplarpass_owner_epoch", "Epoch of this host's term as owner", epoch());
-    set("poplarpass_workers_offset", "Position up to which the workers' records were read", m_workerOffset);
+    set("poplarpass_workers_offset", "Position up to which the workers' records were read", m_workers->offset());
     set("poplarpass_journal_stalled_ms", "Since the append in progress was sent",
         static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(m_journal.stalledFor(m_env.time.now())).count()));
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -10,6 +10,7 @@
 #include <poplarpass/host/platform_decoders.h>
 #include <poplarpass/host/waiting_requests.h>
 #include <poplarpass/host/worker_links.h>
+#include <poplarpass/host/worker_list.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/observe/logger.h>
 #include <poplarpass/observe/metrics.h>
@@ -86,15 +87,11 @@
     auto updateMetrics() -> void;
 
 private:
+    auto makeWorkerList() -> std::unique_ptr<worker_list>;
     auto makeCapacity() -> std::unique_ptr<capacity_keeper>;
     auto readJobs() -> void;
     auto onJobs(const store::newest_result &newest) -> void;
-    auto readWorkers() -> void;
-    auto onWorkers(const store::newest_result &newest) -> void;
-    auto pollWorkersLater() -> void;
-    auto pollWorkers() -> void;
-    auto onWorkerRecords(const store::read_result &result) -> void;
-    auto takeWorkerRecord(const store::stored_record &record) -> void;
+    auto onWorkers() -> void;
     auto updateWorkers() -> void;
     auto beginServing() -> void;
     auto forgetEnded() -> void;
@@ -129,14 +126,12 @@
     journal m_journal;
     std::unique_ptr<worker_links> m_links;
     std::unique_ptr<capacity_keeper> m_capacity;
-    std::map<std::string, jobs::worker_entry> m_entries;
-    std::uint64_t m_workerOffset = 0;
+    std::unique_ptr<worker_list> m_workers;
     waiting_requests m_waiting; ///< For this owner to serve, or for its configuration.
     waiting_requests m_parked; ///< Submissions that wait for the store.
     std::vector<std::function<void()>> m_afterNextWrite;
     std::set<std::string> m_formerOwners;
     bool m_restored = false;
-    bool m_workersRead = false;
     bool m_serving = false;
     bool m_resigned = false;
     bool m_turnPlanned = false;
--- /dev/null
+++ b/src/poplarpass/host/worker_list.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <poplarpass/host/keyed_follower.h>
+#include <poplarpass/host/platform_decoders.h>
+#include <poplarpass/jobs/worker_report.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace poplarpass::host
+{
+/// \brief Follows what workers say of themselves in the store.
+class worker_list
+{
+public:
+    /// \param onRead called after each read, also when nothing changed
+    /// \param pause time to the next read
+    worker_list(const core::time_source &time, const store::record_store &records, observe::logger &log,
+                worker_decoder decode, std::function<void()> onRead, std::function<core::duration()> pause);
+
+    /// \brief Begins to follow.
+    auto start() -> void;
+
+    /// \brief Whether the whole list was read once.
+    [[nodiscard]] auto isRead() const -> bool;
+
+    /// \brief All readable entries.
+    [[nodiscard]] auto entries() const -> std::vector<jobs::worker_entry>;
+
+    /// \brief Position up to which records were read.
+    [[nodiscard]] auto offset() const -> std::uint64_t;
+
+private:
+    auto makeHooks(std::function<core::duration()> pause) -> follower_hooks;
+    auto take(const store::stored_record &record) -> void;
+
+    observe::logger &m_log;
+    worker_decoder m_decode;
+    std::function<void()> m_onRead;
+    std::map<std::string, jobs::worker_entry> m_entries;
+    bool m_read = false;
+    keyed_follower m_follower;
+};
+} // namespace poplarpass::host
