--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -10,7 +10,6 @@
 
 namespace
 {
-constexpr unsigned rankCount = 4;
 constexpr core::duration freshStart = std::chrono::seconds{15};
 } // namespace
 
@@ -168,12 +167,10 @@
     return current->address;
 }
 
-// Mostly different between hosts. When hosts are restarted in turn, one that was restarted a moment ago stays.
 auto host_core::rank() const -> unsigned
 {
-    const auto byName = static_cast<unsigned>(std::hash<std::string>{}(m_env.name) % rankCount);
-    const bool fresh = m_env.time.now() - m_startedAt < freshStart;
-    return fresh ? byName : byName + rankCount;
+    const bool isFresh = m_env.time.now() - m_startedAt < freshStart;
+    return owner::claimRank(m_env.name, isFresh, m_env.machine);
 }
 
 auto host_core::isReady() const -> bool
--- a/src/poplarpass/host/host_core.h
+++ b/src/poplarpass/host/host_core.h
@@ -8,6 +8,7 @@
 #include <poplarpass/host/request_forwarder.h>
 #include <poplarpass/observe/logger.h>
 #include <poplarpass/observe/metrics.h>
+#include <poplarpass/owner/claim_rank.h>
 #include <poplarpass/route/route_table.h>
 
 #include <functional>
@@ -21,6 +22,7 @@
 {
     std::string name; ///< Name of this host.
     std::string address; ///< "IP:port" at which other hosts reach it.
+    owner::machine_size machine; ///< What this host has to work with.
     core::duration holderTerm{}; ///< Term within which orders for one host of workers come from one holder.
     const core::time_source &time; ///< Clocks and timer.
     const store::record_store &records; ///< The store.
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -80,9 +80,19 @@
 
 auto host_process::makeCore() -> std::unique_ptr<host_core>
 {
-    host_environment environment{
-        m_settings.name, m_settings.peers, m_settings.holderTerm, m_time, m_store,  m_workers, m_hosts,
-        m_advice,        m_peers,          m_access.decoders,     m_log,  m_metrics};
+    host_environment environment{m_settings.name,
+                                 m_settings.peers,
+                                 owner::machine_size{m_settings.cores, m_settings.linkMbps},
+                                 m_settings.holderTerm,
+                                 m_time,
+                                 m_store,
+                                 m_workers,
+                                 m_hosts,
+                                 m_advice,
+                                 m_peers,
+                                 m_access.decoders,
+                                 m_log,
+                                 m_metrics};
     return std::make_unique<host_core>(std::move(environment));
 }
 
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -305,6 +305,9 @@
 
 auto pool_owner::depose(std::string_view reason) -> void
 {
+    if (std::exchange(m_deposed, true)) {
+        return;
+    }
     m_env.log.log(log_level::warning, "owner_deposed", {{"epoch", epoch()}, {"noticed_by", reason}});
     m_resigned = true;
     m_env.time.callAfter(core::duration{0}, m_life.guard(m_env.onDeposed));
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -134,6 +134,7 @@
     bool m_restored = false;
     bool m_serving = false;
     bool m_resigned = false;
+    bool m_deposed = false;
     bool m_turnPlanned = false;
     bool m_refusalPlanned = false;
     bool m_turnWanted = false;
--- /dev/null
+++ b/src/poplarpass/owner/claim_rank.cpp
@@ -0,0 +1,19 @@
+#include <poplarpass/owner/claim_rank.h>
+
+#include <functional>
+
+namespace poplarpass::owner
+{
+namespace
+{
+constexpr unsigned ranksByName = 4;
+} // namespace
+
+auto claimRank(std::string_view host, bool isFresh, const machine_size &machine) -> unsigned
+{
+    const bool isSmall = machine.cores < ownerCores || machine.linkMbps < ownerLinkMbps;
+    const auto byName = static_cast<unsigned>(std::hash<std::string_view>{}(host) % ranksByName);
+    const auto tier = (isFresh ? 0U : 1U) + (isSmall ? 2U : 0U);
+    return byName + tier * ranksByName;
+}
+} // namespace poplarpass::owner
--- a/src/poplarpass/settings/host_settings.cpp
+++ b/src/poplarpass/settings/host_settings.cpp
@@ -13,6 +13,8 @@
 {
 constexpr int longestTimeMs = 3'600'000;
 constexpr double longestTimeS = 3'600;
+constexpr double mostCores = 4096;
+constexpr double mostLinkMbps = 1e9;
 
 auto readTime(toml_reader &in, std::string_view key) -> std::chrono::milliseconds
 {
@@ -42,6 +44,12 @@
     }
 }
 
+auto readMachine(toml_reader &in, host_settings &settings) -> void
+{
+    settings.cores = in.number("processor_share", 0, mostCores) * in.number("processor_speed", 0, mostCores);
+    settings.linkMbps = in.number("link_mbps", 0, mostLinkMbps);
+}
+
 auto readTiming(toml_reader &in, host_settings &settings) -> void
 {
     settings.stopGrace = readSeconds(in, "stop_grace_s");
@@ -73,6 +81,7 @@
     settings.logLevel = in.text("log_level");
     in.table("listen", [&](toml_reader &table) { readListen(table, settings); });
     in.table("platform", [&](toml_reader &table) { readPlatform(table, settings); });
+    in.table("machine", [&](toml_reader &table) { readMachine(table, settings); });
     in.table("timing", [&](toml_reader &table) { readTiming(table, settings); });
     in.finish();
     if (settings.callers.empty() && sink.problems.empty()) {
--- a/src/poplarpass/settings/host_settings.h
+++ b/src/poplarpass/settings/host_settings.h
@@ -23,6 +23,8 @@
     std::string store; ///< "IP:port" of the platform's store.
     std::string hostService; ///< "IP:port" of the platform's service for hosts of workers.
     std::string advice; ///< "IP:port" of the service that advises on placement; empty when there is none.
+    double cores = 1; ///< Processor time a second, cores.
+    double linkMbps = 1000; ///< Bandwidth of the host's link, megabits a second.
     std::chrono::milliseconds stopGrace{0}; ///< From the order to stop to the end of the process.
     std::chrono::milliseconds holderTerm{0}; ///< Term within which orders for one host come from one holder.
     std::string logLevel; ///< Least level of events that are written.
--- a/tests/decisions/owner_watch_test.cpp
+++ b/tests/decisions/owner_watch_test.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/owner/claim_rank.h>
 #include <poplarpass/owner/owner_watch.h>
 
 #include <catch2/catch.hpp>
@@ -122,3 +123,18 @@
     CHECK_FALSE(watch.shouldClaim(at(0) + owner::shortSilence, "b", 0));
     CHECK(watch.shouldClaim(at(0) + owner::longSilence, "b", 0));
 }
+
+TEST_CASE("A small host claims after every other, and among equals one that was started a moment ago goes first",
+          "[owner]")
+{
+    const owner::machine_size large{0.5, 200};
+    const owner::machine_size slow{0.12, 200};
+    const owner::machine_size narrow{0.5, 10};
+    for (const auto *first : {"a", "b", "c", "d", "e"}) {
+        for (const auto *second : {"a", "b", "c", "d", "e"}) {
+            CHECK(owner::claimRank(first, false, large) < owner::claimRank(second, true, slow));
+            CHECK(owner::claimRank(first, false, large) < owner::claimRank(second, true, narrow));
+            CHECK(owner::claimRank(first, true, large) < owner::claimRank(second, false, large));
+        }
+    }
+}
