Moves at once grow with the fleet

Ruled out: hosts elsewhere (the former turn's pool had 50 to spare), the rate of the service for hosts (64 a second). Change: half of all hosts may be on their way. Test: capacity_planner_test, fails before (24 orders).

--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -115,7 +115,7 @@
 {
     for (auto *host : donors) {
         const auto &balance = m_balances[pool];
-        if (balance.want <= balance.have || m_moving >= movesAtOnce) {
+        if (balance.want <= balance.have || m_moving >= mostMoving()) {
             return;
         }
         const auto &from = m_balances[host->entry.pool];
@@ -139,6 +139,11 @@
     return slotOf(host, engine) != nullptr && (isLong || longRunningOn(host, engine) == 0);
 }
 
+auto capacity_planner::mostMoving() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ceil(static_cast<double>(m_hosts.all().size()) * movingShare));
+}
+
 auto capacity_planner::noteShortages(core::monotonic_time now) -> void
 {
     for (const auto &[pool, balance] : m_balances) {
@@ -160,7 +165,7 @@
     for (auto *host : donors) {
         const auto &from = m_balances[host->entry.pool];
         const bool idle = now - host->idleSince >= idleBeforeStandby;
-        if (host->step == host_step::none && !from.standby && from.have > from.want && idle && m_moving < movesAtOnce
+        if (host->step == host_step::none && !from.standby && from.have > from.want && idle && m_moving < mostMoving()
             && !host->unfitPools.contains(standby->first)) {
             move(*host, standby->first, engine, now);
         }
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -91,6 +91,7 @@
     auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWave(wave_state &wave, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto measure(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now) -> void;
+    [[nodiscard]] auto mostMoving() const -> std::size_t;
     auto noteShortages(core::monotonic_time now) -> void;
     auto considerMisfits(jobs::job_engine &engine, core::monotonic_time now) -> void;
     [[nodiscard]] auto mayHelp(const host_slot &host, const pool_balance &balance) const -> bool;
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -38,6 +38,6 @@
 inline constexpr core::duration moveDrainLimit = std::chrono::milliseconds{4000};
 /// \brief Hosts with long-running tasks are emptied for a pool that has been short of hosts for this long.
 inline constexpr core::duration shortagePatience = std::chrono::seconds{6};
-/// \brief Hosts on their way to other pools at once at most.
-inline constexpr std::size_t movesAtOnce = 24;
+/// \brief Share of all hosts that are on their way to other pools at once, at most.
+inline constexpr double movingShare = 0.5;
 } // namespace poplarpass::capacity
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -110,6 +110,19 @@
     CHECK(std::ranges::none_of(orders, [](const auto &order) { return order.host.str() == "h-s1"; }));
 }
 
+TEST_CASE("A large fleet moves as many hosts at once as a turn needs, half of all at most", "[capacity]")
+{
+    planner_fixture fixture;
+    constexpr int hostCount = 200;
+    for (int index = 0; index < hostCount; ++index) {
+        fixture.add("s" + std::to_string(index), "spare");
+    }
+    fixture.add("a", "busy");
+    fixture.begin();
+    fixture.submit("0000000000000001", "busy", {step(3000, 1000, 5000)}, 2000);
+    CHECK(fixture.plan(2100).size() == hostCount / 2 + 1);
+}
+
 TEST_CASE("A host that a pool refuses to have is not offered to it again", "[capacity]")
 {
     planner_fixture fixture;
