No host is asked for work that no host may run; a lost owner is told once

Change: such misfits count only if some host of another pool has the label; owner_lost, owner_regained at each host. Tests: capacity_planner_test, request_forwarder_test; the first fails before (want above have).

--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -55,6 +55,13 @@
     for (const auto &[pool, misfit] : misfits) {
         auto &balance = m_balances[pool];
         balance.requirement = misfit.requirement;
+        // A label that no host has is the caller's mistake.
+        const bool exists = std::ranges::any_of(m_hosts.all(), [&, id = &pool](const auto &entry) {
+            return entry.second.entry.pool != *id && mayHelp(entry.second, balance);
+        });
+        if (!exists) {
+            continue;
+        }
         const auto [known, isNew] = m_misfits.try_emplace(pool, misfit_hosts{0, now});
         auto &hosts = known->second;
         const bool arrived = hosts.extra == 0 || balance.have >= balance.want + hosts.extra;
--- a/src/poplarpass/host/request_forwarder.cpp
+++ b/src/poplarpass/host/request_forwarder.cpp
@@ -87,7 +87,8 @@
 
 auto request_forwarder::send(const std::shared_ptr<forwarding> &entry, const std::string &address) -> void
 {
-    m_env.peers.hand(address, entry->request, m_life.guard([this, entry](peer_answer answer) {
+    m_env.peers.hand(address, entry->request, m_life.guard([this, entry, address](peer_answer answer) {
+        noteOwner(address, answer.response.has_value());
         if (answer.response) {
             onAnswer(entry, std::move(*answer.response));
             return;
@@ -98,6 +99,15 @@
     }));
 }
 
+auto request_forwarder::noteOwner(const std::string &address, bool answers) -> void
+{
+    if (std::exchange(m_ownerLost, !answers) == !answers) {
+        return;
+    }
+    m_env.log.log(answers ? log_level::info : log_level::warning, answers ? "owner_regained" : "owner_lost",
+                  {{"owner", address}, {"effect", answers ? "none" : "requests_wait"}});
+}
+
 auto request_forwarder::onAnswer(const std::shared_ptr<forwarding> &entry, net::http_response response) -> void
 {
     if (response.status != notOwnerStatus && response.status != unsettledStatus) {
--- a/src/poplarpass/host/request_forwarder.h
+++ b/src/poplarpass/host/request_forwarder.h
@@ -40,11 +40,13 @@
 
     auto forward(const std::shared_ptr<forwarding> &entry) -> void;
     auto send(const std::shared_ptr<forwarding> &entry, const std::string &address) -> void;
+    auto noteOwner(const std::string &address, bool answers) -> void;
     auto onAnswer(const std::shared_ptr<forwarding> &entry, net::http_response response) -> void;
     auto retry(const std::shared_ptr<forwarding> &entry) -> void;
     auto giveUp(const std::shared_ptr<forwarding> &entry) -> void;
 
     forwarder_environment m_env;
+    bool m_ownerLost = false; ///< Whether the owner did not answer last.
     std::size_t m_open = 0; ///< Requests without an answer.
     core::lifetime m_life;
 };
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -348,6 +348,23 @@
     CHECK(leaving() > 0);
 }
 
+TEST_CASE("For work that no host of the fleet may run, none is moved", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("a", "busy");
+    fixture.add("b", "spare");
+    fixture.begin();
+    auto impossible = step(1);
+    impossible.requirement = "nowhere";
+    fixture.submit("0000000000000001", "busy", {impossible}, 2000);
+    for (std::int64_t time = 2000; time < 12'000; time += 50) {
+        fixture.engine.plan(at(time), wallAt(time));
+        CHECK(fixture.plan(time).empty());
+    }
+    const auto &balance = fixture.planner.balances().at(core::pool_id{"busy"});
+    CHECK(balance.want <= balance.have);
+}
+
 TEST_CASE("A pool whose workers may not run what waits gets hosts until one may", "[capacity]")
 {
     planner_fixture fixture;
--- a/tests/io/request_forwarder_test.cpp
+++ b/tests/io/request_forwarder_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace tests;
 
 namespace
@@ -14,7 +16,8 @@
 {
     fakes::stepped_time time;
     core::time_source clock = time.source();
-    poplarpass::observe::logger log{quietOptions()};
+    std::vector<std::string> lines;
+    poplarpass::observe::logger log{keptOptions()};
     poplarpass::route::route_table routes;
     host::peer_calls peers;
     std::vector<std::function<void(host::peer_answer)>> handed;
@@ -34,6 +37,21 @@
             }});
     }
 
+    auto keptOptions() -> poplarpass::observe::logger_options
+    {
+        auto options = quietOptions();
+        options.sink = [this](poplarpass::observe::log_level, std::string_view line) {
+            lines.emplace_back(line);
+        };
+        return options;
+    }
+
+    auto linesOf(const std::string &event) const -> std::ptrdiff_t
+    {
+        return std::ranges::count_if(
+            lines, [&](const std::string &line) { return line.find("event=" + event + " ") != std::string::npos; });
+    }
+
     auto submit(int &status) -> void
     {
         host::client_request request;
@@ -63,6 +81,20 @@
     CHECK(silent == 504);
 }
 
+TEST_CASE("A lost and a regained owner are told once each", "[host]")
+{
+    forwarder_fixture fixture;
+    int first = 0;
+    fixture.submit(first);
+    fixture.handed.at(0)({std::nullopt, true});
+    REQUIRE(fixture.time.runUntil([&] { return fixture.handed.size() == 2; }));
+    fixture.handed[1]({std::nullopt, true});
+    REQUIRE(fixture.time.runUntil([&] { return fixture.handed.size() == 3; }));
+    fixture.handed[2]({host::plainResponse(200, "accepted"), true});
+    CHECK(fixture.linesOf("owner_lost") == 1);
+    CHECK(fixture.linesOf("owner_regained") == 1);
+}
+
 TEST_CASE("A request follows the owner, and is answered once", "[host]")
 {
     forwarder_fixture fixture;
