--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -105,7 +105,7 @@
     }
 }
 
-// A machine that was lost may be back with a worker that the list does not show yet, and that has work already.
+// A host that was lost may be back with a worker that the list does not show yet, and that has work already.
 auto capacity_planner::isWorkerKnown(const host_slot &host, jobs::job_engine &engine, core::monotonic_time now) const
     -> bool
 {
--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -170,7 +170,7 @@
 auto host_core::rank() const -> unsigned
 {
     const bool isFresh = m_env.time.now() - m_startedAt < freshStart;
-    return owner::claimRank(m_env.name, isFresh, m_env.machine);
+    return owner::claimRank(m_env.name, isFresh, m_env.size);
 }
 
 auto host_core::isReady() const -> bool
--- a/src/poplarpass/owner/claim_rank.cpp
+++ b/src/poplarpass/owner/claim_rank.cpp
@@ -9,9 +9,9 @@
 constexpr unsigned ranksByName = 4;
 } // namespace
 
-auto claimRank(std::string_view host, bool isFresh, const machine_size &machine) -> unsigned
+auto claimRank(std::string_view host, bool isFresh, const host_size &size) -> unsigned
 {
-    const bool isSmall = machine.cores < ownerCores || machine.linkMbps < ownerLinkMbps;
+    const bool isSmall = size.cores < ownerCores || size.linkMbps < ownerLinkMbps;
     const auto byName = static_cast<unsigned>(std::hash<std::string_view>{}(host) % ranksByName);
     const auto tier = (isFresh ? 0U : 1U) + (isSmall ? 2U : 0U);
     return byName + tier * ranksByName;
--- a/src/poplarpass/owner/claim_rank.h
+++ b/src/poplarpass/owner/claim_rank.h
@@ -5,7 +5,7 @@
 namespace poplarpass::owner
 {
 /// \brief What a host has to work with.
-struct machine_size
+struct host_size
 {
     double cores = 0; ///< Processor time a second, cores.
     double linkMbps = 0; ///< Bandwidth of its link, megabits a second.
@@ -21,5 +21,5 @@
 /// Answers fleets whose hosts differ: a small one owns the pools only when no other claims. When hosts are restarted in
 /// turn, one that was restarted a moment ago goes first, as it stays. Otherwise ranks differ mostly between hosts.
 /// \param isFresh whether the host was started a moment ago
-auto claimRank(std::string_view host, bool isFresh, const machine_size &machine) -> unsigned;
+auto claimRank(std::string_view host, bool isFresh, const host_size &size) -> unsigned;
 } // namespace poplarpass::owner
--- a/src/poplarpass/settings/host_settings.cpp
+++ b/src/poplarpass/settings/host_settings.cpp
@@ -44,7 +44,7 @@
     }
 }
 
-auto readMachine(toml_reader &in, host_settings &settings) -> void
+auto readSize(toml_reader &in, host_settings &settings) -> void
 {
     settings.cores = in.number("processor_share", 0, mostCores) * in.number("processor_speed", 0, mostCores);
     settings.linkMbps = in.number("link_mbps", 0, mostLinkMbps);
@@ -81,7 +81,7 @@
     settings.logLevel = in.text("log_level");
     in.table("listen", [&](toml_reader &table) { readListen(table, settings); });
     in.table("platform", [&](toml_reader &table) { readPlatform(table, settings); });
-    in.table("machine", [&](toml_reader &table) { readMachine(table, settings); });
+    in.table("size", [&](toml_reader &table) { readSize(table, settings); });
     in.table("timing", [&](toml_reader &table) { readTiming(table, settings); });
     in.finish();
     if (settings.callers.empty() && sink.problems.empty()) {
--- a/tests/decisions/owner_watch_test.cpp
+++ b/tests/decisions/owner_watch_test.cpp
@@ -127,9 +127,9 @@
 TEST_CASE("A small host claims after every other, and among equals one that was started a moment ago goes first",
           "[owner]")
 {
-    const owner::machine_size large{0.5, 200};
-    const owner::machine_size slow{0.12, 200};
-    const owner::machine_size narrow{0.5, 10};
+    const owner::host_size large{0.5, 200};
+    const owner::host_size slow{0.12, 200};
+    const owner::host_size narrow{0.5, 10};
     for (const auto *first : {"a", "b", "c", "d", "e"}) {
         for (const auto *second : {"a", "b", "c", "d", "e"}) {
             CHECK(owner::claimRank(first, false, large) < owner::claimRank(second, true, slow));
--- a/tests/io/host_settings_test.cpp
+++ b/tests/io/host_settings_test.cpp
@@ -38,11 +38,11 @@
 TEST_CASE("What a host has to work with is read when it is told", "[settings]")
 {
     const auto read = settings::parseHostSettings(
-        sound + "[machine]\nprocessor_share = 0.12\nprocessor_speed = 2\nlink_mbps = 10.0\n", "host.toml");
+        sound + "[size]\nprocessor_share = 0.12\nprocessor_speed = 2\nlink_mbps = 10.0\n", "host.toml");
     REQUIRE(read);
     CHECK(read->cores == Approx(0.24));
     CHECK(read->linkMbps == 10);
-    CHECK_FALSE(settings::parseHostSettings(sound + "[machine]\nprocessor_share = 0.12\n", "host.toml"));
+    CHECK_FALSE(settings::parseHostSettings(sound + "[size]\nprocessor_share = 0.12\n", "host.toml"));
 }
 
 TEST_CASE("Each problem of a host's settings is named with its line", "[settings]")
--- a/tests/system/sim_hosts.cpp
+++ b/tests/system/sim_hosts.cpp
@@ -14,7 +14,7 @@
 constexpr core::duration callerTimeout = std::chrono::milliseconds{3000};
 constexpr core::duration handTimeout = std::chrono::milliseconds{1200};
 constexpr core::duration announcementTimeout = std::chrono::milliseconds{600};
-constexpr owner::machine_size largeMachine{1, 1000};
+constexpr owner::host_size largeHost{1, 1000};
 constexpr core::duration holderTerm = std::chrono::seconds{3};
 constexpr core::duration stopTime = std::chrono::milliseconds{5300};
 } // namespace
@@ -170,8 +170,8 @@
     one.hosts = m_fleet.hostsFor(caller);
     one.advice = m_fleet.adviceFor(caller.port);
     one.peers = makePeers(one);
-    host::host_environment environment{one.name,    one.address, largeMachine, holderTerm, one.time,
-                                       one.records, one.workers, one.hosts,    one.advice, one.peers,
+    host::host_environment environment{one.name,    one.address, largeHost,   holderTerm, one.time,
+                                       one.records, one.workers, one.hosts,   one.advice, one.peers,
                                        decoders,    *one.log,    *one.metrics};
     one.core = std::make_unique<host::host_core>(std::move(environment));
     one.core->start();
