An order for a host is dropped when the host has another worker by the time it can be given

A move had no answer and was carried out late; the repeated order's record waited 2 s for a stalled store; meanwhile the host was back in its new pool with a new worker that got work. The order was answered as done before, and the owner took all that ran on the new worker for ended. Ruled out: the worker's lease and life (it was alive and in touch all the while). Change: before an order goes out, the host must still have the worker that it had when the order was decided. Test: capacity_planner_test.

--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -209,6 +209,12 @@
     return slot == nullptr ? jobs::worker_id{} : slot->entry.worker;
 }
 
+auto capacity_planner::isCurrent(const host_order &order) -> bool
+{
+    const auto *host = m_hosts.find(order.host);
+    return host != nullptr && host->step == host_step::ordered && host->entry.worker == host->formerWorker;
+}
+
 auto capacity_planner::balances() const -> const std::map<core::pool_id, pool_balance> &
 {
     return m_balances;
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -82,6 +82,9 @@
     /// \brief Worker of a host; empty when there is none.
     [[nodiscard]] auto workerOf(const core::host_id &host) -> jobs::worker_id;
 
+    /// \brief Whether \p order still stands: its host has the worker that it had when the order was decided.
+    [[nodiscard]] auto isCurrent(const host_order &order) -> bool;
+
     /// \brief Whether hosts are on their way, so that the list should be read soon.
     [[nodiscard]] auto isAwaitingHosts() const -> bool;
 
--- a/src/poplarpass/host/capacity_keeper.cpp
+++ b/src/poplarpass/host/capacity_keeper.cpp
@@ -186,8 +186,14 @@
         }));
 }
 
+// While the record waited for the store, an earlier order for the host may have been carried out late: its new worker
+// has work.
 auto capacity_keeper::give(const capacity::host_order &order) -> void
 {
+    if (!m_planner.isCurrent(order)) {
+        m_planner.onOrderAnswer(order, capacity::host_order_outcome::busy, m_env.time.now());
+        return;
+    }
     const auto worker = m_planner.workerOf(order.host);
     m_env.hosts.order(m_env.holder, order, m_life.guard([this, order, worker](capacity::host_order_outcome outcome) {
         onAnswer(order, worker, outcome);
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -348,6 +348,26 @@
     CHECK(leaving() > 0);
 }
 
+TEST_CASE("An order does not stand when its host has another worker by the time it can be given", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("a", "busy");
+    fixture.add("b", "busy");
+    fixture.begin();
+    capacity::wave_request wave;
+    wave.number = 1;
+    wave.hosts = {core::host_id{"h-a"}};
+    wave.duration = std::chrono::seconds{20};
+    fixture.planner.addWave(wave, at(0));
+    const auto orders = fixture.plan(100);
+    REQUIRE(orders.size() == 1);
+    CHECK(fixture.planner.isCurrent(orders[0]));
+    fixture.hosts[0] = hostOf("a2", "busy");
+    fixture.hosts[0].id = core::host_id{"h-a"};
+    fixture.planner.updateHosts(fixture.hosts, at(2000), at(2000));
+    CHECK_FALSE(fixture.planner.isCurrent(orders[0]));
+}
+
 TEST_CASE("For work that no host of the fleet may run, none is moved", "[capacity]")
 {
     planner_fixture fixture;
