--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -89,6 +89,13 @@
     [[nodiscard]] auto isAwaitingHosts() const -> bool;
 
 private:
+    /// \brief Hosts that a pool gets because its own may not run what waits.
+    struct misfit_hosts
+    {
+        std::int64_t extra = 0;
+        core::monotonic_time since{}; ///< When what waits was first seen, or the last such host was asked for.
+    };
+
     auto takeBack(jobs::job_engine &engine) -> void;
     auto trackIdle(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
@@ -115,13 +122,6 @@
 
     host_table m_hosts;
     demand_meter m_demand;
-    /// \brief Hosts that a pool gets because its own may not run what waits.
-    struct misfit_hosts
-    {
-        std::int64_t extra = 0;
-        core::monotonic_time since{}; ///< When what waits was first seen, or the last such host was asked for.
-    };
-
     std::map<core::pool_id, pool_balance> m_balances;
     std::map<core::pool_id, misfit_hosts> m_misfits;
     std::map<core::pool_id, core::monotonic_time> m_shortSince; ///< Pools that have fewer hosts than they want.
--- a/src/poplarpass/capacity/pool_demand.cpp
+++ b/src/poplarpass/capacity/pool_demand.cpp
@@ -29,7 +29,6 @@
         for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
             if (job.tasks[first + index].phase == jobs::task_phase::waiting && !spec.fills) {
                 load.waiting += spec.perTask.cpu;
-                load.largestTask = std::max(load.largestTask, spec.perTask.cpu);
             }
         }
     }
--- a/src/poplarpass/capacity/pool_demand.h
+++ b/src/poplarpass/capacity/pool_demand.h
@@ -16,7 +16,6 @@
     std::int64_t waiting = 0; ///< Of tasks that could start now if there were room.
     std::int64_t offered = 0; ///< Work that came in over the last moments, per second.
     std::uint32_t spread = 0; ///< Workers that the long-running tasks need at least, to stay apart.
-    std::int64_t largestTask = 0; ///< Largest need of a waiting task.
 };
 
 /// \brief Measures the demand of each pool.
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -18,6 +18,8 @@
 inline constexpr core::duration renewalRetry = std::chrono::milliseconds{400};
 /// \brief Between reads of what workers say of themselves.
 inline constexpr core::duration workerListPeriod = std::chrono::milliseconds{400};
+/// \brief The same while hosts are on their way to a pool.
+inline constexpr core::duration workerListBusyPeriod = std::chrono::milliseconds{150};
 /// \brief Between looks for jobs that can be forgotten.
 inline constexpr core::duration housekeepingPeriod = std::chrono::seconds{1};
 /// \brief Between decisions about hosts, at least.
@@ -34,8 +36,6 @@
 inline constexpr core::duration announcementRetry = std::chrono::milliseconds{500};
 /// \brief Time for a host to take note of an announcement.
 inline constexpr core::duration announcementTimeout = std::chrono::milliseconds{600};
-/// \brief The same while hosts are on their way to a pool.
-inline constexpr core::duration workerListBusyPeriod = std::chrono::milliseconds{150};
 /// \brief A read of the operator's records waits this long for a change.
 inline constexpr std::chrono::milliseconds operatorWait{700};
 /// \brief A read of the ownership waits this long for a record.
