--- a/src/poplarpass/app/worker_directory.cpp
+++ b/src/poplarpass/app/worker_directory.cpp
@@ -1,6 +1,7 @@
 #include <poplarpass/app/clock.h>
 #include <poplarpass/app/worker_directory.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -148,6 +149,7 @@
         // A refusal shows that the worker is there, though not under which boot.
         if (answer.error().kind == core::error_kind::stale_epoch) {
             m_leases.drop(host);
+            m_leases.requestFailed(host);
         } else {
             m_contacts[host] = {false, {}, sentAt};
         }
@@ -169,6 +171,14 @@
     auto &pool = poolOf(known.pool);
     const bool open = !m_leaving.isLeaving(host) && m_health.mayPlace(host, now)
         && m_leases.usable(host, known.pool, known.generation, now).has_value();
+    if (const auto *view = pool.find(host); view != nullptr && view->open != open) {
+        m_process.log.log(observe::log_level::info, open ? "endpoint_opened" : "endpoint_closed",
+                          {{"host", host.str()},
+                           {"pool", known.pool.str()},
+                           {"generation", known.generation},
+                           {"leaving", m_leaving.isLeaving(host)},
+                           {"ejected", !m_health.mayPlace(host, now)}});
+    }
     pool.setOpen(host, open);
     pool.setFailureRate(host, m_health.failureRate(host));
 }
@@ -261,6 +271,15 @@
     return found == m_pools.end() ? 0 : found->second.freeSlots();
 }
 
+auto worker_directory::opensSoon(const core::pool_id &pool) const -> bool
+{
+    const auto found = m_pools.find(pool);
+    return found != m_pools.end()
+        && std::ranges::any_of(found->second.workers(), [this](const request::worker_view &worker) {
+               return !m_leaving.isLeaving(worker.host) && m_leases.awaitsFirst(worker.host);
+           });
+}
+
 auto worker_directory::openSlots(const core::pool_id &pool) const -> int
 {
     const auto found = m_pools.find(pool);
--- a/src/poplarpass/app/worker_directory.h
+++ b/src/poplarpass/app/worker_directory.h
@@ -54,6 +54,9 @@
     /// \brief Estimate of the free slots of \p pool.
     [[nodiscard]] auto freeSlots(const core::pool_id &pool) const -> int;
 
+    /// \brief Whether some worker of \p pool is being asked for its first lease, so that slots may open at once.
+    [[nodiscard]] auto opensSoon(const core::pool_id &pool) const -> bool;
+
     /// \brief Slots of \p pool that are open for new work.
     [[nodiscard]] auto openSlots(const core::pool_id &pool) const -> int;
 
--- a/src/poplarpass/request/admission_queue.cpp
+++ b/src/poplarpass/request/admission_queue.cpp
@@ -61,6 +61,11 @@
     m_capacity = slots;
 }
 
+auto admission_queue::setWaitForSlots(core::duration wait) -> void
+{
+    m_waitForSlots = wait;
+}
+
 auto admission_queue::submit(const admission_request &job, core::monotonic_time now) -> core::result<void>
 {
     assert(!m_jobs.contains(job.ticket));
@@ -198,7 +203,7 @@
 auto admission_queue::expectedWait(const core::team_id &team, urgency level) const -> core::duration
 {
     if (m_capacity <= 0) {
-        return unservedWait;
+        return m_waitForSlots;
     }
     const auto found = m_teamIndex.find(team);
     const auto index = found == m_teamIndex.end() ? static_cast<std::uint32_t>(m_teams.size()) : found->second;
--- a/src/poplarpass/request/admission_queue.h
+++ b/src/poplarpass/request/admission_queue.h
@@ -3,6 +3,7 @@
 #include <poplarpass/core/error.h>
 #include <poplarpass/core/string_id.h>
 #include <poplarpass/core/time.h>
+#include <poplarpass/request/constants.h>
 #include <poplarpass/request/fair_queue.h>
 #include <poplarpass/request/job.h>
 
@@ -53,6 +54,8 @@
     auto setTeam(const core::team_id &team, team_share share) -> void;
     /// \brief Sets how many slots this entry may count on in the pool.
     auto setCapacity(int slots) -> void;
+    /// \brief Sets how long a pool without slots is expected to stay so.
+    auto setWaitForSlots(core::duration wait) -> void;
 
     /// \brief Queues a job.
     /// \returns quota_exceeded, queue_full, deadline_passed or deadline_unreachable, with when to come back
@@ -122,6 +125,7 @@
 
     std::size_t m_maxQueued;
     int m_capacity = 0;
+    core::duration m_waitForSlots = unservedWait;
     std::unordered_map<core::team_id, std::uint32_t> m_teamIndex;
     std::vector<team_state> m_teams;
     std::unordered_map<ticket_id, job_state> m_jobs;
--- a/src/poplarpass/request/lease_table.cpp
+++ b/src/poplarpass/request/lease_table.cpp
@@ -7,7 +7,9 @@
 {
 auto lease_table::requestSent(const core::host_id &host, core::monotonic_time at) -> void
 {
-    m_leases[host].requestedAt = at;
+    auto &known = m_leases[host];
+    known.failed = known.failed || known.requestedAt.has_value();
+    known.requestedAt = at;
 }
 
 auto lease_table::granted(const core::host_id &host, const platform::worker_report &report, core::monotonic_time sentAt)
@@ -15,6 +17,7 @@
 {
     auto &known = m_leases[host];
     known.requestedAt.reset();
+    known.failed = false;
     const bool restarted = known.lease && known.lease->bootId != report.bootId;
     const auto term = std::min(report.leaseTerm, workerLeaseTerm);
     const auto expiry = sentAt + term;
@@ -27,7 +30,9 @@
 
 auto lease_table::requestFailed(const core::host_id &host) -> void
 {
-    m_leases[host].requestedAt.reset();
+    auto &known = m_leases[host];
+    known.requestedAt.reset();
+    known.failed = true;
 }
 
 auto lease_table::drop(const core::host_id &host) -> void
@@ -63,6 +68,12 @@
     return !known.lease || known.lease->expiry - now < leaseRenewalMargin;
 }
 
+auto lease_table::awaitsFirst(const core::host_id &host) const -> bool
+{
+    const auto found = m_leases.find(host);
+    return found == m_leases.end() || (!found->second.lease && !found->second.failed);
+}
+
 auto lease_table::size() const -> std::size_t
 {
     return m_leases.size();
--- a/src/poplarpass/request/lease_table.h
+++ b/src/poplarpass/request/lease_table.h
@@ -40,6 +40,8 @@
                               core::monotonic_time now) const -> std::optional<worker_lease>;
     /// \brief Whether a request should be sent to \p host at \p now: none is under way and the lease ends soon.
     [[nodiscard]] auto renewalDue(const core::host_id &host, core::monotonic_time now) const -> bool;
+    /// \brief Whether \p host may still answer the first request since its lease was last unknown.
+    [[nodiscard]] auto awaitsFirst(const core::host_id &host) const -> bool;
     /// \brief Workers known.
     [[nodiscard]] auto size() const -> std::size_t;
 
@@ -48,6 +50,7 @@
     {
         std::optional<worker_lease> lease;
         std::optional<core::monotonic_time> requestedAt;
+        bool failed = false; ///< A request got no answer or a refusal, and none was granted since.
     };
 
     std::unordered_map<core::host_id, entry> m_leases;
--- a/tests/decisions/admission_test.cpp
+++ b/tests/decisions/admission_test.cpp
@@ -189,3 +189,23 @@
     }
     CHECK(waiting.empty());
 }
+
+TEST_CASE("a pool whose slots are about to open takes work that can wait for them, a pool without any refuses it",
+          "[admission]")
+{
+    request::admission_queue queue{1000};
+    queue.setCapacity(0);
+    const auto at = startInstant().now;
+    auto job = jobOf(1, 1, request::urgency::normal, 100ms);
+    job.deadline = at + 20s;
+    const auto refused = queue.submit(job, at);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().kind == core::error_kind::deadline_unreachable);
+    queue.setWaitForSlots(request::leaseRequestTimeout);
+    REQUIRE(queue.submit(job, at));
+    auto urgent = jobOf(2, 1, request::urgency::normal, 100ms);
+    urgent.deadline = at + request::leaseRequestTimeout;
+    CHECK_FALSE(queue.submit(urgent, at));
+    queue.setCapacity(1);
+    CHECK(queue.next(1, at) == 1);
+}
--- a/tests/decisions/attempts_test.cpp
+++ b/tests/decisions/attempts_test.cpp
@@ -177,3 +177,26 @@
     tracker.requireMaySend(host, at + 3s);
     CHECK(breaches.kinds() == std::vector{core::invariant_kind::no_work_when_leaving});
 }
+
+TEST_CASE("a first lease is awaited until it is granted, refused or unanswered", "[lease_table]")
+{
+    request::lease_table leases;
+    const core::host_id host{"w"};
+    const auto at = startInstant().now;
+    CHECK(leases.awaitsFirst(host));
+    leases.requestSent(host, at);
+    CHECK(leases.awaitsFirst(host));
+    leases.granted(host, platform::worker_report{}, at);
+    CHECK_FALSE(leases.awaitsFirst(host));
+    leases.drop(host);
+    CHECK(leases.awaitsFirst(host));
+    leases.requestSent(host, at);
+    leases.requestSent(host, at + request::leaseRequestTimeout);
+    CHECK_FALSE(leases.awaitsFirst(host));
+    leases.drop(host);
+    leases.requestSent(host, at);
+    leases.requestFailed(host);
+    CHECK_FALSE(leases.awaitsFirst(host));
+    leases.requestSent(host, at + 1s);
+    CHECK_FALSE(leases.awaitsFirst(host));
+}
--- a/tests/process/fleet_process_test.cpp
+++ b/tests/process/fleet_process_test.cpp
@@ -27,6 +27,9 @@
     auto result = check(all, fleet.journal());
     std::cout << "answered=" << result.answered << " finished=" << result.finished << " not_run=" << result.notRun
               << " unknown=" << result.unknown << " broken=" << result.broken << '\n';
+    for (const auto &refusal : result.refusals) {
+        std::cout << refusal << '\n';
+    }
     for (const auto &violation : result.violations) {
         UNSCOPED_INFO(violation);
     }
--- a/tests/process/load.cpp
+++ b/tests/process/load.cpp
@@ -72,9 +72,10 @@
 {
     const auto answer = httpCall(address, "POST", "/v1/jobs", jobBody(key, m_runTimeMs), callerPatience);
     const auto body = json::parse(answer.body, nullptr, false);
-    told one{key, entry, answer.status, {}, {}, {}};
+    told one{key, entry, answer.status, {}, {}, {}, {}};
     if (body.is_object()) {
         one.error = body.value("error", "");
+        one.detail = body.value("detail", "");
         one.ran = body.value("ran", "");
         one.output = body.value("output", "");
     }
@@ -116,6 +117,9 @@
         result.finished += one.status == 200 ? 1 : 0;
         result.notRun += one.ran == "not_run" ? 1 : 0;
         result.unknown += one.ran == "unknown" ? 1 : 0;
+        if (one.ran == "not_run") {
+            result.refusals.push_back(one.entry + " refused " + one.key + ": " + one.error + ' ' + one.detail);
+        }
         if (one.ran == "not_run" && started != 0) {
             result.violations.push_back(one.key + " was told not_run (" + one.error + ") by " + one.entry + " but ran");
         }
--- a/tests/process/load.h
+++ b/tests/process/load.h
@@ -17,6 +17,7 @@
     std::string entry;
     int status = 0; ///< 0 when the connection broke before a whole answer.
     std::string error; ///< Error kind, empty when finished.
+    std::string detail; ///< Evidence given with the error.
     std::string ran; ///< What the caller was told about the run.
     std::string output;
 };
@@ -56,6 +57,7 @@
     int notRun = 0; ///< Answers that said "not run".
     int unknown = 0; ///< Answers that said "unknown".
     int broken = 0; ///< Connections that broke before an answer.
+    std::vector<std::string> refusals; ///< Every answer that said "not run": entry, error and detail.
     std::vector<std::string> violations; ///< Every promise that was broken, in words.
 };
 
