Nothing is placed on a worker whose host has been ordered away, and no order's answer loses runs

The host was to be maintained, counted as empty since its worker was not known, and its worker was never marked as leaving. While the order waited for the slow store the worker was heard of and got tasks. The order was answered 200, as the maintenance had been done before, and the owner took all tasks of the worker as ended: they started again beside their first runs. Ruled out: a lapsed lease, a late start, a second owner (both runs were started by one owner in one epoch). Change: each turn, before tasks are placed, workers of hosts that are drained, ordered or away are marked as leaving. The answer to an order for a host no longer ends runs: none are there by then, and if there are, the order may have been done before. Test: 'A worker that is heard of first while its host is ordered away gets no work', failed before.

--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -63,6 +63,18 @@
     return advanceDrains(engine, now);
 }
 
+auto capacity_planner::withhold(jobs::job_engine &engine) -> void
+{
+    for (auto &[id, host] : m_hosts.all()) {
+        if (host.step == host_step::none || host.entry.worker != host.formerWorker) {
+            continue;
+        }
+        if (auto *worker = slotOf(host, engine)) {
+            worker->leaving = true;
+        }
+    }
+}
+
 // The worker of a host that nothing is done with takes work again.
 auto capacity_planner::takeBack(jobs::job_engine &engine) -> void
 {
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -55,6 +55,11 @@
     /// \brief Takes in what a former owner recorded.
     auto restoreMaintained(const maintained_host &record) -> void;
 
+    /// \brief Keeps work from the workers of hosts that are being drained or ordered away.
+    ///
+    /// Called before each placing: a worker may be heard of first after its host was ordered away.
+    auto withhold(jobs::job_engine &engine) -> void;
+
     /// \brief A former owner ordered \p host about: no order for it before \p time.
     auto restoreOrder(const core::host_id &host, core::monotonic_time time) -> void;
 
--- a/src/poplarpass/host/capacity_keeper.cpp
+++ b/src/poplarpass/host/capacity_keeper.cpp
@@ -141,6 +141,7 @@
 auto capacity_keeper::plan() -> void
 {
     const auto now = m_env.time.now();
+    m_planner.withhold(m_env.engine);
     if (now - m_lastPlan < capacityPlanPeriod || !m_env.mayOrder()) {
         return;
     }
@@ -211,9 +212,6 @@
                    {"token", m_env.holder.fencingToken},
                    {"outcome", nameOf(outcome)}});
     m_planner.onOrderAnswer(order, outcome, m_env.time.now());
-    if (outcome == capacity::host_order_outcome::done) {
-        m_env.engine.onWorkerEnded(worker, m_env.time.now());
-    }
     if (outcome == capacity::host_order_outcome::fenced) {
         m_env.onFenced();
         return;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -112,9 +112,6 @@
     /// A task is stopped only when another worker has room for it.
     auto evacuate(const worker_slot &worker, core::monotonic_time now) -> void;
 
-    /// \brief Everything on worker \p id has ended, by an order to its host.
-    auto onWorkerEnded(const worker_id &id, core::monotonic_time now) -> void;
-
     /// \brief Questions for advice that came up since the last call.
     auto takeAdviceRequests() -> std::vector<advice_request>;
 
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -117,14 +117,6 @@
     }
 }
 
-auto job_engine::onWorkerEnded(const worker_id &id, core::monotonic_time now) -> void
-{
-    if (auto *worker = m_workers.find(id)) {
-        worker->leaving = true;
-        loseAll(*worker, "host_ordered", now);
-    }
-}
-
 auto job_engine::onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void
 {
     noteOutcome(worker, end.how, now);
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -290,7 +290,7 @@
     REQUIRE(orders.size() == 1);
     const auto done = fixture.now + 10;
     fixture.planner.onOrderAnswer(orders[0], capacity::host_order_outcome::done, at(done));
-    fixture.engine.onWorkerEnded(jobs::worker_id{"a2"}, at(done));
+    fixture.planner.withhold(fixture.engine);
     for (auto time = done + 300; time < done + 5000; time += 300) {
         fixture.planner.updateHosts(fixture.hosts, at(time), at(time));
         fixture.plan(time + 10);
@@ -298,6 +298,32 @@
     CHECK(fixture.engine.workers().find(jobs::worker_id{"a2"})->takesStarts(at(fixture.now)));
 }
 
+TEST_CASE("A worker that is heard of first while its host is ordered away gets no work", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("a", "busy");
+    fixture.begin();
+    auto late = hostOf("b", "busy");
+    fixture.hosts.push_back(late);
+    fixture.planner.updateHosts(fixture.hosts, at(50), at(60));
+    capacity::wave_request wave;
+    wave.number = 1;
+    wave.hosts = {late.id};
+    wave.duration = std::chrono::seconds{20};
+    fixture.planner.addWave(wave, at(60));
+    CHECK(fixture.plan(100).empty());
+    fixture.planner.updateHosts(fixture.hosts, at(150), at(160));
+    REQUIRE(fixture.plan(200).size() == 1);
+
+    fixture.entries.push_back(worker("b", 1, "busy"));
+    fixture.engine.updateWorkers(fixture.entries, at(210));
+    fixture.engine.onReport(jobs::worker_id{"b"}, report(), at(210), at(220));
+    fixture.planner.withhold(fixture.engine);
+    fixture.submit("0000000000000001", "busy", {step(20, 1000)}, 230);
+    CHECK(fixture.engine.workers().find(jobs::worker_id{"b"})->placed.empty());
+    CHECK_FALSE(fixture.engine.workers().find(jobs::worker_id{"a"})->placed.empty());
+}
+
 TEST_CASE("A host whose worker is silent is ordered away only when a new list still shows that worker", "[capacity]")
 {
     planner_fixture fixture;
