A start without an answer is ordered again at its worker before the run is given up

The report before that did not list the run, so it was closed; its stop, repeated until answered, ended the task after it had come to work, while another task of its step was away. The closing left no line in the log. Ruled out: a stop by a former owner (one owner all the while), an evacuation (none was logged). Change: the same run is ordered again at the same worker, three times in all, while that worker answers and lives the same life; a worker starts a run once, so this is safe. A repeat that is answered 'superseded' means that the run was there and has ended: the next report tells. Any other refusal of a repeat closes the run, as the earlier order may still be carried out. Giving up a run that is not listed is logged.

--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -6,6 +6,8 @@
 
 namespace poplarpass::jobs
 {
+/// \brief Orders to start one run, the repeats of unanswered ones included, before the run is closed.
+inline constexpr std::uint32_t mostStartAttempts = 3;
 /// \brief Lease of everything that runs on a worker, from each renewal.
 inline constexpr core::duration workerLease = std::chrono::seconds{5};
 /// \brief A worker's clock advances by at least this share of real time.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -236,7 +236,7 @@
     state.closed = false;
     state.stopSentAt = {};
     state.startedAt = now;
-    state.unansweredAt.reset();
+    state.startAttempts = 0;
     state.atWorkFrom = now;
     state.atWork = false;
     state.percent = 0;
@@ -245,11 +245,19 @@
     internal::occupy(worker, job.spec.steps[task.step]);
     ++m_counters.starts;
     touch(job);
-    auto ticket = job.queue.advice ? m_advice.ticketOf(stepNameOf(task), worker.entry.id) : std::string{};
-    m_orders.starts.push_back({worker.entry.id, task, run, job.spec.payload, state.checkpoint, std::move(ticket)});
+    orderStart(job, task, state);
     say("task_placed", nameOf(task), worker.entry.id, run, "room");
 }
 
+auto job_engine::orderStart(const job_record &job, const task_ref &task, task_state &state) -> void
+{
+    ++state.startAttempts;
+    state.unansweredAt.reset();
+    auto ticket = job.queue.advice ? m_advice.ticketOf(stepNameOf(task), state.worker) : std::string{};
+    m_orders.starts.push_back(
+        {state.worker, task, state.run, job.spec.payload, state.checkpoint, std::move(ticket), state.startAttempts});
+}
+
 auto job_engine::unplace(const task_ref &task, const job_record &job, task_state &state) -> void
 {
     auto *worker = m_workers.find(state.worker);
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -167,6 +167,8 @@
              std::string_view reason) -> void;
     auto place(job_record &job, const task_ref &task, worker_slot &worker, std::uint32_t run, core::monotonic_time now)
         -> void;
+    /// \brief Orders the start of the task's current run, for the first time or again.
+    auto orderStart(const job_record &job, const task_ref &task, task_state &state) -> void;
     auto unplace(const task_ref &task, const job_record &job, task_state &state) -> void;
     auto toWaiting(const task_ref &task, job_record &job, task_state &state, core::monotonic_time notBefore) -> void;
     auto orderStop(const worker_id &worker, const std::string &task, std::uint32_t run) -> void;
@@ -187,6 +189,13 @@
     auto settleMissing(worker_slot &worker, const worker_report &report, core::monotonic_time sentAt,
                        core::monotonic_time now) -> void;
     auto loseAll(worker_slot &worker, std::string_view reason, core::monotonic_time now) -> void;
+    /// \returns whether the start of the current run was ordered once more
+    auto repeatStart(const job_record &job, const task_ref &task, task_state &state) -> bool;
+    auto onStartTaken(const start_order &order, job_record &job, task_state &state, core::monotonic_time now) -> void;
+    auto onStartUnanswered(const start_order &order, const job_record &job, task_state &state, core::monotonic_time now)
+        -> void;
+    auto onStartRejected(const start_order &order, start_answer answer, job_record &job, task_state &state,
+                         core::monotonic_time now) -> void;
     auto expireLeases(core::monotonic_time now) -> void;
     auto repeatStops(core::monotonic_time now) -> void;
     auto paceFillers(worker_slot &worker, core::monotonic_time now) -> void;
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -241,7 +241,10 @@
         const bool neverCame = state->phase == task_phase::starting && !state->acknowledged && state->unansweredAt
             && *state->unansweredAt < sentAt;
         if (neverCame) {
-            beginClosing(task, *job, *state, now);
+            if (!repeatStart(*job, task, *state)) {
+                say("run_given_up", nameOf(task), worker.entry.id, state->run, "not_listed");
+                beginClosing(task, *job, *state, now);
+            }
             continue;
         }
         const bool wasThere =
@@ -258,34 +261,85 @@
 auto job_engine::onStartAnswer(const start_order &order, start_answer answer, core::monotonic_time now) -> void
 {
     const auto [job, state] = locate(order.task);
-    auto *worker = m_workers.find(order.worker);
     if (job == nullptr || state->run != order.run || state->worker != order.worker
         || (state->phase != task_phase::starting && state->phase != task_phase::closing)) {
         return;
     }
-    if (answer == start_answer::started) {
-        if (worker != nullptr) {
-            noteBegun(*job, *worker);
-        }
-        state->acknowledged = true;
-        state->acknowledgedAt = now;
-        if (state->phase == task_phase::starting) {
-            state->phase = task_phase::running;
-        }
+    switch (answer) {
+    case start_answer::started:
+        onStartTaken(order, *job, *state, now);
+        return;
+    case start_answer::unknown:
+        onStartUnanswered(order, *job, *state, now);
+        return;
+    default:
+        onStartRejected(order, answer, *job, *state, now);
         return;
     }
-    if (answer == start_answer::unknown) {
-        // A long-running task that came to work is not taken away again: the next report tells.
-        const bool waits = job->spec.steps[order.task.step].longRunning && state->phase == task_phase::starting;
-        say("start_unanswered", nameOf(order.task), order.worker, order.run, waits ? "waiting" : "closing");
-        if (waits) {
-            state->unansweredAt = now;
-        } else if (state->phase == task_phase::starting) {
-            beginClosing(order.task, *job, *state, now);
-        }
+}
+
+auto job_engine::onStartTaken(const start_order &order, job_record &job, task_state &state, core::monotonic_time now)
+    -> void
+{
+    if (auto *worker = m_workers.find(order.worker)) {
+        noteBegun(job, *worker);
+    }
+    state.acknowledged = true;
+    state.acknowledgedAt = now;
+    if (state.phase == task_phase::starting) {
+        state.phase = task_phase::running;
+    }
+}
+
+// The same run is ordered again: the worker starts it once. Only when that fails is the run closed for a higher one. A
+// long-running task that came to work meanwhile is not taken away again: the next report tells.
+auto job_engine::onStartUnanswered(const start_order &order, const job_record &job, task_state &state,
+                                   core::monotonic_time now) -> void
+{
+    if (state.phase != task_phase::starting) {
+        say("start_unanswered", nameOf(order.task), order.worker, order.run, "closing");
+        return;
+    }
+    if (repeatStart(job, order.task, state)) {
         return;
     }
+    const bool waits = job.spec.steps[order.task.step].longRunning;
+    say("start_unanswered", nameOf(order.task), order.worker, order.run, waits ? "waiting" : "closing");
+    if (waits) {
+        state.unansweredAt = now;
+    } else {
+        beginClosing(order.task, job, state, now);
+    }
+}
+
+// A worker that is silent, or lives anew, is not asked again: an order that is carried out late would extend its lease.
+auto job_engine::repeatStart(const job_record &job, const task_ref &task, task_state &state) -> bool
+{
+    const auto *worker = m_workers.find(state.worker);
+    const bool isSame = worker != nullptr && worker->answering && worker->entry.born == state.workerBorn;
+    if (!isSame || state.startAttempts >= mostStartAttempts) {
+        return false;
+    }
+    orderStart(job, task, state);
+    say("start_unanswered", nameOf(task), state.worker, state.run, "repeated");
+    return true;
+}
+
+auto job_engine::onStartRejected(const start_order &order, start_answer answer, job_record &job, task_state &state,
+                                 core::monotonic_time now) -> void
+{
     ++m_counters.startsRejected;
+    say("start_rejected", nameOf(order.task), order.worker, order.run, nameOf(answer));
+    if (order.attempt > 1 && answer != start_answer::other_instance) {
+        // An earlier order for the run had no answer. Superseded: it was carried out, and the run has ended, which the
+        // next report tells. Else it may still be carried out.
+        if (answer == start_answer::superseded) {
+            onStartTaken(order, job, state, now);
+        } else if (state.phase == task_phase::starting) {
+            beginClosing(order.task, job, state, now);
+        }
+        return;
+    }
     if (answer == start_answer::no_ticket) {
         m_advice.onRefused(stepNameOf(order.task), order.worker);
     }
@@ -296,11 +350,10 @@
                && answer != start_answer::no_ticket) {
         pause = unhealthyPause;
     }
-    if (worker != nullptr) {
+    if (auto *worker = m_workers.find(order.worker)) {
         worker->pausedUntil = std::max(worker->pausedUntil, now + pause);
     }
-    say("start_rejected", nameOf(order.task), order.worker, order.run, nameOf(answer));
-    toWaiting(order.task, *job, *state, now);
+    toWaiting(order.task, job, state, now);
     if (answer == start_answer::other_instance) {
         onOtherInstance(order.worker, now);
     }
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -34,6 +34,7 @@
     bool acknowledged = false; ///< Whether the worker answered the start of this run.
     core::monotonic_time acknowledgedAt{}; ///< When it did.
     core::monotonic_time startedAt{}; ///< When the run was decided.
+    std::uint32_t startAttempts = 0; ///< Orders to start this run.
     std::optional<core::monotonic_time> unansweredAt; ///< When it was noticed that the start got no answer.
     core::monotonic_time notBefore{}; ///< No new start before this time.
     bool inherited = false; ///< Whether a former owner began to close this run, and nothing was heard of it since.
--- a/src/poplarpass/jobs/worker_report.h
+++ b/src/poplarpass/jobs/worker_report.h
@@ -100,6 +100,7 @@
     std::string payload; ///< From the job.
     std::string checkpoint; ///< Progress to go on from; empty for none.
     std::string ticket; ///< Advice that allows the start; empty for none.
+    std::uint32_t attempt = 1; ///< How often this run was ordered, this order included.
 };
 
 /// \brief An order to stop a run.
