Hosts stay in their pools until the first load has shown itself

Ruled out: too few moves at once (23 of 24 used), the time to see the rise. Change: no host goes to standby until 4 s after the first work that ends by itself, or 20 s after the owner began when none comes.

--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -162,11 +162,26 @@
     }
 }
 
+// The hosts that pools have at the first start stay until the load has shown itself, or does not come for long.
+auto capacity_planner::isDemandKnown(const jobs::job_engine &engine, core::monotonic_time now) -> bool
+{
+    if (m_knownFrom && now >= *m_knownFrom) {
+        return true;
+    }
+    m_knownFrom = m_knownFrom.value_or(now + firstDemandPatience);
+    const bool hasCome =
+        std::ranges::any_of(engine.jobs(), [](const auto &entry) { return !entry.second.spec.isLongRunning(); });
+    if (hasCome) {
+        m_knownFrom = std::min(*m_knownFrom, now + firstTurnTime);
+    }
+    return false;
+}
+
 auto capacity_planner::retireIdle(std::span<host_slot *const> donors, jobs::job_engine &engine,
                                   core::monotonic_time now) -> void
 {
     const auto standby = std::ranges::find_if(m_balances, [](const auto &entry) { return entry.second.standby; });
-    if (standby == m_balances.end()) {
+    if (standby == m_balances.end() || !isDemandKnown(engine, now)) {
         return;
     }
     for (auto *host : donors) {
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -113,6 +114,7 @@
     auto planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto fillPool(const core::pool_id &pool, std::span<host_slot *const> donors, jobs::job_engine &engine,
                   core::monotonic_time now) -> void;
+    [[nodiscard]] auto isDemandKnown(const jobs::job_engine &engine, core::monotonic_time now) -> bool;
     auto retireIdle(std::span<host_slot *const> donors, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto move(host_slot &host, const core::pool_id &pool, jobs::job_engine &engine, core::monotonic_time now) -> void;
     [[nodiscard]] auto isDrainedSoon(const host_slot &host, const core::pool_id &pool, jobs::job_engine &engine,
@@ -130,6 +132,7 @@
     std::map<core::pool_id, pool_balance> m_balances;
     std::map<core::pool_id, misfit_hosts> m_misfits;
     std::map<core::pool_id, core::monotonic_time> m_shortSince; ///< Pools that have fewer hosts than they want.
+    std::optional<core::monotonic_time> m_knownFrom; ///< When the demand counts as known.
     std::size_t m_moving = 0; ///< Hosts that are to change their pool.
     std::map<std::int64_t, wave_state> m_waves;
     std::map<core::host_id, core::monotonic_time> m_notBefore;
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -22,6 +22,10 @@
 inline constexpr core::duration idleBeforeMove = std::chrono::milliseconds{300};
 /// \brief A host without work for this long, needed by no pool, is put on standby.
 inline constexpr core::duration idleBeforeStandby = std::chrono::milliseconds{2500};
+/// \brief Time after the start of an owner in which no host is put on standby while no work has come.
+inline constexpr core::duration firstDemandPatience = std::chrono::seconds{20};
+/// \brief Time after the first work in which no host is put on standby.
+inline constexpr core::duration firstTurnTime = std::chrono::seconds{4};
 /// \brief A host that came to a pool stays there this long at least.
 inline constexpr core::duration leastStay = std::chrono::milliseconds{1500};
 /// \brief Time to drain and maintain one host, as a wave is spread over its duration.
