The rise of a turn is seen in 200 ms

Ruled out: the time from an order to the first task on the host (1.7 s, of which the move is 1.5). Change: the window in which a rise shows is 200 ms instead of 400 ms.

--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -9,7 +9,7 @@
 /// \brief Window over which arriving work is averaged.
 inline constexpr core::duration offeredWindow = std::chrono::milliseconds{1200};
 /// \brief Window in which the rise of a turn shows first.
-inline constexpr core::duration riseWindow = std::chrono::milliseconds{400};
+inline constexpr core::duration riseWindow = std::chrono::milliseconds{200};
 /// \brief Jobs that must have come in the rise window for it to count.
 inline constexpr std::size_t riseJobs = 4;
 /// \brief A pool is given this share more than it needs.
