--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -64,8 +64,9 @@
     engine.plan(at(10), wallAt(10));
     auto order = engine.takeOrders().starts.at(0);
     for (std::uint32_t attempt = 2; attempt <= jobs::mostStartAttempts; ++attempt) {
-        engine.onStartAnswer(order, jobs::start_answer::unknown, at(300 * attempt));
-        engine.plan(at(300 * attempt + 1), wallAt(300 * attempt + 1));
+        const auto time = 300 * std::int64_t{attempt};
+        engine.onStartAnswer(order, jobs::start_answer::unknown, at(time));
+        engine.plan(at(time + 1), wallAt(time + 1));
         const auto orders = engine.takeOrders();
         CHECK(orders.stops.empty());
         REQUIRE(orders.starts.size() == 1);
