--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -67,8 +67,8 @@
     return worker->handledEnd;
 }
 
-// What the worker acknowledged before it was born ran in an earlier life, and died with it. An order that was on its
-// way meanwhile may have reached either life, so such a run is stopped here before its task starts again.
+// What the worker acknowledged before it was born ran in an earlier life, and died with it. A start that was on its way
+// meanwhile may have reached either life: its answer, and the next report, tell. A stop is given again here.
 auto job_engine::settleEarlierLife(worker_slot &worker, const worker_report &report, core::monotonic_time sentAt,
                                    core::monotonic_time now) -> void
 {
@@ -94,7 +94,7 @@
         }
         state->workerBorn = worker.entry.born;
         touch(*job);
-        if (state->phase == task_phase::closing || (!isListed && !state->acknowledged)) {
+        if (state->phase == task_phase::closing) {
             say("run_given_up", nameOf(task), worker.entry.id, state->run, "worker_restarted");
             beginClosing(task, *job, *state, now);
         }
--- a/tests/system/sim_fleet.h
+++ b/tests/system/sim_fleet.h
@@ -28,6 +28,9 @@
     double lostAnswers = 0; ///< Share of orders that are carried out and not answered.
 };
 
+/// \brief What each machine has.
+inline constexpr jobs::resources capacityOfMachine{16'000, 32'000, 0};
+
 /// \brief One machine: its pool, its worker, and its troubles. Times are milliseconds since the start.
 struct sim_machine
 {
--- /dev/null
+++ b/tests/system/sim_fleet_workers.cpp
@@ -0,0 +1,195 @@
+#include "sim_fleet.h"
+
+#include <algorithm>
+
+// What callers get from workers.
+namespace tests::system_sim
+{
+namespace
+{
+constexpr core::duration workerTimeout = std::chrono::milliseconds{900};
+constexpr std::int64_t stopTimeMs = 300;
+} // namespace
+
+auto sim_fleet::workerFate(const fleet_caller &caller, const std::string &address) -> call_fate
+{
+    call_fate fate;
+    fate.arrives = caller.reachesWorkers();
+    const auto *machine = machineAt(address);
+    if (machine == nullptr || !isReached(*machine)) {
+        fate.arrives = false;
+        return fate;
+    }
+    const auto now = m_network.nowMs();
+    if (now < machine->lateUntil && m_network.chance(0.3)) {
+        fate.late = m_network.pickTime(200, 7000);
+        fate.answered = false;
+    }
+    if (now < machine->lostAnswersUntil && m_network.chance(0.3)) {
+        fate.answered = false;
+    }
+    return fate;
+}
+
+// An order that waits at a worker dies with it.
+auto sim_fleet::isGoneLater(const call_fate &fate, const std::string &address) -> std::function<bool()>
+{
+    const auto *machine = machineAt(address);
+    const auto life = machine == nullptr ? 0 : machine->model->born();
+    return [machine, life, waits = fate.late.count() > 0] {
+        return waits && machine->model->born() != life;
+    };
+}
+
+auto sim_fleet::workersFor(const fleet_caller &caller) -> host::worker_calls
+{
+    host::worker_calls calls;
+    calls.renew = [this, caller](const host::renewal_call &call, std::function<void(host::renewal_answer)> done) {
+        const auto fate = workerFate(caller, call.target.address);
+        m_network.call<host::renewal_answer>(
+            caller.port, fate, workerTimeout + call.wait, {},
+            [this, call,
+             isGone = isGoneLater(fate, call.target.address)](std::function<void(host::renewal_answer)> answer) {
+                if (!isGone()) {
+                    renew(call, std::move(answer));
+                }
+            },
+            std::move(done));
+    };
+    calls.start = [this, caller](const host::worker_target &target, const jobs::start_order &order,
+                                 std::int64_t deadlineMs, std::function<void(jobs::start_answer)> done) {
+        const auto fate = workerFate(caller, target.address);
+        m_network.call<jobs::start_answer>(
+            caller.port, fate, workerTimeout, jobs::start_answer::unknown,
+            [this, caller, fate, target, order, deadlineMs,
+             isGone = isGoneLater(fate, target.address)](const std::function<void(jobs::start_answer)> &answer) {
+                if (isGone()) {
+                    return;
+                }
+                m_startInTouch = caller.inTouch() && fate.late.count() == 0;
+                if (const auto made = start(target, order, deadlineMs)) {
+                    answer(*made);
+                }
+            },
+            std::move(done));
+    };
+    calls.stop = [this, caller](const host::worker_target &target, const jobs::stop_order &order,
+                                std::function<void(jobs::stop_answer)> done) {
+        const auto fate = workerFate(caller, target.address);
+        m_network.call<jobs::stop_answer>(
+            caller.port, fate, workerTimeout, jobs::stop_answer::unknown,
+            [this, target, order,
+             isGone = isGoneLater(fate, target.address)](const std::function<void(jobs::stop_answer)> &answer) {
+                const auto made = isGone() ? std::nullopt : stop(target, order);
+                if (made) {
+                    answer(*made);
+                }
+            },
+            std::move(done));
+    };
+    calls.pace = [](const host::worker_target &, const jobs::pace_order &, const std::function<void(bool)> &) {
+    };
+    return calls;
+}
+
+auto sim_fleet::renew(const host::renewal_call &call, std::function<void(host::renewal_answer)> answer) -> void
+{
+    auto *machine = machineAt(call.target.address);
+    if (!isReached(*machine)) {
+        return;
+    }
+    if (machine->worker != call.target.id.str()) {
+        answer({host::renewal_outcome::other_instance, {}});
+        return;
+    }
+    const auto now = m_network.nowMs();
+    if (!machine->model->renew(call.target.fencingToken, call.acknowledgedEnd, call.deadlineMs, now)) {
+        answer({host::renewal_outcome::fenced, {}});
+        return;
+    }
+    if (machine->model->hasEnds() || call.wait.count() == 0) {
+        answer({host::renewal_outcome::reported, machine->model->report(now)});
+        return;
+    }
+    auto waiting = std::make_shared<sim_machine::waiting_renewal>(
+        sim_machine::waiting_renewal{machine->worker, true, std::move(answer)});
+    machine->waiting.push_back(waiting);
+    m_network.time.after(call.wait, [this, machine, waiting] {
+        if (std::exchange(waiting->open, false) && isReached(*machine) && machine->worker == waiting->worker) {
+            machine->waiting.remove(waiting);
+            waiting->answer({host::renewal_outcome::reported, machine->model->report(m_network.nowMs())});
+        }
+    });
+}
+
+auto sim_fleet::start(const host::worker_target &target, const jobs::start_order &order, std::int64_t deadlineMs)
+    -> std::optional<jobs::start_answer>
+{
+    auto *machine = machineAt(target.address);
+    if (!isReached(*machine)) {
+        return std::nullopt;
+    }
+    if (machine->worker != target.id.str()) {
+        return jobs::start_answer::other_instance;
+    }
+    const auto job = m_rules.all().find(order.task.job.str());
+    if (job == m_rules.all().end()) {
+        m_rules.broken("UNASKED", jobs::nameOf(order.task) + " is of no job");
+        return jobs::start_answer::malformed;
+    }
+    if (job->second.queue.advice && !isGoodTicket(order, job->second, machine->worker)) {
+        return jobs::start_answer::no_ticket;
+    }
+    const auto &step = job->second.spec.steps[order.task.step];
+    fakes::start_command command;
+    command.token = target.fencingToken;
+    command.task = jobs::nameOf(order.task);
+    command.run = order.run;
+    command.deadlineMs = deadlineMs;
+    command.need = step.perTask;
+    command.lengthMs = step.estimate.count() * m_network.pick(70, 140) / 100;
+    command.lasting = step.longRunning;
+    command.fails = m_network.nowMs() < machine->greyUntil || job->second.spec.payload == "fails"
+        || (!step.longRunning && m_network.chance(0.02));
+    return machine->model->start(command, m_network.nowMs());
+}
+
+auto sim_fleet::isGoodTicket(const jobs::start_order &order, const known_job &job, const std::string &worker) const
+    -> bool
+{
+    const auto prefix = jobs::stepNameOf(order.task) + "|" + worker + "|";
+    if (!order.ticket.starts_with(prefix)) {
+        return false;
+    }
+    const auto issued = std::stoll(order.ticket.substr(prefix.size()));
+    return m_network.nowMs() <= issued + job.queue.advice->validity.count();
+}
+
+// What the rules take for being at work is as exact as what a report says.
+auto sim_fleet::noteAtWork(sim_machine &machine) -> void
+{
+    for (const auto &task : machine.model->runningTasks()) {
+        if (machine.model->isAtWork(task, m_network.nowMs())) {
+            m_rules.onAtWork(task);
+        }
+    }
+}
+
+auto sim_fleet::stop(const host::worker_target &target, const jobs::stop_order &order)
+    -> std::optional<jobs::stop_answer>
+{
+    auto *machine = machineAt(target.address);
+    if (!isReached(*machine)) {
+        return std::nullopt;
+    }
+    if (machine->worker != target.id.str()) {
+        return jobs::stop_answer::other_instance;
+    }
+    std::ranges::for_each(m_machines, [this](const auto &other) { noteAtWork(*other); });
+    if (isSound(*machine) && machine->model->runOf(order.task) == order.run) {
+        m_rules.onOrderedAway(order.task);
+    }
+    return machine->model->stop(target.fencingToken, order.task, order.run, m_network.nowMs(),
+                                m_network.pick(1, stopTimeMs));
+}
+} // namespace tests::system_sim
