An answer on advice counts for the lives that its question named

Cause, found on reading the change: the book kept the life of each worker asked about in one map over all steps. A question of another step about a worker that had restarted meanwhile overwrote it, so the answer to the older question gave the new life a ticket of the former one; the worker would have refused the start. The map was never emptied. Ruled out: a start on such a ticket; the worker refuses it and it is asked for again, so no rule was at stake. Change: the lives are kept with the step's own question. Nothing else differs. Test: 'An answer counts for the life of the worker that was asked about', failed before.

--- a/src/poplarpass/jobs/advice_book.cpp
+++ b/src/poplarpass/jobs/advice_book.cpp
@@ -58,9 +58,10 @@
     std::ranges::sort(unknown, std::greater{}, [](const worker_slot *worker) { return worker->free().cpu; });
     unknown.resize(std::min(unknown.size(), workersPerAdvice));
     advice_request request{step, {}, policy};
+    advice.asked.clear();
     for (const auto *worker : unknown) {
         request.workers.push_back(worker->entry.id);
-        m_lives[worker->entry.id] = worker->entry.born;
+        advice.asked[worker->entry.id] = worker->entry.born;
     }
     advice.open = true;
     return request;
@@ -76,7 +77,7 @@
     auto &advice = found->second;
     advice.open = false;
     for (const auto &worker : request.workers) {
-        advice.workers[worker] = {{}, m_lives[worker], sentAt + request.policy.validity};
+        advice.workers[worker] = {{}, advice.asked[worker], sentAt + request.policy.validity};
     }
     for (const auto &entry : tickets) {
         const auto known = advice.workers.find(entry.worker);
--- a/src/poplarpass/jobs/advice_book.h
+++ b/src/poplarpass/jobs/advice_book.h
@@ -65,11 +65,11 @@
     struct step_advice
     {
         std::map<worker_id, known_worker> workers;
+        std::map<worker_id, std::int64_t> asked; ///< Lives of the workers that the newest question names.
         bool open = false;
         core::monotonic_time notBefore{};
     };
 
     std::map<std::string, step_advice> m_steps;
-    std::map<worker_id, std::int64_t> m_lives;
 };
 } // namespace poplarpass::jobs
--- a/tests/decisions/advice_test.cpp
+++ b/tests/decisions/advice_test.cpp
@@ -68,3 +68,23 @@
     REQUIRE(renewed.size() == 1);
     CHECK(renewed[0].workers == std::vector{jobs::worker_id{"a"}});
 }
+
+TEST_CASE("An answer counts for the life of the worker that was asked about, whatever was asked since", "[jobs]")
+{
+    jobs::advice_book book;
+    jobs::worker_slot slot;
+    slot.entry = worker("a", 1);
+    std::vector<jobs::worker_slot *> workers{&slot};
+    const auto policy = *advisedQueue().advice;
+    const auto first = book.ask("step-1", policy, workers, at(0));
+    REQUIRE(first);
+    slot.entry.born = 2;
+    REQUIRE(book.ask("step-2", policy, workers, at(10)));
+    const std::vector<jobs::advice_ticket> tickets{{jobs::worker_id{"a"}, "t-a"}};
+    book.onAnswer(*first, tickets, at(0));
+    CHECK(book.allowed("step-1", workers, at(20)).empty());
+    const auto again = book.ask("step-1", policy, workers, at(20));
+    REQUIRE(again);
+    book.onAnswer(*again, tickets, at(20));
+    CHECK(book.allowed("step-1", workers, at(30)).size() == 1);
+}
