Work is kept from hosts that leave in one place

Cause, found on reading the change: withhold() marks the workers of hosts that are drained, ordered or away; the drain step marked some of them again. Change: plan() withholds at its start, the turns without a plan call it by itself, the second marking is gone. No assertion changed.

--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -56,6 +56,7 @@
         return {};
     }
     takeBack(engine);
+    withhold(engine);
     trackIdle(engine, now);
     measure(engine, pools, now);
     planMoves(engine, now);
@@ -137,9 +138,7 @@
             stopDrain(host, engine, now);
             continue;
         }
-        auto *worker = slotOf(host, engine);
-        if (worker != nullptr) {
-            worker->leaving = true;
+        if (const auto *worker = slotOf(host, engine)) {
             engine.evacuate(*worker, now);
         }
         const bool forMove = host.order.pool.has_value();
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -58,7 +58,8 @@
 
     /// \brief Keeps work from the workers of hosts that are being drained or ordered away.
     ///
-    /// Called before each placing: a worker may be heard of first after its host was ordered away.
+    /// plan() does so too. Before a placing without a plan this is called by itself: a worker may be heard of first
+    /// after its host was ordered away.
     auto withhold(jobs::job_engine &engine) -> void;
 
     /// \brief A former owner ordered \p host about: no order for it before \p time.
--- a/src/poplarpass/host/capacity_keeper.cpp
+++ b/src/poplarpass/host/capacity_keeper.cpp
@@ -141,8 +141,8 @@
 auto capacity_keeper::plan() -> void
 {
     const auto now = m_env.time.now();
-    m_planner.withhold(m_env.engine);
     if (now - m_lastPlan < capacityPlanPeriod || !m_env.mayOrder()) {
+        m_planner.withhold(m_env.engine);
         return;
     }
     m_lastPlan = now;
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -88,6 +88,12 @@
     }
 };
 
+/// \brief Wave 1: one host, within 20 s.
+auto waveOf(const core::host_id &host) -> capacity::wave_request
+{
+    return {1, {host}, std::chrono::seconds{20}, 1};
+}
+
 auto movesTo(const std::vector<capacity::host_order> &orders, const std::string &pool) -> std::size_t
 {
     return static_cast<std::size_t>(
@@ -269,11 +275,7 @@
     fixture.add("a", "busy");
     fixture.add("b", "busy");
     fixture.begin();
-    capacity::wave_request wave;
-    wave.number = 1;
-    wave.hosts = {core::host_id{"h-a"}};
-    wave.duration = std::chrono::seconds{20};
-    fixture.planner.addWave(wave, at(0));
+    fixture.planner.addWave(waveOf(core::host_id{"h-a"}), at(0));
     const auto first = fixture.plan(100);
     REQUIRE(first.size() == 1);
 
@@ -308,11 +310,7 @@
     auto late = hostOf("b", "busy");
     fixture.hosts.push_back(late);
     fixture.planner.updateHosts(fixture.hosts, at(50), at(60));
-    capacity::wave_request wave;
-    wave.number = 1;
-    wave.hosts = {late.id};
-    wave.duration = std::chrono::seconds{20};
-    fixture.planner.addWave(wave, at(60));
+    fixture.planner.addWave(waveOf(late.id), at(60));
     CHECK(fixture.plan(100).empty());
     fixture.planner.updateHosts(fixture.hosts, at(150), at(160));
     REQUIRE(fixture.plan(200).size() == 1);
@@ -332,11 +330,7 @@
     fixture.add("a", "busy");
     fixture.add("b", "busy");
     fixture.begin();
-    capacity::wave_request wave;
-    wave.number = 1;
-    wave.hosts = {core::host_id{"h-a"}};
-    wave.duration = std::chrono::seconds{20};
-    fixture.planner.addWave(wave, at(0));
+    fixture.planner.addWave(waveOf(core::host_id{"h-a"}), at(0));
     fixture.engine.onNoReport(jobs::worker_id{"a"});
     CHECK(fixture.planner.plan(fixture.engine, fixture.pools, at(100)).empty());
     CHECK(fixture.planner.plan(fixture.engine, fixture.pools, at(200)).empty());
@@ -382,11 +376,7 @@
     fixture.add("a", "busy");
     fixture.add("b", "busy");
     fixture.begin();
-    capacity::wave_request wave;
-    wave.number = 1;
-    wave.hosts = {core::host_id{"h-a"}};
-    wave.duration = std::chrono::seconds{20};
-    fixture.planner.addWave(wave, at(0));
+    fixture.planner.addWave(waveOf(core::host_id{"h-a"}), at(0));
     const auto orders = fixture.plan(100);
     REQUIRE(orders.size() == 1);
     CHECK(fixture.planner.isCurrent(orders[0]));
