Placement takes the tightest fit from an order, planning takes jobs from a heap until the pool is full

Cause: each decision cycle visited every task placed on every worker for stops to repeat, ranked and sorted every active job with its longest chain, and scored every worker of the pool for each task, also when no worker had room.

Change: workers indexed by pool and ordered by free processor time (placement_candidates); tasks in phase closing kept in a set; a job's outlook kept until one of its tasks is done; jobs without waiting tasks skipped, the others taken from a heap until no worker has processor time left; a report compares its runs without building names. Gangs are placed tentatively instead of on copies of all workers.

--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -46,6 +46,9 @@
         if (!isPlaced(state.phase)) {
             return;
         }
+        if (state.phase == task_phase::closing) {
+            m_closing.emplace(state.worker, task);
+        }
         auto &worker = m_workers.findOrAdd(state.worker);
         worker.entry.incarnation = std::max(worker.entry.incarnation, state.workerIncarnation);
         worker.leaseEnd = std::max(worker.leaseEnd, ordersUntil + maxRealLease + leaseMargin);
@@ -61,7 +64,7 @@
         state.startedAt = now;
     });
     if (restored.phase == multistep_job_phase::active) {
-        m_activeJobs[restored.queue.pool].insert(restored.id);
+        addActiveJob(restored);
     } else {
         restored.endedAt = now;
     }
@@ -75,7 +78,7 @@
     }
     auto &job = m_jobs[id.str()] = makeJob(id, queue, std::move(spec), received);
     m_taskCount += job.tasks.size();
-    m_activeJobs[queue.pool].insert(id);
+    addActiveJob(job);
     ++m_counters.jobsAccepted;
     markChanged(job);
     logEvent("job_accepted", id.str(), {}, 0, queue.name.str());
@@ -148,9 +151,9 @@
 
 auto job_engine::forEachActive(const std::function<void(const multistep_job_record &)> &visit) const -> void
 {
-    for (const auto &[pool, ids] : m_activeJobs) {
-        for (const auto &id : ids) {
-            visit(m_jobs.at(id.str()));
+    for (const auto &[pool, active] : m_activeJobs) {
+        for (const auto &[id, entry] : active) {
+            visit(*entry.job);
         }
     }
 }
@@ -203,13 +206,24 @@
     return {&job, &job.tasks[job.positionOf(task.occurrence, task.step, task.index)]};
 }
 
-auto job_engine::activeJobsOf(const core::pool_id &pool) -> std::vector<multistep_job_record *>
+auto job_engine::addActiveJob(multistep_job_record &job) -> void
 {
-    std::vector<multistep_job_record *> active;
-    for (const auto &id : m_activeJobs[pool]) {
-        active.push_back(&m_jobs.at(id.str()));
+    m_activeJobs[job.queue.pool][job.id] = {&job, outlookOf(job)};
+}
+
+auto job_engine::setPhase(const task_ref &task, multistep_job_record &job, task_record &state, task_phase phase) -> void
+{
+    if (state.phase == phase) {
+        return;
     }
-    return active;
+    if (state.phase == task_phase::closing) {
+        m_closing.erase({state.worker, task});
+    } else if (phase == task_phase::closing) {
+        m_closing.emplace(state.worker, task);
+    }
+    job.waiting -= state.phase == task_phase::waiting ? 1 : 0;
+    job.waiting += phase == task_phase::waiting ? 1 : 0;
+    state.phase = phase;
 }
 
 auto job_engine::markChanged(const multistep_job_record &job) -> void
@@ -230,7 +244,7 @@
 {
     auto &state = job.tasks[job.positionOf(task.occurrence, task.step, task.index)];
     assert(state.phase == task_phase::waiting && run > state.run);
-    state.phase = task_phase::starting;
+    setPhase(task, job, state, task_phase::starting);
     state.run = run;
     state.worker = worker.entry.id;
     state.workerIncarnation = worker.entry.incarnation;
@@ -272,7 +286,7 @@
                                 core::monotonic_time notBefore) -> void
 {
     removePlacement(task, job, state);
-    state.phase = task_phase::waiting;
+    setPhase(task, job, state, task_phase::waiting);
     state.notBefore = notBefore;
     markChanged(job);
 }
@@ -282,10 +296,10 @@
     m_orders.stops.push_back({worker, task, run});
 }
 
-auto job_engine::beginClosing(const task_ref &task, const multistep_job_record &job, task_record &state,
+auto job_engine::beginClosing(const task_ref &task, multistep_job_record &job, task_record &state,
                               core::monotonic_time now) -> void
 {
-    state.phase = task_phase::closing;
+    setPhase(task, job, state, task_phase::closing);
     state.stopConfirmed = false;
     state.stopSentAt = now;
     markChanged(job);
@@ -300,13 +314,18 @@
     }
     removePlacement(task, job, state);
     state.actualRunTime = state.acknowledged ? now - state.acknowledgedAt : core::duration{0};
-    state.phase = task_phase::done;
+    setPhase(task, job, state, task_phase::done);
     markChanged(job);
     --job.unfinished;
     --job.unfinishedTasks[std::size_t{task.occurrence} * job.spec.steps.size() + task.step];
-    if (job.unfinished == 0 && job.phase == multistep_job_phase::active) {
+    if (job.phase != multistep_job_phase::active) {
+        return;
+    }
+    if (job.unfinished == 0) {
         ++m_counters.jobsCompleted;
         endJob(job, multistep_job_phase::completed, now);
+    } else {
+        m_activeJobs.at(job.queue.pool).at(job.id).outlook = outlookOf(job);
     }
 }
 
@@ -350,6 +369,7 @@
     worker.used = {};
     worker.bestEffortRuns = 0;
     worker.servingRuns = 0;
+    worker.longRunningRuns = 0;
 }
 
 auto job_engine::countFailure(const task_ref &task, multistep_job_record &job, task_record &state, std::uint32_t run,
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <poplarpass/jobs/advice_cache.h>
+#include <poplarpass/jobs/job_order.h>
 #include <poplarpass/jobs/job_state.h>
+#include <poplarpass/jobs/placement_candidates.h>
 #include <poplarpass/jobs/worker_table.h>
 
 #include <functional>
@@ -12,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace poplarpass::jobs
@@ -162,8 +165,17 @@
         task_record *state = nullptr;
     };
 
+    struct active_job
+    {
+        multistep_job_record *job = nullptr;
+        job_outlook outlook;
+    };
+
+    using active_jobs = std::map<job_id, active_job>;
+
     auto locate(const task_ref &task) -> located_task;
-    auto activeJobsOf(const core::pool_id &pool) -> std::vector<multistep_job_record *>;
+    auto addActiveJob(multistep_job_record &job) -> void;
+    auto setPhase(const task_ref &task, multistep_job_record &job, task_record &state, task_phase phase) -> void;
     auto markChanged(const multistep_job_record &job) -> void;
     auto logEvent(std::string_view event, const std::string &subject, const worker_id &worker, std::uint32_t run,
                   std::string_view reason) -> void;
@@ -175,8 +187,8 @@
     auto resetToWaiting(const task_ref &task, multistep_job_record &job, task_record &state,
                         core::monotonic_time notBefore) -> void;
     auto orderStop(const worker_id &worker, const std::string &task, std::uint32_t run) -> void;
-    auto beginClosing(const task_ref &task, const multistep_job_record &job, task_record &state,
-                      core::monotonic_time now) -> void;
+    auto beginClosing(const task_ref &task, multistep_job_record &job, task_record &state, core::monotonic_time now)
+        -> void;
     auto finishTask(const task_ref &task, multistep_job_record &job, task_record &state, core::monotonic_time now)
         -> void;
     auto finishGang(const task_ref &task, multistep_job_record &job, core::monotonic_time now) -> void;
@@ -191,14 +203,13 @@
                       core::monotonic_time now) -> void;
     auto recordOutcome(worker_slot &worker, end_kind how, core::monotonic_time now) -> void;
     auto onRunning(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
-    auto resolveUnlistedRuns(worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt,
-                             core::monotonic_time now) -> void;
+    auto resolveUnlistedRuns(worker_slot &worker, core::monotonic_time sentAt, core::monotonic_time now) -> void;
     auto markAllLost(worker_slot &worker, std::string_view reason, core::monotonic_time now) -> void;
     /// \returns whether the start of the current run was ordered once more
     auto retryStart(const multistep_job_record &job, const task_ref &task, task_record &state) -> bool;
     auto onStartAccepted(const start_order &order, multistep_job_record &job, task_record &state,
                          core::monotonic_time now) -> void;
-    auto onStartUnanswered(const start_order &order, const multistep_job_record &job, task_record &state,
+    auto onStartUnanswered(const start_order &order, multistep_job_record &job, task_record &state,
                            core::monotonic_time now) -> void;
     auto onStartRejected(const start_order &order, run_start_answer answer, multistep_job_record &job,
                          task_record &state, core::monotonic_time now) -> void;
@@ -208,25 +219,34 @@
     auto relocateStragglers(core::monotonic_time now) -> void;
     auto relocateIfStraggler(const task_ref &task, worker_slot &worker, core::monotonic_time now) -> void;
     auto evacuateLeaving(core::monotonic_time now) -> void;
-    auto planPool(const core::pool_id &pool, core::monotonic_time now, core::wall_time wallTime) -> void;
-    auto planJob(multistep_job_record &job, std::span<worker_slot *const> workers, core::monotonic_time now,
+    auto planPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
+                  core::wall_time wallTime) -> void;
+    auto planJob(multistep_job_record &job, internal::placement_candidates &workers, core::monotonic_time now,
                  core::wall_time wallTime) -> void;
+    /// \returns false when a task that is ready to start fits on none of \p workers
+    auto planAdvisedStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                         internal::placement_candidates &workers, core::monotonic_time now) -> bool;
     auto advisedWorkers(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                         std::span<worker_slot *const> workers, core::monotonic_time now) -> std::vector<worker_slot *>;
     /// \returns false when a task that is ready to start fits on none of \p workers
     auto planStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
-                  std::span<worker_slot *const> workers, core::monotonic_time now) -> bool;
+                  internal::placement_candidates &workers, core::monotonic_time now) -> bool;
+    auto placeStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                   internal::placement_candidates &workers, core::monotonic_time now) -> bool;
     auto eligibleWorkersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>;
     auto mayBeUnavailable(const multistep_job_record &job, const task_ref &task, core::monotonic_time now) -> bool;
     /// \returns false when a gang that is ready to start does not fit on \p workers
-    auto planGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
-                  std::span<worker_slot *const> workers, core::monotonic_time now) -> bool;
+    auto placeGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                   internal::placement_candidates &workers, core::monotonic_time now) -> bool;
+    static auto chooseGangWorkers(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                                  internal::placement_candidates &workers) -> std::vector<worker_slot *>;
     auto recordMismatch(const multistep_job_record &job, std::uint32_t step, std::span<worker_slot *const> workers)
         -> void;
 
     std::function<void(const decision &)> m_onDecision;
     std::unordered_map<std::string, multistep_job_record> m_jobs;
-    std::map<core::pool_id, std::set<job_id>> m_activeJobs;
+    std::map<core::pool_id, active_jobs> m_activeJobs;
+    std::set<std::pair<worker_id, task_ref>> m_closing; ///< Tasks in phase closing.
     worker_table m_workers;
     std::set<job_id> m_changed;
     order_batch m_orders;
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -4,20 +4,37 @@
 #include <poplarpass/jobs/task_placement.h>
 
 #include <algorithm>
+#include <cassert>
+#include <limits>
+#include <tuple>
 #include <utility>
 
 // Scheduling: which task starts on which worker.
 namespace poplarpass::jobs
 {
+namespace
+{
+struct ranked_job
+{
+    job_rank rank;
+    multistep_job_record *job = nullptr;
+};
+
+auto isPlannedLater(const ranked_job &entry, const ranked_job &other) -> bool
+{
+    return std::tie(entry.rank, entry.job->id) > std::tie(other.rank, other.job->id);
+}
+} // namespace
+
 auto job_engine::plan(core::monotonic_time now, core::wall_time wallTime) -> void
 {
     expireLeases(now);
     retryStops(now);
     relocateStragglers(now);
     evacuateLeaving(now);
-    for (const auto &[pool, ids] : m_activeJobs) {
-        if (!ids.empty()) {
-            planPool(pool, now, wallTime);
+    for (const auto &[pool, active] : m_activeJobs) {
+        if (!active.empty()) {
+            planPool(pool, active, now, wallTime);
         }
     }
 }
@@ -25,9 +42,9 @@
 auto job_engine::eligibleWorkersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>
 {
     std::vector<worker_slot *> workers;
-    for (auto &[id, worker] : m_workers.all()) {
-        if (worker.entry.pool == pool && worker.acceptsStarts(now)) {
-            workers.push_back(&worker);
+    for (auto *worker : m_workers.ofPool(pool)) {
+        if (worker->acceptsStarts(now)) {
+            workers.push_back(worker);
         }
     }
     return workers;
@@ -55,9 +72,11 @@
 
 auto job_engine::evacuate(const worker_slot &worker, core::monotonic_time now) -> void
 {
-    const auto placed = worker.placed;
+    if (worker.longRunningRuns == 0) {
+        return;
+    }
     const auto pool = eligibleWorkersOf(worker.entry.pool, now);
-    for (const auto &task : placed) {
+    for (const auto &task : worker.placed) {
         const auto [job, state] = locate(task);
         const bool isEvacuable = job != nullptr && job->spec.steps[task.step].longRunning
             && !job->spec.steps[task.step].gang && state->phase == task_phase::running
@@ -65,8 +84,9 @@
         if (!isEvacuable || !mayBeUnavailable(*job, task, now)) {
             continue;
         }
-        const auto candidates = advisedWorkers(*job, task.occurrence, task.step, pool, now);
-        if (internal::chooseWorker(*job, task.occurrence, task.step, candidates) == nullptr) {
+        const internal::placement_candidates candidates{
+            job->queue.advice ? advisedWorkers(*job, task.occurrence, task.step, pool, now) : pool};
+        if (candidates.choose(*job, task.occurrence, task.step) == nullptr) {
             recordMismatch(*job, task.step, pool);
             continue;
         }
@@ -86,28 +106,33 @@
     }
 }
 
-auto job_engine::planPool(const core::pool_id &pool, core::monotonic_time now, core::wall_time wallTime) -> void
+// During load spikes most jobs have to wait, so the jobs are taken from a heap until the pool is full. Jobs without
+// waiting tasks are skipped, unless their advice has to be kept up to date.
+auto job_engine::planPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
+                          core::wall_time wallTime) -> void
 {
-    const auto workers = eligibleWorkersOf(pool, now);
-    if (workers.empty()) {
+    internal::placement_candidates workers{eligibleWorkersOf(pool, now)};
+    if (workers.workers().empty()) {
         return;
     }
-    struct ranked_job
-    {
-        job_rank rank;
-        multistep_job_record *job;
-    };
     std::vector<ranked_job> order;
-    for (auto *job : activeJobsOf(pool)) {
-        order.push_back({rankOf(*job, wallTime), job});
+    auto leastCpu = std::numeric_limits<std::int64_t>::max();
+    for (const auto &[id, entry] : active) {
+        const bool needsAdvice = entry.job->queue.advice.has_value();
+        if (entry.job->waiting > 0 || needsAdvice) {
+            order.push_back({rankOf(entry.outlook, wallTime), entry.job});
+            leastCpu = std::min(leastCpu, needsAdvice ? 0 : entry.outlook.leastCpu);
+        }
     }
-    std::ranges::sort(order, {}, [](const ranked_job &entry) { return std::pair{entry.rank, entry.job->id}; });
-    for (const auto &entry : order) {
-        planJob(*entry.job, workers, now, wallTime);
+    std::ranges::make_heap(order, isPlannedLater);
+    while (!order.empty() && workers.mostFreeCpu() >= leastCpu) {
+        std::ranges::pop_heap(order, isPlannedLater);
+        planJob(*order.back().job, workers, now, wallTime);
+        order.pop_back();
     }
 }
 
-auto job_engine::planJob(multistep_job_record &job, std::span<worker_slot *const> workers, core::monotonic_time now,
+auto job_engine::planJob(multistep_job_record &job, internal::placement_candidates &workers, core::monotonic_time now,
                          core::wall_time wallTime) -> void
 {
     for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
@@ -118,23 +143,32 @@
             if (job.unfinishedOf(occurrence, step) == 0 || !job.areDependenciesDone(occurrence, step)) {
                 continue;
             }
-            const auto eligible = advisedWorkers(job, occurrence, step, workers, now);
-            const bool placed = job.spec.steps[step].gang ? planGang(job, occurrence, step, eligible, now)
-                                                          : planStep(job, occurrence, step, eligible, now);
+            const bool placed = job.queue.advice ? planAdvisedStep(job, occurrence, step, workers, now)
+                                                 : planStep(job, occurrence, step, workers, now);
             if (!placed) {
-                recordMismatch(job, step, workers);
+                recordMismatch(job, step, workers.workers());
             }
         }
     }
 }
 
+auto job_engine::planAdvisedStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                                 internal::placement_candidates &workers, core::monotonic_time now) -> bool
+{
+    internal::placement_candidates advised{advisedWorkers(job, occurrence, step, workers.workers(), now)};
+    const auto startsBefore = m_counters.starts;
+    const bool placed = planStep(job, occurrence, step, advised, now);
+    if (m_counters.starts != startsBefore) {
+        workers.updateAllUsage();
+    }
+    return placed;
+}
+
 auto job_engine::advisedWorkers(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                                 std::span<worker_slot *const> workers, core::monotonic_time now)
     -> std::vector<worker_slot *>
 {
-    if (!job.queue.advice) {
-        return {workers.begin(), workers.end()};
-    }
+    assert(job.queue.advice);
     const auto name = stepNameOf({job.id, occurrence, step, 0});
     if (auto request = m_advice.makeRequest(name, *job.queue.advice, workers, now)) {
         m_adviceRequests.push_back(std::move(*request));
@@ -166,7 +200,14 @@
 }
 
 auto job_engine::planStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
-                          std::span<worker_slot *const> workers, core::monotonic_time now) -> bool
+                          internal::placement_candidates &workers, core::monotonic_time now) -> bool
+{
+    return job.spec.steps[step].gang ? placeGang(job, occurrence, step, workers, now)
+                                     : placeStep(job, occurrence, step, workers, now);
+}
+
+auto job_engine::placeStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                           internal::placement_candidates &workers, core::monotonic_time now) -> bool
 {
     const auto first = job.positionOf(occurrence, step, 0);
     for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
@@ -174,18 +215,19 @@
         if (state.phase != task_phase::waiting || now < state.notBefore) {
             continue;
         }
-        auto *worker = internal::chooseWorker(job, occurrence, step, workers);
+        auto *worker = workers.choose(job, occurrence, step);
         if (worker == nullptr) {
             return false;
         }
         place(job, task_ref{job.id, occurrence, step, index}, *worker, state.run + 1, now);
+        workers.updateUsage(*worker);
     }
     return true;
 }
 
 // Either all members start together or none does. They share one run number and one checkpoint.
-auto job_engine::planGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
-                          std::span<worker_slot *const> workers, core::monotonic_time now) -> bool
+auto job_engine::placeGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                           internal::placement_candidates &workers, core::monotonic_time now) -> bool
 {
     const auto &spec = job.spec.steps[step];
     const auto first = job.positionOf(occurrence, step, 0);
@@ -201,29 +243,40 @@
             checkpoint = state.checkpoint;
         }
     }
-    // Placement is tried on copies first, so that a gang that does not fit changes nothing.
-    std::vector<worker_slot> copies;
-    for (const auto *worker : workers) {
-        copies.push_back(*worker);
-    }
-    std::vector<worker_slot *> trial;
-    for (auto &copy : copies) {
-        trial.push_back(&copy);
-    }
-    std::vector<worker_slot *> chosen;
-    for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
-        auto *copy = internal::chooseWorker(job, occurrence, step, trial);
-        if (copy == nullptr) {
-            return false;
-        }
-        copy->placed.insert(task_ref{job.id, occurrence, step, index});
-        internal::addUsage(*copy, spec);
-        chosen.push_back(workers[static_cast<std::size_t>(copy - copies.data())]);
+    const auto chosen = chooseGangWorkers(job, occurrence, step, workers);
+    if (chosen.empty()) {
+        return false;
     }
     for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
         job.tasks[first + index].checkpoint = checkpoint;
         place(job, task_ref{job.id, occurrence, step, index}, *chosen[index], run + 1, now);
+        workers.updateUsage(*chosen[index]);
     }
     return true;
 }
+
+// Each member is placed tentatively while the next one is chosen, and all are removed again before the return.
+auto job_engine::chooseGangWorkers(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                                   internal::placement_candidates &workers) -> std::vector<worker_slot *>
+{
+    const auto &spec = job.spec.steps[step];
+    std::vector<worker_slot *> chosen;
+    while (chosen.size() < spec.taskCount) {
+        auto *worker = workers.choose(job, occurrence, step);
+        if (worker == nullptr) {
+            break;
+        }
+        worker->placed.insert(task_ref{job.id, occurrence, step, static_cast<std::uint32_t>(chosen.size())});
+        internal::addUsage(*worker, spec);
+        workers.updateUsage(*worker);
+        chosen.push_back(worker);
+    }
+    for (std::size_t index = 0; index < chosen.size(); ++index) {
+        auto &worker = *chosen[index];
+        worker.placed.erase(task_ref{job.id, occurrence, step, static_cast<std::uint32_t>(index)});
+        internal::removeUsage(worker, spec);
+        workers.updateUsage(worker);
+    }
+    return chosen.size() == spec.taskCount ? chosen : std::vector<worker_slot *>{};
+}
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -2,6 +2,7 @@
 #include <poplarpass/jobs/job_engine.h>
 
 #include <algorithm>
+#include <cassert>
 #include <unordered_set>
 #include <utility>
 
@@ -61,7 +62,7 @@
     }
     paceBestEffortRuns(*worker, now);
     if (report.ended.size() < maxEndsPerReport) {
-        resolveUnlistedRuns(*worker, report, sentAt, now);
+        resolveUnlistedRuns(*worker, sentAt, now);
         worker->synced = true;
     }
     return worker->lastHandledEnd;
@@ -215,7 +216,7 @@
     const bool keepsRunning =
         std::exchange(state->closedByFormerOwner, false) && job->phase == multistep_job_phase::active;
     if (state->phase == task_phase::starting || keepsRunning) {
-        state->phase = task_phase::running;
+        setPhase(*task, *job, *state, task_phase::running);
         state->acknowledged = true;
         state->acknowledgedAt = now;
     }
@@ -231,16 +232,18 @@
 // A run has ended when a report does not list it and was requested after the worker acknowledged the run or confirmed
 // its stop. In the first report to this owner this holds for all runs of the former one, because from then on the
 // worker rejects orders of the former owner.
-auto job_engine::resolveUnlistedRuns(worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt,
-                                     core::monotonic_time now) -> void
+auto job_engine::resolveUnlistedRuns(worker_slot &worker, core::monotonic_time sentAt, core::monotonic_time now) -> void
 {
-    const auto listed = runsListedIn(report);
-    const auto placed = worker.placed;
-    for (const auto &task : placed) {
+    // onRunning() has set reportedAt of the listed runs.
+    std::vector<task_ref> unlisted;
+    for (const auto &task : worker.placed) {
         const auto [job, state] = locate(task);
-        if (job == nullptr || listed.contains(runKey(nameOf(task), state->run))) {
-            continue;
+        if (job != nullptr && state->reportedAt != now) {
+            unlisted.push_back(task);
         }
+    }
+    for (const auto &task : unlisted) {
+        const auto [job, state] = locate(task);
         const bool neverStarted = state->phase == task_phase::starting && !state->acknowledged && state->unansweredAt
             && *state->unansweredAt < sentAt;
         if (neverStarted) {
@@ -291,14 +294,14 @@
     state.acknowledged = true;
     state.acknowledgedAt = now;
     if (state.phase == task_phase::starting) {
-        state.phase = task_phase::running;
+        setPhase(order.task, job, state, task_phase::running);
     }
 }
 
 // Retries the start of the same run, which a worker carries out at most once. Only when the retries fail is the run
 // stopped, so that a run with a higher number can start. A long-running task may have started meanwhile and is not
 // stopped: the next report decides.
-auto job_engine::onStartUnanswered(const start_order &order, const multistep_job_record &job, task_record &state,
+auto job_engine::onStartUnanswered(const start_order &order, multistep_job_record &job, task_record &state,
                                    core::monotonic_time now) -> void
 {
     if (state.phase != task_phase::starting) {
@@ -392,17 +395,14 @@
 
 auto job_engine::retryStops(core::monotonic_time now) -> void
 {
-    for (const auto &[id, worker] : m_workers.all()) {
-        if (!worker.responsive) {
-            continue;
-        }
-        for (const auto &task : worker.placed) {
-            const auto [job, state] = locate(task);
-            if (job != nullptr && state->phase == task_phase::closing && !state->stopConfirmed
-                && now - state->stopSentAt >= stopRetryInterval) {
-                state->stopSentAt = now;
-                orderStop(id, nameOf(task), state->run);
-            }
+    for (const auto &[id, task] : m_closing) {
+        const auto *worker = m_workers.find(id);
+        const auto [job, state] = locate(task);
+        assert(job != nullptr && state->phase == task_phase::closing);
+        if (worker != nullptr && worker->responsive && !state->stopConfirmed
+            && now - state->stopSentAt >= stopRetryInterval) {
+            state->stopSentAt = now;
+            orderStop(id, nameOf(task), state->run);
         }
     }
 }
--- a/src/poplarpass/jobs/job_order.cpp
+++ b/src/poplarpass/jobs/job_order.cpp
@@ -1,6 +1,8 @@
 #include <poplarpass/jobs/job_order.h>
+#include <poplarpass/jobs/task_placement.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace poplarpass::jobs
 {
@@ -20,8 +22,30 @@
     return work;
 }
 
+auto leastCpu(const multistep_job_record &job) -> std::int64_t
+{
+    auto least = std::numeric_limits<std::int64_t>::max();
+    for (const auto &step : job.spec.steps) {
+        least = std::min(least, internal::requiredResources(step).cpu);
+    }
+    return least;
+}
 } // namespace
 
+auto outlookOf(const multistep_job_record &job) -> job_outlook
+{
+    job_outlook outlook;
+    outlook.isLongRunning = job.spec.isLongRunning();
+    outlook.isScheduled = job.spec.repeatCount > 0;
+    outlook.priority = job.queue.priority;
+    outlook.acceptedAt = job.acceptedAt;
+    outlook.objective = objectiveOf(job);
+    outlook.remainingChain = remainingChain(job);
+    outlook.remainingWork = remainingWork(job);
+    outlook.leastCpu = leastCpu(job);
+    return outlook;
+}
+
 auto objectiveOf(const multistep_job_record &job) -> core::wall_time
 {
     const auto chain = std::chrono::duration<double, std::micro>{
@@ -38,18 +62,19 @@
     });
 }
 
-auto rankOf(const multistep_job_record &job, core::wall_time now) -> job_rank
+auto rankOf(const job_outlook &outlook, core::wall_time now) -> job_rank
 {
-    if (job.spec.isLongRunning()) {
-        return {longRunningTier, job.queue.priority, job.acceptedAt.time_since_epoch().count()};
+    const auto arrival = outlook.acceptedAt.time_since_epoch().count();
+    if (outlook.isLongRunning) {
+        return {longRunningTier, outlook.priority, arrival};
     }
-    if (job.spec.repeatCount > 0) {
-        return {timelyTier, job.queue.priority, 0};
+    if (outlook.isScheduled) {
+        return {timelyTier, outlook.priority, 0};
     }
-    const bool timely = now + remainingChain(job) <= objectiveOf(job);
+    const bool timely = now + outlook.remainingChain <= outlook.objective;
     if (timely) {
-        return {timelyTier, job.queue.priority, remainingWork(job)};
+        return {timelyTier, outlook.priority, outlook.remainingWork};
     }
-    return {lateTier, job.queue.priority, job.acceptedAt.time_since_epoch().count()};
+    return {lateTier, outlook.priority, arrival};
 }
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_order.h
+++ b/src/poplarpass/jobs/job_order.h
@@ -16,12 +16,28 @@
     auto operator<=>(const job_rank &) const = default;
 };
 
-/// \brief Returns the rank of \p job at \p now.
+/// \brief What the rank of a job depends on; changes only when one of its tasks is done.
+struct job_outlook
+{
+    bool isLongRunning = false; ///< Whether it runs until it is cancelled.
+    bool isScheduled = false; ///< Whether it runs at set times.
+    std::uint32_t priority = 0; ///< Priority of its queue.
+    core::wall_time acceptedAt{}; ///< When it was first received.
+    core::wall_time objective{}; ///< Time by which it has to complete to meet its objective.
+    std::chrono::milliseconds remainingChain{0}; ///< Critical path through the steps with unfinished tasks.
+    std::int64_t remainingWork = 0; ///< Processor time of the unfinished tasks, thousandths of a core times ms.
+    std::int64_t leastCpu = 0; ///< Least processor time that an unfinished task reserves.
+};
+
+/// \brief Returns the outlook of \p job.
+auto outlookOf(const multistep_job_record &job) -> job_outlook;
+
+/// \brief Returns the rank at \p now of a job with \p outlook.
 ///
 /// During load spikes a queue demands more than its pool's capacity for seconds. Jobs that can still meet their
 /// objective then run first, the shortest remaining work before longer, so that most callers are served in time; jobs
 /// that are already late use the remaining capacity in order of arrival.
-auto rankOf(const multistep_job_record &job, core::wall_time now) -> job_rank;
+auto rankOf(const job_outlook &outlook, core::wall_time now) -> job_rank;
 
 /// \brief Returns the time by which \p job has to complete to meet its objective.
 auto objectiveOf(const multistep_job_record &job) -> core::wall_time;
--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -9,19 +9,17 @@
 {
 namespace
 {
-constexpr std::size_t partsOfTaskName = 4;
-
-auto splitName(std::string_view text) -> std::vector<std::string_view>
+/// \brief Removes the last part of a name and the dot before it.
+/// \returns the part as a number; nothing when it is not one
+auto takeLastNumber(std::string_view &name) -> std::optional<std::uint32_t>
 {
-    std::vector<std::string_view> parts;
-    for (;;) {
-        const auto dot = text.find('.');
-        parts.push_back(text.substr(0, dot));
-        if (dot == std::string_view::npos) {
-            return parts;
-        }
-        text.remove_prefix(dot + 1);
+    const auto dot = name.rfind('.');
+    if (dot == std::string_view::npos) {
+        return std::nullopt;
     }
+    const auto number = core::parseInteger<std::uint32_t>(name.substr(dot + 1));
+    name = name.substr(0, dot);
+    return number;
 }
 } // namespace
 
@@ -99,6 +97,7 @@
     job.stepOffsets.push_back(perOccurrence);
     const auto occurrences = job.spec.occurrences();
     job.unfinished = perOccurrence * occurrences;
+    job.waiting = job.unfinished;
     job.tasks.resize(job.unfinished);
     for (std::uint32_t occurrence = 0; occurrence < occurrences; ++occurrence) {
         for (const auto &step : job.spec.steps) {
@@ -129,17 +128,13 @@
 
 auto parseTaskName(std::string_view text) -> std::optional<task_ref>
 {
-    const auto parts = splitName(text);
-    if (parts.size() != partsOfTaskName || parts[0].empty()) {
-        return std::nullopt;
-    }
-    const auto occurrence = core::parseInteger<std::uint32_t>(parts[1]);
-    const auto step = core::parseInteger<std::uint32_t>(parts[2]);
-    const auto index = core::parseInteger<std::uint32_t>(parts[3]);
-    if (!occurrence || !step || !index) {
+    const auto index = takeLastNumber(text);
+    const auto step = takeLastNumber(text);
+    const auto occurrence = takeLastNumber(text);
+    if (!occurrence || !step || !index || text.empty() || text.find('.') != std::string_view::npos) {
         return std::nullopt;
     }
-    return task_ref{job_id{std::string{parts[0]}}, *occurrence, *step, *index};
+    return task_ref{job_id{std::string{text}}, *occurrence, *step, *index};
 }
 
 auto nameOf(multistep_job_phase phase) -> std::string_view
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -71,6 +71,7 @@
     core::wall_time acceptedAt{}; ///< When it was first received.
     std::vector<task_record> tasks; ///< By occurrence, then step, then index.
     std::uint32_t unfinished = 0; ///< Number of tasks that are not done.
+    std::uint32_t waiting = 0; ///< Number of tasks in phase waiting.
     bool started = false; ///< Whether any worker ever started a task.
     std::vector<std::uint32_t> stepOffsets; ///< Position of each step's first task within an occurrence, then the
                                             ///< number of tasks of an occurrence.
--- a/src/poplarpass/jobs/pacing.cpp
+++ b/src/poplarpass/jobs/pacing.cpp
@@ -22,6 +22,9 @@
 
 auto job_engine::paceBestEffortRuns(worker_slot &worker, core::monotonic_time now) -> void
 {
+    if (worker.bestEffortRuns == 0 && worker.servingRuns == 0 && worker.bestEffortPace == fullPace) {
+        return;
+    }
     double worstTail = 0;
     std::vector<task_ref> bestEffortRuns;
     for (const auto &task : worker.placed) {
--- a/src/poplarpass/jobs/progress_text.cpp
+++ b/src/poplarpass/jobs/progress_text.cpp
@@ -1,5 +1,6 @@
 #include <poplarpass/jobs/progress_text.h>
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <vector>
@@ -114,6 +115,7 @@
 auto recount(multistep_job_record &job) -> void
 {
     job.unfinished = 0;
+    job.waiting = static_cast<std::uint32_t>(std::ranges::count(job.tasks, task_phase::waiting, &task_record::phase));
     std::size_t position = 0;
     std::size_t entry = 0;
     for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
--- a/src/poplarpass/jobs/stragglers.cpp
+++ b/src/poplarpass/jobs/stragglers.cpp
@@ -1,9 +1,9 @@
 #include <poplarpass/jobs/constants.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/jobs/stragglers.h>
-#include <poplarpass/jobs/task_placement.h>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace poplarpass::jobs
@@ -91,8 +91,7 @@
         if (!worker.responsive || worker.leaving) {
             continue;
         }
-        const auto placed = worker.placed;
-        for (const auto &task : placed) {
+        for (const auto &task : worker.placed) {
             relocateIfStraggler(task, worker, now);
         }
     }
@@ -104,9 +103,10 @@
     if (job == nullptr || job->phase != multistep_job_phase::active || !internal::isStraggler(*job, task)) {
         return;
     }
-    auto candidates = eligibleWorkersOf(worker.entry.pool, now);
-    std::erase(candidates, &worker);
-    if (internal::chooseWorker(*job, task.occurrence, task.step, candidates) == nullptr) {
+    auto others = eligibleWorkersOf(worker.entry.pool, now);
+    std::erase(others, &worker);
+    const internal::placement_candidates candidates{std::move(others)};
+    if (candidates.choose(*job, task.occurrence, task.step) == nullptr) {
         return;
     }
     ++state->relocations;
--- a/src/poplarpass/jobs/task_placement.h
+++ b/src/poplarpass/jobs/task_placement.h
@@ -3,7 +3,6 @@
 #include <poplarpass/jobs/job_state.h>
 #include <poplarpass/jobs/worker_table.h>
 
-#include <span>
 #include <string_view>
 
 namespace poplarpass::jobs::internal
@@ -19,15 +18,7 @@
 /// \brief Returns the worker's rack label; empty when there is none.
 auto rackOf(const worker_slot &worker) -> std::string_view;
 
-/// \brief Chooses the worker for one more task of a step.
-///
-/// Considers only workers that satisfy the step's resources, label and anti-affinity. Avoids mixing best-effort and
-/// serving tasks, then prefers the step's affinity rack and, for rack-local steps, the rack of its other tasks; then
-/// the worker that is left with the least processor time, so that whole workers stay free for large tasks and for
-/// moves.
-/// \param occurrence occurrence of the task
-/// \param step number of its step
-/// \returns null when no worker is suitable
-auto chooseWorker(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
-                  std::span<worker_slot *const> workers) -> worker_slot *;
+/// \brief Returns the number of tasks of a step that are placed on \p worker.
+auto tasksOfStepOn(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                   const worker_slot &worker) -> std::uint32_t;
 } // namespace poplarpass::jobs::internal
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -30,6 +30,7 @@
 
 auto worker_table::update(std::span<const worker_entry> entries, core::monotonic_time now) -> void
 {
+    m_isPoolIndexCurrent = false;
     for (auto &[id, worker] : m_workers) {
         worker.listed = false;
     }
@@ -72,6 +73,7 @@
 
 auto worker_table::findOrAdd(const worker_id &id) -> worker_slot &
 {
+    m_isPoolIndexCurrent = false;
     auto &worker = m_workers[id];
     worker.entry.id = id;
     return worker;
@@ -87,6 +89,24 @@
     return m_workers;
 }
 
+auto worker_table::ofPool(const core::pool_id &pool) -> std::span<worker_slot *const>
+{
+    if (!m_isPoolIndexCurrent) {
+        indexPools();
+    }
+    const auto found = m_byPool.find(pool);
+    return found == m_byPool.end() ? std::span<worker_slot *const>{} : std::span<worker_slot *const>{found->second};
+}
+
+auto worker_table::indexPools() -> void
+{
+    m_byPool.clear();
+    for (auto &[id, worker] : m_workers) {
+        m_byPool[worker.entry.pool].push_back(&worker);
+    }
+    m_isPoolIndexCurrent = true;
+}
+
 // The worker's clock had reached c by local time t, so it reaches c + d by t + d / minWorkerClockRate.
 auto worker_table::extendLease(worker_slot &worker, core::monotonic_time now) -> std::int64_t
 {
@@ -143,6 +163,7 @@
 
 auto worker_table::removeUnused() -> void
 {
+    m_isPoolIndexCurrent = false;
     std::erase_if(m_workers, [](const auto &entry) { return !entry.second.listed && entry.second.placed.empty(); });
 }
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -35,6 +35,7 @@
     core::monotonic_time paceChangedAt{}; ///< When bestEffortPace was last changed.
     std::uint32_t bestEffortRuns = 0; ///< Placed runs of best-effort steps.
     std::uint32_t servingRuns = 0; ///< Placed runs of serving steps, which have a tail latency target.
+    std::uint32_t longRunningRuns = 0; ///< Placed runs of long-running steps.
     resources used; ///< Resources reserved by the placed runs.
     std::set<task_ref> placed; ///< Tasks whose newest run exists, or may exist, there.
 
@@ -81,6 +82,10 @@
     /// \brief Returns all workers by identifier.
     [[nodiscard]] auto all() const -> const std::map<worker_id, worker_slot> &;
 
+    /// \brief Returns the workers whose last entry is in \p pool, by identifier; valid until workers are added or
+    /// removed.
+    [[nodiscard]] auto ofPool(const core::pool_id &pool) -> std::span<worker_slot *const>;
+
     /// \brief Extends the worker's lease for an order sent at \p now and updates its leaseEnd.
     /// \returns end of the lease on the worker's clock, milliseconds
     auto extendLease(worker_slot &worker, core::monotonic_time now) -> std::int64_t;
@@ -103,6 +108,10 @@
     static auto startIncarnation(worker_slot &worker, std::int64_t incarnation) -> void;
 
 private:
+    auto indexPools() -> void;
+
     std::map<worker_id, worker_slot> m_workers;
+    std::map<core::pool_id, std::vector<worker_slot *>> m_byPool;
+    bool m_isPoolIndexCurrent = false;
 };
 } // namespace poplarpass::jobs
--- a/tests/decisions/job_order_test.cpp
+++ b/tests/decisions/job_order_test.cpp
@@ -98,7 +98,7 @@
     for (std::uint64_t round = 0; round < 5; ++round) {
         const auto load = makeBurst(tests::baseSeed() + round);
         ranked += servedInTime(load, slots, [](const simulated_job &job, std::int64_t now) {
-            return jobs::rankOf(job.record, wallAt(now));
+            return jobs::rankOf(jobs::outlookOf(job.record), wallAt(now));
         });
         byArrival += servedInTime(load, slots, [](const simulated_job &job, std::int64_t) {
             return jobs::job_rank{0, 0, job.arrivedAt};
@@ -116,11 +116,14 @@
     auto longRunningStep = step(1);
     longRunningStep.longRunning = true;
     const auto now = wallAt(10'000);
-    const auto timely = jobs::rankOf(jobWith(step(1), 9'900), now);
-    const auto late = jobs::rankOf(jobWith(step(1), 1'000), now);
-    const auto later = jobs::rankOf(jobWith(step(1), 2'000), now);
-    CHECK(jobs::rankOf(jobWith(longRunningStep, 9'000), now) < timely);
+    const auto rankOf = [now](const jobs::multistep_job_record &job) {
+        return jobs::rankOf(jobs::outlookOf(job), now);
+    };
+    const auto timely = rankOf(jobWith(step(1), 9'900));
+    const auto late = rankOf(jobWith(step(1), 1'000));
+    const auto later = rankOf(jobWith(step(1), 2'000));
+    CHECK(rankOf(jobWith(longRunningStep, 9'000)) < timely);
     CHECK(timely < late);
     CHECK(late < later);
-    CHECK(jobs::rankOf(jobWith(step(2), 9'900), now) > timely);
+    CHECK(rankOf(jobWith(step(2), 9'900)) > timely);
 }
