Moves are planned from one look at each host, and only where a pool is short

Cause: planMoves sorted all hosts by keys that looked up every task of a host's worker, again for each comparison, every 40 ms, also when no pool was short; pools in maintenance were found by searching each host in each wave's list.

--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -10,8 +10,6 @@
 // Moves of hosts between pools.
 namespace poplarpass::capacity
 {
-using internal::longRunningCountOf;
-using internal::occupancyOf;
 using internal::remainingRunTimeOf;
 using internal::workerSlotOf;
 
@@ -20,7 +18,7 @@
 {
     m_balances.clear();
     m_moving = 0;
-    std::set<core::pool_id> poolsInMaintenance;
+    const auto poolsInMaintenance = poolsAwaitingMaintenance();
     std::int64_t hostCpu = 1;
     for (const auto &[id, host] : m_hosts.all()) {
         hostCpu = std::max(hostCpu, host.entry.capacity.cpu);
@@ -28,9 +26,6 @@
         m_moving += moves ? 1 : 0;
         const bool forMaintenance = host.step != host_step::none && !host.order.pool;
         m_balances[moves ? *host.order.pool : host.entry.pool].have += forMaintenance ? 0 : 1;
-        if (awaitsMaintenance(host)) {
-            poolsInMaintenance.insert(host.entry.pool);
-        }
     }
     for (const auto &pool : pools) {
         m_balances[pool.name].standby = pool.standby;
@@ -94,17 +89,18 @@
 // stay idle move to standby.
 auto capacity_planner::planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void
 {
-    std::vector<tracked_host *> candidates;
-    for (auto &[id, host] : m_hosts.all()) {
-        if (host.step == host_step::none && host.entry.condition == host_condition::up
-            && now - host.since >= minPoolResidence) {
-            candidates.push_back(&host);
+    const auto shortPools = poolsByShortage();
+    if (!shortPools.empty()) {
+        const auto candidates = moveCandidates(engine, now);
+        for (const auto &pool : shortPools) {
+            fillPool(pool, candidates, engine, now);
         }
     }
-    std::ranges::stable_sort(candidates, {}, [&](const tracked_host *host) {
-        return std::tuple{occupancyOf(*host, engine) > 0, m_balances[host->entry.pool].standby,
-                          longRunningCountOf(*host, engine), remainingRunTimeOf(*host, engine, now)};
-    });
+    moveIdleToStandby(engine, now);
+}
+
+auto capacity_planner::poolsByShortage() -> std::vector<core::pool_id>
+{
     std::vector<core::pool_id> shortPools;
     for (const auto &[pool, balance] : m_balances) {
         if (!balance.standby && balance.targetHosts > balance.have) {
@@ -113,16 +109,45 @@
     }
     std::ranges::sort(shortPools, std::greater{},
                       [&](const core::pool_id &pool) { return m_balances[pool].targetHosts - m_balances[pool].have; });
-    for (const auto &pool : shortPools) {
-        fillPool(pool, candidates, engine, now);
+    return shortPools;
+}
+
+auto capacity_planner::isMovable(const tracked_host &host, core::monotonic_time now) -> bool
+{
+    return host.step == host_step::none && host.entry.condition == host_condition::up
+        && now - host.since >= minPoolResidence;
+}
+
+auto capacity_planner::moveCandidates(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<move_candidate>
+{
+    std::vector<move_candidate> candidates;
+    for (auto &[id, host] : m_hosts.all()) {
+        if (!isMovable(host, now)) {
+            continue;
+        }
+        move_candidate candidate;
+        candidate.host = &host;
+        candidate.worker = workerSlotOf(host, engine);
+        candidate.isOnStandby = m_balances[host.entry.pool].standby;
+        if (candidate.worker != nullptr && !candidate.worker->placed.empty()) {
+            candidate.hasWork = true;
+            candidate.longRunningRuns = candidate.worker->longRunningRuns;
+            candidate.remainingRunTime = remainingRunTimeOf(*candidate.worker, engine, now);
+        }
+        candidates.push_back(candidate);
     }
-    moveIdleToStandby(candidates, engine, now);
+    std::ranges::stable_sort(candidates, {}, [](const move_candidate &candidate) {
+        return std::tuple{candidate.hasWork, candidate.isOnStandby, candidate.longRunningRuns,
+                          candidate.remainingRunTime};
+    });
+    return candidates;
 }
 
-auto capacity_planner::fillPool(const core::pool_id &pool, std::span<tracked_host *const> candidates,
+auto capacity_planner::fillPool(const core::pool_id &pool, std::span<const move_candidate> candidates,
                                 jobs::job_engine &engine, core::monotonic_time now) -> void
 {
-    for (auto *host : candidates) {
+    for (const auto &candidate : candidates) {
+        auto *host = candidate.host;
         const auto &balance = m_balances[pool];
         if (balance.targetHosts <= balance.have || m_moving >= maxMoving()) {
             return;
@@ -130,7 +155,7 @@
         const auto &from = m_balances[host->entry.pool];
         const bool spare = from.standby || from.have > from.targetHosts;
         const bool idle = from.standby || now - host->idleSince >= idleBeforeMove;
-        const bool drainable = idle || canDrainForMove(*host, pool, engine, now);
+        const bool drainable = idle || canDrainForMove(candidate, pool, now);
         if (host->step == host_step::none && spare && drainable && host->entry.pool != pool
             && !host->refusedPools.contains(pool) && hasRequiredLabel(*host, balance)) {
             move(*host, pool, engine, now);
@@ -140,12 +165,12 @@
 
 // Short tasks run to their end. Long-running tasks have to move to other hosts of their pool, within the limits of
 // their steps, which costs more than a brief shortage.
-auto capacity_planner::canDrainForMove(const tracked_host &host, const core::pool_id &pool, jobs::job_engine &engine,
+auto capacity_planner::canDrainForMove(const move_candidate &candidate, const core::pool_id &pool,
                                        core::monotonic_time now) const -> bool
 {
     const auto since = m_shortSince.find(pool);
     const bool isPersistent = since != m_shortSince.end() && now - since->second >= shortageBeforeEvacuation;
-    return workerSlotOf(host, engine) != nullptr && (isPersistent || longRunningCountOf(host, engine) == 0);
+    return candidate.worker != nullptr && (isPersistent || candidate.longRunningRuns == 0);
 }
 
 auto capacity_planner::maxMoving() const -> std::size_t
@@ -180,19 +205,20 @@
     return false;
 }
 
-auto capacity_planner::moveIdleToStandby(std::span<tracked_host *const> candidates, jobs::job_engine &engine,
-                                         core::monotonic_time now) -> void
+auto capacity_planner::moveIdleToStandby(jobs::job_engine &engine, core::monotonic_time now) -> void
 {
     const auto standby = std::ranges::find_if(m_balances, [](const auto &entry) { return entry.second.standby; });
     if (standby == m_balances.end() || !isDemandEstablished(engine, now)) {
         return;
     }
-    for (auto *host : candidates) {
-        const auto &from = m_balances[host->entry.pool];
-        const bool idle = now - host->idleSince >= idleBeforeStandby;
-        if (host->step == host_step::none && !from.standby && from.have > from.targetHosts && idle
-            && m_moving < maxMoving() && !host->refusedPools.contains(standby->first)) {
-            move(*host, standby->first, engine, now);
+    for (auto &[id, host] : m_hosts.all()) {
+        if (now - host.idleSince < idleBeforeStandby || !isMovable(host, now)) {
+            continue;
+        }
+        const auto &from = m_balances[host.entry.pool];
+        if (!from.standby && from.have > from.targetHosts && m_moving < maxMoving()
+            && !host.refusedPools.contains(standby->first)) {
+            move(host, standby->first, engine, now);
         }
     }
 }
--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -55,9 +55,8 @@
     if (!m_hosts.listRequestedAt()) {
         return {};
     }
-    readmitWorkers(engine);
+    updateFromWorkers(engine, now);
     excludeLeavingWorkers(engine);
-    trackIdle(engine, now);
     measure(engine, pools, now);
     planMoves(engine, now);
     planWaves(engine, now);
@@ -77,20 +76,17 @@
 }
 
 // The worker of a host that is neither drained nor under an order becomes eligible for placement again.
-auto capacity_planner::readmitWorkers(jobs::job_engine &engine) -> void
+auto capacity_planner::updateFromWorkers(jobs::job_engine &engine, core::monotonic_time now) -> void
 {
     for (auto &[id, host] : m_hosts.all()) {
         auto *worker = workerSlotOf(host, engine);
-        if (host.step == host_step::none && host.entry.condition == host_condition::up && worker != nullptr) {
+        if (worker == nullptr) {
+            continue;
+        }
+        if (host.step == host_step::none && host.entry.condition == host_condition::up) {
             worker->leaving = false;
         }
-    }
-}
-
-auto capacity_planner::trackIdle(jobs::job_engine &engine, core::monotonic_time now) -> void
-{
-    for (auto &[id, host] : m_hosts.all()) {
-        if (!isEmpty(host, engine)) {
+        if (!worker->placed.empty()) {
             host.idleSince = now;
         }
     }
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -106,8 +106,18 @@
         core::monotonic_time since{}; ///< When the waiting steps were first seen, or the latest extra host was added.
     };
 
-    auto readmitWorkers(jobs::job_engine &engine) -> void;
-    auto trackIdle(jobs::job_engine &engine, core::monotonic_time now) -> void;
+    /// \brief A host that may move to another pool, and its work.
+    struct move_candidate
+    {
+        tracked_host *host = nullptr;
+        jobs::worker_slot *worker = nullptr; ///< Its worker; null when it has none.
+        bool hasWork = false; ///< Whether tasks are placed on its worker.
+        bool isOnStandby = false; ///< Whether it belongs to a standby pool.
+        std::uint32_t longRunningRuns = 0; ///< Long-running tasks placed on its worker.
+        core::duration remainingRunTime{0}; ///< Estimated time until the last of its tasks has ended.
+    };
+
+    auto updateFromWorkers(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWave(wave_progress &wave, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto measure(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now) -> void;
@@ -116,17 +126,19 @@
     auto addHostsForMismatches(jobs::job_engine &engine, core::monotonic_time now) -> void;
     [[nodiscard]] auto hasRequiredLabel(const tracked_host &host, const pool_balance &balance) const -> bool;
     auto planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void;
-    auto fillPool(const core::pool_id &pool, std::span<tracked_host *const> candidates, jobs::job_engine &engine,
+    auto poolsByShortage() -> std::vector<core::pool_id>;
+    auto moveCandidates(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<move_candidate>;
+    [[nodiscard]] static auto isMovable(const tracked_host &host, core::monotonic_time now) -> bool;
+    auto fillPool(const core::pool_id &pool, std::span<const move_candidate> candidates, jobs::job_engine &engine,
                   core::monotonic_time now) -> void;
     [[nodiscard]] auto isDemandEstablished(const jobs::job_engine &engine, core::monotonic_time now) -> bool;
-    auto moveIdleToStandby(std::span<tracked_host *const> candidates, jobs::job_engine &engine,
-                           core::monotonic_time now) -> void;
+    auto moveIdleToStandby(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto move(tracked_host &host, const core::pool_id &pool, jobs::job_engine &engine, core::monotonic_time now)
         -> void;
-    [[nodiscard]] auto canDrainForMove(const tracked_host &host, const core::pool_id &pool, jobs::job_engine &engine,
+    [[nodiscard]] auto canDrainForMove(const move_candidate &candidate, const core::pool_id &pool,
                                        core::monotonic_time now) const -> bool;
     [[nodiscard]] auto isAnyPoolShort() const -> bool;
-    [[nodiscard]] auto awaitsMaintenance(const tracked_host &host) const -> bool;
+    [[nodiscard]] auto poolsAwaitingMaintenance() -> std::set<core::pool_id>;
     auto advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>;
     [[nodiscard]] auto isWorkerConfirmed(const tracked_host &host, jobs::job_engine &engine,
                                          core::monotonic_time now) const -> bool;
--- a/src/poplarpass/capacity/capacity_waves.cpp
+++ b/src/poplarpass/capacity/capacity_waves.cpp
@@ -79,12 +79,20 @@
     });
 }
 
-auto capacity_planner::awaitsMaintenance(const tracked_host &host) const -> bool
+auto capacity_planner::poolsAwaitingMaintenance() -> std::set<core::pool_id>
 {
-    return std::ranges::any_of(m_waves, [&](const auto &entry) {
-        const auto &wave = entry.second;
-        const bool isListed = std::ranges::find(wave.request.hosts, host.entry.id) != wave.request.hosts.end();
-        return !wave.completed && isListed && !wave.done.contains(host.entry.id);
-    });
+    std::set<core::pool_id> pools;
+    for (const auto &[number, wave] : m_waves) {
+        if (wave.completed) {
+            continue;
+        }
+        for (const auto &id : wave.request.hosts) {
+            const auto *host = wave.done.contains(id) ? nullptr : m_hosts.find(id);
+            if (host != nullptr) {
+                pools.insert(host->entry.pool);
+            }
+        }
+    }
+    return pools;
 }
 } // namespace poplarpass::capacity
--- a/src/poplarpass/capacity/host_load.cpp
+++ b/src/poplarpass/capacity/host_load.cpp
@@ -15,14 +15,11 @@
     return worker == nullptr || worker->placed.empty();
 }
 
-auto remainingRunTimeOf(const tracked_host &host, jobs::job_engine &engine, core::monotonic_time now) -> core::duration
+auto remainingRunTimeOf(const jobs::worker_slot &worker, const jobs::job_engine &engine, core::monotonic_time now)
+    -> core::duration
 {
-    const auto *worker = workerSlotOf(host, engine);
     core::duration longest{0};
-    if (worker == nullptr) {
-        return longest;
-    }
-    for (const auto &task : worker->placed) {
+    for (const auto &task : worker.placed) {
         const auto *job = engine.find(task.job);
         if (job != nullptr && job->has(task)) {
             const auto &state = job->tasks[job->positionOf(task.occurrence, task.step, task.index)];
@@ -32,18 +29,6 @@
     return longest;
 }
 
-auto longRunningCountOf(const tracked_host &host, jobs::job_engine &engine) -> std::size_t
-{
-    const auto *worker = workerSlotOf(host, engine);
-    if (worker == nullptr) {
-        return 0;
-    }
-    return static_cast<std::size_t>(std::ranges::count_if(worker->placed, [&](const jobs::task_ref &task) {
-        const auto *job = engine.find(task.job);
-        return job != nullptr && job->has(task) && job->spec.steps[task.step].longRunning;
-    }));
-}
-
 auto occupancyOf(const tracked_host &host, jobs::job_engine &engine) -> std::int64_t
 {
     const auto *worker = workerSlotOf(host, engine);
--- a/src/poplarpass/capacity/host_load.h
+++ b/src/poplarpass/capacity/host_load.h
@@ -11,11 +11,9 @@
 /// \brief Returns whether no task is placed on the host's worker; true for a host without a worker.
 auto isEmpty(const tracked_host &host, jobs::job_engine &engine) -> bool;
 
-/// \brief Returns the estimated time until the last task on a host has ended; zero when it has none.
-auto remainingRunTimeOf(const tracked_host &host, jobs::job_engine &engine, core::monotonic_time now) -> core::duration;
-
-/// \brief Returns the number of long-running tasks on the host's worker.
-auto longRunningCountOf(const tracked_host &host, jobs::job_engine &engine) -> std::size_t;
+/// \brief Returns the estimated time until the last task on \p worker has ended; zero when it has none.
+auto remainingRunTimeOf(const jobs::worker_slot &worker, const jobs::job_engine &engine, core::monotonic_time now)
+    -> core::duration;
 
 /// \brief Returns the score by which hosts are ordered for draining, lowest first: reserved processor time in
 /// thousandths of a core plus number of tasks.
