Log lines of 20 ms share one write, and fields are assembled only for lines that are written

Change: line_writer takes a hook that defers its write; logger::logWith calls its argument only for an event that is written.

--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -17,18 +17,22 @@
 {
 // Log lines of one event per second; enough for each start and end on days with the highest load.
 constexpr std::uint32_t eventsPerSecond = 400;
+// Delay before log lines are written, so that the lines of several decisions share one system call.
+constexpr core::duration logWriteDelay = std::chrono::milliseconds{20};
 constexpr std::size_t connectionsPerWorker = 12;
 constexpr std::size_t connectionsToStore = 16;
 
-auto loggerOptions(const settings::host_settings &settings) -> observe::logger_options
+auto loggerOptions(const settings::host_settings &settings, const core::time_source &time) -> observe::logger_options
 {
     observe::logger_options options;
     options.processName = settings.name;
     options.burst = eventsPerSecond;
     options.level = observe::parseLogLevel(settings.logLevel).value_or(log_level::info);
-    options.sink = [writer = std::make_shared<observe::line_writer>(STDOUT_FILENO)](log_level, std::string_view line) {
-        writer->write(line);
+    const auto defer = [&time](std::function<void()> flush) {
+        time.callAfter(logWriteDelay, std::move(flush));
     };
+    options.sink = [writer = std::make_shared<observe::line_writer>(STDOUT_FILENO, defer)](
+                       log_level, std::string_view line) { writer->write(line); };
     return options;
 }
 
@@ -48,7 +52,7 @@
     , m_access{std::move(access)}
     , m_loop{1}
     , m_time{app::makeTimeSource(m_loop)}
-    , m_log{loggerOptions(m_settings)}
+    , m_log{loggerOptions(m_settings, m_time)}
     , m_platformHttp{m_loop, clientLimits(connectionsToStore)}
     , m_workerHttp{m_loop, clientLimits(connectionsPerWorker)}
     , m_peerHttp{m_loop, clientLimits(connectionsToStore)}
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -320,6 +320,12 @@
 {
     const auto now = m_env.time.now();
     m_jobTimes.onDecision(decision, now);
+    m_env.log.logWith(logLevelOf(decision), decision.event,
+                      [this, &decision, now] { return fieldsOf(decision, now); });
+}
+
+auto pool_owner::fieldsOf(const jobs::decision &decision, core::monotonic_time now) -> std::vector<observe::field>
+{
     std::vector<observe::field> fields{{"id", decision.subject}};
     if (!decision.worker.empty()) {
         fields.emplace_back("worker", decision.worker);
@@ -334,7 +340,7 @@
     fields.emplace_back("reason", decision.reason);
     fields.emplace_back("epoch", m_term.epoch());
     fields.emplace_back("config", m_env.routes.config().version);
-    m_env.log.logFields(logLevelOf(decision), decision.event, fields);
+    return fields;
 }
 
 auto pool_owner::epoch() const -> std::uint64_t
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -117,6 +117,7 @@
     auto requestAdvice(const jobs::advice_request &request) -> void;
     auto whenStored(std::function<void()> callback) -> void;
     auto logDecision(const jobs::decision &decision) -> void;
+    auto fieldsOf(const jobs::decision &decision, core::monotonic_time now) -> std::vector<observe::field>;
     auto stepDown(std::string_view reason) -> void;
 
     pool_owner_environment m_env;
--- a/src/poplarpass/observe/line_writer.cpp
+++ b/src/poplarpass/observe/line_writer.cpp
@@ -4,14 +4,21 @@
 #include <climits>
 #include <poll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace poplarpass::observe
 {
-line_writer::line_writer(int descriptor)
+line_writer::line_writer(int descriptor, deferral_hook defer)
     : m_descriptor{descriptor}
+    , m_defer{std::move(defer)}
 {
 }
 
+line_writer::~line_writer()
+{
+    flush();
+}
+
 auto line_writer::write(std::string_view line) -> void
 {
     if (m_buffer.size() + line.size() > bufferBytes) {
@@ -28,7 +35,14 @@
     }
     m_buffer += line;
     m_buffer += '\n';
-    flush();
+    if (!m_defer || m_buffer.size() >= immediateWriteBytes) {
+        flush();
+    } else if (!std::exchange(m_flushScheduled, true)) {
+        m_defer(m_lifetime.guard([this] {
+            m_flushScheduled = false;
+            flush();
+        }));
+    }
 }
 
 // A pipe that poll() reports as writable accepts PIPE_BUF bytes without blocking, even in blocking mode.
--- a/src/poplarpass/observe/logger.cpp
+++ b/src/poplarpass/observe/logger.cpp
@@ -177,6 +177,19 @@
         }
     }
 
+    auto writeEvent(log_level level, std::string_view name, core::wall_time now, std::span<const field> fields,
+                    std::uint64_t droppedBefore) const -> void
+    {
+        auto line = header(level, name, now);
+        for (const auto &pair : fields) {
+            internal::appendPair(line, pair.key, formatValue(pair.value));
+        }
+        if (droppedBefore > 0) {
+            internal::appendPair(line, "dropped_before", std::to_string(droppedBefore));
+        }
+        write(level, line);
+    }
+
     [[nodiscard]] auto header(log_level level, std::string_view name, core::wall_time now) const -> std::string
     {
         auto line = "time=" + internal::formatTime(now);
@@ -237,18 +250,21 @@
         return;
     }
     const auto now = m_implementation->options.now();
-    const auto droppedBefore = m_implementation->admit(level, name, now);
-    if (!droppedBefore) {
-        return;
+    if (const auto droppedBefore = m_implementation->admit(level, name, now)) {
+        m_implementation->writeEvent(level, name, now, fields, *droppedBefore);
     }
-    auto line = m_implementation->header(level, name, now);
-    for (const auto &pair : fields) {
-        internal::appendPair(line, pair.key, formatValue(pair.value));
+}
+
+auto logger::logWith(log_level level, std::string_view name, const std::function<std::vector<field>()> &makeFields)
+    -> void
+{
+    if (!isEnabled(level)) {
+        return;
     }
-    if (*droppedBefore > 0) {
-        internal::appendPair(line, "dropped_before", std::to_string(*droppedBefore));
+    const auto now = m_implementation->options.now();
+    if (const auto droppedBefore = m_implementation->admit(level, name, now)) {
+        m_implementation->writeEvent(level, name, now, makeFields(), *droppedBefore);
     }
-    m_implementation->write(level, line);
 }
 
 auto logger::setLevel(log_level level) -> void
--- a/src/poplarpass/observe/logger.h
+++ b/src/poplarpass/observe/logger.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 /// Event log, metrics and traces.
 namespace poplarpass::observe
@@ -106,6 +107,10 @@
     /// \brief Same as log(), for fields assembled at run time.
     auto logFields(log_level level, std::string_view name, std::span<const field> fields) -> void;
 
+    /// \brief Same as log(), for fields that are costly to assemble: \p makeFields is called only if the event is
+    /// written.
+    auto logWith(log_level level, std::string_view name, const std::function<std::vector<field>()> &makeFields) -> void;
+
     /// \brief Sets the minimum level that is logged.
     auto setLevel(log_level level) -> void;
 
--- a/tests/io/line_writer_test.cpp
+++ b/tests/io/line_writer_test.cpp
@@ -3,8 +3,11 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <fcntl.h>
+#include <functional>
 #include <string>
 #include <unistd.h>
+#include <vector>
 
 namespace
 {
@@ -65,3 +68,27 @@
     CHECK(text.find("event=log_lines_dropped count=" + std::to_string(writer.droppedCount())) != std::string::npos);
     CHECK(text.ends_with("last\n"));
 }
+
+TEST_CASE("Lines of one period are written together, at the latest when the writer ends", "[observe]")
+{
+    test_pipe pipe;
+    REQUIRE(fcntl(pipe.ends[0], F_SETFL, O_NONBLOCK) == 0);
+    std::vector<std::function<void()>> deferred;
+    {
+        poplarpass::observe::line_writer writer{
+            pipe.ends[1], [&](std::function<void()> flush) { deferred.push_back(std::move(flush)); }};
+        writer.write("one");
+        writer.write("two");
+        REQUIRE(deferred.size() == 1);
+        CHECK(pipe.read().empty());
+        deferred.front()();
+        CHECK(pipe.read() == "one\ntwo\n");
+        writer.write("three");
+        CHECK(deferred.size() == 2);
+        writer.write(std::string(poplarpass::observe::line_writer::immediateWriteBytes, 'x'));
+        CHECK(pipe.read().starts_with("three\nx"));
+        writer.write("last");
+    }
+    CHECK(pipe.read() == "last\n");
+    deferred.back()();
+}
--- a/tests/io/observe_test.cpp
+++ b/tests/io/observe_test.cpp
@@ -115,6 +115,24 @@
     CHECK_FALSE(observe::parseLogLevel("loud"));
 }
 
+TEST_CASE("fields are assembled only for events that are written", "[observe]")
+{
+    captured_log log;
+    int assembled = 0;
+    const auto makeFields = [&] {
+        ++assembled;
+        return std::vector<observe::field>{{"count", assembled}};
+    };
+    log.logger.logWith(observe::log_level::debug, "quiet", makeFields);
+    CHECK(assembled == 0);
+    for (int index = 0; index < 50; ++index) {
+        log.logger.logWith(observe::log_level::info, "often", makeFields);
+    }
+    CHECK(assembled == static_cast<int>(log.lines.size()));
+    CHECK(log.logger.droppedCount() == 50 - log.lines.size());
+    CHECK(log.lines.front().ends_with("event=often count=1"));
+}
+
 TEST_CASE("a warning is logged after any number of info events of the same name", "[observe]")
 {
     captured_log log;
