The ended worker of a host under an order is not polled until its host is back

Cause: a moved host's former worker stays listed until its entry expires.

Change: a leaving worker without placed tasks is not called again after it did not answer; links are found by hash.

Test: worker_links_test.

--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -19,7 +19,7 @@
 auto worker_links::refresh() -> void
 {
     for (const auto &[id, worker] : m_engine.workers().all()) {
-        if (!worker.entry.address.empty() && !m_links[id].busy) {
+        if (!worker.entry.address.empty() && !m_links[id].busy && !isExpectedGone(worker)) {
             renew(id);
         }
     }
@@ -28,6 +28,12 @@
     });
 }
 
+// The worker of a host that was moved or put into maintenance has ended, but stays listed until its entry expires.
+auto worker_links::isExpectedGone(const jobs::worker_slot &worker) -> bool
+{
+    return worker.leaving && !worker.responsive && worker.placed.empty();
+}
+
 auto worker_links::targetOf(const jobs::worker_slot &worker) const -> worker_target
 {
     return {worker.entry.id, worker.entry.address, m_fencingToken};
@@ -84,7 +90,11 @@
         m_links[id].acknowledgedEnd = 0;
         m_engine.onNoReport(id);
         m_hooks.onChange();
-        renewAfter(id, renewalRetryDelay);
+        if (worker != nullptr && isExpectedGone(*worker)) {
+            m_links[id].busy = false;
+        } else {
+            renewAfter(id, renewalRetryDelay);
+        }
         return;
     case renewal_outcome::reported:
         break;
--- a/src/poplarpass/host/worker_links.h
+++ b/src/poplarpass/host/worker_links.h
@@ -7,8 +7,8 @@
 #include <poplarpass/observe/logger.h>
 
 #include <functional>
-#include <map>
 #include <memory>
+#include <unordered_map>
 
 namespace poplarpass::host
 {
@@ -48,6 +48,7 @@
     auto sendStart(const jobs::start_order &order) -> void;
     auto sendStop(const jobs::stop_order &order) -> void;
     auto sendPace(const jobs::pace_order &order) -> void;
+    [[nodiscard]] static auto isExpectedGone(const jobs::worker_slot &worker) -> bool;
     [[nodiscard]] auto targetOf(const jobs::worker_slot &worker) const -> worker_target;
 
     const core::time_source &m_time;
@@ -56,7 +57,7 @@
     observe::logger &m_log;
     std::uint64_t m_fencingToken;
     worker_link_hooks m_hooks;
-    std::map<jobs::worker_id, link> m_links;
+    std::unordered_map<jobs::worker_id, link> m_links;
     core::lifetime m_lifetime;
 };
 } // namespace poplarpass::host
--- /dev/null
+++ b/tests/io/worker_links_test.cpp
@@ -0,0 +1,90 @@
+#include "host_fixture.h"
+
+#include <poplarpass/host/constants.h>
+#include <poplarpass/host/worker_links.h>
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr std::int64_t incarnation = 5;
+const jobs::worker_id workerId{"w1"};
+
+/// \brief Links to one worker that answers its first renewal and no later one.
+struct links_fixture
+{
+    fakes::stepped_time time;
+    core::time_source clock = time.source();
+    poplarpass::observe::logger log{discardingLoggerOptions()};
+    jobs::job_engine engine{nullptr};
+    host::worker_calls calls;
+    std::size_t renewals = 0;
+    std::unique_ptr<host::worker_links> links;
+
+    links_fixture()
+    {
+        calls.renew = [this](const host::renewal_call &, std::function<void(host::renewal_answer)> done) {
+            host::renewal_answer answer;
+            if (++renewals == 1) {
+                answer.outcome = host::renewal_outcome::reported;
+                answer.report.incarnation = incarnation;
+            }
+            time.after(callTime, [done = std::move(done), answer] { done(answer); });
+        };
+        host::worker_link_hooks hooks;
+        hooks.mayOrder = [] {
+            return true;
+        };
+        hooks.onChange = [] {
+        };
+        hooks.whenStored = [](const std::function<void()> &callback) {
+            callback();
+        };
+        hooks.onFenced = [] {
+        };
+        links = std::make_unique<host::worker_links>(clock, calls, engine, log, 1, std::move(hooks));
+        jobs::worker_entry entry;
+        entry.id = workerId;
+        entry.incarnation = incarnation;
+        entry.address = "10.0.0.1:80";
+        engine.updateWorkers(std::vector{entry}, time.now());
+        links->refresh();
+        time.runFor(1s);
+    }
+
+    /// \brief Returns the number of renewals within the next second, in which the list of workers is read again.
+    auto renewalsInNextSecond() -> std::size_t
+    {
+        const auto before = renewals;
+        for (int read = 0; read < 5; ++read) {
+            links->refresh();
+            time.runFor(200ms);
+        }
+        return renewals - before;
+    }
+};
+} // namespace
+
+TEST_CASE("A worker that does not answer is asked again after a delay", "[host][workers]")
+{
+    links_fixture fixture;
+    REQUIRE_FALSE(fixture.engine.workers().find(workerId)->responsive);
+    const auto count = fixture.renewalsInNextSecond();
+    CHECK(count >= 1);
+    CHECK(count <= 1s / host::renewalRetryDelay + 1);
+}
+
+TEST_CASE("The ended worker of a host under an order is not asked again until its host is back", "[host][workers]")
+{
+    links_fixture fixture;
+    fixture.engine.workers().find(workerId)->leaving = true;
+    fixture.time.runFor(host::renewalRetryDelay + 2 * callTime);
+    CHECK(fixture.renewalsInNextSecond() == 0);
+    fixture.engine.workers().find(workerId)->leaving = false;
+    CHECK(fixture.renewalsInNextSecond() >= 1);
+}
