The list of hosts of a large fleet is read less often

Cause: a list of 1,100 hosts in pages takes 11 ms to decode and was read every 0.3 s while hosts moved, that is always.

Change: at least 0.5 ms for each host between two reads; nothing changes up to 600 hosts.

--- a/src/poplarpass/host/capacity_controller.cpp
+++ b/src/poplarpass/host/capacity_controller.cpp
@@ -104,11 +104,18 @@
                               hosts ? "host_service_regained" : "host_service_lost",
                               {{"effect", hosts ? "none" : "no_moves_no_maintenance"}});
             }
-            m_env.time.callAfter(m_planner.isAwaitingHosts() ? hostListBusyPeriod : hostListPeriod,
-                                 m_lifetime.guard([this] { readHosts(); }));
+            m_hostCount = hosts ? hosts->size() : m_hostCount;
+            m_env.time.callAfter(hostListDelay(), m_lifetime.guard([this] { readHosts(); }));
         }));
 }
 
+// A list takes time for each of its hosts, so large fleets are listed less often.
+auto capacity_controller::hostListDelay() const -> core::duration
+{
+    const auto shortest = m_planner.isAwaitingHosts() ? hostListBusyPeriod : hostListPeriod;
+    return std::max(shortest, hostListPeriodPerHost * static_cast<std::int64_t>(m_hostCount));
+}
+
 auto capacity_controller::readWaves() -> void
 {
     for (const auto &[key, value] : m_env.operatorRecords()) {
--- a/src/poplarpass/host/capacity_controller.h
+++ b/src/poplarpass/host/capacity_controller.h
@@ -65,6 +65,7 @@
     };
 
     auto readHosts() -> void;
+    [[nodiscard]] auto hostListDelay() const -> core::duration;
     auto readWaves() -> void;
     auto restoreRecord(const store::stored_record &record) -> void;
     auto recordOrder(const capacity::host_order &order) -> void;
@@ -84,6 +85,7 @@
     std::deque<status_write> m_statusWrites;
     std::uint64_t m_statusSequence = 0;
     bool m_statusAppendInFlight = false;
+    std::size_t m_hostCount = 0; ///< Hosts in the latest list.
     bool m_hostServiceUnavailable = false;
     core::monotonic_time m_lastPlan{};
     core::monotonic_time m_lastLoadLog{};
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -30,6 +30,8 @@
 inline constexpr core::duration hostListPeriod = std::chrono::milliseconds{1000};
 /// \brief The same while hosts are moving to a pool.
 inline constexpr core::duration hostListBusyPeriod = std::chrono::milliseconds{300};
+/// \brief Minimum interval between reads of the list of hosts, for each host in it.
+inline constexpr core::duration hostListPeriodPerHost = std::chrono::microseconds{500};
 /// \brief Interval between announcements of the owner once all hosts have acknowledged one.
 inline constexpr core::duration announcementPeriod = std::chrono::seconds{3};
 /// \brief Interval between announcements while an acknowledgement is missing.
