Idle connections are watched and reused with fewer system calls

Cause: each request set the socket to non-blocking twice, peeked twice and armed a wait for readability: 8 system calls a request, of which one write and one read carry it.

Change: non-blocking once a connection; one peek, at reuse; an idle connection is watched by a pending peek, which needs no system call to arm.

--- a/src/poplarpass/net/client_connection.cpp
+++ b/src/poplarpass/net/client_connection.cpp
@@ -86,6 +86,7 @@
     m_connected = true;
     error_code ignored;
     m_socket.set_option(tcp::no_delay{true}, ignored);
+    m_socket.non_blocking(true, ignored);
     write();
 }
 
@@ -192,14 +193,15 @@
     }
 }
 
-auto client_connection::isReusable() -> bool
+auto client_connection::isReusable() const -> bool
+{
+    return m_connected && m_reusable && m_socket.is_open();
+}
+
+auto client_connection::isQuiet() -> bool
 {
-    if (!m_connected || !m_reusable || !m_socket.is_open()) {
-        return false;
-    }
     char byte = 0;
     error_code problem;
-    m_socket.non_blocking(true, problem);
     m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, problem);
     if (!problem) {
         ++m_counters->extraBytes;
@@ -222,8 +224,10 @@
             self->onWatchEvent(serial);
         }
     });
-    m_socket.async_wait(tcp::socket::wait_read,
-                        [self = shared_from_this(), serial](error_code) { self->onWatchEvent(serial); });
+    // Peeking needs no system call until something arrives, other than waiting for readability.
+    m_socket.async_receive(
+        boost::asio::buffer(&m_peekedByte, 1), tcp::socket::message_peek,
+        [self = shared_from_this(), serial](error_code, std::size_t) { self->onWatchEvent(serial); });
 }
 
 auto client_connection::onWatchEvent(std::uint64_t serial) -> void
@@ -231,7 +235,7 @@
     if (serial != m_serial) {
         return;
     }
-    (void)isReusable();
+    (void)isQuiet();
     const auto hook = std::exchange(m_onUnusable, nullptr);
     close();
     if (hook) {
--- a/src/poplarpass/net/client_connection.h
+++ b/src/poplarpass/net/client_connection.h
@@ -30,8 +30,11 @@
     auto exchange(const boost::asio::ip::tcp::endpoint &endpoint, const http_request &request, std::string requestId,
                   std::function<void(exchange_result)> done) -> void;
 
-    /// \brief Returns whether the connection can carry another request: open, and nothing left to read.
-    [[nodiscard]] auto isReusable() -> bool;
+    /// \brief Returns whether the connection is open and its last response permits another request.
+    [[nodiscard]] auto isReusable() const -> bool;
+
+    /// \brief Returns whether the open connection has nothing to read, neither bytes nor its end.
+    [[nodiscard]] auto isQuiet() -> bool;
 
     /// \brief Returns whether any byte of the current request may have been written.
     [[nodiscard]] auto sent() const -> sent_state;
@@ -73,6 +76,7 @@
     std::function<void(exchange_result)> m_done;
     std::function<void()> m_onUnusable;
     std::string m_requestId;
+    char m_peekedByte = 0; ///< Target of the peek that watches an idle connection.
     std::uint64_t m_serial = 0;
     sent_state m_sent = sent_state::not_sent;
     bool m_connected = false;
--- a/src/poplarpass/net/http_client.cpp
+++ b/src/poplarpass/net/http_client.cpp
@@ -196,7 +196,7 @@
             auto connection = std::move(pool.idle.back());
             pool.idle.pop_back();
             connection->stopWatching();
-            if (connection->isReusable()) {
+            if (connection->isReusable() && connection->isQuiet()) {
                 return connection;
             }
             connection->close();
