Workers are found by hash, kept by pool and by need of care; pools without startable tasks are skipped

Cause: each cycle walked all workers three times for leases and drains, and built the order of a pool's workers also when all its waiting tasks depended on steps still running; each look-up of a worker compared eleven strings.

Change: unresponsive and draining workers are kept in sets of their own; jobs count as candidates only with a task that may start.

--- a/src/poplarpass/capacity/pool_demand.cpp
+++ b/src/poplarpass/capacity/pool_demand.cpp
@@ -62,10 +62,12 @@
 auto demand_meter::measure(jobs::job_engine &engine, core::monotonic_time now) -> std::map<core::pool_id, pool_load>
 {
     std::map<core::pool_id, pool_load> loads;
-    for (const auto &[id, worker] : engine.workers().all()) {
-        if (worker.listed && !worker.entry.draining && !worker.leaving) {
-            loads[worker.entry.pool].capacity += worker.entry.capacity.cpu;
-            loads[worker.entry.pool].placed += worker.used.cpu;
+    for (const auto &[pool, workers] : engine.workers().byPool()) {
+        for (const auto *worker : workers) {
+            if (worker->listed && !worker->entry.draining && !worker->leaving) {
+                loads[pool].capacity += worker->entry.capacity.cpu;
+                loads[pool].placed += worker->used.cpu;
+            }
         }
     }
     for (auto &[pool, arrivals] : m_arrivals) {
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -20,6 +20,30 @@
     multistep_job_record *job = nullptr;
 };
 
+/// \brief Returns whether \p job has a waiting task in a step that may start.
+auto hasStartableTask(const multistep_job_record &job, core::wall_time now) -> bool
+{
+    if (job.waiting == 0) {
+        return false;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+        if (job.spec.repeatCount > 0 && job.dueTime(occurrence) > now) {
+            return false;
+        }
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            if (job.unfinishedOf(occurrence, step) == 0 || !job.areDependenciesDone(occurrence, step)) {
+                continue;
+            }
+            const auto first = job.tasks.begin() + static_cast<std::ptrdiff_t>(job.positionOf(occurrence, step, 0));
+            if (std::any_of(first, first + job.spec.steps[step].taskCount,
+                            [](const task_record &task) { return task.phase == task_phase::waiting; })) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 auto isPlannedLater(const ranked_job &entry, const ranked_job &other) -> bool
 {
     return std::tie(entry.rank, entry.job->id) > std::tie(other.rank, other.job->id);
@@ -99,31 +123,34 @@
 // A draining worker soon ends all its runs, so its long-running tasks are moved to other workers first.
 auto job_engine::evacuateLeaving(core::monotonic_time now) -> void
 {
-    for (const auto &[id, worker] : m_workers.all()) {
-        if (worker.listed && worker.responsive && worker.entry.draining) {
-            evacuate(worker, now);
+    for (const auto *worker : m_workers.draining()) {
+        if (worker->listed && worker->responsive) {
+            evacuate(*worker, now);
         }
     }
 }
 
-// During load spikes most jobs have to wait, so the jobs are taken from a heap until the pool is full. Jobs without
-// waiting tasks are skipped, unless their advice has to be kept up to date.
+// During load spikes most jobs have to wait, so the jobs are taken from a heap until the pool is full. Jobs that cannot
+// start a task are skipped, unless their advice has to be kept up to date.
 auto job_engine::planPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
                           core::wall_time wallTime) -> void
 {
-    internal::placement_candidates workers{eligibleWorkersOf(pool, now)};
-    if (workers.workers().empty()) {
-        return;
-    }
     std::vector<ranked_job> order;
     auto leastCpu = std::numeric_limits<std::int64_t>::max();
     for (const auto &[id, entry] : active) {
         const bool needsAdvice = entry.job->queue.advice.has_value();
-        if (entry.job->waiting > 0 || needsAdvice) {
+        if (needsAdvice || hasStartableTask(*entry.job, wallTime)) {
             order.push_back({rankOf(entry.outlook, wallTime), entry.job});
             leastCpu = std::min(leastCpu, needsAdvice ? 0 : entry.outlook.leastCpu);
         }
     }
+    if (order.empty()) {
+        return;
+    }
+    internal::placement_candidates workers{eligibleWorkersOf(pool, now)};
+    if (workers.workers().empty()) {
+        return;
+    }
     std::ranges::make_heap(order, isPlannedLater);
     while (!order.empty() && workers.mostFreeCpu() >= leastCpu) {
         std::ranges::pop_heap(order, isPlannedLater);
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -49,7 +49,7 @@
     }
     worker->clockMs = report.clockMs;
     worker->clockReadAt = now;
-    worker->responsive = true;
+    m_workers.setResponsive(*worker, true);
     worker->lastResponseAt = now;
     for (const auto &end : report.ended) {
         if (end.number > worker->lastHandledEnd) {
@@ -107,14 +107,14 @@
 auto job_engine::onNoReport(const worker_id &id) -> void
 {
     if (auto *worker = m_workers.find(id)) {
-        worker->responsive = false;
+        m_workers.setResponsive(*worker, false);
     }
 }
 
 auto job_engine::onOtherInstance(const worker_id &id, core::monotonic_time now) -> void
 {
     if (auto *worker = m_workers.find(id)) {
-        worker->responsive = false;
+        m_workers.setResponsive(*worker, false);
         worker->listed = false;
         markAllLost(*worker, "other_instance", now);
     }
@@ -386,9 +386,9 @@
 
 auto job_engine::expireLeases(core::monotonic_time now) -> void
 {
-    for (auto &[id, worker] : m_workers.all()) {
-        if (!worker.placed.empty() && now >= worker.leaseEnd && !worker.responsive) {
-            markAllLost(worker, "lease_lapsed", now);
+    for (const auto &[id, worker] : m_workers.unrenewed()) {
+        if (!worker->placed.empty() && now >= worker->leaseEnd && !worker->responsive) {
+            markAllLost(*worker, "lease_lapsed", now);
         }
     }
 }
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -30,15 +30,15 @@
 
 auto worker_table::update(std::span<const worker_entry> entries, core::monotonic_time now) -> void
 {
-    m_isPoolIndexCurrent = false;
+    m_areIndexesCurrent = false;
     for (auto &[id, worker] : m_workers) {
         worker.listed = false;
     }
     for (const auto &entry : entries) {
-        auto &worker = m_workers[entry.id];
+        auto &worker = findOrCreate(entry.id);
         if (worker.entry.incarnation != 0 && entry.incarnation > worker.entry.incarnation) {
             worker.synced = false;
-            worker.responsive = false;
+            setResponsive(worker, false);
             // The worker's clock was reset, so a lease in terms of the former clock may last up to the maximum that a
             // worker grants.
             worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseSentAt + maxGrantedLease + leaseMargin);
@@ -67,18 +67,49 @@
 
 auto worker_table::find(const worker_id &id) -> worker_slot *
 {
-    const auto found = m_workers.find(id);
-    return found == m_workers.end() ? nullptr : &found->second;
+    const auto found = m_byId.find(id.str());
+    return found == m_byId.end() ? nullptr : found->second;
 }
 
 auto worker_table::findOrAdd(const worker_id &id) -> worker_slot &
 {
-    m_isPoolIndexCurrent = false;
-    auto &worker = m_workers[id];
+    m_areIndexesCurrent = false;
+    auto &worker = findOrCreate(id);
     worker.entry.id = id;
     return worker;
 }
 
+auto worker_table::findOrCreate(const worker_id &id) -> worker_slot &
+{
+    const auto [entry, isNew] = m_workers.try_emplace(id);
+    if (isNew) {
+        m_byId.emplace(entry->first.str(), &entry->second);
+        m_unrenewed.emplace(id, &entry->second);
+    }
+    return entry->second;
+}
+
+auto worker_table::setResponsive(worker_slot &worker, bool responsive) -> void
+{
+    worker.responsive = responsive;
+    if (!responsive) {
+        m_unrenewed.emplace(worker.entry.id, &worker);
+    }
+}
+
+auto worker_table::unrenewed() const -> const std::map<worker_id, worker_slot *> &
+{
+    return m_unrenewed;
+}
+
+auto worker_table::draining() -> std::span<worker_slot *const>
+{
+    if (!m_areIndexesCurrent) {
+        updateIndexes();
+    }
+    return m_draining;
+}
+
 auto worker_table::all() -> std::map<worker_id, worker_slot> &
 {
     return m_workers;
@@ -91,20 +122,29 @@
 
 auto worker_table::ofPool(const core::pool_id &pool) -> std::span<worker_slot *const>
 {
-    if (!m_isPoolIndexCurrent) {
-        indexPools();
-    }
-    const auto found = m_byPool.find(pool);
+    const auto found = byPool().find(pool);
     return found == m_byPool.end() ? std::span<worker_slot *const>{} : std::span<worker_slot *const>{found->second};
 }
 
-auto worker_table::indexPools() -> void
+auto worker_table::byPool() -> const std::map<core::pool_id, std::vector<worker_slot *>> &
+{
+    if (!m_areIndexesCurrent) {
+        updateIndexes();
+    }
+    return m_byPool;
+}
+
+auto worker_table::updateIndexes() -> void
 {
     m_byPool.clear();
+    m_draining.clear();
     for (auto &[id, worker] : m_workers) {
         m_byPool[worker.entry.pool].push_back(&worker);
+        if (worker.listed && worker.entry.draining) {
+            m_draining.push_back(&worker);
+        }
     }
-    m_isPoolIndexCurrent = true;
+    m_areIndexesCurrent = true;
 }
 
 // The worker's clock had reached c by local time t, so it reaches c + d by t + d / minWorkerClockRate.
@@ -143,27 +183,33 @@
 auto worker_table::collectUnrenewedLeases(core::monotonic_time now) -> std::vector<unrenewed_lease>
 {
     std::vector<unrenewed_lease> changed;
-    for (auto &[id, worker] : m_workers) {
-        if (worker.responsive || worker.placed.empty()) {
-            if (worker.recordedRemainder) {
-                changed.push_back({id, worker.entry.incarnation, std::nullopt});
+    for (auto &[id, worker] : m_unrenewed) {
+        if (worker->responsive || worker->placed.empty()) {
+            if (worker->recordedRemainder) {
+                changed.push_back({id, worker->entry.incarnation, std::nullopt});
             }
-            worker.recordedRemainder.reset();
+            worker->recordedRemainder.reset();
             continue;
         }
         const auto remaining =
-            std::chrono::duration_cast<std::chrono::milliseconds>(std::max(worker.leaseEnd - now, core::duration{0}));
-        if (!worker.recordedRemainder || *worker.recordedRemainder - remaining >= leaseRecordStep) {
-            worker.recordedRemainder = remaining;
-            changed.push_back({id, worker.entry.incarnation, remaining});
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::max(worker->leaseEnd - now, core::duration{0}));
+        if (!worker->recordedRemainder || *worker->recordedRemainder - remaining >= leaseRecordStep) {
+            worker->recordedRemainder = remaining;
+            changed.push_back({id, worker->entry.incarnation, remaining});
         }
     }
+    std::erase_if(m_unrenewed, [](const auto &entry) { return entry.second->responsive; });
     return changed;
 }
 
 auto worker_table::removeUnused() -> void
 {
-    m_isPoolIndexCurrent = false;
-    std::erase_if(m_workers, [](const auto &entry) { return !entry.second.listed && entry.second.placed.empty(); });
+    m_areIndexesCurrent = false;
+    const auto isUnused = [](const worker_slot &worker) {
+        return !worker.listed && worker.placed.empty();
+    };
+    std::erase_if(m_unrenewed, [&](const auto &entry) { return isUnused(*entry.second); });
+    std::erase_if(m_byId, [&](const auto &entry) { return isUnused(*entry.second); });
+    std::erase_if(m_workers, [&](const auto &entry) { return isUnused(entry.second); });
 }
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -8,6 +8,8 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace poplarpass::jobs
@@ -65,6 +67,10 @@
 class worker_table
 {
 public:
+    worker_table() = default;
+    worker_table(worker_table &&) = default;
+    auto operator=(worker_table &&) -> worker_table & = default;
+
     /// \brief Applies the complete list of entries; workers not in it are kept while runs are placed there.
     ///
     /// Runs of an earlier incarnation of a worker stay placed until the new incarnation has reported.
@@ -82,10 +88,22 @@
     /// \brief Returns all workers by identifier.
     [[nodiscard]] auto all() const -> const std::map<worker_id, worker_slot> &;
 
+    /// \brief Records whether the last renewal of \p worker was answered.
+    auto setResponsive(worker_slot &worker, bool responsive) -> void;
+
+    /// \brief Returns all workers whose last renewal was not answered, and some others, by identifier.
+    [[nodiscard]] auto unrenewed() const -> const std::map<worker_id, worker_slot *> &;
+
+    /// \brief Returns the listed workers that drain, by identifier; valid until workers are added or removed.
+    [[nodiscard]] auto draining() -> std::span<worker_slot *const>;
+
     /// \brief Returns the workers whose last entry is in \p pool, by identifier; valid until workers are added or
     /// removed.
     [[nodiscard]] auto ofPool(const core::pool_id &pool) -> std::span<worker_slot *const>;
 
+    /// \brief Returns the same for all pools.
+    [[nodiscard]] auto byPool() -> const std::map<core::pool_id, std::vector<worker_slot *>> &;
+
     /// \brief Extends the worker's lease for an order sent at \p now and updates its leaseEnd.
     /// \returns end of the lease on the worker's clock, milliseconds
     auto extendLease(worker_slot &worker, core::monotonic_time now) -> std::int64_t;
@@ -108,10 +126,14 @@
     static auto startIncarnation(worker_slot &worker, std::int64_t incarnation) -> void;
 
 private:
-    auto indexPools() -> void;
+    auto findOrCreate(const worker_id &id) -> worker_slot &;
+    auto updateIndexes() -> void;
 
     std::map<worker_id, worker_slot> m_workers;
+    std::unordered_map<std::string_view, worker_slot *> m_byId; ///< All of m_workers; the keys are stored there.
     std::map<core::pool_id, std::vector<worker_slot *>> m_byPool;
-    bool m_isPoolIndexCurrent = false;
+    std::vector<worker_slot *> m_draining;
+    bool m_areIndexesCurrent = false; ///< Whether m_byPool and m_draining match m_workers.
+    std::map<worker_id, worker_slot *> m_unrenewed; ///< Unresponsive workers, and those whose lease record is obsolete.
 };
 } // namespace poplarpass::jobs
