The list of workers is kept in order and handed out without copies

Cause: each read of the workers' records, up to seven a second, copied all entries of the fleet.

Change: a sorted vector, read as a span.

--- a/src/poplarpass/host/worker_list.cpp
+++ b/src/poplarpass/host/worker_list.cpp
@@ -1,5 +1,6 @@
 #include <poplarpass/host/worker_list.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace poplarpass::host
@@ -42,16 +43,41 @@
 // A worker with an unreadable entry is removed: it must not be used under its previous entry.
 auto worker_list::applyRecord(const store::stored_record &record) -> void
 {
-    m_entries.erase(record.key);
     if (record.value.empty()) {
+        remove(record.key);
         return;
     }
     auto entry = m_decode(record.key, record.value);
     if (entry) {
-        m_entries.emplace(record.key, std::move(*entry));
+        addOrReplace(std::move(*entry));
+        return;
+    }
+    remove(record.key);
+    m_log.log(observe::log_level::warning, "worker_entry_unreadable",
+              {{"worker", record.key}, {"offset", record.offset}, {"detail", entry.error().detail}});
+}
+
+auto worker_list::positionOf(std::string_view id) -> std::vector<jobs::worker_entry>::iterator
+{
+    return std::ranges::lower_bound(m_entries, id, {},
+                                    [](const jobs::worker_entry &entry) { return std::string_view{entry.id.str()}; });
+}
+
+auto worker_list::addOrReplace(jobs::worker_entry entry) -> void
+{
+    const auto position = positionOf(entry.id.str());
+    if (position != m_entries.end() && position->id == entry.id) {
+        *position = std::move(entry);
     } else {
-        m_log.log(observe::log_level::warning, "worker_entry_unreadable",
-                  {{"worker", record.key}, {"offset", record.offset}, {"detail", entry.error().detail}});
+        m_entries.insert(position, std::move(entry));
+    }
+}
+
+auto worker_list::remove(std::string_view id) -> void
+{
+    const auto position = positionOf(id);
+    if (position != m_entries.end() && position->id.str() == id) {
+        m_entries.erase(position);
     }
 }
 
@@ -60,14 +86,9 @@
     return m_loaded;
 }
 
-auto worker_list::entries() const -> std::vector<jobs::worker_entry>
+auto worker_list::entries() const -> std::span<const jobs::worker_entry>
 {
-    std::vector<jobs::worker_entry> all;
-    all.reserve(m_entries.size());
-    for (const auto &[id, entry] : m_entries) {
-        all.push_back(entry);
-    }
-    return all;
+    return m_entries;
 }
 
 auto worker_list::offset() const -> std::uint64_t
--- a/src/poplarpass/host/worker_list.h
+++ b/src/poplarpass/host/worker_list.h
@@ -5,8 +5,8 @@
 #include <poplarpass/jobs/worker_report.h>
 
 #include <functional>
-#include <map>
-#include <string>
+#include <span>
+#include <string_view>
 #include <vector>
 
 namespace poplarpass::host
@@ -26,8 +26,8 @@
     /// \brief Whether the complete list has been read at least once.
     [[nodiscard]] auto isLoaded() const -> bool;
 
-    /// \brief All readable entries.
-    [[nodiscard]] auto entries() const -> std::vector<jobs::worker_entry>;
+    /// \brief All readable entries, by identifier.
+    [[nodiscard]] auto entries() const -> std::span<const jobs::worker_entry>;
 
     /// \brief Offset after the last record that was read.
     [[nodiscard]] auto offset() const -> std::uint64_t;
@@ -35,11 +35,14 @@
 private:
     auto makeHooks(std::function<core::duration()> pause) -> follower_hooks;
     auto applyRecord(const store::stored_record &record) -> void;
+    auto positionOf(std::string_view id) -> std::vector<jobs::worker_entry>::iterator;
+    auto addOrReplace(jobs::worker_entry entry) -> void;
+    auto remove(std::string_view id) -> void;
 
     observe::logger &m_log;
     worker_decoder m_decode;
     std::function<void()> m_onRead;
-    std::map<std::string, jobs::worker_entry> m_entries;
+    std::vector<jobs::worker_entry> m_entries; ///< Sorted by identifier.
     bool m_loaded = false;
     keyed_follower m_follower;
 };
