An owner that is late renews leases less often

Change: three times the lateness of the last cycle is added to the delay, up to 400 ms, so that one report covers more ends.

Test: pool_owner_test, which fails without the change.

--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -12,6 +12,11 @@
 inline constexpr core::duration maxCyclePeriod = std::chrono::milliseconds{100};
 /// \brief Delay between a worker's response and the next lease renewal.
 inline constexpr core::duration renewalDelay = std::chrono::milliseconds{80};
+/// \brief Factor by which the lateness of the owner's decision cycles lengthens that delay: under load one report then
+/// covers more ends.
+inline constexpr int renewalDelayPerLateness = 3;
+/// \brief Maximum of that delay; well below the term of a lease.
+inline constexpr core::duration maxRenewalDelay = std::chrono::milliseconds{400};
 /// \brief Long-poll timeout of a lease renewal: a worker with nothing to report responds after this time.
 inline constexpr std::chrono::milliseconds renewalPollTimeout{1500};
 /// \brief Delay before the lease renewal of a worker that did not respond is retried.
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -51,6 +51,9 @@
     hooks.whenStored = [this](std::function<void()> callback) {
         whenStored(std::move(callback));
     };
+    hooks.renewalDelay = [this] {
+        return std::min(renewalDelay + m_cycleLateness * renewalDelayPerLateness, maxRenewalDelay);
+    };
     hooks.onFenced = [this] {
         stepDown("worker");
     };
@@ -233,6 +236,7 @@
         return;
     }
     const auto now = m_env.time.now();
+    m_cycleLateness = std::max(now - m_cycleDue, core::duration{0});
     m_lastCycleAt = now;
     m_cycleRequested = false;
     if (!m_resigned && m_term.mayOrder(now)) {
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -141,6 +141,7 @@
     bool m_cycleRequested = false;
     std::uint64_t m_cycleSerial = 0;
     core::monotonic_time m_cycleDue{};
+    core::duration m_cycleLateness{0}; ///< How late the last decision cycle began, because the process was busy.
     core::monotonic_time m_lastCycleAt{};
     core::monotonic_time m_startedAt{};
     core::lifetime m_lifetime;
--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -111,7 +111,7 @@
         auto &state = m_links[id];
         state.incarnation = incarnation;
         state.acknowledgedEnd = handled;
-        renewAfter(id, responsiveAgain ? core::duration{0} : renewalDelay);
+        renewAfter(id, responsiveAgain ? core::duration{0} : m_hooks.renewalDelay());
     }));
 }
 
--- a/src/poplarpass/host/worker_links.h
+++ b/src/poplarpass/host/worker_links.h
@@ -18,6 +18,7 @@
     std::function<bool()> mayOrder; ///< Whether orders may be sent now.
     std::function<void()> onChange; ///< The state of workers changed; decisions must be re-evaluated.
     std::function<void(std::function<void()>)> whenStored; ///< Calls back once all state changes so far are stored.
+    std::function<core::duration()> renewalDelay; ///< Delay between a worker's response and its next renewal.
     std::function<void()> onFenced; ///< A worker refused a call: it has received a greater fencing token.
 };
 
--- a/tests/io/pool_owner_test.cpp
+++ b/tests/io/pool_owner_test.cpp
@@ -1,6 +1,7 @@
 #include "host_fixture.h"
 
 #include <poplarpass/host/constants.h>
+#include <poplarpass/jobs/constants.h>
 
 #include <catch2/catch.hpp>
 
@@ -191,6 +192,40 @@
     CHECK(fixture.renewals.back().acknowledgedEnd == 1);
 }
 
+TEST_CASE("An owner whose decisions are late renews leases less often", "[host]")
+{
+    owner_fixture fixture;
+    core::duration lateness{0};
+    fixture.clock.callAfter = [&](core::duration delay, std::function<void()> callback) {
+        fixture.time.after(delay + lateness, std::move(callback));
+    };
+    const auto timeToNextRenewal = [&] {
+        fixture.begin(7);
+        fixture.renewTerm();
+        const auto isRenewed = [&](std::size_t count) {
+            return fixture.time.runUntil([&] { return fixture.renewals.size() >= count; });
+        };
+        // The first renewal after an answer follows at once.
+        REQUIRE(isRenewed(2));
+        fixture.renewTerm();
+        const auto answeredAt = fixture.time.now();
+        fixture.renewalAnswers.back()({host::renewal_outcome::reported, fixture.report});
+        REQUIRE(isRenewed(3));
+        return fixture.time.now() - answeredAt;
+    };
+    SECTION("in time")
+    {
+        CHECK(timeToNextRenewal() < 2 * host::renewalDelay);
+    }
+    SECTION("late")
+    {
+        lateness = std::chrono::milliseconds{150};
+        const auto time = timeToNextRenewal();
+        CHECK(time >= host::maxRenewalDelay + lateness);
+        CHECK(time < poplarpass::jobs::workerLease / 2);
+    }
+}
+
 TEST_CASE("An owner with an expired term refuses requests about unknown jobs and pending counts without side effects",
           "[host]")
 {
--- a/tests/io/worker_links_test.cpp
+++ b/tests/io/worker_links_test.cpp
@@ -45,6 +45,9 @@
         hooks.whenStored = [](const std::function<void()> &callback) {
             callback();
         };
+        hooks.renewalDelay = [] {
+            return host::renewalDelay;
+        };
         hooks.onFenced = [] {
         };
         links = std::make_unique<host::worker_links>(clock, calls, engine, log, 1, std::move(hooks));
