Input of the platform that cannot be read is refused by name, and drops no record silently

Cause: a configuration with a bad limit set the limit to 0, bad advice meant none, numbers over 32 bits wrapped, each 409 to a renewal counted as a fence, and the read of the newest records ended at a page without a readable record or left records out without a line.

Change: such a configuration, wave or report is refused and its error names the field; only the reason fence fences; pages go on after the last key, and left-out keys are logged as stored_record_unreadable.

--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -90,6 +90,8 @@
                       "owner"},
     event_description{"store_lost", "the store does not respond to this host", "topic, effect, version"},
     event_description{"store_regained", "the store responds again", "topic, offset"},
+    event_description{"stored_record_unreadable",
+                      "a newest record of the store could not be decoded and was skipped", "topic, key"},
     event_description{"stray_run", "a worker lists a run that is not current; the run is stopped", decisionFields},
     event_description{"task_evacuated", "a long-running task is moved off a host that is being drained",
                       decisionFields},
--- a/src/poplarpass/host/keyed_follower.cpp
+++ b/src/poplarpass/host/keyed_follower.cpp
@@ -17,6 +17,13 @@
 {
 }
 
+auto logUnreadable(const store::newest_result &newest, std::string_view topic, observe::logger &log) -> void
+{
+    for (const auto &key : newest.unreadableKeys) {
+        log.log(log_level::error, "stored_record_unreadable", {{"topic", topic}, {"key", key}});
+    }
+}
+
 auto keyed_follower::start() -> void
 {
     readNewest();
@@ -35,6 +42,7 @@
         return;
     }
     m_hooks.onRestart();
+    logUnreadable(newest, m_followed.name, m_log);
     for (const auto &record : newest.records) {
         m_hooks.onRecord(record);
     }
--- a/src/poplarpass/host/keyed_follower.h
+++ b/src/poplarpass/host/keyed_follower.h
@@ -65,4 +65,7 @@
     bool m_storeUnavailable = false;
     core::lifetime m_lifetime;
 };
+
+/// \brief Logs the records of \p newest that could not be decoded and were left out.
+auto logUnreadable(const store::newest_result &newest, std::string_view topic, observe::logger &log) -> void;
 } // namespace poplarpass::host
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -123,6 +123,7 @@
         m_env.time.callAfter(storeRetryDelay, m_lifetime.guard([this] { readJobs(); }));
         return;
     }
+    logUnreadable(newest, "jobs", m_env.log);
     const auto now = m_env.time.now();
     const auto formerOrdersUntil = m_formerOwners.empty() ? now : now + owner::orderTerm;
     for (auto &job : restoreJobs(newest, m_env.log)) {
--- a/src/poplarpass/store/record_store.h
+++ b/src/poplarpass/store/record_store.h
@@ -109,6 +109,7 @@
     bool complete = false; ///< Whether all keys were read; if false, the other members are not valid.
     std::uint64_t endOffset = 0; ///< Offset from which to read later changes.
     std::vector<stored_record> records; ///< One record per key.
+    std::vector<std::string> unreadableKeys; ///< Keys of records that could not be decoded and are left out.
 };
 
 /// \brief Asynchronous operations of the store; completions run on the event loop.
--- /dev/null
+++ b/tests/io/store_client_test.cpp
@@ -0,0 +1,78 @@
+#include "io_fixture.h"
+
+#include <platform/store_client.h>
+#include <platform/worker_client.h>
+
+#include <catch2/catch.hpp>
+
+using namespace tests;
+
+namespace
+{
+namespace host = poplarpass::host;
+namespace store = poplarpass::store;
+
+/// \brief A server of the platform whose answers the test sets by path and query.
+class platform_server
+{
+public:
+    explicit platform_server(boost::asio::io_context &loop)
+        : m_server{loop, "127.0.0.1:0", net::server_limits{},
+                   [this](const net::http_request &request, const std::shared_ptr<net::responder> &caller) {
+                       requests.push_back(request.target);
+                       caller->respond(answer(request));
+                   }}
+    {
+    }
+
+    [[nodiscard]] auto address() const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(m_server.port());
+    }
+
+    std::vector<std::string> requests;
+    std::function<net::http_response(const net::http_request &)> answer;
+
+private:
+    net::http_server m_server;
+};
+} // namespace
+
+TEST_CASE_METHOD(io_fixture, "Unreadable records do not end the read of the newest records, and their keys are reported",
+                 "[platform][store]")
+{
+    platform_server server{loop};
+    server.answer = [](const net::http_request &request) {
+        return request.target.find("after=bad") == std::string::npos
+            ? net::makeResponse(
+                200, R"({"items":[{"key":"bad","value":"?","offset":1}],"has_more":true,"end_offset":9})")
+            : net::makeResponse(
+                200, R"({"items":[{"key":"good","value":"eA==","offset":2}],"has_more":false,"end_offset":12})");
+    };
+    const auto calls = platform::makeRecordStore(client, server.address());
+    const auto newest = await<store::newest_result>(
+        [&](auto done) { calls.newest(store::topic::jobs, std::move(done)); });
+    CHECK(newest.complete);
+    CHECK(newest.endOffset == 9);
+    REQUIRE(newest.records.size() == 1);
+    CHECK(newest.records[0].key == "good");
+    CHECK(newest.records[0].value == "x");
+    CHECK(newest.unreadableKeys == std::vector<std::string>{"bad"});
+}
+
+TEST_CASE_METHOD(io_fixture, "Only a conflict about the fencing token fences a renewal", "[platform][workers]")
+{
+    platform_server server{loop};
+    const auto calls = platform::makeWorkerCalls(client);
+    const auto outcomeOf = [&](std::string body) {
+        server.answer = [body = std::move(body)](const net::http_request &) {
+            return net::makeResponse(409, body);
+        };
+        host::renewal_call call;
+        call.target.address = server.address();
+        return await<host::renewal_answer>([&](auto done) { calls.renew(call, std::move(done)); }).outcome;
+    };
+    CHECK(outcomeOf(R"({"clock_ms":1,"reason":"fence"})") == host::renewal_outcome::fenced);
+    CHECK(outcomeOf(R"({"clock_ms":1,"reason":"late"})") == host::renewal_outcome::failed);
+    CHECK(outcomeOf("conflict") == host::renewal_outcome::failed);
+}
--- a/tests/io/users_platform_test.cpp
+++ b/tests/io/users_platform_test.cpp
@@ -79,6 +79,20 @@
     checkCorruptions(configText, [](const std::string &text) { (void)platform::decodeConfig(text); });
 }
 
+TEST_CASE("A configuration with an invalid limit, advice or number is refused, and the error names it", "[platform]")
+{
+    const auto problemWith = [](std::string_view part, std::string_view replacement) {
+        auto text = configText;
+        text.replace(text.find(part), part.size(), replacement);
+        const auto config = platform::decodeConfig(text);
+        return config ? std::string{} : config.error().detail;
+    };
+    CHECK(problemWith(R"("max_body_bytes":1000)", R"("max_body_bytes":"many")") == "config: max_body_bytes");
+    CHECK(problemWith(R"("decide_ms":5)", R"("decide_ms":"soon")") == "config: advice");
+    CHECK(problemWith(R"("priority":1)", R"("priority":4294967296)") == "config: priority");
+    CHECK(problemWith(R"("max_attempts":2)", R"("max_attempts":4294967298)") == "config: max_attempts");
+}
+
 TEST_CASE("A worker entry is decoded, and the error for a malformed one names the invalid field", "[platform]")
 {
     const auto entry = platform::decodeWorkerEntry("i-1", entryText);
@@ -135,6 +149,7 @@
     CHECK_FALSE(platform::decodeReport(R"({"clock_ms":1,"running":[["t",1]],"ended":[]})"));
     CHECK_FALSE(platform::decodeReport(R"({"clock_ms":1,"running":[],"ended":[[1,"t",1,"odd",""]]})"));
     CHECK_FALSE(platform::decodeReport(R"({"running":[],"ended":[]})"));
+    CHECK_FALSE(platform::decodeReport(R"({"clock_ms":1,"running":[["t",4294967298,"",41]],"ended":[]})"));
     checkCorruptions(reportText, [](const std::string &text) { (void)platform::decodeReport(text); });
 }
 
@@ -158,6 +173,7 @@
     CHECK(wave->duration == std::chrono::seconds{20});
     CHECK(wave->cap == 2);
     CHECK_FALSE(platform::decodeWave(R"({"wave":3,"machines":[1],"duration_s":20,"cap":2})"));
+    CHECK_FALSE(platform::decodeWave(R"({"wave":3,"machines":["m-1"],"duration_s":20,"cap":4294967298})"));
     CHECK(platform::encodeWaveStatus(true) == R"({"state":"completed"})");
 }
 
