--- a/tests/decisions/fleet_sim.cpp
+++ b/tests/decisions/fleet_sim.cpp
@@ -376,17 +376,6 @@
         const bool alive = node.process && node.incarnation == state.incarnation;
         if (alive && state.answers == 0 && m_now - state.requestedAt > answerBound
             && node.frozenUntil + answerBound < m_now) {
-            auto *record = node.process->jobs.find(*request::packKey(core::job_key{state.key}));
-            if (std::getenv("DBG")) {
-                printf("state %d pending %d target %s.%lu retry %d deadline %ld waiters %zu\n",
-                       record ? (int)record->state : -1, record && record->inFlight,
-                       record && record->inFlight ? record->inFlight->target.member.str().c_str() : "",
-                       record && record->inFlight ? record->inFlight->target.incarnation : 0,
-                       record && record->inFlight ? record->inFlight->retry : 0,
-                       record && record->inFlight ? record->inFlight->stepDeadline.time_since_epoch().count() / 1000
-                                                  : 0,
-                       record && record->inFlight ? record->inFlight->waiters.size() : 0);
-            }
             reportViolation(state.key, "waiter " + std::to_string(id) + " was never answered");
         }
     }
