A step of the time of day changes neither callers' times nor the order of jobs

Cause: times of acceptance, due times, ranks and the ages of recorded host orders were read from the time of day. On a host whose clock jumped ahead every job looked late and a scheduled one due.

Change: wall_clock_filter keeps the wall time on the steady clock across a step and accepts it after a minute; the step is logged as clock_stepped and clock_regular.

--- a/src/poplarpass/core.h
+++ b/src/poplarpass/core.h
@@ -8,3 +8,4 @@
 #include <poplarpass/core/rendezvous.h>
 #include <poplarpass/core/string_id.h>
 #include <poplarpass/core/time.h>
+#include <poplarpass/core/wall_clock_filter.h>
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/app/clock.h>
 #include <poplarpass/app/ticker.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/host_peers.h>
@@ -51,7 +52,7 @@
     , m_settingsPath{std::move(settingsPath)}
     , m_access{std::move(access)}
     , m_loop{1}
-    , m_time{app::makeTimeSource(m_loop)}
+    , m_time{makeTimeSource()}
     , m_log{loggerOptions(m_settings, m_time)}
     , m_platformHttp{m_loop, clientLimits(connectionsToStore)}
     , m_workerHttp{m_loop, clientLimits(connectionsPerWorker)}
@@ -68,6 +69,16 @@
 
 host_process::~host_process() = default;
 
+// Callers' times and those of other hosts are compared with this clock, so a step of the time of day must not reach it.
+auto host_process::makeTimeSource() -> core::time_source
+{
+    auto time = app::makeTimeSource(m_loop);
+    time.wallNow = [this] {
+        return m_wallClock.update(app::monotonicNow(), app::wallNow());
+    };
+    return time;
+}
+
 auto host_process::run() -> void
 {
     m_log.log(log_level::info, "start", {{"zone", m_settings.zone}, {"peers", m_settings.peers}});
@@ -145,9 +156,24 @@
     if (!error && modifiedAt != std::exchange(m_settingsModifiedAt, modifiedAt)) {
         reload();
     }
+    checkClock();
     m_time.callAfter(settingsPollPeriod, [this] { pollSettings(); });
 }
 
+auto host_process::checkClock() -> void
+{
+    (void)m_time.wallNow();
+    const auto step = m_wallClock.step();
+    const bool isStepped = step != core::duration{0};
+    if (isStepped != m_isClockStepped) {
+        m_isClockStepped = isStepped;
+        m_log.log(m_isClockStepped ? log_level::warning : log_level::info,
+                  m_isClockStepped ? "clock_stepped" : "clock_regular",
+                  {{"ms", std::chrono::duration_cast<std::chrono::milliseconds>(step).count()},
+                   {"effect", m_isClockStepped ? "ignored_for_a_minute" : "none"}});
+    }
+}
+
 auto host_process::reload() -> void
 {
     auto loaded = settings::loadHostSettings(m_settingsPath);
--- a/src/poplarpass/host/host_process.h
+++ b/src/poplarpass/host/host_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <poplarpass/core/time_source.h>
+#include <poplarpass/core/wall_clock_filter.h>
 #include <poplarpass/host/call_metrics.h>
 #include <poplarpass/host/host_core.h>
 #include <poplarpass/host/request_server.h>
@@ -54,12 +55,15 @@
     auto beginShutdown() -> void;
     auto finishShutdown() -> void;
     auto pollSettings() -> void;
+    auto checkClock() -> void;
+    auto makeTimeSource() -> core::time_source;
     auto reload() -> void;
 
     settings::host_settings m_settings;
     std::string m_settingsPath;
     platform_access m_access;
     boost::asio::io_context m_loop;
+    core::wall_clock_filter m_wallClock;
     core::time_source m_time;
     observe::logger m_log;
     observe::metrics_registry m_metrics;
@@ -79,5 +83,6 @@
     boost::asio::signal_set m_signals;
     std::filesystem::file_time_type m_settingsModifiedAt;
     bool m_stopping = false;
+    bool m_isClockStepped = false;
 };
 } // namespace poplarpass::host
