Renewals go over connections of their own

Cause: a worker's renewals shared 12 connections with its orders; ten orders that it leaves unanswered hold theirs for 0.9 s each, and the renewal behind them comes late, so that the worker counts as silent and its runs may lapse.

Change: two connections for renewals, ten for orders. Test: store_client_test, which fails with one client for both.

--- a/bench/owner_world.h
+++ b/bench/owner_world.h
@@ -2,11 +2,10 @@
 
 #include <poplarpass/host/pool_owner.h>
 
-#include <fakes/stepped_time.h>
-
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <fakes/stepped_time.h>
 #include <map>
 #include <memory>
 #include <string>
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -20,7 +20,9 @@
 constexpr std::uint32_t eventsPerSecond = 400;
 // Delay before log lines are written, so that the lines of several decisions share one system call.
 constexpr core::duration logWriteDelay = std::chrono::milliseconds{20};
-constexpr std::size_t connectionsPerWorker = 12;
+// Orders that a worker leaves unanswered must not delay the renewal of its lease.
+constexpr std::size_t renewalConnectionsPerWorker = 2;
+constexpr std::size_t orderConnectionsPerWorker = 10;
 constexpr std::size_t connectionsToStore = 16;
 
 auto loggerOptions(const settings::host_settings &settings, const core::time_source &time) -> observe::logger_options
@@ -32,8 +34,10 @@
     const auto defer = [&time](std::function<void()> flush) {
         time.callAfter(logWriteDelay, std::move(flush));
     };
-    options.sink = [writer = std::make_shared<observe::line_writer>(STDOUT_FILENO, defer)](
-                       log_level, std::string_view line) { writer->write(line); };
+    options.sink = [writer = std::make_shared<observe::line_writer>(STDOUT_FILENO, defer)](log_level,
+                                                                                           std::string_view line) {
+        writer->write(line);
+    };
     return options;
 }
 
@@ -55,11 +59,12 @@
     , m_time{makeTimeSource()}
     , m_log{loggerOptions(m_settings, m_time)}
     , m_platformHttp{m_loop, clientLimits(connectionsToStore)}
-    , m_workerHttp{m_loop, clientLimits(connectionsPerWorker)}
+    , m_renewalHttp{m_loop, clientLimits(renewalConnectionsPerWorker)}
+    , m_orderHttp{m_loop, clientLimits(orderConnectionsPerWorker)}
     , m_peerHttp{m_loop, clientLimits(connectionsToStore)}
     , m_callMetrics{m_time, m_metrics}
     , m_store{withCallMetrics(m_access.makeStore(m_platformHttp, m_settings.store), m_callMetrics)}
-    , m_workers{withCallMetrics(m_access.makeWorkers(m_workerHttp), m_callMetrics)}
+    , m_workers{withCallMetrics(m_access.makeWorkers(m_renewalHttp, m_orderHttp), m_callMetrics)}
     , m_hosts{withCallMetrics(m_access.makeHosts(m_platformHttp, m_settings.hostService), m_callMetrics)}
     , m_advice{withCallMetrics(m_access.makeAdvice(m_platformHttp, m_settings.advice), m_callMetrics)}
     , m_peers{makePeerCalls(m_peerHttp)}
--- a/src/poplarpass/host/host_process.h
+++ b/src/poplarpass/host/host_process.h
@@ -26,7 +26,8 @@
 {
     std::function<store::record_store(net::http_client &, std::string)>
         makeStore; ///< Makes the store client for an address.
-    std::function<worker_calls(net::http_client &)> makeWorkers; ///< Makes the calls of workers.
+    std::function<worker_calls(net::http_client &, net::http_client &)>
+        makeWorkers; ///< Makes the calls of workers: renewals over the first client, orders over the second.
     std::function<advice_calls(net::http_client &, std::string)>
         makeAdvice; ///< Makes the calls of the placement advice service at an address.
     std::function<host_calls(net::http_client &, std::string)>
@@ -68,7 +69,8 @@
     observe::logger m_log;
     observe::metrics_registry m_metrics;
     net::http_client m_platformHttp;
-    net::http_client m_workerHttp;
+    net::http_client m_renewalHttp;
+    net::http_client m_orderHttp;
     net::http_client m_peerHttp;
     call_metrics_context m_callMetrics;
     store::record_store m_store;
--- a/src/poplarpass/jobs/placement_candidates.cpp
+++ b/src/poplarpass/jobs/placement_candidates.cpp
@@ -42,8 +42,7 @@
         const bool fits = worker.free().holds(m_need);
         const bool labelled = m_spec.requirement.empty() || worker.hasLabel(m_spec.requirement);
         return fits && labelled
-            && (m_spec.antiAffinity == 0
-                || tasksOfStepOn(m_job, m_occurrence, m_step, worker) < m_spec.antiAffinity);
+            && (m_spec.antiAffinity == 0 || tasksOfStepOn(m_job, m_occurrence, m_step, worker) < m_spec.antiAffinity);
     }
 
     /// \brief Returns how well \p worker suits the step apart from its resources; higher is better.
@@ -133,8 +132,8 @@
 
 auto placement_candidates::updateUsage(const worker_slot &worker) -> void
 {
-    const auto found = std::ranges::find_if(
-        m_byFreeCpu, [&](const candidate &entry) { return m_workers[entry.position] == &worker; });
+    const auto found =
+        std::ranges::find_if(m_byFreeCpu, [&](const candidate &entry) { return m_workers[entry.position] == &worker; });
     assert(found != m_byFreeCpu.end());
     const candidate updated{worker.free().cpu, found->position};
     m_byFreeCpu.erase(found);
--- a/tests/io/line_writer_test.cpp
+++ b/tests/io/line_writer_test.cpp
@@ -75,8 +75,9 @@
     REQUIRE(fcntl(pipe.ends[0], F_SETFL, O_NONBLOCK) == 0);
     std::vector<std::function<void()>> deferred;
     {
-        poplarpass::observe::line_writer writer{
-            pipe.ends[1], [&](std::function<void()> flush) { deferred.push_back(std::move(flush)); }};
+        poplarpass::observe::line_writer writer{pipe.ends[1], [&](std::function<void()> flush) {
+                                                    deferred.push_back(std::move(flush));
+                                                }};
         writer.write("one");
         writer.write("two");
         REQUIRE(deferred.size() == 1);
--- a/tests/io/store_client_test.cpp
+++ b/tests/io/store_client_test.cpp
@@ -1,10 +1,10 @@
 #include "io_fixture.h"
 
+#include <catch2/catch.hpp>
+
 #include <platform/store_client.h>
 #include <platform/worker_client.h>
 
-#include <catch2/catch.hpp>
-
 using namespace tests;
 
 namespace
@@ -38,20 +38,21 @@
 };
 } // namespace
 
-TEST_CASE_METHOD(io_fixture, "Unreadable records do not end the read of the newest records, and their keys are reported",
+TEST_CASE_METHOD(io_fixture,
+                 "Unreadable records do not end the read of the newest records, and their keys are reported",
                  "[platform][store]")
 {
     platform_server server{loop};
     server.answer = [](const net::http_request &request) {
         return request.target.find("after=bad") == std::string::npos
-            ? net::makeResponse(
-                200, R"({"items":[{"key":"bad","value":"?","offset":1}],"has_more":true,"end_offset":9})")
+            ? net::makeResponse(200,
+                                R"({"items":[{"key":"bad","value":"?","offset":1}],"has_more":true,"end_offset":9})")
             : net::makeResponse(
                 200, R"({"items":[{"key":"good","value":"eA==","offset":2}],"has_more":false,"end_offset":12})");
     };
     const auto calls = platform::makeRecordStore(client, server.address());
-    const auto newest = await<store::newest_result>(
-        [&](auto done) { calls.newest(store::topic::jobs, std::move(done)); });
+    const auto newest =
+        await<store::newest_result>([&](auto done) { calls.newest(store::topic::jobs, std::move(done)); });
     CHECK(newest.complete);
     CHECK(newest.endOffset == 9);
     REQUIRE(newest.records.size() == 1);
@@ -63,7 +64,7 @@
 TEST_CASE_METHOD(io_fixture, "Only a conflict about the fencing token fences a renewal", "[platform][workers]")
 {
     platform_server server{loop};
-    const auto calls = platform::makeWorkerCalls(client);
+    const auto calls = platform::makeWorkerCalls(client, client);
     const auto outcomeOf = [&](std::string body) {
         server.answer = [body = std::move(body)](const net::http_request &) {
             return net::makeResponse(409, body);
@@ -76,3 +77,32 @@
     CHECK(outcomeOf(R"({"clock_ms":1,"reason":"late"})") == host::renewal_outcome::failed);
     CHECK(outcomeOf("conflict") == host::renewal_outcome::failed);
 }
+
+TEST_CASE_METHOD(io_fixture, "Orders that a worker leaves unanswered do not delay the renewal of its lease",
+                 "[platform][workers]")
+{
+    std::vector<std::shared_ptr<net::responder>> unanswered;
+    net::http_server server{loop, "127.0.0.1:0", net::server_limits{},
+                            [&](const net::http_request &request, const std::shared_ptr<net::responder> &caller) {
+                                if (request.target == "/api/hold") {
+                                    caller->respond(
+                                        net::makeResponse(200, R"({"clock_ms":1,"running":[],"ended":[]})"));
+                                } else {
+                                    unanswered.push_back(caller);
+                                }
+                            }};
+    net::client_limits limits;
+    limits.connectionsPerEndpoint = 2;
+    net::http_client renewals{loop, limits};
+    net::http_client orders{loop, limits};
+    const auto calls = platform::makeWorkerCalls(renewals, orders);
+    host::renewal_call call;
+    call.target.address = "127.0.0.1:" + std::to_string(server.port());
+    for (int order = 0; order < 5; ++order) {
+        calls.start(call.target, {}, 0, [](poplarpass::jobs::run_start_answer) {});
+    }
+    runUntil([&] { return unanswered.size() == limits.connectionsPerEndpoint; });
+    const auto answer = await<host::renewal_answer>([&](auto done) { calls.renew(call, std::move(done)); });
+    CHECK(answer.outcome == host::renewal_outcome::reported);
+    CHECK(unanswered.size() == limits.connectionsPerEndpoint);
+}
