--- a/bench/owner_world.cpp
+++ b/bench/owner_world.cpp
@@ -143,7 +143,8 @@
     };
     made.newest = [this](store::topic topic, std::function<void(store::newest_result)> done) {
         const standin_scope scope{*this};
-        store::newest_result newest{true, 0, {}};
+        store::newest_result newest;
+        newest.complete = true;
         if (topic == store::topic::worker_records) {
             for (const auto &id : m_workerIds) {
                 newest.records.push_back({newest.records.size(), id, "entry"});
--- a/src/poplarpass/jobs/job_order.h
+++ b/src/poplarpass/jobs/job_order.h
@@ -25,8 +25,8 @@
     core::wall_time acceptedAt{}; ///< When it was first received.
     core::wall_time objective{}; ///< Time by which it has to complete to meet its objective.
     std::chrono::milliseconds remainingChain{0}; ///< Critical path through the steps with unfinished tasks.
-    std::int64_t remainingWork = 0; ///< Processor time of the unfinished tasks, thousandths of a core times ms.
-    std::int64_t leastCpu = 0; ///< Least processor time that an unfinished task reserves.
+    std::int64_t remainingWork = 0; ///< Estimated processor time of the unfinished tasks, microseconds.
+    std::int64_t leastCpu = 0; ///< No task reserves less processor time, thousandths of a core.
 };
 
 /// \brief Returns the outlook of \p job.
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -91,7 +91,8 @@
     /// \brief Records whether the last renewal of \p worker was answered.
     auto setResponsive(worker_slot &worker, bool responsive) -> void;
 
-    /// \brief Returns all workers whose last renewal was not answered, and some others, by identifier.
+    /// \brief Returns by identifier the workers whose last renewal was not answered, and those that have answered again
+    /// since the last collectUnrenewedLeases().
     [[nodiscard]] auto unrenewed() const -> const std::map<worker_id, worker_slot *> &;
 
     /// \brief Returns the listed workers that drain, by identifier; valid until workers are added or removed.
--- a/src/poplarpass/net/client_connection.cpp
+++ b/src/poplarpass/net/client_connection.cpp
@@ -224,7 +224,7 @@
             self->onWatchEvent(serial);
         }
     });
-    // Peeking needs no system call until something arrives, other than waiting for readability.
+    // Unlike a wait for readability, a pending peek is armed without a system call.
     m_socket.async_receive(
         boost::asio::buffer(&m_peekedByte, 1), tcp::socket::message_peek,
         [self = shared_from_this(), serial](error_code, std::size_t) { self->onWatchEvent(serial); });
--- a/tests/decisions/wall_clock_filter_test.cpp
+++ b/tests/decisions/wall_clock_filter_test.cpp
@@ -40,7 +40,7 @@
 TEST_CASE("Small deviations of the time of day are followed", "[core][clock]")
 {
     core::wall_clock_filter filter;
-    for (int reading = 0; reading < 100; ++reading) {
+    for (std::int64_t reading = 0; reading < 100; ++reading) {
         const auto time = wallAt(reading * 1000) + reading * core::minClockStep / 2;
         CHECK(filter.update(at(reading * 1000), time) == time);
     }
