--- a/tests/test_main.cpp
+++ b/tests/test_main.cpp
@@ -7,6 +7,7 @@
 
 auto main(int argc, char *argv[]) -> int
 {
-    std::cout << "seed=" << tests::baseSeed() << '\n';
+    // Not to the standard output, which test discovery reads as the list of test names.
+    std::cerr << "seed=" << tests::baseSeed() << '\n';
     return Catch::Session().run(argc, argv);
 }
