Shared types of client accounts: limits, key digests, account of a job

Cause: the components of docs/ACCOUNTS.md are built side by side and need the same types. Change: jobs::account_limits, accounts::account and key_digest; routes and configurations can hold accounts; a job records its account, also in its stored specification, where jobs without an account are encoded as before. Result: compiles; nothing sets an account yet.

--- /dev/null
+++ b/src/poplarpass/accounts.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// \file
+/// \brief Client accounts and the authentication of their requests.
+
+#include <poplarpass/accounts/account.h>
+#include <poplarpass/accounts/key_digest.h>
--- a/src/poplarpass/codec/job_codec.cpp
+++ b/src/poplarpass/codec/job_codec.cpp
@@ -91,13 +91,16 @@
     for (const auto &step : job.spec.steps) {
         steps.push_back(encodeStep(step));
     }
-    const json out{{"queue", encodeQueue(job.queue)},
-                   {"payload", json::binary({job.spec.payload.begin(), job.spec.payload.end()})},
-                   {"steps", std::move(steps)},
-                   {"repeat", job.spec.repeatCount},
-                   {"first_ms", core::toUnixMilliseconds(job.spec.firstDue)},
-                   {"interval_ms", job.spec.interval.count()},
-                   {"accepted_us", job.acceptedAt.time_since_epoch().count()}};
+    json out{{"queue", encodeQueue(job.queue)},
+             {"payload", json::binary({job.spec.payload.begin(), job.spec.payload.end()})},
+             {"steps", std::move(steps)},
+             {"repeat", job.spec.repeatCount},
+             {"first_ms", core::toUnixMilliseconds(job.spec.firstDue)},
+             {"interval_ms", job.spec.interval.count()},
+             {"accepted_us", job.acceptedAt.time_since_epoch().count()}};
+    if (!job.account.empty()) {
+        out["account"] = job.account.str();
+    }
     const auto bytes = json::to_cbor(out);
     return {bytes.begin(), bytes.end()};
 }
@@ -119,7 +122,9 @@
             return core::failure(core::error_kind::malformed_message, "job record with invalid steps");
         }
         const core::wall_time accepted{core::duration{in.at("accepted_us").get<std::int64_t>()}};
-        return jobs::makeJob(id, decodeQueue(in.at("queue")), std::move(spec), accepted);
+        auto job = jobs::makeJob(id, decodeQueue(in.at("queue")), std::move(spec), accepted);
+        job.account = jobs::account_id{in.value("account", std::string{})};
+        return job;
     } catch (const json::exception &problem) {
         return core::failure(core::error_kind::malformed_message, problem.what());
     }
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -70,13 +70,14 @@
     }
 }
 
-auto job_engine::submit(const job_id &id, const queue_policy &queue, multistep_job_spec spec, core::wall_time received)
-    -> submit_outcome
+auto job_engine::submit(const job_id &id, const queue_policy &queue, multistep_job_spec spec, core::wall_time received,
+                        const account_id &account) -> submit_outcome
 {
     if (m_jobs.contains(id.str())) {
         return submit_outcome::known;
     }
     auto &job = m_jobs[id.str()] = makeJob(id, queue, std::move(spec), received);
+    job.account = account;
     m_taskCount += job.tasks.size();
     addActiveJob(job);
     ++m_counters.jobsAccepted;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -78,9 +78,10 @@
     auto restore(multistep_job_record job, core::monotonic_time now, core::monotonic_time ordersUntil) -> void;
 
     /// \brief Adds a job that a caller submitted.
+    /// \param account client account of the caller; empty for an anonymous caller
     /// \pre isValidSpec(spec)
-    auto submit(const job_id &id, const queue_policy &queue, multistep_job_spec spec, core::wall_time received)
-        -> submit_outcome;
+    auto submit(const job_id &id, const queue_policy &queue, multistep_job_spec spec, core::wall_time received,
+                const account_id &account = {}) -> submit_outcome;
 
     /// \brief Cancels a job at its caller's request.
     auto cancel(const job_id &id, core::monotonic_time now) -> job_cancel_outcome;
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <poplarpass/jobs/account_limits.h>
 #include <poplarpass/jobs/job_spec.h>
 
 #include <cstddef>
@@ -67,6 +68,7 @@
     job_id id;
     queue_policy queue; ///< Rules of its queue, as in effect when the job was accepted.
     multistep_job_spec spec; ///< Submitted specification.
+    account_id account; ///< Client account that submitted it; empty for an anonymous caller.
     multistep_job_phase phase = multistep_job_phase::active; ///< Phase of the job.
     core::wall_time acceptedAt{}; ///< When it was first received.
     std::vector<task_record> tasks; ///< By occurrence, then step, then index.
--- a/src/poplarpass/route/route_table.h
+++ b/src/poplarpass/route/route_table.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <poplarpass/accounts/account.h>
 #include <poplarpass/jobs/job_spec.h>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +20,7 @@
     std::string pathPrefix; ///< Path prefix.
     std::chrono::milliseconds timeout{0}; ///< Time limit for an answer.
     jobs::queue_policy queue; ///< Target queue.
+    bool allowsAnonymous = false; ///< Whether requests need no key where accounts are enabled.
 
     auto operator==(const route &) const -> bool = default;
 };
@@ -38,6 +41,7 @@
     std::uint64_t version = 0; ///< Version; increases with each configuration.
     std::vector<route> routes;
     std::vector<pool_config> pools;
+    std::optional<std::vector<accounts::account>> accounts; ///< Client accounts; nothing when accounts are disabled.
     std::uint64_t maxBodyBytes = 262144; ///< Maximum size of a request body.
 };
 
