Usage of client accounts, kept in step with the placed runs

Cause: caps and fair shares need the resources that the runs of each account reserve, at every start. Change: jobs::account_usage counts them per account and per account and pool; the engine updates it wherever it changes worker_slot::placed. Jobs without an account count under the empty account.

--- a/src/poplarpass/jobs.h
+++ b/src/poplarpass/jobs.h
@@ -4,6 +4,7 @@
 /// \brief Jobs made of steps of tasks, and the scheduling of their tasks on workers.
 
 #include <poplarpass/jobs/account_limits.h>
+#include <poplarpass/jobs/account_usage.h>
 #include <poplarpass/jobs/constants.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/jobs/job_order.h>
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -1,6 +1,5 @@
 #include <poplarpass/jobs/constants.h>
 #include <poplarpass/jobs/job_engine.h>
-#include <poplarpass/jobs/task_placement.h>
 
 #include <algorithm>
 #include <cassert>
@@ -52,8 +51,7 @@
         auto &worker = m_workers.findOrAdd(state.worker);
         worker.entry.incarnation = std::max(worker.entry.incarnation, state.workerIncarnation);
         worker.leaseEnd = std::max(worker.leaseEnd, ordersUntil + maxRealLease + leaseMargin);
-        worker.placed.insert(task);
-        internal::addUsage(worker, restored.spec.steps[task.step]);
+        addPlacement(task, restored, worker);
         state.acknowledged = true;
         state.acknowledgedAt = now;
         // A stop by the former owner counts as confirmed only if the worker no longer lists the run.
@@ -258,8 +256,7 @@
     state.ready = false;
     state.percent = 0;
     state.pace = 100;
-    worker.placed.insert(task);
-    internal::addUsage(worker, job.spec.steps[task.step]);
+    addPlacement(task, job, worker);
     ++m_counters.starts;
     markChanged(job);
     orderStart(job, task, state);
@@ -275,14 +272,6 @@
         {state.worker, task, state.run, job.spec.payload, state.checkpoint, std::move(ticket), state.startAttempts});
 }
 
-auto job_engine::removePlacement(const task_ref &task, const multistep_job_record &job, task_record &state) -> void
-{
-    auto *worker = m_workers.find(state.worker);
-    if (worker != nullptr && worker->placed.erase(task) > 0) {
-        internal::removeUsage(*worker, job.spec.steps[task.step]);
-    }
-}
-
 auto job_engine::resetToWaiting(const task_ref &task, multistep_job_record &job, task_record &state,
                                 core::monotonic_time notBefore) -> void
 {
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <poplarpass/jobs/account_usage.h>
 #include <poplarpass/jobs/advice_cache.h>
 #include <poplarpass/jobs/job_order.h>
 #include <poplarpass/jobs/job_state.h>
@@ -152,6 +153,9 @@
     /// \brief Returns the number of tasks in memory, over all jobs.
     [[nodiscard]] auto taskCount() const -> std::size_t;
 
+    /// \brief Returns the resources that placed runs reserve, by account.
+    [[nodiscard]] auto accountUsage() const -> const account_usage &;
+
     /// \brief Returns the counts since construction.
     [[nodiscard]] auto counters() const -> const engine_counters &;
 
@@ -184,7 +188,8 @@
                core::monotonic_time now) -> void;
     /// \brief Adds an order to start the task's current run, for the first time or again.
     auto orderStart(const multistep_job_record &job, const task_ref &task, task_record &state) -> void;
-    auto removePlacement(const task_ref &task, const multistep_job_record &job, task_record &state) -> void;
+    auto addPlacement(const task_ref &task, const multistep_job_record &job, worker_slot &worker) -> void;
+    auto removePlacement(const task_ref &task, const multistep_job_record &job, const task_record &state) -> void;
     auto resetToWaiting(const task_ref &task, multistep_job_record &job, task_record &state,
                         core::monotonic_time notBefore) -> void;
     auto orderStop(const worker_id &worker, const std::string &task, std::uint32_t run) -> void;
@@ -249,6 +254,7 @@
     std::map<core::pool_id, active_jobs> m_activeJobs;
     std::set<std::pair<worker_id, task_ref>> m_closing; ///< Tasks in phase closing.
     worker_table m_workers;
+    account_usage m_accountUsage; ///< Of the runs placed on any worker of m_workers.
     std::set<job_id> m_changed;
     order_batch m_orders;
     advice_cache m_advice;
--- a/tests/decisions/jobs_sim_world.cpp
+++ b/tests/decisions/jobs_sim_world.cpp
@@ -1,6 +1,9 @@
 #include "jobs_sim_world.h"
 
+#include "account_usage_check.h"
+
 #include <algorithm>
+#include <array>
 
 namespace tests::jobs_sim
 {
@@ -11,6 +14,8 @@
 constexpr double workerClockRate = 0.985;
 constexpr std::int64_t ordersTermMs = 4500;
 constexpr std::int64_t takeoverMs = 1800;
+/// Accounts that submit jobs in turn; the empty one stands for anonymous callers.
+constexpr std::array<const char *, 3> accountNames{"", "small", "large"};
 
 auto stepKey(const std::string &job, std::uint32_t step) -> std::string
 {
@@ -90,8 +95,9 @@
     second.after = {0};
     const auto spec = jobOf({step(1 + static_cast<std::uint32_t>(m_random() % 4), 2000, 600), second});
     const jobs::job_id id{"job" + std::to_string(m_specs.size())};
+    const jobs::account_id account{accountNames.at(m_specs.size() % accountNames.size())};
     m_specs[id.str()] = spec;
-    owner.engine->submit(id, queue(4), spec, wallAt(m_now));
+    owner.engine->submit(id, queue(4), spec, wallAt(m_now), account);
 }
 
 auto world::injectFaults() -> void
@@ -163,6 +169,9 @@
         return;
     }
     owner.engine->plan(at(m_now), wallAt(m_now));
+    if (const auto difference = account_usage_check::differenceIn(*owner.engine); !difference.empty()) {
+        violations.push_back("usage differs from the placed runs: " + difference);
+    }
     const auto changed = owner.engine->drainChangedJobs();
     const auto leaseRecords = owner.engine->workers().collectUnrenewedLeases(at(m_now));
     const auto orders = owner.engine->drainOrders();
@@ -187,7 +196,9 @@
     }
     for (const auto &id : changed) {
         const auto *job = owner.engine->find(id);
-        m_store.specs.try_emplace(id.str(), jobs::makeJob(id, job->queue, job->spec, job->acceptedAt));
+        const auto [stored, isNew] =
+            m_store.specs.try_emplace(id.str(), jobs::makeJob(id, job->queue, job->spec, job->acceptedAt));
+        stored->second.account = job->account;
         m_store.progress[id.str()] = jobs::encodeProgress(*job);
         submitted += m_acknowledgedJobs.insert(id.str()).second ? 1 : 0;
         if (job->phase == jobs::multistep_job_phase::completed) {
