A full pool is shared between accounts by weight

Cause: jobs of a pool are planned in one order for all accounts, so that a flood from one account delays all others. Change: while the waiting tasks of a pool do not all fit, jobs of accounts within their share are planned first, the rest afterwards, both in the order of today (jobs/pool_shares, job_engine_shares). The share is checked before each task. Free processor time that fits no waiting task is no part of what is shared. job_engine gains updateAccounts, checkBacklog and accountStatus. Without accounts the planning is as before.

--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -78,6 +78,10 @@
     job.account = account;
     m_taskCount += job.tasks.size();
     addActiveJob(job);
+    if (m_accountNumbers.isAnyConfigured()) {
+        m_sharedPools[queue.pool].shares.addWork(m_accountNumbers.find(account),
+                                                 internal::waitingDemandOf(job, received).work);
+    }
     ++m_counters.jobsAccepted;
     markChanged(job);
     logEvent("job_accepted", id.str(), {}, 0, queue.name.str());
@@ -207,7 +211,7 @@
 
 auto job_engine::addActiveJob(multistep_job_record &job) -> void
 {
-    m_activeJobs[job.queue.pool][job.id] = {&job, outlookOf(job)};
+    m_activeJobs[job.queue.pool][job.id] = {&job, outlookOf(job), m_accountNumbers.numberOf(job.account)};
 }
 
 auto job_engine::setPhase(const task_ref &task, multistep_job_record &job, task_record &state, task_phase phase) -> void
@@ -220,8 +224,11 @@
     } else if (phase == task_phase::closing) {
         m_closing.emplace(state.worker, task);
     }
-    job.waiting -= state.phase == task_phase::waiting ? 1 : 0;
-    job.waiting += phase == task_phase::waiting ? 1 : 0;
+    const auto noLongerWaiting = state.phase == task_phase::waiting ? 1U : 0U;
+    const auto nowWaiting = phase == task_phase::waiting ? 1U : 0U;
+    auto &waitingOfStep = job.waitingTasks[std::size_t{task.occurrence} * job.spec.steps.size() + task.step];
+    waitingOfStep += nowWaiting - noLongerWaiting;
+    job.waiting += nowWaiting - noLongerWaiting;
     state.phase = phase;
 }
 
@@ -257,6 +264,9 @@
     state.percent = 0;
     state.pace = 100;
     addPlacement(task, job, worker);
+    if (m_pass.pool != nullptr) {
+        m_pass.pool->shares.addUse(m_pass.account, job.spec.steps[task.step].perTask);
+    }
     ++m_counters.starts;
     markChanged(job);
     orderStart(job, task, state);
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include <poplarpass/jobs/account_numbers.h>
 #include <poplarpass/jobs/account_usage.h>
 #include <poplarpass/jobs/advice_cache.h>
+#include <poplarpass/jobs/gang_hold.h>
 #include <poplarpass/jobs/job_order.h>
 #include <poplarpass/jobs/job_state.h>
 #include <poplarpass/jobs/placement_candidates.h>
+#include <poplarpass/jobs/pool_shares.h>
+#include <poplarpass/jobs/ranked_job.h>
 #include <poplarpass/jobs/worker_table.h>
 
 #include <functional>
@@ -64,6 +68,16 @@
     std::uint64_t jobsCancelled = 0;
 };
 
+/// \brief A configured client account, for operators.
+struct account_status
+{
+    account_limits limits; ///< Name, weight and cap.
+    resources use; ///< Resources of its runs, over all pools.
+    double shareCores = 0; ///< Processor time that its shares of full pools provide, cores.
+    std::uint64_t waitingTasks = 0; ///< Its tasks that wait, including those of steps that may not start yet.
+    double waitingCoreSeconds = 0; ///< Estimated processor time of those that end by themselves, core seconds.
+};
+
 /// \brief State machine of all jobs and their tasks, used by the one process that owns the pools.
 ///
 /// Processes events and returns changed jobs and orders. An order must be sent only after the jobs that
@@ -84,6 +98,16 @@
     auto submit(const job_id &id, const queue_policy &queue, multistep_job_spec spec, core::wall_time received,
                 const account_id &account = {}) -> submit_outcome;
 
+    /// \brief Applies the accounts of a new configuration; none when accounts are disabled.
+    auto updateAccounts(std::span<const account_limits> accounts) -> void;
+
+    /// \brief Decides whether an account may add a job, given its waiting work in the pool (see backlog_limit.h).
+    ///
+    /// Long-running and scheduled jobs are not limited, nor are repeated submissions of a known job.
+    /// \returns time after which to retry when the job is refused
+    [[nodiscard]] auto checkBacklog(const job_id &id, const queue_policy &queue, const multistep_job_spec &spec,
+                                    const account_id &account) const -> std::optional<std::chrono::seconds>;
+
     /// \brief Cancels a job at its caller's request.
     auto cancel(const job_id &id, core::monotonic_time now) -> job_cancel_outcome;
 
@@ -156,6 +180,9 @@
     /// \brief Returns the resources that placed runs reserve, by account.
     [[nodiscard]] auto accountUsage() const -> const account_usage &;
 
+    /// \brief Returns the state of each configured account, in the order of the configuration. Visits all jobs.
+    [[nodiscard]] auto accountStatus() const -> std::vector<account_status>;
+
     /// \brief Returns the counts since construction.
     [[nodiscard]] auto counters() const -> const engine_counters &;
 
@@ -174,6 +201,26 @@
     {
         multistep_job_record *job = nullptr;
         job_outlook outlook;
+        internal::account_number account = 0;
+    };
+
+    /// \brief What the accounts that share a pool have to do with each other.
+    struct shared_pool
+    {
+        internal::pool_shares shares;
+        internal::gang_hold gangs;
+        bool wasUnplaced = false; ///< Whether the last cycle left tasks that may start without a worker.
+        std::int64_t strandedCpu = 0; ///< Free processor time that fitted no waiting task in the last cycle.
+    };
+
+    /// \brief Planning of one pool that accounts share.
+    struct sharing_pass
+    {
+        shared_pool *pool = nullptr; ///< Null while a pool is planned without accounts.
+        internal::account_number account = 0; ///< Account of the job being planned.
+        bool isFirst = false; ///< Whether only accounts within their share get starts.
+        bool isUnplaced = false; ///< Whether a task that may start found no worker.
+        bool isHeldBack = false; ///< Whether the rest of the pool's tasks are held back for a gang.
     };
 
     using active_jobs = std::map<job_id, active_job>;
@@ -227,6 +274,18 @@
     auto evacuateLeaving(core::monotonic_time now) -> void;
     auto planPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
                   core::wall_time wallTime) -> void;
+    auto planSharedPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
+                        core::wall_time wallTime) -> void;
+    auto computeShares(const core::pool_id &pool, shared_pool &shared, resources capacity) -> void;
+    auto planWithinShares(std::vector<internal::ranked_job> &order, internal::placement_candidates &workers,
+                          std::int64_t leastCpu, core::monotonic_time now, core::wall_time wallTime) -> void;
+    auto planInOrder(std::vector<internal::ranked_job> &order, internal::placement_candidates &workers,
+                     std::int64_t leastCpu, core::monotonic_time now, core::wall_time wallTime) -> void;
+    static auto updateGangHold(shared_pool &shared, const active_jobs &active, core::monotonic_time now) -> void;
+    /// \brief Returns whether the account of the job being planned may get one more start in this pass.
+    [[nodiscard]] auto isWithinShare() const -> bool;
+    auto noteUnplaced(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                      const internal::placement_candidates &workers, core::monotonic_time now) -> void;
     auto planJob(multistep_job_record &job, internal::placement_candidates &workers, core::monotonic_time now,
                  core::wall_time wallTime) -> void;
     /// \returns false when a task that is ready to start fits on none of \p workers
@@ -254,6 +313,9 @@
     std::map<core::pool_id, active_jobs> m_activeJobs;
     std::set<std::pair<worker_id, task_ref>> m_closing; ///< Tasks in phase closing.
     worker_table m_workers;
+    internal::account_numbers m_accountNumbers;
+    std::map<core::pool_id, shared_pool> m_sharedPools; ///< Empty until accounts are configured.
+    sharing_pass m_pass;
     account_usage m_accountUsage; ///< Of the runs placed on any worker of m_workers.
     std::set<job_id> m_changed;
     order_batch m_orders;
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <cassert>
 #include <limits>
-#include <tuple>
 #include <utility>
 
 // Scheduling: which task starts on which worker.
@@ -14,12 +13,6 @@
 {
 namespace
 {
-struct ranked_job
-{
-    job_rank rank;
-    multistep_job_record *job = nullptr;
-};
-
 /// \brief Returns whether \p job has a waiting task in a step that may start.
 auto hasStartableTask(const multistep_job_record &job, core::wall_time now) -> bool
 {
@@ -43,11 +36,6 @@
     }
     return false;
 }
-
-auto isPlannedLater(const ranked_job &entry, const ranked_job &other) -> bool
-{
-    return std::tie(entry.rank, entry.job->id) > std::tie(other.rank, other.job->id);
-}
 } // namespace
 
 auto job_engine::plan(core::monotonic_time now, core::wall_time wallTime) -> void
@@ -57,7 +45,9 @@
     relocateStragglers(now);
     evacuateLeaving(now);
     for (const auto &[pool, active] : m_activeJobs) {
-        if (!active.empty()) {
+        if (m_accountNumbers.isAnyConfigured()) {
+            planSharedPool(pool, active, now, wallTime);
+        } else if (!active.empty()) {
             planPool(pool, active, now, wallTime);
         }
     }
@@ -135,12 +125,12 @@
 auto job_engine::planPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
                           core::wall_time wallTime) -> void
 {
-    std::vector<ranked_job> order;
+    std::vector<internal::ranked_job> order;
     auto leastCpu = std::numeric_limits<std::int64_t>::max();
     for (const auto &[id, entry] : active) {
         const bool needsAdvice = entry.job->queue.advice.has_value();
         if (needsAdvice || hasStartableTask(*entry.job, wallTime)) {
-            order.push_back({rankOf(entry.outlook, wallTime), entry.job});
+            order.push_back({rankOf(entry.outlook, wallTime), entry.job, entry.account});
             leastCpu = std::min(leastCpu, needsAdvice ? 0 : entry.outlook.leastCpu);
         }
     }
@@ -151,9 +141,9 @@
     if (workers.workers().empty()) {
         return;
     }
-    std::ranges::make_heap(order, isPlannedLater);
+    std::ranges::make_heap(order, internal::isPlannedLater);
     while (!order.empty() && workers.mostFreeCpu() >= leastCpu) {
-        std::ranges::pop_heap(order, isPlannedLater);
+        std::ranges::pop_heap(order, internal::isPlannedLater);
         planJob(*order.back().job, workers, now, wallTime);
         order.pop_back();
     }
@@ -170,10 +160,14 @@
             if (job.unfinishedOf(occurrence, step) == 0 || !job.areDependenciesDone(occurrence, step)) {
                 continue;
             }
+            if (!isWithinShare()) {
+                return;
+            }
             const bool placed = job.queue.advice ? planAdvisedStep(job, occurrence, step, workers, now)
                                                  : planStep(job, occurrence, step, workers, now);
             if (!placed) {
                 recordMismatch(job, step, workers.workers());
+                noteUnplaced(job, occurrence, step, workers, now);
             }
         }
     }
@@ -242,6 +236,9 @@
         if (state.phase != task_phase::waiting || now < state.notBefore) {
             continue;
         }
+        if (!isWithinShare()) {
+            return true;
+        }
         auto *worker = workers.choose(job, occurrence, step);
         if (worker == nullptr) {
             return false;
--- a/src/poplarpass/jobs/job_order.cpp
+++ b/src/poplarpass/jobs/job_order.cpp
@@ -46,12 +46,16 @@
     return outlook;
 }
 
-auto objectiveOf(const multistep_job_record &job) -> core::wall_time
+auto objectiveSpan(const queue_policy &queue, const multistep_job_spec &spec) -> core::duration
 {
     const auto chain = std::chrono::duration<double, std::micro>{
-        longestChain(job.spec, [&](std::uint32_t step) { return job.spec.steps[step].estimate; })};
-    const auto stretched = std::chrono::duration_cast<core::duration>(chain * job.queue.stretch);
-    return job.acceptedAt + stretched + job.queue.targetLatency;
+        longestChain(spec, [&](std::uint32_t step) { return spec.steps[step].estimate; })};
+    return std::chrono::duration_cast<core::duration>(chain * queue.stretch) + queue.targetLatency;
+}
+
+auto objectiveOf(const multistep_job_record &job) -> core::wall_time
+{
+    return job.acceptedAt + objectiveSpan(job.queue, job.spec);
 }
 
 auto remainingChain(const multistep_job_record &job) -> std::chrono::milliseconds
--- a/src/poplarpass/jobs/job_order.h
+++ b/src/poplarpass/jobs/job_order.h
@@ -39,6 +39,9 @@
 /// that are already late use the remaining capacity in order of arrival.
 auto rankOf(const job_outlook &outlook, core::wall_time now) -> job_rank;
 
+/// \brief Returns the time from the acceptance of a job to its objective.
+auto objectiveSpan(const queue_policy &queue, const multistep_job_spec &spec) -> core::duration;
+
 /// \brief Returns the time by which \p job has to complete to meet its objective.
 auto objectiveOf(const multistep_job_record &job) -> core::wall_time;
 
--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -48,6 +48,11 @@
     return unfinishedTasks[std::size_t{occurrence} * spec.steps.size() + step];
 }
 
+auto multistep_job_record::waitingOf(std::uint32_t occurrence, std::uint32_t step) const -> std::uint32_t
+{
+    return waitingTasks[std::size_t{occurrence} * spec.steps.size() + step];
+}
+
 auto multistep_job_record::areDependenciesDone(std::uint32_t occurrence, std::uint32_t step) const -> bool
 {
     return std::ranges::all_of(spec.steps[step].after,
@@ -104,6 +109,7 @@
             job.unfinishedTasks.push_back(step.taskCount);
         }
     }
+    job.waitingTasks = job.unfinishedTasks;
     return job;
 }
 
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -78,6 +78,7 @@
     std::vector<std::uint32_t> stepOffsets; ///< Position of each step's first task within an occurrence, then the
                                             ///< number of tasks of an occurrence.
     std::vector<std::uint32_t> unfinishedTasks; ///< Number of tasks not done, by occurrence, then step.
+    std::vector<std::uint32_t> waitingTasks; ///< Number of tasks in phase waiting, by occurrence, then step.
     core::monotonic_time endedAt{}; ///< When it left the phase active.
 
     /// \brief Returns whether the job has ended and none of its runs may exist, so that only its phase matters.
@@ -94,6 +95,9 @@
     /// \brief Returns the number of unfinished tasks of a step of an occurrence.
     [[nodiscard]] auto unfinishedOf(std::uint32_t occurrence, std::uint32_t step) const -> std::uint32_t;
 
+    /// \brief Returns the number of waiting tasks of a step of an occurrence.
+    [[nodiscard]] auto waitingOf(std::uint32_t occurrence, std::uint32_t step) const -> std::uint32_t;
+
     /// \brief Returns whether all steps that \p step depends on are done in \p occurrence.
     [[nodiscard]] auto areDependenciesDone(std::uint32_t occurrence, std::uint32_t step) const -> bool;
 
--- a/src/poplarpass/jobs/progress_text.cpp
+++ b/src/poplarpass/jobs/progress_text.cpp
@@ -121,9 +121,13 @@
     for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
         for (const auto &step : job.spec.steps) {
             std::uint32_t unfinished = 0;
+            std::uint32_t waiting = 0;
             for (std::uint32_t index = 0; index < step.taskCount; ++index) {
-                unfinished += job.tasks[position++].phase == task_phase::done ? 0 : 1;
+                const auto phase = job.tasks[position++].phase;
+                unfinished += phase == task_phase::done ? 0 : 1;
+                waiting += phase == task_phase::waiting ? 1 : 0;
             }
+            job.waitingTasks[entry] = waiting;
             job.unfinishedTasks[entry++] = unfinished;
             job.unfinished += unfinished;
         }
