--- a/src/poplarpass/jobs/account_usage.cpp
+++ b/src/poplarpass/jobs/account_usage.cpp
@@ -36,4 +36,14 @@
     const auto inPool = found->second.byPool.find(pool);
     return inPool == found->second.byPool.end() ? resources{} : inPool->second;
 }
+
+auto account_usage::inPool(const account_id &account, const core::pool_id &pool) const -> const resources *
+{
+    const auto found = m_entries.find(account);
+    if (found == m_entries.end()) {
+        return nullptr;
+    }
+    const auto inPool = found->second.byPool.find(pool);
+    return inPool == found->second.byPool.end() ? nullptr : &inPool->second;
+}
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/account_usage.h
+++ b/src/poplarpass/jobs/account_usage.h
@@ -24,6 +24,10 @@
     /// \brief Returns the usage of \p account in \p pool.
     [[nodiscard]] auto usageOf(const account_id &account, const core::pool_id &pool) const -> resources;
 
+    /// \brief Returns the usage of \p account in \p pool, kept up to date as long as this object exists; null while it
+    /// had no runs there.
+    [[nodiscard]] auto inPool(const account_id &account, const core::pool_id &pool) const -> const resources *;
+
 private:
     struct entry
     {
--- a/src/poplarpass/jobs/fair_shares.cpp
+++ b/src/poplarpass/jobs/fair_shares.cpp
@@ -13,7 +13,7 @@
 /// \brief Processor time and memory, as fractions of the pool or per unit of dominant fraction.
 using fractions = std::array<double, resourceCount>;
 
-/// \brief Remaining fraction of a resource below which it counts as used up; rounding errors are far smaller.
+/// \brief Relative difference of levels that counts as none; rounding errors are far smaller.
 constexpr double negligible = 1e-9;
 
 /// \brief Returns \p part of \p whole; a resource that the pool does not have at all is not shared.
@@ -35,7 +35,6 @@
     double wanted = 0; ///< Dominant fraction of use and waiting demand.
     double satisfiedAt = 0; ///< Level at which it has all that it wants.
     fractions perUnit{}; ///< Resources per unit of dominant fraction.
-    bool frozen = false; ///< Whether its share is final.
 };
 
 /// \brief Raises the level, which is the share per unit of weight, until each claim is satisfied or lacks a resource.
@@ -49,17 +48,18 @@
         for (std::size_t position = 0; position < claims.size(); ++position) {
             add(position, claims[position], capacity);
         }
-        std::ranges::sort(m_claims, {}, &filling_claim::satisfiedAt);
     }
 
+    // Each round raises the level as far as the claims that are not final allow if none of them is satisfied before.
+    // Those that are satisfied on the way leave resources for the next round; a few rounds do, where sorting all claims
+    // costs more.
     auto run() -> std::vector<double>
     {
-        for (auto &claim : m_claims) {
-            while (!claim.frozen && !raiseTo(claim.satisfiedAt)) {
-                freezeClaimsOfUsedUp();
-            }
-            if (!claim.frozen) {
-                freeze(claim, claim.wanted);
+        while (!m_claims.empty()) {
+            updateRates();
+            const auto level = highestLevel();
+            if (!freezeSatisfied(level)) {
+                freezeLimited(level);
             }
         }
         return std::move(m_shares);
@@ -77,53 +77,75 @@
         auto perUnit = fractionsOf(demand, capacity);
         for (std::size_t index = 0; index < resourceCount; ++index) {
             perUnit[index] /= wanted;
-            m_rate[index] += claim.weight * perUnit[index];
         }
-        m_claims.push_back({position, claim.weight, wanted, wanted / claim.weight, perUnit, false});
+        m_claims.push_back({position, claim.weight, wanted, wanted / claim.weight, perUnit});
     }
 
-    /// \returns false when a resource is used up before \p level is reached
-    auto raiseTo(double level) -> bool
+    // Summed anew, because differences of sums keep rounding errors of claims that are gone.
+    auto updateRates() -> void
     {
-        auto highest = std::numeric_limits<double>::infinity();
-        for (std::size_t index = 0; index < resourceCount; ++index) {
-            if (m_rate[index] > negligible) {
-                highest = std::min(highest, m_level + m_remaining[index] / m_rate[index]);
+        m_rate = {};
+        for (const auto &claim : m_claims) {
+            for (std::size_t index = 0; index < resourceCount; ++index) {
+                m_rate[index] += claim.weight * claim.perUnit[index];
             }
         }
-        const auto reached = std::min(level, highest);
+    }
+
+    /// \brief Returns the level at which the claims not yet final use up the first resource.
+    [[nodiscard]] auto highestLevel() const -> double
+    {
+        auto highest = std::numeric_limits<double>::infinity();
         for (std::size_t index = 0; index < resourceCount; ++index) {
-            m_remaining[index] = std::max(0.0, m_remaining[index] - (reached - m_level) * m_rate[index]);
+            highest = m_rate[index] > 0 ? std::min(highest, m_remaining[index] / m_rate[index]) : highest;
         }
-        m_level = reached;
-        return level <= highest;
+        return highest;
     }
 
-    auto freezeClaimsOfUsedUp() -> void
+    /// \returns whether any claim is satisfied up to \p level
+    auto freezeSatisfied(double level) -> bool
     {
-        for (auto &claim : m_claims) {
-            const bool lacks = (m_remaining[0] <= negligible && claim.perUnit[0] > 0)
-                || (m_remaining[1] <= negligible && claim.perUnit[1] > 0);
-            if (!claim.frozen && lacks) {
-                freeze(claim, claim.weight * m_level);
-            }
-        }
+        return freezeWhere([level](const filling_claim &claim) { return claim.satisfiedAt <= level; },
+                           [](const filling_claim &claim) { return claim.wanted; });
     }
 
-    auto freeze(filling_claim &claim, double share) -> void
+    /// \brief Gives the claims that need a resource that is used up at \p level what the level gives them.
+    auto freezeLimited(double level) -> void
     {
-        claim.frozen = true;
-        m_shares[claim.position] = share;
+        std::array<bool, resourceCount> usedUp{};
         for (std::size_t index = 0; index < resourceCount; ++index) {
-            m_rate[index] -= claim.weight * claim.perUnit[index];
+            usedUp[index] = m_rate[index] > 0 && m_remaining[index] / m_rate[index] <= level * (1 + negligible);
         }
+        freezeWhere(
+            [&](const filling_claim &claim) {
+                return (usedUp[0] && claim.perUnit[0] > 0) || (usedUp[1] && claim.perUnit[1] > 0);
+            },
+            [level](const filling_claim &claim) { return claim.weight * level; });
+    }
+
+    template <class predicate, class share_function>
+    auto freezeWhere(const predicate &isFinal, const share_function &shareOf) -> bool
+    {
+        return std::erase_if(m_claims,
+                             [&](const filling_claim &claim) {
+                                 if (!isFinal(claim)) {
+                                     return false;
+                                 }
+                                 const auto share = shareOf(claim);
+                                 m_shares[claim.position] = share;
+                                 for (std::size_t index = 0; index < resourceCount; ++index) {
+                                     m_remaining[index] =
+                                         std::max(0.0, m_remaining[index] - share * claim.perUnit[index]);
+                                 }
+                                 return true;
+                             })
+            > 0;
     }
 
-    std::vector<filling_claim> m_claims;
+    std::vector<filling_claim> m_claims; ///< Claims whose share is not final yet.
     std::vector<double> m_shares;
-    fractions m_rate{}; ///< Resources that the claims not yet frozen take per unit of level.
-    fractions m_remaining{1.0, 1.0};
-    double m_level = 0;
+    fractions m_rate{}; ///< Resources that the claims not yet final take per unit of level.
+    fractions m_remaining{1.0, 1.0}; ///< What the final claims leave.
 };
 } // namespace
 
--- a/src/poplarpass/jobs/gang_hold.cpp
+++ b/src/poplarpass/jobs/gang_hold.cpp
@@ -14,10 +14,16 @@
 auto gang_hold::onNoRoom(const gang &waiting, core::monotonic_time now) -> bool
 {
     const auto since = m_waitingSince.try_emplace(waiting, now).first->second;
-    if (!m_holder && now >= m_pausedUntil && now - since >= gangWaitBeforeHold) {
-        m_holder = waiting;
-        m_holdUntil = now + maxGangHold;
+    if (m_holder || now < m_pausedUntil || now - since < gangWaitBeforeHold) {
+        return false;
     }
-    return m_holder == waiting;
+    m_holder = waiting;
+    m_holdUntil = now + maxGangHold;
+    return true;
+}
+
+auto gang_hold::holder() const -> const std::optional<gang> &
+{
+    return m_holder;
 }
 } // namespace poplarpass::jobs::internal
--- a/src/poplarpass/jobs/gang_hold.h
+++ b/src/poplarpass/jobs/gang_hold.h
@@ -10,14 +10,14 @@
 
 namespace poplarpass::jobs::internal
 {
-/// \brief A gang step has to wait this long for room before tasks planned after it are held back.
+/// \brief A gang step has to wait this long for room before other tasks are held back.
 inline constexpr core::duration gangWaitBeforeHold = std::chrono::seconds{2};
 /// \brief Longest time for which tasks are held back at once.
 inline constexpr core::duration maxGangHold = std::chrono::seconds{2};
 /// \brief Minimum time from the end of a hold to the next one in the same pool.
 inline constexpr core::duration gangHoldPause = std::chrono::seconds{4};
 
-/// \brief Decides when the tasks of a pool are held back so that a gang finds room for all its members.
+/// \brief Decides when other tasks are held back from workers of a pool so that a gang finds room for all its members.
 class gang_hold
 {
 public:
@@ -35,9 +35,12 @@
     auto update(core::monotonic_time now, const std::function<bool(const gang &)> &stillWaits) -> void;
 
     /// \brief Handles a gang that may start and found no room.
-    /// \returns whether the tasks that are planned after it are held back
+    /// \returns whether a hold for it begins
     auto onNoRoom(const gang &waiting, core::monotonic_time now) -> bool;
 
+    /// \brief Returns the gang for which tasks are held back now; nothing when there is none.
+    [[nodiscard]] auto holder() const -> const std::optional<gang> &;
+
 private:
     std::map<gang, core::monotonic_time> m_waitingSince;
     std::optional<gang> m_holder;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -209,6 +209,7 @@
     {
         internal::pool_shares shares;
         internal::gang_hold gangs;
+        std::set<worker_id> heldWorkers; ///< Workers from which other tasks are held back while there is a hold.
         bool wasUnplaced = false; ///< Whether the last cycle left tasks that may start without a worker.
         std::int64_t strandedCpu = 0; ///< Free processor time that fitted no waiting task in the last cycle.
     };
@@ -220,7 +221,6 @@
         internal::account_number account = 0; ///< Account of the job being planned.
         bool isFirst = false; ///< Whether only accounts within their share get starts.
         bool isUnplaced = false; ///< Whether a task that may start found no worker.
-        bool isHeldBack = false; ///< Whether the rest of the pool's tasks are held back for a gang.
     };
 
     using active_jobs = std::map<job_id, active_job>;
@@ -282,6 +282,8 @@
     auto planInOrder(std::vector<internal::ranked_job> &order, internal::placement_candidates &workers,
                      std::int64_t leastCpu, core::monotonic_time now, core::wall_time wallTime) -> void;
     static auto updateGangHold(shared_pool &shared, const active_jobs &active, core::monotonic_time now) -> void;
+    auto workersBesideGang(const core::pool_id &pool, const shared_pool &shared, const active_jobs &active,
+                           core::monotonic_time now) -> std::vector<worker_slot *>;
     /// \brief Returns whether the account of the job being planned may get one more start in this pass.
     [[nodiscard]] auto isWithinShare() const -> bool;
     auto noteUnplaced(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
--- a/src/poplarpass/jobs/job_engine_shares.cpp
+++ b/src/poplarpass/jobs/job_engine_shares.cpp
@@ -3,6 +3,7 @@
 #include <poplarpass/jobs/task_placement.h>
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 
 // Fair sharing of full pools between client accounts.
@@ -45,24 +46,35 @@
     return need > 0 ? capacity / need : std::numeric_limits<std::int64_t>::max();
 }
 
-/// \brief Returns whether \p workers could run all tasks of \p step at once if nothing else ran there.
-auto wouldFitIfEmpty(const step_spec &step, std::span<worker_slot *const> workers) -> bool
+/// \brief Returns how many tasks of \p step \p worker could run if nothing else ran there.
+auto tasksIfEmpty(const step_spec &step, const worker_slot &worker) -> std::int64_t
 {
+    if (!step.requirement.empty() && !worker.hasLabel(step.requirement)) {
+        return 0;
+    }
     const auto need = internal::requiredResources(step);
+    const auto &capacity = worker.entry.capacity;
+    const auto count = std::min({quotient(capacity.cpu, need.cpu), quotient(capacity.memoryMb, need.memoryMb),
+                                 quotient(capacity.gpu, need.gpu), std::int64_t{step.taskCount}});
+    return step.antiAffinity > 0 ? std::min<std::int64_t>(count, step.antiAffinity) : count;
+}
+
+/// \brief Returns the workers with the most free processor time that together could run \p step if nothing else ran
+/// there; empty when all of them could not.
+auto workersForGang(const step_spec &step, std::span<worker_slot *const> workers) -> std::vector<worker_slot *>
+{
+    std::vector<worker_slot *> sorted{workers.begin(), workers.end()};
+    std::ranges::stable_sort(sorted, std::greater{}, [](const auto *worker) { return worker->free().cpu; });
+    std::vector<worker_slot *> chosen;
     std::int64_t fitting = 0;
-    for (const auto *worker : workers) {
-        if (!step.requirement.empty() && !worker->hasLabel(step.requirement)) {
-            continue;
+    for (auto *worker : sorted) {
+        const auto count = tasksIfEmpty(step, *worker);
+        if (count > 0 && fitting < step.taskCount) {
+            chosen.push_back(worker);
+            fitting += count;
         }
-        const auto &capacity = worker->entry.capacity;
-        auto count = std::min({quotient(capacity.cpu, need.cpu), quotient(capacity.memoryMb, need.memoryMb),
-                               quotient(capacity.gpu, need.gpu), std::int64_t{step.taskCount}});
-        if (step.antiAffinity > 0) {
-            count = std::min<std::int64_t>(count, step.antiAffinity);
-        }
-        fitting += count;
     }
-    return fitting >= step.taskCount;
+    return fitting >= step.taskCount ? chosen : std::vector<worker_slot *>{};
 }
 } // namespace
 
@@ -91,16 +103,17 @@
         }
     }
     updateGangHold(shared, active, now);
-    internal::placement_candidates workers{eligibleWorkersOf(pool, now)};
+    m_pass = {&shared};
+    internal::placement_candidates workers{workersBesideGang(pool, shared, active, now)};
     if (order.empty() || workers.workers().empty()) {
         shared.wasUnplaced = false;
+        m_pass = {};
         return;
     }
     const auto &need = shared.shares.total().reserved;
     const auto room = roomOf(m_workers.ofPool(pool), now);
     shared.shares.setFull(need.cpu > room.free.cpu || need.memoryMb > room.free.memoryMb);
     const bool takesShares = shared.shares.isFull() || shared.wasUnplaced;
-    m_pass = {&shared};
     if (takesShares) {
         computeShares(pool, shared, room.capacity);
         planWithinShares(order, workers, leastCpu, now, wallTime);
@@ -108,7 +121,7 @@
     planInOrder(order, workers, leastCpu, now, wallTime);
     shared.wasUnplaced = m_pass.isUnplaced || !order.empty();
     // What is free now is too small for any waiting task and no part of what accounts can share.
-    shared.strandedCpu = !order.empty() && !m_pass.isHeldBack ? freeCpuOf(workers.workers()) : 0;
+    shared.strandedCpu = !order.empty() && !shared.gangs.holder() ? freeCpuOf(workers.workers()) : 0;
     m_pass = {};
 }
 
@@ -116,7 +129,7 @@
 {
     capacity.cpu -= std::min(capacity.cpu, shared.strandedCpu);
     shared.shares.share(capacity, m_accountNumbers, [&](internal::account_number account) {
-        return m_accountUsage.usageOf(m_accountNumbers.limitsOf(account).name, pool);
+        return m_accountUsage.inPool(m_accountNumbers.limitsOf(account).name, pool);
     });
 }
 
@@ -131,7 +144,7 @@
     order.erase(beyond.begin(), beyond.end());
     std::ranges::make_heap(order, internal::isPlannedLater);
     m_pass.isFirst = true;
-    while (!order.empty() && workers.mostFreeCpu() >= leastCpu && !m_pass.isHeldBack) {
+    while (!order.empty() && workers.mostFreeCpu() >= leastCpu) {
         std::ranges::pop_heap(order, internal::isPlannedLater);
         const auto entry = order.back();
         order.pop_back();
@@ -150,7 +163,7 @@
 auto job_engine::planInOrder(std::vector<internal::ranked_job> &order, internal::placement_candidates &workers,
                              std::int64_t leastCpu, core::monotonic_time now, core::wall_time wallTime) -> void
 {
-    if (workers.mostFreeCpu() < leastCpu || m_pass.isHeldBack) {
+    if (workers.mostFreeCpu() < leastCpu) {
         return;
     }
     std::ranges::make_heap(order, internal::isPlannedLater);
@@ -170,6 +183,25 @@
     });
 }
 
+// The gang for which workers are held is planned before all others, and others only on the workers that are not held.
+auto job_engine::workersBesideGang(const core::pool_id &pool, const shared_pool &shared, const active_jobs &active,
+                                   core::monotonic_time now) -> std::vector<worker_slot *>
+{
+    auto eligible = eligibleWorkersOf(pool, now);
+    const auto &holder = shared.gangs.holder();
+    if (!holder || eligible.empty()) {
+        return eligible;
+    }
+    const auto &entry = active.at(holder->job);
+    internal::placement_candidates all{eligible};
+    m_pass.account = entry.account;
+    placeGang(*entry.job, holder->occurrence, holder->step, all, now);
+    if (entry.job->waitingOf(holder->occurrence, holder->step) > 0) {
+        std::erase_if(eligible, [&](const auto *worker) { return shared.heldWorkers.contains(worker->entry.id); });
+    }
+    return eligible;
+}
+
 auto job_engine::isWithinShare() const -> bool
 {
     return !m_pass.isFirst || m_pass.pool->shares.isWithin(m_pass.account);
@@ -188,9 +220,18 @@
         return;
     }
     const resources need{spec.perTask.cpu * spec.taskCount, spec.perTask.memoryMb * spec.taskCount, 0};
-    if (m_pass.pool->shares.allows(m_pass.account, need) && wouldFitIfEmpty(spec, workers.workers())) {
-        m_pass.isHeldBack = m_pass.pool->gangs.onNoRoom({job.id, occurrence, step}, now);
+    if (!m_pass.pool->shares.allows(m_pass.account, need)) {
+        return;
+    }
+    const auto held = workersForGang(spec, workers.workers());
+    if (held.empty() || !m_pass.pool->gangs.onNoRoom({job.id, occurrence, step}, now)) {
+        return;
+    }
+    m_pass.pool->heldWorkers.clear();
+    for (const auto *worker : held) {
+        m_pass.pool->heldWorkers.insert(worker->entry.id);
     }
+    logEvent("gang_hold", stepNameOf({job.id, occurrence, step, 0}), {}, 0, "no_room");
 }
 
 auto job_engine::checkBacklog(const job_id &id, const queue_policy &queue, const multistep_job_spec &spec,
--- a/src/poplarpass/jobs/pool_shares.cpp
+++ b/src/poplarpass/jobs/pool_shares.cpp
@@ -56,7 +56,9 @@
 auto pool_shares::beginCycle() -> void
 {
     for (const auto account : m_seen) {
+        const auto *live = m_entries[account].live;
         m_entries[account] = {};
+        m_entries[account].live = live;
     }
     m_seen.clear();
     m_total = {};
@@ -94,14 +96,18 @@
 }
 
 auto pool_shares::share(const resources &capacity, const account_numbers &accounts,
-                        const std::function<resources(account_number)> &useOf) -> void
+                        const std::function<const resources *(account_number)> &useOf) -> void
 {
     m_capacity = capacity;
     std::vector<share_claim> claims;
     claims.reserve(m_seen.size());
     for (const auto account : m_seen) {
         auto &found = m_entries[account];
-        found.use = useOf(account);
+        // Found once per account: a search for each account in each cycle costs more than the sharing itself.
+        if (found.live == nullptr) {
+            found.live = useOf(account);
+        }
+        found.use = found.live != nullptr ? *found.live : resources{};
         claims.push_back({accounts.limitsOf(account).weight, found.use, found.waiting.charged});
     }
     const auto shares = fairShares(capacity, claims);
--- a/src/poplarpass/jobs/pool_shares.h
+++ b/src/poplarpass/jobs/pool_shares.h
@@ -43,9 +43,9 @@
     [[nodiscard]] auto total() const -> const waiting_demand &;
 
     /// \brief Computes the share of each account that was added.
-    /// \param useOf returns the resources of an account's runs in the pool
+    /// \param useOf returns the resources of an account's runs in the pool, kept up to date; null while it had none
     auto share(const resources &capacity, const account_numbers &accounts,
-               const std::function<resources(account_number)> &useOf) -> void;
+               const std::function<const resources *(account_number)> &useOf) -> void;
 
     /// \brief Returns whether \p account uses less than its share.
     [[nodiscard]] auto isWithin(account_number account) const -> bool;
@@ -75,6 +75,7 @@
         bool seen = false; ///< Whether the account was added in this cycle.
         waiting_demand waiting;
         resources use;
+        const resources *live = nullptr; ///< Use as the engine counts it; null until there was any.
         double share = 0; ///< Dominant fraction of the pool.
         double shareCores = 0;
     };
