Caps of client accounts: starts stay within them, lingering runs count

Cause: requirements 5 and 6 of docs/ACCOUNTS.md. The simulation with caps also found runs above a cap: a run whose task was completed by an earlier run, or by another member of its gang, was no longer counted while it may still run. Change: jobs::account_caps decides which starts a cap permits, in the order of each account's tasks; job_engine gains updateAccounts, disableAccounts, setCapsConfirmed, exceedsCap, limitsOf, atCapSince and the events account_at_cap and account_below_cap. Runs of accounts whose task is done count until their end, a confirmed stop or the end of the lease.

--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -207,7 +207,10 @@
 
 auto job_engine::addActiveJob(multistep_job_record &job) -> void
 {
-    m_activeJobs[job.queue.pool][job.id] = {&job, outlookOf(job)};
+    auto &entry = m_activeJobs[job.queue.pool][job.id];
+    entry.job = &job;
+    entry.outlook = outlookOf(job);
+    linkAccount(entry);
 }
 
 auto job_engine::setPhase(const task_ref &task, multistep_job_record &job, task_record &state, task_phase phase) -> void
@@ -323,7 +326,11 @@
 {
     for (std::uint32_t index = 0; index < job.spec.steps[task.step].taskCount; ++index) {
         const task_ref member{task.job, task.occurrence, task.step, index};
-        finishTask(member, job, job.tasks[job.positionOf(member.occurrence, member.step, index)], now);
+        auto &state = job.tasks[job.positionOf(member.occurrence, member.step, index)];
+        if (index != task.index) {
+            keepLingering(member, job, state, now);
+        }
+        finishTask(member, job, state, now);
     }
 }
 
@@ -355,6 +362,7 @@
         logEvent("run_lost", nameOf(task), worker.entry.id, state->run, reason);
         resetToWaiting(task, *job, *state, now);
     }
+    dropLingering(worker.entry.id);
     worker.placed.clear();
     worker.used = {};
     worker.bestEffortRuns = 0;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <poplarpass/jobs/account_caps.h>
 #include <poplarpass/jobs/account_usage.h>
 #include <poplarpass/jobs/advice_cache.h>
 #include <poplarpass/jobs/job_order.h>
 #include <poplarpass/jobs/job_state.h>
+#include <poplarpass/jobs/lingering_run.h>
 #include <poplarpass/jobs/placement_candidates.h>
 #include <poplarpass/jobs/worker_table.h>
 
@@ -153,9 +155,34 @@
     /// \brief Returns the number of tasks in memory, over all jobs.
     [[nodiscard]] auto taskCount() const -> std::size_t;
 
-    /// \brief Returns the resources that placed runs reserve, by account.
+    /// \brief Applies the client accounts of a configuration; called for each new one and before the first plan.
+    ///
+    /// An account that is not in \p accounts keeps the limits that this engine knew last.
+    auto updateAccounts(std::span<const account_limits> accounts) -> void;
+
+    /// \brief Removes all limits of accounts: the configuration no longer has accounts.
+    auto disableAccounts() -> void;
+
+    /// \brief Sets whether the configuration is confirmed. While it is not, a cap may have been lowered, and accounts
+    /// with a cap get no new starts.
+    auto setCapsConfirmed(bool confirmed) -> void;
+
+    /// \brief Returns the limits of \p account in effect; null when none are known.
+    [[nodiscard]] auto limitsOf(const account_id &account) const -> const account_limits *;
+
+    /// \brief Returns since when starts of \p account have been held back by its cap; nothing while they are not.
+    [[nodiscard]] auto atCapSince(const account_id &account) const -> std::optional<core::monotonic_time>;
+
+    /// \brief Returns whether \p spec can never run under the cap of \p account: a task alone, or a gang as a whole,
+    /// exceeds it.
+    [[nodiscard]] auto exceedsCap(const multistep_job_spec &spec, const account_id &account) const -> bool;
+
+    /// \brief Returns the resources that placed and lingering runs reserve, by account.
     [[nodiscard]] auto accountUsage() const -> const account_usage &;
 
+    /// \brief Returns the runs of accounts that may exist although they are not placed, by worker.
+    [[nodiscard]] auto lingeringRuns() const -> const std::map<worker_id, std::vector<lingering_run>> &;
+
     /// \brief Returns the counts since construction.
     [[nodiscard]] auto counters() const -> const engine_counters &;
 
@@ -174,12 +201,28 @@
     {
         multistep_job_record *job = nullptr;
         job_outlook outlook;
+        account_caps::account *account = nullptr; ///< Its account; null when it has none or the account has no limits.
+        resources leastNeed; ///< No start of its tasks needs less; set only with an account.
     };
 
     using active_jobs = std::map<job_id, active_job>;
 
     auto locate(const task_ref &task) -> located_task;
     auto addActiveJob(multistep_job_record &job) -> void;
+    auto linkAccount(active_job &entry) -> void;
+    auto capPermits(const multistep_job_record &job, const step_spec &step) -> bool;
+    auto onCappedStart(const multistep_job_record &job) -> void;
+    auto mayRestart(const multistep_job_record &job) const -> bool;
+    auto reportCaps() -> void;
+    auto keepLingering(const task_ref &task, const multistep_job_record &job, const task_record &state,
+                       core::monotonic_time now) -> void;
+    auto onStrayRun(const worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
+    auto onLingeringEnd(const worker_id &worker, const ended_run &end) -> void;
+    auto onLingeringStopped(const stop_order &order, core::monotonic_time now) -> void;
+    auto resolveLingering(const worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt) -> void;
+    auto dropLingering(const worker_id &worker) -> void;
+    auto updateLingering(core::monotonic_time now) -> void;
+    auto removeLingeringIf(const worker_id &worker, const std::function<bool(lingering_run &)> &isOver) -> void;
     auto setPhase(const task_ref &task, multistep_job_record &job, task_record &state, task_phase phase) -> void;
     auto markChanged(const multistep_job_record &job) -> void;
     auto logEvent(std::string_view event, const std::string &subject, const worker_id &worker, std::uint32_t run,
@@ -254,7 +297,9 @@
     std::map<core::pool_id, active_jobs> m_activeJobs;
     std::set<std::pair<worker_id, task_ref>> m_closing; ///< Tasks in phase closing.
     worker_table m_workers;
-    account_usage m_accountUsage; ///< Of the runs placed on any worker of m_workers.
+    account_caps m_caps;
+    account_usage m_accountUsage; ///< Of the runs placed on any worker of m_workers, and of m_lingering.
+    std::map<worker_id, std::vector<lingering_run>> m_lingering; ///< By worker; only of jobs with an account.
     std::set<job_id> m_changed;
     order_batch m_orders;
     advice_cache m_advice;
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -54,13 +54,16 @@
 {
     expireLeases(now);
     retryStops(now);
+    updateLingering(now);
     relocateStragglers(now);
     evacuateLeaving(now);
+    m_caps.beginPlan(now);
     for (const auto &[pool, active] : m_activeJobs) {
         if (!active.empty()) {
             planPool(pool, active, now, wallTime);
         }
     }
+    reportCaps();
 }
 
 auto job_engine::eligibleWorkersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>
@@ -105,7 +108,7 @@
         const bool isEvacuable = job != nullptr && job->spec.steps[task.step].longRunning
             && !job->spec.steps[task.step].gang && state->phase == task_phase::running
             && job->phase == multistep_job_phase::active;
-        if (!isEvacuable || !mayBeUnavailable(*job, task, now)) {
+        if (!isEvacuable || !mayRestart(*job) || !mayBeUnavailable(*job, task, now)) {
             continue;
         }
         const internal::placement_candidates candidates{
@@ -136,12 +139,28 @@
                           core::wall_time wallTime) -> void
 {
     std::vector<ranked_job> order;
+    std::vector<const active_job *> limited;
     auto leastCpu = std::numeric_limits<std::int64_t>::max();
+    m_caps.beginPool();
+    const auto add = [&](const active_job &entry, std::int64_t cpu) {
+        order.push_back({rankOf(entry.outlook, wallTime), entry.job});
+        leastCpu = std::min(leastCpu, cpu);
+    };
     for (const auto &[id, entry] : active) {
-        const bool needsAdvice = entry.job->queue.advice.has_value();
-        if (needsAdvice || hasStartableTask(*entry.job, wallTime)) {
-            order.push_back({rankOf(entry.outlook, wallTime), entry.job});
-            leastCpu = std::min(leastCpu, needsAdvice ? 0 : entry.outlook.leastCpu);
+        if (entry.job->queue.advice) {
+            add(entry, 0);
+        } else if (hasStartableTask(*entry.job, wallTime)) {
+            if (entry.account == nullptr) {
+                add(entry, entry.outlook.leastCpu);
+            } else {
+                m_caps.addCandidate(*entry.account, entry.leastNeed);
+                limited.push_back(&entry);
+            }
+        }
+    }
+    for (const auto *entry : limited) {
+        if (!m_caps.isExhausted(*entry->account, pool, m_accountUsage)) {
+            add(*entry, entry->outlook.leastCpu);
         }
     }
     if (order.empty()) {
@@ -242,11 +261,15 @@
         if (state.phase != task_phase::waiting || now < state.notBefore) {
             continue;
         }
+        if (!capPermits(job, job.spec.steps[step])) {
+            return true;
+        }
         auto *worker = workers.choose(job, occurrence, step);
         if (worker == nullptr) {
             return false;
         }
         place(job, task_ref{job.id, occurrence, step, index}, *worker, state.run + 1, now);
+        onCappedStart(job);
         workers.updateUsage(*worker);
     }
     return true;
@@ -270,6 +293,9 @@
             checkpoint = state.checkpoint;
         }
     }
+    if (!capPermits(job, spec)) {
+        return true;
+    }
     const auto chosen = chooseGangWorkers(job, occurrence, step, workers);
     if (chosen.empty()) {
         return false;
@@ -279,6 +305,7 @@
         place(job, task_ref{job.id, occurrence, step, index}, *chosen[index], run + 1, now);
         workers.updateUsage(*chosen[index]);
     }
+    onCappedStart(job);
     return true;
 }
 
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -63,6 +63,7 @@
     paceBestEffortRuns(*worker, now);
     if (report.ended.size() < maxEndsPerReport) {
         resolveUnlistedRuns(*worker, sentAt, now);
+        resolveLingering(*worker, report, sentAt);
         worker->synced = true;
     }
     return worker->lastHandledEnd;
@@ -123,6 +124,7 @@
 auto job_engine::onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void
 {
     recordOutcome(worker, end.how, now);
+    onLingeringEnd(worker.entry.id, end);
     const auto task = parseTaskName(end.task);
     const auto [job, state] = task ? locate(*task) : located_task{};
     if (job == nullptr) {
@@ -138,6 +140,7 @@
             orderStop(state->worker, nameOf(*task), state->run);
         }
         ++m_counters.runsDone;
+        keepLingering(*task, *job, *state, now);
         finishTask(*task, *job, *state, now);
     } else if (end.how == end_kind::failed && state->phase != task_phase::done) {
         countFailure(*task, *job, *state, end.run, now);
@@ -200,6 +203,7 @@
     if (!current) {
         orderStop(worker.entry.id, running.task, running.run);
         logEvent("stray_run", running.task, worker.entry.id, running.run, "not_current");
+        onStrayRun(worker, running, now);
         return;
     }
     markStarted(*job, worker);
@@ -374,6 +378,9 @@
         onOtherInstance(order.worker, now);
         return;
     }
+    if (answer == stop_answer::stopped) {
+        onLingeringStopped(order, now);
+    }
     const auto task = parseTaskName(order.task);
     const auto [job, state] = task ? locate(*task) : located_task{};
     const bool current = job != nullptr && state->run == order.run && state->worker == order.worker
--- a/tests/decisions/account_usage_check.h
+++ b/tests/decisions/account_usage_check.h
@@ -12,7 +12,7 @@
 namespace core = poplarpass::core;
 namespace jobs = poplarpass::jobs;
 
-/// \brief Recomputes the usage of all accounts from the tasks placed on \p engine's workers.
+/// \brief Recomputes the usage of all accounts from the tasks placed on \p engine's workers and its lingering runs.
 /// \returns the first difference to the engine's own account; empty when there is none
 inline auto differenceIn(jobs::job_engine &engine) -> std::string
 {
@@ -31,6 +31,12 @@
             total[job.account] += need;
         }
     }
+    for (const auto &[id, runs] : engine.lingeringRuns()) {
+        for (const auto &run : runs) {
+            byPool[{run.account, run.pool}] += run.need;
+            total[run.account] += run.need;
+        }
+    }
     for (const auto &[account, usage] : total) {
         if (engine.accountUsage().usageOf(account) != usage) {
             return "account '" + account.str() + "'";
--- a/tests/decisions/jobs_sim_test.cpp
+++ b/tests/decisions/jobs_sim_test.cpp
@@ -10,11 +10,14 @@
 constexpr std::int64_t settleLimitMs = 60'000;
 } // namespace
 
-TEST_CASE("Simulated faults cause no concurrent, premature or excess runs, and every acknowledged job ends",
-          "[jobs][sim]")
+TEST_CASE(
+    "Simulated faults cause no concurrent, premature or excess runs or runs above a cap, and every acknowledged job "
+    "ends",
+    "[jobs][sim]")
 {
     std::size_t takeovers = 0;
     std::size_t restarts = 0;
+    std::size_t capsReached = 0;
     for (int scenario = 0; scenario < scenarioCount; ++scenario) {
         const auto seed = tests::baseSeed() + static_cast<std::uint64_t>(scenario);
         INFO("seed " << seed);
@@ -28,7 +31,9 @@
         CHECK(world.submitted > 50);
         takeovers += world.takeovers;
         restarts += world.restarts;
+        capsReached += world.capsReached;
     }
     CHECK(takeovers > scenarioCount);
     CHECK(restarts > scenarioCount);
+    CHECK(capsReached > scenarioCount);
 }
--- a/tests/decisions/jobs_sim_world.cpp
+++ b/tests/decisions/jobs_sim_world.cpp
@@ -16,6 +16,9 @@
 constexpr std::int64_t takeoverMs = 1800;
 /// Accounts that submit jobs in turn; the empty one stands for anonymous callers.
 constexpr std::array<const char *, 3> accountNames{"", "small", "large"};
+/// The cap of the first is below the load that it submits; the second is limited by memory only.
+const std::vector<jobs::account_limits> accountLimits{{jobs::account_id{"small"}, 1.0, {6000, 0, 0}},
+                                                      {jobs::account_id{"large"}, 1.0, {0, 900, 0}}};
 
 auto stepKey(const std::string &job, std::uint32_t step) -> std::string
 {
@@ -97,6 +100,7 @@
     const jobs::job_id id{"job" + std::to_string(m_specs.size())};
     const jobs::account_id account{accountNames.at(m_specs.size() % accountNames.size())};
     m_specs[id.str()] = spec;
+    m_accounts[id.str()] = account;
     owner.engine->submit(id, queue(4), spec, wallAt(m_now), account);
 }
 
@@ -130,7 +134,8 @@
     }
     auto next = std::make_unique<sim_owner>();
     next->epoch = ++m_store.epoch;
-    next->engine = std::make_unique<jobs::job_engine>(nullptr);
+    next->engine = std::make_unique<jobs::job_engine>(
+        [this](const jobs::decision &decision) { capsReached += decision.event == "account_at_cap" ? 1 : 0; });
     next->ordersUntil = std::numeric_limits<std::int64_t>::max();
     const auto ordersUntil = at(formerStopped ? m_now : m_now + ordersTermMs);
     for (const auto &[id, spec] : m_store.specs) {
@@ -143,6 +148,7 @@
     for (const auto &[id, leaseRecord] : m_store.leaseRecords) {
         next->engine->workers().restoreUnrenewedLease(leaseRecord, at(m_now));
     }
+    next->engine->updateAccounts(accountLimits);
     m_owners.push_back(std::move(next));
 }
 
@@ -172,6 +178,11 @@
     if (const auto difference = account_usage_check::differenceIn(*owner.engine); !difference.empty()) {
         violations.push_back("usage differs from the placed runs: " + difference);
     }
+    for (const auto &limits : accountLimits) {
+        if (jobs::exceedsCap(limits.cap, owner.engine->accountUsage().usageOf(limits.name))) {
+            violations.push_back("reserved above the cap: " + limits.name.str());
+        }
+    }
     const auto changed = owner.engine->drainChangedJobs();
     const auto leaseRecords = owner.engine->workers().collectUnrenewedLeases(at(m_now));
     const auto orders = owner.engine->drainOrders();
@@ -335,6 +346,24 @@
     if (m_failedRuns[task] >= 4) {
         violations.push_back("started after the maximum number of failed runs: " + task);
     }
+    checkCap(m_accounts.at(ref->job.str()), spec.steps[ref->step].perTask);
+}
+
+// Counts the runs that exist, which the engine may not know.
+auto world::checkCap(const jobs::account_id &account, jobs::resources use) -> void
+{
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &task : worker.model->runningTasks()) {
+            const auto ref = jobs::parseTaskName(task);
+            if (m_accounts.at(ref->job.str()) == account) {
+                use += m_specs.at(ref->job.str()).steps[ref->step].perTask;
+            }
+        }
+    }
+    const auto limits = std::ranges::find(accountLimits, account, &jobs::account_limits::name);
+    if (limits != accountLimits.end() && jobs::exceedsCap(limits->cap, use)) {
+        violations.push_back("runs above the cap: " + account.str());
+    }
 }
 
 auto world::sendStop(sim_owner &owner, const jobs::stop_order &order) -> void
--- a/tests/decisions/jobs_sim_world.h
+++ b/tests/decisions/jobs_sim_world.h
@@ -60,6 +60,7 @@
     std::size_t submitted = 0; ///< Jobs that were stored, and so acknowledged.
     std::size_t takeovers = 0; ///< Changes of the owner.
     std::size_t restarts = 0; ///< Restarts of workers.
+    std::size_t capsReached = 0; ///< Number of times that an account reached its cap.
     bool settled = false; ///< Whether every acknowledged job ended.
 
 private:
@@ -81,6 +82,7 @@
     auto sendStart(sim_owner &owner, const jobs::start_order &order) -> void;
     auto carryOutStart(sim_worker &worker, std::int64_t incarnation, std::uint64_t token,
                        const jobs::start_order &order, std::int64_t deadline) -> jobs::run_start_answer;
+    auto checkCap(const jobs::account_id &account, jobs::resources use) -> void;
     auto sendStop(sim_owner &owner, const jobs::stop_order &order) -> void;
     auto observerOf(const std::string &worker) -> fakes::worker_observer;
     auto recordEnd(const std::string &task, jobs::end_kind how) -> void;
@@ -98,6 +100,7 @@
     std::map<std::string, std::uint32_t> m_failedRuns;
     std::set<std::string> m_acknowledgedJobs;
     std::map<std::string, jobs::multistep_job_spec> m_specs;
+    std::map<std::string, jobs::account_id> m_accounts; ///< Account of each job.
     std::map<std::string, std::set<std::string>> m_doneTasks; ///< Tasks that ended as done, by job and step.
 };
 } // namespace tests::jobs_sim
