No capacity for tasks and work beyond an account's cap

Cause: hosts would be moved to a pool for waiting tasks which the cap of their account does not let start. Change: capacity/capped_demand limits the waiting tasks of capped accounts to whole tasks that fit, divided between pools in proportion, and their arriving work to the cap of processor time. Other demand is measured as before.

--- a/src/poplarpass/capacity/pool_demand.cpp
+++ b/src/poplarpass/capacity/pool_demand.cpp
@@ -9,6 +9,14 @@
 {
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
+/// \brief Work that arrived for a pool from accounts without a cap, thousandths of core-seconds.
+struct arrived_work
+{
+    std::int64_t work = 0; ///< Within offeredWindow.
+    std::int64_t recentWork = 0; ///< Within burstWindow.
+    std::size_t recentJobs = 0; ///< Jobs within burstWindow, of all accounts.
+};
+
 auto workOf(const jobs::multistep_job_spec &spec) -> std::int64_t
 {
     std::int64_t work = 0;
@@ -18,25 +26,32 @@
     return work;
 }
 
-auto addWaitingDemand(const jobs::multistep_job_record &job, pool_load &load) -> void
+auto addWaitingDemand(const jobs::multistep_job_record &job, pool_load &load, capped_demand &capped) -> void
 {
+    const bool isCapped = capped.applies(job.account);
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
         const auto &spec = job.spec.steps[step];
         if (job.unfinishedOf(0, step) == 0 || !job.areDependenciesDone(0, step)) {
             continue;
         }
         const auto first = job.positionOf(0, step, 0);
+        std::int64_t waiting = 0;
         for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
-            if (job.tasks[first + index].phase == jobs::task_phase::waiting && !spec.bestEffort) {
-                load.waiting += spec.perTask.cpu;
-            }
+            const bool isWaiting = job.tasks[first + index].phase == jobs::task_phase::waiting;
+            waiting += isWaiting && !spec.bestEffort ? 1 : 0;
+        }
+        if (isCapped && waiting > 0) {
+            capped.addWaiting(job, jobs::resourcesToStart(spec), spec.gang ? 1 : waiting);
+        } else {
+            load.waiting += waiting * spec.perTask.cpu;
         }
     }
 }
 
-auto ratePerSecond(std::int64_t work, core::duration window) -> std::int64_t
+auto rateIn(const std::map<core::pool_id, std::int64_t> &rates, const core::pool_id &pool) -> std::int64_t
 {
-    return work * millisecondsPerSecond / std::chrono::duration_cast<std::chrono::milliseconds>(window).count();
+    const auto found = rates.find(pool);
+    return found == rates.end() ? 0 : found->second;
 }
 
 /// \brief Returns the minimum number of workers that satisfies the anti-affinity of the long-running tasks of \p job.
@@ -55,7 +70,7 @@
 auto demand_meter::onJob(const jobs::multistep_job_record &job, core::monotonic_time now) -> void
 {
     if (!job.spec.isLongRunning() && job.spec.repeatCount == 0) {
-        m_arrivals[job.queue.pool].push_back({now, workOf(job.spec)});
+        m_arrivals[job.queue.pool].push_back({now, workOf(job.spec), job.account});
     }
 }
 
@@ -70,29 +85,50 @@
             }
         }
     }
+    measureOffered(engine, now, loads);
+    capped_demand capped{engine};
+    engine.forEachActive([&](const jobs::multistep_job_record &job) {
+        auto &load = loads[job.queue.pool];
+        addWaitingDemand(job, load, capped);
+        load.minWorkers = std::max(load.minWorkers, antiAffinityWorkersOf(job));
+    });
+    for (const auto &[pool, waiting] : capped.waitingByPool()) {
+        loads[pool].waiting += waiting;
+    }
+    return loads;
+}
+
+auto demand_meter::measureOffered(const jobs::job_engine &engine, core::monotonic_time now,
+                                  std::map<core::pool_id, pool_load> &loads) -> void
+{
+    std::map<core::pool_id, arrived_work> arrived;
+    capped_demand capped{engine};
+    capped_demand cappedRecent{engine};
     for (auto &[pool, arrivals] : m_arrivals) {
         while (!arrivals.empty() && now - arrivals.front().at > offeredWindow) {
             arrivals.pop_front();
         }
-        std::int64_t work = 0;
-        std::int64_t recentWork = 0;
-        std::size_t recentJobs = 0;
+        auto &sum = arrived[pool];
         for (const auto &entry : arrivals) {
-            work += entry.work;
             const bool recent = now - entry.at <= burstWindow;
-            recentWork += recent ? entry.work : 0;
-            recentJobs += recent ? 1 : 0;
+            sum.recentJobs += recent ? 1 : 0;
+            if (capped.applies(entry.account)) {
+                capped.addOffered(entry.account, pool, entry.work);
+                cappedRecent.addOffered(entry.account, pool, recent ? entry.work : 0);
+                continue;
+            }
+            sum.work += entry.work;
+            sum.recentWork += recent ? entry.work : 0;
         }
-        loads[pool].offered = ratePerSecond(work, offeredWindow);
-        if (recentJobs >= minBurstJobs) {
-            loads[pool].offered = std::max(loads[pool].offered, ratePerSecond(recentWork, burstWindow));
+    }
+    const auto rates = capped.offeredByPool(offeredWindow);
+    const auto recentRates = cappedRecent.offeredByPool(burstWindow);
+    for (const auto &[pool, sum] : arrived) {
+        auto &offered = loads[pool].offered;
+        offered = ratePerSecond(sum.work, offeredWindow) + rateIn(rates, pool);
+        if (sum.recentJobs >= minBurstJobs) {
+            offered = std::max(offered, ratePerSecond(sum.recentWork, burstWindow) + rateIn(recentRates, pool));
         }
     }
-    engine.forEachActive([&](const jobs::multistep_job_record &job) {
-        auto &load = loads[job.queue.pool];
-        addWaitingDemand(job, load);
-        load.minWorkers = std::max(load.minWorkers, antiAffinityWorkersOf(job));
-    });
-    return loads;
 }
 } // namespace poplarpass::capacity
--- a/src/poplarpass/capacity/pool_demand.h
+++ b/src/poplarpass/capacity/pool_demand.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <poplarpass/capacity/capped_demand.h>
 #include <poplarpass/capacity/host_table.h>
 #include <poplarpass/jobs/job_engine.h>
 
@@ -13,8 +14,9 @@
 {
     std::int64_t capacity = 0; ///< Capacity of listed workers that are neither draining nor leaving.
     std::int64_t placed = 0; ///< Processor time reserved by the placed runs.
-    std::int64_t waiting = 0; ///< Demand of tasks that could start now if there were capacity.
-    std::int64_t offered = 0; ///< Rate of arriving work, from the averages over offeredWindow and burstWindow.
+    std::int64_t waiting = 0; ///< Demand of tasks that could start now if there were capacity; none beyond caps.
+    std::int64_t offered = 0; ///< Rate of arriving work, from the averages over offeredWindow and burstWindow; none
+                              ///< beyond caps.
     std::uint32_t minWorkers = 0; ///< Minimum number of workers that satisfies the anti-affinity of long-running tasks.
 };
 
@@ -33,8 +35,12 @@
     {
         core::monotonic_time at;
         std::int64_t work; ///< Thousandths of core-seconds.
+        jobs::account_id account; ///< Account that submitted it; empty for none.
     };
 
+    auto measureOffered(const jobs::job_engine &engine, core::monotonic_time now,
+                        std::map<core::pool_id, pool_load> &loads) -> void;
+
     std::map<core::pool_id, std::deque<arrival>> m_arrivals;
 };
 } // namespace poplarpass::capacity
--- a/tests/decisions/pool_demand_test.cpp
+++ b/tests/decisions/pool_demand_test.cpp
@@ -97,3 +97,80 @@
     const auto result = simulate([](std::int64_t /*time*/) { return 300.0; }, 60'000);
     CHECK(result.provisionedPerOffered < 1.3);
 }
+
+// Guards against hosts that are moved for tasks which their account's cap does not let start.
+TEST_CASE("Waiting tasks beyond what the cap leaves are no demand", "[pool_demand][caps]")
+{
+    const jobs::account_id account{"alpha"};
+    auto engine = engineWith({worker("a")});
+    const auto setCap = [&](const jobs::resources &cap) {
+        const std::vector<jobs::account_limits> all{{account, 1.0, cap}};
+        engine.updateAccounts(all);
+    };
+    const auto waitingIn = [&](const std::string &pool) {
+        capacity::demand_meter meter;
+        return meter.measure(engine, at(20))[core::pool_id{pool}].waiting;
+    };
+    auto other = queue();
+    other.pool = core::pool_id{"other"};
+    engine.submit(jobs::job_id{"j"}, queue(), jobOf({step(24)}), wallAt(0), account);
+    engine.submit(jobs::job_id{"none"}, queue(), jobOf({step(4)}), wallAt(1));
+    engine.plan(at(10), wallAt(10));
+    REQUIRE(engine.accountUsage().usageOf(account).cpu == 12'000);
+    CHECK(waitingIn("pool") == 12'000);
+
+    SECTION("Only whole tasks that fit count")
+    {
+        setCap({17'500, 0, 0});
+        CHECK(waitingIn("pool") == 5000);
+    }
+    SECTION("What the cap leaves is divided between the pools")
+    {
+        engine.submit(jobs::job_id{"k"}, other, jobOf({step(12)}), wallAt(0), account);
+        setCap({18'000, 0, 0});
+        CHECK(waitingIn("pool") == 3000);
+        CHECK(waitingIn("other") == 3000);
+    }
+    SECTION("Below the usage nothing counts")
+    {
+        setCap({6000, 0, 0});
+        CHECK(waitingIn("pool") == 0);
+    }
+    SECTION("A memory cap limits the demand for processor time")
+    {
+        setCap({0, 1400, 0});
+        CHECK(waitingIn("pool") == 2000);
+    }
+    SECTION("A gang counts as a whole or not at all")
+    {
+        auto gang = step(8);
+        gang.gang = true;
+        engine.submit(jobs::job_id{"g"}, other, jobOf({gang}), wallAt(0), account);
+        setCap({13'500, 0, 0});
+        CHECK(waitingIn("other") == 0);
+        CHECK(waitingIn("pool") == 1000);
+    }
+}
+
+// Guards against hosts that are moved because an account submits more than it may run.
+TEST_CASE("Work that arrives beyond the cap is not offered load", "[pool_demand][caps]")
+{
+    const jobs::account_id account{"alpha"};
+    jobs::job_engine engine{nullptr};
+    capacity::demand_meter capped;
+    capacity::demand_meter free;
+    for (std::int64_t time = 0; time < 1000; time += 5) {
+        auto job = jobs::makeJob(jobs::job_id{std::to_string(time)}, queue(), jobOf({step(1)}), wallAt(time));
+        free.onJob(job, at(time));
+        job.account = account;
+        capped.onJob(job, at(time));
+    }
+    const core::pool_id pool{"pool"};
+    const auto offered = free.measure(engine, at(1000))[pool].offered;
+    CHECK(offered > 150'000);
+    CHECK(capped.measure(engine, at(1000))[pool].offered == offered);
+    const std::vector<jobs::account_limits> all{{account, 1.0, {30'000, 0, 0}}};
+    engine.updateAccounts(all);
+    CHECK(capped.measure(engine, at(1000))[pool].offered == 30'000);
+    CHECK(free.measure(engine, at(1000))[pool].offered == offered);
+}
