Test of caps: types of times as the linter wants them

Cause: tools/lint rejected an implicit widening and a constant that is returned. Result: decisions_tests "[accounts],[pool_demand],[sim]" pass.

--- a/tests/decisions/account_caps_test.cpp
+++ b/tests/decisions/account_caps_test.cpp
@@ -52,7 +52,7 @@
 
 auto startAll(jobs::job_engine &engine, std::int64_t now) -> std::vector<jobs::start_order>
 {
-    const auto starts = plan(engine, now);
+    auto starts = plan(engine, now);
     for (const auto &order : starts) {
         engine.onStartAnswer(order, jobs::run_start_answer::started, at(now));
     }
@@ -164,9 +164,9 @@
     for (std::uint32_t attempt = 1; attempt <= jobs::maxStartAttempts; ++attempt) {
         REQUIRE(starts.size() == 1);
         CHECK(starts[0].task.job == jobs::job_id{"j"});
-        engine.onStartAnswer(starts[0], jobs::run_start_answer::unknown, at(100 * attempt));
+        engine.onStartAnswer(starts[0], jobs::run_start_answer::unknown, at(100 * std::int64_t{attempt}));
         if (attempt < jobs::maxStartAttempts) {
-            starts = plan(engine, 100 * attempt + 1);
+            starts = plan(engine, 100 * std::int64_t{attempt} + 1);
         }
     }
     const auto stops = engine.drainOrders().stops;
