--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <poplarpass/jobs/account_caps.h>
 #include <poplarpass/jobs/account_numbers.h>
 #include <poplarpass/jobs/account_usage.h>
 #include <poplarpass/jobs/advice_cache.h>
 #include <poplarpass/jobs/gang_hold.h>
 #include <poplarpass/jobs/job_order.h>
 #include <poplarpass/jobs/job_state.h>
+#include <poplarpass/jobs/lingering_run.h>
 #include <poplarpass/jobs/placement_candidates.h>
 #include <poplarpass/jobs/pool_shares.h>
 #include <poplarpass/jobs/ranked_job.h>
@@ -76,6 +78,7 @@
     double shareCores = 0; ///< Processor time that its shares of full pools provide, cores.
     std::uint64_t waitingTasks = 0; ///< Its tasks that wait, including those of steps that may not start yet.
     double waitingCoreSeconds = 0; ///< Estimated processor time of those that end by themselves, core seconds.
+    std::optional<core::monotonic_time> atCapSince; ///< Since when its cap has held back starts; nothing while none.
 };
 
 /// \brief State machine of all jobs and their tasks, used by the one process that owns the pools.
@@ -98,9 +101,6 @@
     auto submit(const job_id &id, const queue_policy &queue, multistep_job_spec spec, core::wall_time received,
                 const account_id &account = {}) -> submit_outcome;
 
-    /// \brief Applies the accounts of a new configuration; none when accounts are disabled.
-    auto updateAccounts(std::span<const account_limits> accounts) -> void;
-
     /// \brief Decides whether an account may add a job, given its waiting work in the pool (see backlog_limit.h).
     ///
     /// Long-running and scheduled jobs are not limited, nor are repeated submissions of a known job.
@@ -177,11 +177,35 @@
     /// \brief Returns the number of tasks in memory, over all jobs.
     [[nodiscard]] auto taskCount() const -> std::size_t;
 
-    /// \brief Returns the resources that placed runs reserve, by account.
+    /// \brief Applies the client accounts of a configuration; called for each new one and before the first plan.
+    ///
+    /// An account that is not in \p accounts keeps the limits that this engine knew last.
+    auto updateAccounts(std::span<const account_limits> accounts) -> void;
+
+    /// \brief Removes all limits of accounts: the configuration no longer has accounts.
+    auto disableAccounts() -> void;
+
+    /// \brief Sets whether the configuration is confirmed. While it is not, a cap may have been lowered, and accounts
+    /// with a cap get no new starts.
+    auto setCapsConfirmed(bool confirmed) -> void;
+
+    /// \brief Returns the limits of \p account in effect; null when none are known.
+    [[nodiscard]] auto limitsOf(const account_id &account) const -> const account_limits *;
+
+    /// \brief Returns since when starts of \p account have been held back by its cap; nothing while they are not.
+    [[nodiscard]] auto atCapSince(const account_id &account) const -> std::optional<core::monotonic_time>;
+
+    /// \brief Returns whether \p spec can never run under the cap of \p account: a task alone, or a gang as a whole,
+    /// exceeds it.
+    [[nodiscard]] auto exceedsCap(const multistep_job_spec &spec, const account_id &account) const -> bool;
+
+    /// \brief Returns the resources that placed and lingering runs reserve, by account.
     [[nodiscard]] auto accountUsage() const -> const account_usage &;
 
     /// \brief Returns the state of each configured account, in the order of the configuration. Visits all jobs.
     [[nodiscard]] auto accountStatus() const -> std::vector<account_status>;
+    /// \brief Returns the runs of accounts that may exist although they are not placed, by worker.
+    [[nodiscard]] auto lingeringRuns() const -> const std::map<worker_id, std::vector<lingering_run>> &;
 
     /// \brief Returns the counts since construction.
     [[nodiscard]] auto counters() const -> const engine_counters &;
@@ -201,7 +225,9 @@
     {
         multistep_job_record *job = nullptr;
         job_outlook outlook;
-        internal::account_number account = 0;
+        internal::account_number accountNumber = 0;
+        account_caps::account *account = nullptr; ///< Its account; null when it has none or the account has no limits.
+        resources leastNeed; ///< No start of its tasks needs less; set only with an account.
     };
 
     /// \brief What the accounts that share a pool have to do with each other.
@@ -227,6 +253,20 @@
 
     auto locate(const task_ref &task) -> located_task;
     auto addActiveJob(multistep_job_record &job) -> void;
+    auto linkAccount(active_job &entry) -> void;
+    auto capPermits(const multistep_job_record &job, const step_spec &step) -> bool;
+    auto onCappedStart(const multistep_job_record &job) -> void;
+    auto mayRestart(const multistep_job_record &job) const -> bool;
+    auto reportCaps() -> void;
+    auto keepLingering(const task_ref &task, const multistep_job_record &job, const task_record &state,
+                       core::monotonic_time now) -> void;
+    auto onStrayRun(const worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
+    auto onLingeringEnd(const worker_id &worker, const ended_run &end) -> void;
+    auto onLingeringStopped(const stop_order &order, core::monotonic_time now) -> void;
+    auto resolveLingering(const worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt) -> void;
+    auto dropLingering(const worker_id &worker) -> void;
+    auto updateLingering(core::monotonic_time now) -> void;
+    auto removeLingeringIf(const worker_id &worker, const std::function<bool(lingering_run &)> &isOver) -> void;
     auto setPhase(const task_ref &task, multistep_job_record &job, task_record &state, task_phase phase) -> void;
     auto markChanged(const multistep_job_record &job) -> void;
     auto logEvent(std::string_view event, const std::string &subject, const worker_id &worker, std::uint32_t run,
@@ -318,7 +358,9 @@
     internal::account_numbers m_accountNumbers;
     std::map<core::pool_id, shared_pool> m_sharedPools; ///< Empty until accounts are configured.
     sharing_pass m_pass;
-    account_usage m_accountUsage; ///< Of the runs placed on any worker of m_workers.
+    account_caps m_caps;
+    account_usage m_accountUsage; ///< Of the runs placed on any worker of m_workers, and of m_lingering.
+    std::map<worker_id, std::vector<lingering_run>> m_lingering; ///< By worker; only of jobs with an account.
     std::set<job_id> m_changed;
     order_batch m_orders;
     advice_cache m_advice;
--- a/src/poplarpass/jobs/job_engine_shares.cpp
+++ b/src/poplarpass/jobs/job_engine_shares.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
+#include <utility>
 
 // Fair sharing of full pools between client accounts.
 namespace poplarpass::jobs
@@ -78,14 +79,6 @@
 }
 } // namespace
 
-auto job_engine::updateAccounts(std::span<const account_limits> accounts) -> void
-{
-    m_accountNumbers.update(accounts);
-    if (accounts.empty()) {
-        m_sharedPools.clear();
-    }
-}
-
 auto job_engine::planSharedPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
                                 core::wall_time wallTime) -> void
 {
@@ -93,14 +86,29 @@
     shared.shares.beginCycle();
     std::vector<internal::ranked_job> order;
     auto leastCpu = std::numeric_limits<std::int64_t>::max();
-    for (const auto &[id, entry] : active) {
-        const auto demand = internal::waitingDemandOf(*entry.job, wallTime);
-        shared.shares.add(entry.account, demand);
+    std::vector<std::pair<const active_job *, internal::waiting_demand>> limited;
+    m_caps.beginPool();
+    const auto add = [&](const active_job &entry, const internal::waiting_demand &demand) {
+        shared.shares.add(entry.accountNumber, demand);
         const bool needsAdvice = entry.job->queue.advice.has_value();
         if (needsAdvice || demand.startableTasks > 0) {
-            order.push_back({rankOf(entry.outlook, wallTime), entry.job, entry.account});
+            order.push_back({rankOf(entry.outlook, wallTime), entry.job, entry.accountNumber});
             leastCpu = std::min(leastCpu, needsAdvice ? 0 : entry.outlook.leastCpu);
         }
+    };
+    for (const auto &[id, entry] : active) {
+        const auto demand = internal::waitingDemandOf(*entry.job, wallTime);
+        if (entry.account != nullptr && demand.startableTasks > 0 && !entry.job->queue.advice) {
+            m_caps.addCandidate(*entry.account, entry.leastNeed);
+            limited.emplace_back(&entry, demand);
+        } else {
+            add(entry, demand);
+        }
+    }
+    // Tasks that wait for their account's cap are no demand: the pool may have room.
+    for (const auto &[entry, demand] : limited) {
+        const bool isExhausted = m_caps.isExhausted(*entry->account, pool, m_accountUsage);
+        add(*entry, isExhausted ? internal::waiting_demand{0, {}, {}, demand.work} : demand);
     }
     updateGangHold(shared, active, now);
     m_pass = {&shared};
@@ -194,7 +202,7 @@
     }
     const auto &entry = active.at(holder->job);
     internal::placement_candidates all{eligible};
-    m_pass.account = entry.account;
+    m_pass.account = entry.accountNumber;
     placeGang(*entry.job, holder->occurrence, holder->step, all, now);
     if (entry.job->waitingOf(holder->occurrence, holder->step) > 0) {
         std::erase_if(eligible, [&](const auto *worker) { return shared.heldWorkers.contains(worker->entry.id); });
@@ -256,7 +264,10 @@
     std::vector<std::size_t> positions;
     for (const auto number : m_accountNumbers.configured()) {
         const auto &limits = m_accountNumbers.limitsOf(number);
-        account_status status{limits, m_accountUsage.usageOf(limits.name)};
+        account_status status;
+        status.limits = limits;
+        status.use = m_accountUsage.usageOf(limits.name);
+        status.atCapSince = atCapSince(limits.name);
         for (const auto &[pool, shared] : m_sharedPools) {
             status.shareCores += shared.shares.shareCoresOf(number);
         }
@@ -266,10 +277,10 @@
     }
     for (const auto &[pool, active] : m_activeJobs) {
         for (const auto &[id, entry] : active) {
-            if (entry.account >= positions.size() || positions[entry.account] == 0) {
+            if (entry.accountNumber >= positions.size() || positions[entry.accountNumber] == 0) {
                 continue;
             }
-            auto &status = listed[positions[entry.account] - 1];
+            auto &status = listed[positions[entry.accountNumber] - 1];
             status.waitingTasks += entry.job->waiting;
             status.waitingCoreSeconds += internal::waitingDemandOf(*entry.job, core::wall_time::max()).work;
         }
