A small host becomes owner only when no large one can, and yields to a large one

Change: while the store is slow, small hosts wait 2 s more before they claim; an owner on a small host resigns once a large host has acknowledged it, it has served for 1 s and the store answers quickly, and does not claim again for 10 s. Hosts register with the store whether they are large. Every third host of the system simulation is small. Result: new tests fail without the change (claim order, handover, pause after yielding); decisions [owner], io [host] and the system tests pass.

--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -64,6 +64,7 @@
     event_description{"owner_record_unreadable", "an ownership record could not be decoded and was skipped", "offset"},
     event_description{"owner_regained", "the owner responds to this host again", "owner, effect"},
     event_description{"owner_resigns", "this owner has stored all changes and resigns", "epoch"},
+    event_description{"owner_yields", "this owner resigns in favour of another host", "epoch, reason"},
     event_description{"owner_serving", "a new owner serves requests and sends orders", "epoch, workers, ms"},
     event_description{"pace_refused", "a worker did not accept a change of a run's pace", "task, worker"},
     event_description{"pool_load", "capacity and demand of a pool, twice a second",
--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -1,5 +1,6 @@
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/host_core.h>
+#include <poplarpass/owner/handover.h>
 
 #include <functional>
 #include <utility>
@@ -27,7 +28,8 @@
                    }
                }}
     , m_election{m_env.time, m_env.records, m_env.log, m_env.name, m_env.address, makeElectionHooks()}
-    , m_announcer{m_env.time, m_env.records, m_env.peers, m_env.log, m_env.name, m_env.address}
+    , m_announcer{m_env.time, m_env.records, m_env.peers,
+                  m_env.log,  m_env.name,    {m_env.address, !owner::isSmallHost(m_env.resources)}}
     , m_forwarder{makeForwarder()}
 {
 }
@@ -57,6 +59,7 @@
     hooks.onRenewed = [this](core::monotonic_time sentAt, core::duration electionTimeout) {
         if (m_owner) {
             m_owner->onRenewed(sentAt, electionTimeout);
+            yieldIfSmall();
         }
     };
     hooks.onOwnershipLost = [this] {
@@ -160,6 +163,24 @@
     }
 }
 
+auto host_core::yieldIfSmall() -> void
+{
+    const bool yields = m_owner->isServing()
+        && owner::shouldYield({owner::isSmallHost(m_env.resources), m_announcer.hasLargeHostAcknowledged(),
+                               m_owner->servingFor(), m_election.renewalLatency()});
+    if (!yields) {
+        return;
+    }
+    m_env.log.log(log_level::info, "owner_yields", {{"epoch", m_owner->epoch()}, {"reason", "small_host"}});
+    m_owner->resign([this] {
+        m_election.yield(owner::yieldPause, [this] {
+            m_env.log.log(log_level::info, "resigned", {});
+            m_announcer.stop();
+            m_owner.reset();
+        });
+    });
+}
+
 auto host_core::ownerAddress() const -> std::optional<std::string>
 {
     const auto &current = m_election.current();
--- a/src/poplarpass/host/host_core.h
+++ b/src/poplarpass/host/host_core.h
@@ -73,6 +73,7 @@
     auto makeForwarder() -> request_forwarder;
     auto onElected(std::uint64_t epoch, core::monotonic_time claimedAt) -> void;
     auto onOwnershipLost() -> void;
+    auto yieldIfSmall() -> void;
     auto handleAsOwner(const client_request &request, response_callback answer) -> bool;
     [[nodiscard]] auto ownerAddress() const -> std::optional<std::string>;
     [[nodiscard]] auto rank() const -> unsigned;
--- a/src/poplarpass/host/owner_announcer.h
+++ b/src/poplarpass/host/owner_announcer.h
@@ -11,9 +11,25 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace poplarpass::host
 {
+/// \brief How other hosts reach a host, and whether it is large enough to own the pools under load.
+struct registered_host
+{
+    std::string address; ///< "IP:port" for other hosts.
+    bool isLarge = false; ///< Whether it keeps up as the owner during load spikes.
+
+    auto operator==(const registered_host &) const -> bool = default;
+};
+
+/// \brief Encodes \p host as text for the store.
+auto encodeRegisteredHost(const registered_host &host) -> std::string;
+
+/// \brief Decodes a record that encodeRegisteredHost() wrote; a record without a size is that of a small host.
+auto decodeRegisteredHost(std::string_view text) -> registered_host;
+
 /// \brief Announces the owner to the other hosts, so that a host that cannot reach the store still finds it.
 class owner_announcer
 {
@@ -22,7 +38,7 @@
     using acknowledged_hook = std::function<void(const std::string &)>;
 
     owner_announcer(const core::time_source &time, const store::record_store &records, const peer_calls &peers,
-                    observe::logger &log, std::string hostName, std::string address);
+                    observe::logger &log, std::string hostName, registered_host self);
 
     /// \brief Adds this host to the store's list of hosts; retries until that is stored.
     auto registerHost() -> void;
@@ -30,6 +46,9 @@
     /// \brief Announces \p record to every other host periodically until stop().
     auto announce(const owner::owner_record &record, acknowledged_hook onAcknowledged) -> void;
 
+    /// \brief Returns whether a large host has acknowledged the current announcement, and so could take over.
+    [[nodiscard]] auto hasLargeHostAcknowledged() const -> bool;
+
     /// \brief Stops the announcements.
     auto stop() -> void;
 
@@ -42,10 +61,10 @@
     const peer_calls &m_peers;
     observe::logger &m_log;
     std::string m_hostName;
-    std::string m_address;
+    registered_host m_self;
     owner::owner_record m_announcement;
     acknowledged_hook m_onAcknowledged;
-    std::map<std::string, std::string> m_hosts;
+    std::map<std::string, registered_host> m_hosts;
     std::map<std::string, bool> m_acknowledged;
     std::uint64_t m_serial = 0;
     core::lifetime m_lifetime;
--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -96,8 +96,8 @@
 
 auto owner_election::claimIfDue() -> void
 {
-    if (!m_owner && !m_claiming && !m_claimsDisabled
-        && m_monitor.shouldClaim(m_time.now(), m_hostName, m_hooks.rank())) {
+    const bool mayClaim = !m_claimsDisabled && !m_onResigned && m_time.now() >= m_noClaimsBefore;
+    if (!m_owner && !m_claiming && mayClaim && m_monitor.shouldClaim(m_time.now(), m_hostName, m_hooks.rank())) {
         claim();
     }
 }
@@ -226,11 +226,28 @@
 auto owner_election::resign(std::function<void()> done) -> void
 {
     disableClaims();
+    beginResignation(std::move(done));
+}
+
+auto owner_election::yield(core::duration pause, std::function<void()> done) -> void
+{
+    m_noClaimsBefore = m_time.now() + pause;
+    beginResignation(std::move(done));
+}
+
+auto owner_election::renewalLatency() const -> core::duration
+{
+    return m_renewalLatency;
+}
+
+auto owner_election::beginResignation(std::function<void()> done) -> void
+{
     if (!std::exchange(m_owner, false)) {
         done();
         return;
     }
     m_onResigned = std::move(done);
+    m_claimedEpoch = 0;
     if (!m_renewing) {
         sendResignation();
     }
@@ -240,14 +257,14 @@
 // the renewal and drop it.
 auto owner_election::sendResignation() -> void
 {
-    appendOwnerRecord(owner::owner_record_kind::resignation, owner::longElectionTimeout,
+    appendOwnerRecord(owner::owner_record_kind::resignation, owner::electionTimeoutFor(m_renewalLatency),
                       [this](const store::append_result &answer) {
                           const bool shouldRetry = answer.outcome == store::append_outcome::refused
                               || answer.outcome == store::append_outcome::unknown;
                           if (shouldRetry) {
                               m_time.callAfter(storeRetryDelay, m_lifetime.guard([this] { sendResignation(); }));
                           } else {
-                              m_onResigned();
+                              std::exchange(m_onResigned, nullptr)();
                           }
                       });
 }
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -41,6 +41,12 @@
     /// rejected.
     auto resign(std::function<void()> done) -> void;
 
+    /// \brief Stores a resignation like resign(), after which this process claims again only after \p pause.
+    auto yield(core::duration pause, std::function<void()> done) -> void;
+
+    /// \brief Returns how long the last renewal took.
+    [[nodiscard]] auto renewalLatency() const -> core::duration;
+
     /// \brief Marks this process as not being the owner, whatever the store contains.
     auto clearOwnership() -> void;
 
@@ -70,6 +76,7 @@
     auto renew() -> void;
     auto onRenewed(const store::append_result &answer, core::monotonic_time sentAt, core::duration electionTimeout)
         -> void;
+    auto beginResignation(std::function<void()> done) -> void;
     auto sendResignation() -> void;
     auto stepDown() -> void;
     auto appendOwnerRecord(owner::owner_record_kind kind, core::duration electionTimeout,
@@ -94,6 +101,7 @@
     bool m_owner = false;
     bool m_claiming = false;
     bool m_claimsDisabled = false;
+    core::monotonic_time m_noClaimsBefore{};
     bool m_storeUnavailable = false;
     core::lifetime m_lifetime;
 };
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -156,6 +156,7 @@
 auto pool_owner::beginServing() -> void
 {
     m_serving = true;
+    m_servingSince = m_env.time.now();
     updateWorkers();
     m_env.log.log(
         log_level::info, "owner_serving",
@@ -357,6 +358,11 @@
     return m_serving && !m_resigned;
 }
 
+auto pool_owner::servingFor() const -> core::duration
+{
+    return m_serving ? m_env.time.now() - m_servingSince : core::duration{0};
+}
+
 auto pool_owner::updateMetrics() -> void
 {
     const auto &counts = m_engine.counters();
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -83,6 +83,9 @@
     /// \brief Returns whether requests are served.
     [[nodiscard]] auto isServing() const -> bool;
 
+    /// \brief Returns for how long requests have been served in this term.
+    [[nodiscard]] auto servingFor() const -> core::duration;
+
     /// \brief Updates the gauges of the owner.
     auto updateMetrics() -> void;
 
@@ -144,6 +147,7 @@
     core::duration m_cycleLateness{0}; ///< How late the last decision cycle began, because the process was busy.
     core::monotonic_time m_lastCycleAt{};
     core::monotonic_time m_startedAt{};
+    core::monotonic_time m_servingSince{};
     core::lifetime m_lifetime;
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/owner/owner_monitor.cpp
+++ b/src/poplarpass/owner/owner_monitor.cpp
@@ -1,4 +1,5 @@
 #include <poplarpass/core/parse_integer.h>
+#include <poplarpass/owner/claim_rank.h>
 #include <poplarpass/owner/owner_monitor.h>
 
 #include <algorithm>
@@ -57,6 +58,7 @@
     }
     m_newestEpoch = record.epoch;
     m_electionTimerStart = now;
+    m_isStoreSlow = record.electionTimeout > shortElectionTimeout;
     recordObserved(record, now);
     if (record.kind == owner_record_kind::resignation) {
         m_current.reset();
@@ -131,12 +133,12 @@
         return std::nullopt;
     }
     if (!m_current) {
-        return m_vacantSince + claimStagger * rank;
+        return m_vacantSince + claimDelay(rank, m_isStoreSlow);
     }
     if (m_current->host == host) {
         return m_electionTimerStart;
     }
-    return m_electionTimerStart + m_current->electionTimeout + claimStagger * rank;
+    return m_electionTimerStart + m_current->electionTimeout + claimDelay(rank, m_isStoreSlow);
 }
 
 auto owner_monitor::shouldClaim(core::monotonic_time now, std::string_view host, unsigned rank) const -> bool
--- a/src/poplarpass/owner/owner_monitor.h
+++ b/src/poplarpass/owner/owner_monitor.h
@@ -23,8 +23,6 @@
 inline constexpr core::duration answerMargin = std::chrono::milliseconds{200};
 /// \brief Time for which the owner may send orders to workers, from sending the last renewal that was stored.
 inline constexpr core::duration orderTerm = std::chrono::milliseconds{4500};
-/// \brief Delay between the claims of processes with consecutive ranks.
-inline constexpr core::duration claimStagger = std::chrono::milliseconds{25};
 
 /// \brief Kind of a record about ownership.
 enum class owner_record_kind : std::uint8_t {
@@ -104,6 +102,7 @@
     std::optional<owner_record> m_current;
     std::uint64_t m_newestEpoch = 0;
     bool m_readable = false;
+    bool m_isStoreSlow = false; ///< Whether the store was slow by the last record of an owner.
     std::vector<observed_owner> m_observedOwners;
     core::monotonic_time m_electionTimerStart{};
     core::monotonic_time m_vacantSince{};
--- a/tests/decisions/owner_monitor_test.cpp
+++ b/tests/decisions/owner_monitor_test.cpp
@@ -1,4 +1,5 @@
 #include <poplarpass/owner/claim_rank.h>
+#include <poplarpass/owner/handover.h>
 #include <poplarpass/owner/owner_monitor.h>
 
 #include <catch2/catch.hpp>
@@ -139,3 +140,56 @@
         }
     }
 }
+
+// Guards against a small host that becomes owner while the store is slow, and then delays all callers until its end.
+TEST_CASE("While the store is slow a small host leaves others the time to claim first", "[owner]")
+{
+    const auto smallRank = owner::claimRank("a", true, {0.12, 10});
+    const auto largeRank = owner::claimRank("b", false, {0.5, 200});
+    const std::chrono::milliseconds slowCall{650};
+    owner::owner_monitor monitor;
+    monitor.onRead(at(0));
+    monitor.onRecord(record(claim, 1, "o"), at(0));
+    auto last = record(resignation, 1, "o");
+
+    SECTION("a slow store")
+    {
+        last.electionTimeout = owner::longElectionTimeout;
+        monitor.onRecord(last, at(1000));
+        // The large host reads the resignation one call later and claims; the claim is read after two more calls.
+        CHECK_FALSE(monitor.shouldClaim(at(1000) + slowCall * 3, "a", smallRank));
+        CHECK(monitor.shouldClaim(at(1000) + owner::claimStagger * largeRank, "b", largeRank));
+        CHECK(monitor.shouldClaim(at(1000) + owner::smallHostClaimDelay + owner::claimStagger * smallRank, "a",
+                                  smallRank));
+    }
+    SECTION("a quick store")
+    {
+        monitor.onRecord(last, at(1000));
+        CHECK(monitor.shouldClaim(at(1000) + owner::claimStagger * smallRank, "a", smallRank));
+    }
+}
+
+// Guards against a small host that stays the owner for the rest of its life although large ones are available.
+TEST_CASE("A small owner yields to a large host that has acknowledged it", "[owner]")
+{
+    const owner::handover_inputs due{true, true, owner::minTermBeforeYield, owner::quickRenewalLimit};
+    CHECK(owner::shouldYield(due));
+    auto inputs = due;
+    SECTION("not a large owner")
+    {
+        inputs.isSmall = false;
+    }
+    SECTION("not without a large host that could take over")
+    {
+        inputs.isLargeHostAvailable = false;
+    }
+    SECTION("not before those who waited for it are answered")
+    {
+        inputs.servingFor -= std::chrono::milliseconds{1};
+    }
+    SECTION("not while the store is slow")
+    {
+        inputs.renewalLatency += std::chrono::milliseconds{1};
+    }
+    CHECK_FALSE(owner::shouldYield(inputs));
+}
--- a/tests/io/owner_election_test.cpp
+++ b/tests/io/owner_election_test.cpp
@@ -1,5 +1,6 @@
 #include "host_fixture.h"
 
+#include <poplarpass/host/owner_announcer.h>
 #include <poplarpass/host/owner_election.h>
 
 #include <catch2/catch.hpp>
@@ -123,3 +124,40 @@
     REQUIRE(time.runUntil([&] { return resigned && !second.epochs.empty(); }));
     CHECK(second.election.formerOwners().empty());
 }
+
+// Guards against a process that claims again at once what it has just yielded, and against one that never claims again.
+TEST_CASE("A process that yielded claims again after a pause if no other does", "[host]")
+{
+    const std::chrono::seconds pause{10};
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate first{time, memory, "a"};
+    first.election.start();
+    REQUIRE(time.runUntil([&] { return first.renewals > 0; }));
+    bool yielded = false;
+    const auto yieldedAt = first.clock.now();
+    first.election.yield(pause, [&] { yielded = true; });
+    REQUIRE(time.runUntil([&] { return yielded; }));
+
+    SECTION("another process claims at once")
+    {
+        candidate second{time, memory, "b"};
+        second.election.start();
+        REQUIRE(time.runUntil([&] { return !second.epochs.empty(); }));
+        CHECK(second.clock.now() - yieldedAt < std::chrono::seconds{1});
+    }
+    SECTION("no other process exists")
+    {
+        REQUIRE(time.runUntil([&] { return first.epochs.size() == 2; }));
+        CHECK(first.clock.now() - yieldedAt >= pause);
+        CHECK(first.epochs[1] > first.epochs[0]);
+    }
+}
+
+TEST_CASE("The record of a host tells its address and whether it is large", "[host]")
+{
+    const host::registered_host large{"10.0.0.1:7000", true};
+    const host::registered_host small{"10.0.0.2:7000", false};
+    CHECK(host::decodeRegisteredHost(host::encodeRegisteredHost(large)) == large);
+    CHECK(host::decodeRegisteredHost(host::encodeRegisteredHost(small)) == small);
+}
--- a/tests/system/sim_hosts.cpp
+++ b/tests/system/sim_hosts.cpp
@@ -15,6 +15,9 @@
 constexpr core::duration forwardTimeout = std::chrono::milliseconds{1200};
 constexpr core::duration announcementTimeout = std::chrono::milliseconds{600};
 constexpr owner::host_resources largeHost{1, 1000};
+constexpr owner::host_resources smallHost{0.1, 10};
+/// Each host with a number divisible by this is small.
+constexpr std::size_t smallHostInterval = 3;
 constexpr core::duration holderTerm = std::chrono::seconds{3};
 constexpr core::duration shutdownTime = std::chrono::milliseconds{5300};
 } // namespace
@@ -47,6 +50,7 @@
     auto &simHost = *m_hosts.back();
     simHost.name = name;
     simHost.address = "10.1.0." + std::to_string(m_hosts.size()) + ":1";
+    simHost.resources = m_hosts.size() % smallHostInterval == 0 ? smallHost : largeHost;
     simHost.lastFaultAt = -faultClearanceMs;
     start(simHost);
 }
@@ -173,9 +177,9 @@
     simHost.hosts = m_fleet.hostsFor(caller);
     simHost.advice = m_fleet.adviceFor(caller.port);
     simHost.peers = makePeers(simHost);
-    host::host_environment environment{simHost.name,    simHost.address, largeHost,       holderTerm,     simHost.time,
-                                       simHost.records, simHost.workers, simHost.hosts,   simHost.advice, simHost.peers,
-                                       decoders,        *simHost.log,    *simHost.metrics};
+    host::host_environment environment{
+        simHost.name,  simHost.address, simHost.resources, holderTerm, simHost.time, simHost.records, simHost.workers,
+        simHost.hosts, simHost.advice,  simHost.peers,     decoders,   *simHost.log, *simHost.metrics};
     simHost.core = std::make_unique<host::host_core>(std::move(environment));
     simHost.core->start();
 }
--- a/tests/system/sim_hosts.h
+++ b/tests/system/sim_hosts.h
@@ -15,6 +15,7 @@
 {
     std::string name;
     std::string address;
+    owner::host_resources resources;
     bool up = false; ///< Whether its process runs.
     std::uint64_t incarnation = 0; ///< Number of the process, increased at each start.
     std::int64_t suspendedUntil = 0; ///< The process is suspended until then, ms.
