--- a/src/poplarpass/route/route_table.cpp
+++ b/src/poplarpass/route/route_table.cpp
@@ -25,6 +25,7 @@
         entry.hostName = lowerCase(entry.hostName);
     }
     m_config = std::move(config);
+    m_accounts = m_config.accounts ? accounts::account_table{*m_config.accounts} : accounts::account_table{};
     return true;
 }
 
@@ -46,4 +47,9 @@
 {
     return m_config;
 }
+
+auto route_table::accounts() const -> const accounts::account_table *
+{
+    return m_config.accounts ? &m_accounts : nullptr;
+}
 } // namespace poplarpass::route
--- a/src/poplarpass/route/route_table.h
+++ b/src/poplarpass/route/route_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <poplarpass/accounts/account.h>
+#include <poplarpass/accounts/account_table.h>
 #include <poplarpass/jobs/job_spec.h>
 
 #include <cstdint>
@@ -67,7 +68,11 @@
     /// \brief Returns the configuration in force; its version is 0 before the first update.
     [[nodiscard]] auto config() const -> const route_config &;
 
+    /// \brief Returns the client accounts of the configuration in force; null while accounts are disabled.
+    [[nodiscard]] auto accounts() const -> const accounts::account_table *;
+
 private:
     route_config m_config;
+    accounts::account_table m_accounts;
 };
 } // namespace poplarpass::route
--- a/src/poplarpass/settings/host_settings.cpp
+++ b/src/poplarpass/settings/host_settings.cpp
@@ -50,6 +50,11 @@
     settings.linkMbps = in.number("link_mbps", 0, maxLinkMbps);
 }
 
+auto readAccounts(toml_reader &in, host_settings &settings) -> void
+{
+    settings.keyWithdrawal = std::chrono::milliseconds{in.integer("key_withdrawal_ms", 1, maxTimeMs)};
+}
+
 auto readTiming(toml_reader &in, host_settings &settings) -> void
 {
     settings.stopGrace = readSeconds(in, "stop_grace_s");
@@ -83,6 +88,7 @@
     in.table("platform", [&](toml_reader &table) { readPlatform(table, settings); });
     in.table("size", [&](toml_reader &table) { readSize(table, settings); });
     in.table("timing", [&](toml_reader &table) { readTiming(table, settings); });
+    in.table("accounts", [&](toml_reader &table) { readAccounts(table, settings); });
     in.reportUnknownKeys();
     if (settings.callers.empty() && sink.problems.empty()) {
         sink.problems.push_back({std::string{file}, 1, "listen", "a table", "nothing"});
--- a/src/poplarpass/settings/host_settings.h
+++ b/src/poplarpass/settings/host_settings.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
     double linkMbps = 1000; ///< Bandwidth of the host's link, megabits per second.
     std::chrono::milliseconds stopGrace{0}; ///< Time from the stop command to the end of the process.
     std::chrono::milliseconds holderTerm{0}; ///< Lease term during which commands for a host come from a single holder.
+    std::optional<std::chrono::milliseconds>
+        keyWithdrawal; ///< Time after which a removed key of a client account must be refused; no bound without it.
     std::string logLevel; ///< Minimum level of logged events.
 };
 
--- a/tests/io/host_settings_test.cpp
+++ b/tests/io/host_settings_test.cpp
@@ -45,6 +45,17 @@
     CHECK_FALSE(settings::parseHostSettings(validSettings + "[size]\nprocessor_share = 0.12\n", "host.toml"));
 }
 
+TEST_CASE("The bound on the withdrawal of keys is read if it is given; 0 would refuse all keys", "[settings]")
+{
+    CHECK_FALSE(settings::parseHostSettings(validSettings, "host.toml")->keyWithdrawal);
+    const auto read =
+        settings::parseHostSettings(validSettings + "[accounts]\nkey_withdrawal_ms = 5000\n", "host.toml");
+    REQUIRE(read);
+    CHECK(read->keyWithdrawal == std::chrono::milliseconds{5000});
+    CHECK_FALSE(settings::parseHostSettings(validSettings + "[accounts]\n", "host.toml"));
+    CHECK_FALSE(settings::parseHostSettings(validSettings + "[accounts]\nkey_withdrawal_ms = 0\n", "host.toml"));
+}
+
 TEST_CASE("Each problem in the settings of a host is reported with its key and line", "[settings]")
 {
     auto invalidSettings = validSettings;
--- a/tests/io/users_platform_test.cpp
+++ b/tests/io/users_platform_test.cpp
@@ -93,6 +93,54 @@
     CHECK(problemWith(R"("max_attempts":2)", R"("max_attempts":4294967298)") == "config: max_attempts");
 }
 
+TEST_CASE("Client accounts are decoded with digests of their keys", "[platform]")
+{
+    const auto withTenants = [](const std::string &tenants) {
+        auto text = configText;
+        text.insert(text.rfind('}'), R"(,"tenants":)" + tenants);
+        return platform::decodeConfig(text);
+    };
+    CHECK_FALSE(platform::decodeConfig(configText)->accounts);
+    CHECK_FALSE(platform::decodeConfig(configText)->routes[0].allowsAnonymous);
+    REQUIRE(withTenants("[]"));
+    CHECK(withTenants("[]")->accounts->empty());
+    const auto config = withTenants(
+        R"([{"name":"a","api_keys":["k1","k2"],"priority":1,"weight":188,"cap":{"cpu":21684086,"mem_mb":40169960,"gpu":0}},
+            {"name":"b","api_keys":[],"weight":0.5}])");
+    REQUIRE(config);
+    const auto &accounts = *config->accounts;
+    REQUIRE(accounts.size() == 2);
+    CHECK(accounts[0].limits.name.str() == "a");
+    CHECK(accounts[0].limits.weight == 188);
+    CHECK(accounts[0].limits.cap == jobs::resources{21684086, 40169960, 0});
+    CHECK(accounts[0].keys == std::vector{poplarpass::accounts::digestOf("k1"), poplarpass::accounts::digestOf("k2")});
+    CHECK(accounts[1].keys.empty());
+    CHECK(accounts[1].limits.cap == jobs::resources{});
+    auto anonymous = configText;
+    anonymous.insert(anonymous.find(R"("kind")"), R"("allow_anonymous":true,)");
+    CHECK(platform::decodeConfig(anonymous)->routes[0].allowsAnonymous);
+}
+
+TEST_CASE("A configuration with invalid accounts is refused as a whole, and the error shows no key", "[platform]")
+{
+    const auto problemWith = [](const std::string &tenants) {
+        auto text = configText;
+        text.insert(text.rfind('}'), R"(,"tenants":)" + tenants);
+        const auto config = platform::decodeConfig(text);
+        return config ? std::string{} : config.error().detail;
+    };
+    // A null list must not disable authentication.
+    CHECK(problemWith("null") == "config: tenants");
+    CHECK(problemWith("{}") == "config: tenants");
+    CHECK(problemWith("[7]") == "config: not an object");
+    CHECK(problemWith(R"([{"name":"","api_keys":["secret"],"weight":1}])") == "config: name");
+    CHECK(problemWith(R"([{"name":"a","api_keys":"secret","weight":1}])") == "config: api_keys");
+    CHECK(problemWith(R"([{"name":"a","api_keys":["secret",7],"weight":1}])") == "config: api_keys");
+    CHECK(problemWith(R"([{"name":"a","api_keys":["secret"],"weight":0}])") == "config: weight");
+    CHECK(problemWith(R"([{"name":"a","api_keys":["secret"],"weight":1,"cap":{"cpu":-1}}])") == "config: cap");
+    CHECK(problemWith(R"([{"name":"a","api_keys":["secret"],"weight":1,"cap":7}])") == "config: cap");
+}
+
 TEST_CASE("A worker entry is decoded, and the error for a malformed one names the invalid field", "[platform]")
 {
     const auto entry = platform::decodeWorkerEntry("i-1", entryText);
