Requests are authenticated by the owner, and early by the receiving host

With client accounts, a key must stop working within the bound on withdrawal on every host, also on one that the store refuses or that was frozen.

- config_follower::confirmedAt() is the time at which the last answered read was sent; host_core::configStanding() compares its age with half of key_withdrawal_ms.
An unreadable configuration is not confirmed.
- The receiving host refuses with 401 only by a confirmed configuration that is no older than the newest version in the owner's answers; else the owner decides.
It refuses with 503 when neither is possible and no copy of the request may have been carried out.
- The owner authenticates each request by its own configuration, and again after a wait.
A repeat of a submission that it knows gets 504 instead of 503 while the configuration is unconfirmed, since 503 says that the job has not run.
- Jobs belong to the account that submitted them (403 other_account).
The account of a settled job is stored with its end.
- After a failed read of the operator's records the next one does not wait for records, so that the configuration is confirmed sooner.

Without tenants in the configuration no header is sent, no field stored and no line logged.

--- a/src/poplarpass/host/client_request.h
+++ b/src/poplarpass/host/client_request.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <poplarpass/accounts/key_digest.h>
 #include <poplarpass/core/error.h>
+#include <poplarpass/jobs/account_limits.h>
 #include <poplarpass/jobs/job_spec.h>
 #include <poplarpass/net/http_message.h>
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,7 +33,9 @@
     std::string hostName; ///< Host header of the request.
     std::string path; ///< Path of the request.
     std::string body; ///< Body of a submission.
-    std::uint64_t configVersion = 0; ///< Version of the configuration that the receiving host applied.
+    std::uint64_t configVersion = 0; ///< Oldest version of the configuration by which it may be handled.
+    std::optional<accounts::key_digest> key; ///< Digest of its key; nothing without a key.
+    jobs::account_id account; ///< Account of its key, set by the owner only; empty for an anonymous request.
 };
 
 /// \brief Callback that receives the answer to a request.
--- a/src/poplarpass/host/config_follower.cpp
+++ b/src/poplarpass/host/config_follower.cpp
@@ -31,6 +31,9 @@
     hooks.onRecord = [this](const store::stored_record &record) {
         applyRecord(record);
     };
+    hooks.onUnreadable = [this](std::string_view key) {
+        m_isReadable = m_isReadable && key != m_decoder.configKey;
+    };
     hooks.onCaughtUp = [] {
     };
     hooks.pause = [] {
@@ -57,11 +60,13 @@
 {
     auto config = m_decoder.decodeConfig(record.value);
     if (!config) {
+        m_isReadable = false;
         m_log.log(log_level::error, "config_unreadable",
                   {{"offset", record.offset}, {"detail", config.error().detail}, {"kept", m_routes.config().version}});
         return;
     }
     if (m_routes.update(std::move(*config))) {
+        m_isReadable = true;
         m_log.log(log_level::info, "config_in_force",
                   {{"version", m_routes.config().version},
                    {"offset", record.offset},
@@ -80,6 +85,16 @@
     return m_follower.readAt();
 }
 
+auto config_follower::confirmedAt() const -> std::optional<core::monotonic_time>
+{
+    return m_follower.confirmedAt();
+}
+
+auto config_follower::isReadable() const -> bool
+{
+    return m_isReadable;
+}
+
 auto config_follower::otherRecords() const -> const std::map<std::string, std::string> &
 {
     return m_otherRecords;
--- a/src/poplarpass/host/config_follower.h
+++ b/src/poplarpass/host/config_follower.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace poplarpass::host
@@ -29,6 +30,12 @@
     /// \brief Time of the last successful read.
     [[nodiscard]] auto readAt() const -> core::monotonic_time;
 
+    /// \brief Time at which the last answered read was sent; nothing before the first one.
+    [[nodiscard]] auto confirmedAt() const -> std::optional<core::monotonic_time>;
+
+    /// \brief Returns whether no unreadable configuration follows the one in force.
+    [[nodiscard]] auto isReadable() const -> bool;
+
     /// \brief Newest value of each of the operator's keys, except the configuration.
     [[nodiscard]] auto otherRecords() const -> const std::map<std::string, std::string> &;
 
@@ -42,6 +49,7 @@
     route::route_table &m_routes;
     std::function<void()> m_onConfig;
     std::map<std::string, std::string> m_otherRecords;
+    bool m_isReadable = true;
     keyed_follower m_follower;
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -61,6 +61,10 @@
 inline constexpr core::duration defaultRequestTimeout = std::chrono::milliseconds{3000};
 /// \brief Fraction of a request's timeout after which it is abandoned, so that the response arrives in time.
 inline constexpr double requestTimeoutFraction = 0.8;
+/// \brief Interval at which requests that wait for a newer configuration are checked against its age.
+inline constexpr core::duration waitingCheckPeriod = std::chrono::milliseconds{250};
+/// \brief Interval at which a request is forwarded to an owner that does not respond, while others are refused.
+inline constexpr core::duration ownerProbePeriod = std::chrono::milliseconds{500};
 /// \brief Retry delay sent with a refusal, seconds.
 inline constexpr int retryAfterSeconds = 1;
 /// \brief The same when the store has been unavailable for longStallThreshold.
--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -74,7 +74,7 @@
     event_description{"request_given_up", "a caller's request got no response from an owner in time",
                       "id, verb, attempts, maybe_stored, owner, config, ms"},
     event_description{"request_refused", "a request was refused at once and had no effect",
-                      "id, verb, reason, epoch or open, retry_after_s"},
+                      "id, verb, reason, then epoch or open, retry_after_s, or config, config_age_ms, account"},
     event_description{"resigned", "the resignation is complete: another host may claim the pools", ""},
     event_description{"run_ended", "a run ended without completing its task", decisionFields},
     event_description{"run_given_up", "a run is stopped so that its task can be restarted", decisionFields},
--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/host/authentication_log.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/host_core.h>
 
@@ -38,8 +39,9 @@
                               [this](const client_request &request, response_callback answer) {
                                   return handleAsOwner(request, std::move(answer));
                               },
-                              [this] {
-                                  return ownerAddress();
+                              [this] { return ownerAddress(); },
+                              [this](const client_request &request) {
+                                  return refuseUnconfirmed(request);
                               }}};
 }
 
@@ -90,8 +92,9 @@
         m_env.name,
         m_env.holderTerm,
         [this]() -> const std::map<std::string, std::string> & { return m_config.otherRecords(); },
+        [this] { onOwnershipLost(); },
         [this] {
-            onOwnershipLost();
+            return configStanding();
         }};
     m_owner = std::make_unique<pool_owner>(std::move(environment), epoch, claimedAt, m_election.formerOwners());
     m_owner->start();
@@ -190,6 +193,26 @@
     return m_routes;
 }
 
+auto host_core::configStanding() const -> config_standing
+{
+    const auto confirmedAt = m_config.confirmedAt();
+    const auto age = m_env.time.now() - confirmedAt.value_or(m_startedAt);
+    const bool isRecent = confirmedAt && (!m_env.maxConfigAge || age <= *m_env.maxConfigAge);
+    return {isRecent && m_config.isReadable(), age, m_forwarder.newestVersion()};
+}
+
+auto host_core::refuseUnconfirmed(const client_request &request) -> std::optional<net::http_response>
+{
+    const auto standing = configStanding();
+    if (m_routes.accounts() == nullptr || !request.key || standing.isConfirmed) {
+        return std::nullopt;
+    }
+    const auto error = authentication_error::configuration_unconfirmed;
+    recordRefusal(m_env.log, m_env.metrics, error,
+                  {request.job.str(), nameOf(request.verb), m_routes.config().version, standing.age, {}});
+    return refusalResponse(error);
+}
+
 auto host_core::updateMetrics() -> void
 {
     if (m_owner) {
--- a/src/poplarpass/host/host_core.h
+++ b/src/poplarpass/host/host_core.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <poplarpass/host/config_follower.h>
+#include <poplarpass/host/config_standing.h>
 #include <poplarpass/host/owner_announcer.h>
 #include <poplarpass/host/owner_election.h>
 #include <poplarpass/host/peer_calls.h>
@@ -13,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace poplarpass::host
@@ -33,6 +35,7 @@
     const platform_decoders &decoders; ///< Decoders of the platform's formats.
     observe::logger &log; ///< Event log.
     observe::metrics_registry &metrics; ///< Metrics.
+    std::optional<core::duration> maxConfigAge = std::nullopt; ///< Age up to which keys are checked; nothing: no bound.
 };
 
 /// \brief All logic of a host, without sockets, signals or clocks of its own.
@@ -65,6 +68,9 @@
     /// \brief Returns the active configuration of this host.
     [[nodiscard]] auto routes() const -> const route::route_table &;
 
+    /// \brief Returns how far this host may rely on its configuration when it checks keys.
+    [[nodiscard]] auto configStanding() const -> config_standing;
+
     /// \brief Updates the gauges of ownership and configuration.
     auto updateMetrics() -> void;
 
@@ -74,6 +80,7 @@
     auto onElected(std::uint64_t epoch, core::monotonic_time claimedAt) -> void;
     auto onOwnershipLost() -> void;
     auto handleAsOwner(const client_request &request, response_callback answer) -> bool;
+    auto refuseUnconfirmed(const client_request &request) -> std::optional<net::http_response>;
     [[nodiscard]] auto ownerAddress() const -> std::optional<std::string>;
     [[nodiscard]] auto rank() const -> unsigned;
 
--- a/src/poplarpass/host/host_peers.cpp
+++ b/src/poplarpass/host/host_peers.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 constexpr std::string_view hostNameHeader = "X-Poplarpass-Host";
-constexpr std::string_view configHeader = "X-Poplarpass-Config";
 constexpr std::string_view jobHeader = "X-Poplarpass-Job";
 constexpr std::string_view verbHeader = "X-Poplarpass-Verb";
+constexpr std::string_view keyHeader = "X-Poplarpass-Key";
 constexpr std::string_view ownerHeader = "X-Poplarpass-Owner";
 
 auto makeForwardCall(const client_request &request) -> net::http_request
@@ -23,6 +23,9 @@
     call.headers.push_back({std::string{configHeader}, std::to_string(request.configVersion)});
     call.headers.push_back({std::string{jobHeader}, request.job.str()});
     call.headers.push_back({std::string{verbHeader}, std::to_string(static_cast<int>(request.verb))});
+    if (request.key) {
+        call.headers.push_back({std::string{keyHeader}, request.key->hex()});
+    }
     call.body = request.body;
     return call;
 }
@@ -68,7 +71,13 @@
     if (!verb || !version || *verb > static_cast<std::uint64_t>(client_verb::pending)) {
         return std::nullopt;
     }
+    const auto keyText = call.header(keyHeader);
+    const auto key = accounts::key_digest::parse(keyText);
+    if (!key && !keyText.empty()) {
+        return std::nullopt;
+    }
     client_request request;
+    request.key = key;
     request.verb = static_cast<client_verb>(*verb);
     request.configVersion = *version;
     request.job = jobs::job_id{std::string{call.header(jobHeader)}};
--- a/src/poplarpass/host/host_peers.h
+++ b/src/poplarpass/host/host_peers.h
@@ -5,9 +5,14 @@
 #include <poplarpass/net/http_message.h>
 
 #include <optional>
+#include <string_view>
 
 namespace poplarpass::host
 {
+/// \brief Header with the version of the configuration: in requests the oldest one by which the owner may handle them,
+/// in the owner's answers the one by which it did.
+inline constexpr std::string_view configHeader = "X-Poplarpass-Config";
+
 /// \brief Makes an HTTP client of the other hosts.
 /// \param http must outlive the result
 auto makePeerCalls(net::http_client &http) -> peer_calls;
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -41,6 +41,12 @@
     return options;
 }
 
+// Half of the time for the withdrawal of keys: the other half covers a request on its way to the owner.
+auto maxConfigAge(const settings::host_settings &settings) -> std::optional<core::duration>
+{
+    return settings.keyWithdrawal ? std::optional<core::duration>{*settings.keyWithdrawal / 2} : std::nullopt;
+}
+
 auto clientLimits(std::size_t connections) -> net::client_limits
 {
     net::client_limits limits;
@@ -112,7 +118,8 @@
                                  m_peers,
                                  m_access.decoders,
                                  m_log,
-                                 m_metrics};
+                                 m_metrics,
+                                 maxConfigAge(m_settings)};
     return std::make_unique<host_core>(std::move(environment));
 }
 
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -17,6 +17,7 @@
 constexpr char specPrefix = 'j';
 constexpr char progressPrefix = 'p';
 constexpr char leasePrefix = 's';
+constexpr char accountMark = ' ';
 
 auto sizeOf(const store::keyed_record &record) -> std::size_t
 {
@@ -31,6 +32,27 @@
     return std::to_string(lease.incarnation) + " " + std::to_string(lease.remaining->count());
 }
 
+// The specification of a settled job is removed, so its account is kept with its end.
+auto encodeEnd(const jobs::multistep_job_record &job) -> std::string
+{
+    auto text = jobs::encodeEnd(job.phase);
+    return job.account.empty() ? text : text + accountMark + job.account.str();
+}
+
+auto decodeEnd(const jobs::job_id &id, std::string_view text) -> std::optional<jobs::multistep_job_record>
+{
+    const auto mark = text.find(accountMark);
+    const auto phase = jobs::decodeEnd(text.substr(0, mark));
+    if (!phase) {
+        return std::nullopt;
+    }
+    auto job = jobs::makeEndedJob(id, *phase);
+    if (mark != std::string_view::npos) {
+        job.account = jobs::account_id{std::string{text.substr(mark + 1)}};
+    }
+    return job;
+}
+
 auto decodeLease(const store::stored_record &record) -> std::optional<jobs::unrenewed_lease>
 {
     std::istringstream in{record.value};
@@ -88,7 +110,7 @@
             if (m_storedSpecs.erase(id.str()) > 0) {
                 batch.records.push_back({specPrefix + id.str(), {}});
             }
-            batch.records.push_back({progressPrefix + id.str(), jobs::encodeEnd(job->phase)});
+            batch.records.push_back({progressPrefix + id.str(), encodeEnd(*job)});
             continue;
         }
         if (m_storedSpecs.insert(id.str()).second) {
@@ -265,8 +287,8 @@
             continue;
         }
         auto id = record.key.substr(1);
-        if (const auto end = jobs::decodeEnd(record.value)) {
-            found.insert_or_assign(id, jobs::makeEndedJob(jobs::job_id{id}, *end));
+        if (auto ended = decodeEnd(jobs::job_id{id}, record.value)) {
+            found.insert_or_assign(id, std::move(*ended));
             continue;
         }
         const auto job = found.find(id);
--- a/src/poplarpass/host/keyed_follower.cpp
+++ b/src/poplarpass/host/keyed_follower.cpp
@@ -31,6 +31,7 @@
 
 auto keyed_follower::readNewest() -> void
 {
+    m_sentAt = m_time.now();
     m_store.newest(m_followed.topic,
                    m_lifetime.guard([this](const store::newest_result &newest) { onNewest(newest); }));
 }
@@ -43,16 +44,25 @@
     }
     m_hooks.onRestart();
     logUnreadable(newest, m_followed.name, m_log);
+    for (const auto &key : newest.unreadableKeys) {
+        if (m_hooks.onUnreadable) {
+            m_hooks.onUnreadable(key);
+        }
+    }
     for (const auto &record : newest.records) {
         m_hooks.onRecord(record);
     }
     m_offset = newest.endOffset;
+    m_confirmedAt = m_sentAt;
     handleCaughtUp();
 }
 
 auto keyed_follower::follow() -> void
 {
-    m_store.read(m_followed.topic, m_offset, m_followed.wait,
+    // After a failed read, one that does not wait for records confirms the present ones sooner.
+    const auto wait = m_storeUnavailable ? std::chrono::milliseconds{0} : m_followed.wait;
+    m_sentAt = m_time.now();
+    m_store.read(m_followed.topic, m_offset, wait,
                  m_lifetime.guard([this](const store::read_result &result) { onRecords(result); }));
 }
 
@@ -72,6 +82,10 @@
         m_hooks.onRecord(record);
         m_offset = record.offset + 1;
     }
+    // The time of sending counts: the answer may have waited in the socket of a frozen process.
+    if (m_offset >= result.endOffset) {
+        m_confirmedAt = m_sentAt;
+    }
     handleCaughtUp();
 }
 
@@ -106,4 +120,9 @@
 {
     return m_readAt;
 }
+
+auto keyed_follower::confirmedAt() const -> std::optional<core::monotonic_time>
+{
+    return m_confirmedAt;
+}
 } // namespace poplarpass::host
--- a/src/poplarpass/host/keyed_follower.h
+++ b/src/poplarpass/host/keyed_follower.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace poplarpass::host
@@ -27,6 +28,7 @@
     std::function<void()> onRestart; ///< All records are replayed; state derived from earlier ones must be discarded.
     std::function<void(const store::stored_record &)>
         onRecord; ///< The next record; an empty value means that the key was deleted.
+    std::function<void(std::string_view)> onUnreadable; ///< The record of a key could not be decoded; may be empty.
     std::function<void()> onCaughtUp; ///< All records that the store returned have been delivered.
     std::function<core::duration()> pause; ///< Delay before the next read.
 };
@@ -47,6 +49,9 @@
     /// \brief Time of the last successful read.
     [[nodiscard]] auto readAt() const -> core::monotonic_time;
 
+    /// \brief Time at which the last read was sent that returned all records; nothing before the first one.
+    [[nodiscard]] auto confirmedAt() const -> std::optional<core::monotonic_time>;
+
 private:
     auto readNewest() -> void;
     auto onNewest(const store::newest_result &newest) -> void;
@@ -62,6 +67,8 @@
     follower_hooks m_hooks;
     std::uint64_t m_offset = 0;
     core::monotonic_time m_readAt{};
+    core::monotonic_time m_sentAt{}; ///< When the read in progress was sent.
+    std::optional<core::monotonic_time> m_confirmedAt;
     bool m_storeUnavailable = false;
     core::lifetime m_lifetime;
 };
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -156,6 +156,7 @@
 auto pool_owner::beginServing() -> void
 {
     m_serving = true;
+    updateAccounts();
     updateWorkers();
     m_env.log.log(
         log_level::info, "owner_serving",
@@ -241,6 +242,7 @@
     m_lastCycleAt = now;
     m_cycleRequested = false;
     if (!m_resigned && m_term.mayOrder(now)) {
+        updateAccounts();
         m_capacity->plan();
         m_engine.plan(now, m_env.time.wallNow());
     }
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -5,9 +5,11 @@
 #include <poplarpass/host/advice_calls.h>
 #include <poplarpass/host/capacity_controller.h>
 #include <poplarpass/host/client_request.h>
+#include <poplarpass/host/config_standing.h>
 #include <poplarpass/host/job_time_metrics.h>
 #include <poplarpass/host/journal.h>
 #include <poplarpass/host/platform_decoders.h>
+#include <poplarpass/host/request_authenticator.h>
 #include <poplarpass/host/waiting_requests.h>
 #include <poplarpass/host/worker_links.h>
 #include <poplarpass/host/worker_list.h>
@@ -21,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -43,6 +46,9 @@
     core::duration holderTerm; ///< Time for which only one holder may send orders for a host.
     std::function<const std::map<std::string, std::string> &()> operatorRecords; ///< Latest records of the operator.
     std::function<void()> onOwnershipLost; ///< Called when this process is no longer the owner.
+    std::function<config_standing()> configStanding = [] {
+        return config_standing{};
+    }; ///< How far keys may be checked by the active configuration.
 };
 
 /// \brief One term of this process as owner of all pools: decides, stores the decisions and sends orders.
@@ -107,6 +113,16 @@
     auto answerState(const client_request &request, const response_callback &answer) -> void;
     auto cancel(const client_request &request, const response_callback &answer) -> void;
     auto answerPending(const client_request &request, const response_callback &answer) -> void;
+    auto updateAccounts() -> void;
+    auto authenticateRequest(const client_request &request, const response_callback &answer)
+        -> std::optional<jobs::account_id>;
+    auto refuseUnauthenticated(const client_request &request, const response_callback &answer,
+                               authentication_error error) -> void;
+    auto refuseUnconfirmed(const client_request &request, const response_callback &answer) -> bool;
+    auto refuseOtherAccount(const client_request &request, const response_callback &answer) -> bool;
+    [[nodiscard]] auto withConfigVersion(response_callback answer) const -> response_callback;
+    auto scheduleWaitingCheck() -> void;
+    auto dispatch(const client_request &request, const response_callback &answer) -> void;
     [[nodiscard]] auto hasUnstoredChanges(const jobs::job_id &id) const -> bool;
     auto handleWaiting() -> void;
     auto requestCycle() -> void;
@@ -139,6 +155,8 @@
     bool m_cycleScheduled = false;
     bool m_refusalScheduled = false;
     bool m_cycleRequested = false;
+    bool m_waitingCheckScheduled = false;
+    std::uint64_t m_accountsVersion = 0; ///< Version whose limits of accounts the engine has.
     std::uint64_t m_cycleSerial = 0;
     core::monotonic_time m_cycleDue{};
     core::duration m_cycleLateness{0}; ///< How late the last decision cycle began, because the process was busy.
--- /dev/null
+++ b/src/poplarpass/host/pool_owner_accounts.cpp
@@ -0,0 +1,108 @@
+#include <poplarpass/host/authentication_log.h>
+#include <poplarpass/host/constants.h>
+#include <poplarpass/host/host_peers.h>
+#include <poplarpass/host/pool_owner.h>
+
+#include <utility>
+
+// Authentication of callers' requests by the owner, and the limits of client accounts.
+namespace poplarpass::host
+{
+auto pool_owner::updateAccounts() -> void
+{
+    // The engine takes the limits when the version has changed, and each time whether the caps are confirmed.
+    const auto version = m_env.routes.config().version;
+    if (std::exchange(m_accountsVersion, version) == version) {
+        return;
+    }
+}
+
+// Runs again for a request that waited, since its key may have been removed meanwhile.
+auto pool_owner::authenticateRequest(const client_request &request, const response_callback &answer)
+    -> std::optional<jobs::account_id>
+{
+    const auto *accounts = m_env.routes.accounts();
+    if (accounts == nullptr) {
+        return jobs::account_id{};
+    }
+    const auto match = m_env.routes.match(request.hostName, request.path);
+    const bool isConfirmed = m_env.configStanding().isConfirmed;
+    if (match.matched == nullptr && isConfirmed) {
+        answer(plainResponse(404, "no_such_queue"));
+        return std::nullopt;
+    }
+    // A host with an older configuration does not know where the prefix of the route ends.
+    if (match.matched != nullptr && match.rest != request.job.str()) {
+        answer(plainResponse(400, "bad_job_id"));
+        return std::nullopt;
+    }
+    auto account = authenticateAtOwner(*accounts, match.matched, request.key, isConfirmed);
+    if (!account) {
+        refuseUnauthenticated(request, answer, account.error());
+        return std::nullopt;
+    }
+    return std::move(*account);
+}
+
+auto pool_owner::refuseUnauthenticated(const client_request &request, const response_callback &answer,
+                                       authentication_error error) -> void
+{
+    recordRefusal(m_env.log, m_env.metrics, error,
+                  {request.job.str(), nameOf(request.verb), m_env.routes.config().version, m_env.configStanding().age,
+                   request.account.str()});
+    // A 503 says that the job has not run. That is not known of a repeat whose first copy was accepted or may be.
+    const bool isRepeat = request.verb == client_verb::submit
+        && (m_engine.find(request.job) != nullptr || m_deferredSubmissions.contains(request.job)
+            || m_waiting.contains(request.job));
+    if (error == authentication_error::configuration_unconfirmed && isRepeat) {
+        answer(plainResponse(504, "outcome_unknown"));
+        return;
+    }
+    answer(refusalResponse(error));
+}
+
+// A request that waits for a newer configuration is refused once the present one is not confirmed any more: the store
+// does not answer, so the newer one may not arrive in time.
+auto pool_owner::refuseUnconfirmed(const client_request &request, const response_callback &answer) -> bool
+{
+    const auto *accounts = m_env.routes.accounts();
+    if (!m_serving || accounts == nullptr || m_env.configStanding().isConfirmed) {
+        return false;
+    }
+    return !authenticateRequest(request, answer);
+}
+
+auto pool_owner::refuseOtherAccount(const client_request &request, const response_callback &answer) -> bool
+{
+    const auto *job = m_engine.find(request.job);
+    if (job == nullptr || m_env.routes.accounts() == nullptr || mayUseJob(request.account, job->account)) {
+        return false;
+    }
+    refuseUnauthenticated(request, answer, authentication_error::other_account);
+    return true;
+}
+
+auto pool_owner::withConfigVersion(response_callback answer) const -> response_callback
+{
+    if (m_env.routes.accounts() == nullptr) {
+        return answer;
+    }
+    return [&routes = m_env.routes, answer = std::move(answer)](net::http_response response) {
+        response.headers.push_back({std::string{configHeader}, std::to_string(routes.config().version)});
+        answer(std::move(response));
+    };
+}
+
+auto pool_owner::scheduleWaitingCheck() -> void
+{
+    if (m_env.routes.accounts() == nullptr || std::exchange(m_waitingCheckScheduled, true)) {
+        return;
+    }
+    m_env.time.callAfter(waitingCheckPeriod, m_lifetime.guard([this] {
+        m_waitingCheckScheduled = false;
+        if (m_serving) {
+            handleWaiting();
+        }
+    }));
+}
+} // namespace poplarpass::host
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -15,18 +15,23 @@
         return;
     }
     if (!m_serving || request.configVersion > m_env.routes.config().version) {
+        if (refuseUnconfirmed(request, answer)) {
+            return;
+        }
         if (m_waiting.isFull()) {
             refuse(request, answer, "too_many", retryAfterSeconds);
         } else {
             m_waiting.add({request, std::move(answer)});
+            scheduleWaitingCheck();
         }
         return;
     }
-    serve(request, answerExactlyOnce(std::move(answer)));
+    serve(request, answerExactlyOnce(withConfigVersion(std::move(answer))));
 }
 
 auto pool_owner::onConfig() -> void
 {
+    updateAccounts();
     if (m_serving) {
         handleWaiting();
     }
@@ -41,6 +46,24 @@
 
 auto pool_owner::serve(const client_request &request, const response_callback &answer) -> void
 {
+    auto account = authenticateRequest(request, answer);
+    if (!account) {
+        return;
+    }
+    if (account->empty()) {
+        dispatch(request, answer);
+        return;
+    }
+    auto authenticated = request;
+    authenticated.account = std::move(*account);
+    dispatch(authenticated, answer);
+}
+
+auto pool_owner::dispatch(const client_request &request, const response_callback &answer) -> void
+{
+    if (refuseOtherAccount(request, answer)) {
+        return;
+    }
     switch (request.verb) {
     case client_verb::submit:
         submit(request, answer);
@@ -92,7 +115,7 @@
         refuse(request, answer, "too_many_tasks", longRetryAfterSeconds);
         return;
     }
-    m_engine.submit(request.job, match.matched->queue, std::move(*spec), m_env.time.wallNow());
+    m_engine.submit(request.job, match.matched->queue, std::move(*spec), m_env.time.wallNow(), request.account);
     m_capacity->onJob(*m_engine.find(request.job));
     requestCycle();
     whenStored(accept);
@@ -158,7 +181,10 @@
 auto pool_owner::submitDeferred() -> void
 {
     for (const auto &entry : m_deferredSubmissions.removeAll()) {
-        submit(entry.request, entry.answer);
+        // Another account may have submitted the same identifier meanwhile.
+        if (!refuseOtherAccount(entry.request, entry.answer)) {
+            submit(entry.request, entry.answer);
+        }
     }
 }
 
--- a/src/poplarpass/host/request_forwarder.cpp
+++ b/src/poplarpass/host/request_forwarder.cpp
@@ -1,4 +1,6 @@
+#include <poplarpass/core/parse_integer.h>
 #include <poplarpass/host/constants.h>
+#include <poplarpass/host/host_peers.h>
 #include <poplarpass/host/request_forwarder.h>
 
 #include <algorithm>
@@ -67,7 +69,7 @@
     if (entry->answered) {
         return;
     }
-    entry->request.configVersion = m_env.routes.config().version;
+    entry->request.configVersion = std::max(m_env.routes.config().version, m_newestVersion);
     ++entry->attempts;
     entry->awaitingAnswer = true;
     const bool handled = m_env.handleLocally(
@@ -78,15 +80,35 @@
     }
     const auto address = m_env.ownerAddress();
     if (address) {
-        send(entry, *address);
+        if (!refuseIfUnconfirmed(entry, *address)) {
+            send(entry, *address);
+        }
     } else {
         entry->awaitingAnswer = false;
         retry(entry);
     }
 }
 
+// One request in each period is forwarded all the same, to detect that the owner responds again.
+auto request_forwarder::refuseIfUnconfirmed(const std::shared_ptr<forwarded_request> &entry, const std::string &address)
+    -> bool
+{
+    const bool isUnresponsive = m_ownerUnresponsive && m_calledOwner == address;
+    if (!isUnresponsive || entry->maybeCarriedOut || m_env.time.now() - m_calledAt >= ownerProbePeriod) {
+        return false;
+    }
+    auto refusal = m_env.refuseUnconfirmed(entry->request);
+    if (!refusal) {
+        return false;
+    }
+    entry->finish(std::move(*refusal));
+    return true;
+}
+
 auto request_forwarder::send(const std::shared_ptr<forwarded_request> &entry, const std::string &address) -> void
 {
+    m_calledOwner = address;
+    m_calledAt = m_env.time.now();
     m_env.peers.forwardRequest(address, entry->request, m_lifetime.guard([this, entry, address](peer_answer answer) {
         updateOwnerAvailability(address, answer.response.has_value());
         if (answer.response) {
@@ -110,9 +132,11 @@
 
 auto request_forwarder::onAnswer(const std::shared_ptr<forwarded_request> &entry, net::http_response response) -> void
 {
+    const auto version = core::parseInteger<std::uint64_t>(response.header(configHeader));
+    m_newestVersion = std::max(m_newestVersion, version.value_or(0));
     if (response.status != notOwnerStatus && response.status != outcomeUnknownStatus) {
         std::erase_if(response.headers, [](const net::http_header &field) {
-            return field.name != "Content-Type" && field.name != "Retry-After";
+            return field.name != "Content-Type" && field.name != "Retry-After" && field.name != "WWW-Authenticate";
         });
         entry->finish(std::move(response));
         return;
@@ -146,4 +170,9 @@
     entry->finish(maybeStored ? plainResponse(504, "outcome_unknown")
                               : refusalResponse(503, "no_owner", retryAfterSeconds));
 }
+
+auto request_forwarder::newestVersion() const -> std::uint64_t
+{
+    return m_newestVersion;
+}
 } // namespace poplarpass::host
--- a/src/poplarpass/host/request_forwarder.h
+++ b/src/poplarpass/host/request_forwarder.h
@@ -7,6 +7,7 @@
 #include <poplarpass/route/route_table.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -24,6 +25,11 @@
     /// \brief Handles a request if this process owns the pools; else returns false.
     std::function<bool(const client_request &, response_callback)> handleLocally;
     std::function<std::optional<std::string>()> ownerAddress; ///< "IP:port" of the owner, if known.
+    /// \brief Refusal of a request whose key can be checked neither here nor, as it does not respond, by the owner.
+    std::function<std::optional<net::http_response>(const client_request &)> refuseUnconfirmed =
+        [](const client_request &) {
+            return std::nullopt;
+        };
 };
 
 /// \brief Forwards callers' requests to the current owner of the pools; retries until a request's time limit is near.
@@ -35,11 +41,15 @@
     /// \brief Answers \p request exactly once, at the latest shortly before \p time has passed.
     auto handleRequest(client_request request, core::duration time, response_callback answer) -> void;
 
+    /// \brief Returns the highest version of the configuration in answers of owners; 0 for none.
+    [[nodiscard]] auto newestVersion() const -> std::uint64_t;
+
 private:
     struct forwarded_request;
 
     auto forward(const std::shared_ptr<forwarded_request> &entry) -> void;
     auto send(const std::shared_ptr<forwarded_request> &entry, const std::string &address) -> void;
+    auto refuseIfUnconfirmed(const std::shared_ptr<forwarded_request> &entry, const std::string &address) -> bool;
     auto updateOwnerAvailability(const std::string &address, bool responds) -> void;
     auto onAnswer(const std::shared_ptr<forwarded_request> &entry, net::http_response response) -> void;
     auto retry(const std::shared_ptr<forwarded_request> &entry) -> void;
@@ -47,6 +57,9 @@
 
     forwarder_environment m_env;
     bool m_ownerUnresponsive = false; ///< Whether the last call to the owner got no answer.
+    std::string m_calledOwner; ///< Address of the last call to the owner.
+    core::monotonic_time m_calledAt{}; ///< When it was sent.
+    std::uint64_t m_newestVersion = 0;
     std::size_t m_unanswered = 0; ///< Number of unanswered requests.
     core::lifetime m_lifetime;
 };
--- a/src/poplarpass/host/request_server.cpp
+++ b/src/poplarpass/host/request_server.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/host/authentication_log.h>
 #include <poplarpass/host/host_peers.h>
 #include <poplarpass/host/request_server.h>
 
@@ -38,11 +39,12 @@
 auto request_server::handleCallerRequest(const net::http_request &call, const std::shared_ptr<net::responder> &caller)
     -> void
 {
-    auto parsed = parseCallerRequest(call, m_core.routes());
+    auto parsed = parseCallerRequest(call, m_core.routes(), m_core.configStanding());
     if (!parsed) {
-        logRefusal(call, parsed.error());
-        recordRequestTime("none", parsed.error().status, core::duration{0});
-        caller->respond(std::move(parsed.error()));
+        auto &refusal = parsed.error();
+        logRefusal(call, refusal);
+        recordRequestTime("none", refusal.response.status, core::duration{0});
+        caller->respond(std::move(refusal.response));
         return;
     }
     const auto verb = parsed->request.verb;
@@ -54,15 +56,21 @@
                          });
 }
 
-auto request_server::logRefusal(const net::http_request &call, const net::http_response &refusal) -> void
+auto request_server::logRefusal(const net::http_request &call, const caller_refusal &refusal) -> void
 {
+    const auto version = m_core.routes().config().version;
+    if (refusal.authentication) {
+        recordRefusal(m_log, m_metrics, *refusal.authentication,
+                      {refusal.job, refusal.verb, version, m_core.configStanding().age, {}});
+        return;
+    }
     m_log.log(log_level::info, "call_refused",
               {{"host", call.header("Host")},
                {"path", call.path()},
                {"method", call.method},
                {"bytes", call.body.size()},
-               {"status", refusal.status},
-               {"config", m_core.routes().config().version}});
+               {"status", refusal.response.status},
+               {"config", version}});
 }
 
 auto request_server::recordRequestTime(std::string_view verb, int status, core::duration elapsed) -> void
--- a/src/poplarpass/host/request_server.h
+++ b/src/poplarpass/host/request_server.h
@@ -32,7 +32,7 @@
 private:
     auto handleCallerRequest(const net::http_request &call, const std::shared_ptr<net::responder> &caller) -> void;
     auto handlePeerRequest(const net::http_request &call, const std::shared_ptr<net::responder> &peer) -> void;
-    auto logRefusal(const net::http_request &call, const net::http_response &refusal) -> void;
+    auto logRefusal(const net::http_request &call, const caller_refusal &refusal) -> void;
     auto recordRequestTime(std::string_view verb, int status, core::duration elapsed) -> void;
 
     boost::asio::io_context &m_loop;
--- a/src/poplarpass/host/waiting_requests.h
+++ b/src/poplarpass/host/waiting_requests.h
@@ -3,6 +3,7 @@
 #include <poplarpass/host/client_request.h>
 #include <poplarpass/host/constants.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <utility>
 #include <vector>
@@ -31,6 +32,12 @@
         return m_requests.empty();
     }
 
+    /// \brief Whether a request about \p job is queued.
+    [[nodiscard]] auto contains(const jobs::job_id &job) const -> bool
+    {
+        return std::ranges::any_of(m_requests, [&](const waiting_request &entry) { return entry.request.job == job; });
+    }
+
     auto add(waiting_request entry) -> void
     {
         m_bytes += entry.request.body.size();
--- a/src/poplarpass/net/http_message.cpp
+++ b/src/poplarpass/net/http_message.cpp
@@ -43,6 +43,17 @@
     return found == headers.end() ? std::string_view{} : std::string_view{found->value};
 }
 
+auto valuesOf(std::span<const http_header> headers, std::string_view name) -> std::vector<std::string_view>
+{
+    std::vector<std::string_view> values;
+    for (const auto &field : headers) {
+        if (equalNames(field.name, name)) {
+            values.emplace_back(field.value);
+        }
+    }
+    return values;
+}
+
 auto http_request::header(std::string_view name) const -> std::string_view
 {
     return headerOf(headers, name);
--- a/src/poplarpass/net/http_message.h
+++ b/src/poplarpass/net/http_message.h
@@ -17,6 +17,9 @@
 /// \brief Returns the value of the first header called \p name, or an empty view.
 auto headerOf(std::span<const http_header> headers, std::string_view name) -> std::string_view;
 
+/// \brief Returns the values of all headers called \p name, in order.
+auto valuesOf(std::span<const http_header> headers, std::string_view name) -> std::vector<std::string_view>;
+
 /// \brief A complete HTTP request.
 struct http_request
 {
--- a/tests/system/sim_hosts.cpp
+++ b/tests/system/sim_hosts.cpp
@@ -269,9 +269,9 @@
         caller, delivery, simHost.up ? callerTimeout : m_network.randomDuration(1, 5), std::nullopt,
         [this, &simHost, incarnation = simHost.incarnation, call](std::function<void(response_type)> answer) {
             deliver(simHost, incarnation, [&simHost, incarnation, call, answer = std::move(answer)] {
-                auto read = host::parseCallerRequest(call, simHost.core->routes());
+                auto read = host::parseCallerRequest(call, simHost.core->routes(), simHost.core->configStanding());
                 if (!read) {
-                    answer(std::move(read.error()));
+                    answer(std::move(read.error().response));
                     return;
                 }
                 simHost.core->handleRequest(std::move(read->request), read->time,
