Tests of authentication on two hosts with their own views of the store

Each test names the failure that it guards against: removed keys on a host or an owner cut off from the store, after a restart, a takeover and a freeze, keys added a moment ago, credentials that cannot be read, jobs of other accounts, and a deployment without accounts.

--- /dev/null
+++ b/tests/io/authentication_test.cpp
@@ -0,0 +1,522 @@
+#include "host_fixture.h"
+
+#include <poplarpass/host/caller_request.h>
+#include <poplarpass/host/host_core.h>
+#include <poplarpass/host/host_peers.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <platform/records.h>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace tests;
+
+namespace
+{
+namespace net = poplarpass::net;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds maxAge{2500};
+const std::string firstJob = "00000000000000aa";
+const std::string secondJob = "00000000000000bb";
+const std::string bothKeys = R"([{"name":"acme","api_keys":["k1","k2"],"weight":1},
+    {"name":"other","api_keys":["k9"],"weight":1}])";
+const std::string firstKeyRemoved = R"([{"name":"acme","api_keys":["k2"],"weight":1},
+    {"name":"other","api_keys":["k9"],"weight":1}])";
+
+/// \brief A host with its own view of the store and of the other host.
+struct test_host
+{
+    core::time_source clock;
+    store::record_store records;
+    host::worker_calls workers;
+    host::host_calls hosts;
+    host::advice_calls advice;
+    host::peer_calls peers;
+    std::vector<std::string> lines;
+    std::unique_ptr<poplarpass::observe::logger> log;
+    poplarpass::observe::metrics_registry metrics;
+    std::set<store::topic> cutTopics; ///< Topics whose reads fail.
+    bool isFrozen = false; ///< Whether answers of the store are held back.
+    std::vector<std::function<void()>> heldAnswers;
+    bool isReachable = true; ///< Whether other hosts reach it.
+    std::vector<host::client_request> forwarded; ///< Requests that it forwarded.
+    std::unique_ptr<host::host_core> core;
+};
+
+/// \brief Two hosts on one store. The first one becomes the owner.
+struct deployment
+{
+    fakes::stepped_time time;
+    memory_store memory{time};
+    host::platform_decoders decoders;
+    test_host owner;
+    test_host receiver;
+
+    explicit deployment(const std::string &tenants = bothKeys, std::optional<core::duration> age = maxAge)
+    {
+        decoders.operators = {std::string{platform::configKey}, platform::decodeConfig};
+        decoders.waves = {std::string{platform::waveKeyPrefix}, platform::decodeWave, platform::encodeWaveStatus};
+        decoders.decodeJob = platform::decodeJob;
+        decoders.decodeWorker = platform::decodeWorkerEntry;
+        publish(1, tenants);
+        start(owner, "owner", "10.0.0.1:1", age);
+        REQUIRE(time.runUntil([&] { return owner.core->ownsPools(); }));
+        start(receiver, "receiver", "10.0.0.2:1", age);
+        time.runFor(seconds{4});
+        REQUIRE(owner.core->ownsPools());
+        REQUIRE(receiver.core->isReady());
+    }
+
+    auto publish(int version, const std::string &tenants) -> void
+    {
+        auto text = R"({"version":)" + std::to_string(version)
+            + R"(,"routes":[{"name":"r","hostname":"jobs.example","path_prefix":"/q/","service":"p"},
+            {"name":"open","hostname":"jobs.example","path_prefix":"/open/","service":"p","allow_anonymous":true}],
+            "services":[{"name":"p","enforces_capacity":true,"standby":false}])";
+        memory.put(store::topic::operator_records, "config",
+                   text + (tenants.empty() ? "}" : R"(,"tenants":)" + tenants + "}"));
+    }
+
+    auto start(test_host &host, const std::string &name, const std::string &address, std::optional<core::duration> age)
+        -> void
+    {
+        host.clock = time.source();
+        host.records = limitedCalls(host);
+        host.hosts.list = [](const auto &) {
+        };
+        host.peers.announce = [this](const std::string &to, const auto &record, auto done) {
+            time.after(callTime, [this, to, record, done] {
+                const bool isUp = hostAt(to).core != nullptr;
+                if (isUp) {
+                    hostAt(to).core->onAnnouncement(record);
+                }
+                done(isUp);
+            });
+        };
+        host.peers.forwardRequest = [this, &host](const std::string &to, const host::client_request &request,
+                                                  std::function<void(host::peer_answer)> done) {
+            host.forwarded.push_back(request);
+            time.after(callTime, [this, to, request, done = std::move(done)] {
+                if (!hostAt(to).isReachable || hostAt(to).core == nullptr) {
+                    done({std::nullopt, false});
+                    return;
+                }
+                hostAt(to).core->handleForwardedRequest(request, [done](net::http_response response) {
+                    done({std::move(response), true});
+                });
+            });
+        };
+        auto options = discardingLoggerOptions();
+        options.sink = [&host](poplarpass::observe::log_level, std::string_view line) {
+            host.lines.emplace_back(line);
+        };
+        host.log = std::make_unique<poplarpass::observe::logger>(options);
+        host.core = std::make_unique<host::host_core>(host::host_environment{name,
+                                                                             address,
+                                                                             {4, 1000},
+                                                                             seconds{3},
+                                                                             host.clock,
+                                                                             host.records,
+                                                                             host.workers,
+                                                                             host.hosts,
+                                                                             host.advice,
+                                                                             host.peers,
+                                                                             decoders,
+                                                                             *host.log,
+                                                                             host.metrics,
+                                                                             age});
+        host.core->start();
+    }
+
+    auto hostAt(const std::string &address) -> test_host &
+    {
+        return address == "10.0.0.1:1" ? owner : receiver;
+    }
+
+    /// \brief Calls of the store for \p host; reads of cut topics fail, and answers to a frozen host wait.
+    auto limitedCalls(test_host &host) -> store::record_store
+    {
+        auto calls = memory.calls();
+        calls.read = [&host, read = calls.read, this](store::topic topic, std::uint64_t from, milliseconds wait,
+                                                      std::function<void(store::read_result)> done) {
+            if (host.cutTopics.contains(topic)) {
+                time.after(milliseconds{300}, [done = std::move(done)] { done({}); });
+                return;
+            }
+            read(topic, from, wait, [&host, topic, done = std::move(done)](store::read_result result) {
+                if (host.isFrozen && topic == store::topic::operator_records) {
+                    host.heldAnswers.push_back([done, result = std::move(result)] { done(result); });
+                } else {
+                    done(std::move(result));
+                }
+            });
+        };
+        return calls;
+    }
+
+    /// \brief Sends a call to \p host as a caller does and returns the response.
+    auto call(test_host &host, net::http_request request) -> net::http_response
+    {
+        request.headers.push_back({"Host", "jobs.example"});
+        auto parsed = host::parseCallerRequest(request, host.core->routes(), host.core->configStanding());
+        if (!parsed) {
+            return parsed.error().response;
+        }
+        std::optional<net::http_response> answer;
+        host.core->handleRequest(std::move(parsed->request), parsed->time,
+                                 [&](net::http_response response) { answer = std::move(response); });
+        const auto sentAt = time.now();
+        REQUIRE(time.runUntil([&] { return answer.has_value(); }));
+        answeredAfter = time.now() - sentAt;
+        return std::move(*answer);
+    }
+
+    auto submit(test_host &host, const std::string &key, const std::string &job = firstJob,
+                const std::string &prefix = "/q/") -> net::http_response
+    {
+        return call(host, makeCall("POST", key, prefix + job));
+    }
+
+    auto state(test_host &host, const std::string &key, const std::string &job = firstJob) -> net::http_response
+    {
+        return call(host, makeCall("GET", key, "/q/" + job));
+    }
+
+    static auto makeCall(const std::string &method, const std::string &key, const std::string &path)
+        -> net::http_request
+    {
+        net::http_request request;
+        request.method = method;
+        request.target = path;
+        request.body = R"({"spec":"s","steps":[{"count":1,"cpu":1,"mem_mb":1}]})";
+        if (!key.empty()) {
+            request.headers.push_back({"Authorization", "Bearer " + key});
+        }
+        return request;
+    }
+
+    core::duration answeredAfter{0};
+};
+
+auto isRefusal(const net::http_response &response, int status, std::string_view reason) -> bool
+{
+    UNSCOPED_INFO(response.status << " " << response.body);
+    const bool hasChallenge = response.header("WWW-Authenticate") == "Bearer";
+    const bool hasRetry = !response.header("Retry-After").empty();
+    return response.status == status && response.body == R"({"reason":")" + std::string{reason} + R"("})"
+        && hasChallenge == (status == 401) && hasRetry == (status == 503);
+}
+
+auto countLines(const test_host &host, const std::string &text) -> std::ptrdiff_t
+{
+    return std::ranges::count_if(host.lines,
+                                 [&](const std::string &line) { return line.find(text) != std::string::npos; });
+}
+} // namespace
+
+TEST_CASE("Each verb requires a key of an account, at the owner and at another host", "[accounts]")
+{
+    deployment system;
+    for (auto *host : {&system.owner, &system.receiver}) {
+        CHECK(isRefusal(system.submit(*host, ""), 401, "no_key"));
+        CHECK(isRefusal(system.submit(*host, "k7"), 401, "unknown_key"));
+        CHECK(isRefusal(system.state(*host, "k7"), 401, "unknown_key"));
+        CHECK(
+            isRefusal(system.call(*host, deployment::makeCall("DELETE", "k7", "/q/" + firstJob)), 401, "unknown_key"));
+        CHECK(isRefusal(system.call(*host, deployment::makeCall("GET", "k7", "/q/")), 401, "unknown_key"));
+        CHECK(system.submit(*host, "k1").status == 200);
+        const auto answer = system.state(*host, "k2");
+        CHECK(answer.status == 200);
+        // The version is for other hosts only.
+        CHECK(answer.header("X-Poplarpass-Config").empty());
+    }
+    // A host must not be passed by with the header that only hosts send.
+    auto forged = deployment::makeCall("GET", "", "/q/" + firstJob);
+    forged.headers.push_back({"X-Poplarpass-Key", poplarpass::accounts::digestOf("k1").hex()});
+    CHECK(isRefusal(system.call(system.receiver, forged), 401, "no_key"));
+}
+
+TEST_CASE("A credential that cannot be read is refused, also on an anonymous route", "[accounts]")
+{
+    deployment system;
+    for (const std::string prefix : {"/q/", "/open/"}) {
+        auto duplicated = deployment::makeCall("POST", "k1", prefix + firstJob);
+        duplicated.headers.push_back({"authorization", "Bearer k1"});
+        CHECK(isRefusal(system.call(system.receiver, duplicated), 401, "bad_credentials"));
+        auto malformed = deployment::makeCall("POST", "", prefix + firstJob);
+        malformed.headers.push_back({"Authorization", "Basic k1"});
+        CHECK(isRefusal(system.call(system.receiver, malformed), 401, "bad_credentials"));
+        CHECK(
+            isRefusal(system.submit(system.receiver, std::string(257, 'k'), firstJob, prefix), 401, "bad_credentials"));
+        CHECK(isRefusal(system.submit(system.receiver, "k7", firstJob, prefix), 401, "unknown_key"));
+    }
+    CHECK(system.submit(system.receiver, "", firstJob, "/open/").status == 200);
+}
+
+TEST_CASE("The route is checked before the key, and the key before the method and the identifier", "[accounts]")
+{
+    deployment system;
+    CHECK(system.call(system.receiver, deployment::makeCall("GET", "", "/none/" + firstJob)).status == 404);
+    CHECK(system.call(system.receiver, deployment::makeCall("PUT", "", "/q/" + firstJob)).status == 401);
+    CHECK(system.call(system.receiver, deployment::makeCall("PUT", "k1", "/q/" + firstJob)).status == 405);
+    CHECK(system.call(system.receiver, deployment::makeCall("GET", "", "/q/x")).status == 401);
+    CHECK(system.call(system.receiver, deployment::makeCall("GET", "k1", "/q/x")).status == 400);
+}
+
+TEST_CASE("A removed key is refused, also for a known job, and the account's other key and job go on", "[accounts]")
+{
+    deployment system;
+    REQUIRE(system.submit(system.receiver, "k1").status == 200);
+    system.publish(2, firstKeyRemoved);
+    system.time.runFor(seconds{1});
+    for (auto *host : {&system.owner, &system.receiver}) {
+        CHECK(isRefusal(system.submit(*host, "k1"), 401, "unknown_key"));
+        CHECK(isRefusal(system.state(*host, "k1"), 401, "unknown_key"));
+        CHECK(system.state(*host, "k2").status == 200);
+    }
+}
+
+TEST_CASE("A removed key is refused by a host that the store refuses, and present keys are served", "[accounts]")
+{
+    deployment system;
+    REQUIRE(system.submit(system.receiver, "k1").status == 200);
+    system.receiver.cutTopics = {store::topic::operator_records};
+    system.time.runFor(milliseconds{100});
+    system.publish(2, R"([{"name":"acme","api_keys":["k2","k3"],"weight":1}])");
+    system.time.runFor(milliseconds{400});
+    // Within the age the host still knows the removed key, but the owner decides.
+    CHECK(isRefusal(system.state(system.receiver, "k1"), 401, "unknown_key"));
+    // The answer named a newer version, so this host no longer refuses a key that it does not know.
+    CHECK(system.state(system.receiver, "k3").status == 200);
+    CHECK(system.receiver.forwarded.back().configVersion == 2);
+    system.time.runFor(seconds{10});
+    CHECK(isRefusal(system.state(system.receiver, "k1"), 401, "unknown_key"));
+    CHECK(isRefusal(system.state(system.receiver, ""), 401, "no_key"));
+    CHECK(system.state(system.receiver, "k3").status == 200);
+}
+
+TEST_CASE("A host whose configuration is too old asks the owner about a key that it does not know", "[accounts]")
+{
+    deployment system;
+    system.receiver.cutTopics = {store::topic::operator_records};
+    system.time.runFor(milliseconds{100});
+    system.publish(2, R"([{"name":"acme","api_keys":["k3"],"weight":1}])");
+    system.time.runFor(seconds{3});
+    CHECK(system.submit(system.receiver, "k3").status == 200);
+}
+
+TEST_CASE("A host never uses a version older than one by which the owner answered it", "[accounts]")
+{
+    deployment system;
+    system.receiver.cutTopics = {store::topic::operator_records};
+    system.time.runFor(milliseconds{100});
+    system.publish(2, firstKeyRemoved);
+    system.time.runFor(milliseconds{400});
+    REQUIRE(isRefusal(system.state(system.receiver, "k1"), 401, "unknown_key"));
+    // An owner that has not read version 2 must not answer by version 1.
+    CHECK(system.receiver.core->routes().config().version == 1);
+    REQUIRE(system.submit(system.receiver, "k2").status == 200);
+    CHECK(system.receiver.forwarded.back().configVersion == 2);
+    system.owner.core.reset();
+    REQUIRE(system.time.runUntil([&] { return system.receiver.core->ownsPools(); }));
+    system.time.runFor(milliseconds{100});
+    const auto answer = system.state(system.receiver, "k1");
+    CHECK(answer.status >= 400);
+    CHECK(answer.status != 401);
+}
+
+TEST_CASE("An owner whose configuration is too old refuses requests with a key at once", "[accounts]")
+{
+    deployment system;
+    REQUIRE(system.submit(system.owner, "k1").status == 200);
+    system.owner.cutTopics = {store::topic::operator_records};
+    system.time.runFor(seconds{3});
+    REQUIRE(system.owner.core->ownsPools());
+    for (auto *host : {&system.owner, &system.receiver}) {
+        CHECK(isRefusal(system.state(*host, "k1"), 503, "configuration_unconfirmed"));
+        CHECK(isRefusal(system.submit(*host, "k1", secondJob), 503, "configuration_unconfirmed"));
+        CHECK(system.answeredAfter < milliseconds{100});
+        // A 503 would say that the job has not run.
+        CHECK(system.submit(*host, "k1").status == 504);
+        CHECK(system.submit(*host, "", "00000000000000cc", "/open/").status == 200);
+    }
+    system.owner.cutTopics.clear();
+    system.time.runFor(seconds{1});
+    CHECK(system.state(system.receiver, "k1").status == 200);
+}
+
+TEST_CASE("A request that waits for a newer version is refused once the owner's configuration is too old", "[accounts]")
+{
+    deployment system;
+    system.owner.cutTopics = {store::topic::operator_records};
+    system.time.runFor(milliseconds{700});
+    system.publish(2, bothKeys);
+    system.time.runFor(milliseconds{100});
+    CHECK(isRefusal(system.submit(system.receiver, "k1"), 503, "configuration_unconfirmed"));
+    CHECK(system.answeredAfter < maxAge);
+}
+
+TEST_CASE("An answer of the store that is read after a freeze confirms only the time of sending", "[accounts]")
+{
+    deployment system;
+    REQUIRE(system.submit(system.owner, "k1").status == 200);
+    system.owner.isFrozen = true;
+    system.time.runFor(milliseconds{20});
+    REQUIRE(system.owner.heldAnswers.size() == 1);
+    system.publish(2, firstKeyRemoved);
+    system.time.runFor(seconds{6});
+    CHECK(isRefusal(system.state(system.owner, "k1"), 503, "configuration_unconfirmed"));
+    system.owner.heldAnswers.front()();
+    REQUIRE(system.owner.core->routes().config().version == 1);
+    CHECK(isRefusal(system.state(system.owner, "k1"), 503, "configuration_unconfirmed"));
+    system.owner.isFrozen = false;
+    system.time.runFor(milliseconds{20});
+    system.owner.heldAnswers.back()();
+    system.time.runFor(milliseconds{20});
+    CHECK(isRefusal(system.state(system.owner, "k1"), 401, "unknown_key"));
+}
+
+TEST_CASE("A restarted host knows no removed key and serves nothing before it has read the newest version",
+          "[accounts]")
+{
+    deployment system;
+    REQUIRE(system.submit(system.owner, "k1").status == 200);
+    system.publish(2, firstKeyRemoved);
+    system.receiver.core.reset();
+    system.start(system.receiver, "receiver", "10.0.0.2:1", maxAge);
+    CHECK(isRefusal(system.state(system.receiver, "k1"), 503, "no_configuration"));
+    system.time.runFor(seconds{1});
+    CHECK(isRefusal(system.state(system.receiver, "k1"), 401, "unknown_key"));
+}
+
+TEST_CASE("After an unreadable configuration requests with a key wait for a readable newer one", "[accounts]")
+{
+    deployment system{bothKeys, std::nullopt};
+    REQUIRE(system.submit(system.owner, "k1").status == 200);
+    system.publish(2, "null");
+    system.time.runFor(seconds{1});
+    CHECK(isRefusal(system.state(system.receiver, "k1"), 503, "configuration_unconfirmed"));
+    system.publish(1, bothKeys);
+    system.time.runFor(seconds{1});
+    CHECK(isRefusal(system.state(system.receiver, "k1"), 503, "configuration_unconfirmed"));
+    system.publish(3, bothKeys);
+    system.time.runFor(seconds{1});
+    CHECK(system.state(system.receiver, "k1").status == 200);
+}
+
+TEST_CASE("Without a bound on the withdrawal of keys a configuration of any age is used", "[accounts]")
+{
+    deployment system{bothKeys, std::nullopt};
+    system.owner.cutTopics = {store::topic::operator_records};
+    system.receiver.cutTopics = {store::topic::operator_records};
+    system.time.runFor(seconds{30});
+    CHECK(system.submit(system.receiver, "k1").status == 200);
+}
+
+TEST_CASE("A host cut off from the store and the owner refuses requests with a key at once", "[accounts]")
+{
+    deployment system;
+    system.receiver.cutTopics = {store::topic::operator_records, store::topic::ownership};
+    system.owner.isReachable = false;
+    system.time.runFor(seconds{3});
+    // The first request finds out that the owner does not respond.
+    CHECK(isRefusal(system.submit(system.receiver, "k1"), 503, "configuration_unconfirmed"));
+    CHECK(isRefusal(system.submit(system.receiver, "k1"), 503, "configuration_unconfirmed"));
+    CHECK(system.answeredAfter < milliseconds{100});
+    system.owner.isReachable = true;
+    system.time.runFor(seconds{1});
+    CHECK(system.submit(system.receiver, "k1").status == 200);
+}
+
+TEST_CASE("A job is open to its account only, also after a takeover", "[accounts]")
+{
+    deployment system;
+    REQUIRE(system.submit(system.receiver, "k1").status == 200);
+    REQUIRE(system.submit(system.receiver, "k1", secondJob).status == 200);
+    REQUIRE(system.call(system.receiver, deployment::makeCall("DELETE", "k2", "/q/" + secondJob)).status == 200);
+    const auto checkJobs = [&] {
+        for (const auto &job : {firstJob, secondJob}) {
+            CHECK(isRefusal(system.state(system.receiver, "k9", job), 403, "other_account"));
+            CHECK(isRefusal(system.submit(system.receiver, "k9", job), 403, "other_account"));
+            CHECK(isRefusal(system.submit(system.receiver, "", job, "/open/"), 403, "other_account"));
+            CHECK(isRefusal(system.call(system.receiver, deployment::makeCall("DELETE", "k9", "/q/" + job)), 403,
+                            "other_account"));
+            CHECK(system.state(system.receiver, "k2", job).status == 200);
+        }
+    };
+    checkJobs();
+    system.owner.core.reset();
+    REQUIRE(system.time.runUntil([&] { return system.receiver.core->ownsPools(); }));
+    system.time.runFor(seconds{1});
+    checkJobs();
+}
+
+TEST_CASE("A job of an anonymous caller is open to all accounts", "[accounts]")
+{
+    deployment system;
+    REQUIRE(system.submit(system.receiver, "", firstJob, "/open/").status == 200);
+    CHECK(system.state(system.receiver, "k9").status == 200);
+}
+
+TEST_CASE("A deployment without accounts sends, stores and logs nothing about them", "[accounts]")
+{
+    deployment system{""};
+    CHECK(system.submit(system.receiver, "k7").status == 200);
+    CHECK(system.submit(system.receiver, "", secondJob).status == 200);
+    auto malformed = deployment::makeCall("GET", "", "/q/" + firstJob);
+    malformed.headers.push_back({"Authorization", "Basic"});
+    CHECK(system.call(system.receiver, malformed).status == 200);
+    const auto answer = system.state(system.owner, "k7");
+    CHECK(answer.status == 200);
+    CHECK(answer.header("X-Poplarpass-Config").empty());
+    for (const auto &request : system.receiver.forwarded) {
+        CHECK_FALSE(request.key);
+    }
+    for (const auto &record : system.memory.records(store::topic::jobs)) {
+        CHECK(record.value.find("account") == std::string::npos);
+    }
+    // Configurations of any age are used.
+    system.owner.cutTopics = {store::topic::operator_records};
+    system.receiver.cutTopics = {store::topic::operator_records};
+    system.time.runFor(seconds{10});
+    CHECK(system.state(system.receiver, "").status == 200);
+    for (auto *host : {&system.owner, &system.receiver}) {
+        CHECK(countLines(*host, "request_refused") == 0);
+        CHECK(host->metrics.render().find("authentication_refused") == std::string::npos);
+    }
+}
+
+TEST_CASE("A refusal is logged and counted with its reason, and never shows the key", "[accounts]")
+{
+    deployment system;
+    REQUIRE(system.submit(system.owner, "k1").status == 200);
+    CHECK(system.state(system.owner, "k9").status == 403);
+    CHECK(countLines(system.owner, "reason=other_account") == 1);
+    CHECK(countLines(system.owner, "account=other") == 1);
+    CHECK(system.owner.metrics.render().find(R"(poplarpass_authentication_refused_total{reason="other_account"} 1)")
+          != std::string::npos);
+    for (const auto *key : {"k1", "k9"}) {
+        CHECK(countLines(system.owner, poplarpass::accounts::digestOf(key).hex()) == 0);
+    }
+}
+
+TEST_CASE("A request between hosts with an invalid digest is refused rather than taken as anonymous", "[accounts]")
+{
+    net::http_request call;
+    call.target = "/q/" + firstJob;
+    call.headers = {{"X-Poplarpass-Verb", "1"}, {"X-Poplarpass-Config", "7"}};
+    REQUIRE(host::parseForwardedRequest(call));
+    CHECK_FALSE(host::parseForwardedRequest(call)->key);
+    const auto digest = poplarpass::accounts::digestOf("k1");
+    call.headers.push_back({"X-Poplarpass-Key", digest.hex()});
+    REQUIRE(host::parseForwardedRequest(call));
+    CHECK(host::parseForwardedRequest(call)->key == digest);
+    call.headers.back().value.back() = 'g';
+    CHECK_FALSE(host::parseForwardedRequest(call));
+}
