--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -1,6 +1,5 @@
 #include <poplarpass/jobs/constants.h>
 #include <poplarpass/jobs/job_engine.h>
-#include <poplarpass/jobs/task_placement.h>
 
 #include <algorithm>
 #include <cassert>
@@ -52,8 +51,7 @@
         auto &worker = m_workers.findOrAdd(state.worker);
         worker.entry.incarnation = std::max(worker.entry.incarnation, state.workerIncarnation);
         worker.leaseEnd = std::max(worker.leaseEnd, ordersUntil + maxRealLease + leaseMargin);
-        worker.placed.insert(task);
-        internal::addUsage(worker, restored.spec.steps[task.step]);
+        addPlacement(task, restored, worker);
         state.acknowledged = true;
         state.acknowledgedAt = now;
         // A stop by the former owner counts as confirmed only if the worker no longer lists the run.
@@ -209,7 +207,10 @@
 
 auto job_engine::addActiveJob(multistep_job_record &job) -> void
 {
-    m_activeJobs[job.queue.pool][job.id] = {&job, outlookOf(job)};
+    auto &entry = m_activeJobs[job.queue.pool][job.id];
+    entry.job = &job;
+    entry.outlook = outlookOf(job);
+    linkAccount(entry);
 }
 
 auto job_engine::setPhase(const task_ref &task, multistep_job_record &job, task_record &state, task_phase phase) -> void
@@ -258,8 +259,7 @@
     state.ready = false;
     state.percent = 0;
     state.pace = 100;
-    worker.placed.insert(task);
-    internal::addUsage(worker, job.spec.steps[task.step]);
+    addPlacement(task, job, worker);
     ++m_counters.starts;
     markChanged(job);
     orderStart(job, task, state);
@@ -275,14 +275,6 @@
         {state.worker, task, state.run, job.spec.payload, state.checkpoint, std::move(ticket), state.startAttempts});
 }
 
-auto job_engine::removePlacement(const task_ref &task, const multistep_job_record &job, task_record &state) -> void
-{
-    auto *worker = m_workers.find(state.worker);
-    if (worker != nullptr && worker->placed.erase(task) > 0) {
-        internal::removeUsage(*worker, job.spec.steps[task.step]);
-    }
-}
-
 auto job_engine::resetToWaiting(const task_ref &task, multistep_job_record &job, task_record &state,
                                 core::monotonic_time notBefore) -> void
 {
@@ -334,7 +326,11 @@
 {
     for (std::uint32_t index = 0; index < job.spec.steps[task.step].taskCount; ++index) {
         const task_ref member{task.job, task.occurrence, task.step, index};
-        finishTask(member, job, job.tasks[job.positionOf(member.occurrence, member.step, index)], now);
+        auto &state = job.tasks[job.positionOf(member.occurrence, member.step, index)];
+        if (index != task.index) {
+            keepLingering(member, job, state, now);
+        }
+        finishTask(member, job, state, now);
     }
 }
 
@@ -366,6 +362,7 @@
         logEvent("run_lost", nameOf(task), worker.entry.id, state->run, reason);
         resetToWaiting(task, *job, *state, now);
     }
+    dropLingering(worker.entry.id);
     worker.placed.clear();
     worker.used = {};
     worker.bestEffortRuns = 0;
