Caps of client accounts are passed to the engine, and jobs that they never permit are refused

Change: pool_owner::updateAccounts() passes limits and whether they are confirmed; 429 exceeds_account_cap; ended jobs keep their account.

--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -69,6 +69,8 @@
 inline constexpr int retryAfterSeconds = 1;
 /// \brief The same when the store has been unavailable for longStallThreshold.
 inline constexpr int longRetryAfterSeconds = 2;
+/// \brief The same for a job that its account's cap does not permit: only the operator can raise the cap.
+inline constexpr int capRetryAfterSeconds = 30;
 /// \brief Maximum number of callers' requests in flight at one host; further ones are refused at once.
 inline constexpr std::size_t maxForwardedRequests = 4000;
 /// \brief Maximum number of requests queued at the owner for the store, and likewise for the owner's start.
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -119,6 +119,11 @@
     auto updateAccounts() -> void;
     auto authenticateRequest(const client_request &request, const response_callback &answer)
         -> std::optional<jobs::account_id>;
+    /// \returns whether the submission was refused because no task of it could ever start under its account's cap
+    auto refuseOverCap(const client_request &request, const jobs::multistep_job_spec &spec,
+                       const response_callback &answer) -> bool;
+    auto refuseForAccount(const client_request &request, const response_callback &answer, std::string_view reason,
+                          int retryAfter) -> void;
     auto refuseUnauthenticated(const client_request &request, const response_callback &answer,
                                authentication_error error) -> void;
     auto refuseUnconfirmed(const client_request &request, const response_callback &answer) -> bool;
--- a/src/poplarpass/host/pool_owner_accounts.cpp
+++ b/src/poplarpass/host/pool_owner_accounts.cpp
@@ -8,13 +8,48 @@
 // Authentication of callers' requests by the owner, and the limits of client accounts.
 namespace poplarpass::host
 {
+using observe::log_level;
+
 auto pool_owner::updateAccounts() -> void
 {
-    // The engine takes the limits when the version has changed, and each time whether the caps are confirmed.
-    const auto version = m_env.routes.config().version;
-    if (std::exchange(m_accountsVersion, version) == version) {
+    const auto *accounts = m_env.routes.accounts();
+    if (accounts == nullptr) {
         return;
     }
+    m_engine.setCapsConfirmed(m_env.configStanding().isConfirmed);
+    const auto version = m_env.routes.config().version;
+    if (std::exchange(m_accountsVersion, version) != version) {
+        m_engine.updateAccounts(accounts->limits());
+    }
+}
+
+auto pool_owner::refuseOverCap(const client_request &request, const jobs::multistep_job_spec &spec,
+                               const response_callback &answer) -> bool
+{
+    if (request.account.empty() || !m_engine.exceedsCap(spec, request.account)) {
+        return false;
+    }
+    refuseForAccount(request, answer, "exceeds_account_cap", capRetryAfterSeconds);
+    return true;
+}
+
+auto pool_owner::refuseForAccount(const client_request &request, const response_callback &answer,
+                                  std::string_view reason, int retryAfter) -> void
+{
+    m_env.metrics
+        .counterOf("poplarpass_account_refused_total", "Submissions refused because of the limits of their account",
+                   {{"reason", std::string{reason}}})
+        .add(1);
+    const auto standing = m_env.configStanding();
+    m_env.log.log(log_level::warning, "request_refused",
+                  {{"id", request.job.str()},
+                   {"verb", nameOf(request.verb)},
+                   {"reason", reason},
+                   {"account", request.account.str()},
+                   {"config", m_env.routes.config().version},
+                   {"config_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(standing.age).count()},
+                   {"retry_after_s", retryAfter}});
+    answer(refusalResponse(429, reason, retryAfter));
 }
 
 // Runs again for a request that waited, since its key may have been removed meanwhile.
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -111,6 +111,9 @@
         answer(plainResponse(400, "bad_body"));
         return;
     }
+    if (refuseOverCap(request, *spec, answer)) {
+        return;
+    }
     if (m_engine.taskCount() + jobs::taskCountOf(*spec) > maxTasks) {
         refuse(request, answer, "too_many_tasks", longRetryAfterSeconds);
         return;
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -182,10 +182,11 @@
         if (now - job.endedAt > endedJobRetention) {
             removed.push_back(job.id);
         } else if (!job.tasks.empty()) {
-            const auto endedAt = job.endedAt;
+            auto ended = makeEndedJob(job.id, job.phase);
+            ended.account = job.account;
+            ended.endedAt = job.endedAt;
             m_taskCount -= job.tasks.size();
-            job = makeEndedJob(job.id, job.phase);
-            job.endedAt = endedAt;
+            job = std::move(ended);
         }
     }
     for (const auto &id : removed) {
