One parser of verbs and groups, each verb registered once

Cause: the first registered verb that matched was run, so "host" hid "host show" and the second "job explain" could not be reached. Groups were unknown to the parser, errors named no verb, and a verb that threw aborted the process.

Change: verb_matcher finds the longest match, the verbs of a group, the nearest verb and a verb registered twice; the latter fails at start. The number of positional arguments is checked in one place. An exception of a verb is exit status 1 with its reason. "host show" of an unknown host and "job explain" without lines say so on standard error.

explain_verb_test expected the message of a job without lines among the results; it is an error, so the verb now prints it on standard error.

--- a/src/poplarpass/app/command_line.cpp
+++ b/src/poplarpass/app/command_line.cpp
@@ -1,9 +1,11 @@
 #include <poplarpass/app/command_line.h>
+#include <poplarpass/app/verb_matcher.h>
 #include <poplarpass/app/version.h>
 
 #include <boost/program_options.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <ostream>
 #include <utility>
 
@@ -15,23 +17,6 @@
 
 constexpr auto positionalName = "argument";
 
-auto splitWords(std::string_view name) -> std::vector<std::string>
-{
-    std::vector<std::string> words;
-    std::size_t begin = 0;
-    while (begin < name.size()) {
-        const auto end = std::min(name.find(' ', begin), name.size());
-        words.emplace_back(name.substr(begin, end - begin));
-        begin = end + 1;
-    }
-    return words;
-}
-
-auto startsWith(std::span<const std::string> arguments, std::span<const std::string> words) -> bool
-{
-    return arguments.size() >= words.size() && std::equal(words.begin(), words.end(), arguments.begin());
-}
-
 auto describeOptions(const verb &chosen) -> options::options_description
 {
     options::options_description description{"Options"};
@@ -51,24 +36,40 @@
     return description;
 }
 
+auto printVerbs(std::span<const verb> verbs, std::ostream &out) -> void
+{
+    constexpr std::size_t nameWidth = 18;
+    for (const auto &listed : verbs) {
+        const auto padding = listed.name.size() < nameWidth ? nameWidth - listed.name.size() : 1;
+        out << "  " << listed.name << std::string(padding, ' ') << listed.meaning << '\n';
+    }
+    out << "\n'poplarpass VERB --help' shows the options of one verb.\n";
+}
+
 auto printOverview(std::span<const verb> verbs, std::ostream &out) -> void
 {
     out << "poplarpass " << version() << ": fleet capacity and maintenance manager\n\n"
         << "Usage: poplarpass VERB [OPTION...]\n\nVerbs:\n";
-    for (const auto &candidate : verbs) {
-        out << "  " << candidate.name << std::string(candidate.name.size() < 18 ? 18 - candidate.name.size() : 1, ' ')
-            << candidate.meaning << '\n';
-    }
-    out << "\n'poplarpass VERB --help' shows the options of one verb.\n";
+    printVerbs(verbs, out);
+}
+
+auto printGroup(std::string_view group, std::span<const verb> members, std::ostream &out) -> void
+{
+    out << "Usage: poplarpass " << group << " VERB [OPTION...]\n\nVerbs of " << group << ":\n";
+    printVerbs(members, out);
 }
 
-auto printHelp(const verb &chosen, std::ostream &out) -> void
+auto printHelp(const verb &chosen, std::span<const verb> verbs, std::ostream &out) -> void
 {
     out << "Usage: poplarpass " << chosen.name << " [OPTION...]";
     if (!chosen.argumentNames.empty()) {
         out << ' ' << chosen.argumentNames;
     }
     out << "\n\n" << chosen.meaning << "\n\n" << describeOptions(chosen);
+    if (const auto members = verbsOfGroup(chosen.name, verbs); !members.empty()) {
+        out << "\nVerbs of " << chosen.name << ":\n";
+        printVerbs(members, out);
+    }
 }
 
 auto collect(const options::variables_map &values, const verb &chosen) -> parsed_options
@@ -87,6 +88,22 @@
     return {std::move(entries), std::move(arguments)};
 }
 
+// "NAME" stands for exactly one argument, "[NAME]" for at most one and "NAME..." for at least one.
+auto checkArgumentCount(const parsed_options &parsed, const verb &chosen) -> std::string
+{
+    const auto count = parsed.arguments().size();
+    const auto &names = chosen.argumentNames;
+    const std::size_t minCount = names.empty() || names.starts_with('[') ? 0 : 1;
+    if (count < minCount) {
+        return names + " is required";
+    }
+    const std::size_t maxCount = names.empty() ? 0 : 1;
+    if (count > maxCount && !names.ends_with("...")) {
+        return "unexpected argument '" + parsed.arguments()[maxCount] + "'";
+    }
+    return {};
+}
+
 auto checkOptions(const parsed_options &parsed, const verb &chosen) -> std::string
 {
     for (const auto &option : chosen.options) {
@@ -94,8 +111,8 @@
             return "--" + option.name + " is required";
         }
     }
-    if (!parsed.arguments().empty() && chosen.argumentNames.empty()) {
-        return "unexpected argument '" + parsed.arguments().front() + "'";
+    if (auto problem = checkArgumentCount(parsed, chosen); !problem.empty()) {
+        return problem;
     }
     const auto format = parsed.value("format");
     if (!format.empty() && format != "text" && format != "json") {
@@ -117,12 +134,13 @@
     return values;
 }
 
-auto runVerb(const verb &chosen, std::span<const std::string> arguments, console &streams) -> exit_code
+auto runVerb(const verb &chosen, std::span<const std::string> arguments, std::span<const verb> verbs, console &streams)
+    -> exit_code
 {
     try {
         const auto values = parse(chosen, arguments);
         if (values.count("help") != 0) {
-            printHelp(chosen, streams.out);
+            printHelp(chosen, verbs, streams.out);
             return exit_code::success;
         }
         if (values.count("version") != 0) {
@@ -138,8 +156,35 @@
     } catch (const options::error &problem) {
         streams.err << "poplarpass " << chosen.name << ": " << problem.what() << "; see --help\n";
         return exit_code::usage;
+    } catch (const std::exception &problem) {
+        // For instance an address that is already in use; without this the process would abort.
+        streams.err << "poplarpass " << chosen.name << ": " << problem.what() << '\n';
+        return exit_code::failure;
     }
 }
+
+auto runGroup(std::span<const std::string> arguments, std::span<const verb> members, console &streams) -> exit_code
+{
+    const bool wantsHelp = std::ranges::find(arguments, "--help") != arguments.end();
+    printGroup(arguments.front(), members, wantsHelp ? streams.out : streams.err);
+    return wantsHelp ? exit_code::success : exit_code::usage;
+}
+
+auto rejectWords(const std::string &words, std::span<const verb> verbs, console &streams) -> exit_code
+{
+    streams.err << "poplarpass: unknown verb '" << words << "'; the nearest verb is '" << nearestVerb(words, verbs)
+                << "'; see --help\n";
+    return exit_code::usage;
+}
+
+// The next word after the name of a group selects a verb, unless the name is itself a verb that takes arguments.
+auto isMisspelledMember(const verb_match &match, std::span<const std::string> arguments, std::span<const verb> verbs)
+    -> bool
+{
+    const auto rest = arguments.subspan(match.words);
+    return match.matched->argumentNames.empty() && !rest.empty() && !rest.front().starts_with('-')
+        && !verbsOfGroup(match.matched->name, verbs).empty();
+}
 } // namespace
 
 parsed_options::parsed_options(std::vector<entry> entries, std::vector<std::string> arguments)
@@ -171,6 +216,10 @@
 
 auto runCommandLine(std::span<const std::string> arguments, std::span<const verb> verbs, console &streams) -> exit_code
 {
+    if (const auto repeated = repeatedVerb(verbs); !repeated.empty()) {
+        streams.err << "poplarpass: verb '" << repeated << "' is registered twice\n";
+        return exit_code::failure;
+    }
     if (arguments.empty()) {
         printOverview(verbs, streams.err);
         return exit_code::usage;
@@ -183,13 +232,18 @@
         streams.out << "poplarpass " << version() << '\n';
         return exit_code::success;
     }
-    for (const auto &candidate : verbs) {
-        const auto words = splitWords(candidate.name);
-        if (startsWith(arguments, words)) {
-            return runVerb(candidate, arguments.subspan(words.size()), streams);
-        }
+    const auto match = matchVerb(arguments, verbs);
+    if (match.matched != nullptr && !isMisspelledMember(match, arguments, verbs)) {
+        return runVerb(*match.matched, arguments.subspan(match.words), verbs, streams);
     }
-    streams.err << "poplarpass: unknown verb '" << arguments.front() << "'; see --help\n";
-    return exit_code::usage;
+    const auto words = verbWords(arguments, verbs);
+    if (words.empty()) {
+        streams.err << "poplarpass: unknown option '" << arguments.front() << "'; see --help\n";
+        return exit_code::usage;
+    }
+    if (const auto members = verbsOfGroup(arguments.front(), verbs); words == arguments.front() && !members.empty()) {
+        return runGroup(arguments, members, streams);
+    }
+    return rejectWords(words, verbs, streams);
 }
 } // namespace poplarpass::app
--- a/src/poplarpass/app/command_line.h
+++ b/src/poplarpass/app/command_line.h
@@ -68,13 +68,13 @@
 {
     std::string name; ///< One or two words.
     std::string meaning; ///< One line for --help.
-    std::string argumentNames; ///< Positional arguments shown in --help; empty for none.
+    std::string argumentNames; ///< Positional arguments: "NAME", "[NAME]" or "NAME..."; empty for none.
     std::vector<option_spec> options; ///< Options; --help and --version are always added.
     std::function<exit_code(const parsed_options &, console &)> run; ///< Runs the verb.
 };
 
-/// \brief Runs the verb that \p arguments start with, after a check of its options.
-/// \returns the exit code of the process
+/// \brief Runs the longest verb that \p arguments start with, after a check of its options.
+/// \returns the exit code of the process; failure if two of \p verbs have the same name
 auto runCommandLine(std::span<const std::string> arguments, std::span<const verb> verbs, console &streams) -> exit_code;
 
 /// \brief Returns all verbs of the program.
--- a/src/poplarpass/app/explain_verb.cpp
+++ b/src/poplarpass/app/explain_verb.cpp
@@ -92,7 +92,6 @@
     const auto first = std::ranges::find(lines, true, &log_line::concernsJob);
     const auto last = std::ranges::find(lines.rbegin(), lines.rend(), true, &log_line::concernsJob);
     if (first == lines.end()) {
-        out << "no log line mentions job " << job << '\n';
         return 0;
     }
     std::size_t count = 0;
--- a/src/poplarpass/app/profile_verbs.cpp
+++ b/src/poplarpass/app/profile_verbs.cpp
@@ -142,10 +142,6 @@
 
 auto show(const parsed_options &options, console &streams) -> exit_code
 {
-    if (options.arguments().size() != 1) {
-        streams.err << "profile show: exactly one NAME is required; see --help\n";
-        return exit_code::usage;
-    }
     const auto opened = openSession(options, streams);
     if (!opened) {
         return opened.error();
--- a/src/poplarpass/app/status_verbs.cpp
+++ b/src/poplarpass/app/status_verbs.cpp
@@ -14,6 +14,7 @@
 
 constexpr core::duration watchPeriod = std::chrono::seconds{1};
 constexpr core::duration jobQueryTimeout = std::chrono::seconds{5};
+constexpr int httpErrorBegin = 400;
 
 auto printText(const json &described, console &streams) -> void
 {
@@ -117,15 +118,24 @@
         }
         streams.out << '\n';
     }
-    return found ? exit_code::success : exit_code::failure;
+    if (!found && !options.arguments().empty()) {
+        streams.err << "no host '" << options.arguments().front() << "'\n";
+        return exit_code::failure;
+    }
+    return exit_code::success;
+}
+
+auto reportNoAnswer(const parsed_options &options, const std::optional<core::result<net::http_response>> &answer,
+                    console &streams) -> exit_code
+{
+    const bool isMalformed = answer && answer->error().kind == core::error_kind::invalid_request;
+    streams.err << "entry " << options.value("entry")
+                << (isMalformed ? ": --entry must be IP:port; see --help\n" : " did not answer\n");
+    return isMalformed ? exit_code::usage : exit_code::failure;
 }
 
 auto showJob(const parsed_options &options, console &streams) -> exit_code
 {
-    if (options.arguments().size() != 1) {
-        streams.err << "job explain: exactly one KEY is required; see --help\n";
-        return exit_code::usage;
-    }
     operator_session session{options.value("config"), streams};
     if (const auto failureCode = session.failureCode()) {
         return *failureCode;
@@ -138,11 +148,11 @@
         [&answer](core::result<net::http_response> response, net::sent_state) { answer = std::move(response); });
     session.runUntil([&answer] { return answer.has_value(); }, jobQueryTimeout + watchPeriod);
     if (!answer || !*answer) {
-        streams.err << "entry " << options.value("entry") << " did not answer\n";
-        return exit_code::failure;
+        return reportNoAnswer(options, answer, streams);
     }
-    streams.out << (*answer)->body << '\n';
-    return exit_code::success;
+    const bool isKnown = (*answer)->status < httpErrorBegin;
+    (isKnown ? streams.out : streams.err) << (*answer)->body << '\n';
+    return isKnown ? exit_code::success : exit_code::failure;
 }
 } // namespace
 
@@ -153,8 +163,8 @@
     return {
         {"status", "shows members, budgets and waves", "", {configOption(), watch, formatOption()}, status},
         {"host show", "shows one host or all", "[HOST]", {configOption(), formatOption()}, showHost},
-        {"job explain",
-         "shows the state or the answer of a job",
+        {"job show",
+         "shows the state or the answer of a job, asked of an entry",
          "KEY",
          {configOption(), entry, formatOption()},
          showJob},
--- a/src/poplarpass/app/verbs.cpp
+++ b/src/poplarpass/app/verbs.cpp
@@ -33,10 +33,6 @@
 
 auto checkConfig(const parsed_options &options, console &streams) -> exit_code
 {
-    if (options.arguments().empty()) {
-        streams.err << "config check: at least one FILE is required; see --help\n";
-        return exit_code::usage;
-    }
     bool valid = true;
     for (const auto &file : options.arguments()) {
         const auto loaded = settings::load(file);
@@ -98,11 +94,12 @@
 
 auto explain(const parsed_options &options, console &streams) -> exit_code
 {
-    if (options.arguments().size() != 1) {
-        streams.err << "job explain: exactly one ID is required; see --help\n";
-        return exit_code::usage;
+    const auto &job = options.arguments().front();
+    if (explainJob(job, std::cin, streams.out) == 0) {
+        streams.err << "no log line mentions job " << job << '\n';
+        return exit_code::failure;
     }
-    return explainJob(options.arguments().front(), std::cin, streams.out) > 0 ? exit_code::success : exit_code::failure;
+    return exit_code::success;
 }
 
 auto runHost(const parsed_options &options, console &streams) -> exit_code
--- a/src/poplarpass/app/wave_verbs.cpp
+++ b/src/poplarpass/app/wave_verbs.cpp
@@ -79,10 +79,6 @@
 
 auto publishAction(replication::wave_action action, const parsed_options &options, console &streams) -> exit_code
 {
-    if (options.arguments().size() != 1) {
-        streams.err << "exactly one wave NAME is required; see --help\n";
-        return exit_code::usage;
-    }
     const auto opened = openSession(options, streams);
     if (!opened) {
         return opened.error();
