--- a/src/poplarpass/app/wave_verbs.cpp
+++ b/src/poplarpass/app/wave_verbs.cpp
@@ -7,8 +7,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <optional>
 #include <ostream>
+#include <span>
 
 namespace poplarpass::app
 {
@@ -30,6 +33,15 @@
     return names;
 }
 
+auto findUnknownPool(std::span<const core::pool_id> names, const config::fleet_config &config)
+    -> std::optional<core::pool_id>
+{
+    const auto unknown = std::ranges::find_if(names, [&config](const core::pool_id &name) {
+        return std::ranges::find(config.pools, name, &config::pool::name) == config.pools.end();
+    });
+    return unknown == names.end() ? std::nullopt : std::optional{*unknown};
+}
+
 auto printStep(const control::plan_step &step, bool placed, core::wall_time from, const parsed_options &options,
                console &streams) -> void
 {
@@ -62,6 +74,10 @@
     replication::wave_state wave;
     wave.name = core::wave_id{"plan"};
     wave.pools = splitNames(options.value("pools"));
+    if (const auto unknown = findUnknownPool(wave.pools, state.config())) {
+        streams.err << "no pool '" << unknown->str() << "'\n";
+        return exit_code::failure;
+    }
     wave.startedAt = state.offset();
     control::plan_assumptions assumptions;
     assumptions.horizon = planHorizon;
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -22,6 +22,7 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds pollInterval{50};
+} // namespace
 
 // The ports lie below the ephemeral range, so that no bind to port 0 can claim one between this check and its use. Each
 // test process starts its search at another port.
@@ -49,7 +50,6 @@
 {
     return std::string{POPLARPASS_BIN_DIR} + "/" + name;
 }
-} // namespace
 
 deployment::deployment(int entries, int controls, int workers)
     : m_workers{workers}
@@ -149,12 +149,17 @@
         + "\n[[team]]\nname = \"team\"\nquota_slots = 1000\nweight = 1.0\n";
 }
 
-auto deployment::publish(int quickDemand, const std::string &basedOn) -> std::string
+auto deployment::writeFleet(int quickDemand) -> std::string
 {
     static int serial = 0;
-    const auto file = (m_folder / ("fleet-" + std::to_string(++serial) + ".toml")).string();
+    auto file = (m_folder / ("fleet-" + std::to_string(++serial) + ".toml")).string();
     std::ofstream{file} << fleetText(quickDemand);
-    std::vector<std::string> arguments{"profile", "publish", "--fleet", file};
+    return file;
+}
+
+auto deployment::publish(int quickDemand, const std::string &basedOn) -> std::string
+{
+    std::vector<std::string> arguments{"profile", "publish", "--fleet", writeFleet(quickDemand)};
     if (!basedOn.empty()) {
         arguments.insert(arguments.end(), {"--based-on", basedOn});
     }
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -42,6 +42,12 @@
     /// \brief Runs an operator command and returns its output.
     auto run(std::vector<std::string> arguments) -> std::string;
 
+    /// \brief Returns the path of the settings file of process \p name.
+    [[nodiscard]] auto settingsPath(const std::string &name) const -> std::string;
+
+    /// \brief Writes a fleet configuration with \p quickDemand slots for the pool "quick" and returns its path.
+    auto writeFleet(int quickDemand) -> std::string;
+
     /// \brief Returns the current "IP:port" of entry \p name for callers.
     auto callerAddress(const std::string &name) -> std::string;
 
@@ -73,7 +79,6 @@
 private:
     auto writeSettings(const std::string &name, const std::string &kind, std::size_t index) -> void;
     auto fleetText(int quickDemand) const -> std::string;
-    auto settingsPath(const std::string &name) const -> std::string;
 
     std::filesystem::path m_folder;
     std::vector<std::string> m_entryNames;
@@ -91,6 +96,12 @@
     std::map<std::string, std::unique_ptr<child_process>> m_processes;
 };
 
+/// \brief Returns \p count free addresses "IP:port" of the loopback interface.
+auto freeAddresses(std::size_t count) -> std::vector<std::string>;
+
+/// \brief Returns the path of the program \p name of this build.
+auto binaryPath(const std::string &name) -> std::string;
+
 /// \brief Returns a new idempotency key, a UUIDv7 of the current time.
 auto makeKey() -> std::string;
 
