Commands account list and account show, report and metrics of accounts

Cause: operators could not see an account's share, use, cap and refusals (section 3.6 of docs/ACCOUNTS.md).

Change: host/account_report defines the report, its JSON and the answer to GET /accounts on the metrics address: 421 with the owner's name, 404 without accounts. host/account_metrics renders the ten accounts with the largest use and the rest as "other" from a registry of their own, so that the number of series stays bounded over time. host_process has a hook that supplies the report; until the owner is connected, every host answers that there are no accounts, and /metrics is unchanged.

--- a/src/poplarpass/app/operator_verbs.h
+++ b/src/poplarpass/app/operator_verbs.h
@@ -16,6 +16,9 @@
 /// \brief Returns the verbs to show the fleet, hosts and jobs.
 auto statusVerbs() -> std::vector<verb>;
 
+/// \brief Returns the verbs to show the client accounts of a deployment.
+auto accountVerbs() -> std::vector<verb>;
+
 /// \brief Returns the required option --config: a settings file of the deployment.
 auto configOption() -> option_spec;
 
--- a/src/poplarpass/app/verbs.cpp
+++ b/src/poplarpass/app/verbs.cpp
@@ -133,7 +133,7 @@
         {"config errors", "prints the table of error kinds", "", {}, printErrors},
         {"config events", "prints the table of events that a host logs", "", {}, printEvents},
     };
-    for (auto group : {profileVerbs(), waveVerbs(), statusVerbs()}) {
+    for (auto group : {profileVerbs(), waveVerbs(), statusVerbs(), accountVerbs()}) {
         std::ranges::move(group, std::back_inserter(verbs));
     }
     return verbs;
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -1,5 +1,6 @@
 #include <poplarpass/app/clock.h>
 #include <poplarpass/app/ticker.h>
+#include <poplarpass/host/account_metrics.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/host_peers.h>
 #include <poplarpass/host/host_process.h>
@@ -84,6 +85,11 @@
     return time;
 }
 
+auto host_process::setAccountReportSource(account_report_source source) -> void
+{
+    m_accountReport = std::move(source);
+}
+
 auto host_process::run() -> void
 {
     m_log.log(log_level::info, "start", {{"zone", m_settings.zone}, {"peers", m_settings.peers}});
@@ -132,12 +138,21 @@
 {
     if (request.path() == "/metrics") {
         m_core->updateMetrics();
-        return net::makeResponse(200, m_metrics.render(), observe::metricsContentType);
+        return net::makeResponse(200, renderMetrics(), observe::metricsContentType);
+    }
+    if (request.path() == "/accounts") {
+        return answerAccountRequest(request, m_accountReport);
     }
     const bool ready = !m_stopping && m_core->isReady();
     return ready ? plainResponse(200, "ready") : plainResponse(503, "not_ready");
 }
 
+auto host_process::renderMetrics() const -> std::string
+{
+    const auto report = m_accountReport();
+    return m_metrics.render() + (report ? renderAccountMetrics(*report) : std::string{});
+}
+
 auto host_process::awaitSignals() -> void
 {
     m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
--- a/src/poplarpass/host/host_process.h
+++ b/src/poplarpass/host/host_process.h
@@ -2,6 +2,7 @@
 
 #include <poplarpass/core/time_source.h>
 #include <poplarpass/core/wall_clock_filter.h>
+#include <poplarpass/host/account_report.h>
 #include <poplarpass/host/call_metrics.h>
 #include <poplarpass/host/host_core.h>
 #include <poplarpass/host/request_server.h>
@@ -45,6 +46,9 @@
     host_process(const host_process &) = delete;
     auto operator=(const host_process &) -> host_process & = delete;
 
+    /// \brief Sets the hook that supplies the report of the accounts; without one the deployment has no accounts.
+    auto setAccountReportSource(account_report_source source) -> void;
+
     /// \brief Runs until SIGTERM or SIGINT, then stops gracefully.
     auto run() -> void;
 
@@ -52,6 +56,7 @@
     auto makeCore() -> std::unique_ptr<host_core>;
     auto listen() -> void;
     auto answerStatus(const net::http_request &request) -> net::http_response;
+    [[nodiscard]] auto renderMetrics() const -> std::string;
     auto awaitSignals() -> void;
     auto beginShutdown() -> void;
     auto finishShutdown() -> void;
@@ -78,6 +83,9 @@
     host_calls m_hosts;
     advice_calls m_advice;
     peer_calls m_peers;
+    account_report_source m_accountReport = [] {
+        return tl::make_unexpected(account_report_refusal{});
+    };
     std::unique_ptr<host_core> m_core;
     std::unique_ptr<request_server> m_requestServer;
     std::unique_ptr<net::http_server> m_readiness;
--- a/tests/process/command_line_test.cpp
+++ b/tests/process/command_line_test.cpp
@@ -237,6 +237,14 @@
     child_process host{binaryPath("poplarpass"), {"host", "--config", settings}};
     REQUIRE(host.waitForLine("event=start"));
     REQUIRE(deployment::eventually([&] { return httpCall(listen.at(3), "GET", "/metrics").status == 200; }));
+    checkAll({
+        {{"account", "list", "--at", listen.at(3)}, 1, "", "has no accounts"},
+        {{"account", "list"}, 2, "", "--at is required"},
+        {{"account", "list", "--at", listen.at(4)}, 1, "", "did not answer"},
+        {{"account", "show", "a", "--at", listen.at(3)}, 1, "", "has no accounts"},
+        {{"account", "show", "a", "--at", "nowhere"}, 2, "", "--at must be IP:port"},
+        {{"account", "show", "--at", listen.at(3)}, 2, "", "NAME is required"},
+    });
     const auto second = runCommand(binaryPath("poplarpass"), {"host", "--config", settings});
     CHECK(second.exitStatus == 1);
     CHECK(second.err.find("poplarpass host: ") != std::string::npos);
@@ -247,10 +255,10 @@
 TEST_CASE("The overview lists exactly the verbs that these tests run", "[process]")
 {
     const std::set<std::string> tested{
-        "host",         "host show",    "job explain",      "job show",        "entry",           "control",
-        "config check", "config keys",  "config errors",    "config events",   "status",          "profile list",
-        "profile show", "profile diff", "profile validate", "profile publish", "profile history", "wave plan",
-        "wave start",   "wave pause",   "wave resume",      "wave status"};
+        "account list",    "account show", "host",         "host show",    "job explain",      "job show",
+        "entry",           "control",      "config check", "config keys",  "config errors",    "config events",
+        "status",          "profile list", "profile show", "profile diff", "profile validate", "profile publish",
+        "profile history", "wave plan",    "wave start",   "wave pause",   "wave resume",      "wave status"};
     const auto help = runCommand(binaryPath("poplarpass"), {"--help"});
     CHECK(help.exitStatus == 0);
     CHECK(help.err.empty());
