The test of the demo takes a few seconds and waits for slow processes

Cause: its loops ran to their end, 9 s on the busy machine, and a process that started slowly could miss the rounds of a wait, because the replaced sleep returned at once.

--- a/tests/process/demo_test.cpp
+++ b/tests/process/demo_test.cpp
@@ -34,7 +34,9 @@
         fs::copy_file(examples.parent_path() / "tools/demo", m_root / "tools/demo");
         writeScript("tools/install-packages", "");
         writeScript("path/cmake", "");
-        writeScript("path/sleep", "");
+        // Loops over the fleet end after a few rounds; those that wait for a process keep their number of rounds.
+        writeScript("path/seq", "[ \"$1\" = 120 ] && set -- 3; exec /usr/bin/seq \"$1\"");
+        writeScript("path/sleep", "exec /bin/sleep 0.01");
         writeScript("path/curl", "echo '" + answerText + "'");
         writeScript("build/release/bin/poplarpass-standins", "echo role=hostlist; exec /bin/sleep 60");
         setVerb("entry", "echo role=callers; echo event=config_in_force; exec /bin/sleep 60");
