Test of a key that is removed while its connection is open

A connection must not keep the right that its first request had. The test sends two requests over one connection to the server for callers, with a removal of the key between them, and reads the log line and the counter.

--- a/tests/io/authentication_test.cpp
+++ b/tests/io/authentication_test.cpp
@@ -1,8 +1,10 @@
 #include "host_fixture.h"
+#include "io_fixture.h"
 
 #include <poplarpass/host/caller_request.h>
 #include <poplarpass/host/host_core.h>
 #include <poplarpass/host/host_peers.h>
+#include <poplarpass/host/request_server.h>
 
 #include <catch2/catch.hpp>
 
@@ -17,7 +19,6 @@
 
 namespace
 {
-namespace net = poplarpass::net;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -506,6 +507,43 @@
     }
 }
 
+TEST_CASE("A key that is removed while its connection is open is refused on that connection", "[accounts]")
+{
+    deployment system;
+    REQUIRE(system.submit(system.owner, "k1").status == 200);
+    boost::asio::io_context loop;
+    auto &receiver = system.receiver;
+    host::request_server server{loop, receiver.clock, *receiver.core, *receiver.log, receiver.metrics};
+    const auto address = refusingAddress(loop);
+    server.listenForCallers(address);
+    raw_peer peer{loop, static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)))};
+    peer.receive();
+    const auto stateOverConnection = [&] {
+        peer.received.clear();
+        peer.send("GET /q/" + firstJob + " HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer k1\r\n\r\n");
+        const auto end = std::chrono::steady_clock::now() + io_fixture::waitTimeout;
+        while (peer.received.find('}') == std::string::npos && std::chrono::steady_clock::now() < end) {
+            loop.run_for(milliseconds{1});
+            system.time.runFor(milliseconds{1});
+        }
+        return peer.received;
+    };
+    const auto served = stateOverConnection();
+    CHECK(served.starts_with("HTTP/1.1 200"));
+    CHECK(served.find("X-Poplarpass") == std::string::npos);
+    system.publish(2, firstKeyRemoved);
+    system.time.runFor(seconds{1});
+    const auto refused = stateOverConnection();
+    CHECK(refused.starts_with("HTTP/1.1 401"));
+    CHECK(refused.find("WWW-Authenticate: Bearer") != std::string::npos);
+    CHECK_FALSE(peer.closed);
+    CHECK(countLines(receiver, "reason=unknown_key config=2") == 1);
+    CHECK(countLines(receiver, "id=" + firstJob + " verb=state") == 1);
+    CHECK(receiver.metrics.render().find(R"(poplarpass_authentication_refused_total{reason="unknown_key"} 1)")
+          != std::string::npos);
+    CHECK(countLines(receiver, "k1") == 0);
+}
+
 TEST_CASE("A request between hosts with an invalid digest is refused rather than taken as anonymous", "[accounts]")
 {
     net::http_request call;
