--- a/tests/io/authentication_test.cpp
+++ b/tests/io/authentication_test.cpp
@@ -458,6 +458,34 @@
     checkJobs();
 }
 
+TEST_CASE("Of two accounts that submit one identifier while the store is slow, only the first gets the job",
+          "[accounts]")
+{
+    deployment system;
+    const auto begin = [&](const std::string &key, const std::string &job, int &status) {
+        auto call = deployment::makeCall("POST", key, "/q/" + job);
+        call.headers.push_back({"Host", "jobs.example"});
+        auto parsed = host::parseCallerRequest(call, system.owner.core->routes());
+        REQUIRE(parsed);
+        system.owner.core->handleRequest(std::move(parsed->request), parsed->time,
+                                         [&status](const net::http_response &response) { status = response.status; });
+    };
+    system.memory.appendsPaused = true;
+    int inFlight = 0;
+    int first = 0;
+    int second = 0;
+    begin("k1", firstJob, inFlight);
+    system.time.runFor(milliseconds{200});
+    begin("k1", secondJob, first);
+    begin("k9", secondJob, second);
+    system.time.runFor(milliseconds{100});
+    REQUIRE(first + second == 0);
+    system.memory.resumeAppends();
+    REQUIRE(system.time.runUntil([&] { return inFlight != 0 && first != 0 && second != 0; }));
+    CHECK(first == 200);
+    CHECK(second == 403);
+}
+
 TEST_CASE("A job of an anonymous caller is open to all accounts", "[accounts]")
 {
     deployment system;
