A term counts from the first claim that may have been stored

Cause: a claim without an answer may have been stored. The next claim has the same epoch and replaced the time of the first, so a term begun from the first claim, read back, counted from the later time: the owner could answer for longer than others wait before they claim.

Change: a further claim of the same epoch keeps the time of the first one. A claim whose answer arrives still counts from its own sending.

Result: the new test in owner_election_test fails before the change and passes with it; io_tests [host] pass.

--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -111,7 +111,10 @@
     m_claiming = true;
     const auto epoch = m_offset + 1;
     const auto sentAt = m_time.now();
-    m_claimedAt = sentAt;
+    // An earlier claim of the same epoch may be the one that is stored, so the term counts from the first of them.
+    if (epoch != m_claimedEpoch) {
+        m_claimedAt = sentAt;
+    }
     m_log.log(log_level::info, "owner_claim", {{"epoch", epoch}, {"rank", m_hooks.rank()}});
     store::record_append request;
     request.to = store::topic::ownership;
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -86,7 +86,7 @@
     core::monotonic_time m_readAt{};
     std::uint64_t m_epoch = 0;
     std::uint64_t m_claimedEpoch = 0;
-    core::monotonic_time m_claimedAt{};
+    core::monotonic_time m_claimedAt{}; ///< When the first claim of m_claimedEpoch was sent.
     std::uint64_t m_sequence = 0;
     std::function<void()> m_onResigned;
     core::duration m_renewalLatency = owner::longElectionTimeout;
--- a/tests/io/owner_election_test.cpp
+++ b/tests/io/owner_election_test.cpp
@@ -21,8 +21,9 @@
     auto hooks() -> host::election_hooks
     {
         host::election_hooks result;
-        result.onElected = [this](std::uint64_t epoch, core::monotonic_time) {
+        result.onElected = [this](std::uint64_t epoch, core::monotonic_time at) {
             epochs.push_back(epoch);
+            claimedAt = at;
         };
         result.onRenewing = [](core::monotonic_time, core::duration) {
         };
@@ -42,6 +43,7 @@
     store::record_store records;
     poplarpass::observe::logger log{discardingLoggerOptions()};
     std::vector<std::uint64_t> epochs;
+    core::monotonic_time claimedAt{};
     int renewals = 0;
     bool ownershipLost = false;
     host::owner_election election;
@@ -78,6 +80,35 @@
     CHECK(only.epochs.size() == 1);
 }
 
+// Guards against a term that outlasts the time after which others may claim: the stored claim may be the earlier one.
+TEST_CASE("A term counts from the first claim that may have been stored", "[host]")
+{
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate only{time, memory, "a"};
+    const auto append = only.records.append;
+    const auto read = only.records.read;
+    std::vector<core::monotonic_time> claimedAt;
+    bool readsLate = false;
+    only.records.append = [&](const store::record_append &request,
+                              const std::function<void(store::append_result)> &done) {
+        claimedAt.push_back(time.now());
+        readsLate = true;
+        append(request, [](const store::append_result &) {});
+        time.after(std::chrono::milliseconds{300}, [done] { done({}); });
+    };
+    // Reads that were answered before the claim was stored arrive late.
+    only.records.read = [&](store::topic topic, std::uint64_t from, std::chrono::milliseconds wait,
+                            const std::function<void(store::read_result)> &done) {
+        read(topic, readsLate ? 1'000'000 : from, wait, done);
+    };
+    only.election.start();
+    REQUIRE(time.runUntil([&] { return claimedAt.size() == 2; }));
+    readsLate = false;
+    REQUIRE(time.runUntil([&] { return !only.epochs.empty(); }));
+    CHECK(only.claimedAt == claimedAt[0]);
+}
+
 TEST_CASE("After a resignation another process becomes owner at once with a greater epoch", "[host]")
 {
     fakes::stepped_time time;
