tests/system delays forwarded requests, and some callers give up after a refusal

Cause: the simulation delivered the copies of a request in the order of sending and callers repeated each refused submission, so that a submission that was refused and then carried out from a late copy was hardly ever seen.

Change: the fault kind forwards_late delays half of the requests between hosts by 0.3 to 5 s; a caller gives up after a refusal with probability 0.3.

--- a/tests/system/sim_callers.cpp
+++ b/tests/system/sim_callers.cpp
@@ -9,6 +9,7 @@
 namespace
 {
 constexpr int maxSubmissions = 5;
+constexpr double giveUpProbability = 0.3; ///< Probability that a caller does not repeat a refused submission.
 constexpr int acceptedStatus = 200;
 constexpr int unknownJobStatus = 410;
 
@@ -138,7 +139,8 @@
         return;
     }
     answer ? ++refused : ++unanswered;
-    if (submissionsLeft > 1) {
+    const bool givesUp = answer && m_network.randomBool(giveUpProbability);
+    if (submissionsLeft > 1 && !givesUp) {
         m_network.time.after(m_network.randomDuration(100, 1200),
                              [this, job, submissionsLeft] { sendSubmission(job, submissionsLeft - 1); });
     }
--- a/tests/system/sim_hosts.cpp
+++ b/tests/system/sim_hosts.cpp
@@ -122,7 +122,10 @@
     calls.forwardRequest = [this, &simHost, port = portOf(simHost)](const std::string &address,
                                                                     const host::client_request &request,
                                                                     std::function<void(host::peer_answer)> done) {
-        const auto delivery = peerDelivery(simHost, address);
+        auto delivery = peerDelivery(simHost, address);
+        if (m_network.randomBool(lateForwards)) {
+            delivery.executionDelay = m_network.randomDuration(300, 5000);
+        }
         auto *target = find(address);
         const bool refused = target != nullptr && !target->up;
         m_network.call<host::peer_answer>(
--- a/tests/system/sim_hosts.h
+++ b/tests/system/sim_hosts.h
@@ -73,6 +73,7 @@
 
     host::platform_decoders decoders; ///< Decoders used by all hosts.
     rule_checker *rules = nullptr; ///< Receives violations.
+    double lateForwards = 0; ///< Probability that a request forwarded between hosts is delayed.
     std::int64_t storeLastFaultAt = 0; ///< Time of the store's last fault, ms.
     std::set<std::string> eventNames; ///< Names of all logged events.
     std::size_t takeovers = 0; ///< Number of elected owners.
--- a/tests/system/simulated_system.cpp
+++ b/tests/system/simulated_system.cpp
@@ -200,6 +200,11 @@
                                     other.cutFromHosts.erase(simHost.name);
                                 });
                             }});
+    m_faultKinds.push_back({"forwards_late", 0.1, [this] {
+                                m_hosts.lateForwards = 0.5;
+                                m_network.time.after(m_network.randomDuration(500, 6000),
+                                                     [this] { m_hosts.lateForwards = 0; });
+                            }});
     m_faultKinds.push_back({"host_cut_from_store", 0.06, [this] {
                                 const auto name = ownerOrRandomHost().name;
                                 auto &faultyHosts = m_network.randomBool(0.5) ? m_store.faults.unreachableHosts
@@ -346,6 +351,7 @@
     m_store.faults = {};
     m_fleet.hostFaults = {};
     m_fleet.adviceDown = false;
+    m_hosts.lateForwards = 0;
     for (const auto &simHost : m_hosts.all()) {
         simHost->cutFromWorkers = false;
         simHost->cutFromHosts.clear();
--- a/tests/system/system_sim_test.cpp
+++ b/tests/system/system_sim_test.cpp
@@ -47,7 +47,7 @@
     }
     CHECK(takeovers > simulationCount);
     CHECK(finished > simulationCount * 20);
-    CHECK(injections.size() == 25);
+    CHECK(injections.size() == 26);
 }
 
 TEST_CASE("Equal seeds give equal histories, different seeds different ones", "[system][sim]")
