A refusal is passed on only when no copy of the request can be carried out

Cause: a host sends a request to the owner again when there was no answer for 1.2 s. The earlier copy may lie unread in the socket of a frozen or busy owner, be deferred there, or arrive after a change of owner. When the later copy was refused with 503, the caller was told that the job had not run, and the earlier copy could then be accepted. An owner that had not restored the jobs, and a former owner, refused in the same way. A cancellation that may have been received was reported as not carried out.

Change: copies carry an identifier of the attempt and the epoch that they are sent to; only the owner of that epoch handles them. An owner that refuses a repeated copy remembers the attempt, refuses its other copies, and states its epoch in the refusal. The receiving host passes on a refusal that leaves other copies open only if it states an epoch not below those that they were sent to; else it asks again and answers 504 at the time limit. Deferred submissions of an owner that ends are answered as not processed instead of unknown.

--- a/src/poplarpass/host/client_request.cpp
+++ b/src/poplarpass/host/client_request.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/core/parse_integer.h>
 #include <poplarpass/host/client_request.h>
 #include <poplarpass/host/constants.h>
 
@@ -44,6 +45,21 @@
     return names.at(static_cast<std::size_t>(verb));
 }
 
+auto hasEffect(client_verb verb) -> bool
+{
+    return verb == client_verb::submit || verb == client_verb::cancel;
+}
+
+auto epochOf(const net::http_response &response) -> std::uint64_t
+{
+    return core::parseInteger<std::uint64_t>(response.header(epochHeader)).value_or(0);
+}
+
+auto isRefusal(const net::http_response &response) -> bool
+{
+    return response.status == 503 || response.status == 429;
+}
+
 auto answerExactlyOnce(response_callback answer) -> response_callback
 {
     return [guard = std::make_shared<answer_guard>(std::move(answer))](net::http_response response) {
--- a/src/poplarpass/host/client_request.h
+++ b/src/poplarpass/host/client_request.h
@@ -22,6 +22,9 @@
 /// \brief Name of \p verb in logs and metrics.
 auto nameOf(client_verb verb) -> std::string_view;
 
+/// \brief Whether a request with \p verb changes a job.
+auto hasEffect(client_verb verb) -> bool;
+
 /// \brief A caller's request, as received or as forwarded between hosts.
 struct client_request
 {
@@ -31,6 +34,9 @@
     std::string path; ///< Path of the request.
     std::string body; ///< Body of a submission.
     std::uint64_t configVersion = 0; ///< Version of the configuration that the receiving host applied.
+    std::string attempt; ///< Identifier of the caller's request, equal in all its copies that are sent to owners.
+    bool isRepeated = false; ///< Whether an earlier copy may still be carried out.
+    std::uint64_t ownerEpoch = 0; ///< Epoch of the owner it is sent to, the only one that may handle it; 0 for any.
 };
 
 /// \brief Callback that receives the answer to a request.
@@ -42,6 +48,19 @@
 /// \brief HTTP status of a host that cannot determine whether the request was carried out.
 inline constexpr int outcomeUnknownStatus = 502;
 
+/// \brief Header of answers between hosts: the epoch of the owner that answers.
+///
+/// In a refusal it states that the owner has restored the jobs of all earlier epochs, that the job is not among them,
+/// and that no copy of the attempt sent to this or an earlier epoch will be carried out. In an answer with
+/// notOwnerStatus it states that the request was sent to another epoch.
+inline constexpr std::string_view epochHeader = "X-Poplarpass-Epoch";
+
+/// \brief Returns the epoch in epochHeader of \p response; 0 if it is missing.
+auto epochOf(const net::http_response &response) -> std::uint64_t;
+
+/// \brief Whether \p response states that the request was not carried out.
+auto isRefusal(const net::http_response &response) -> bool;
+
 /// \brief Wraps \p answer so that it is called exactly once, even if its owner is destroyed before answering.
 /// \returns a callback that answers with outcomeUnknownStatus if its last copy is destroyed without a call
 auto answerExactlyOnce(response_callback answer) -> response_callback;
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -71,6 +71,13 @@
 inline constexpr std::size_t maxWaitingRequests = 4000;
 /// \brief Maximum total size of the bodies of those requests, bytes.
 inline constexpr std::size_t maxWaitingBytes = std::size_t{16} * 1024 * 1024;
+/// \brief Maximum number of attempts that an owner remembers as refused.
+inline constexpr std::size_t maxRefusedAttempts = 20'000;
+/// \brief Maximum length of an attempt's identifier, bytes.
+inline constexpr std::size_t maxAttemptLength = 160;
+/// \brief Time for which they are remembered. A sender that closed its connection may send the bytes again for about
+/// 100 s (tcp_orphan_retries).
+inline constexpr core::duration refusedAttemptRetention = std::chrono::seconds{120};
 /// \brief Maximum number of tasks in memory at the owner over all jobs; further jobs are refused.
 inline constexpr std::size_t maxTasks = 250'000;
 /// \brief Time after which an append without a response counts as a store outage: submissions are refused.
--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -38,9 +38,7 @@
                               [this](const client_request &request, response_callback answer) {
                                   return handleAsOwner(request, std::move(answer));
                               },
-                              [this] {
-                                  return ownerAddress();
-                              }}};
+                              [this] { return ownerAddress(); }, [this] { return ownerEpoch(); }, processName()}};
 }
 
 auto host_core::makeElectionHooks() -> election_hooks
@@ -169,6 +167,22 @@
     return current->address;
 }
 
+auto host_core::ownerEpoch() const -> std::uint64_t
+{
+    if (m_owner) {
+        return m_owner->epoch();
+    }
+    const auto &current = m_election.current();
+    return current ? current->epoch : 0;
+}
+
+// A host's processes start at different times by at least one of the two clocks.
+auto host_core::processName() const -> std::string
+{
+    return m_env.name + "/" + std::to_string(m_startedAt.time_since_epoch().count()) + "/"
+        + std::to_string(m_env.time.wallNow().time_since_epoch().count());
+}
+
 auto host_core::rank() const -> unsigned
 {
     const bool recentlyStarted = m_env.time.now() - m_startedAt < recentStartPeriod;
--- a/src/poplarpass/host/host_core.h
+++ b/src/poplarpass/host/host_core.h
@@ -75,6 +75,8 @@
     auto onOwnershipLost() -> void;
     auto handleAsOwner(const client_request &request, response_callback answer) -> bool;
     [[nodiscard]] auto ownerAddress() const -> std::optional<std::string>;
+    [[nodiscard]] auto ownerEpoch() const -> std::uint64_t;
+    [[nodiscard]] auto processName() const -> std::string;
     [[nodiscard]] auto rank() const -> unsigned;
 
     host_environment m_env;
--- a/src/poplarpass/host/host_peers.cpp
+++ b/src/poplarpass/host/host_peers.cpp
@@ -12,6 +12,8 @@
 constexpr std::string_view configHeader = "X-Poplarpass-Config";
 constexpr std::string_view jobHeader = "X-Poplarpass-Job";
 constexpr std::string_view verbHeader = "X-Poplarpass-Verb";
+constexpr std::string_view attemptHeader = "X-Poplarpass-Attempt";
+constexpr std::string_view repeatedHeader = "X-Poplarpass-Repeated";
 constexpr std::string_view ownerHeader = "X-Poplarpass-Owner";
 
 auto makeForwardCall(const client_request &request) -> net::http_request
@@ -23,6 +25,11 @@
     call.headers.push_back({std::string{configHeader}, std::to_string(request.configVersion)});
     call.headers.push_back({std::string{jobHeader}, request.job.str()});
     call.headers.push_back({std::string{verbHeader}, std::to_string(static_cast<int>(request.verb))});
+    call.headers.push_back({std::string{attemptHeader}, request.attempt});
+    call.headers.push_back({std::string{epochHeader}, std::to_string(request.ownerEpoch)});
+    if (request.isRepeated) {
+        call.headers.push_back({std::string{repeatedHeader}, "1"});
+    }
     call.body = request.body;
     return call;
 }
@@ -74,6 +81,9 @@
     request.job = jobs::job_id{std::string{call.header(jobHeader)}};
     request.hostName = call.header(hostNameHeader);
     request.path = call.path();
+    request.attempt = call.header(attemptHeader);
+    request.isRepeated = !call.header(repeatedHeader).empty();
+    request.ownerEpoch = core::parseInteger<std::uint64_t>(call.header(epochHeader)).value_or(0);
     request.body = call.body;
     return request;
 }
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -99,8 +99,10 @@
 {
     m_lifetime.end();
     m_journal.stop();
-    for (const auto &waiting : m_waiting.removeAll()) {
-        waiting.answer(plainResponse(notOwnerStatus, "not_owner"));
+    for (auto *queue : {&m_waiting, &m_deferredSubmissions}) {
+        for (const auto &waiting : queue->removeAll()) {
+            waiting.answer(plainResponse(notOwnerStatus, "not_owner"));
+        }
     }
 }
 
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -8,6 +8,7 @@
 #include <poplarpass/host/job_time_metrics.h>
 #include <poplarpass/host/journal.h>
 #include <poplarpass/host/platform_decoders.h>
+#include <poplarpass/host/refused_attempts.h>
 #include <poplarpass/host/waiting_requests.h>
 #include <poplarpass/host/worker_links.h>
 #include <poplarpass/host/worker_list.h>
@@ -100,6 +101,10 @@
     auto deferSubmission(const client_request &request, const response_callback &answer) -> void;
     auto refuse(const client_request &request, const response_callback &answer, std::string_view reason, int retryAfter)
         -> void;
+    auto refuseSubmission(const client_request &request, const response_callback &answer, std::string_view reason,
+                          int retryAfter) -> void;
+    [[nodiscard]] auto finalRefusal(const client_request &request, std::string_view reason, int retryAfter)
+        -> net::http_response;
     auto refuseDeferred() -> void;
     auto scheduleDeferredRefusal(core::duration delay) -> void;
     auto refuseTermExpired(const client_request &request, const response_callback &answer) -> void;
@@ -130,6 +135,7 @@
     std::unique_ptr<worker_list> m_workers;
     waiting_requests m_waiting; ///< Requests that wait for the owner to serve or for a newer configuration.
     waiting_requests m_deferredSubmissions; ///< Submissions that wait for the store.
+    refused_attempts m_refusedAttempts;
     std::vector<std::function<void()>> m_afterNextWrite;
     std::set<std::string> m_formerOwners;
     bool m_restored = false;
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -14,6 +14,13 @@
         answer(plainResponse(notOwnerStatus, "not_owner"));
         return;
     }
+    // A copy that was sent to an earlier term of this host may have been refused by a later owner since.
+    if (request.ownerEpoch != 0 && request.ownerEpoch != epoch()) {
+        auto response = plainResponse(notOwnerStatus, "other_epoch");
+        response.headers.push_back({std::string{epochHeader}, std::to_string(epoch())});
+        answer(std::move(response));
+        return;
+    }
     if (!m_serving || request.configVersion > m_env.routes.config().version) {
         if (m_waiting.isFull()) {
             refuse(request, answer, "too_many", retryAfterSeconds);
@@ -70,6 +77,10 @@
         }
         return;
     }
+    if (m_refusedAttempts.contains(request.attempt)) {
+        refuseSubmission(request, answer, "refused_before", retryAfterSeconds);
+        return;
+    }
     const auto match = m_env.routes.match(request.hostName, request.path);
     if (match.matched == nullptr) {
         answer(plainResponse(404, "no_such_queue"));
@@ -80,7 +91,7 @@
         return;
     }
     if (!m_term.mayAnswer(m_env.time.now())) {
-        refuseTermExpired(request, answer);
+        refuseSubmission(request, answer, "term_lapsed", retryAfterSeconds);
         return;
     }
     auto spec = m_env.decoders.decodeJob(request.body);
@@ -89,7 +100,7 @@
         return;
     }
     if (m_engine.taskCount() + jobs::taskCountOf(*spec) > maxTasks) {
-        refuse(request, answer, "too_many_tasks", longRetryAfterSeconds);
+        refuseSubmission(request, answer, "too_many_tasks", longRetryAfterSeconds);
         return;
     }
     m_engine.submit(request.job, match.matched->queue, std::move(*spec), m_env.time.wallNow());
@@ -104,7 +115,7 @@
 auto pool_owner::deferSubmission(const client_request &request, const response_callback &answer) -> void
 {
     if (m_deferredSubmissions.isFull()) {
-        refuse(request, answer, "too_many", retryAfterSeconds);
+        refuseSubmission(request, answer, "too_many", retryAfterSeconds);
         return;
     }
     m_deferredSubmissions.add({request, answer});
@@ -124,6 +135,27 @@
     answer(refusalResponse(503, reason, retryAfter));
 }
 
+// Only for submissions of jobs that this owner does not know, once it has restored the stored jobs.
+auto pool_owner::refuseSubmission(const client_request &request, const response_callback &answer,
+                                  std::string_view reason, int retryAfter) -> void
+{
+    refuse(
+        request, [&](const net::http_response &) { answer(finalRefusal(request, reason, retryAfter)); }, reason,
+        retryAfter);
+}
+
+// The jobs that earlier owners stored are known, and their appends are fenced off. What is left are copies that were
+// sent to this term. They are refused as well, if there are any and the attempt can be remembered.
+auto pool_owner::finalRefusal(const client_request &request, std::string_view reason, int retryAfter)
+    -> net::http_response
+{
+    auto response = refusalResponse(503, reason, retryAfter);
+    if (!request.isRepeated || m_refusedAttempts.add(request.attempt, m_env.time.now())) {
+        response.headers.push_back({std::string{epochHeader}, std::to_string(epoch())});
+    }
+    return response;
+}
+
 auto pool_owner::refuseDeferred() -> void
 {
     const auto stalled = m_journal.stalledFor(m_env.time.now());
@@ -141,7 +173,7 @@
                        {"reason", "store_away"},
                        {"stalled_ms", std::chrono::duration_cast<std::chrono::milliseconds>(stalled).count()},
                        {"retry_after_s", retryAfter}});
-        entry.answer(refusalResponse(503, "store_away", retryAfter));
+        entry.answer(finalRefusal(entry.request, "store_away", retryAfter));
     }
 }
 
--- a/src/poplarpass/host/request_forwarder.cpp
+++ b/src/poplarpass/host/request_forwarder.cpp
@@ -14,7 +14,9 @@
     client_request request;
     response_callback answer;
     core::monotonic_time receivedAt{};
-    bool maybeCarriedOut = false;
+    bool maybeCarriedOut = false; ///< Whether a copy that was sent may have been, or may still be, carried out.
+    std::uint64_t unsettledEpoch = 0; ///< Highest epoch to which such a copy was sent.
+    std::uint64_t answeredEpoch = 0; ///< Highest epoch of an owner that answered for itself.
     bool awaitingAnswer = false; ///< Whether it was sent to the owner and the answer is pending.
     bool answered = false;
     unsigned attempts = 0;
@@ -47,6 +49,7 @@
     ++m_unanswered;
     auto entry = std::make_shared<forwarded_request>();
     entry->request = std::move(request);
+    entry->request.attempt = m_env.processName + "/" + std::to_string(++m_attempts);
     entry->answer = m_lifetime.guard([this, answer = std::move(answer)](net::http_response response) {
         --m_unanswered;
         answer(std::move(response));
@@ -55,7 +58,9 @@
     const auto timeLimit = std::chrono::duration<double, std::micro>{time} * requestTimeoutFraction;
     m_env.time.callAfter(std::chrono::duration_cast<core::duration>(timeLimit), m_lifetime.guard([this, entry] {
         if (!entry->answered) {
-            entry->maybeCarriedOut = entry->maybeCarriedOut || entry->awaitingAnswer;
+            if (entry->awaitingAnswer) {
+                markMaybeCarriedOut(entry);
+            }
             abandon(entry);
         }
     }));
@@ -68,6 +73,8 @@
         return;
     }
     entry->request.configVersion = m_env.routes.config().version;
+    entry->request.isRepeated = entry->maybeCarriedOut;
+    entry->request.ownerEpoch = std::max(m_env.ownerEpoch(), entry->answeredEpoch);
     ++entry->attempts;
     entry->awaitingAnswer = true;
     const bool handled = m_env.handleLocally(
@@ -93,7 +100,9 @@
             onAnswer(entry, std::move(*answer.response));
             return;
         }
-        entry->maybeCarriedOut = entry->maybeCarriedOut || answer.maybeReceived;
+        if (answer.maybeReceived) {
+            markMaybeCarriedOut(entry);
+        }
         entry->awaitingAnswer = false;
         retry(entry);
     }));
@@ -108,9 +117,19 @@
                   {{"owner", address}, {"effect", responds ? "none" : "requests_wait"}});
 }
 
+auto request_forwarder::markMaybeCarriedOut(const std::shared_ptr<forwarded_request> &entry) -> void
+{
+    entry->maybeCarriedOut = true;
+    entry->unsettledEpoch = std::max(entry->unsettledEpoch, entry->request.ownerEpoch);
+}
+
 auto request_forwarder::onAnswer(const std::shared_ptr<forwarded_request> &entry, net::http_response response) -> void
 {
-    if (response.status != notOwnerStatus && response.status != outcomeUnknownStatus) {
+    // While another copy may still be carried out, a refusal is passed on only if the owner rules that out; else the
+    // owner is asked again.
+    const bool isUncertain = isRefusal(response) && entry->maybeCarriedOut && hasEffect(entry->request.verb)
+        && epochOf(response) < std::max(entry->unsettledEpoch, std::uint64_t{1});
+    if (response.status != notOwnerStatus && response.status != outcomeUnknownStatus && !isUncertain) {
         std::erase_if(response.headers, [](const net::http_header &field) {
             return field.name != "Content-Type" && field.name != "Retry-After";
         });
@@ -118,7 +137,10 @@
         return;
     }
     // An owner that was deposed while storing a job cannot determine whether the append succeeded.
-    entry->maybeCarriedOut = entry->maybeCarriedOut || response.status == outcomeUnknownStatus;
+    if (response.status == outcomeUnknownStatus) {
+        markMaybeCarriedOut(entry);
+    }
+    entry->answeredEpoch = std::max(entry->answeredEpoch, epochOf(response));
     entry->awaitingAnswer = false;
     retry(entry);
 }
@@ -130,10 +152,11 @@
     }
 }
 
-// A submission that may have been stored must not be reported as refused: a refused job is guaranteed never to run.
+// A submission or a cancellation that may have been stored must not be reported as refused: a refused request is
+// guaranteed to have no effect.
 auto request_forwarder::abandon(const std::shared_ptr<forwarded_request> &entry) -> void
 {
-    const bool maybeStored = entry->request.verb == client_verb::submit && entry->maybeCarriedOut;
+    const bool maybeStored = hasEffect(entry->request.verb) && entry->maybeCarriedOut;
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_env.time.now() - entry->receivedAt);
     m_env.log.log(log_level::warning, "request_given_up",
                   {{"id", entry->request.job.str()},
--- a/src/poplarpass/host/request_forwarder.h
+++ b/src/poplarpass/host/request_forwarder.h
@@ -7,6 +7,7 @@
 #include <poplarpass/route/route_table.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -24,6 +25,8 @@
     /// \brief Handles a request if this process owns the pools; else returns false.
     std::function<bool(const client_request &, response_callback)> handleLocally;
     std::function<std::optional<std::string>()> ownerAddress; ///< "IP:port" of the owner, if known.
+    std::function<std::uint64_t()> ownerEpoch; ///< Epoch of the owner; 0 if none is known.
+    std::string processName; ///< Name of this process, unlike that of any other one, also of the same host.
 };
 
 /// \brief Forwards callers' requests to the current owner of the pools; retries until a request's time limit is near.
@@ -41,12 +44,14 @@
     auto forward(const std::shared_ptr<forwarded_request> &entry) -> void;
     auto send(const std::shared_ptr<forwarded_request> &entry, const std::string &address) -> void;
     auto updateOwnerAvailability(const std::string &address, bool responds) -> void;
+    auto markMaybeCarriedOut(const std::shared_ptr<forwarded_request> &entry) -> void;
     auto onAnswer(const std::shared_ptr<forwarded_request> &entry, net::http_response response) -> void;
     auto retry(const std::shared_ptr<forwarded_request> &entry) -> void;
     auto abandon(const std::shared_ptr<forwarded_request> &entry) -> void;
 
     forwarder_environment m_env;
     bool m_ownerUnresponsive = false; ///< Whether the last call to the owner got no answer.
+    std::uint64_t m_attempts = 0; ///< Number of requests so far; numbers their attempts.
     std::size_t m_unanswered = 0; ///< Number of unanswered requests.
     core::lifetime m_lifetime;
 };
--- a/tests/io/pool_owner_test.cpp
+++ b/tests/io/pool_owner_test.cpp
@@ -399,3 +399,140 @@
         CHECK(record.key.find(other) == std::string::npos);
     }
 }
+
+namespace
+{
+/// \brief A copy of a submission; all copies of one attempt name the same owner's epoch.
+auto copyOf(const std::string &job, std::uint64_t epoch, bool isRepeated) -> host::client_request
+{
+    auto copy = owner_fixture::request(host::client_verb::submit, job, jobText);
+    copy.attempt = "host-2/1/" + job;
+    copy.ownerEpoch = epoch;
+    copy.isRepeated = isRepeated;
+    return copy;
+}
+} // namespace
+
+// Guards against a copy that was overtaken by a refused one being carried out: the caller was told that it never runs.
+TEST_CASE("A late copy of a refused submission is refused again", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
+    fixture.time.runFor(poplarpass::owner::longElectionTimeout + callTime);
+    poplarpass::net::http_response refusal;
+    fixture.owner->handle(copyOf(jobName, 1, true),
+                          [&](const poplarpass::net::http_response &response) { refusal = response; });
+    CHECK(refusal.status == 503);
+    CHECK(host::epochOf(refusal) == 1);
+    fixture.renewTerm();
+    int late = 0;
+    fixture.send(copyOf(jobName, 1, false), late);
+    CHECK(late == 503);
+    int newAttempt = 0;
+    auto request = copyOf(jobName, 1, false);
+    request.attempt = "host-2/1/other";
+    fixture.send(request, newAttempt);
+    CHECK(fixture.time.runUntil([&] { return newAttempt == 200; }));
+}
+
+TEST_CASE("A deferred copy of a submission that was refused is refused when the store answers", "[host]")
+{
+    std::vector<int> filling(host::maxWaitingRequests - 1);
+    int deferred = 0;
+    int first = 0;
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
+    fixture.renewTerm();
+    fixture.memory.appendsPaused = true;
+    fixture.send(owner_fixture::request(host::client_verb::submit, jobName, jobText), first);
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.memory.pausedAppends.empty(); }));
+    const std::string other = "00000000000000bb";
+    fixture.send(copyOf(other, 1, false), deferred);
+    std::size_t number = 0;
+    for (auto &status : filling) {
+        fixture.send(owner_fixture::request(host::client_verb::submit, std::to_string(++number), jobText), status);
+    }
+    int overtaking = 0;
+    fixture.send(copyOf(other, 1, true), overtaking);
+    CHECK(overtaking == 503);
+    fixture.memory.resumeAppends();
+    REQUIRE(fixture.time.runUntil([&] { return deferred != 0; }));
+    CHECK(deferred == 503);
+    for (const auto &record : fixture.memory.records(store::topic::jobs)) {
+        CHECK(record.key != "j" + other);
+    }
+}
+
+// Guards against a copy that an earlier term of this host did not read: a later owner may have refused the attempt.
+TEST_CASE("A copy that was sent to another epoch is not carried out", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(3);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
+    fixture.renewTerm();
+    poplarpass::net::http_response answer;
+    fixture.owner->handle(copyOf(jobName, 1, false),
+                          [&](const poplarpass::net::http_response &response) { answer = response; });
+    CHECK(answer.status == host::notOwnerStatus);
+    CHECK(host::epochOf(answer) == 3);
+}
+
+// Guards against a refusal that an owner cannot know to be true: the job may be among those that it has not read.
+TEST_CASE("An owner that has not restored the jobs does not rule out other copies", "[host]")
+{
+    std::vector<int> filling(host::maxWaitingRequests);
+    owner_fixture fixture;
+    fixture.begin(1);
+    for (auto &status : filling) {
+        fixture.send(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
+    }
+    poplarpass::net::http_response refusal;
+    fixture.owner->handle(copyOf(jobName, 1, true),
+                          [&](const poplarpass::net::http_response &response) { refusal = response; });
+    CHECK(refusal.status == 503);
+    CHECK(host::epochOf(refusal) == 0);
+}
+
+TEST_CASE("An owner that cannot remember a refused attempt does not rule out other copies", "[host]")
+{
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
+    fixture.time.runFor(poplarpass::owner::longElectionTimeout + callTime);
+    const auto refuse = [&](const std::string &attempt) {
+        auto copy = copyOf(jobName, 1, true);
+        copy.attempt = attempt;
+        std::uint64_t statedEpoch = 0;
+        fixture.owner->handle(
+            copy, [&](const poplarpass::net::http_response &response) { statedEpoch = host::epochOf(response); });
+        return statedEpoch;
+    };
+    for (std::size_t number = 0; number < host::maxRefusedAttempts; ++number) {
+        REQUIRE(refuse(std::to_string(number)) == 1);
+    }
+    CHECK(refuse("one more") == 0);
+    CHECK(refuse("0") == 1);
+    CHECK(refuse("") == 0);
+    fixture.time.runFor(host::refusedAttemptRetention + callTime);
+    CHECK(refuse("one more") == 1);
+}
+
+// Guards against an unknown outcome for a submission that certainly had no effect.
+TEST_CASE("A deferred submission is handed back when its owner ends", "[host]")
+{
+    int first = 0;
+    int deferred = 0;
+    owner_fixture fixture;
+    fixture.begin(1);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
+    fixture.renewTerm();
+    fixture.memory.appendsPaused = true;
+    fixture.send(owner_fixture::request(host::client_verb::submit, jobName, jobText), first);
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.memory.pausedAppends.empty(); }));
+    fixture.send(copyOf("00000000000000bb", 1, false), deferred);
+    fixture.owner.reset();
+    CHECK(first == host::outcomeUnknownStatus);
+    CHECK(deferred == host::notOwnerStatus);
+}
--- a/tests/io/request_forwarder_test.cpp
+++ b/tests/io/request_forwarder_test.cpp
@@ -21,21 +21,22 @@
     poplarpass::route::route_table routes;
     host::peer_calls peers;
     std::vector<std::function<void(host::peer_answer)>> forwarded;
+    std::vector<host::client_request> copies;
     std::optional<std::string> owner = "10.0.0.1:1";
+    std::uint64_t epoch = 5;
     std::unique_ptr<host::request_forwarder> forwarder;
 
     forwarder_fixture()
     {
-        peers.forwardRequest = [this](const std::string &, const host::client_request &,
+        peers.forwardRequest = [this](const std::string &, const host::client_request &request,
                                       std::function<void(host::peer_answer)> done) {
+            copies.push_back(request);
             forwarded.push_back(std::move(done));
         };
         forwarder = std::make_unique<host::request_forwarder>(host::forwarder_environment{
             clock, peers, routes, log,
             [](const host::client_request &, const host::response_callback &) { return false; },
-            [this] {
-                return owner;
-            }});
+            [this] { return owner; }, [this] { return epoch; }, "host-1/1"});
     }
 
     auto recordingOptions() -> poplarpass::observe::logger_options
@@ -54,9 +55,33 @@
     }
 
     auto submit(int &status) -> void
+    {
+        send(host::client_verb::submit, status);
+    }
+
+    /// \brief Leaves the newest copy without an answer and waits for the next one.
+    auto leaveUnanswered() -> void
+    {
+        const auto count = forwarded.size();
+        forwarded.back()({std::nullopt, true});
+        REQUIRE(time.runUntil([&] { return forwarded.size() > count; }));
+    }
+
+    /// \brief Refuses the newest copy; \p finalEpoch is the epoch that its owner states, 0 for none.
+    auto refuse(std::uint64_t finalEpoch) -> void
+    {
+        auto response = host::refusalResponse(503, "store_away", 1);
+        if (finalEpoch > 0) {
+            response.headers.push_back({std::string{host::epochHeader}, std::to_string(finalEpoch)});
+        }
+        const auto answer = forwarded.back();
+        answer({std::move(response), true});
+    }
+
+    auto send(host::client_verb verb, int &status) -> void
     {
         host::client_request request;
-        request.verb = host::client_verb::submit;
+        request.verb = verb;
         forwarder->handleRequest(
             request, std::chrono::seconds{3},
             [&status](const poplarpass::net::http_response &response) { status = response.status; });
@@ -128,3 +153,98 @@
     fixture.submit(afterAnswer);
     CHECK(afterAnswer == 0);
 }
+
+// Guards against a refusal of one copy being passed on while an earlier copy lies unread at an owner.
+TEST_CASE("A refusal that leaves the fate of an earlier copy open is not passed on", "[host]")
+{
+    forwarder_fixture fixture;
+    int status = 0;
+    const auto verb = GENERATE(host::client_verb::submit, host::client_verb::cancel);
+    fixture.send(verb, status);
+    CHECK_FALSE(fixture.copies.back().isRepeated);
+    fixture.leaveUnanswered();
+    CHECK(fixture.copies.back().isRepeated);
+    CHECK(fixture.copies.back().attempt == fixture.copies.front().attempt);
+    SECTION("the owner is asked again and accepts")
+    {
+        fixture.refuse(0);
+        REQUIRE(fixture.time.runUntil([&] { return fixture.forwarded.size() == 3; }));
+        CHECK(status == 0);
+        fixture.forwarded[2]({host::plainResponse(200, "accepted"), true});
+        CHECK(status == 200);
+    }
+    SECTION("the owner refuses until the time limit")
+    {
+        while (status == 0) {
+            const auto count = fixture.forwarded.size();
+            fixture.refuse(0);
+            fixture.time.runUntil([&] { return fixture.forwarded.size() > count || status != 0; });
+        }
+        CHECK(status == 504);
+    }
+}
+
+TEST_CASE("A refusal by an owner that rules out all copies is passed on", "[host]")
+{
+    forwarder_fixture fixture;
+    int status = 0;
+    fixture.submit(status);
+    SECTION("without another copy")
+    {
+        fixture.refuse(0);
+        CHECK(status == 503);
+    }
+    SECTION("the same owner")
+    {
+        fixture.leaveUnanswered();
+        fixture.refuse(5);
+        CHECK(status == 503);
+    }
+    SECTION("a later owner")
+    {
+        fixture.epoch = 7;
+        fixture.leaveUnanswered();
+        CHECK(fixture.copies.back().ownerEpoch == 7);
+        fixture.refuse(7);
+        CHECK(status == 503);
+    }
+}
+
+// Guards against the refusal of a former owner while a copy is on its way to its successor.
+TEST_CASE("A refusal by a former owner does not settle a copy that was sent to a later one", "[host]")
+{
+    forwarder_fixture fixture;
+    fixture.epoch = 7;
+    int status = 0;
+    fixture.submit(status);
+    fixture.epoch = 5;
+    fixture.leaveUnanswered();
+    fixture.refuse(5);
+    fixture.time.runFor(callTime);
+    CHECK(status == 0);
+}
+
+TEST_CASE("A request is sent again to the epoch that the owner names", "[host]")
+{
+    forwarder_fixture fixture;
+    int status = 0;
+    fixture.submit(status);
+    auto response = host::plainResponse(host::notOwnerStatus, "other_epoch");
+    response.headers.push_back({std::string{host::epochHeader}, "9"});
+    fixture.forwarded.at(0)({std::move(response), true});
+    REQUIRE(fixture.time.runUntil([&] { return fixture.copies.size() == 2; }));
+    CHECK(fixture.copies[1].ownerEpoch == 9);
+    CHECK_FALSE(fixture.copies[1].isRepeated);
+}
+
+// Guards against a cancellation being reported as not carried out although the owner may have received it.
+TEST_CASE("A cancellation that an owner may have received is answered as unknown", "[host]")
+{
+    forwarder_fixture fixture;
+    int status = 0;
+    fixture.send(host::client_verb::cancel, status);
+    fixture.forwarded.at(0)({std::nullopt, true});
+    fixture.owner.reset();
+    fixture.time.runFor(std::chrono::milliseconds{2500});
+    CHECK(status == 504);
+}
