A repeated renewal extends the term only from its first sending

Cause: a renewal without an answer was sent again under the same sequence number but with a new time. The store answers a repeat without storing it again, so the owner counted its term from the later time, while others counted from the record that was stored: the owner could answer as such after another one was elected. A resignation after a renewal whose answer was lost had the same number and was dropped as a repeat. The answer to a renewal of an earlier term of the process was taken for one of the present term.

Change: a renewal is repeated unchanged until the store answers, also before a resignation, and counts from its first sending; after a repeated one the next follows at once. Answers to another term are ignored.

--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -168,47 +168,72 @@
     if (!m_owner) {
         return;
     }
-    const auto sentAt = m_time.now();
     m_renewing = true;
-    const auto electionTimeout = owner::electionTimeoutFor(m_renewalLatency);
-    m_hooks.onRenewing(sentAt, electionTimeout);
-    appendOwnerRecord(owner::owner_record_kind::renewal, electionTimeout,
-                      [this, sentAt, electionTimeout](const store::append_result &answer) {
-                          onRenewed(answer, sentAt, electionTimeout);
-                      });
+    m_renewalRepeated = false;
+    m_renewalSentAt = m_time.now();
+    m_renewalTimeout = owner::electionTimeoutFor(m_renewalLatency);
+    m_hooks.onRenewing(m_renewalSentAt, m_renewalTimeout);
+    sendRenewal();
 }
 
-auto owner_election::onRenewed(const store::append_result &answer, core::monotonic_time sentAt,
-                               core::duration electionTimeout) -> void
+auto owner_election::sendRenewal() -> void
 {
-    m_renewing = false;
-    m_renewalLatency = m_time.now() - sentAt;
-    if (m_onResigned) {
-        m_sequence += answer.outcome == store::append_outcome::appended ? 1 : 0;
-        sendResignation();
-        return;
-    }
-    if (!m_owner) {
+    appendOwnerRecord(owner::owner_record_kind::renewal, m_renewalTimeout,
+                      [this, epoch = m_epoch](const store::append_result &answer) { onRenewed(answer, epoch); });
+}
+
+// A renewal without an answer may have been stored. The store answers its repeat without storing it again, so the term
+// counts from the first sending, and nothing else is sent under its sequence number.
+auto owner_election::onRenewed(const store::append_result &answer, std::uint64_t epoch) -> void
+{
+    if (epoch != m_epoch || (!m_owner && !m_onResigned)) {
         return;
     }
     switch (answer.outcome) {
     case store::append_outcome::appended:
-        ++m_sequence;
-        m_hooks.onRenewed(sentAt, electionTimeout);
-        m_time.callAfter(owner::renewalPeriod, m_lifetime.guard([this] { renew(); }));
+        onRenewalStored();
         return;
     case store::append_outcome::refused:
     case store::append_outcome::unknown:
-        m_time.callAfter(storeRetryDelay, m_lifetime.guard([this] { renew(); }));
+        m_renewalRepeated = true;
+        m_time.callAfter(storeRetryDelay, m_lifetime.guard([this, epoch] {
+            if (epoch == m_epoch && (m_owner || m_onResigned)) {
+                sendRenewal();
+            }
+        }));
         return;
     case store::append_outcome::fenced:
     case store::append_outcome::conflict:
     case store::append_outcome::out_of_sequence:
-        stepDown();
+        m_renewing = false;
+        if (m_onResigned) {
+            sendResignation();
+        } else {
+            stepDown();
+        }
         return;
     }
 }
 
+auto owner_election::onRenewalStored() -> void
+{
+    ++m_sequence;
+    m_renewing = false;
+    m_renewalLatency = m_time.now() - m_renewalSentAt;
+    if (m_onResigned) {
+        sendResignation();
+        return;
+    }
+    m_hooks.onRenewed(m_renewalSentAt, m_renewalTimeout);
+    // A repeated renewal leaves little of the term, so the next one follows at once.
+    const auto delay = m_renewalRepeated ? core::duration{0} : owner::renewalPeriod;
+    m_time.callAfter(delay, m_lifetime.guard([this, epoch = m_epoch] {
+        if (epoch == m_epoch) {
+            renew();
+        }
+    }));
+}
+
 auto owner_election::stepDown() -> void
 {
     if (std::exchange(m_owner, false)) {
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -68,8 +68,9 @@
     auto onClaimed(const store::append_result &answer, std::uint64_t epoch, core::monotonic_time sentAt) -> void;
     auto beginTerm(std::uint64_t epoch, core::monotonic_time sentAt) -> void;
     auto renew() -> void;
-    auto onRenewed(const store::append_result &answer, core::monotonic_time sentAt, core::duration electionTimeout)
-        -> void;
+    auto sendRenewal() -> void;
+    auto onRenewed(const store::append_result &answer, std::uint64_t epoch) -> void;
+    auto onRenewalStored() -> void;
     auto sendResignation() -> void;
     auto stepDown() -> void;
     auto appendOwnerRecord(owner::owner_record_kind kind, core::duration electionTimeout,
@@ -90,6 +91,9 @@
     std::uint64_t m_sequence = 0;
     std::function<void()> m_onResigned;
     core::duration m_renewalLatency = owner::longElectionTimeout;
+    core::monotonic_time m_renewalSentAt{}; ///< When the renewal in flight was first sent.
+    core::duration m_renewalTimeout = owner::longElectionTimeout; ///< Election timeout in that renewal.
+    bool m_renewalRepeated = false; ///< Whether that renewal was sent more than once.
     bool m_renewing = false;
     bool m_owner = false;
     bool m_claiming = false;
--- a/tests/io/owner_election_test.cpp
+++ b/tests/io/owner_election_test.cpp
@@ -27,8 +27,9 @@
         };
         result.onRenewing = [](core::monotonic_time, core::duration) {
         };
-        result.onRenewed = [this](core::monotonic_time, core::duration) {
+        result.onRenewed = [this](core::monotonic_time sentAt, core::duration) {
             ++renewals;
+            renewedAt = sentAt;
         };
         result.onOwnershipLost = [this] {
             ownershipLost = true;
@@ -44,6 +45,7 @@
     poplarpass::observe::logger log{discardingLoggerOptions()};
     std::vector<std::uint64_t> epochs;
     core::monotonic_time claimedAt{};
+    core::monotonic_time renewedAt{};
     int renewals = 0;
     bool ownershipLost = false;
     host::owner_election election;
@@ -154,3 +156,46 @@
     REQUIRE(time.runUntil([&] { return resigned && !second.epochs.empty(); }));
     CHECK(second.election.formerOwners().empty());
 }
+
+// Guards against a term that outlasts the time after which others may claim: the store answers a repeated renewal
+// without storing it again.
+TEST_CASE("A repeated renewal extends the term only from its first sending", "[host]")
+{
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate only{time, memory, "a"};
+    only.election.start();
+    REQUIRE(time.runUntil([&] { return only.renewals > 0; }));
+    memory.loseResponses = true;
+    const auto stored = memory.records(store::topic::ownership).size();
+    REQUIRE(time.runUntil([&] { return memory.records(store::topic::ownership).size() > stored; }));
+    const auto storedAt = time.now();
+    memory.loseResponses = false;
+    const auto renewals = only.renewals;
+    REQUIRE(time.runUntil([&] { return only.renewals > renewals; }));
+    CHECK(memory.records(store::topic::ownership).size() == stored + 1);
+    CHECK(only.renewedAt <= storedAt);
+    // The next renewal follows at once, as the term is shortened by the lost answer.
+    REQUIRE(time.runUntil([&] { return only.renewals > renewals + 1; }));
+    CHECK(only.renewedAt <= storedAt + std::chrono::milliseconds{200});
+}
+
+// Guards against a resignation that the store drops as a repeat, after which others wait for the election timeout.
+TEST_CASE("A resignation is stored even if the answer to the last renewal was lost", "[host]")
+{
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate first{time, memory, "a"};
+    first.election.start();
+    REQUIRE(time.runUntil([&] { return first.renewals > 0; }));
+    memory.loseResponses = true;
+    const auto stored = memory.records(store::topic::ownership).size();
+    REQUIRE(time.runUntil([&] { return memory.records(store::topic::ownership).size() > stored; }));
+    bool resigned = false;
+    first.election.resign([&] { resigned = true; });
+    memory.loseResponses = false;
+    REQUIRE(time.runUntil([&] { return resigned; }));
+    const auto last = poplarpass::owner::decodeOwnerRecord(memory.records(store::topic::ownership).back().value);
+    REQUIRE(last);
+    CHECK(last->kind == poplarpass::owner::owner_record_kind::resignation);
+}
