A caller's time limit that overflows no longer ends the request at once

Cause: the header with the caller's time was converted to microseconds before it was compared with the time of the route. The conversion overflows for numbers of 2^63/1000 and more, and the request was given up at once with 504 or 503.

Change: the number is compared in milliseconds, and a larger one than that of the route has no effect.

--- a/src/poplarpass/host/caller_request.cpp
+++ b/src/poplarpass/host/caller_request.cpp
@@ -37,7 +37,9 @@
 {
     const core::duration time = routeTimeout.count() > 0 ? core::duration{routeTimeout} : defaultRequestTimeout;
     const auto requested = core::parseInteger<std::uint64_t>(call.header(deadlineHeader));
-    return requested ? std::min<core::duration>(time, std::chrono::milliseconds{*requested}) : time;
+    // Compared before the conversion, which overflows for large numbers.
+    const auto limit = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    return requested && *requested < limit ? core::duration{std::chrono::milliseconds{*requested}} : time;
 }
 } // namespace
 
