--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -41,6 +41,12 @@
     /// rejected.
     auto resign(std::function<void()> done) -> void;
 
+    /// \brief Stores a resignation like resign(), after which this process claims again only after \p pause.
+    auto yield(core::duration pause, std::function<void()> done) -> void;
+
+    /// \brief Returns how long the last renewal took.
+    [[nodiscard]] auto renewalLatency() const -> core::duration;
+
     /// \brief Marks this process as not being the owner, whatever the store contains.
     auto clearOwnership() -> void;
 
@@ -71,6 +77,7 @@
     auto sendRenewal() -> void;
     auto onRenewed(const store::append_result &answer, std::uint64_t epoch) -> void;
     auto onRenewalStored() -> void;
+    auto beginResignation(std::function<void()> done) -> void;
     auto sendResignation() -> void;
     auto stepDown() -> void;
     auto appendOwnerRecord(owner::owner_record_kind kind, core::duration electionTimeout,
@@ -98,6 +105,7 @@
     bool m_owner = false;
     bool m_claiming = false;
     bool m_claimsDisabled = false;
+    core::monotonic_time m_noClaimsBefore{};
     bool m_storeUnavailable = false;
     core::lifetime m_lifetime;
 };
