--- a/src/poplarpass/host/host_peers.cpp
+++ b/src/poplarpass/host/host_peers.cpp
@@ -9,11 +9,11 @@
 namespace
 {
 constexpr std::string_view hostNameHeader = "X-Poplarpass-Host";
-constexpr std::string_view configHeader = "X-Poplarpass-Config";
 constexpr std::string_view jobHeader = "X-Poplarpass-Job";
 constexpr std::string_view verbHeader = "X-Poplarpass-Verb";
 constexpr std::string_view attemptHeader = "X-Poplarpass-Attempt";
 constexpr std::string_view repeatedHeader = "X-Poplarpass-Repeated";
+constexpr std::string_view keyHeader = "X-Poplarpass-Key";
 constexpr std::string_view ownerHeader = "X-Poplarpass-Owner";
 
 auto makeForwardCall(const client_request &request) -> net::http_request
@@ -30,6 +30,9 @@
     if (request.isRepeated) {
         call.headers.push_back({std::string{repeatedHeader}, "1"});
     }
+    if (request.key) {
+        call.headers.push_back({std::string{keyHeader}, request.key->hex()});
+    }
     call.body = request.body;
     return call;
 }
@@ -75,7 +78,13 @@
     if (!verb || !version || *verb > static_cast<std::uint64_t>(client_verb::pending)) {
         return std::nullopt;
     }
+    const auto keyText = call.header(keyHeader);
+    const auto key = accounts::key_digest::parse(keyText);
+    if (!key && !keyText.empty()) {
+        return std::nullopt;
+    }
     client_request request;
+    request.key = key;
     request.verb = static_cast<client_verb>(*verb);
     request.configVersion = *version;
     request.job = jobs::job_id{std::string{call.header(jobHeader)}};
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -159,6 +159,7 @@
 {
     m_serving = true;
     m_servingSince = m_env.time.now();
+    updateAccounts();
     updateWorkers();
     m_env.log.log(
         log_level::info, "owner_serving",
@@ -244,6 +245,7 @@
     m_lastCycleAt = now;
     m_cycleRequested = false;
     if (!m_resigned && m_term.mayOrder(now)) {
+        updateAccounts();
         m_capacity->plan();
         m_engine.plan(now, m_env.time.wallNow());
     }
--- a/src/poplarpass/host/request_forwarder.cpp
+++ b/src/poplarpass/host/request_forwarder.cpp
@@ -1,4 +1,6 @@
+#include <poplarpass/core/parse_integer.h>
 #include <poplarpass/host/constants.h>
+#include <poplarpass/host/host_peers.h>
 #include <poplarpass/host/request_forwarder.h>
 
 #include <algorithm>
@@ -72,7 +74,7 @@
     if (entry->answered) {
         return;
     }
-    entry->request.configVersion = m_env.routes.config().version;
+    entry->request.configVersion = std::max(m_env.routes.config().version, m_newestVersion);
     entry->request.isRepeated = entry->maybeCarriedOut;
     entry->request.ownerEpoch = std::max(m_env.ownerEpoch(), entry->answeredEpoch);
     ++entry->attempts;
@@ -85,15 +87,35 @@
     }
     const auto address = m_env.ownerAddress();
     if (address) {
-        send(entry, *address);
+        if (!refuseIfUnconfirmed(entry, *address)) {
+            send(entry, *address);
+        }
     } else {
         entry->awaitingAnswer = false;
         retry(entry);
     }
 }
 
+// One request in each period is forwarded all the same, to detect that the owner responds again.
+auto request_forwarder::refuseIfUnconfirmed(const std::shared_ptr<forwarded_request> &entry, const std::string &address)
+    -> bool
+{
+    const bool isUnresponsive = m_ownerUnresponsive && m_calledOwner == address;
+    if (!isUnresponsive || entry->maybeCarriedOut || m_env.time.now() - m_calledAt >= ownerProbePeriod) {
+        return false;
+    }
+    auto refusal = m_env.refuseUnconfirmed(entry->request);
+    if (!refusal) {
+        return false;
+    }
+    entry->finish(std::move(*refusal));
+    return true;
+}
+
 auto request_forwarder::send(const std::shared_ptr<forwarded_request> &entry, const std::string &address) -> void
 {
+    m_calledOwner = address;
+    m_calledAt = m_env.time.now();
     m_env.peers.forwardRequest(address, entry->request, m_lifetime.guard([this, entry, address](peer_answer answer) {
         updateOwnerAvailability(address, answer.response.has_value());
         if (answer.response) {
@@ -125,13 +147,15 @@
 
 auto request_forwarder::onAnswer(const std::shared_ptr<forwarded_request> &entry, net::http_response response) -> void
 {
+    const auto version = core::parseInteger<std::uint64_t>(response.header(configHeader));
+    m_newestVersion = std::max(m_newestVersion, version.value_or(0));
     // While another copy may still be carried out, a refusal is passed on only if the owner rules that out; else the
     // owner is asked again.
     const bool isUncertain = isRefusal(response) && entry->maybeCarriedOut && hasEffect(entry->request.verb)
         && epochOf(response) < std::max(entry->unsettledEpoch, std::uint64_t{1});
     if (response.status != notOwnerStatus && response.status != outcomeUnknownStatus && !isUncertain) {
         std::erase_if(response.headers, [](const net::http_header &field) {
-            return field.name != "Content-Type" && field.name != "Retry-After";
+            return field.name != "Content-Type" && field.name != "Retry-After" && field.name != "WWW-Authenticate";
         });
         entry->finish(std::move(response));
         return;
@@ -169,4 +193,9 @@
     entry->finish(maybeStored ? plainResponse(504, "outcome_unknown")
                               : refusalResponse(503, "no_owner", retryAfterSeconds));
 }
+
+auto request_forwarder::newestVersion() const -> std::uint64_t
+{
+    return m_newestVersion;
+}
 } // namespace poplarpass::host
--- a/src/poplarpass/host/request_forwarder.h
+++ b/src/poplarpass/host/request_forwarder.h
@@ -27,6 +27,11 @@
     std::function<std::optional<std::string>()> ownerAddress; ///< "IP:port" of the owner, if known.
     std::function<std::uint64_t()> ownerEpoch; ///< Epoch of the owner; 0 if none is known.
     std::string processName; ///< Name of this process, unlike that of any other one, also of the same host.
+    /// \brief Refusal of a request whose key can be checked neither here nor, as it does not respond, by the owner.
+    std::function<std::optional<net::http_response>(const client_request &)> refuseUnconfirmed =
+        [](const client_request &) {
+            return std::nullopt;
+        };
 };
 
 /// \brief Forwards callers' requests to the current owner of the pools; retries until a request's time limit is near.
@@ -38,11 +43,15 @@
     /// \brief Answers \p request exactly once, at the latest shortly before \p time has passed.
     auto handleRequest(client_request request, core::duration time, response_callback answer) -> void;
 
+    /// \brief Returns the highest version of the configuration in answers of owners; 0 for none.
+    [[nodiscard]] auto newestVersion() const -> std::uint64_t;
+
 private:
     struct forwarded_request;
 
     auto forward(const std::shared_ptr<forwarded_request> &entry) -> void;
     auto send(const std::shared_ptr<forwarded_request> &entry, const std::string &address) -> void;
+    auto refuseIfUnconfirmed(const std::shared_ptr<forwarded_request> &entry, const std::string &address) -> bool;
     auto updateOwnerAvailability(const std::string &address, bool responds) -> void;
     auto markMaybeCarriedOut(const std::shared_ptr<forwarded_request> &entry) -> void;
     auto onAnswer(const std::shared_ptr<forwarded_request> &entry, net::http_response response) -> void;
@@ -52,6 +61,9 @@
     forwarder_environment m_env;
     bool m_ownerUnresponsive = false; ///< Whether the last call to the owner got no answer.
     std::uint64_t m_attempts = 0; ///< Number of requests so far; numbers their attempts.
+    std::string m_calledOwner; ///< Address of the last call to the owner.
+    core::monotonic_time m_calledAt{}; ///< When it was sent.
+    std::uint64_t m_newestVersion = 0;
     std::size_t m_unanswered = 0; ///< Number of unanswered requests.
     core::lifetime m_lifetime;
 };
