--- a/src/poplarpass/host/host_core.h
+++ b/src/poplarpass/host/host_core.h
@@ -83,6 +83,8 @@
     auto handleAsOwner(const client_request &request, response_callback answer) -> bool;
     auto refuseUnconfirmed(const client_request &request) -> std::optional<net::http_response>;
     [[nodiscard]] auto ownerAddress() const -> std::optional<std::string>;
+    [[nodiscard]] auto ownerEpoch() const -> std::uint64_t;
+    [[nodiscard]] auto processName() const -> std::string;
     [[nodiscard]] auto rank() const -> unsigned;
 
     host_environment m_env;
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -74,8 +74,9 @@
     auto onClaimed(const store::append_result &answer, std::uint64_t epoch, core::monotonic_time sentAt) -> void;
     auto beginTerm(std::uint64_t epoch, core::monotonic_time sentAt) -> void;
     auto renew() -> void;
-    auto onRenewed(const store::append_result &answer, core::monotonic_time sentAt, core::duration electionTimeout)
-        -> void;
+    auto sendRenewal() -> void;
+    auto onRenewed(const store::append_result &answer, std::uint64_t epoch) -> void;
+    auto onRenewalStored() -> void;
     auto beginResignation(std::function<void()> done) -> void;
     auto sendResignation() -> void;
     auto stepDown() -> void;
@@ -93,10 +94,13 @@
     core::monotonic_time m_readAt{};
     std::uint64_t m_epoch = 0;
     std::uint64_t m_claimedEpoch = 0;
-    core::monotonic_time m_claimedAt{};
+    core::monotonic_time m_claimedAt{}; ///< When the first claim of m_claimedEpoch was sent.
     std::uint64_t m_sequence = 0;
     std::function<void()> m_onResigned;
     core::duration m_renewalLatency = owner::longElectionTimeout;
+    core::monotonic_time m_renewalSentAt{}; ///< When the renewal in flight was first sent.
+    core::duration m_renewalTimeout = owner::longElectionTimeout; ///< Election timeout in that renewal.
+    bool m_renewalRepeated = false; ///< Whether that renewal was sent more than once.
     bool m_renewing = false;
     bool m_owner = false;
     bool m_claiming = false;
--- a/src/poplarpass/host/request_forwarder.h
+++ b/src/poplarpass/host/request_forwarder.h
@@ -25,6 +25,8 @@
     /// \brief Handles a request if this process owns the pools; else returns false.
     std::function<bool(const client_request &, response_callback)> handleLocally;
     std::function<std::optional<std::string>()> ownerAddress; ///< "IP:port" of the owner, if known.
+    std::function<std::uint64_t()> ownerEpoch; ///< Epoch of the owner; 0 if none is known.
+    std::string processName; ///< Name of this process, unlike that of any other one, also of the same host.
     /// \brief Refusal of a request whose key can be checked neither here nor, as it does not respond, by the owner.
     std::function<std::optional<net::http_response>(const client_request &)> refuseUnconfirmed =
         [](const client_request &) {
@@ -51,12 +53,14 @@
     auto send(const std::shared_ptr<forwarded_request> &entry, const std::string &address) -> void;
     auto refuseIfUnconfirmed(const std::shared_ptr<forwarded_request> &entry, const std::string &address) -> bool;
     auto updateOwnerAvailability(const std::string &address, bool responds) -> void;
+    auto markMaybeCarriedOut(const std::shared_ptr<forwarded_request> &entry) -> void;
     auto onAnswer(const std::shared_ptr<forwarded_request> &entry, net::http_response response) -> void;
     auto retry(const std::shared_ptr<forwarded_request> &entry) -> void;
     auto abandon(const std::shared_ptr<forwarded_request> &entry) -> void;
 
     forwarder_environment m_env;
     bool m_ownerUnresponsive = false; ///< Whether the last call to the owner got no answer.
+    std::uint64_t m_attempts = 0; ///< Number of requests so far; numbers their attempts.
     std::string m_calledOwner; ///< Address of the last call to the owner.
     core::monotonic_time m_calledAt{}; ///< When it was sent.
     std::uint64_t m_newestVersion = 0;
