--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -61,16 +61,29 @@
 inline constexpr core::duration defaultRequestTimeout = std::chrono::milliseconds{3000};
 /// \brief Fraction of a request's timeout after which it is abandoned, so that the response arrives in time.
 inline constexpr double requestTimeoutFraction = 0.8;
+/// \brief Interval at which requests that wait for a newer configuration are checked against its age.
+inline constexpr core::duration waitingCheckPeriod = std::chrono::milliseconds{250};
+/// \brief Interval at which a request is forwarded to an owner that does not respond, while others are refused.
+inline constexpr core::duration ownerProbePeriod = std::chrono::milliseconds{500};
 /// \brief Retry delay sent with a refusal, seconds.
 inline constexpr int retryAfterSeconds = 1;
 /// \brief The same when the store has been unavailable for longStallThreshold.
 inline constexpr int longRetryAfterSeconds = 2;
+/// \brief The same for a job that its account's cap does not permit: only the operator can raise the cap.
+inline constexpr int capRetryAfterSeconds = 30;
 /// \brief Maximum number of callers' requests in flight at one host; further ones are refused at once.
 inline constexpr std::size_t maxForwardedRequests = 4000;
 /// \brief Maximum number of requests queued at the owner for the store, and likewise for the owner's start.
 inline constexpr std::size_t maxWaitingRequests = 4000;
 /// \brief Maximum total size of the bodies of those requests, bytes.
 inline constexpr std::size_t maxWaitingBytes = std::size_t{16} * 1024 * 1024;
+/// \brief Maximum number of attempts that an owner remembers as refused.
+inline constexpr std::size_t maxRefusedAttempts = 20'000;
+/// \brief Maximum length of an attempt's identifier, bytes.
+inline constexpr std::size_t maxAttemptLength = 160;
+/// \brief Time for which they are remembered. A sender that closed its connection may send the bytes again for about
+/// 100 s (tcp_orphan_retries).
+inline constexpr core::duration refusedAttemptRetention = std::chrono::seconds{120};
 /// \brief Maximum number of tasks in memory at the owner over all jobs; further jobs are refused.
 inline constexpr std::size_t maxTasks = 250'000;
 /// \brief Time after which an append without a response counts as a store outage: submissions are refused.
--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -1,5 +1,7 @@
+#include <poplarpass/host/authentication_log.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/host_core.h>
+#include <poplarpass/owner/handover.h>
 
 #include <functional>
 #include <utility>
@@ -27,7 +29,8 @@
                    }
                }}
     , m_election{m_env.time, m_env.records, m_env.log, m_env.name, m_env.address, makeElectionHooks()}
-    , m_announcer{m_env.time, m_env.records, m_env.peers, m_env.log, m_env.name, m_env.address}
+    , m_announcer{m_env.time, m_env.records, m_env.peers,
+                  m_env.log,  m_env.name,    {m_env.address, !owner::isSmallHost(m_env.resources)}}
     , m_forwarder{makeForwarder()}
 {
 }
@@ -38,8 +41,9 @@
                               [this](const client_request &request, response_callback answer) {
                                   return handleAsOwner(request, std::move(answer));
                               },
-                              [this] {
-                                  return ownerAddress();
+                              [this] { return ownerAddress(); }, [this] { return ownerEpoch(); }, processName(),
+                              [this](const client_request &request) {
+                                  return refuseUnconfirmed(request);
                               }}};
 }
 
@@ -57,6 +61,7 @@
     hooks.onRenewed = [this](core::monotonic_time sentAt, core::duration electionTimeout) {
         if (m_owner) {
             m_owner->onRenewed(sentAt, electionTimeout);
+            yieldIfSmall();
         }
     };
     hooks.onOwnershipLost = [this] {
@@ -90,8 +95,9 @@
         m_env.name,
         m_env.holderTerm,
         [this]() -> const std::map<std::string, std::string> & { return m_config.otherRecords(); },
+        [this] { onOwnershipLost(); },
         [this] {
-            onOwnershipLost();
+            return configStanding();
         }};
     m_owner = std::make_unique<pool_owner>(std::move(environment), epoch, claimedAt, m_election.formerOwners());
     m_owner->start();
@@ -160,6 +166,24 @@
     }
 }
 
+auto host_core::yieldIfSmall() -> void
+{
+    const bool yields = m_owner->isServing()
+        && owner::shouldYield({owner::isSmallHost(m_env.resources), m_announcer.hasLargeHostAcknowledged(),
+                               m_owner->servingFor(), m_election.renewalLatency()});
+    if (!yields) {
+        return;
+    }
+    m_env.log.log(log_level::info, "owner_yields", {{"epoch", m_owner->epoch()}, {"reason", "small_host"}});
+    m_owner->resign([this] {
+        m_election.yield(owner::yieldPause, [this] {
+            m_env.log.log(log_level::info, "resigned", {});
+            m_announcer.stop();
+            m_owner.reset();
+        });
+    });
+}
+
 auto host_core::ownerAddress() const -> std::optional<std::string>
 {
     const auto &current = m_election.current();
@@ -169,6 +193,22 @@
     return current->address;
 }
 
+auto host_core::ownerEpoch() const -> std::uint64_t
+{
+    if (m_owner) {
+        return m_owner->epoch();
+    }
+    const auto &current = m_election.current();
+    return current ? current->epoch : 0;
+}
+
+// A host's processes start at different times by at least one of the two clocks.
+auto host_core::processName() const -> std::string
+{
+    return m_env.name + "/" + std::to_string(m_startedAt.time_since_epoch().count()) + "/"
+        + std::to_string(m_env.time.wallNow().time_since_epoch().count());
+}
+
 auto host_core::rank() const -> unsigned
 {
     const bool recentlyStarted = m_env.time.now() - m_startedAt < recentStartPeriod;
@@ -190,6 +230,26 @@
     return m_routes;
 }
 
+auto host_core::configStanding() const -> config_standing
+{
+    const auto confirmedAt = m_config.confirmedAt();
+    const auto age = m_env.time.now() - confirmedAt.value_or(m_startedAt);
+    const bool isRecent = confirmedAt && (!m_env.maxConfigAge || age <= *m_env.maxConfigAge);
+    return {isRecent && m_config.isReadable(), age, m_forwarder.newestVersion()};
+}
+
+auto host_core::refuseUnconfirmed(const client_request &request) -> std::optional<net::http_response>
+{
+    const auto standing = configStanding();
+    if (m_routes.accounts() == nullptr || !request.key || standing.isConfirmed) {
+        return std::nullopt;
+    }
+    const auto error = authentication_error::configuration_unconfirmed;
+    recordRefusal(m_env.log, m_env.metrics, error,
+                  {request.job.str(), nameOf(request.verb), m_routes.config().version, standing.age, {}});
+    return refusalResponse(error);
+}
+
 auto host_core::updateMetrics() -> void
 {
     if (m_owner) {
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -41,6 +41,12 @@
     /// rejected.
     auto resign(std::function<void()> done) -> void;
 
+    /// \brief Stores a resignation like resign(), after which this process claims again only after \p pause.
+    auto yield(core::duration pause, std::function<void()> done) -> void;
+
+    /// \brief Returns how long the last renewal took.
+    [[nodiscard]] auto renewalLatency() const -> core::duration;
+
     /// \brief Marks this process as not being the owner, whatever the store contains.
     auto clearOwnership() -> void;
 
@@ -68,8 +74,10 @@
     auto onClaimed(const store::append_result &answer, std::uint64_t epoch, core::monotonic_time sentAt) -> void;
     auto beginTerm(std::uint64_t epoch, core::monotonic_time sentAt) -> void;
     auto renew() -> void;
-    auto onRenewed(const store::append_result &answer, core::monotonic_time sentAt, core::duration electionTimeout)
-        -> void;
+    auto sendRenewal() -> void;
+    auto onRenewed(const store::append_result &answer, std::uint64_t epoch) -> void;
+    auto onRenewalStored() -> void;
+    auto beginResignation(std::function<void()> done) -> void;
     auto sendResignation() -> void;
     auto stepDown() -> void;
     auto appendOwnerRecord(owner::owner_record_kind kind, core::duration electionTimeout,
@@ -86,14 +94,18 @@
     core::monotonic_time m_readAt{};
     std::uint64_t m_epoch = 0;
     std::uint64_t m_claimedEpoch = 0;
-    core::monotonic_time m_claimedAt{};
+    core::monotonic_time m_claimedAt{}; ///< When the first claim of m_claimedEpoch was sent.
     std::uint64_t m_sequence = 0;
     std::function<void()> m_onResigned;
     core::duration m_renewalLatency = owner::longElectionTimeout;
+    core::monotonic_time m_renewalSentAt{}; ///< When the renewal in flight was first sent.
+    core::duration m_renewalTimeout = owner::longElectionTimeout; ///< Election timeout in that renewal.
+    bool m_renewalRepeated = false; ///< Whether that renewal was sent more than once.
     bool m_renewing = false;
     bool m_owner = false;
     bool m_claiming = false;
     bool m_claimsDisabled = false;
+    core::monotonic_time m_noClaimsBefore{};
     bool m_storeUnavailable = false;
     core::lifetime m_lifetime;
 };
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -99,8 +99,10 @@
 {
     m_lifetime.end();
     m_journal.stop();
-    for (const auto &waiting : m_waiting.removeAll()) {
-        waiting.answer(plainResponse(notOwnerStatus, "not_owner"));
+    for (auto *queue : {&m_waiting, &m_deferredSubmissions}) {
+        for (const auto &waiting : queue->removeAll()) {
+            waiting.answer(plainResponse(notOwnerStatus, "not_owner"));
+        }
     }
 }
 
@@ -156,6 +158,8 @@
 auto pool_owner::beginServing() -> void
 {
     m_serving = true;
+    m_servingSince = m_env.time.now();
+    updateAccounts();
     updateWorkers();
     m_env.log.log(
         log_level::info, "owner_serving",
@@ -241,6 +245,7 @@
     m_lastCycleAt = now;
     m_cycleRequested = false;
     if (!m_resigned && m_term.mayOrder(now)) {
+        updateAccounts();
         m_capacity->plan();
         m_engine.plan(now, m_env.time.wallNow());
     }
@@ -357,6 +362,11 @@
     return m_serving && !m_resigned;
 }
 
+auto pool_owner::servingFor() const -> core::duration
+{
+    return m_serving ? m_env.time.now() - m_servingSince : core::duration{0};
+}
+
 auto pool_owner::updateMetrics() -> void
 {
     const auto &counts = m_engine.counters();
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -5,9 +5,12 @@
 #include <poplarpass/host/advice_calls.h>
 #include <poplarpass/host/capacity_controller.h>
 #include <poplarpass/host/client_request.h>
+#include <poplarpass/host/config_standing.h>
 #include <poplarpass/host/job_time_metrics.h>
 #include <poplarpass/host/journal.h>
 #include <poplarpass/host/platform_decoders.h>
+#include <poplarpass/host/refused_attempts.h>
+#include <poplarpass/host/request_authenticator.h>
 #include <poplarpass/host/waiting_requests.h>
 #include <poplarpass/host/worker_links.h>
 #include <poplarpass/host/worker_list.h>
@@ -21,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -43,6 +47,9 @@
     core::duration holderTerm; ///< Time for which only one holder may send orders for a host.
     std::function<const std::map<std::string, std::string> &()> operatorRecords; ///< Latest records of the operator.
     std::function<void()> onOwnershipLost; ///< Called when this process is no longer the owner.
+    std::function<config_standing()> configStanding = [] {
+        return config_standing{};
+    }; ///< How far keys may be checked by the active configuration.
 };
 
 /// \brief One term of this process as owner of all pools: decides, stores the decisions and sends orders.
@@ -83,6 +90,9 @@
     /// \brief Returns whether requests are served.
     [[nodiscard]] auto isServing() const -> bool;
 
+    /// \brief Returns for how long requests have been served in this term.
+    [[nodiscard]] auto servingFor() const -> core::duration;
+
     /// \brief Updates the gauges of the owner.
     auto updateMetrics() -> void;
 
@@ -100,6 +110,10 @@
     auto deferSubmission(const client_request &request, const response_callback &answer) -> void;
     auto refuse(const client_request &request, const response_callback &answer, std::string_view reason, int retryAfter)
         -> void;
+    auto refuseSubmission(const client_request &request, const response_callback &answer, std::string_view reason,
+                          int retryAfter) -> void;
+    [[nodiscard]] auto finalRefusal(const client_request &request, std::string_view reason, int retryAfter)
+        -> net::http_response;
     auto refuseDeferred() -> void;
     auto scheduleDeferredRefusal(core::duration delay) -> void;
     auto refuseTermExpired(const client_request &request, const response_callback &answer) -> void;
@@ -107,6 +121,21 @@
     auto answerState(const client_request &request, const response_callback &answer) -> void;
     auto cancel(const client_request &request, const response_callback &answer) -> void;
     auto answerPending(const client_request &request, const response_callback &answer) -> void;
+    auto updateAccounts() -> void;
+    auto authenticateRequest(const client_request &request, const response_callback &answer)
+        -> std::optional<jobs::account_id>;
+    /// \returns whether the submission was refused because no task of it could ever start under its account's cap
+    auto refuseOverCap(const client_request &request, const jobs::multistep_job_spec &spec,
+                       const response_callback &answer) -> bool;
+    auto refuseForAccount(const client_request &request, const response_callback &answer, std::string_view reason,
+                          int retryAfter) -> void;
+    auto refuseUnauthenticated(const client_request &request, const response_callback &answer,
+                               authentication_error error) -> void;
+    auto refuseUnconfirmed(const client_request &request, const response_callback &answer) -> bool;
+    auto refuseOtherAccount(const client_request &request, const response_callback &answer) -> bool;
+    [[nodiscard]] auto withConfigVersion(response_callback answer) const -> response_callback;
+    auto scheduleWaitingCheck() -> void;
+    auto dispatch(const client_request &request, const response_callback &answer) -> void;
     [[nodiscard]] auto hasUnstoredChanges(const jobs::job_id &id) const -> bool;
     auto handleWaiting() -> void;
     auto requestCycle() -> void;
@@ -130,6 +159,7 @@
     std::unique_ptr<worker_list> m_workers;
     waiting_requests m_waiting; ///< Requests that wait for the owner to serve or for a newer configuration.
     waiting_requests m_deferredSubmissions; ///< Submissions that wait for the store.
+    refused_attempts m_refusedAttempts;
     std::vector<std::function<void()>> m_afterNextWrite;
     std::set<std::string> m_formerOwners;
     bool m_restored = false;
@@ -139,11 +169,14 @@
     bool m_cycleScheduled = false;
     bool m_refusalScheduled = false;
     bool m_cycleRequested = false;
+    bool m_waitingCheckScheduled = false;
+    std::uint64_t m_accountsVersion = 0; ///< Version whose limits of accounts the engine has.
     std::uint64_t m_cycleSerial = 0;
     core::monotonic_time m_cycleDue{};
     core::duration m_cycleLateness{0}; ///< How late the last decision cycle began, because the process was busy.
     core::monotonic_time m_lastCycleAt{};
     core::monotonic_time m_startedAt{};
+    core::monotonic_time m_servingSince{};
     core::lifetime m_lifetime;
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -14,19 +14,31 @@
         answer(plainResponse(notOwnerStatus, "not_owner"));
         return;
     }
+    // A copy that was sent to an earlier term of this host may have been refused by a later owner since.
+    if (request.ownerEpoch != 0 && request.ownerEpoch != epoch()) {
+        auto response = plainResponse(notOwnerStatus, "other_epoch");
+        response.headers.push_back({std::string{epochHeader}, std::to_string(epoch())});
+        answer(std::move(response));
+        return;
+    }
     if (!m_serving || request.configVersion > m_env.routes.config().version) {
+        if (refuseUnconfirmed(request, answer)) {
+            return;
+        }
         if (m_waiting.isFull()) {
             refuse(request, answer, "too_many", retryAfterSeconds);
         } else {
             m_waiting.add({request, std::move(answer)});
+            scheduleWaitingCheck();
         }
         return;
     }
-    serve(request, answerExactlyOnce(std::move(answer)));
+    serve(request, answerExactlyOnce(withConfigVersion(std::move(answer))));
 }
 
 auto pool_owner::onConfig() -> void
 {
+    updateAccounts();
     if (m_serving) {
         handleWaiting();
     }
@@ -41,6 +53,24 @@
 
 auto pool_owner::serve(const client_request &request, const response_callback &answer) -> void
 {
+    auto account = authenticateRequest(request, answer);
+    if (!account) {
+        return;
+    }
+    if (account->empty()) {
+        dispatch(request, answer);
+        return;
+    }
+    auto authenticated = request;
+    authenticated.account = std::move(*account);
+    dispatch(authenticated, answer);
+}
+
+auto pool_owner::dispatch(const client_request &request, const response_callback &answer) -> void
+{
+    if (refuseOtherAccount(request, answer)) {
+        return;
+    }
     switch (request.verb) {
     case client_verb::submit:
         submit(request, answer);
@@ -70,6 +100,10 @@
         }
         return;
     }
+    if (m_refusedAttempts.contains(request.attempt)) {
+        refuseSubmission(request, answer, "refused_before", retryAfterSeconds);
+        return;
+    }
     const auto match = m_env.routes.match(request.hostName, request.path);
     if (match.matched == nullptr) {
         answer(plainResponse(404, "no_such_queue"));
@@ -80,7 +114,7 @@
         return;
     }
     if (!m_term.mayAnswer(m_env.time.now())) {
-        refuseTermExpired(request, answer);
+        refuseSubmission(request, answer, "term_lapsed", retryAfterSeconds);
         return;
     }
     auto spec = m_env.decoders.decodeJob(request.body);
@@ -88,11 +122,14 @@
         answer(plainResponse(400, "bad_body"));
         return;
     }
+    if (refuseOverCap(request, *spec, answer)) {
+        return;
+    }
     if (m_engine.taskCount() + jobs::taskCountOf(*spec) > maxTasks) {
-        refuse(request, answer, "too_many_tasks", longRetryAfterSeconds);
+        refuseSubmission(request, answer, "too_many_tasks", longRetryAfterSeconds);
         return;
     }
-    m_engine.submit(request.job, match.matched->queue, std::move(*spec), m_env.time.wallNow());
+    m_engine.submit(request.job, match.matched->queue, std::move(*spec), m_env.time.wallNow(), request.account);
     m_capacity->onJob(*m_engine.find(request.job));
     requestCycle();
     whenStored(accept);
@@ -104,7 +141,7 @@
 auto pool_owner::deferSubmission(const client_request &request, const response_callback &answer) -> void
 {
     if (m_deferredSubmissions.isFull()) {
-        refuse(request, answer, "too_many", retryAfterSeconds);
+        refuseSubmission(request, answer, "too_many", retryAfterSeconds);
         return;
     }
     m_deferredSubmissions.add({request, answer});
@@ -124,6 +161,27 @@
     answer(refusalResponse(503, reason, retryAfter));
 }
 
+// Only for submissions of jobs that this owner does not know, once it has restored the stored jobs.
+auto pool_owner::refuseSubmission(const client_request &request, const response_callback &answer,
+                                  std::string_view reason, int retryAfter) -> void
+{
+    refuse(
+        request, [&](const net::http_response &) { answer(finalRefusal(request, reason, retryAfter)); }, reason,
+        retryAfter);
+}
+
+// The jobs that earlier owners stored are known, and their appends are fenced off. What is left are copies that were
+// sent to this term. They are refused as well, if there are any and the attempt can be remembered.
+auto pool_owner::finalRefusal(const client_request &request, std::string_view reason, int retryAfter)
+    -> net::http_response
+{
+    auto response = refusalResponse(503, reason, retryAfter);
+    if (!request.isRepeated || m_refusedAttempts.add(request.attempt, m_env.time.now())) {
+        response.headers.push_back({std::string{epochHeader}, std::to_string(epoch())});
+    }
+    return response;
+}
+
 auto pool_owner::refuseDeferred() -> void
 {
     const auto stalled = m_journal.stalledFor(m_env.time.now());
@@ -141,7 +199,7 @@
                        {"reason", "store_away"},
                        {"stalled_ms", std::chrono::duration_cast<std::chrono::milliseconds>(stalled).count()},
                        {"retry_after_s", retryAfter}});
-        entry.answer(refusalResponse(503, "store_away", retryAfter));
+        entry.answer(finalRefusal(entry.request, "store_away", retryAfter));
     }
 }
 
@@ -158,7 +216,10 @@
 auto pool_owner::submitDeferred() -> void
 {
     for (const auto &entry : m_deferredSubmissions.removeAll()) {
-        submit(entry.request, entry.answer);
+        // Another account may have submitted the same identifier meanwhile.
+        if (!refuseOtherAccount(entry.request, entry.answer)) {
+            submit(entry.request, entry.answer);
+        }
     }
 }
 
--- a/src/poplarpass/host/request_forwarder.cpp
+++ b/src/poplarpass/host/request_forwarder.cpp
@@ -1,4 +1,6 @@
+#include <poplarpass/core/parse_integer.h>
 #include <poplarpass/host/constants.h>
+#include <poplarpass/host/host_peers.h>
 #include <poplarpass/host/request_forwarder.h>
 
 #include <algorithm>
@@ -14,7 +16,9 @@
     client_request request;
     response_callback answer;
     core::monotonic_time receivedAt{};
-    bool maybeCarriedOut = false;
+    bool maybeCarriedOut = false; ///< Whether a copy that was sent may have been, or may still be, carried out.
+    std::uint64_t unsettledEpoch = 0; ///< Highest epoch to which such a copy was sent.
+    std::uint64_t answeredEpoch = 0; ///< Highest epoch of an owner that answered for itself.
     bool awaitingAnswer = false; ///< Whether it was sent to the owner and the answer is pending.
     bool answered = false;
     unsigned attempts = 0;
@@ -47,6 +51,7 @@
     ++m_unanswered;
     auto entry = std::make_shared<forwarded_request>();
     entry->request = std::move(request);
+    entry->request.attempt = m_env.processName + "/" + std::to_string(++m_attempts);
     entry->answer = m_lifetime.guard([this, answer = std::move(answer)](net::http_response response) {
         --m_unanswered;
         answer(std::move(response));
@@ -55,7 +60,9 @@
     const auto timeLimit = std::chrono::duration<double, std::micro>{time} * requestTimeoutFraction;
     m_env.time.callAfter(std::chrono::duration_cast<core::duration>(timeLimit), m_lifetime.guard([this, entry] {
         if (!entry->answered) {
-            entry->maybeCarriedOut = entry->maybeCarriedOut || entry->awaitingAnswer;
+            if (entry->awaitingAnswer) {
+                markMaybeCarriedOut(entry);
+            }
             abandon(entry);
         }
     }));
@@ -67,7 +74,9 @@
     if (entry->answered) {
         return;
     }
-    entry->request.configVersion = m_env.routes.config().version;
+    entry->request.configVersion = std::max(m_env.routes.config().version, m_newestVersion);
+    entry->request.isRepeated = entry->maybeCarriedOut;
+    entry->request.ownerEpoch = std::max(m_env.ownerEpoch(), entry->answeredEpoch);
     ++entry->attempts;
     entry->awaitingAnswer = true;
     const bool handled = m_env.handleLocally(
@@ -78,22 +87,44 @@
     }
     const auto address = m_env.ownerAddress();
     if (address) {
-        send(entry, *address);
+        if (!refuseIfUnconfirmed(entry, *address)) {
+            send(entry, *address);
+        }
     } else {
         entry->awaitingAnswer = false;
         retry(entry);
     }
 }
 
+// One request in each period is forwarded all the same, to detect that the owner responds again.
+auto request_forwarder::refuseIfUnconfirmed(const std::shared_ptr<forwarded_request> &entry, const std::string &address)
+    -> bool
+{
+    const bool isUnresponsive = m_ownerUnresponsive && m_calledOwner == address;
+    if (!isUnresponsive || entry->maybeCarriedOut || m_env.time.now() - m_calledAt >= ownerProbePeriod) {
+        return false;
+    }
+    auto refusal = m_env.refuseUnconfirmed(entry->request);
+    if (!refusal) {
+        return false;
+    }
+    entry->finish(std::move(*refusal));
+    return true;
+}
+
 auto request_forwarder::send(const std::shared_ptr<forwarded_request> &entry, const std::string &address) -> void
 {
+    m_calledOwner = address;
+    m_calledAt = m_env.time.now();
     m_env.peers.forwardRequest(address, entry->request, m_lifetime.guard([this, entry, address](peer_answer answer) {
         updateOwnerAvailability(address, answer.response.has_value());
         if (answer.response) {
             onAnswer(entry, std::move(*answer.response));
             return;
         }
-        entry->maybeCarriedOut = entry->maybeCarriedOut || answer.maybeReceived;
+        if (answer.maybeReceived) {
+            markMaybeCarriedOut(entry);
+        }
         entry->awaitingAnswer = false;
         retry(entry);
     }));
@@ -108,17 +139,32 @@
                   {{"owner", address}, {"effect", responds ? "none" : "requests_wait"}});
 }
 
+auto request_forwarder::markMaybeCarriedOut(const std::shared_ptr<forwarded_request> &entry) -> void
+{
+    entry->maybeCarriedOut = true;
+    entry->unsettledEpoch = std::max(entry->unsettledEpoch, entry->request.ownerEpoch);
+}
+
 auto request_forwarder::onAnswer(const std::shared_ptr<forwarded_request> &entry, net::http_response response) -> void
 {
-    if (response.status != notOwnerStatus && response.status != outcomeUnknownStatus) {
+    const auto version = core::parseInteger<std::uint64_t>(response.header(configHeader));
+    m_newestVersion = std::max(m_newestVersion, version.value_or(0));
+    // While another copy may still be carried out, a refusal is passed on only if the owner rules that out; else the
+    // owner is asked again.
+    const bool isUncertain = isRefusal(response) && entry->maybeCarriedOut && hasEffect(entry->request.verb)
+        && epochOf(response) < std::max(entry->unsettledEpoch, std::uint64_t{1});
+    if (response.status != notOwnerStatus && response.status != outcomeUnknownStatus && !isUncertain) {
         std::erase_if(response.headers, [](const net::http_header &field) {
-            return field.name != "Content-Type" && field.name != "Retry-After";
+            return field.name != "Content-Type" && field.name != "Retry-After" && field.name != "WWW-Authenticate";
         });
         entry->finish(std::move(response));
         return;
     }
     // An owner that was deposed while storing a job cannot determine whether the append succeeded.
-    entry->maybeCarriedOut = entry->maybeCarriedOut || response.status == outcomeUnknownStatus;
+    if (response.status == outcomeUnknownStatus) {
+        markMaybeCarriedOut(entry);
+    }
+    entry->answeredEpoch = std::max(entry->answeredEpoch, epochOf(response));
     entry->awaitingAnswer = false;
     retry(entry);
 }
@@ -130,10 +176,11 @@
     }
 }
 
-// A submission that may have been stored must not be reported as refused: a refused job is guaranteed never to run.
+// A submission or a cancellation that may have been stored must not be reported as refused: a refused request is
+// guaranteed to have no effect.
 auto request_forwarder::abandon(const std::shared_ptr<forwarded_request> &entry) -> void
 {
-    const bool maybeStored = entry->request.verb == client_verb::submit && entry->maybeCarriedOut;
+    const bool maybeStored = hasEffect(entry->request.verb) && entry->maybeCarriedOut;
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_env.time.now() - entry->receivedAt);
     m_env.log.log(log_level::warning, "request_given_up",
                   {{"id", entry->request.job.str()},
@@ -146,4 +193,9 @@
     entry->finish(maybeStored ? plainResponse(504, "outcome_unknown")
                               : refusalResponse(503, "no_owner", retryAfterSeconds));
 }
+
+auto request_forwarder::newestVersion() const -> std::uint64_t
+{
+    return m_newestVersion;
+}
 } // namespace poplarpass::host
--- a/tests/io/owner_election_test.cpp
+++ b/tests/io/owner_election_test.cpp
@@ -1,5 +1,6 @@
 #include "host_fixture.h"
 
+#include <poplarpass/host/owner_announcer.h>
 #include <poplarpass/host/owner_election.h>
 
 #include <catch2/catch.hpp>
@@ -21,13 +22,15 @@
     auto hooks() -> host::election_hooks
     {
         host::election_hooks result;
-        result.onElected = [this](std::uint64_t epoch, core::monotonic_time) {
+        result.onElected = [this](std::uint64_t epoch, core::monotonic_time at) {
             epochs.push_back(epoch);
+            claimedAt = at;
         };
         result.onRenewing = [](core::monotonic_time, core::duration) {
         };
-        result.onRenewed = [this](core::monotonic_time, core::duration) {
+        result.onRenewed = [this](core::monotonic_time sentAt, core::duration) {
             ++renewals;
+            renewedAt = sentAt;
         };
         result.onOwnershipLost = [this] {
             ownershipLost = true;
@@ -42,6 +45,8 @@
     store::record_store records;
     poplarpass::observe::logger log{discardingLoggerOptions()};
     std::vector<std::uint64_t> epochs;
+    core::monotonic_time claimedAt{};
+    core::monotonic_time renewedAt{};
     int renewals = 0;
     bool ownershipLost = false;
     host::owner_election election;
@@ -78,6 +83,35 @@
     CHECK(only.epochs.size() == 1);
 }
 
+// Guards against a term that outlasts the time after which others may claim: the stored claim may be the earlier one.
+TEST_CASE("A term counts from the first claim that may have been stored", "[host]")
+{
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate only{time, memory, "a"};
+    const auto append = only.records.append;
+    const auto read = only.records.read;
+    std::vector<core::monotonic_time> claimedAt;
+    bool readsLate = false;
+    only.records.append = [&](const store::record_append &request,
+                              const std::function<void(store::append_result)> &done) {
+        claimedAt.push_back(time.now());
+        readsLate = true;
+        append(request, [](const store::append_result &) {});
+        time.after(std::chrono::milliseconds{300}, [done] { done({}); });
+    };
+    // Reads that were answered before the claim was stored arrive late.
+    only.records.read = [&](store::topic topic, std::uint64_t from, std::chrono::milliseconds wait,
+                            const std::function<void(store::read_result)> &done) {
+        read(topic, readsLate ? 1'000'000 : from, wait, done);
+    };
+    only.election.start();
+    REQUIRE(time.runUntil([&] { return claimedAt.size() == 2; }));
+    readsLate = false;
+    REQUIRE(time.runUntil([&] { return !only.epochs.empty(); }));
+    CHECK(only.claimedAt == claimedAt[0]);
+}
+
 TEST_CASE("After a resignation another process becomes owner at once with a greater epoch", "[host]")
 {
     fakes::stepped_time time;
@@ -123,3 +157,83 @@
     REQUIRE(time.runUntil([&] { return resigned && !second.epochs.empty(); }));
     CHECK(second.election.formerOwners().empty());
 }
+
+// Guards against a term that outlasts the time after which others may claim: the store answers a repeated renewal
+// without storing it again.
+TEST_CASE("A repeated renewal extends the term only from its first sending", "[host]")
+{
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate only{time, memory, "a"};
+    only.election.start();
+    REQUIRE(time.runUntil([&] { return only.renewals > 0; }));
+    memory.loseResponses = true;
+    const auto stored = memory.records(store::topic::ownership).size();
+    REQUIRE(time.runUntil([&] { return memory.records(store::topic::ownership).size() > stored; }));
+    const auto storedAt = time.now();
+    memory.loseResponses = false;
+    const auto renewals = only.renewals;
+    REQUIRE(time.runUntil([&] { return only.renewals > renewals; }));
+    CHECK(memory.records(store::topic::ownership).size() == stored + 1);
+    CHECK(only.renewedAt <= storedAt);
+    // The next renewal follows at once, as the term is shortened by the lost answer.
+    REQUIRE(time.runUntil([&] { return only.renewals > renewals + 1; }));
+    CHECK(only.renewedAt <= storedAt + std::chrono::milliseconds{200});
+}
+
+// Guards against a resignation that the store drops as a repeat, after which others wait for the election timeout.
+TEST_CASE("A resignation is stored even if the answer to the last renewal was lost", "[host]")
+{
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate first{time, memory, "a"};
+    first.election.start();
+    REQUIRE(time.runUntil([&] { return first.renewals > 0; }));
+    memory.loseResponses = true;
+    const auto stored = memory.records(store::topic::ownership).size();
+    REQUIRE(time.runUntil([&] { return memory.records(store::topic::ownership).size() > stored; }));
+    bool resigned = false;
+    first.election.resign([&] { resigned = true; });
+    memory.loseResponses = false;
+    REQUIRE(time.runUntil([&] { return resigned; }));
+    const auto last = poplarpass::owner::decodeOwnerRecord(memory.records(store::topic::ownership).back().value);
+    REQUIRE(last);
+    CHECK(last->kind == poplarpass::owner::owner_record_kind::resignation);
+}
+
+// Guards against a process that claims again at once what it has just yielded, and against one that never claims again.
+TEST_CASE("A process that yielded claims again after a pause if no other does", "[host]")
+{
+    const std::chrono::seconds pause{10};
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate first{time, memory, "a"};
+    first.election.start();
+    REQUIRE(time.runUntil([&] { return first.renewals > 0; }));
+    bool yielded = false;
+    const auto yieldedAt = first.clock.now();
+    first.election.yield(pause, [&] { yielded = true; });
+    REQUIRE(time.runUntil([&] { return yielded; }));
+
+    SECTION("another process claims at once")
+    {
+        candidate second{time, memory, "b"};
+        second.election.start();
+        REQUIRE(time.runUntil([&] { return !second.epochs.empty(); }));
+        CHECK(second.clock.now() - yieldedAt < std::chrono::seconds{1});
+    }
+    SECTION("no other process exists")
+    {
+        REQUIRE(time.runUntil([&] { return first.epochs.size() == 2; }));
+        CHECK(first.clock.now() - yieldedAt >= pause);
+        CHECK(first.epochs[1] > first.epochs[0]);
+    }
+}
+
+TEST_CASE("The record of a host tells its address and whether it is large", "[host]")
+{
+    const host::registered_host large{"10.0.0.1:7000", true};
+    const host::registered_host small{"10.0.0.2:7000", false};
+    CHECK(host::decodeRegisteredHost(host::encodeRegisteredHost(large)) == large);
+    CHECK(host::decodeRegisteredHost(host::encodeRegisteredHost(small)) == small);
+}
--- a/tests/system/sim_hosts.cpp
+++ b/tests/system/sim_hosts.cpp
@@ -15,6 +15,9 @@
 constexpr core::duration forwardTimeout = std::chrono::milliseconds{1200};
 constexpr core::duration announcementTimeout = std::chrono::milliseconds{600};
 constexpr owner::host_resources largeHost{1, 1000};
+constexpr owner::host_resources smallHost{0.1, 10};
+/// Each host with a number divisible by this is small.
+constexpr std::size_t smallHostInterval = 3;
 constexpr core::duration holderTerm = std::chrono::seconds{3};
 constexpr core::duration shutdownTime = std::chrono::milliseconds{5300};
 } // namespace
@@ -47,6 +50,7 @@
     auto &simHost = *m_hosts.back();
     simHost.name = name;
     simHost.address = "10.1.0." + std::to_string(m_hosts.size()) + ":1";
+    simHost.resources = m_hosts.size() % smallHostInterval == 0 ? smallHost : largeHost;
     simHost.lastFaultAt = -faultClearanceMs;
     start(simHost);
 }
@@ -122,7 +126,10 @@
     calls.forwardRequest = [this, &simHost, port = portOf(simHost)](const std::string &address,
                                                                     const host::client_request &request,
                                                                     std::function<void(host::peer_answer)> done) {
-        const auto delivery = peerDelivery(simHost, address);
+        auto delivery = peerDelivery(simHost, address);
+        if (m_network.randomBool(lateForwards)) {
+            delivery.executionDelay = m_network.randomDuration(300, 5000);
+        }
         auto *target = find(address);
         const bool refused = target != nullptr && !target->up;
         m_network.call<host::peer_answer>(
@@ -173,9 +180,9 @@
     simHost.hosts = m_fleet.hostsFor(caller);
     simHost.advice = m_fleet.adviceFor(caller.port);
     simHost.peers = makePeers(simHost);
-    host::host_environment environment{simHost.name,    simHost.address, largeHost,       holderTerm,     simHost.time,
-                                       simHost.records, simHost.workers, simHost.hosts,   simHost.advice, simHost.peers,
-                                       decoders,        *simHost.log,    *simHost.metrics};
+    host::host_environment environment{
+        simHost.name,  simHost.address, simHost.resources, holderTerm, simHost.time, simHost.records, simHost.workers,
+        simHost.hosts, simHost.advice,  simHost.peers,     decoders,   *simHost.log, *simHost.metrics};
     simHost.core = std::make_unique<host::host_core>(std::move(environment));
     simHost.core->start();
 }
@@ -269,9 +276,9 @@
         caller, delivery, simHost.up ? callerTimeout : m_network.randomDuration(1, 5), std::nullopt,
         [this, &simHost, incarnation = simHost.incarnation, call](std::function<void(response_type)> answer) {
             deliver(simHost, incarnation, [&simHost, incarnation, call, answer = std::move(answer)] {
-                auto read = host::parseCallerRequest(call, simHost.core->routes());
+                auto read = host::parseCallerRequest(call, simHost.core->routes(), simHost.core->configStanding());
                 if (!read) {
-                    answer(std::move(read.error()));
+                    answer(std::move(read.error().response));
                     return;
                 }
                 simHost.core->handleRequest(std::move(read->request), read->time,
--- a/tests/system/sim_hosts.h
+++ b/tests/system/sim_hosts.h
@@ -15,6 +15,7 @@
 {
     std::string name;
     std::string address;
+    owner::host_resources resources;
     bool up = false; ///< Whether its process runs.
     std::uint64_t incarnation = 0; ///< Number of the process, increased at each start.
     std::int64_t suspendedUntil = 0; ///< The process is suspended until then, ms.
@@ -73,6 +74,7 @@
 
     host::platform_decoders decoders; ///< Decoders used by all hosts.
     rule_checker *rules = nullptr; ///< Receives violations.
+    double lateForwards = 0; ///< Probability that a request forwarded between hosts is delayed.
     std::int64_t storeLastFaultAt = 0; ///< Time of the store's last fault, ms.
     std::set<std::string> eventNames; ///< Names of all logged events.
     std::size_t takeovers = 0; ///< Number of elected owners.
