Limits of client accounts decide submissions, and operators see them

Cause: caps and shares were decided in the engine only; no submission was refused for them, GET /accounts had no source. Change: 429 exceeds_account_cap and account_over_share, recorded like the other refusals so that no late copy is accepted; the owner's report of the accounts; account events with account, resource, use and cap; the list of events follows.

--- a/src/poplarpass/host/client_request.cpp
+++ b/src/poplarpass/host/client_request.cpp
@@ -57,7 +57,7 @@
 
 auto isRefusal(const net::http_response &response) -> bool
 {
-    return response.status == 503 || response.status == 429;
+    return response.status == unavailableStatus || response.status == tooManyRequestsStatus;
 }
 
 auto answerExactlyOnce(response_callback answer) -> response_callback
--- a/src/poplarpass/host/client_request.h
+++ b/src/poplarpass/host/client_request.h
@@ -53,6 +53,12 @@
 /// \brief HTTP status of a host that cannot determine whether the request was carried out.
 inline constexpr int outcomeUnknownStatus = 502;
 
+/// \brief HTTP status of a refusal because of the limits of the caller's account; the request was not carried out.
+inline constexpr int tooManyRequestsStatus = 429;
+
+/// \brief HTTP status of any other refusal of a request that was not carried out.
+inline constexpr int unavailableStatus = 503;
+
 /// \brief Header of answers between hosts: the epoch of the owner that answers.
 ///
 /// In a refusal it states that the owner has restored the jobs of all earlier epochs, that the job is not among them,
--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -10,6 +10,10 @@
 constexpr std::string_view decisionFields = "id, worker, run, reason, born, heard_ms, epoch, config";
 
 constexpr std::array events{
+    event_description{"account_at_cap", "starts of a client account are held back by its cap",
+                      "account, resource, used, cap, config"},
+    event_description{"account_below_cap", "starts of a client account are no longer held back by its cap",
+                      "account, resource, used, cap, config"},
     event_description{"advice", "the placement advice service responded about a step, or did not respond",
                       decisionFields},
     event_description{"announcement_unreadable", "an announcement of an owner by another host could not be decoded",
@@ -29,6 +33,8 @@
                       decisionFields},
     event_description{"former_owners_stopped", "all former owners have acknowledged that they send no more orders",
                       "epoch, last"},
+    event_description{"gang_hold", "workers are held for a gang that other tasks of its pool would keep waiting",
+                      decisionFields},
     event_description{"host_maintenance", "a host was ordered into maintenance",
                       "host, worker, pool, wave, token, outcome"},
     event_description{"host_move", "a host was ordered to another pool", "host, worker, pool, wave, token, outcome"},
--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -250,6 +250,15 @@
     return refusalResponse(error);
 }
 
+auto host_core::accountReport() const -> tl::expected<account_report, account_report_refusal>
+{
+    if (auto report = m_owner ? m_owner->accountReport() : std::nullopt) {
+        return std::move(*report);
+    }
+    const auto &owner = m_election.current();
+    return tl::unexpected{account_report_refusal{m_routes.accounts() != nullptr, owner ? owner->host : std::string{}}};
+}
+
 auto host_core::updateMetrics() -> void
 {
     if (m_owner) {
--- a/src/poplarpass/host/host_core.h
+++ b/src/poplarpass/host/host_core.h
@@ -71,6 +71,9 @@
     /// \brief Returns how far this host may rely on its configuration when it checks keys.
     [[nodiscard]] auto configStanding() const -> config_standing;
 
+    /// \brief Returns the report of the client accounts if this host owns the pools.
+    [[nodiscard]] auto accountReport() const -> tl::expected<account_report, account_report_refusal>;
+
     /// \brief Updates the gauges of ownership and configuration.
     auto updateMetrics() -> void;
 
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -100,6 +100,7 @@
 {
     m_log.log(log_level::info, "start", {{"zone", m_settings.zone}, {"peers", m_settings.peers}});
     m_core = makeCore();
+    setAccountReportSource([this] { return m_core->accountReport(); });
     listen();
     m_core->start();
     awaitSignals();
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -330,7 +330,10 @@
 {
     const auto now = m_env.time.now();
     m_jobTimes.onDecision(decision, now);
-    m_env.log.logWith(logLevelOf(decision), decision.event, [this, &decision, now] { return fieldsOf(decision, now); });
+    const bool concernsAccount = decision.event == "account_at_cap" || decision.event == "account_below_cap";
+    m_env.log.logWith(logLevelOf(decision), decision.event, [this, &decision, now, concernsAccount] {
+        return concernsAccount ? accountFieldsOf(decision) : fieldsOf(decision, now);
+    });
 }
 
 auto pool_owner::fieldsOf(const jobs::decision &decision, core::monotonic_time now) -> std::vector<observe::field>
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -2,6 +2,7 @@
 
 #include <poplarpass/core/lifetime.h>
 #include <poplarpass/core/time_source.h>
+#include <poplarpass/host/account_report.h>
 #include <poplarpass/host/advice_calls.h>
 #include <poplarpass/host/capacity_controller.h>
 #include <poplarpass/host/client_request.h>
@@ -93,6 +94,9 @@
     /// \brief Returns for how long requests have been served in this term.
     [[nodiscard]] auto servingFor() const -> core::duration;
 
+    /// \brief Returns what operators see of the client accounts; nothing while accounts are disabled.
+    [[nodiscard]] auto accountReport() const -> std::optional<account_report>;
+
     /// \brief Updates the gauges of the owner.
     auto updateMetrics() -> void;
 
@@ -112,7 +116,7 @@
         -> void;
     auto refuseSubmission(const client_request &request, const response_callback &answer, std::string_view reason,
                           int retryAfter) -> void;
-    [[nodiscard]] auto finalRefusal(const client_request &request, std::string_view reason, int retryAfter)
+    [[nodiscard]] auto finalRefusal(const client_request &request, int status, std::string_view reason, int retryAfter)
         -> net::http_response;
     auto refuseDeferred() -> void;
     auto scheduleDeferredRefusal(core::duration delay) -> void;
@@ -124,9 +128,9 @@
     auto updateAccounts() -> void;
     auto authenticateRequest(const client_request &request, const response_callback &answer)
         -> std::optional<jobs::account_id>;
-    /// \returns whether the submission was refused because no task of it could ever start under its account's cap
-    auto refuseOverCap(const client_request &request, const jobs::multistep_job_spec &spec,
-                       const response_callback &answer) -> bool;
+    /// \returns whether the submission was refused because of the cap or the share of its account
+    auto refuseForLimits(const client_request &request, const jobs::queue_policy &queue,
+                         const jobs::multistep_job_spec &spec, const response_callback &answer) -> bool;
     auto refuseForAccount(const client_request &request, const response_callback &answer, std::string_view reason,
                           int retryAfter) -> void;
     auto refuseUnauthenticated(const client_request &request, const response_callback &answer,
@@ -146,6 +150,7 @@
     auto requestAdvice(const jobs::advice_request &request) -> void;
     auto whenStored(std::function<void()> callback) -> void;
     auto logDecision(const jobs::decision &decision) -> void;
+    auto accountFieldsOf(const jobs::decision &decision) -> std::vector<observe::field>;
     auto fieldsOf(const jobs::decision &decision, core::monotonic_time now) -> std::vector<observe::field>;
     auto stepDown(std::string_view reason) -> void;
 
@@ -160,6 +165,7 @@
     waiting_requests m_waiting; ///< Requests that wait for the owner to serve or for a newer configuration.
     waiting_requests m_deferredSubmissions; ///< Submissions that wait for the store.
     refused_attempts m_refusedAttempts;
+    std::map<jobs::account_id, std::map<std::string, std::uint64_t>> m_accountRefusals; ///< By account and reason.
     std::vector<std::function<void()>> m_afterNextWrite;
     std::set<std::string> m_formerOwners;
     bool m_restored = false;
--- a/src/poplarpass/host/pool_owner_accounts.cpp
+++ b/src/poplarpass/host/pool_owner_accounts.cpp
@@ -10,27 +10,48 @@
 {
 using observe::log_level;
 
+namespace
+{
+/// \brief Text of \p amount in log lines: processor time in thousandths of a core, memory in MB, GPUs.
+auto textOf(const jobs::resources &amount) -> std::string
+{
+    return std::to_string(amount.cpu) + "/" + std::to_string(amount.memoryMb) + "/" + std::to_string(amount.gpu);
+}
+} // namespace
+
 auto pool_owner::updateAccounts() -> void
 {
     const auto *accounts = m_env.routes.accounts();
-    if (accounts == nullptr) {
+    const auto version = m_env.routes.config().version;
+    const bool isNew = std::exchange(m_accountsVersion, version) != version;
+    if (accounts != nullptr) {
+        m_engine.setCapsConfirmed(m_env.configStanding().isConfirmed);
+    }
+    if (!isNew) {
         return;
     }
-    m_engine.setCapsConfirmed(m_env.configStanding().isConfirmed);
-    const auto version = m_env.routes.config().version;
-    if (std::exchange(m_accountsVersion, version) != version) {
+    if (accounts == nullptr) {
+        m_engine.disableAccounts();
+    } else {
         m_engine.updateAccounts(accounts->limits());
     }
 }
 
-auto pool_owner::refuseOverCap(const client_request &request, const jobs::multistep_job_spec &spec,
-                               const response_callback &answer) -> bool
+auto pool_owner::refuseForLimits(const client_request &request, const jobs::queue_policy &queue,
+                                 const jobs::multistep_job_spec &spec, const response_callback &answer) -> bool
 {
-    if (request.account.empty() || !m_engine.exceedsCap(spec, request.account)) {
+    if (request.account.empty()) {
         return false;
     }
-    refuseForAccount(request, answer, "exceeds_account_cap", capRetryAfterSeconds);
-    return true;
+    if (m_engine.exceedsCap(spec, request.account)) {
+        refuseForAccount(request, answer, "exceeds_account_cap", capRetryAfterSeconds);
+        return true;
+    }
+    if (const auto retryAfter = m_engine.checkBacklog(request.job, queue, spec, request.account)) {
+        refuseForAccount(request, answer, "account_over_share", static_cast<int>(retryAfter->count()));
+        return true;
+    }
+    return false;
 }
 
 auto pool_owner::refuseForAccount(const client_request &request, const response_callback &answer,
@@ -49,7 +70,8 @@
                    {"config", m_env.routes.config().version},
                    {"config_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(standing.age).count()},
                    {"retry_after_s", retryAfter}});
-    answer(refusalResponse(429, reason, retryAfter));
+    ++m_accountRefusals[request.account][std::string{reason}];
+    answer(finalRefusal(request, tooManyRequestsStatus, reason, retryAfter));
 }
 
 // Runs again for a request that waited, since its key may have been removed meanwhile.
@@ -117,6 +139,44 @@
     return true;
 }
 
+auto pool_owner::accountFieldsOf(const jobs::decision &decision) -> std::vector<observe::field>
+{
+    const jobs::account_id account{decision.subject};
+    const auto *limits = m_engine.limitsOf(account);
+    const auto cap = limits == nullptr ? jobs::resources{} : limits->cap;
+    return {{"account", account.str()},
+            {"resource", decision.reason},
+            {"used", textOf(m_engine.accountUsage().usageOf(account))},
+            {"cap", textOf(cap)},
+            {"config", m_env.routes.config().version}};
+}
+
+auto pool_owner::accountReport() const -> std::optional<account_report>
+{
+    if (m_env.routes.accounts() == nullptr) {
+        return std::nullopt;
+    }
+    account_report report;
+    for (const auto &status : m_engine.accountStatus()) {
+        account_report_entry entry;
+        entry.name = status.limits.name;
+        entry.weight = status.limits.weight;
+        entry.cap = status.limits.cap;
+        entry.use = status.use;
+        entry.shareCores = status.shareCores;
+        entry.waitingTasks = status.waitingTasks;
+        entry.waitingCoreSeconds = status.waitingCoreSeconds;
+        if (const auto refusals = m_accountRefusals.find(entry.name); refusals != m_accountRefusals.end()) {
+            entry.refused = refusals->second;
+        }
+        if (const auto since = m_engine.atCapSince(entry.name)) {
+            entry.atCapSinceMs = core::toUnixMilliseconds(m_env.time.wallNow() - (m_env.time.now() - *since));
+        }
+        report.push_back(std::move(entry));
+    }
+    return report;
+}
+
 auto pool_owner::withConfigVersion(response_callback answer) const -> response_callback
 {
     if (m_env.routes.accounts() == nullptr) {
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -122,7 +122,7 @@
         answer(plainResponse(400, "bad_body"));
         return;
     }
-    if (refuseOverCap(request, *spec, answer)) {
+    if (refuseForLimits(request, match.matched->queue, *spec, answer)) {
         return;
     }
     if (m_engine.taskCount() + jobs::taskCountOf(*spec) > maxTasks) {
@@ -166,16 +166,17 @@
                                   std::string_view reason, int retryAfter) -> void
 {
     refuse(
-        request, [&](const net::http_response &) { answer(finalRefusal(request, reason, retryAfter)); }, reason,
-        retryAfter);
+        request,
+        [&](const net::http_response &) { answer(finalRefusal(request, unavailableStatus, reason, retryAfter)); },
+        reason, retryAfter);
 }
 
 // The jobs that earlier owners stored are known, and their appends are fenced off. What is left are copies that were
 // sent to this term. They are refused as well, if there are any and the attempt can be remembered.
-auto pool_owner::finalRefusal(const client_request &request, std::string_view reason, int retryAfter)
+auto pool_owner::finalRefusal(const client_request &request, int status, std::string_view reason, int retryAfter)
     -> net::http_response
 {
-    auto response = refusalResponse(503, reason, retryAfter);
+    auto response = refusalResponse(status, reason, retryAfter);
     if (!request.isRepeated || m_refusedAttempts.add(request.attempt, m_env.time.now())) {
         response.headers.push_back({std::string{epochHeader}, std::to_string(epoch())});
     }
@@ -199,7 +200,7 @@
                        {"reason", "store_away"},
                        {"stalled_ms", std::chrono::duration_cast<std::chrono::milliseconds>(stalled).count()},
                        {"retry_after_s", retryAfter}});
-        entry.answer(finalRefusal(entry.request, "store_away", retryAfter));
+        entry.answer(finalRefusal(entry.request, unavailableStatus, "store_away", retryAfter));
     }
 }
 
--- a/src/poplarpass/jobs/job_engine_accounts.cpp
+++ b/src/poplarpass/jobs/job_engine_accounts.cpp
@@ -103,7 +103,11 @@
 auto job_engine::reportCaps() -> void
 {
     m_caps.endPlan(m_accountUsage, [this](const account_id &account, bool isAtCap, std::string_view resource) {
-        logEvent(isAtCap ? "account_at_cap" : "account_below_cap", account.str(), {}, 0, resource);
+        if (isAtCap) {
+            logEvent("account_at_cap", account.str(), {}, 0, resource);
+        } else {
+            logEvent("account_below_cap", account.str(), {}, 0, resource);
+        }
     });
 }
 auto job_engine::accountUsage() const -> const account_usage &
