--- a/src/poplarpass/jobs/backlog_limit.h
+++ b/src/poplarpass/jobs/backlog_limit.h
@@ -17,8 +17,10 @@
 
 /// \brief A backlog may take this many times the span from acceptance to the objective of the submitted job.
 inline constexpr double maxBacklogSpans = 3.0;
-/// \brief Longest time after which a refused caller is told to retry, before jitter.
-inline constexpr std::chrono::seconds maxBacklogRetry{30};
+/// \brief A backlog may take at least this long: a job that starts late is of more use to its caller than a refusal.
+inline constexpr std::chrono::seconds minBacklogBound{60};
+/// \brief Time after which a refused caller is told to retry, before jitter: half of the smallest bound has drained.
+inline constexpr std::chrono::seconds backlogRetry{30};
 
 /// \brief Decides whether an account with \p backlog may add the job \p id.
 /// \param objectiveSpan time from the acceptance of the job to its objective
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -68,7 +68,7 @@
 /// \brief A report that lists at least this many ends may be truncated.
 inline constexpr std::size_t maxEndsPerReport = 500;
 /// \brief A task that waits for its account's cap keeps others of the account from starting for at most this long while
-/// the account uses less than half of its cap. They have to start within 3 s (docs/ACCOUNTS.md, requirement 6).
+/// the account uses less than half of its cap. They have to start within 3 s (docs/design/ACCOUNTS.md, requirement 6).
 inline constexpr core::duration maxCapHold = std::chrono::seconds{2};
 /// \brief Time for which the tasks of a settled job stay in memory.
 inline constexpr core::duration settledTaskRetention = std::chrono::seconds{3};
--- a/tests/decisions/account_caps_test.cpp
+++ b/tests/decisions/account_caps_test.cpp
@@ -348,7 +348,8 @@
     CHECK(jobNamesOf(plan(engine, 60)) == std::vector<std::string>{"large"});
 }
 
-// Guards against tasks that wait for seconds although their account uses little: requirement 6 of docs/ACCOUNTS.md.
+// Guards against tasks that wait for seconds although their account uses little: requirement 6 of
+// docs/design/ACCOUNTS.md.
 TEST_CASE("A task starts within 3 s while its account uses under half of its cap", "[accounts][caps]")
 {
     auto engine = cappedEngine({10'000, 0, 0});
