--- a/tests/io/authentication_test.cpp
+++ b/tests/io/authentication_test.cpp
@@ -5,10 +5,12 @@
 #include <poplarpass/host/host_core.h>
 #include <poplarpass/host/host_peers.h>
 #include <poplarpass/host/request_server.h>
+#include <poplarpass/jobs/constants.h>
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <platform/records.h>
 #include <set>
@@ -211,7 +213,7 @@
     const bool hasChallenge = response.header("WWW-Authenticate") == "Bearer";
     const bool hasRetry = !response.header("Retry-After").empty();
     return response.status == status && response.body == R"({"reason":")" + std::string{reason} + R"("})"
-        && hasChallenge == (status == 401) && hasRetry == (status == 503);
+        && hasChallenge == (status == 401) && hasRetry == (status == 503 || status == 429);
 }
 
 auto countLines(const test_host &host, const std::string &text) -> std::ptrdiff_t
@@ -458,6 +460,44 @@
     checkJobs();
 }
 
+// Guards against an ended job that other accounts may see once its tasks are dropped from memory.
+TEST_CASE("An ended job stays closed to other accounts after its tasks are forgotten", "[accounts]")
+{
+    deployment system;
+    REQUIRE(system.submit(system.receiver, "k1").status == 200);
+    REQUIRE(system.call(system.receiver, deployment::makeCall("DELETE", "k1", "/q/" + firstJob)).status == 200);
+    system.time.runFor(poplarpass::jobs::settledTaskRetention + seconds{2});
+    CHECK(isRefusal(system.state(system.receiver, "k9"), 403, "other_account"));
+    CHECK(system.state(system.receiver, "k2").status == 200);
+}
+
+// Guards against a job that waits for ever because its account's cap never permits a task of it.
+TEST_CASE("A job that its account's cap never permits is refused at once, and the report shows it", "[accounts]")
+{
+    deployment system{R"([{"name":"acme","api_keys":["k1"],"weight":3,"cap":{"cpu":0,"mem_mb":0,"gpu":0}},
+        {"name":"small","api_keys":["k9"],"weight":1,"cap":{"cpu":500,"mem_mb":0,"gpu":0}}])"};
+    auto large = deployment::makeCall("POST", "k9", "/q/" + firstJob);
+    large.body = R"({"spec":"s","steps":[{"count":1,"cpu":501,"mem_mb":1}]})";
+    CHECK(isRefusal(system.call(system.receiver, large), 429, "exceeds_account_cap"));
+    CHECK(system.answeredAfter < milliseconds{500});
+    CHECK(system.state(system.receiver, "k9").status == 410);
+    REQUIRE(system.submit(system.receiver, "k9", secondJob).status == 200);
+
+    const auto report = system.owner.core->accountReport();
+    REQUIRE(report);
+    REQUIRE(report->size() == 2);
+    const auto &small = report->at(1);
+    CHECK(small.name == poplarpass::jobs::account_id{"small"});
+    CHECK(small.weight == 1);
+    CHECK(small.cap.cpu == 500);
+    CHECK(small.waitingTasks == 1);
+    CHECK(small.refused == std::map<std::string, std::uint64_t>{{"exceeds_account_cap", 1}});
+    const auto elsewhere = system.receiver.core->accountReport();
+    REQUIRE_FALSE(elsewhere);
+    CHECK(elsewhere.error().areAccountsEnabled);
+    CHECK(elsewhere.error().owner == "owner");
+}
+
 TEST_CASE("Of two accounts that submit one identifier while the store is slow, only the first gets the job",
           "[accounts]")
 {
