--- a/src/poplarpass/jobs/fair_shares.cpp
+++ b/src/poplarpass/jobs/fair_shares.cpp
@@ -81,7 +81,7 @@
         m_claims.push_back({position, claim.weight, wanted, wanted / claim.weight, perUnit});
     }
 
-    // Summed anew, because differences of sums keep rounding errors of claims that are gone.
+    // Summed up again, because differences of sums keep rounding errors of claims that are gone.
     auto updateRates() -> void
     {
         m_rate = {};
--- a/src/poplarpass/owner/claim_rank.h
+++ b/src/poplarpass/owner/claim_rank.h
@@ -20,8 +20,8 @@
 
 /// \brief Delay between the claims of processes with consecutive ranks.
 inline constexpr core::duration claimStagger = std::chrono::milliseconds{25};
-/// \brief Additional delay of small hosts while the store is slow: others need three calls of the store, of up to 650
-/// ms each, until small hosts see that one of them has claimed.
+/// \brief Additional delay of small hosts while the store is slow: a large host needs one call of the store to see the
+/// vacancy and one to claim, and small hosts need another to see the claim.
 inline constexpr core::duration smallHostClaimDelay = std::chrono::seconds{2};
 
 /// \brief Returns whether a host of this size would not keep up as the owner of the pools during load spikes.
