Log crashes of workers and what each one ended

Cause: a run that is lost with its worker left one line that does not tell a crash from silence, nor which runs had only just begun, so the hypotheses on tasks that crash their workers could not be told apart.

Change: worker_crashed names the runs on the worker and how many may have caused its end, run_lost says for how long the run is known to have been executed, worker_lost and worker_regained name the address, and poplarpass_worker_crashes counts them. No decision changes.

--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -8,6 +8,8 @@
 {
 /// Fields of a decision about a job, a task or a run; those about the worker only if one is involved.
 constexpr std::string_view decisionFields = "id, worker, run, reason, born, heard_ms, epoch, config";
+constexpr std::string_view lostRunFields = "id, worker, run, reason, born, heard_ms, ran_ms, epoch, config";
+constexpr std::string_view crashFields = "id, worker, run, reason, born, heard_ms, placed, suspects, epoch, config";
 
 constexpr std::array events{
     event_description{"account_at_cap", "starts of a client account are held back by its cap",
@@ -85,7 +87,7 @@
     event_description{"resigned", "the resignation is complete: another host may claim the pools", ""},
     event_description{"run_ended", "a run ended without completing its task", decisionFields},
     event_description{"run_given_up", "a run is stopped so that its task can be restarted", decisionFields},
-    event_description{"run_lost", "a run is certainly over, but the worker reported no end for it", decisionFields},
+    event_description{"run_lost", "a run is certainly over, but the worker reported no end for it", lostRunFields},
     event_description{"settings_unreadable", "the settings could not be reloaded; the previous ones stay active",
                       "key, expected"},
     event_description{"silence_record_unreadable",
@@ -112,15 +114,19 @@
     event_description{"wave_status", "the state of a wave was reported to the operator",
                       "wave, completed, maintained, hosts"},
     event_description{"wave_unreadable", "a maintenance wave could not be decoded and was skipped", "key, detail"},
+    event_description{"worker_crashed",
+                      "a worker ended without a drain, or stayed silent until its lease expired, with runs on it",
+                      crashFields},
     event_description{"worker_entry_unreadable",
                       "a worker's record could not be decoded and was skipped: the worker gets no work",
                       "worker, offset, detail"},
     event_description{"worker_lost",
                       "a worker does not respond: it gets no starts, and its runs continue until their lease expires",
-                      "worker, placed"},
+                      "worker, address, placed"},
     event_description{"worker_paused", "a worker with repeated run failures gets no starts for a while",
                       decisionFields},
-    event_description{"worker_regained", "a worker responds for the first time or again", "worker, born, running"},
+    event_description{"worker_regained", "a worker responds for the first time or again",
+                      "worker, address, born, running"},
     event_description{"worker_replaced", "another worker responds at a worker's address: the listed worker is gone",
                       "worker"},
 };
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -14,8 +14,8 @@
 // Failures are logged as warnings, which have a rate limit of their own in the log.
 auto logLevelOf(const jobs::decision &decision) -> log_level
 {
-    static constexpr std::array<std::string_view, 5> warningEvents{"run_lost", "run_given_up", "start_rejected",
-                                                                   "start_unanswered", "worker_paused"};
+    static constexpr std::array<std::string_view, 6> warningEvents{
+        "run_lost", "run_given_up", "start_rejected", "start_unanswered", "worker_crashed", "worker_paused"};
     const bool isWarning =
         decision.reason == "failed" || std::ranges::find(warningEvents, decision.event) != warningEvents.end();
     return isWarning ? log_level::warning : log_level::info;
@@ -350,6 +350,13 @@
         }
     }
     fields.emplace_back("reason", decision.reason);
+    if (const auto &ranFor = decision.details.ranFor) {
+        fields.emplace_back("ran_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*ranFor).count());
+    }
+    if (const auto &crash = decision.details.crash) {
+        fields.emplace_back("placed", crash->placed);
+        fields.emplace_back("suspects", crash->suspects);
+    }
     fields.emplace_back("epoch", m_term.epoch());
     fields.emplace_back("config", m_env.routes.config().version);
     return fields;
@@ -390,5 +397,7 @@
     set("poplarpass_starts_rejected", "Starts that workers rejected in this term", counts.startsRejected);
     set("poplarpass_runs_failed", "Runs that failed in this term", counts.runsFailed);
     set("poplarpass_runs_lost", "Runs lost in this term", counts.runsLost);
+    set("poplarpass_worker_crashes", "Workers that ended without a drain while runs were placed on them, in this term",
+        counts.workerCrashes);
 }
 } // namespace poplarpass::host
--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -84,7 +84,7 @@
     case renewal_outcome::failed:
         if (worker != nullptr && worker->responsive) {
             m_log.log(worker->leaving ? observe::log_level::debug : observe::log_level::warning, "worker_lost",
-                      {{"worker", id.str()}, {"placed", worker->placed.size()}});
+                      {{"worker", id.str()}, {"address", worker->entry.address}, {"placed", worker->placed.size()}});
         }
         // The next answer may come from a new incarnation, whose numbers of ends start again from 1.
         m_links[id].acknowledgedEnd = 0;
@@ -100,9 +100,11 @@
         break;
     }
     if (worker != nullptr && !worker->responsive) {
-        m_log.log(
-            observe::log_level::info, "worker_regained",
-            {{"worker", id.str()}, {"born", answer.report.incarnation}, {"running", answer.report.running.size()}});
+        m_log.log(observe::log_level::info, "worker_regained",
+                  {{"worker", id.str()},
+                   {"address", worker->entry.address},
+                   {"born", answer.report.incarnation},
+                   {"running", answer.report.running.size()}});
     }
     const bool responsiveAgain = worker != nullptr && !worker->responsive;
     const auto handled = m_engine.onReport(id, answer.report, sentAt, now);
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -61,6 +61,8 @@
 inline constexpr core::duration initialFailurePause = std::chrono::milliseconds{250};
 /// \brief Longest pause of a worker whose runs fail.
 inline constexpr core::duration maxFailurePause = std::chrono::seconds{4};
+/// \brief A run that its worker has executed for this long is not suspected of having crashed it by its start.
+inline constexpr core::duration startCrashWindow = std::chrono::milliseconds{500};
 /// \brief Consecutive failed runs on a worker, of any tasks, after which starts on it pause.
 inline constexpr std::uint32_t failuresBeforePause = 2;
 /// \brief Minimum delay before an ended long-running task is started again.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -243,10 +243,10 @@
 }
 
 auto job_engine::logEvent(std::string_view event, const std::string &subject, const worker_id &worker,
-                          std::uint32_t run, std::string_view reason) -> void
+                          std::uint32_t run, std::string_view reason, const decision_details &details) -> void
 {
     if (m_onDecision) {
-        m_onDecision(decision{event, subject, worker.str(), run, reason});
+        m_onDecision(decision{event, subject, worker.str(), run, reason, details});
     }
 }
 
@@ -364,6 +364,7 @@
 
 auto job_engine::markAllLost(worker_slot &worker, std::string_view reason, core::monotonic_time now) -> void
 {
+    onWorkerCrash(worker, reason);
     const auto placed = worker.placed;
     for (const auto &task : placed) {
         const auto [job, state] = locate(task);
@@ -371,7 +372,7 @@
             continue;
         }
         ++m_counters.runsLost;
-        logEvent("run_lost", nameOf(task), worker.entry.id, state->run, reason);
+        logRunLost(task, worker, *state, reason);
         resetToWaiting(task, *job, *state, now);
     }
     dropLingering(worker.entry.id);
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -39,6 +39,20 @@
     unknown, ///< There is no such job.
 };
 
+/// \brief Runs that the crash of a worker ended.
+struct crash_counts
+{
+    std::uint32_t placed = 0; ///< Runs on the worker.
+    std::uint32_t suspects = 0; ///< Those of them that may have caused the crash.
+};
+
+/// \brief Details that only some decisions have.
+struct decision_details
+{
+    std::optional<core::duration> ranFor; ///< For how long a lost run is known to have been executed.
+    std::optional<crash_counts> crash; ///< Runs that the crash of a worker ended.
+};
+
 /// \brief One decision, for the event log.
 struct decision
 {
@@ -47,6 +61,7 @@
     std::string worker; ///< Worker, if the decision concerns one.
     std::uint32_t run = 0; ///< Run, if the decision concerns one.
     std::string_view reason; ///< Reason of the decision.
+    decision_details details{}; ///< What only some decisions have.
 };
 
 /// \brief Steps of a pool with tasks that are ready to start but fit only on workers that may not run them.
@@ -64,6 +79,7 @@
     std::uint64_t runsDone = 0; ///< Runs that ended as done.
     std::uint64_t runsFailed = 0; ///< Runs that ended as failed.
     std::uint64_t runsLost = 0; ///< Runs lost with their worker or the end of its lease, or missing in its report.
+    std::uint64_t workerCrashes = 0; ///< Workers that ended or stayed silent, without a drain, with runs on them.
     std::uint64_t jobsAccepted = 0;
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0;
@@ -270,7 +286,7 @@
     auto setPhase(const task_ref &task, multistep_job_record &job, task_record &state, task_phase phase) -> void;
     auto markChanged(const multistep_job_record &job) -> void;
     auto logEvent(std::string_view event, const std::string &subject, const worker_id &worker, std::uint32_t run,
-                  std::string_view reason) -> void;
+                  std::string_view reason, const decision_details &details = {}) -> void;
     auto place(multistep_job_record &job, const task_ref &task, worker_slot &worker, std::uint32_t run,
                core::monotonic_time now) -> void;
     /// \brief Adds an order to start the task's current run, for the first time or again.
@@ -298,6 +314,9 @@
     auto onRunning(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
     auto resolveUnlistedRuns(worker_slot &worker, core::monotonic_time sentAt, core::monotonic_time now) -> void;
     auto markAllLost(worker_slot &worker, std::string_view reason, core::monotonic_time now) -> void;
+    auto onWorkerCrash(const worker_slot &worker, std::string_view reason) -> void;
+    auto logRunLost(const task_ref &task, const worker_slot &worker, const task_record &state, std::string_view reason)
+        -> void;
     /// \returns whether the start of the current run was ordered once more
     auto retryStart(const multistep_job_record &job, const task_ref &task, task_record &state) -> bool;
     auto onStartAccepted(const start_order &order, multistep_job_record &job, task_record &state,
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -51,6 +51,7 @@
     worker->clockReadAt = now;
     m_workers.setResponsive(*worker, true);
     worker->lastResponseAt = now;
+    worker->lastHeardAt = now;
     for (const auto &end : report.ended) {
         if (end.number > worker->lastHandledEnd) {
             onEnd(*worker, end, now);
@@ -82,6 +83,7 @@
     if (worker.leaseSentAt >= startedAfter) {
         worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseSentAt + maxGrantedLease + leaseMargin);
     }
+    onWorkerCrash(worker, "worker_restarted");
     const auto listed = runsListedIn(report);
     const auto placed = worker.placed;
     for (const auto &task : placed) {
@@ -92,7 +94,7 @@
         const bool isListed = listed.contains(runKey(nameOf(task), state->run));
         if (!isListed && state->acknowledged && state->acknowledgedAt < startedAfter) {
             ++m_counters.runsLost;
-            logEvent("run_lost", nameOf(task), worker.entry.id, state->run, "worker_restarted");
+            logRunLost(task, worker, *state, "worker_restarted");
             resetToWaiting(task, *job, *state, now);
             continue;
         }
@@ -263,7 +265,7 @@
             state->phase == task_phase::closing && state->stopConfirmed && state->stopConfirmedAt < sentAt;
         if (wasRunning || stopWasConfirmed) {
             m_counters.runsLost += wasRunning ? 1 : 0;
-            logEvent("run_lost", nameOf(task), worker.entry.id, state->run, stopWasConfirmed ? "closed" : "not_listed");
+            logRunLost(task, worker, *state, stopWasConfirmed ? "closed" : "not_listed");
             resetToWaiting(task, *job, *state, now);
         }
     }
@@ -293,6 +295,7 @@
                                  core::monotonic_time now) -> void
 {
     if (auto *worker = m_workers.find(order.worker)) {
+        worker->lastHeardAt = now;
         markStarted(job, *worker);
     }
     state.acknowledged = true;
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -24,6 +24,7 @@
     bool leaving = false; ///< Whether the system drains its host, or has ordered the host to move or to maintenance.
     bool responsive = false; ///< Whether its last renewal was answered.
     core::monotonic_time lastResponseAt{}; ///< When it last answered a renewal.
+    core::monotonic_time lastHeardAt{}; ///< When it last answered any call.
     core::monotonic_time pausedUntil{}; ///< No starts before this time.
     core::monotonic_time leaseSentAt{}; ///< When a lease extension was last sent.
     core::monotonic_time leaseEnd{}; ///< Time by which all placed runs have ended if no further lease is sent.
