--- /dev/null
+++ b/tests/decisions/crashing_task_test.cpp
@@ -0,0 +1,233 @@
+#include "fakes/worker_model.h"
+#include "jobs_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace tests::jobs_fixture;
+
+namespace
+{
+constexpr std::int64_t tickMs = 10;
+constexpr std::int64_t renewalPeriodMs = 100;
+constexpr std::int64_t crashDelayMs = 10;
+constexpr std::int64_t runTimeMs = 600;
+/// A task may be started twice more after three workers have crashed under it.
+constexpr std::uint32_t maxCrashes = 5;
+
+auto silentObserver() -> fakes::worker_observer
+{
+    fakes::worker_observer observer;
+    observer.onStart = [](const std::string &, std::uint32_t) {
+    };
+    observer.onEnd = [](const std::string &, std::uint32_t, jobs::end_kind) {
+    };
+    observer.onAcknowledged = [](const jobs::ended_run &) {
+    };
+    return observer;
+}
+
+/// \brief A machine whose worker comes back under a new identifier, at the same address, some time after a crash.
+struct crashing_machine
+{
+    std::string address;
+    std::string worker;
+    std::unique_ptr<fakes::worker_model> model;
+    std::int64_t downUntil = 0;
+    std::uint32_t lives = 0;
+};
+
+/// \brief Machines, an engine, and tasks that crash each worker that starts them.
+class crash_world
+{
+public:
+    explicit crash_world(std::size_t machines)
+        : m_engine{std::make_unique<jobs::job_engine>(nullptr)}
+    {
+        for (std::size_t index = 0; index < machines; ++index) {
+            auto &machine = m_machines.emplace_back();
+            machine.address = "10.0.0." + std::to_string(index + 1) + ":80";
+            replaceWorker(machine);
+        }
+    }
+
+    auto submit(const std::string &id, const jobs::multistep_job_spec &spec) -> void
+    {
+        m_specs[id] = spec;
+        m_engine->submit(jobs::job_id{id}, queue(), spec, wallAt(m_now));
+    }
+
+    auto runFor(std::int64_t milliseconds) -> void
+    {
+        for (const auto end = m_now + milliseconds; m_now < end; m_now += tickMs) {
+            tick();
+        }
+    }
+
+    /// \brief Replaces the engine by one that restores what the former one stored.
+    auto takeOver() -> void
+    {
+        auto next = std::make_unique<jobs::job_engine>(nullptr);
+        for (const auto &[id, spec] : m_specs) {
+            const auto &stored = *m_engine->find(jobs::job_id{id});
+            auto job = jobs::makeJob(stored.id, queue(), spec, stored.acceptedAt);
+            REQUIRE(jobs::applyProgress(job, jobs::encodeProgress(stored)));
+            next->restore(std::move(job), at(m_now), at(m_now));
+        }
+        m_engine = std::move(next);
+        m_lastSeen.clear();
+        ++m_token;
+    }
+
+    auto phaseOf(const std::string &id) -> jobs::multistep_job_phase
+    {
+        return m_engine->find(jobs::job_id{id})->phase;
+    }
+
+    std::set<std::string> crashingTasks; ///< Names of the tasks that crash their workers.
+    std::int64_t downtimeMs = 3000; ///< Time from a crash until the next worker is up.
+    std::map<std::string, std::uint32_t> crashes; ///< Workers that crashed while they executed a task, by task.
+
+private:
+    auto replaceWorker(crashing_machine &machine) -> void
+    {
+        machine.worker = machine.address + "#" + std::to_string(++machine.lives);
+        machine.model =
+            std::make_unique<fakes::worker_model>(silentObserver(), 1.0, jobs::resources{hostCpu, 32'000, 0});
+        machine.model->restart(m_now);
+    }
+
+    auto tick() -> void
+    {
+        std::vector<jobs::worker_entry> entries;
+        for (auto &machine : m_machines) {
+            if (machine.downUntil != 0 && m_now >= machine.downUntil) {
+                machine.downUntil = 0;
+                replaceWorker(machine);
+            }
+            if (machine.downUntil == 0) {
+                machine.model->advance(m_now);
+                crashIfDue(machine);
+            }
+            if (machine.downUntil == 0) {
+                auto entry = worker(machine.worker, machine.model->incarnation());
+                entry.address = machine.address;
+                entry.clockMs = machine.model->clockAt(m_now);
+                entries.push_back(entry);
+            }
+        }
+        m_engine->updateWorkers(entries, at(m_now));
+        if (m_now % renewalPeriodMs == 0) {
+            renewAll();
+        }
+        m_engine->plan(at(m_now), wallAt(m_now));
+        m_engine->drainChangedJobs();
+        for (const auto orders = m_engine->drainOrders(); const auto &order : orders.starts) {
+            m_engine->onStartAnswer(order, start(order), at(m_now));
+        }
+    }
+
+    auto crashIfDue(crashing_machine &machine) -> void
+    {
+        const auto running = machine.model->runningTasks();
+        const bool crashesNow = std::ranges::any_of(running, [&](const auto &task) {
+            return crashingTasks.contains(task) && m_now - m_startedAt.at(task) >= crashDelayMs;
+        });
+        if (crashesNow) {
+            std::ranges::for_each(running, [&](const auto &task) { ++crashes[task]; });
+            machine.downUntil = m_now + downtimeMs;
+        }
+    }
+
+    auto renewAll() -> void
+    {
+        std::vector<jobs::worker_id> known;
+        for (const auto &[id, slot] : m_engine->workers().all()) {
+            known.push_back(id);
+        }
+        for (const auto &id : known) {
+            renew(id);
+        }
+    }
+
+    auto renew(const jobs::worker_id &id) -> void
+    {
+        const auto address = id.str().substr(0, id.str().find('#'));
+        auto &machine = *std::ranges::find(m_machines, address, &crashing_machine::address);
+        if (machine.downUntil != 0) {
+            m_engine->onNoReport(id);
+        } else if (machine.worker != id.str()) {
+            m_engine->onOtherInstance(id, at(m_now));
+        } else {
+            auto *slot = m_engine->workers().find(id);
+            const auto deadline = m_engine->workers().extendLease(*slot, at(m_now));
+            REQUIRE(machine.model->renew(m_token, m_lastSeen[id.str()], deadline, m_now));
+            m_lastSeen[id.str()] = m_engine->onReport(id, machine.model->report(m_now), at(m_now), at(m_now));
+        }
+    }
+
+    auto start(const jobs::start_order &order) -> jobs::run_start_answer
+    {
+        const auto found = std::ranges::find(m_machines, order.worker.str(), &crashing_machine::worker);
+        if (found == m_machines.end() || found->downUntil != 0) {
+            return jobs::run_start_answer::unreachable;
+        }
+        auto *slot = m_engine->workers().find(order.worker);
+        const auto &step = m_specs.at(order.task.job.str()).steps[order.task.step];
+        fakes::start_command command;
+        command.token = m_token;
+        command.task = jobs::nameOf(order.task);
+        command.run = order.run;
+        command.deadlineMs = m_engine->workers().extendLease(*slot, at(m_now));
+        command.need = step.perTask;
+        command.lengthMs = runTimeMs;
+        command.longRunning = step.longRunning;
+        m_startedAt[command.task] = m_now;
+        return found->model->start(command, m_now);
+    }
+
+    std::unique_ptr<jobs::job_engine> m_engine;
+    std::vector<crashing_machine> m_machines;
+    std::map<std::string, jobs::multistep_job_spec> m_specs;
+    std::map<std::string, std::int64_t> m_startedAt; ///< When the newest run of a task began, by task.
+    std::map<std::string, std::uint64_t> m_lastSeen; ///< Number of the last acknowledged end, by worker.
+    std::int64_t m_now = 0;
+    std::uint64_t m_token = 1;
+};
+
+const std::string crashingJob = "00000000000000ff";
+const std::string crashingTask = crashingJob + ".0.0.1";
+} // namespace
+
+TEST_CASE("A task that crashes each worker that starts it is given up before the sixth start", "[jobs][crashes]")
+{
+    crash_world world{4};
+    world.crashingTasks = {crashingTask};
+    world.submit(crashingJob, jobOf({step(3)}));
+    world.runFor(60'000);
+    CHECK(world.crashes[crashingTask] >= 2);
+    CHECK(world.crashes[crashingTask] <= maxCrashes);
+    CHECK(world.phaseOf(crashingJob) == jobs::multistep_job_phase::failed);
+}
+
+TEST_CASE("Tasks that only ran beside one that crashes its worker are completed", "[jobs][crashes]")
+{
+    crash_world world{4};
+    world.crashingTasks = {crashingTask};
+    const std::vector<std::string> others{"000000000000000a", "000000000000000b", "000000000000000c"};
+    world.submit(others[0], jobOf({step(6)}));
+    world.submit(crashingJob, jobOf({step(3)}));
+    world.submit(others[1], jobOf({step(6)}));
+    world.runFor(200);
+    world.submit(others[2], jobOf({step(6)}));
+    world.runFor(30'000);
+    for (const auto &id : others) {
+        CAPTURE(id);
+        CHECK(world.phaseOf(id) == jobs::multistep_job_phase::completed);
+    }
+    CHECK(world.crashes[crashingTask] <= maxCrashes);
+}
