Give up jobs whose task crashes the workers that start it

Cause: a run that ends with its worker left no evidence against its task; only ends that a worker reports as failed count towards the attempts of a queue. The task went back to waiting and started again without end, each time together with all that was lost with it, since the tightest fit places equal tasks on one worker.

Change: each crash is recorded with the tasks whose runs had only just begun there, in the stored progress of their jobs. Such a task starts again only on a worker that starts nothing else until the run has lasted 250 ms, so that a further crash tells which job caused it. After two certain crashes, or four if some are not certain, with its job alone to blame the last time, the job fails, and the tasks that had been suspected with it are cleared. Silence and starts without an answer are no certain crashes. Long-running tasks need two crashes that only their job can have caused.

--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -44,6 +44,8 @@
     event_description{"host_service_regained", "the host service responds again", "effect"},
     event_description{"job_accepted", "a job was accepted; it is acknowledged once it is stored", decisionFields},
     event_description{"job_ended", "a job is completed, failed or cancelled", decisionFields},
+    event_description{"job_given_up", "a job fails because one of its tasks crashes the workers that start it",
+                      decisionFields},
     event_description{"job_record_unreadable", "the stored specification of a job could not be decoded and was skipped",
                       "job, detail"},
     event_description{"job_refused", "a job was refused and never runs", "id, reason, stalled_ms, retry_after_s"},
@@ -129,6 +131,9 @@
                       "worker, address, born, running"},
     event_description{"worker_replaced", "another worker responds at a worker's address: the listed worker is gone",
                       "worker"},
+    event_description{"worker_reserved",
+                      "a worker takes no other starts until a task that may crash it has started there",
+                      decisionFields},
 };
 } // namespace
 
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -14,8 +14,9 @@
 // Failures are logged as warnings, which have a rate limit of their own in the log.
 auto logLevelOf(const jobs::decision &decision) -> log_level
 {
-    static constexpr std::array<std::string_view, 6> warningEvents{
-        "run_lost", "run_given_up", "start_rejected", "start_unanswered", "worker_crashed", "worker_paused"};
+    static constexpr std::array<std::string_view, 7> warningEvents{
+        "job_given_up",     "run_lost",       "run_given_up", "start_rejected",
+        "start_unanswered", "worker_crashed", "worker_paused"};
     const bool isWarning =
         decision.reason == "failed" || std::ranges::find(warningEvents, decision.event) != warningEvents.end();
     return isWarning ? log_level::warning : log_level::info;
@@ -392,6 +393,9 @@
     set("poplarpass_jobs_accepted", "Jobs accepted in this term", counts.jobsAccepted);
     set("poplarpass_jobs_completed", "Jobs completed in this term", counts.jobsCompleted);
     set("poplarpass_jobs_failed", "Jobs failed in this term", counts.jobsFailed);
+    set("poplarpass_jobs_given_up", "Jobs failed in this term because a task crashes its workers", counts.jobsCrashing);
+    set("poplarpass_observed_starts", "Starts in this term of tasks that may crash their worker",
+        counts.observedStarts);
     set("poplarpass_jobs_cancelled", "Jobs cancelled in this term", counts.jobsCancelled);
     set("poplarpass_starts", "Starts decided in this term", counts.starts);
     set("poplarpass_starts_rejected", "Starts that workers rejected in this term", counts.startsRejected);
--- a/src/poplarpass/jobs.h
+++ b/src/poplarpass/jobs.h
@@ -6,6 +6,7 @@
 #include <poplarpass/jobs/account_limits.h>
 #include <poplarpass/jobs/account_usage.h>
 #include <poplarpass/jobs/constants.h>
+#include <poplarpass/jobs/crash_evidence.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/jobs/job_order.h>
 #include <poplarpass/jobs/job_spec.h>
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -62,7 +62,24 @@
 /// \brief Longest pause of a worker whose runs fail.
 inline constexpr core::duration maxFailurePause = std::chrono::seconds{4};
 /// \brief A run that its worker has executed for this long is not suspected of having crashed it by its start.
-inline constexpr core::duration startCrashWindow = std::chrono::milliseconds{500};
+inline constexpr core::duration startCrashWindow = std::chrono::milliseconds{250};
+/// \brief The same for a task under which lateCrashesBeforeObservation workers crashed later than that.
+inline constexpr core::duration lateCrashWindow = std::chrono::seconds{2};
+/// \brief Number of workers that may crash during a task's runs, later than startCrashWindow, before it is suspected.
+inline constexpr std::uint32_t lateCrashesBeforeObservation = 3;
+/// \brief Number of workers that surely crash under a task before it is given up.
+inline constexpr std::uint32_t crashesBeforeGivingUp = 2;
+/// \brief The same when not all of them are certain.
+inline constexpr std::uint32_t uncertainCrashesBeforeGivingUp = 4;
+/// \brief Time for which a worker is reserved for the observed start of a job's tasks, at first until they start and
+/// then until the starts are acknowledged.
+inline constexpr core::duration reservationTime = std::chrono::seconds{2};
+/// \brief Time for which it is remembered which tasks may have caused a crash.
+inline constexpr core::duration crashMemory = std::chrono::seconds{60};
+/// \brief Time within which the crash of a worker is noticed by its closed connection.
+inline constexpr core::duration crashNoticeDelay = std::chrono::milliseconds{100};
+/// \brief Share of a pool's workers, one over this number and rounded up, that may be reserved for observed starts.
+inline constexpr std::size_t reservedWorkersDivisor = 4;
 /// \brief Consecutive failed runs on a worker, of any tasks, after which starts on it pause.
 inline constexpr std::uint32_t failuresBeforePause = 2;
 /// \brief Minimum delay before an ended long-running task is started again.
--- a/src/poplarpass/jobs/crash_evidence.h
+++ b/src/poplarpass/jobs/crash_evidence.h
@@ -3,12 +3,53 @@
 #include <poplarpass/jobs/job_state.h>
 #include <poplarpass/jobs/worker_table.h>
 
-namespace poplarpass::jobs::internal
+#include <string_view>
+#include <vector>
+
+/// Which tasks are suspected of crashing the workers that start them, and when a suspicion is certain enough.
+namespace poplarpass::jobs
+{
+/// \brief How the end of a worker was noticed.
+enum class worker_loss : std::uint8_t {
+    other_instance, ///< Another instance answered at its address.
+    worker_restarted, ///< It reported as a new incarnation.
+    lease_lapsed, ///< It stayed silent until its lease had expired; it may only be cut off.
+};
+
+/// \brief Returns the name of \p loss in logs.
+auto nameOf(worker_loss loss) -> std::string_view;
+
+namespace internal
+{
+/// \brief Tasks of several jobs that may have caused the crash of one worker.
+struct crash_suspects
 {
+    std::vector<task_ref> tasks;
+    core::monotonic_time at{}; ///< When the crash was noticed.
+};
+
 /// \brief Returns for how long a run is known to have been executed: from its acknowledgement until its worker last
 /// answered any call; zero when the worker has answered none since.
 auto knownRunTime(const task_record &state, const worker_slot &worker) -> core::duration;
 
-/// \brief Returns whether the crash of \p worker may have been caused by the start of this run.
+/// \brief Returns the time after its start for which a run of a task with \p crashes may be about to crash its worker.
+auto observationTime(const crash_record &crashes) -> core::duration;
+
+/// \brief Returns whether the run that \p state describes may have crashed \p worker.
 auto isCrashSuspect(const task_record &state, const worker_slot &worker) -> bool;
-} // namespace poplarpass::jobs::internal
+
+/// \brief Returns whether a run on a worker that responds at \p now is past the time at which it might crash it.
+auto hasPassedObservation(const task_record &state, core::monotonic_time now) -> bool;
+
+/// \brief Returns whether runs of a task with \p crashes must start on a worker that starts nothing else meanwhile.
+auto needsObservedStart(const crash_record &crashes) -> bool;
+
+/// \brief Returns whether it is certain that the run began, and that its worker ended afterwards.
+auto isCertainCrash(const task_record &state, const worker_slot &worker, worker_loss loss) -> bool;
+
+/// \brief Decides, after a crash for which only one job could be the cause, whether its task is given up.
+/// \param crashes of the task, including the last crash
+/// \param longRunning whether the task runs until it is cancelled
+auto isCrashingTask(const crash_record &crashes, bool longRunning) -> bool;
+} // namespace internal
+} // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -63,6 +63,7 @@
     });
     if (restored.phase == multistep_job_phase::active) {
         addActiveJob(restored);
+        updateSuspicion(restored);
     } else {
         restored.endedAt = now;
     }
@@ -351,6 +352,7 @@
     job.phase = phase;
     job.endedAt = now;
     m_activeJobs[job.queue.pool].erase(job.id);
+    m_suspects.erase(job.id);
     m_advice.removeJob(job.id);
     markChanged(job);
     forEachTask(job, [&](const task_ref &task, std::size_t position) {
@@ -362,9 +364,9 @@
     logEvent("job_ended", job.id.str(), {}, 0, nameOf(phase));
 }
 
-auto job_engine::markAllLost(worker_slot &worker, std::string_view reason, core::monotonic_time now) -> void
+auto job_engine::markAllLost(worker_slot &worker, worker_loss loss, core::monotonic_time now) -> void
 {
-    onWorkerCrash(worker, reason);
+    const auto crashing = recordCrash(worker, loss, now);
     const auto placed = worker.placed;
     for (const auto &task : placed) {
         const auto [job, state] = locate(task);
@@ -372,7 +374,7 @@
             continue;
         }
         ++m_counters.runsLost;
-        logRunLost(task, worker, *state, reason);
+        logRunLost(task, worker, *state, nameOf(loss));
         resetToWaiting(task, *job, *state, now);
     }
     dropLingering(worker.entry.id);
@@ -381,6 +383,7 @@
     worker.bestEffortRuns = 0;
     worker.servingRuns = 0;
     worker.longRunningRuns = 0;
+    giveUpCrashingJobs(crashing, now);
 }
 
 auto job_engine::countFailure(const task_ref &task, multistep_job_record &job, task_record &state, std::uint32_t run,
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -4,6 +4,7 @@
 #include <poplarpass/jobs/account_numbers.h>
 #include <poplarpass/jobs/account_usage.h>
 #include <poplarpass/jobs/advice_cache.h>
+#include <poplarpass/jobs/crash_evidence.h>
 #include <poplarpass/jobs/gang_hold.h>
 #include <poplarpass/jobs/job_order.h>
 #include <poplarpass/jobs/job_state.h>
@@ -11,6 +12,7 @@
 #include <poplarpass/jobs/placement_candidates.h>
 #include <poplarpass/jobs/pool_shares.h>
 #include <poplarpass/jobs/ranked_job.h>
+#include <poplarpass/jobs/suspect_workers.h>
 #include <poplarpass/jobs/worker_table.h>
 
 #include <functional>
@@ -82,7 +84,9 @@
     std::uint64_t workerCrashes = 0; ///< Workers that ended or stayed silent, without a drain, with runs on them.
     std::uint64_t jobsAccepted = 0;
     std::uint64_t jobsCompleted = 0;
-    std::uint64_t jobsFailed = 0;
+    std::uint64_t jobsFailed = 0; ///< Including jobsCrashing.
+    std::uint64_t jobsCrashing = 0; ///< Jobs that were given up because a task crashes its workers.
+    std::uint64_t observedStarts = 0; ///< Starts on reserved workers, of tasks that may crash them.
     std::uint64_t jobsCancelled = 0;
 };
 
@@ -313,8 +317,36 @@
     auto recordOutcome(worker_slot &worker, end_kind how, core::monotonic_time now) -> void;
     auto onRunning(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
     auto resolveUnlistedRuns(worker_slot &worker, core::monotonic_time sentAt, core::monotonic_time now) -> void;
-    auto markAllLost(worker_slot &worker, std::string_view reason, core::monotonic_time now) -> void;
-    auto onWorkerCrash(const worker_slot &worker, std::string_view reason) -> void;
+    auto markAllLost(worker_slot &worker, worker_loss loss, core::monotonic_time now) -> void;
+    /// \returns jobs to be given up once the lost runs are removed
+    auto recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now) -> std::vector<job_id>;
+    auto findCrashingJob(const std::vector<task_ref> &suspects) -> std::vector<job_id>;
+    auto giveUpCrashingJobs(std::span<const job_id> jobs, core::monotonic_time now) -> void;
+    auto updateSuspicion(const multistep_job_record &job) -> void;
+    auto clearOthers(const job_id &crashing) -> void;
+    auto planSuspects(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
+                      core::wall_time wallTime) -> void;
+    auto planSuspectsOf(multistep_job_record &job, internal::suspect_workers &workers, core::monotonic_time now,
+                        core::wall_time wallTime) -> void;
+    auto planSuspectsOfStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                            internal::suspect_workers &workers, core::monotonic_time now) -> void;
+    auto planGangWithSuspects(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                              internal::suspect_workers &workers, core::monotonic_time now) -> void;
+    auto chooseForGangWithSuspects(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                                   internal::suspect_workers &workers, core::monotonic_time now)
+        -> std::vector<worker_slot *>;
+    /// \brief Returns those of \p workers that may run the step by the advice service, if its queue has one.
+    auto permittedWorkers(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                          std::span<worker_slot *const> workers, core::monotonic_time now)
+        -> std::vector<worker_slot *>;
+    /// \returns false when no worker is free for it; then one may have been reserved
+    auto placeSuspect(multistep_job_record &job, const task_ref &task, internal::suspect_workers &workers,
+                      core::monotonic_time now) -> bool;
+    auto reserveForSuspect(const multistep_job_record &job, const task_ref &task,
+                           const internal::suspect_workers &workers, std::span<worker_slot *const> permitted) -> void;
+    auto workersForSuspects(const core::pool_id &pool, core::monotonic_time now) -> internal::suspect_workers;
+    static auto endObservation(worker_slot &worker, const job_id &job) -> void;
+    auto shortenObservation(const start_order &order, const task_record &state, core::monotonic_time now) -> void;
     auto logRunLost(const task_ref &task, const worker_slot &worker, const task_record &state, std::string_view reason)
         -> void;
     /// \returns whether the start of the current run was ordered once more
@@ -364,6 +396,9 @@
     /// \returns false when a gang that is ready to start does not fit on \p workers
     auto placeGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                    internal::placement_candidates &workers, core::monotonic_time now) -> bool;
+    /// \brief Places all members of a gang on \p chosen, in the order of their index.
+    auto startGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                   std::span<worker_slot *const> chosen, core::monotonic_time now) -> void;
     static auto chooseGangWorkers(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                                   internal::placement_candidates &workers) -> std::vector<worker_slot *>;
     auto recordMismatch(const multistep_job_record &job, std::uint32_t step, std::span<worker_slot *const> workers)
@@ -373,6 +408,8 @@
     std::unordered_map<std::string, multistep_job_record> m_jobs;
     std::map<core::pool_id, active_jobs> m_activeJobs;
     std::set<std::pair<worker_id, task_ref>> m_closing; ///< Tasks in phase closing.
+    std::set<job_id> m_suspects; ///< Active jobs with tasks that need an observed start.
+    std::vector<internal::crash_suspects> m_crashes; ///< Crashes that more than one job may have caused.
     worker_table m_workers;
     internal::account_numbers m_accountNumbers;
     std::map<core::pool_id, shared_pool> m_sharedPools; ///< Empty until accounts are configured.
--- a/src/poplarpass/jobs/job_engine_accounts.cpp
+++ b/src/poplarpass/jobs/job_engine_accounts.cpp
@@ -133,6 +133,7 @@
     auto *worker = m_workers.find(state.worker);
     if (worker != nullptr && worker->placed.erase(task) > 0) {
         internal::removeUsage(*worker, step);
+        endObservation(*worker, task.job);
         m_accountUsage.remove(job.account, job.queue.pool, step.perTask);
     }
 }
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -1,4 +1,5 @@
 #include <poplarpass/jobs/constants.h>
+#include <poplarpass/jobs/crash_evidence.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/jobs/job_order.h>
 #include <poplarpass/jobs/task_placement.h>
@@ -47,6 +48,7 @@
     evacuateLeaving(now);
     m_caps.beginPlan(now);
     for (const auto &[pool, active] : m_activeJobs) {
+        planSuspects(pool, active, now, wallTime);
         if (m_accountNumbers.isAnyConfigured()) {
             planSharedPool(pool, active, now, wallTime);
         } else if (!active.empty()) {
@@ -60,7 +62,7 @@
 {
     std::vector<worker_slot *> workers;
     for (auto *worker : m_workers.ofPool(pool)) {
-        if (worker->acceptsStarts(now)) {
+        if (worker->acceptsStarts(now) && !worker->isReserved(now)) {
             workers.push_back(worker);
         }
     }
@@ -252,7 +254,8 @@
     const auto first = job.positionOf(occurrence, step, 0);
     for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
         const auto &state = job.tasks[first + index];
-        if (state.phase != task_phase::waiting || now < state.notBefore) {
+        const bool isStartable = state.phase == task_phase::waiting && now >= state.notBefore;
+        if (!isStartable || internal::needsObservedStart(state.crashes)) {
             continue;
         }
         if (!isWithinShare()) {
@@ -272,23 +275,18 @@
     return true;
 }
 
-// Either all members start together or none does. They share one run number and one checkpoint.
+// Either all members start together or none does.
 auto job_engine::placeGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                            internal::placement_candidates &workers, core::monotonic_time now) -> bool
 {
     const auto &spec = job.spec.steps[step];
     const auto first = job.positionOf(occurrence, step, 0);
-    std::uint32_t run = 0;
-    std::string checkpoint;
     for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
         const auto &state = job.tasks[first + index];
-        if (state.phase != task_phase::waiting || now < state.notBefore) {
+        const bool isStartable = state.phase == task_phase::waiting && now >= state.notBefore;
+        if (!isStartable || internal::needsObservedStart(state.crashes)) {
             return true;
         }
-        run = std::max(run, state.run);
-        if (!state.checkpoint.empty()) {
-            checkpoint = state.checkpoint;
-        }
     }
     if (!capPermits(job, spec)) {
         return true;
@@ -297,15 +295,34 @@
     if (chosen.empty()) {
         return false;
     }
-    for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
-        job.tasks[first + index].checkpoint = checkpoint;
-        place(job, task_ref{job.id, occurrence, step, index}, *chosen[index], run + 1, now);
-        workers.updateUsage(*chosen[index]);
+    startGang(job, occurrence, step, chosen, now);
+    for (const auto *worker : chosen) {
+        workers.updateUsage(*worker);
     }
     onCappedStart(job);
     return true;
 }
 
+// The members of a gang share one run number and one checkpoint.
+auto job_engine::startGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                           std::span<worker_slot *const> chosen, core::monotonic_time now) -> void
+{
+    const auto first = job.positionOf(occurrence, step, 0);
+    std::uint32_t run = 0;
+    std::string checkpoint;
+    for (std::size_t index = 0; index < chosen.size(); ++index) {
+        const auto &state = job.tasks[first + index];
+        run = std::max(run, state.run);
+        if (!state.checkpoint.empty()) {
+            checkpoint = state.checkpoint;
+        }
+    }
+    for (std::uint32_t index = 0; index < chosen.size(); ++index) {
+        job.tasks[first + index].checkpoint = checkpoint;
+        place(job, task_ref{job.id, occurrence, step, index}, *chosen[index], run + 1, now);
+    }
+}
+
 // Each member is placed tentatively while the next one is chosen, and all are removed again before the return.
 auto job_engine::chooseGangWorkers(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                                    internal::placement_candidates &workers) -> std::vector<worker_slot *>
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -1,4 +1,5 @@
 #include <poplarpass/jobs/constants.h>
+#include <poplarpass/jobs/crash_evidence.h>
 #include <poplarpass/jobs/job_engine.h>
 
 #include <algorithm>
@@ -83,7 +84,7 @@
     if (worker.leaseSentAt >= startedAfter) {
         worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseSentAt + maxGrantedLease + leaseMargin);
     }
-    onWorkerCrash(worker, "worker_restarted");
+    const auto crashing = recordCrash(worker, worker_loss::worker_restarted, now);
     const auto listed = runsListedIn(report);
     const auto placed = worker.placed;
     for (const auto &task : placed) {
@@ -105,6 +106,7 @@
             beginClosing(task, *job, *state, now);
         }
     }
+    giveUpCrashingJobs(crashing, now);
 }
 
 auto job_engine::onNoReport(const worker_id &id) -> void
@@ -119,7 +121,7 @@
     if (auto *worker = m_workers.find(id)) {
         m_workers.setResponsive(*worker, false);
         worker->listed = false;
-        markAllLost(*worker, "other_instance", now);
+        markAllLost(*worker, worker_loss::other_instance, now);
     }
 }
 
@@ -303,6 +305,18 @@
     if (state.phase == task_phase::starting) {
         setPhase(order.task, job, state, task_phase::running);
     }
+    shortenObservation(order, state, now);
+}
+
+// Before the acknowledgement the worker is reserved for as long as the order may take.
+auto job_engine::shortenObservation(const start_order &order, const task_record &state, core::monotonic_time now)
+    -> void
+{
+    auto *worker = m_workers.find(order.worker);
+    const bool isObserved = worker != nullptr && worker->observation && worker->observation->job == order.task.job;
+    if (isObserved && internal::needsObservedStart(state.crashes)) {
+        worker->observation->until = now + internal::observationTime(state.crashes) + crashNoticeDelay;
+    }
 }
 
 // Retries the start of the same run, which a worker carries out at most once. Only when the retries fail is the run
@@ -398,7 +412,7 @@
 {
     for (const auto &[id, worker] : m_workers.unrenewed()) {
         if (!worker->placed.empty() && now >= worker->leaseEnd && !worker->responsive) {
-            markAllLost(*worker, "lease_lapsed", now);
+            markAllLost(*worker, worker_loss::lease_lapsed, now);
         }
     }
 }
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -21,6 +21,23 @@
     done, ///< It ended as done.
 };
 
+/// \brief Crashes of workers under a task, over all of its runs.
+struct crash_record
+{
+    std::uint32_t atStart = 0; ///< Workers that crashed when they had only just begun a run of the task.
+    std::uint32_t later = 0; ///< Workers that crashed later during a run.
+    std::uint32_t alone = 0; ///< Those of atStart on which only runs of the task's own job had just begun.
+    std::uint32_t certain = 0; ///< Those of all on which a run had surely begun, and which surely ended.
+
+    auto operator==(const crash_record &) const -> bool = default;
+
+    /// \brief Returns the number of workers that crashed while a run of the task may have existed there.
+    [[nodiscard]] auto total() const -> std::uint32_t
+    {
+        return atStart + later;
+    }
+};
+
 /// \brief State of one task. encodeProgress() writes what survives a takeover.
 struct task_record
 {
@@ -30,6 +47,7 @@
     worker_id worker; ///< Worker of the newest run.
     std::int64_t workerIncarnation = 0; ///< Incarnation of that worker: its start time in Unix milliseconds.
     std::string checkpoint; ///< Newest saved progress; empty for none.
+    crash_record crashes; ///< Crashes of workers under it.
 
     // Not recorded: rebuilt from the workers' reports after a takeover.
     bool acknowledged = false; ///< Whether the worker acknowledged the start of this run.
@@ -58,7 +76,7 @@
 enum class multistep_job_phase : std::uint8_t {
     active, ///< Accepted and not ended.
     completed, ///< All tasks ended as done.
-    failed, ///< A task reached the maximum number of failed runs of its queue.
+    failed, ///< A task reached the maximum number of failed runs of its queue, or crashes its workers.
     cancelled, ///< Its caller cancelled it.
 };
 
--- a/src/poplarpass/jobs/progress_text.cpp
+++ b/src/poplarpass/jobs/progress_text.cpp
@@ -3,16 +3,20 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <span>
+#include <utility>
 #include <vector>
 
 // Format: one line of fields separated by spaces: the job's phase, whether it was started, and for each task that is
 // not in its initial state: position phase run failed-count failed... incarnation worker-length:worker
-// checkpoint-length:checkpoint.
+// checkpoint-length:checkpoint. Then, if workers crashed under tasks, a mark, and for each such task: position and the
+// numbers of its crash_record.
 namespace poplarpass::jobs
 {
 namespace
 {
 constexpr char endMark = 'e';
+constexpr std::string_view crashMark = "c ";
 
 class text_reader
 {
@@ -27,6 +31,15 @@
         return m_rest.empty();
     }
 
+    /// \brief Skips \p mark.
+    /// \returns whether it came next
+    auto skip(std::string_view mark) -> bool
+    {
+        const bool comesNext = m_rest.starts_with(mark);
+        m_rest.remove_prefix(comesNext ? mark.size() : 0);
+        return comesNext;
+    }
+
     template <class number_type>
     auto number(char separator = ' ') -> std::optional<number_type>
     {
@@ -112,6 +125,39 @@
     return progress;
 }
 
+auto readCrashes(text_reader &in, std::span<task_record> tasks) -> bool
+{
+    while (!in.atEnd()) {
+        const auto position = in.number<std::size_t>();
+        const auto atStart = in.number<std::uint32_t>();
+        const auto later = in.number<std::uint32_t>();
+        const auto alone = in.number<std::uint32_t>();
+        const auto certain = in.number<std::uint32_t>();
+        if (!position || !atStart || !later || !alone || !certain || *position >= tasks.size()) {
+            return false;
+        }
+        tasks[*position].crashes = {*atStart, *later, *alone, *certain};
+    }
+    return true;
+}
+
+auto appendCrashes(std::string &out, std::span<const task_record> tasks) -> void
+{
+    bool hasMark = false;
+    for (std::size_t position = 0; position < tasks.size(); ++position) {
+        const auto &crashes = tasks[position].crashes;
+        if (crashes == crash_record{} || tasks[position].phase == task_phase::done) {
+            continue;
+        }
+        out += std::exchange(hasMark, true) ? std::string_view{} : crashMark;
+        append(out, static_cast<std::int64_t>(position));
+        append(out, std::int64_t{crashes.atStart});
+        append(out, std::int64_t{crashes.later});
+        append(out, std::int64_t{crashes.alone});
+        append(out, std::int64_t{crashes.certain});
+    }
+}
+
 auto recount(multistep_job_record &job) -> void
 {
     job.unfinished = 0;
@@ -157,6 +203,7 @@
         append(out, done ? std::string_view{} : std::string_view{state.worker.str()});
         append(out, done ? std::string_view{} : std::string_view{state.checkpoint});
     }
+    appendCrashes(out, job.tasks);
     return out;
 }
 
@@ -182,13 +229,16 @@
         return false;
     }
     auto tasks = job.tasks;
-    while (!in.atEnd()) {
+    while (!in.atEnd() && !in.skip(crashMark)) {
         auto progress = readTask(in);
         if (!progress || progress->position >= tasks.size()) {
             return false;
         }
         tasks[progress->position] = std::move(progress->state);
     }
+    if (!readCrashes(in, tasks)) {
+        return false;
+    }
     job.phase = static_cast<multistep_job_phase>(*phase);
     job.started = *started != 0;
     job.tasks = std::move(tasks);
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -11,6 +11,11 @@
         && now - lastResponseAt < workerResponseTimeout;
 }
 
+auto worker_slot::isReserved(core::monotonic_time now) const -> bool
+{
+    return observation && now < observation->until;
+}
+
 auto worker_slot::free() const -> resources
 {
     auto remaining = entry.capacity;
@@ -63,6 +68,7 @@
     worker.synced = false;
     worker.lastHandledEnd = 0;
     worker.consecutiveFailures = 0;
+    worker.observation.reset();
 }
 
 auto worker_table::find(const worker_id &id) -> worker_slot *
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -14,6 +14,14 @@
 
 namespace poplarpass::jobs
 {
+/// \brief Reservation of a worker for tasks of one job that may crash it: no other task starts there meanwhile.
+struct start_observation
+{
+    job_id job; ///< Job whose tasks may start there.
+    core::monotonic_time until{}; ///< End of the reservation.
+    bool started = false; ///< Whether one of them was placed there.
+};
+
 /// \brief State of one worker: its published entry, the runs placed on it and the end of its lease.
 struct worker_slot
 {
@@ -34,6 +42,7 @@
     std::optional<std::chrono::milliseconds>
         recordedRemainder; ///< Remaining lease as last recorded, while it is unresponsive.
     std::uint32_t consecutiveFailures = 0; ///< Failed runs since the last one that ended as done.
+    std::optional<start_observation> observation; ///< Set while it is reserved for an observed start.
     std::uint32_t bestEffortPace = 100; ///< Pace of best-effort tasks there, percent.
     core::monotonic_time paceChangedAt{}; ///< When bestEffortPace was last changed.
     std::uint32_t bestEffortRuns = 0; ///< Placed runs of best-effort steps.
@@ -45,6 +54,9 @@
     /// \brief Returns whether starts may be sent at \p now.
     [[nodiscard]] auto acceptsStarts(core::monotonic_time now) const -> bool;
 
+    /// \brief Returns whether it is reserved at \p now for the observed start of tasks of one job.
+    [[nodiscard]] auto isReserved(core::monotonic_time now) const -> bool;
+
     /// \brief Returns the unreserved resources.
     [[nodiscard]] auto free() const -> resources;
 
--- a/tests/decisions/crashing_task_test.cpp
+++ b/tests/decisions/crashing_task_test.cpp
@@ -231,3 +231,147 @@
     }
     CHECK(world.crashes[crashingTask] <= maxCrashes);
 }
+
+TEST_CASE("Crashes of a task are remembered after a change of owner", "[jobs][crashes]")
+{
+    crash_world world{4};
+    world.crashingTasks = {crashingTask};
+    world.submit(crashingJob, jobOf({step(3)}));
+    world.runFor(2000);
+    REQUIRE(world.crashes[crashingTask] == 1);
+    world.runFor(1500);
+    world.takeOver();
+    world.runFor(3500);
+    world.takeOver();
+    world.runFor(30'000);
+    CHECK(world.crashes[crashingTask] <= maxCrashes);
+    CHECK(world.phaseOf(crashingJob) == jobs::multistep_job_phase::failed);
+}
+
+TEST_CASE("A crashing task whose worker is back only after its lease is given up before the sixth start",
+          "[jobs][crashes]")
+{
+    crash_world world{6};
+    world.downtimeMs = 8000;
+    world.crashingTasks = {crashingTask};
+    world.submit(crashingJob, jobOf({step(3)}));
+    world.runFor(120'000);
+    CHECK(world.crashes[crashingTask] <= maxCrashes);
+    CHECK(world.phaseOf(crashingJob) == jobs::multistep_job_phase::failed);
+}
+
+TEST_CASE("A gang with a member that crashes its workers is given up before the sixth start", "[jobs][crashes]")
+{
+    crash_world world{4};
+    auto gang = step(3, 4000);
+    gang.gang = true;
+    world.crashingTasks = {crashingTask};
+    world.submit(crashingJob, jobOf({gang}));
+    world.runFor(60'000);
+    CHECK(world.crashes[crashingTask] >= 2);
+    CHECK(world.crashes[crashingTask] <= maxCrashes);
+    CHECK(world.phaseOf(crashingJob) == jobs::multistep_job_phase::failed);
+}
+
+TEST_CASE("Long-running tasks beside tasks that crash their workers are restarted, not given up", "[jobs][crashes]")
+{
+    crash_world world{3};
+    auto longRunning = step(6);
+    longRunning.longRunning = true;
+    const std::string longRunningJob = "000000000000000d";
+    world.submit(longRunningJob, jobOf({longRunning}));
+    for (int round = 0; round < 8; ++round) {
+        const auto id = "00000000000000f" + std::to_string(round);
+        world.crashingTasks.insert(id + ".0.0.0");
+        world.submit(id, jobOf({step(2)}));
+        world.runFor(4000);
+    }
+    world.runFor(20'000);
+    CHECK(world.phaseOf(longRunningJob) == jobs::multistep_job_phase::active);
+    for (const auto &task : world.crashingTasks) {
+        CAPTURE(task);
+        CHECK(world.crashes[task] <= maxCrashes);
+    }
+}
+
+TEST_CASE("A long-running task that crashes each worker that starts it is given up before the sixth start",
+          "[jobs][crashes]")
+{
+    crash_world world{4};
+    auto longRunning = step(3);
+    longRunning.longRunning = true;
+    world.crashingTasks = {crashingTask};
+    world.submit(crashingJob, jobOf({longRunning}));
+    world.runFor(60'000);
+    CHECK(world.crashes[crashingTask] <= maxCrashes);
+    CHECK(world.phaseOf(crashingJob) == jobs::multistep_job_phase::failed);
+}
+
+TEST_CASE("A suspected task starts within three seconds in a pool that stays full", "[jobs][crashes]")
+{
+    crash_world world{4};
+    world.crashingTasks = {crashingTask};
+    const std::string suspected = "000000000000000a";
+    world.submit(suspected, jobOf({step(2)}));
+    world.submit(crashingJob, jobOf({step(3)}));
+    // The last worker crashed under them is replaced after 3 s; the pool gets more than it can run all the while.
+    for (int round = 0; round < 40; ++round) {
+        world.submit("00000000000000" + std::to_string(10 + round), jobOf({step(16)}));
+        world.runFor(150);
+    }
+    CHECK(world.phaseOf(suspected) == jobs::multistep_job_phase::completed);
+}
+
+TEST_CASE("A job is not given up because workers fall silent when they have just begun its task", "[jobs][crashes]")
+{
+    auto engine = engineWith({worker("a"), worker("b"), worker("c")});
+    const jobs::job_id id{crashingJob};
+    engine.submit(id, queue(), jobOf({step(1)}), wallAt(0));
+    std::int64_t now = 10;
+    for (int round = 0; round < 3; ++round) {
+        engine.plan(at(now), wallAt(now));
+        const auto starts = engine.drainOrders().starts;
+        REQUIRE(starts.size() == 1);
+        engine.workers().extendLease(*engine.workers().find(starts[0].worker), at(now));
+        engine.onStartAnswer(starts[0], jobs::run_start_answer::started, at(now));
+        engine.onNoReport(starts[0].worker);
+        now += 6000;
+        for (const auto *other : {"a", "b", "c"}) {
+            if (starts[0].worker.str() != other) {
+                engine.onReport(jobs::worker_id{other}, report(), at(now), at(now));
+            }
+        }
+    }
+    engine.plan(at(now), wallAt(now));
+    CHECK(engine.find(id)->phase == jobs::multistep_job_phase::active);
+    CHECK(engine.find(id)->tasks[0].crashes.total() == 3);
+}
+
+TEST_CASE("Only crashes that a task may have caused count against it", "[jobs][crashes]")
+{
+    using jobs::internal::isCrashingTask;
+    CHECK_FALSE(isCrashingTask({1, 0, 1, 1}, false));
+    CHECK_FALSE(isCrashingTask({1, 2, 1, 3}, false));
+    CHECK_FALSE(isCrashingTask({2, 0, 1, 1}, false));
+    CHECK_FALSE(isCrashingTask({3, 0, 1, 1}, false));
+    CHECK(isCrashingTask({2, 0, 1, 2}, false));
+    CHECK(isCrashingTask({4, 0, 1, 0}, false));
+    CHECK_FALSE(isCrashingTask({2, 0, 1, 2}, true));
+    CHECK_FALSE(isCrashingTask({1, 6, 1, 7}, true));
+    CHECK(isCrashingTask({2, 0, 2, 2}, true));
+}
+
+TEST_CASE("The crash of a worker whose host is being drained counts against the tasks that had just begun there",
+          "[jobs][crashes]")
+{
+    auto engine = engineWith({worker("a")});
+    const jobs::job_id id{crashingJob};
+    engine.submit(id, queue(), jobOf({step(1)}), wallAt(0));
+    engine.plan(at(10), wallAt(10));
+    const auto start = engine.drainOrders().starts.at(0);
+    engine.onStartAnswer(start, jobs::run_start_answer::started, at(10));
+    engine.workers().find(start.worker)->leaving = true;
+    engine.onNoReport(start.worker);
+    engine.onOtherInstance(start.worker, at(3000));
+    CHECK(engine.find(id)->tasks[0].crashes == jobs::crash_record{1, 0, 1, 1});
+}
--- a/tests/decisions/progress_text_test.cpp
+++ b/tests/decisions/progress_text_test.cpp
@@ -18,6 +18,7 @@
     job.tasks[1].worker = jobs::worker_id{"a worker with spaces"};
     job.tasks[1].workerIncarnation = 1'800'000'000'123;
     job.tasks[1].checkpoint = "0 1:2";
+    job.tasks[1].crashes = {2, 1, 1, 3};
     auto read = jobs::makeJob(job.id, queue(), jobOf({step(3), step(2)}), wallAt(0));
     REQUIRE(jobs::applyProgress(read, jobs::encodeProgress(job)));
     CHECK(read.started);
@@ -28,6 +29,7 @@
     CHECK(read.tasks[1].worker == job.tasks[1].worker);
     CHECK(read.tasks[1].workerIncarnation == job.tasks[1].workerIncarnation);
     CHECK(read.tasks[1].checkpoint == job.tasks[1].checkpoint);
+    CHECK(read.tasks[1].crashes == job.tasks[1].crashes);
 }
 
 TEST_CASE("Malformed progress leaves the job unchanged", "[jobs]")
@@ -36,6 +38,7 @@
     job.tasks[0].phase = jobs::task_phase::running;
     job.tasks[0].run = 1;
     job.tasks[0].worker = jobs::worker_id{"w"};
+    job.tasks[0].crashes.atStart = 1;
     const auto text = jobs::encodeProgress(job);
     std::mt19937 random{tests::baseSeed()};
     for (int round = 0; round < 2000; ++round) {
