Runs of a silent worker are lost when a later worker answers at its address

Callers saw: tasks of one crashed worker in five started again only when its lease had expired, up to 2 s after the next worker at its address served.

Cause: the end of a worker was proved only by an answer to a call addressed to it, and its calls wait for retries; the first report of another worker at the same address proves it as well.

Change: the first report of a worker ends the runs of earlier workers, by time of birth, at its address. The crash is then certain evidence, too.

Evidence: the test "lost at once when a later worker answers at its address" failed before and passes now. The builder of test workers gives each its own address, as the platform does.

--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -320,6 +320,8 @@
     auto markAllLost(worker_slot &worker, worker_loss loss, core::monotonic_time now) -> void;
     /// \returns jobs to be given up once the lost runs are removed
     auto recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now) -> std::vector<job_id>;
+    /// \brief Ends the runs of earlier workers at the address of \p worker, which has just answered for the first time.
+    auto endPredecessors(const worker_slot &worker, core::monotonic_time now) -> void;
     auto findCrashingJob(const std::vector<task_ref> &suspects) -> std::vector<job_id>;
     auto giveUpCrashingJobs(std::span<const job_id> jobs, core::monotonic_time now) -> void;
     auto updateSuspicion(const multistep_job_record &job) -> void;
--- a/src/poplarpass/jobs/job_engine_crashes.cpp
+++ b/src/poplarpass/jobs/job_engine_crashes.cpp
@@ -68,6 +68,18 @@
     return {};
 }
 
+// An address belongs to one worker at a time, so the answer of a later one proves the end of all earlier ones.
+auto job_engine::endPredecessors(const worker_slot &worker, core::monotonic_time now) -> void
+{
+    for (auto &[id, other] : m_workers.all()) {
+        const bool isPredecessor = other.entry.id != worker.entry.id && other.entry.address == worker.entry.address
+            && other.entry.incarnation < worker.entry.incarnation;
+        if (isPredecessor && !other.entry.address.empty() && !other.placed.empty()) {
+            onOtherInstance(id, now);
+        }
+    }
+}
+
 auto job_engine::findCrashingJob(const std::vector<task_ref> &suspects) -> std::vector<job_id>
 {
     bool isCrashing = false;
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -47,6 +47,7 @@
     if (incarnation != worker->reportedIncarnation) {
         worker_table::startIncarnation(*worker, incarnation);
         resolveEarlierIncarnation(*worker, report, sentAt, now);
+        endPredecessors(*worker, now);
     }
     worker->clockMs = report.clockMs;
     worker->clockReadAt = now;
--- a/tests/decisions/crashing_task_test.cpp
+++ b/tests/decisions/crashing_task_test.cpp
@@ -375,3 +375,35 @@
     engine.onOtherInstance(start.worker, at(3000));
     CHECK(engine.find(id)->tasks[0].crashes == jobs::crash_record{1, 0, 1, 1});
 }
+
+TEST_CASE("The runs of a silent worker are lost at once when a later worker answers at its address", "[jobs][crashes]")
+{
+    auto engine = engineWith({worker("a")});
+    const jobs::job_id id{crashingJob};
+    engine.submit(id, queue(), jobOf({step(1)}), wallAt(0));
+    engine.plan(at(10), wallAt(10));
+    const auto start = engine.drainOrders().starts.at(0);
+    engine.onStartAnswer(start, jobs::run_start_answer::started, at(10));
+    engine.onNoReport(start.worker);
+    auto successor = worker("b", 2);
+    successor.address = worker("a").address;
+    engine.updateWorkers({{worker("a"), successor}}, at(3000));
+    SECTION("The later worker answers")
+    {
+        engine.onReport(successor.id, report(2), at(3000), at(3000));
+        CHECK(engine.find(id)->tasks[0].phase == jobs::task_phase::waiting);
+        CHECK(engine.find(id)->tasks[0].crashes.certain == 1);
+    }
+    SECTION("The later worker is only listed")
+    {
+        CHECK(engine.find(id)->tasks[0].phase == jobs::task_phase::running);
+    }
+    SECTION("An earlier worker at the address answers late")
+    {
+        auto former = worker("c", 0);
+        former.address = worker("a").address;
+        engine.updateWorkers({{worker("a"), former}}, at(3000));
+        engine.onReport(former.id, report(0), at(3000), at(3000));
+        CHECK(engine.find(id)->tasks[0].phase == jobs::task_phase::running);
+    }
+}
--- a/tests/decisions/jobs_fixture.h
+++ b/tests/decisions/jobs_fixture.h
@@ -60,7 +60,7 @@
     entry.id = jobs::worker_id{id};
     entry.incarnation = incarnation;
     entry.pool = core::pool_id{pool};
-    entry.address = "10.0.0.1:80";
+    entry.address = id + ".example:80";
     entry.capacity = {hostCpu, 32'000, 0};
     entry.labels = {"kind", "rack-" + id};
     return entry;
