Runs that may still exist reserve resources of their workers, with or without an account

Rule at stake: a start must not exceed the capacity of a worker that does not enforce it; a run that is being stopped still counts.

Cause: runs that may exist although their tasks are done or have a newer run counted against the cap of their account only, and runs of anonymous callers against nothing: the worker looked free while it was still stopping them.

Change: all such runs are kept and reserve resources on their workers, also those that a worker lists for a former owner. A worker is not forgotten while it has any.

--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -224,7 +224,7 @@
 
     /// \brief Returns the state of each configured account, in the order of the configuration. Visits all jobs.
     [[nodiscard]] auto accountStatus() const -> std::vector<account_status>;
-    /// \brief Returns the runs of accounts that may exist although they are not placed, by worker.
+    /// \brief Returns the runs that may exist although they are not placed, by worker.
     [[nodiscard]] auto lingeringRuns() const -> const std::map<worker_id, std::vector<lingering_run>> &;
 
     /// \brief Returns the counts since construction.
@@ -280,7 +280,8 @@
     auto reportCaps() -> void;
     auto keepLingering(const task_ref &task, const multistep_job_record &job, const task_record &state,
                        core::monotonic_time now) -> void;
-    auto onStrayRun(const worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
+    auto addLingering(worker_slot &worker, lingering_run entry) -> void;
+    auto onStrayRun(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
     auto onLingeringEnd(const worker_id &worker, const ended_run &end) -> void;
     auto onLingeringStopped(const stop_order &order, core::monotonic_time now) -> void;
     auto resolveLingering(const worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt) -> void;
@@ -418,7 +419,7 @@
     sharing_pass m_pass;
     account_caps m_caps;
     account_usage m_accountUsage; ///< Of the runs placed on any worker of m_workers, and of m_lingering.
-    std::map<worker_id, std::vector<lingering_run>> m_lingering; ///< By worker; only of jobs with an account.
+    std::map<worker_id, std::vector<lingering_run>> m_lingering; ///< By worker.
     std::set<job_id> m_changed;
     order_batch m_orders;
     advice_cache m_advice;
--- a/src/poplarpass/jobs/job_engine_lingering.cpp
+++ b/src/poplarpass/jobs/job_engine_lingering.cpp
@@ -1,5 +1,6 @@
 #include <poplarpass/jobs/constants.h>
 #include <poplarpass/jobs/job_engine.h>
+#include <poplarpass/jobs/task_placement.h>
 
 #include <algorithm>
 
@@ -9,6 +10,21 @@
 {
 namespace
 {
+auto makeLingering(const task_ref &task, const multistep_job_record &job, std::uint32_t run, std::int64_t incarnation)
+    -> lingering_run
+{
+    const auto &step = job.spec.steps[task.step];
+    lingering_run entry;
+    entry.task = nameOf(task);
+    entry.run = run;
+    entry.incarnation = incarnation;
+    entry.account = job.account;
+    entry.pool = job.queue.pool;
+    entry.need = step.perTask;
+    entry.reserved = internal::requiredResources(step);
+    return entry;
+}
+
 auto isRun(const lingering_run &entry, std::string_view task, std::uint32_t run) -> bool
 {
     return entry.run == run && entry.task == task;
@@ -23,42 +39,46 @@
 auto job_engine::keepLingering(const task_ref &task, const multistep_job_record &job, const task_record &state,
                                core::monotonic_time now) -> void
 {
-    const auto *worker = m_workers.find(state.worker);
-    if (job.account.empty() || worker == nullptr || !worker->placed.contains(task)) {
+    auto *worker = m_workers.find(state.worker);
+    if (worker == nullptr || !worker->placed.contains(task)) {
         return;
     }
-    lingering_run entry{nameOf(task), state.run,      state.workerIncarnation,
-                        job.account,  job.queue.pool, job.spec.steps[task.step].perTask};
+    auto entry = makeLingering(task, job, state.run, state.workerIncarnation);
     entry.acknowledged = state.acknowledged;
     entry.acknowledgedAt = state.acknowledgedAt;
     entry.stopConfirmed = state.stopConfirmed;
     entry.stopConfirmedAt = state.stopConfirmedAt;
     entry.stopSentAt = now;
     entry.leaseEnd = worker->leaseEnd;
+    addLingering(*worker, std::move(entry));
+}
+
+auto job_engine::addLingering(worker_slot &worker, lingering_run entry) -> void
+{
     m_accountUsage.add(entry.account, entry.pool, entry.need);
-    m_lingering[state.worker].push_back(std::move(entry));
+    worker.lingering += entry.reserved;
+    m_lingering[worker.entry.id].push_back(std::move(entry));
 }
 
 // Runs of a former owner's engine that lingered there are found when their workers list them.
-auto job_engine::onStrayRun(const worker_slot &worker, const running_run &running, core::monotonic_time now) -> void
+auto job_engine::onStrayRun(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void
 {
     const auto task = parseTaskName(running.task);
     const auto [job, state] = task ? locate(*task) : located_task{};
-    if (job == nullptr || job->account.empty()) {
-        return;
-    }
-    auto &entries = m_lingering[worker.entry.id];
-    if (std::ranges::any_of(entries, [&](const auto &entry) { return isRun(entry, running.task, running.run); })) {
+    const bool isPlaced = job != nullptr && state->run == running.run && worker.placed.contains(*task);
+    const auto known = m_lingering.find(worker.entry.id);
+    const bool isKnown = known != m_lingering.end() && std::ranges::any_of(known->second, [&](const auto &entry) {
+                             return isRun(entry, running.task, running.run);
+                         });
+    if (job == nullptr || isPlaced || isKnown) {
         return;
     }
-    lingering_run entry{running.task, running.run,     worker.entry.incarnation,
-                        job->account, job->queue.pool, job->spec.steps[task->step].perTask};
+    auto entry = makeLingering(*task, *job, running.run, worker.entry.incarnation);
     entry.acknowledged = true;
     entry.acknowledgedAt = now;
     entry.stopSentAt = now;
     entry.leaseEnd = worker.leaseEnd;
-    m_accountUsage.add(entry.account, entry.pool, entry.need);
-    entries.push_back(std::move(entry));
+    addLingering(worker, std::move(entry));
 }
 
 auto job_engine::removeLingeringIf(const worker_id &worker, const std::function<bool(lingering_run &)> &isOver) -> void
@@ -67,11 +87,15 @@
     if (found == m_lingering.end()) {
         return;
     }
+    auto *slot = m_workers.find(worker);
     std::erase_if(found->second, [&](lingering_run &entry) {
         const bool over = isOver(entry);
         if (over) {
             m_accountUsage.remove(entry.account, entry.pool, entry.need);
         }
+        if (over && slot != nullptr) {
+            slot->lingering -= entry.reserved;
+        }
         return over;
     });
     if (found->second.empty()) {
@@ -121,7 +145,7 @@
     });
 }
 
-// Its worker may have been removed, as no run is placed there; then its lease is no longer extended.
+// The lease of a worker that is no longer listed is not extended.
 auto job_engine::updateLingering(core::monotonic_time now) -> void
 {
     std::vector<worker_id> lapsed;
--- a/src/poplarpass/jobs/lingering_run.h
+++ b/src/poplarpass/jobs/lingering_run.h
@@ -8,8 +8,8 @@
 
 namespace poplarpass::jobs
 {
-/// \brief A run that may still exist although its task is done or has a newer run. It counts against the cap of its
-/// account until its end is certain.
+/// \brief A run that may still exist although its task is done or has a newer run. It counts against the capacity of
+/// its worker and the cap of its account until its end is certain.
 struct lingering_run
 {
     std::string task; ///< Name of the task.
@@ -18,6 +18,7 @@
     account_id account;
     core::pool_id pool; ///< Pool of the job's queue.
     resources need; ///< Resources that it uses.
+    resources reserved; ///< Resources that it reserves on the worker.
     bool acknowledged = false; ///< Whether the worker acknowledged its start.
     core::monotonic_time acknowledgedAt{}; ///< When it did.
     bool stopConfirmed = false; ///< Whether the worker confirmed a stop.
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -20,6 +20,7 @@
 {
     auto remaining = entry.capacity;
     remaining -= used;
+    remaining -= lingering;
     return remaining;
 }
 
@@ -212,7 +213,7 @@
 {
     m_areIndexesCurrent = false;
     const auto isUnused = [](const worker_slot &worker) {
-        return !worker.listed && worker.placed.empty();
+        return !worker.listed && worker.placed.empty() && worker.lingering == resources{};
     };
     std::erase_if(m_unrenewed, [&](const auto &entry) { return isUnused(*entry.second); });
     std::erase_if(m_byId, [&](const auto &entry) { return isUnused(*entry.second); });
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -49,6 +49,7 @@
     std::uint32_t servingRuns = 0; ///< Placed runs of serving steps, which have a tail latency target.
     std::uint32_t longRunningRuns = 0; ///< Placed runs of long-running steps.
     resources used; ///< Resources reserved by the placed runs.
+    resources lingering; ///< Resources reserved by runs that may exist although they are not placed.
     std::set<task_ref> placed; ///< Tasks whose newest run exists, or may exist, there.
 
     /// \brief Returns whether starts may be sent at \p now.
@@ -133,7 +134,7 @@
     /// extended again.
     auto collectUnrenewedLeases(core::monotonic_time now) -> std::vector<unrenewed_lease>;
 
-    /// \brief Removes workers that are not listed and have no placed runs.
+    /// \brief Removes workers that are not listed and on which no runs may exist.
     auto removeUnused() -> void;
 
     /// \brief Resets the state of \p worker for a new incarnation.
