No starts on workers that do not enforce their capacity while it cannot be read

Rule at stake: a worker's capacity may shrink while it runs; a start must not exceed it on a worker that does not enforce it.

Cause: the engine placed by the capacity that it had read last, however old, while the store refused reads of the workers' records but took appends.

Change: in pools whose configuration says that capacity is not enforced no run starts once the last complete read of the workers is more than 2 s old. Pools that enforce it are served as before.

Evidence: the test "Workers that do not enforce their capacity get no starts while it cannot be read" fails without the call and passes with it.

--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -25,6 +25,8 @@
 inline constexpr core::duration workerListPeriod = std::chrono::milliseconds{400};
 /// \brief The same while hosts are moving to a pool.
 inline constexpr core::duration workerListBusyPeriod = std::chrono::milliseconds{150};
+/// \brief Workers that do not enforce their capacity get no starts once their published capacity is older than this.
+inline constexpr core::duration maxCapacityAge = std::chrono::seconds{2};
 /// \brief Interval between removals of ended jobs.
 inline constexpr core::duration housekeepingPeriod = std::chrono::seconds{1};
 /// \brief Minimum interval between two capacity plans.
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -191,6 +191,21 @@
     requestCycle();
 }
 
+// A worker's capacity may shrink while it runs. One that does not enforce it would start what no longer fits.
+auto pool_owner::holdPoolsWithStaleCapacity() -> void
+{
+    std::set<core::pool_id> held;
+    const auto confirmedAt = m_workers->confirmedAt();
+    if (!confirmedAt || m_env.time.now() - *confirmedAt > maxCapacityAge) {
+        for (const auto &pool : m_env.routes.config().pools) {
+            if (!pool.enforcesCapacity) {
+                held.insert(pool.name);
+            }
+        }
+    }
+    m_engine.setHeldPools(std::move(held));
+}
+
 auto pool_owner::onRenewing(core::monotonic_time sentAt, core::duration electionTimeout) -> void
 {
     m_term.onRenewing(sentAt, electionTimeout);
@@ -247,6 +262,7 @@
     m_cycleRequested = false;
     if (!m_resigned && m_term.mayOrder(now)) {
         updateAccounts();
+        holdPoolsWithStaleCapacity();
         m_capacity->plan();
         m_engine.plan(now, m_env.time.wallNow());
     }
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -107,6 +107,7 @@
     auto onJobsRead(const store::newest_result &newest) -> void;
     auto onWorkersRead() -> void;
     auto updateWorkers() -> void;
+    auto holdPoolsWithStaleCapacity() -> void;
     auto beginServing() -> void;
     auto removeEndedJobs() -> void;
     auto serve(const client_request &request, const response_callback &answer) -> void;
--- a/src/poplarpass/host/worker_list.cpp
+++ b/src/poplarpass/host/worker_list.cpp
@@ -86,6 +86,11 @@
     return m_loaded;
 }
 
+auto worker_list::confirmedAt() const -> std::optional<core::monotonic_time>
+{
+    return m_follower.confirmedAt();
+}
+
 auto worker_list::entries() const -> std::span<const jobs::worker_entry>
 {
     return m_entries;
--- a/src/poplarpass/host/worker_list.h
+++ b/src/poplarpass/host/worker_list.h
@@ -26,6 +26,9 @@
     /// \brief Whether the complete list has been read at least once.
     [[nodiscard]] auto isLoaded() const -> bool;
 
+    /// \brief Time at which the last read was sent that returned all entries; nothing before the first one.
+    [[nodiscard]] auto confirmedAt() const -> std::optional<core::monotonic_time>;
+
     /// \brief All readable entries, by identifier.
     [[nodiscard]] auto entries() const -> std::span<const jobs::worker_entry>;
 
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -140,6 +140,9 @@
     /// \brief Applies the platform's complete list of workers.
     auto updateWorkers(std::span<const worker_entry> entries, core::monotonic_time now) -> void;
 
+    /// \brief Sets the pools whose workers get no starts, because their free capacity is not known.
+    auto setHeldPools(std::set<core::pool_id> pools) -> void;
+
     /// \brief Processes a worker's report in answer to a renewal that was sent at \p sentAt.
     /// \returns number of the last end that may be acknowledged once the jobs from drainChangedJobs() are stored; 0 for
     /// none
@@ -394,6 +397,8 @@
                   internal::placement_candidates &workers, core::monotonic_time now) -> bool;
     auto placeStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                    internal::placement_candidates &workers, core::monotonic_time now) -> bool;
+    /// \brief Returns the workers that accept starts, including those that are reserved for observed starts.
+    auto acceptingWorkersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>;
     auto eligibleWorkersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>;
     auto mayBeUnavailable(const multistep_job_record &job, const task_ref &task, core::monotonic_time now) -> bool;
     /// \returns false when a gang that is ready to start does not fit on \p workers
@@ -414,6 +419,7 @@
     std::set<job_id> m_suspects; ///< Active jobs with tasks that need an observed start.
     std::vector<internal::crash_suspects> m_crashes; ///< Crashes that more than one job may have caused.
     worker_table m_workers;
+    std::set<core::pool_id> m_heldPools; ///< Pools whose workers get no starts.
     internal::account_numbers m_accountNumbers;
     std::map<core::pool_id, shared_pool> m_sharedPools; ///< Empty until accounts are configured.
     sharing_pass m_pass;
--- a/src/poplarpass/jobs/job_engine_crashes.cpp
+++ b/src/poplarpass/jobs/job_engine_crashes.cpp
@@ -165,10 +165,7 @@
 
 auto job_engine::workersForSuspects(const core::pool_id &pool, core::monotonic_time now) -> internal::suspect_workers
 {
-    std::vector<worker_slot *> accepting;
-    std::ranges::copy_if(m_workers.ofPool(pool), std::back_inserter(accepting),
-                         [now](const worker_slot *worker) { return worker->acceptsStarts(now); });
-    return {std::move(accepting), now, [this, now](const worker_slot &worker) {
+    return {acceptingWorkersOf(pool, now), now, [this, now](const worker_slot &worker) {
                 return std::ranges::all_of(worker.placed, [&](const task_ref &task) {
                     const auto [job, state] = locate(task);
                     return job == nullptr || internal::hasPassedObservation(*state, now);
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -58,17 +58,32 @@
     reportCaps();
 }
 
-auto job_engine::eligibleWorkersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>
+auto job_engine::setHeldPools(std::set<core::pool_id> pools) -> void
+{
+    m_heldPools = std::move(pools);
+}
+
+auto job_engine::acceptingWorkersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>
 {
     std::vector<worker_slot *> workers;
+    if (m_heldPools.contains(pool)) {
+        return workers;
+    }
     for (auto *worker : m_workers.ofPool(pool)) {
-        if (worker->acceptsStarts(now) && !worker->isReserved(now)) {
+        if (worker->acceptsStarts(now)) {
             workers.push_back(worker);
         }
     }
     return workers;
 }
 
+auto job_engine::eligibleWorkersOf(const core::pool_id &pool, core::monotonic_time now) -> std::vector<worker_slot *>
+{
+    auto workers = acceptingWorkersOf(pool, now);
+    std::erase_if(workers, [now](const worker_slot *worker) { return worker->isReserved(now); });
+    return workers;
+}
+
 auto job_engine::mayBeUnavailable(const multistep_job_record &job, const task_ref &task, core::monotonic_time now)
     -> bool
 {
--- a/tests/decisions/worker_capacity_test.cpp
+++ b/tests/decisions/worker_capacity_test.cpp
@@ -91,3 +91,18 @@
     engine.updateWorkers({{worker("a")}}, at(50));
     CHECK(planAt(engine, 60).starts.size() == 1);
 }
+
+TEST_CASE("A pool whose workers' capacity is not known gets no starts, a suspected task included", "[jobs][capacity]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    engine.submit(firstJob, queue(), jobOf({step(1)}), wallAt(0));
+    const auto first = planAt(engine, 10).starts.at(0);
+    engine.onNoReport(first.worker);
+    engine.onOtherInstance(first.worker, at(100));
+    engine.submit(secondJob, queue(), jobOf({step(1)}), wallAt(100));
+    engine.setHeldPools({core::pool_id{"pool"}});
+    CHECK(planAt(engine, 110).starts.empty());
+    engine.setHeldPools({});
+    CHECK(planAt(engine, 120).starts.size() == 1);
+    CHECK(planAt(engine, 1000).starts.size() == 1);
+}
--- a/tests/io/host_fixture.h
+++ b/tests/io/host_fixture.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,7 +57,9 @@
         };
         made.read = [this](store::topic topic, std::uint64_t from, std::chrono::milliseconds,
                            std::function<void(store::read_result)> done) {
-            m_time.after(callTime, [this, topic, from, done = std::move(done)] { done(read(topic, from)); });
+            m_time.after(callTime, [this, topic, from, done = std::move(done)] {
+                done(topic == unreadableTopic ? store::read_result{} : read(topic, from));
+            });
         };
         made.newest = [this](store::topic topic, std::function<void(store::newest_result)> done) {
             m_time.after(callTime, [this, topic, done = std::move(done)] { done(newest(topic)); });
@@ -89,6 +92,7 @@
 
     std::size_t appends = 0; ///< Number of appends requested.
     bool appendsPaused = false; ///< Whether appends are held back until resumeAppends().
+    std::optional<store::topic> unreadableTopic; ///< Topic whose reads fail.
     bool loseResponses = false; ///< Whether appends are applied but reported as unknown.
     std::vector<std::function<void()>> pausedAppends; ///< Appends held back.
 
--- a/tests/io/pool_owner_test.cpp
+++ b/tests/io/pool_owner_test.cpp
@@ -35,7 +35,7 @@
     bool ownershipLost = false;
     std::unique_ptr<host::pool_owner> owner;
 
-    owner_fixture()
+    explicit owner_fixture(bool enforcesCapacity = true)
     {
         poplarpass::route::route_config config;
         config.version = 1;
@@ -45,6 +45,7 @@
         entry.queue.name = jobs::queue_id{"queue"};
         entry.queue.pool = core::pool_id{"pool"};
         config.routes = {entry};
+        config.pools = {{core::pool_id{"pool"}, enforcesCapacity, false}};
         routes.update(config);
         memory.put(store::topic::worker_records, "w1", "entry");
         report.incarnation = 5;
@@ -536,3 +537,22 @@
     CHECK(first == host::outcomeUnknownStatus);
     CHECK(deferred == host::notOwnerStatus);
 }
+
+TEST_CASE("Workers that do not enforce their capacity get no starts while it cannot be read", "[host]")
+{
+    const bool enforcesCapacity = GENERATE(true, false);
+    owner_fixture fixture{enforcesCapacity};
+    fixture.begin(1);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals.size() >= 2; }));
+    fixture.memory.unreadableTopic = store::topic::worker_records;
+    fixture.time.runFor(host::maxCapacityAge + host::workerListPeriod);
+    fixture.renewTerm();
+    int status = 0;
+    fixture.send(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
+    CHECK(fixture.time.runUntil([&] { return status == 200; }));
+    fixture.time.runFor(host::workerListPeriod);
+    CHECK(fixture.starts.size() == (enforcesCapacity ? 1 : 0));
+    fixture.memory.unreadableTopic.reset();
+    fixture.renewTerm();
+    CHECK(fixture.time.runUntil([&] { return fixture.starts.size() == 1; }));
+}
