A crash counts as certain only when the contact is lost right after the start

Callers could have seen: a job failed although only one worker, or none, had crashed under its task.

Cause: a run that its worker had acknowledged counted as crashed whenever its worker had ended, also when the worker had been out of reach for seconds before, or the run was long enough to have ended meanwhile unreported.

Change: the time at which the contact was lost is kept, and a crash is certain only within 200 ms of the acknowledged start.

Evidence: the simulation of jobs on failing workers has tasks that crash their workers, and checks that none is started after five crashes and that no job fails without cause. Calls of unreachable workers time out after 0.9 s there, as in the program.

--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -88,7 +88,7 @@
         }
         // The next answer may come from a new incarnation, whose numbers of ends start again from 1.
         m_links[id].acknowledgedEnd = 0;
-        m_engine.onNoReport(id);
+        m_engine.onNoReport(id, now);
         m_hooks.onChange();
         if (worker != nullptr && isExpectedGone(*worker)) {
             m_links[id].busy = false;
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -67,6 +67,8 @@
 inline constexpr core::duration lateCrashWindow = std::chrono::seconds{2};
 /// \brief Number of workers that may crash during a task's runs, later than startCrashWindow, before it is suspected.
 inline constexpr std::uint32_t lateCrashesBeforeObservation = 3;
+/// \brief When the contact to a worker is lost this soon after it began a run, the run had not ended before.
+inline constexpr core::duration certainCrashWindow = std::chrono::milliseconds{200};
 /// \brief Number of workers that surely crash under a task before it is given up.
 inline constexpr std::uint32_t crashesBeforeGivingUp = 2;
 /// \brief The same when not all of them are certain.
--- a/src/poplarpass/jobs/crash_evidence.cpp
+++ b/src/poplarpass/jobs/crash_evidence.cpp
@@ -43,10 +43,14 @@
 }
 
 // A silent worker may only be cut off, and a start without an answer may have been sent to a worker that had ended.
-auto isCertainCrash(const task_record &state, const worker_slot &worker, worker_loss loss) -> bool
+// When the contact was lost long after the start, the run may have ended before the crash.
+auto isCertainCrash(const task_record &state, const worker_slot &worker, worker_loss loss, core::monotonic_time now)
+    -> bool
 {
     const bool hasBegun = state.acknowledged && worker.lastHeardAt >= state.acknowledgedAt;
-    return hasBegun && loss != worker_loss::lease_lapsed;
+    const auto contactLostAt = worker.responsive ? now : worker.contactLostAt;
+    const bool isSoon = contactLostAt - state.acknowledgedAt < certainCrashWindow;
+    return hasBegun && isSoon && loss != worker_loss::lease_lapsed;
 }
 
 // Workers also crash for causes of their own. A long-running task is exposed to such crashes for longer, so for it only
--- a/src/poplarpass/jobs/crash_evidence.h
+++ b/src/poplarpass/jobs/crash_evidence.h
@@ -44,8 +44,9 @@
 /// \brief Returns whether runs of a task with \p crashes must start on a worker that starts nothing else meanwhile.
 auto needsObservedStart(const crash_record &crashes) -> bool;
 
-/// \brief Returns whether it is certain that the run began, and that its worker ended afterwards.
-auto isCertainCrash(const task_record &state, const worker_slot &worker, worker_loss loss) -> bool;
+/// \brief Returns whether it is certain that \p worker ended during the run, and soon after its start.
+auto isCertainCrash(const task_record &state, const worker_slot &worker, worker_loss loss, core::monotonic_time now)
+    -> bool;
 
 /// \brief Decides, after a crash for which only one job could be the cause, whether its task is given up.
 /// \param crashes of the task, including the last crash
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -150,7 +150,7 @@
                   core::monotonic_time now) -> std::uint64_t;
 
     /// \brief Handles a renewal without an answer.
-    auto onNoReport(const worker_id &id) -> void;
+    auto onNoReport(const worker_id &id, core::monotonic_time now) -> void;
 
     /// \brief Handles an answer of another instance at the worker's address: the worker itself has ended.
     auto onOtherInstance(const worker_id &id, core::monotonic_time now) -> void;
--- a/src/poplarpass/jobs/job_engine_crashes.cpp
+++ b/src/poplarpass/jobs/job_engine_crashes.cpp
@@ -42,7 +42,7 @@
             continue;
         }
         ++counts.placed;
-        state->crashes.certain += internal::isCertainCrash(*state, worker, loss) ? 1 : 0;
+        state->crashes.certain += internal::isCertainCrash(*state, worker, loss, now) ? 1 : 0;
         if (internal::isCrashSuspect(*state, worker)) {
             ++state->crashes.atStart;
             suspects.push_back(task);
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -51,9 +51,7 @@
     }
     worker->clockMs = report.clockMs;
     worker->clockReadAt = now;
-    m_workers.setResponsive(*worker, true);
-    worker->lastResponseAt = now;
-    worker->lastHeardAt = now;
+    worker_table::markResponsive(*worker, now);
     for (const auto &end : report.ended) {
         if (end.number > worker->lastHandledEnd) {
             onEnd(*worker, end, now);
@@ -110,17 +108,17 @@
     giveUpCrashingJobs(crashing, now);
 }
 
-auto job_engine::onNoReport(const worker_id &id) -> void
+auto job_engine::onNoReport(const worker_id &id, core::monotonic_time now) -> void
 {
     if (auto *worker = m_workers.find(id)) {
-        m_workers.setResponsive(*worker, false);
+        m_workers.markUnresponsive(*worker, now);
     }
 }
 
 auto job_engine::onOtherInstance(const worker_id &id, core::monotonic_time now) -> void
 {
     if (auto *worker = m_workers.find(id)) {
-        m_workers.setResponsive(*worker, false);
+        m_workers.markUnresponsive(*worker, now);
         worker->listed = false;
         markAllLost(*worker, worker_loss::other_instance, now);
     }
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -27,7 +27,7 @@
     std::uint32_t atStart = 0; ///< Workers that crashed when they had only just begun a run of the task.
     std::uint32_t later = 0; ///< Workers that crashed later during a run.
     std::uint32_t alone = 0; ///< Those of atStart on which only runs of the task's own job had just begun.
-    std::uint32_t certain = 0; ///< Those of all on which a run had surely begun, and which surely ended.
+    std::uint32_t certain = 0; ///< Those of atStart that surely ended during the run.
 
     auto operator==(const crash_record &) const -> bool = default;
 
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -44,7 +44,7 @@
         auto &worker = findOrCreate(entry.id);
         if (worker.entry.incarnation != 0 && entry.incarnation > worker.entry.incarnation) {
             worker.synced = false;
-            setResponsive(worker, false);
+            markUnresponsive(worker, now);
             // The worker's clock was reset, so a lease in terms of the former clock may last up to the maximum that a
             // worker grants.
             worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseSentAt + maxGrantedLease + leaseMargin);
@@ -96,12 +96,18 @@
     return entry->second;
 }
 
-auto worker_table::setResponsive(worker_slot &worker, bool responsive) -> void
+auto worker_table::markResponsive(worker_slot &worker, core::monotonic_time now) -> void
 {
-    worker.responsive = responsive;
-    if (!responsive) {
-        m_unrenewed.emplace(worker.entry.id, &worker);
-    }
+    worker.responsive = true;
+    worker.lastResponseAt = now;
+    worker.lastHeardAt = now;
+}
+
+auto worker_table::markUnresponsive(worker_slot &worker, core::monotonic_time now) -> void
+{
+    worker.contactLostAt = worker.responsive ? now : worker.contactLostAt;
+    worker.responsive = false;
+    m_unrenewed.emplace(worker.entry.id, &worker);
 }
 
 auto worker_table::unrenewed() const -> const std::map<worker_id, worker_slot *> &
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -33,6 +33,7 @@
     bool responsive = false; ///< Whether its last renewal was answered.
     core::monotonic_time lastResponseAt{}; ///< When it last answered a renewal.
     core::monotonic_time lastHeardAt{}; ///< When it last answered any call.
+    core::monotonic_time contactLostAt{}; ///< When it first did not answer a renewal; valid while it is unresponsive.
     core::monotonic_time pausedUntil{}; ///< No starts before this time.
     core::monotonic_time leaseSentAt{}; ///< When a lease extension was last sent.
     core::monotonic_time leaseEnd{}; ///< Time by which all placed runs have ended if no further lease is sent.
@@ -102,8 +103,11 @@
     /// \brief Returns all workers by identifier.
     [[nodiscard]] auto all() const -> const std::map<worker_id, worker_slot> &;
 
-    /// \brief Records whether the last renewal of \p worker was answered.
-    auto setResponsive(worker_slot &worker, bool responsive) -> void;
+    /// \brief Records that \p worker answered its last renewal.
+    static auto markResponsive(worker_slot &worker, core::monotonic_time now) -> void;
+
+    /// \brief Records that \p worker did not answer its last renewal, or that another instance did.
+    auto markUnresponsive(worker_slot &worker, core::monotonic_time now) -> void;
 
     /// \brief Returns by identifier the workers whose last renewal was not answered, and those that have answered again
     /// since the last collectUnrenewedLeases().
--- a/tests/decisions/account_caps_test.cpp
+++ b/tests/decisions/account_caps_test.cpp
@@ -125,7 +125,7 @@
     auto &other = *engine.workers().find(jobs::worker_id{"b"});
     other.pausedUntil = at(100);
     REQUIRE(startAll(engine, 10).size() == 2);
-    engine.onNoReport(workerA);
+    engine.onNoReport(workerA, at(10));
     for (std::int64_t time = 1000; time <= 5000; time += 1000) {
         engine.onReport(other.entry.id, report(), at(time), at(time));
         CHECK(plan(engine, time).empty());
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -335,7 +335,7 @@
     fixture.add("b", "busy");
     fixture.begin();
     fixture.planner.addWave(waveOf(core::host_id{"h-a"}), at(0));
-    fixture.engine.onNoReport(jobs::worker_id{"a"});
+    fixture.engine.onNoReport(jobs::worker_id{"a"}, at(0));
     CHECK(fixture.planner.plan(fixture.engine, fixture.pools, at(100)).empty());
     CHECK(fixture.planner.plan(fixture.engine, fixture.pools, at(200)).empty());
 
--- a/tests/decisions/crashing_task_test.cpp
+++ b/tests/decisions/crashing_task_test.cpp
@@ -159,7 +159,7 @@
         const auto address = id.str().substr(0, id.str().find('#'));
         auto &machine = *std::ranges::find(m_machines, address, &crashing_machine::address);
         if (machine.downUntil != 0) {
-            m_engine->onNoReport(id);
+            m_engine->onNoReport(id, at(m_now));
         } else if (machine.worker != id.str()) {
             m_engine->onOtherInstance(id, at(m_now));
         } else {
@@ -334,7 +334,7 @@
         REQUIRE(starts.size() == 1);
         engine.workers().extendLease(*engine.workers().find(starts[0].worker), at(now));
         engine.onStartAnswer(starts[0], jobs::run_start_answer::started, at(now));
-        engine.onNoReport(starts[0].worker);
+        engine.onNoReport(starts[0].worker, at(now + 50));
         now += 6000;
         for (const auto *other : {"a", "b", "c"}) {
             if (starts[0].worker.str() != other) {
@@ -371,7 +371,7 @@
     const auto start = engine.drainOrders().starts.at(0);
     engine.onStartAnswer(start, jobs::run_start_answer::started, at(10));
     engine.workers().find(start.worker)->leaving = true;
-    engine.onNoReport(start.worker);
+    engine.onNoReport(start.worker, at(60));
     engine.onOtherInstance(start.worker, at(3000));
     CHECK(engine.find(id)->tasks[0].crashes == jobs::crash_record{1, 0, 1, 1});
 }
@@ -384,7 +384,7 @@
     engine.plan(at(10), wallAt(10));
     const auto start = engine.drainOrders().starts.at(0);
     engine.onStartAnswer(start, jobs::run_start_answer::started, at(10));
-    engine.onNoReport(start.worker);
+    engine.onNoReport(start.worker, at(60));
     auto successor = worker("b", 2);
     successor.address = worker("a").address;
     engine.updateWorkers({{worker("a"), successor}}, at(3000));
--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -133,7 +133,7 @@
     engine.submit(jobId, queue(), jobOf({longRunningStep}), wallAt(0));
     engine.plan(at(10), wallAt(10));
     const auto first = engine.drainOrders().starts.at(0);
-    engine.onNoReport(jobs::worker_id{"a"});
+    engine.onNoReport(jobs::worker_id{"a"}, at(900));
     engine.onStartAnswer(first, jobs::run_start_answer::unknown, at(900));
     CHECK(engine.drainOrders().starts.empty());
 
@@ -155,7 +155,7 @@
     auto &slot = *engine.workers().find(order.worker);
     engine.workers().extendLease(slot, at(10));
     engine.onStartAnswer(order, jobs::run_start_answer::started, at(12));
-    engine.onNoReport(order.worker);
+    engine.onNoReport(order.worker, at(12));
 
     const auto leaseEnd = std::chrono::duration_cast<std::chrono::milliseconds>(slot.leaseEnd - at(0)).count();
     CHECK(leaseEnd >= 5000 / 0.98);
@@ -431,7 +431,7 @@
 TEST_CASE("A task on an unresponsive worker does not count as ready", "[jobs]")
 {
     auto engine = engineWithReadyTasks();
-    engine.onNoReport(workerOfTask(engine, 0));
+    engine.onNoReport(workerOfTask(engine, 0), at(30));
     auto &slot = *engine.workers().find(workerOfTask(engine, 1));
     slot.leaving = true;
     engine.evacuate(slot, at(30));
@@ -444,7 +444,7 @@
     engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0));
     const auto order = startAll(engine, 10).at(0);
     engine.workers().extendLease(*engine.workers().find(order.worker), at(10));
-    engine.onNoReport(order.worker);
+    engine.onNoReport(order.worker, at(12));
     const auto leaseRecords = engine.workers().collectUnrenewedLeases(at(1000));
     REQUIRE(leaseRecords.size() == 1);
     REQUIRE(leaseRecords[0].remaining);
--- a/tests/decisions/jobs_sim_test.cpp
+++ b/tests/decisions/jobs_sim_test.cpp
@@ -18,6 +18,7 @@
     std::size_t takeovers = 0;
     std::size_t restarts = 0;
     std::size_t capsReached = 0;
+    std::size_t crashes = 0;
     for (int scenario = 0; scenario < scenarioCount; ++scenario) {
         const auto seed = tests::baseSeed() + static_cast<std::uint64_t>(scenario);
         INFO("seed " << seed);
@@ -32,8 +33,10 @@
         takeovers += world.takeovers;
         restarts += world.restarts;
         capsReached += world.capsReached;
+        crashes += world.crashes;
     }
     CHECK(takeovers > scenarioCount);
     CHECK(restarts > scenarioCount);
     CHECK(capsReached > scenarioCount);
+    CHECK(crashes > scenarioCount);
 }
--- a/tests/decisions/jobs_sim_world.cpp
+++ b/tests/decisions/jobs_sim_world.cpp
@@ -14,6 +14,14 @@
 constexpr double workerClockRate = 0.985;
 constexpr std::int64_t ordersTermMs = 4500;
 constexpr std::int64_t takeoverMs = 1800;
+constexpr std::int64_t callTimeoutMs = 900;
+constexpr std::uint32_t maxAttempts = 4;
+/// The payload of jobs whose first task crashes each worker that starts it.
+constexpr const char *crashingPayload = "crashes";
+/// A task may be started twice more after three workers have crashed under it.
+constexpr std::uint32_t maxCrashes = 5;
+/// No job may be given up before this many workers have crashed under one of its tasks.
+constexpr std::uint32_t minCrashes = 2;
 /// Accounts that submit jobs in turn; the empty one stands for anonymous callers.
 constexpr std::array<const char *, 3> accountNames{"", "small", "large"};
 /// The cap of the first is below the load that it submits; the second is limited by memory only.
@@ -75,6 +83,7 @@
     for (auto &[id, worker] : m_workers) {
         worker.model->advance(m_now);
     }
+    crashWorkers();
     const auto due = std::ranges::partition(m_delayed, [this](const auto &entry) { return entry.at > m_now; });
     const std::vector<delayed_call> calls{due.begin(), due.end()};
     m_delayed.erase(due.begin(), due.end());
@@ -96,23 +105,25 @@
     auto &owner = *m_owners.back();
     auto second = step(1 + static_cast<std::uint32_t>(m_random() % 3), 1000, 400);
     second.after = {0};
-    const auto spec = jobOf({step(1 + static_cast<std::uint32_t>(m_random() % 4), 2000, 600), second});
+    auto spec = jobOf({step(1 + static_cast<std::uint32_t>(m_random() % 4), 2000, 600), second});
+    spec.payload = chance(0.04) ? crashingPayload : spec.payload;
     const jobs::job_id id{"job" + std::to_string(m_specs.size())};
     const jobs::account_id account{accountNames.at(m_specs.size() % accountNames.size())};
     m_specs[id.str()] = spec;
     m_accounts[id.str()] = account;
-    owner.engine->submit(id, queue(4), spec, wallAt(m_now), account);
+    owner.engine->submit(id, queue(maxAttempts), spec, wallAt(m_now), account);
 }
 
 auto world::injectFaults() -> void
 {
     for (auto &[id, worker] : m_workers) {
         if (chance(0.001)) {
+            worker.unreachableSince = m_now;
             worker.unreachableUntil = m_now + 500 + static_cast<std::int64_t>(m_random() % 9000);
         }
         if (chance(0.0007)) {
             // All its runs end; it restarts under the same identifier.
-            worker.model->restart(m_now);
+            restart(worker);
             ++restarts;
         }
     }
@@ -121,6 +132,29 @@
     }
 }
 
+auto world::restart(sim_worker &worker) -> void
+{
+    for (const auto &task : worker.model->runningTasks()) {
+        ++m_crashes[task];
+    }
+    worker.model->restart(m_now);
+}
+
+auto world::crashWorkers() -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        const auto running = worker.model->runningTasks();
+        const bool crashesNow = std::ranges::any_of(running, [&](const auto &task) {
+            const auto due = m_crashesAt.find(task);
+            return due != m_crashesAt.end() && m_now >= due->second;
+        });
+        if (crashesNow) {
+            restart(worker);
+            ++crashes;
+        }
+    }
+}
+
 // The former owner may have ended, or be alive without access to the store: then it sends orders until its term ends.
 auto world::takeOver() -> void
 {
@@ -215,6 +249,9 @@
         if (job->phase == jobs::multistep_job_phase::completed) {
             ++completed;
         }
+        if (job->phase == jobs::multistep_job_phase::failed) {
+            checkFailed(*job);
+        }
     }
     for (const auto &leaseRecord : leaseRecords) {
         m_store.leaseRecords[leaseRecord.worker.str()] = leaseRecord;
@@ -232,7 +269,9 @@
     const bool extends = slot->responsive;
     const auto deadline = extends ? owner.engine->workers().extendLease(*slot, at(m_now)) : 0;
     if (!isReachable(worker)) {
-        owner.engine->onNoReport(id);
+        if (m_now - worker.unreachableSince >= callTimeoutMs) {
+            owner.engine->onNoReport(id, at(m_now));
+        }
         return;
     }
     auto &reportedIncarnation = owner.acknowledgedIncarnation[worker.id];
@@ -246,7 +285,10 @@
         return;
     }
     if (chance(0.05)) {
-        owner.engine->onNoReport(id);
+        // The answer is lost.
+        m_delayed.push_back({m_now + callTimeoutMs, [this, &owner, id] {
+                                 owner.engine->onNoReport(id, at(m_now));
+                             }});
         return;
     }
     const auto answer = worker.model->report(m_now);
@@ -305,6 +347,9 @@
     command.need = m_specs.at(order.task.job.str()).steps[order.task.step].perTask;
     command.lengthMs = 200 + static_cast<std::int64_t>(m_random() % 1200);
     command.fails = chance(0.02);
+    if (m_specs.at(order.task.job.str()).payload == crashingPayload && order.task.step + order.task.index == 0) {
+        m_crashesAt[command.task] = m_now + tickMs;
+    }
     return worker.model->start(command, m_now);
 }
 
@@ -343,12 +388,29 @@
             violations.push_back("started before its dependencies were done: " + task);
         }
     }
-    if (m_failedRuns[task] >= 4) {
+    if (m_crashes[task] >= maxCrashes && m_crashesAt.contains(task)) {
+        violations.push_back("started after five workers had crashed under it: " + task);
+    }
+    if (m_failedRuns[task] >= maxAttempts) {
         violations.push_back("started after the maximum number of failed runs: " + task);
     }
     checkCap(m_accounts.at(ref->job.str()), spec.steps[ref->step].perTask);
 }
 
+auto world::checkFailed(const jobs::multistep_job_record &job) -> void
+{
+    bool hasCause = false;
+    for (std::uint32_t taskStep = 0; taskStep < job.spec.steps.size(); ++taskStep) {
+        for (std::uint32_t index = 0; index < job.spec.steps[taskStep].taskCount; ++index) {
+            const auto task = jobs::nameOf({job.id, 0, taskStep, index});
+            hasCause = hasCause || m_failedRuns[task] >= maxAttempts || m_crashes[task] >= minCrashes;
+        }
+    }
+    if (!hasCause) {
+        violations.push_back("failed without cause: " + job.id.str());
+    }
+}
+
 // Counts the runs that exist, which the engine may not know.
 auto world::checkCap(const jobs::account_id &account, jobs::resources use) -> void
 {
--- a/tests/decisions/jobs_sim_world.h
+++ b/tests/decisions/jobs_sim_world.h
@@ -22,6 +22,7 @@
 {
     std::string id;
     std::unique_ptr<fakes::worker_model> model;
+    std::int64_t unreachableSince = 0; ///< When it last became unreachable.
     std::int64_t unreachableUntil = 0; ///< Unreachable before this time.
 };
 
@@ -60,6 +61,7 @@
     std::size_t submitted = 0; ///< Jobs that were stored, and so acknowledged.
     std::size_t takeovers = 0; ///< Changes of the owner.
     std::size_t restarts = 0; ///< Restarts of workers.
+    std::size_t crashes = 0; ///< Workers that crashed under a task that crashes each worker that starts it.
     std::size_t capsReached = 0; ///< Number of times that an account reached its cap.
     bool settled = false; ///< Whether every acknowledged job ended.
 
@@ -87,6 +89,9 @@
     auto observerOf(const std::string &worker) -> fakes::worker_observer;
     auto recordEnd(const std::string &task, jobs::end_kind how) -> void;
     auto checkStart(const std::string &task, const std::string &worker) -> void;
+    auto restart(sim_worker &worker) -> void;
+    auto crashWorkers() -> void;
+    auto checkFailed(const jobs::multistep_job_record &job) -> void;
     auto chance(double share) -> bool;
     auto allEnded() -> bool;
 
@@ -98,6 +103,8 @@
     std::vector<delayed_call> m_delayed;
     std::set<std::string> m_doneAcknowledged; ///< Tasks whose end as done was acknowledged.
     std::map<std::string, std::uint32_t> m_failedRuns;
+    std::map<std::string, std::int64_t> m_crashesAt; ///< When the worker of a crashing task is to crash, by task.
+    std::map<std::string, std::uint32_t> m_crashes; ///< Workers that restarted while they executed a task, by task.
     std::set<std::string> m_acknowledgedJobs;
     std::map<std::string, jobs::multistep_job_spec> m_specs;
     std::map<std::string, jobs::account_id> m_accounts; ///< Account of each job.
--- a/tests/decisions/stragglers_test.cpp
+++ b/tests/decisions/stragglers_test.cpp
@@ -65,13 +65,13 @@
 TEST_CASE("A straggler is not stopped when no other worker has the resources", "[jobs]")
 {
     auto engine = engineWithRuns(step(3, hostCpu, 1000));
-    engine.onNoReport(jobs::worker_id{"d"});
+    engine.onNoReport(jobs::worker_id{"d"}, at(0));
     reportProgress(engine, 0, 80, 800);
     reportProgress(engine, 1, 85, 800);
     reportProgress(engine, 2, 4, 800);
     for (const auto *id : {"a", "b", "c", "d"}) {
         if (engine.workers().find(jobs::worker_id{id})->placed.empty()) {
-            engine.onNoReport(jobs::worker_id{id});
+            engine.onNoReport(jobs::worker_id{id}, at(800));
         }
     }
     CHECK(stopsAfter(engine, 1000).empty());
--- a/tests/decisions/worker_capacity_test.cpp
+++ b/tests/decisions/worker_capacity_test.cpp
@@ -36,7 +36,7 @@
     const auto first = planAt(engine, 10).starts.at(0);
     const auto &other = first.worker == workerA ? workerB : workerA;
     engine.workers().extendLease(*engine.workers().find(first.worker), at(10));
-    engine.onNoReport(first.worker);
+    engine.onNoReport(first.worker, at(100));
     engine.onReport(other, report(), at(6000), at(6000));
     const auto second = planAt(engine, 6010).starts.at(0);
     REQUIRE(second.worker == other);
@@ -97,7 +97,7 @@
     auto engine = engineWith({worker("a"), worker("b")});
     engine.submit(firstJob, queue(), jobOf({step(1)}), wallAt(0));
     const auto first = planAt(engine, 10).starts.at(0);
-    engine.onNoReport(first.worker);
+    engine.onNoReport(first.worker, at(100));
     engine.onOtherInstance(first.worker, at(100));
     engine.submit(secondJob, queue(), jobOf({step(1)}), wallAt(100));
     engine.setHeldPools({core::pool_id{"pool"}});
