One loop over the steps that may start; a task says itself whether it may

The loop over due occurrences and steps whose dependencies are done stood three times in the planning of jobs, the check of a waiting task four times, and the crash record returned a list for at most one job. Each stands once now.

--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -69,9 +69,9 @@
 inline constexpr std::uint32_t lateCrashesBeforeObservation = 3;
 /// \brief When the contact to a worker is lost this soon after it began a run, the run had not ended before.
 inline constexpr core::duration certainCrashWindow = std::chrono::milliseconds{200};
-/// \brief Number of workers that surely crash under a task before it is given up.
+/// \brief Number of workers that surely crash under a task, soon after its start, before it is given up.
 inline constexpr std::uint32_t crashesBeforeGivingUp = 2;
-/// \brief The same when not all of them are certain.
+/// \brief Number of workers that may have crashed under a task before it is given up.
 inline constexpr std::uint32_t uncertainCrashesBeforeGivingUp = 4;
 /// \brief Time for which a worker is reserved for the observed start of a job's tasks, at first until they start and
 /// then until the starts are acknowledged.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -383,7 +383,7 @@
     worker.bestEffortRuns = 0;
     worker.servingRuns = 0;
     worker.longRunningRuns = 0;
-    giveUpCrashingJobs(crashing, now);
+    giveUpCrashingJob(crashing, now);
 }
 
 auto job_engine::countFailure(const task_ref &task, multistep_job_record &job, task_record &state, std::uint32_t run,
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -322,12 +322,14 @@
     auto onRunning(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
     auto resolveUnlistedRuns(worker_slot &worker, core::monotonic_time sentAt, core::monotonic_time now) -> void;
     auto markAllLost(worker_slot &worker, worker_loss loss, core::monotonic_time now) -> void;
-    /// \returns jobs to be given up once the lost runs are removed
-    auto recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now) -> std::vector<job_id>;
+    /// \returns a job to be given up once the lost runs are removed
+    auto recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now) -> std::optional<job_id>;
     /// \brief Ends the runs of earlier workers at the address of \p worker, which has just answered for the first time.
     auto endPredecessors(const worker_slot &worker, core::monotonic_time now) -> void;
-    auto findCrashingJob(const std::vector<task_ref> &suspects) -> std::vector<job_id>;
-    auto giveUpCrashingJobs(std::span<const job_id> jobs, core::monotonic_time now) -> void;
+    /// \brief Counts the crash against \p suspects, which are of one job.
+    /// \returns the job if it is to be given up
+    auto findCrashingJob(std::span<const task_ref> suspects) -> std::optional<job_id>;
+    auto giveUpCrashingJob(const std::optional<job_id> &id, core::monotonic_time now) -> void;
     auto updateSuspicion(const multistep_job_record &job) -> void;
     auto clearOthers(const job_id &crashing) -> void;
     auto planSuspects(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
--- a/src/poplarpass/jobs/job_engine_crashes.cpp
+++ b/src/poplarpass/jobs/job_engine_crashes.cpp
@@ -17,19 +17,14 @@
     return std::ranges::any_of(tasks,
                                [](const task_record &task) { return internal::needsObservedStart(task.crashes); });
 }
-
-auto isStartable(const task_record &state, core::monotonic_time now) -> bool
-{
-    return state.phase == task_phase::waiting && now >= state.notBefore;
-}
 } // namespace
 
 auto job_engine::recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now)
-    -> std::vector<job_id>
+    -> std::optional<job_id>
 {
     // A worker that drains ends its remaining runs when it leaves.
     if (worker.entry.draining) {
-        return {};
+        return std::nullopt;
     }
     // Runs of the new incarnation of a worker that restarted in place have not ended.
     const auto endedBefore =
@@ -53,7 +48,7 @@
         updateSuspicion(*job);
     }
     if (counts.placed == 0) {
-        return {};
+        return std::nullopt;
     }
     ++m_counters.workerCrashes;
     counts.suspects = static_cast<std::uint32_t>(suspects.size());
@@ -65,7 +60,7 @@
     }
     std::erase_if(m_crashes, [now](const auto &crash) { return now - crash.at > crashMemory; });
     m_crashes.push_back({std::move(suspects), now});
-    return {};
+    return std::nullopt;
 }
 
 // An address belongs to one worker at a time, so the answer of a later one proves the end of all earlier ones.
@@ -80,7 +75,7 @@
     }
 }
 
-auto job_engine::findCrashingJob(const std::vector<task_ref> &suspects) -> std::vector<job_id>
+auto job_engine::findCrashingJob(std::span<const task_ref> suspects) -> std::optional<job_id>
 {
     bool isCrashing = false;
     for (const auto &task : suspects) {
@@ -88,22 +83,23 @@
         ++state->crashes.alone;
         isCrashing = isCrashing || internal::isCrashingTask(state->crashes, job->spec.steps[task.step].longRunning);
     }
-    return isCrashing ? std::vector{suspects.front().job} : std::vector<job_id>{};
+    return isCrashing ? std::optional{suspects.front().job} : std::nullopt;
 }
 
-auto job_engine::giveUpCrashingJobs(std::span<const job_id> jobs, core::monotonic_time now) -> void
+auto job_engine::giveUpCrashingJob(const std::optional<job_id> &id, core::monotonic_time now) -> void
 {
-    for (const auto &id : jobs) {
-        auto &job = m_jobs.at(id.str());
-        if (job.phase != multistep_job_phase::active) {
-            continue;
-        }
-        ++m_counters.jobsFailed;
-        ++m_counters.jobsCrashing;
-        logEvent("job_given_up", id.str(), {}, 0, "crashes_workers");
-        endJob(job, multistep_job_phase::failed, now);
-        clearOthers(id);
+    if (!id) {
+        return;
+    }
+    auto &job = m_jobs.at(id->str());
+    if (job.phase != multistep_job_phase::active) {
+        return;
     }
+    ++m_counters.jobsFailed;
+    ++m_counters.jobsCrashing;
+    logEvent("job_given_up", id->str(), {}, 0, "crashes_workers");
+    endJob(job, multistep_job_phase::failed, now);
+    clearOthers(*id);
 }
 
 // One task crashes a worker, so the others that had just begun there are not at fault.
@@ -176,16 +172,12 @@
 auto job_engine::planSuspectsOf(multistep_job_record &job, internal::suspect_workers &workers, core::monotonic_time now,
                                 core::wall_time wallTime) -> void
 {
-    for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
-        if (job.spec.repeatCount > 0 && job.dueTime(occurrence) > wallTime) {
-            return;
-        }
-        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-            if (job.waitingOf(occurrence, step) > 0 && job.areDependenciesDone(occurrence, step)) {
-                planSuspectsOfStep(job, occurrence, step, workers, now);
-            }
+    job.forEachStartableStep(wallTime, [&](std::uint32_t occurrence, std::uint32_t step) {
+        if (job.waitingOf(occurrence, step) > 0) {
+            planSuspectsOfStep(job, occurrence, step, workers, now);
         }
-    }
+        return true;
+    });
 }
 
 auto job_engine::planSuspectsOfStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
@@ -198,7 +190,7 @@
     const auto first = job.positionOf(occurrence, step, 0);
     for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
         const auto &state = job.tasks[first + index];
-        if (!isStartable(state, now) || !internal::needsObservedStart(state.crashes)) {
+        if (!state.isStartable(now) || !internal::needsObservedStart(state.crashes)) {
             continue;
         }
         if (!capPermits(job, job.spec.steps[step])
@@ -250,7 +242,7 @@
     const auto &spec = job.spec.steps[step];
     const std::span members{job.tasks.data() + job.positionOf(occurrence, step, 0), spec.taskCount};
     const bool isStartableNow =
-        std::ranges::all_of(members, [now](const auto &state) { return isStartable(state, now); });
+        std::ranges::all_of(members, [now](const auto &state) { return state.isStartable(now); });
     if (!isStartableNow || !hasSuspect(members) || !capPermits(job, spec)) {
         return;
     }
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -20,22 +20,12 @@
     if (job.waiting == 0) {
         return false;
     }
-    for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
-        if (job.spec.repeatCount > 0 && job.dueTime(occurrence) > now) {
-            return false;
-        }
-        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-            if (job.unfinishedOf(occurrence, step) == 0 || !job.areDependenciesDone(occurrence, step)) {
-                continue;
-            }
-            const auto first = job.tasks.begin() + static_cast<std::ptrdiff_t>(job.positionOf(occurrence, step, 0));
-            if (std::any_of(first, first + job.spec.steps[step].taskCount,
-                            [](const task_record &task) { return task.phase == task_phase::waiting; })) {
-                return true;
-            }
-        }
-    }
-    return false;
+    bool found = false;
+    job.forEachStartableStep(now, [&](std::uint32_t occurrence, std::uint32_t step) {
+        found = job.waitingOf(occurrence, step) > 0;
+        return !found;
+    });
+    return found;
 }
 } // namespace
 
@@ -188,25 +178,18 @@
 auto job_engine::planJob(multistep_job_record &job, internal::placement_candidates &workers, core::monotonic_time now,
                          core::wall_time wallTime) -> void
 {
-    for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
-        if (job.spec.repeatCount > 0 && job.dueTime(occurrence) > wallTime) {
-            return;
+    job.forEachStartableStep(wallTime, [&](std::uint32_t occurrence, std::uint32_t step) {
+        if (!isWithinShare()) {
+            return false;
         }
-        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-            if (job.unfinishedOf(occurrence, step) == 0 || !job.areDependenciesDone(occurrence, step)) {
-                continue;
-            }
-            if (!isWithinShare()) {
-                return;
-            }
-            const bool placed = job.queue.advice ? planAdvisedStep(job, occurrence, step, workers, now)
-                                                 : planStep(job, occurrence, step, workers, now);
-            if (!placed) {
-                recordMismatch(job, step, workers.workers());
-                noteUnplaced(job, occurrence, step, workers, now);
-            }
+        const bool placed = job.queue.advice ? planAdvisedStep(job, occurrence, step, workers, now)
+                                             : planStep(job, occurrence, step, workers, now);
+        if (!placed) {
+            recordMismatch(job, step, workers.workers());
+            noteUnplaced(job, occurrence, step, workers, now);
         }
-    }
+        return true;
+    });
 }
 
 auto job_engine::planAdvisedStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
@@ -269,8 +252,7 @@
     const auto first = job.positionOf(occurrence, step, 0);
     for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
         const auto &state = job.tasks[first + index];
-        const bool isStartable = state.phase == task_phase::waiting && now >= state.notBefore;
-        if (!isStartable || internal::needsObservedStart(state.crashes)) {
+        if (!state.isStartable(now) || internal::needsObservedStart(state.crashes)) {
             continue;
         }
         if (!isWithinShare()) {
@@ -298,8 +280,7 @@
     const auto first = job.positionOf(occurrence, step, 0);
     for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
         const auto &state = job.tasks[first + index];
-        const bool isStartable = state.phase == task_phase::waiting && now >= state.notBefore;
-        if (!isStartable || internal::needsObservedStart(state.crashes)) {
+        if (!state.isStartable(now) || internal::needsObservedStart(state.crashes)) {
             return true;
         }
     }
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -105,7 +105,7 @@
             beginClosing(task, *job, *state, now);
         }
     }
-    giveUpCrashingJobs(crashing, now);
+    giveUpCrashingJob(crashing, now);
 }
 
 auto job_engine::onNoReport(const worker_id &id, core::monotonic_time now) -> void
--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -59,6 +59,22 @@
                                [&](std::uint32_t before) { return unfinishedOf(occurrence, before) == 0; });
 }
 
+auto multistep_job_record::forEachStartableStep(
+    core::wall_time now, const std::function<bool(std::uint32_t occurrence, std::uint32_t step)> &visit) const -> void
+{
+    for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
+        if (spec.repeatCount > 0 && dueTime(occurrence) > now) {
+            return;
+        }
+        for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+            const bool mayStart = unfinishedOf(occurrence, step) > 0 && areDependenciesDone(occurrence, step);
+            if (mayStart && !visit(occurrence, step)) {
+                return;
+            }
+        }
+    }
+}
+
 auto multistep_job_record::dueTime(std::uint32_t occurrence) const -> core::wall_time
 {
     return spec.repeatCount == 0 ? acceptedAt : spec.firstDue + spec.interval * occurrence;
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -70,6 +70,12 @@
     bool ready = false; ///< Whether a long-running task was reported ready.
     std::int64_t load = 0; ///< Reported tail latency in ms for serving tasks, else processor use.
     std::uint32_t pace = 100; ///< Share of full speed at which it may run, percent.
+
+    /// \brief Returns whether it may start at \p now, as far as the task itself is concerned.
+    [[nodiscard]] auto isStartable(core::monotonic_time now) const -> bool
+    {
+        return phase == task_phase::waiting && now >= notBefore;
+    }
 };
 
 /// \brief Phase of a job.
@@ -119,6 +125,12 @@
     /// \brief Returns whether all steps that \p step depends on are done in \p occurrence.
     [[nodiscard]] auto areDependenciesDone(std::uint32_t occurrence, std::uint32_t step) const -> bool;
 
+    /// \brief Calls \p visit with each occurrence that is due at \p now and each of its unfinished steps that may
+    /// start, in order, until it returns false.
+    auto forEachStartableStep(core::wall_time now,
+                              const std::function<bool(std::uint32_t occurrence, std::uint32_t step)> &visit) const
+        -> void;
+
     /// \brief Returns when \p occurrence is due; the time of acceptance for a job without a schedule.
     [[nodiscard]] auto dueTime(std::uint32_t occurrence) const -> core::wall_time;
 };
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -43,7 +43,7 @@
     std::optional<std::chrono::milliseconds>
         recordedRemainder; ///< Remaining lease as last recorded, while it is unresponsive.
     std::uint32_t consecutiveFailures = 0; ///< Failed runs since the last one that ended as done.
-    std::optional<start_observation> observation; ///< Set while it is reserved for an observed start.
+    std::optional<start_observation> observation; ///< Reservation for an observed start; may have expired.
     std::uint32_t bestEffortPace = 100; ///< Pace of best-effort tasks there, percent.
     core::monotonic_time paceChangedAt{}; ///< When bestEffortPace was last changed.
     std::uint32_t bestEffortRuns = 0; ///< Placed runs of best-effort steps.
