--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -276,7 +276,8 @@
     ++m_counters.starts;
     markChanged(job);
     orderStart(job, task, state);
-    logEvent("task_placed", nameOf(task), worker.entry.id, run, "room");
+    const bool isObserved = internal::needsObservedStart(state.crashes);
+    logEvent("task_placed", nameOf(task), worker.entry.id, run, isObserved ? "observed" : "room");
 }
 
 auto job_engine::orderStart(const multistep_job_record &job, const task_ref &task, task_record &state) -> void
