--- a/src/poplarpass/jobs/suspect_workers.h
+++ b/src/poplarpass/jobs/suspect_workers.h
@@ -45,7 +45,7 @@
     [[nodiscard]] auto hasReservation(const job_id &job) const -> bool;
 
     std::vector<worker_slot *> m_workers;
-    std::vector<worker_slot *> m_quiet; ///< Sorted by address.
+    std::vector<worker_slot *> m_quiet; ///< Sorted by their pointers.
     core::monotonic_time m_now;
 };
 } // namespace poplarpass::jobs::internal
