--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -9,6 +9,8 @@
 {
 namespace
 {
+constexpr double fullPercent = 100.0;
+
 /// \brief Removes the last part of a name and the dot before it.
 /// \returns the part as a number; nothing when it is not one
 auto takeLastNumber(std::string_view &name) -> std::optional<std::uint32_t>
@@ -180,4 +182,13 @@
     }
     return longest;
 }
+
+auto remainingRunTime(const task_record &state) -> std::optional<core::duration>
+{
+    if (state.percent == 0) {
+        return std::nullopt;
+    }
+    const auto age = std::chrono::duration<double, std::micro>{state.reportedAt - state.acknowledgedAt};
+    return std::chrono::duration_cast<core::duration>(age * ((fullPercent - state.percent) / state.percent));
+}
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -78,6 +78,10 @@
     }
 };
 
+/// \brief Returns how long the run of \p state had left when it was last reported, extrapolated from its progress.
+/// \returns nothing when no progress was reported
+auto remainingRunTime(const task_record &state) -> std::optional<core::duration>;
+
 /// \brief Phase of a job.
 enum class multistep_job_phase : std::uint8_t {
     active, ///< Accepted and not ended.
--- a/src/poplarpass/jobs/stragglers.cpp
+++ b/src/poplarpass/jobs/stragglers.cpp
@@ -50,15 +50,6 @@
     return *middle;
 }
 
-auto remainingRunTime(const task_record &state) -> std::optional<core::duration>
-{
-    if (state.percent == 0) {
-        return std::nullopt;
-    }
-    const auto age = std::chrono::duration<double, std::micro>{state.reportedAt - state.acknowledgedAt};
-    return std::chrono::duration_cast<core::duration>(age * ((fullPercent - state.percent) / state.percent));
-}
-
 auto isStraggler(const multistep_job_record &job, const task_ref &task) -> bool
 {
     const auto &step = job.spec.steps[task.step];
