Hosts on standby may move at once

Cause: after a move a host stays where it is for 1.5 s, on standby too. Change: the minimum stay holds for active pools only. The new test plays a fall and a rise of the demand and fails without the change.

--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -112,10 +112,13 @@
     return shortPools;
 }
 
-auto capacity_planner::isMovable(const tracked_host &host, core::monotonic_time now) -> bool
+// A host on standby may move at once: a demand that rises again soon after its fall must not wait for it.
+auto capacity_planner::isMovable(const tracked_host &host, core::monotonic_time now) const -> bool
 {
+    const auto balance = m_balances.find(host.entry.pool);
+    const bool isOnStandby = balance != m_balances.end() && balance->second.standby;
     return host.step == host_step::none && host.entry.condition == host_condition::up
-        && now - host.since >= minPoolResidence;
+        && (isOnStandby || now - host.since >= minPoolResidence);
 }
 
 auto capacity_planner::moveCandidates(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<move_candidate>
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -128,7 +128,7 @@
     auto planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto poolsByShortage() -> std::vector<core::pool_id>;
     auto moveCandidates(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<move_candidate>;
-    [[nodiscard]] static auto isMovable(const tracked_host &host, core::monotonic_time now) -> bool;
+    [[nodiscard]] auto isMovable(const tracked_host &host, core::monotonic_time now) const -> bool;
     auto fillPool(const core::pool_id &pool, std::span<const move_candidate> candidates, jobs::job_engine &engine,
                   core::monotonic_time now) -> void;
     [[nodiscard]] auto isDemandEstablished(const jobs::job_engine &engine, core::monotonic_time now) -> bool;
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -27,7 +27,7 @@
 inline constexpr core::duration startupStandbyDelay = std::chrono::seconds{20};
 /// \brief Time after the first short job during which no host is moved to standby, within startupStandbyDelay.
 inline constexpr core::duration firstJobStandbyDelay = std::chrono::seconds{4};
-/// \brief Minimum time that a host stays in a pool before it may move again.
+/// \brief Minimum time that a host stays in an active pool before it may move again.
 inline constexpr core::duration minPoolResidence = std::chrono::milliseconds{1500};
 /// \brief Time to drain and maintain one host, assumed when a wave is spread over its duration.
 inline constexpr core::duration hostMaintenanceTime = std::chrono::milliseconds{5000};
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -74,6 +74,24 @@
         return result;
     }
 
+    /// \brief Carries out the move of \p host to \p pool at once, and shows it in the host list at \p time.
+    auto completeMove(const std::string &host, const std::string &pool, std::int64_t time) -> void
+    {
+        const auto name = "h-" + host;
+        planner.onOrderAnswer({core::host_id{name}, core::pool_id{pool}, 0}, capacity::host_order_outcome::done,
+                              at(time - 1));
+        const auto moved = std::ranges::find(hosts, core::host_id{name}, &capacity::host_entry::id);
+        std::erase_if(entries, [&](const auto &entry) { return entry.id == moved->worker; });
+        const auto newName = host + "-in-" + pool;
+        *moved = hostOf(newName, pool, pool == "spare");
+        moved->id = core::host_id{name};
+        if (pool != "spare") {
+            entries.push_back(worker(newName, 1, pool));
+        }
+        engine.updateWorkers(entries, at(time));
+        planner.updateHosts(hosts, at(time), at(time));
+    }
+
     auto submit(const std::string &id, const std::string &pool, std::vector<jobs::step_spec> steps, std::int64_t time)
         -> void
     {
@@ -129,6 +147,28 @@
     CHECK(fixture.plan(2100).size() == hostCount / 2 + 1);
 }
 
+// Load: the demand of a pool falls for seconds, so that its hosts go to standby, and rises as soon as they are there.
+TEST_CASE("A host that has just arrived on standby moves to a pool that is short of hosts", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("b1", "busy");
+    fixture.add("b2", "busy");
+    fixture.add("s1", "spare");
+    fixture.begin();
+    std::int64_t time = 100;
+    std::vector<capacity::host_order> orders;
+    while (orders.empty() && time < 30'000) {
+        time += 100;
+        orders = fixture.plan(time);
+    }
+    REQUIRE(movesTo(orders, "spare") == 1);
+    const auto host = orders.front().host.str().substr(2);
+    fixture.completeMove(host, "spare", time + 100);
+
+    fixture.submit("job", "busy", {step(40, 1000)}, time + 200);
+    CHECK(movesTo(fixture.plan(time + 300), "busy") == 2);
+}
+
 TEST_CASE("A move to a pool that was refused for a host is not ordered again", "[capacity]")
 {
     planner_fixture fixture;
