A pool keeps no spare host beyond what its long-running tasks need

Cause: each pool kept one host more than the anti-affinity of its long-running tasks asks for. Change: the spare host is gone; a pool with a pending wave still gets one more while it lasts, and a pool without any demand keeps one.

--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -35,7 +35,7 @@
         const auto hosts = static_cast<std::int64_t>(std::ceil(demand / static_cast<double>(hostCpu)));
         m_balances[pool].load = load;
         auto &balance = m_balances[pool];
-        balance.requiredHosts = std::max<std::int64_t>(hosts, load.minWorkers + 1);
+        balance.requiredHosts = std::max<std::int64_t>({hosts, load.minWorkers, minPoolHosts});
         balance.targetHosts = balance.requiredHosts + (poolsInMaintenance.contains(pool) ? 1 : 0);
     }
     addHostsForMismatches(engine, now);
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -14,6 +14,8 @@
 inline constexpr std::size_t minBurstJobs = 4;
 /// \brief Factor by which the planned capacity of a pool exceeds its demand.
 inline constexpr double headroom = 1.1;
+/// \brief Hosts that a pool with workers or jobs keeps without any demand.
+inline constexpr std::int64_t minPoolHosts = 1;
 /// \brief Delay before a pool whose workers may not run its waiting steps gets another host; restarts with each host
 /// added.
 inline constexpr core::duration extraHostDelay = std::chrono::milliseconds{500};
