A host that was not up gets its next order after half a second

Cause: an order that is answered as busy was repeated in each planning cycle while the host list still showed the host as up. Change: the host's next order waits for 0.5 s. Delays that have passed are removed from memory.

--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -142,6 +142,9 @@
         const bool forMove = host.order.pool.has_value();
         const auto notBefore = m_orderNotBefore.find(id);
         const bool isOrderPermitted = notBefore == m_orderNotBefore.end() || now >= notBefore->second;
+        if (isOrderPermitted && notBefore != m_orderNotBefore.end()) {
+            m_orderNotBefore.erase(notBefore);
+        }
         if (!isEmpty(host, engine)) {
             host.emptyAt.reset();
         } else if (!host.emptyAt) {
@@ -189,6 +192,7 @@
         // it again if it is still needed.
         host->step = host_step::draining;
         host->previousWorker = {};
+        m_orderNotBefore[order.host] = now + busyHostRetryDelay;
         return;
     case host_order_outcome::failed:
     case host_order_outcome::unknown:
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -39,6 +39,8 @@
 inline constexpr core::duration waveDeadlineMargin = std::chrono::milliseconds{2500};
 /// \brief Time after a maintenance order from which a host listed as up has returned, even with the same worker.
 inline constexpr core::duration maintenanceReturnTimeout = std::chrono::milliseconds{3000};
+/// \brief Delay before a host that was not up gets the next order; the host list may show it as up for some time more.
+inline constexpr core::duration busyHostRetryDelay = std::chrono::milliseconds{500};
 /// \brief Time after an answer during which a worker is assumed to be the current worker of its host.
 inline constexpr core::duration workerAnswerValidity = std::chrono::milliseconds{1800};
 /// \brief Time after which the drain of a host for a move is abandoned.
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -295,6 +295,25 @@
     CHECK(completed);
 }
 
+// Guards against an order in each planning cycle to a host that the host list still shows as up.
+TEST_CASE("A host that was not up gets the next order only after a delay", "[capacity]")
+{
+    planner_fixture fixture;
+    fixture.add("b1", "busy");
+    fixture.begin();
+    fixture.planner.addWave(waveOf(core::host_id{"h-b1"}), at(0));
+    const auto first = fixture.plan(20'000);
+    REQUIRE(first.size() == 1);
+    fixture.planner.onOrderAnswer(first[0], capacity::host_order_outcome::busy, at(20'010));
+    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(capacity::busyHostRetryDelay).count();
+    std::size_t early = 0;
+    for (std::int64_t time = 20'050; time < 20'010 + delay; time += 50) {
+        early += fixture.plan(time).size();
+    }
+    CHECK(early == 0);
+    CHECK(fixture.plan(20'050 + delay).size() == 1);
+}
+
 TEST_CASE("A host under a recent order of a former owner gets no order before the restored time, and other hosts do",
           "[capacity]")
 {
