What each pool has and needs is measured in a file of its own

capacity_moves.cpp held the measurement of the balances beside the moves, in one long function, and capacity_waves.cpp a query of it. Now capacity_balances.cpp holds both, in short functions. No change of behaviour; the tests of the planner pass as before.

--- /dev/null
+++ b/src/poplarpass/capacity/capacity_balances.cpp
@@ -0,0 +1,113 @@
+#include <poplarpass/capacity/capacity_planner.h>
+#include <poplarpass/capacity/constants.h>
+
+#include <algorithm>
+#include <cmath>
+
+// What each pool has and needs.
+namespace poplarpass::capacity
+{
+namespace
+{
+/// \brief Returns the number of hosts of \p hostCpu thousandths of a core that serve \p load with headroom.
+auto hostsFor(const pool_load &load, std::int64_t hostCpu) -> std::int64_t
+{
+    const auto demand = static_cast<double>(std::max(load.placed, load.offered) + load.waiting) * headroom;
+    return static_cast<std::int64_t>(std::ceil(demand / static_cast<double>(hostCpu)));
+}
+} // namespace
+
+auto capacity_planner::measure(jobs::job_engine &engine, std::span<const route::pool_config> pools,
+                               core::monotonic_time now) -> void
+{
+    m_balances.clear();
+    for (const auto &pool : pools) {
+        m_balances[pool.name].standby = pool.standby;
+    }
+    countHosts();
+    const auto hostCpu = largestHostCpu();
+    const auto poolsInMaintenance = poolsAwaitingMaintenance();
+    for (const auto &[pool, load] : m_demand.measure(engine, now)) {
+        auto &balance = m_balances[pool];
+        balance.load = load;
+        balance.requiredHosts = std::max<std::int64_t>({hostsFor(load, hostCpu), load.minWorkers, minPoolHosts});
+        balance.targetHosts = balance.requiredHosts + (poolsInMaintenance.contains(pool) ? 1 : 0);
+    }
+    addHostsForMismatches(engine, now);
+    trackShortages(now);
+}
+
+auto capacity_planner::countHosts() -> void
+{
+    m_moving = 0;
+    for (const auto &[id, host] : m_hosts.all()) {
+        const bool isOrdered = host.step != host_step::none;
+        if (isOrdered && host.order.pool) {
+            ++m_moving;
+            ++m_balances[*host.order.pool].have;
+        } else if (!isOrdered) {
+            ++m_balances[host.entry.pool].have;
+        }
+    }
+}
+
+auto capacity_planner::largestHostCpu() const -> std::int64_t
+{
+    std::int64_t largest = 1;
+    for (const auto &[id, host] : m_hosts.all()) {
+        largest = std::max(largest, host.entry.capacity.cpu);
+    }
+    return largest;
+}
+
+// Adds one host at a time, as the advice service may reject the new host as well, which is known only after its
+// arrival.
+auto capacity_planner::addHostsForMismatches(jobs::job_engine &engine, core::monotonic_time now) -> void
+{
+    const auto mismatchesByPool = engine.drainMismatches();
+    std::erase_if(m_extraHosts, [&](const auto &entry) { return !mismatchesByPool.contains(entry.first); });
+    for (const auto &[pool, mismatch] : mismatchesByPool) {
+        auto &balance = m_balances[pool];
+        balance.requirement = mismatch.requirement;
+        // No move helps when no host has the label; the label is then an error of the caller.
+        const bool hasCandidate = std::ranges::any_of(m_hosts.all(), [&, id = &pool](const auto &entry) {
+            return entry.second.entry.pool != *id && hasRequiredLabel(entry.second, balance);
+        });
+        if (!hasCandidate) {
+            continue;
+        }
+        const auto [existing, isNew] = m_extraHosts.try_emplace(pool, extra_hosts{0, now});
+        auto &hosts = existing->second;
+        const bool arrived = hosts.count == 0 || balance.have >= balance.targetHosts + hosts.count;
+        if (!isNew && arrived && now - hosts.since >= extraHostDelay && hosts.count < maxExtraHosts) {
+            hosts.count = std::max(hosts.count + 1, balance.have + 1 - balance.targetHosts);
+            hosts.since = now;
+        }
+        balance.targetHosts += hosts.count;
+    }
+}
+
+auto capacity_planner::hasRequiredLabel(const tracked_host &host, const pool_balance &balance) const -> bool
+{
+    return balance.requirement.empty()
+        || std::ranges::find(host.entry.labels, balance.requirement) != host.entry.labels.end();
+}
+
+auto capacity_planner::trackShortages(core::monotonic_time now) -> void
+{
+    for (const auto &[pool, balance] : m_balances) {
+        if (!balance.standby && balance.targetHosts > balance.have) {
+            m_shortSince.try_emplace(pool, now);
+        } else {
+            m_shortSince.erase(pool);
+        }
+    }
+}
+
+auto capacity_planner::isAnyPoolShort() const -> bool
+{
+    return std::ranges::any_of(m_balances, [](const auto &entry) {
+        return !entry.second.standby && entry.second.targetHosts > entry.second.have;
+    });
+}
+} // namespace poplarpass::capacity
--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
-#include <utility>
 
 // Moves of hosts between pools.
 namespace poplarpass::capacity
@@ -13,68 +12,6 @@
 using internal::remainingRunTimeOf;
 using internal::workerSlotOf;
 
-auto capacity_planner::measure(jobs::job_engine &engine, std::span<const route::pool_config> pools,
-                               core::monotonic_time now) -> void
-{
-    m_balances.clear();
-    m_moving = 0;
-    const auto poolsInMaintenance = poolsAwaitingMaintenance();
-    std::int64_t hostCpu = 1;
-    for (const auto &[id, host] : m_hosts.all()) {
-        hostCpu = std::max(hostCpu, host.entry.capacity.cpu);
-        const bool moves = host.step != host_step::none && host.order.pool.has_value();
-        m_moving += moves ? 1 : 0;
-        const bool forMaintenance = host.step != host_step::none && !host.order.pool;
-        m_balances[moves ? *host.order.pool : host.entry.pool].have += forMaintenance ? 0 : 1;
-    }
-    for (const auto &pool : pools) {
-        m_balances[pool.name].standby = pool.standby;
-    }
-    for (const auto &[pool, load] : m_demand.measure(engine, now)) {
-        const auto demand = static_cast<double>(std::max(load.placed, load.offered) + load.waiting) * headroom;
-        const auto hosts = static_cast<std::int64_t>(std::ceil(demand / static_cast<double>(hostCpu)));
-        m_balances[pool].load = load;
-        auto &balance = m_balances[pool];
-        balance.requiredHosts = std::max<std::int64_t>({hosts, load.minWorkers, minPoolHosts});
-        balance.targetHosts = balance.requiredHosts + (poolsInMaintenance.contains(pool) ? 1 : 0);
-    }
-    addHostsForMismatches(engine, now);
-    trackShortages(now);
-}
-
-// Adds one host at a time, as the advice service may reject the new host as well, which is known only after its
-// arrival.
-auto capacity_planner::addHostsForMismatches(jobs::job_engine &engine, core::monotonic_time now) -> void
-{
-    const auto mismatchesByPool = engine.drainMismatches();
-    std::erase_if(m_extraHosts, [&](const auto &entry) { return !mismatchesByPool.contains(entry.first); });
-    for (const auto &[pool, mismatch] : mismatchesByPool) {
-        auto &balance = m_balances[pool];
-        balance.requirement = mismatch.requirement;
-        // No move helps when no host has the label; the label is then an error of the caller.
-        const bool hasCandidate = std::ranges::any_of(m_hosts.all(), [&, id = &pool](const auto &entry) {
-            return entry.second.entry.pool != *id && hasRequiredLabel(entry.second, balance);
-        });
-        if (!hasCandidate) {
-            continue;
-        }
-        const auto [existing, isNew] = m_extraHosts.try_emplace(pool, extra_hosts{0, now});
-        auto &hosts = existing->second;
-        const bool arrived = hosts.count == 0 || balance.have >= balance.targetHosts + hosts.count;
-        if (!isNew && arrived && now - hosts.since >= extraHostDelay && hosts.count < maxExtraHosts) {
-            hosts.count = std::max(hosts.count + 1, balance.have + 1 - balance.targetHosts);
-            hosts.since = now;
-        }
-        balance.targetHosts += hosts.count;
-    }
-}
-
-auto capacity_planner::hasRequiredLabel(const tracked_host &host, const pool_balance &balance) const -> bool
-{
-    return balance.requirement.empty()
-        || std::ranges::find(host.entry.labels, balance.requirement) != host.entry.labels.end();
-}
-
 auto capacity_planner::move(tracked_host &host, const core::pool_id &pool, jobs::job_engine &engine,
                             core::monotonic_time now) -> void
 {
@@ -181,17 +118,6 @@
     return static_cast<std::size_t>(std::ceil(static_cast<double>(m_hosts.all().size()) * maxMovingShare));
 }
 
-auto capacity_planner::trackShortages(core::monotonic_time now) -> void
-{
-    for (const auto &[pool, balance] : m_balances) {
-        if (!balance.standby && balance.targetHosts > balance.have) {
-            m_shortSince.try_emplace(pool, now);
-        } else {
-            m_shortSince.erase(pool);
-        }
-    }
-}
-
 // After the start of an owner, no host moves to standby until the first load can be measured, or none has arrived for
 // startupStandbyDelay.
 auto capacity_planner::isDemandEstablished(const jobs::job_engine &engine, core::monotonic_time now) -> bool
--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -3,8 +3,6 @@
 #include <poplarpass/capacity/host_load.h>
 
 #include <algorithm>
-#include <cmath>
-#include <tuple>
 #include <utility>
 
 namespace poplarpass::capacity
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -121,6 +121,8 @@
     auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWave(wave_progress &wave, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto measure(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now) -> void;
+    auto countHosts() -> void;
+    [[nodiscard]] auto largestHostCpu() const -> std::int64_t;
     [[nodiscard]] auto maxMoving() const -> std::size_t;
     auto trackShortages(core::monotonic_time now) -> void;
     auto addHostsForMismatches(jobs::job_engine &engine, core::monotonic_time now) -> void;
--- a/src/poplarpass/capacity/capacity_waves.cpp
+++ b/src/poplarpass/capacity/capacity_waves.cpp
@@ -72,13 +72,6 @@
     }
 }
 
-auto capacity_planner::isAnyPoolShort() const -> bool
-{
-    return std::ranges::any_of(m_balances, [](const auto &entry) {
-        return !entry.second.standby && entry.second.targetHosts > entry.second.have;
-    });
-}
-
 auto capacity_planner::poolsAwaitingMaintenance() -> std::set<core::pool_id>
 {
     std::set<core::pool_id> pools;
