--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -74,20 +74,14 @@
         return result;
     }
 
-    /// \brief Carries out the move of \p host to \p pool at once, and shows it in the host list at \p time.
-    auto completeMove(const std::string &host, const std::string &pool, std::int64_t time) -> void
+    /// \brief Carries out a move to standby at once, and shows the host there in the host list at \p time.
+    auto completeMoveToStandby(const capacity::host_order &order, std::int64_t time) -> void
     {
-        const auto name = "h-" + host;
-        planner.onOrderAnswer({core::host_id{name}, core::pool_id{pool}, 0}, capacity::host_order_outcome::done,
-                              at(time - 1));
-        const auto moved = std::ranges::find(hosts, core::host_id{name}, &capacity::host_entry::id);
-        std::erase_if(entries, [&](const auto &entry) { return entry.id == moved->worker; });
-        const auto newName = host + "-in-" + pool;
-        *moved = hostOf(newName, pool, pool == "spare");
-        moved->id = core::host_id{name};
-        if (pool != "spare") {
-            entries.push_back(worker(newName, 1, pool));
-        }
+        planner.onOrderAnswer(order, capacity::host_order_outcome::done, at(time - 1));
+        const auto host = std::ranges::find(hosts, order.host, &capacity::host_entry::id);
+        std::erase_if(entries, [&](const auto &entry) { return entry.id == host->worker; });
+        host->worker = {};
+        host->pool = *order.pool;
         engine.updateWorkers(entries, at(time));
         planner.updateHosts(hosts, at(time), at(time));
     }
@@ -162,8 +156,7 @@
         orders = fixture.plan(time);
     }
     REQUIRE(movesTo(orders, "spare") == 1);
-    const auto host = orders.front().host.str().substr(2);
-    fixture.completeMove(host, "spare", time + 100);
+    fixture.completeMoveToStandby(orders.front(), time + 100);
 
     fixture.submit("job", "busy", {step(40, 1000)}, time + 200);
     CHECK(movesTo(fixture.plan(time + 300), "busy") == 2);
