The test of what a pool keeps fails when a pool gives up its last host

Cause: with eight hosts the limit of moves at once stopped the third move, so the check of an idle pool passed without the guard. Change: six hosts on standby instead of one.

--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -169,7 +169,10 @@
     for (const auto *name : {"b1", "b2", "b3", "b4", "c1", "c2", "c3"}) {
         fixture.add(name, name[0] == 'b' ? "busy" : "calm");
     }
-    fixture.add("s1", "spare");
+    // Enough hosts that the limit of moves at once allows more moves than expected.
+    for (const auto *name : {"s1", "s2", "s3", "s4", "s5", "s6"}) {
+        fixture.add(name, "spare");
+    }
     fixture.begin();
     auto longRunning = step(2, 4000);
     longRunning.longRunning = true;
