An append whose answer is overdue is repeated while earlier copies may be answered

Each lost answer cost 1.65 s (timeout of 1.5 s and a pause of 0.15 s) where an answer takes 4 ms; all appends of the owner go one after the other, so accepting, starts and moves stood still (1,464 to 2,664 refusals).

Change: store/append_repeater sends a further copy of a fenced append when the answer is later than usual, by the mean and deviation of the answers' latency (60 to 800 ms, doubled with each copy), and takes the first definite answer. The store carries out an append of one epoch and sequence number once, so copies are harmless; claims have no fence and are never repeated. Five copies without an answer are reported as unknown, as before.

Ruled out: a shorter fixed timeout, which would send every append twice to a store that is slow (300 ms an answer).

--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -20,6 +20,8 @@
                       decisionFields},
     event_description{"announcement_unreadable", "an announcement of an owner by another host could not be decoded",
                       "bytes"},
+    event_description{"append_repeated", "the answer to an append was overdue: a further copy of it was sent",
+                      "topic, copy"},
     event_description{"call_refused", "a caller's call that no queue matches was rejected at once",
                       "host, path, method, bytes, status, config"},
     event_description{"capacity_record_unreadable", "a stored record about hosts could not be decoded and was skipped",
--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -17,9 +17,14 @@
 
 host_core::host_core(host_environment environment)
     : m_env{std::move(environment)}
+    , m_appends{m_env.records, m_env.time,
+                [this](store::topic to, unsigned copy) {
+                    m_env.log.log(observe::log_level::info, "append_repeated", {{"topic", nameOf(to)}, {"copy", copy}});
+                }}
+    , m_records{m_appends.calls()}
     , m_startedAt{m_env.time.now()}
     , m_config{m_env.time,
-               m_env.records,
+               m_records,
                m_env.log,
                m_env.decoders.operators,
                m_routes,
@@ -28,9 +33,9 @@
                        m_owner->onConfig();
                    }
                }}
-    , m_election{m_env.time, m_env.records, m_env.log, m_env.name, m_env.address, makeElectionHooks()}
-    , m_announcer{m_env.time, m_env.records, m_env.peers,
-                  m_env.log,  m_env.name,    {m_env.address, !owner::isSmallHost(m_env.resources)}}
+    , m_election{m_env.time, m_records, m_env.log, m_env.name, m_env.address, makeElectionHooks()}
+    , m_announcer{m_env.time, m_records,  m_env.peers,
+                  m_env.log,  m_env.name, {m_env.address, !owner::isSmallHost(m_env.resources)}}
     , m_forwarder{makeForwarder()}
 {
 }
@@ -84,7 +89,7 @@
 {
     pool_owner_environment environment{
         m_env.time,
-        m_env.records,
+        m_records,
         m_env.workers,
         m_routes,
         m_env.log,
--- a/src/poplarpass/host/host_core.h
+++ b/src/poplarpass/host/host_core.h
@@ -11,6 +11,7 @@
 #include <poplarpass/observe/metrics.h>
 #include <poplarpass/owner/claim_rank.h>
 #include <poplarpass/route/route_table.h>
+#include <poplarpass/store/append_repeater.h>
 
 #include <functional>
 #include <memory>
@@ -91,6 +92,8 @@
     [[nodiscard]] auto rank() const -> unsigned;
 
     host_environment m_env;
+    store::append_repeater m_appends;
+    store::record_store m_records; ///< The store, with appends that are repeated when their answer is overdue.
     core::monotonic_time m_startedAt;
     route::route_table m_routes;
     config_follower m_config;
--- a/src/poplarpass/store/record_store.h
+++ b/src/poplarpass/store/record_store.h
@@ -22,6 +22,14 @@
     status_records, ///< Status reports for the operator.
 };
 
+/// \brief Returns the name of \p topic in logs.
+constexpr auto nameOf(topic topic) -> std::string_view
+{
+    constexpr std::array<std::string_view, 6> names{"ownership",        "jobs",           "hosts",
+                                                    "operator_records", "worker_records", "status_records"};
+    return names.at(static_cast<std::size_t>(topic));
+}
+
 /// \brief Record of a topic that is compacted to the newest record of each key.
 struct keyed_record
 {
