capacity report: what the hosts of each pool were held for, from the owner's log

pool_load lines say how many hosts are drained, arriving, in maintenance, idle or needed by the anti-affinity of long-running tasks; the new verb sums them in host-seconds by pool and draws a chart. It names the line that is cut or bad.

--- a/src/poplarpass/app/verbs.cpp
+++ b/src/poplarpass/app/verbs.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/app/capacity_report.h>
 #include <poplarpass/app/command_line.h>
 #include <poplarpass/app/control_process.h>
 #include <poplarpass/app/entry_process.h>
@@ -102,6 +103,21 @@
     return exit_code::success;
 }
 
+auto reportCapacity(const parsed_options & /*options*/, console &streams) -> exit_code
+{
+    const auto moments = readCapacityMoments(std::cin);
+    if (!moments) {
+        streams.err << "line " << moments.error().line << ": " << moments.error().detail << '\n';
+        return exit_code::failure;
+    }
+    if (moments->empty()) {
+        streams.err << "no pool_load line: the log of the pools' owner is needed\n";
+        return exit_code::failure;
+    }
+    printCapacityReport(*moments, streams.out);
+    return exit_code::success;
+}
+
 auto runHost(const parsed_options &options, console &streams) -> exit_code
 {
     const auto path = options.value("config");
@@ -126,6 +142,11 @@
          "ID",
          {},
          explain},
+        {"capacity report",
+         "prints what each pool's hosts were held for, from the log of the pools' owner on standard input",
+         "",
+         {},
+         reportCapacity},
         {"entry", "runs the entry process, which accepts jobs from callers", "", {config}, runEntry},
         {"control", "runs the control process, a candidate for the control role", "", {config}, runControl},
         {"config check", "checks settings files and reports all errors", "FILE...", {}, checkConfig},
--- a/src/poplarpass/capacity/capacity_balances.cpp
+++ b/src/poplarpass/capacity/capacity_balances.cpp
@@ -1,5 +1,6 @@
 #include <poplarpass/capacity/capacity_planner.h>
 #include <poplarpass/capacity/constants.h>
+#include <poplarpass/capacity/host_load.h>
 
 #include <algorithm>
 #include <cmath>
@@ -24,7 +25,7 @@
     for (const auto &pool : pools) {
         m_balances[pool.name].standby = pool.standby;
     }
-    countHosts();
+    countHosts(engine);
     const auto hostCpu = largestHostCpu();
     const auto poolsInMaintenance = poolsAwaitingMaintenance();
     for (const auto &[pool, load] : m_demand.measure(engine, now)) {
@@ -37,10 +38,11 @@
     trackShortages(now);
 }
 
-auto capacity_planner::countHosts() -> void
+auto capacity_planner::countHosts(jobs::job_engine &engine) -> void
 {
     m_moving = 0;
     for (const auto &[id, host] : m_hosts.all()) {
+        countUsage(host, engine);
         const bool isOrdered = host.step != host_step::none;
         if (isOrdered && host.order.pool) {
             ++m_moving;
@@ -51,6 +53,27 @@
     }
 }
 
+auto capacity_planner::countUsage(const tracked_host &host, jobs::job_engine &engine) -> void
+{
+    auto &usage = m_balances[host.entry.pool].usage;
+    switch (host.step) {
+    case host_step::none:
+        usage.idle += host.entry.condition == host_condition::up && internal::isEmpty(host, engine) ? 1 : 0;
+        return;
+    case host_step::draining:
+        ++usage.draining;
+        return;
+    case host_step::ordered:
+    case host_step::awaiting_return:
+        if (host.order.pool) {
+            ++m_balances[*host.order.pool].usage.arriving;
+        } else {
+            ++usage.inMaintenance;
+        }
+        return;
+    }
+}
+
 auto capacity_planner::largestHostCpu() const -> std::int64_t
 {
     std::int64_t largest = 1;
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -32,6 +32,15 @@
     core::host_id host; ///< Host name.
 };
 
+/// \brief Hosts of a pool by what they do.
+struct host_usage
+{
+    std::int64_t draining = 0; ///< Drained for a move or for maintenance: no starts, tasks run to their end.
+    std::int64_t arriving = 0; ///< Ordered to the pool, not yet listed there.
+    std::int64_t inMaintenance = 0; ///< Ordered into maintenance, not yet back.
+    std::int64_t idle = 0; ///< In the pool, not drained, without a task.
+};
+
 /// \brief Hosts that a pool has and needs.
 struct pool_balance
 {
@@ -40,6 +49,7 @@
     std::int64_t requiredHosts = 0; ///< Hosts required by the load.
     std::int64_t targetHosts = 0; ///< Target: requiredHosts, one more while hosts of the pool await maintenance, and
                                   ///< extra hosts for waiting steps that no worker of the pool may run.
+    host_usage usage; ///< What its hosts do.
     bool standby = false; ///< Whether hosts of the pool are powered off.
     std::string requirement; ///< Label required of hosts that move to the pool; empty for none.
 };
@@ -79,6 +89,9 @@
     /// \brief Returns the balance of each pool at the latest plan().
     [[nodiscard]] auto balances() const -> const std::map<core::pool_id, pool_balance> &;
 
+    /// \brief Returns the processor capacity of the largest host, thousandths of a core; at least 1.
+    [[nodiscard]] auto largestHostCpu() const -> std::int64_t;
+
     /// \brief Handles the answer to an order.
     auto onOrderAnswer(const host_order &order, host_order_outcome outcome, core::monotonic_time now) -> void;
 
@@ -121,8 +134,8 @@
     auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWave(wave_progress &wave, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto measure(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now) -> void;
-    auto countHosts() -> void;
-    [[nodiscard]] auto largestHostCpu() const -> std::int64_t;
+    auto countHosts(jobs::job_engine &engine) -> void;
+    auto countUsage(const tracked_host &host, jobs::job_engine &engine) -> void;
     [[nodiscard]] auto maxMoving() const -> std::size_t;
     auto trackShortages(core::monotonic_time now) -> void;
     auto addHostsForMismatches(jobs::job_engine &engine, core::monotonic_time now) -> void;
--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -79,8 +79,10 @@
     event_description{"owner_serving", "a new owner serves requests and sends orders", "epoch, workers, ms"},
     event_description{"owner_yields", "this owner resigns in favour of another host", "epoch, reason"},
     event_description{"pace_refused", "a worker did not accept a change of a run's pace", "task, worker"},
-    event_description{"pool_load", "capacity and demand of a pool, twice a second",
-                      "pool, hosts, hosts_wanted, cpu, cpu_placed, cpu_waiting, cpu_offered"},
+    event_description{
+        "pool_load", "capacity and demand of a pool, twice a second",
+        "pool, hosts, hosts_wanted, hosts_spread, draining, arriving, maintenance, idle, standby, host_cpu, "
+        "cpu, cpu_placed, cpu_waiting, cpu_offered"},
     event_description{"progress_record_unreadable", "the stored progress of a job could not be decoded and was skipped",
                       "job"},
     event_description{"reload", "the settings were reloaded", "log_level, effect"},
--- a/tests/process/command_line_test.cpp
+++ b/tests/process/command_line_test.cpp
@@ -215,6 +215,7 @@
         {{"job", "explain", "aa"}, 0, "event=job_accepted id=aa", "", jobLogs},
         {{"job", "explain", "ab"}, 1, "", "no log line mentions job ab", jobLogs},
         {{"job", "explain"}, 2, "", "ID is required"},
+        {{"capacity", "report"}, 1, "", "no pool_load line", jobLogs},
         {{"entry", "--config", unreadable}, 3, "", unreadable},
         {{"entry"}, 2, "", "--config is required"},
         {{"control", "--config", "/nowhere/control.toml"}, 3, "", "/nowhere/control.toml"},
@@ -258,7 +259,8 @@
         "account list",    "account show", "host",         "host show",    "job explain",      "job show",
         "entry",           "control",      "config check", "config keys",  "config errors",    "config events",
         "status",          "profile list", "profile show", "profile diff", "profile validate", "profile publish",
-        "profile history", "wave plan",    "wave start",   "wave pause",   "wave resume",      "wave status"};
+        "profile history", "wave plan",    "wave start",   "wave pause",   "wave resume",      "wave status",
+        "capacity report"};
     const auto help = runCommand(binaryPath("poplarpass"), {"--help"});
     CHECK(help.exitStatus == 0);
     CHECK(help.err.empty());
