Tasks that save their progress are stopped on drained hosts and resume elsewhere

Cause: a host that changes pools or is due for maintenance waited for its last task, 2 to 5 s at each turn. The searches' tasks save their progress, also when they are stopped, so a stop throws nothing away.

Change: jobs/job_engine_suspension stops such tasks on drained hosts when they have 0.5 s or more left, no more than have room on the other workers of their pool; they resume from their checkpoint. Drains are ordered accordingly. The restart goes through the confirmed end of the stopped run, as for stragglers.

--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -123,8 +123,23 @@
     return answeredRecently || host.entry.worker.empty() || *m_hosts.listRequestedAt() > *host.emptyAt;
 }
 
+auto capacity_planner::suspendOnDrained(jobs::job_engine &engine, core::monotonic_time now) -> void
+{
+    std::vector<const jobs::worker_slot *> workers;
+    for (const auto &[id, host] : m_hosts.all()) {
+        const auto *worker = workerSlotOf(host, engine);
+        const bool isDrained = host.step == host_step::draining && host.entry.condition == host_condition::up
+            && host.entry.worker == host.previousWorker;
+        if (isDrained && worker != nullptr && !worker->placed.empty()) {
+            workers.push_back(worker);
+        }
+    }
+    engine.suspendResumable(workers, now);
+}
+
 auto capacity_planner::advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>
 {
+    suspendOnDrained(engine, now);
     std::vector<host_order> orders;
     for (auto &[id, host] : m_hosts.all()) {
         if (host.step != host_step::draining) {
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -154,6 +154,7 @@
                                        core::monotonic_time now) const -> bool;
     [[nodiscard]] auto isAnyPoolShort() const -> bool;
     [[nodiscard]] auto poolsAwaitingMaintenance() -> std::set<core::pool_id>;
+    auto suspendOnDrained(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>;
     [[nodiscard]] auto isWorkerConfirmed(const tracked_host &host, jobs::job_engine &engine,
                                          core::monotonic_time now) const -> bool;
--- a/src/poplarpass/capacity/host_load.cpp
+++ b/src/poplarpass/capacity/host_load.cpp
@@ -1,4 +1,5 @@
 #include <poplarpass/capacity/host_load.h>
+#include <poplarpass/jobs/constants.h>
 
 #include <algorithm>
 
@@ -6,16 +7,14 @@
 {
 namespace
 {
-/// \brief A run without reported progress that exceeds its estimate is assumed to have this fraction of it left.
-constexpr int overdueDivisor = 4;
-
-auto remainingRunTimeOf(const jobs::step_spec &step, const jobs::task_record &state, core::monotonic_time now)
-    -> core::duration
+/// \brief Returns the time until \p task has left its worker once that is drained.
+auto drainTimeOf(const jobs::multistep_job_record &job, const jobs::task_ref &task, const jobs::job_engine &engine,
+                 core::monotonic_time now) -> core::duration
 {
-    if (const auto reported = jobs::remainingRunTime(state)) {
-        return std::max<core::duration>(*reported - (now - state.reportedAt), core::duration{0});
-    }
-    return std::max<core::duration>(state.startedAt + step.estimate - now, step.estimate / overdueDivisor);
+    const auto remaining = engine.expectedRemaining(job, task, now);
+    const auto &step = job.spec.steps[task.step];
+    const bool isSuspended = step.checkpointing && !step.longRunning && !step.gang;
+    return isSuspended ? std::min(remaining, jobs::minSuspendedRunTime) : remaining;
 }
 } // namespace
 
@@ -38,8 +37,7 @@
     for (const auto &task : worker.placed) {
         const auto *job = engine.find(task.job);
         if (job != nullptr && job->has(task)) {
-            const auto &state = job->tasks[job->positionOf(task.occurrence, task.step, task.index)];
-            longest = std::max(longest, remainingRunTimeOf(job->spec.steps[task.step], state, now));
+            longest = std::max(longest, drainTimeOf(*job, task, engine, now));
         }
     }
     return longest;
--- a/src/poplarpass/capacity/host_load.h
+++ b/src/poplarpass/capacity/host_load.h
@@ -11,8 +11,7 @@
 /// \brief Returns whether no task is placed on the host's worker; true for a host without a worker.
 auto isEmpty(const tracked_host &host, jobs::job_engine &engine) -> bool;
 
-/// \brief Returns the time until the last task on \p worker has ended, from the reported progress of its runs, else
-/// from their estimates; zero when it has none.
+/// \brief Returns the expected time until the last task has left \p worker once it is drained; zero when it has none.
 auto remainingRunTimeOf(const jobs::worker_slot &worker, const jobs::job_engine &engine, core::monotonic_time now)
     -> core::duration;
 
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -415,6 +415,8 @@
     set("poplarpass_jobs_cancelled", "Jobs cancelled in this term", counts.jobsCancelled);
     set("poplarpass_starts", "Starts decided in this term", counts.starts);
     set("poplarpass_starts_rejected", "Starts that workers rejected in this term", counts.startsRejected);
+    set("poplarpass_tasks_suspended", "Runs stopped on drained workers in this term, to resume elsewhere",
+        counts.tasksSuspended);
     set("poplarpass_runs_failed", "Runs that failed in this term", counts.runsFailed);
     set("poplarpass_runs_lost", "Runs lost in this term", counts.runsLost);
     set("poplarpass_worker_crashes", "Workers that ended without a drain while runs were placed on them, in this term",
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -84,6 +84,10 @@
 inline constexpr std::size_t reservedWorkersDivisor = 4;
 /// \brief Consecutive failed runs on a worker, of any tasks, after which starts on it pause.
 inline constexpr std::uint32_t failuresBeforePause = 2;
+/// \brief A run with less time left is not stopped to resume elsewhere: the stop and the resumption take as long.
+inline constexpr core::duration minSuspendedRunTime = std::chrono::milliseconds{500};
+/// \brief A run that exceeds its expected run time without reported progress is assumed to have this part of it left.
+inline constexpr int overdueDivisor = 4;
 /// \brief Minimum delay before an ended long-running task is started again.
 inline constexpr core::duration restartDelay = std::chrono::milliseconds{50};
 /// \brief A report that lists at least this many ends may be truncated.
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -87,6 +87,7 @@
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0; ///< Including jobsCrashing.
     std::uint64_t jobsCrashing = 0; ///< Jobs that were given up because a task crashes its workers.
+    std::uint64_t tasksSuspended = 0; ///< Runs that were stopped on drained workers to resume elsewhere.
     std::uint64_t observedStarts = 0; ///< Starts on reserved workers, of tasks that may crash them.
     std::uint64_t jobsCancelled = 0;
 };
@@ -167,6 +168,16 @@
     /// A task is stopped only when another worker has the resources for it.
     auto evacuate(const worker_slot &worker, core::monotonic_time now) -> void;
 
+    /// \brief Stops tasks on \p workers, which are drained, that save their progress and would run on for long.
+    ///
+    /// They resume from their checkpoints on other workers of the pool, so no more are stopped than have room there.
+    auto suspendResumable(std::span<const worker_slot *const> workers, core::monotonic_time now) -> void;
+
+    /// \brief Returns how long the current run of \p task is expected to go on, from its reported progress, else from
+    /// its expected run time.
+    [[nodiscard]] auto expectedRemaining(const multistep_job_record &job, const task_ref &task,
+                                         core::monotonic_time now) const -> core::duration;
+
     /// \brief Returns the advice requests created since the last call.
     auto drainAdviceRequests() -> std::vector<advice_request>;
 
@@ -377,6 +388,9 @@
     auto relocateStragglers(core::monotonic_time now) -> void;
     auto relocateIfStraggler(const task_ref &task, worker_slot &worker, core::monotonic_time now) -> void;
     auto evacuateLeaving(core::monotonic_time now) -> void;
+    auto roomToResume(core::monotonic_time now) -> std::map<core::pool_id, resources>;
+    auto maySuspend(const multistep_job_record &job, const task_ref &task, const task_record &state,
+                    core::monotonic_time now) const -> bool;
     auto planPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
                   core::wall_time wallTime) -> void;
     auto planSharedPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
