The system simulation plays tasks that save their progress

Half of the first steps can be resumed, so drains stop them while hosts, the store and workers fail; the test fails when no task is suspended or no append is repeated in any history.

--- a/tests/system/sim_callers.cpp
+++ b/tests/system/sim_callers.cpp
@@ -59,6 +59,7 @@
     }
     const auto count = static_cast<std::uint32_t>(m_network.randomInteger(1, 4));
     spec.steps = {step(count, 2000, m_network.randomInteger(300, 1200))};
+    spec.steps.front().checkpointing = m_network.randomBool(0.5);
     if (m_network.randomBool(0.5)) {
         auto second =
             step(static_cast<std::uint32_t>(m_network.randomInteger(1, 3)), 1000, m_network.randomInteger(200, 900));
--- a/tests/system/system_sim_test.cpp
+++ b/tests/system/system_sim_test.cpp
@@ -7,6 +7,9 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
+#include <set>
+#include <string>
 
 namespace
 {
@@ -22,6 +25,7 @@
     std::size_t takeovers = 0;
     std::size_t finished = 0;
     std::map<std::string, std::size_t> injections;
+    std::set<std::string> seenEvents;
     for (std::size_t index = 0; index < simulationCount; ++index) {
         const auto seed = tests::baseSeed() + index;
         INFO("seed " << seed);
@@ -32,6 +36,7 @@
         }
         REQUIRE(simulation.violations().empty());
         for (const auto &name : simulation.eventNames) {
+            seenEvents.insert(name);
             CAPTURE(name);
             REQUIRE(std::ranges::any_of(poplarpass::host::allEvents(),
                                         [&](const auto &event) { return event.name == name; }));
@@ -45,6 +50,9 @@
     for (const auto &[name, count] : injections) {
         std::cout << "trouble=" << name << " count=" << count << '\n';
     }
+    // The faults must reach these decisions, which could break the rules that are checked.
+    CHECK(seenEvents.contains("task_suspended"));
+    CHECK(seenEvents.contains("append_repeated"));
     CHECK(takeovers > simulationCount);
     CHECK(finished > simulationCount * 20);
     CHECK(injections.size() == 26);
