--- /dev/null
+++ b/src/poplarpass/jobs/job_engine_gangs.cpp
@@ -0,0 +1,81 @@
+#include <poplarpass/jobs/crash_evidence.h>
+#include <poplarpass/jobs/job_engine.h>
+#include <poplarpass/jobs/task_placement.h>
+
+#include <algorithm>
+
+// Placement of gangs, whose tasks start together.
+namespace poplarpass::jobs
+{
+// Either all members start together or none does.
+auto job_engine::placeGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                           internal::placement_candidates &workers, core::monotonic_time now) -> bool
+{
+    const auto &spec = job.spec.steps[step];
+    const auto first = job.positionOf(occurrence, step, 0);
+    for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
+        const auto &state = job.tasks[first + index];
+        if (!state.isStartable(now) || internal::needsObservedStart(state.crashes)) {
+            return true;
+        }
+    }
+    if (!capPermits(job, spec)) {
+        return true;
+    }
+    const auto chosen = chooseGangWorkers(job, occurrence, step, workers);
+    if (chosen.empty()) {
+        return false;
+    }
+    startGang(job, occurrence, step, chosen, now);
+    for (const auto *worker : chosen) {
+        workers.updateUsage(*worker);
+    }
+    onCappedStart(job);
+    return true;
+}
+
+// The members of a gang share one run number and one checkpoint.
+auto job_engine::startGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                           std::span<worker_slot *const> chosen, core::monotonic_time now) -> void
+{
+    const auto first = job.positionOf(occurrence, step, 0);
+    std::uint32_t run = 0;
+    std::string checkpoint;
+    for (std::size_t index = 0; index < chosen.size(); ++index) {
+        const auto &state = job.tasks[first + index];
+        run = std::max(run, state.run);
+        if (!state.checkpoint.empty()) {
+            checkpoint = state.checkpoint;
+        }
+    }
+    for (std::uint32_t index = 0; index < chosen.size(); ++index) {
+        job.tasks[first + index].checkpoint = checkpoint;
+        place(job, task_ref{job.id, occurrence, step, index}, *chosen[index], run + 1, now);
+    }
+}
+
+// Each member is placed tentatively while the next one is chosen, and all are removed again before the return.
+auto job_engine::chooseGangWorkers(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                                   internal::placement_candidates &workers) -> std::vector<worker_slot *>
+{
+    const auto &spec = job.spec.steps[step];
+    std::vector<worker_slot *> chosen;
+    while (chosen.size() < spec.taskCount) {
+        auto *worker = workers.choose(job, occurrence, step);
+        if (worker == nullptr) {
+            break;
+        }
+        worker->placed.insert(task_ref{job.id, occurrence, step, static_cast<std::uint32_t>(chosen.size())});
+        internal::addUsage(*worker, spec);
+        workers.updateUsage(*worker);
+        chosen.push_back(worker);
+    }
+    for (std::size_t index = 0; index < chosen.size(); ++index) {
+        auto &worker = *chosen[index];
+        worker.placed.erase(task_ref{job.id, occurrence, step, static_cast<std::uint32_t>(index)});
+        internal::removeUsage(worker, spec);
+        workers.updateUsage(worker);
+    }
+    return chosen.size() == spec.taskCount ? chosen : std::vector<worker_slot *>{};
+}
+} // namespace poplarpass::jobs
