The relation of declared and actual run times is computed when a run ends

An expected run time is asked for several times a start and for each task of a host that may be drained; it now costs one logarithm and one exponential.

--- a/src/poplarpass/jobs/run_time_model.cpp
+++ b/src/poplarpass/jobs/run_time_model.cpp
@@ -31,7 +31,8 @@
 // Updates the moments by one run, after Welford; earlier runs lose weight.
 auto run_time_model::learn(const queue_id &queue, std::chrono::milliseconds declared, core::duration actual) -> void
 {
-    auto &sums = m_queues[queue];
+    auto &learnt = m_queues[queue];
+    auto &sums = learnt.sums;
     const auto x = logOf(declared);
     const auto y = logOf(std::chrono::duration_cast<std::chrono::milliseconds>(actual));
     sums.weight = sums.weight * retention + 1;
@@ -42,6 +43,8 @@
     sums.varianceX = sums.varianceX * retention + offsetX * (x - sums.meanX);
     sums.varianceY = sums.varianceY * retention + offsetY * (y - sums.meanY);
     sums.covariance = sums.covariance * retention + offsetX * (y - sums.meanY);
+    learnt.trend = trendFrom(sums);
+    learnt.maxOffset = maxDeviation * std::sqrt(sums.varianceX / sums.weight);
 }
 
 // A linear regression of the logarithms, whose slope is pulled towards 1: declared run times count as declaredWeight
@@ -63,7 +66,7 @@
 auto run_time_model::trendOf(const queue_id &queue) const -> run_time_trend
 {
     const auto found = m_queues.find(queue);
-    return found == m_queues.end() ? run_time_trend{} : trendFrom(found->second);
+    return found == m_queues.end() ? run_time_trend{} : found->second.trend;
 }
 
 auto run_time_model::expected(const queue_id &queue, std::chrono::milliseconds declared) const
@@ -73,12 +76,10 @@
     if (found == m_queues.end() || declared.count() <= 0) {
         return declared;
     }
-    const auto &sums = found->second;
-    const auto trend = trendFrom(sums);
-    const auto limit = maxDeviation * std::sqrt(sums.varianceX / sums.weight);
+    const auto &[sums, trend, maxOffset] = found->second;
     const auto offset = logOf(declared) - sums.meanX;
-    const auto excess = trend.trust * (offset - std::clamp(offset, -limit, limit));
-    const auto expected = std::exp(sums.meanX + trend.trust * offset - trend.share * excess) * trend.ratio;
+    const auto excess = offset - std::clamp(offset, -maxOffset, maxOffset);
+    const auto expected = std::exp(sums.meanX + trend.trust * (offset - trend.share * excess)) * trend.ratio;
     return std::chrono::milliseconds{std::max<std::int64_t>(std::llround(expected), 1)};
 }
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/run_time_model.h
+++ b/src/poplarpass/jobs/run_time_model.h
@@ -51,8 +51,16 @@
         double covariance = 0;
     };
 
+    /// \brief What is known about the runs of one queue.
+    struct learnt_queue
+    {
+        moments sums;
+        run_time_trend trend; ///< Of sums.
+        double maxOffset = 0; ///< Bound on how far a declared run time counts as off the mean, in logarithms.
+    };
+
     static auto trendFrom(const moments &sums) -> run_time_trend;
 
-    std::map<queue_id, moments> m_queues;
+    std::map<queue_id, learnt_queue> m_queues;
 };
 } // namespace poplarpass::jobs
