--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -35,7 +35,8 @@
 /// \brief Hosts of a pool by what they do.
 struct host_usage
 {
-    std::int64_t draining = 0; ///< Drained for a move or for maintenance: no starts, tasks run to their end.
+    std::int64_t draining =
+        0; ///< Drained for a move or for maintenance: no starts; tasks end or are stopped to resume elsewhere.
     std::int64_t arriving = 0; ///< Ordered to the pool, not yet listed there.
     std::int64_t inMaintenance = 0; ///< Ordered into maintenance, not yet back.
     std::int64_t idle = 0; ///< In the pool, not drained, without a task.
--- a/src/poplarpass/capacity/host_load.cpp
+++ b/src/poplarpass/capacity/host_load.cpp
@@ -12,9 +12,7 @@
                  core::monotonic_time now) -> core::duration
 {
     const auto remaining = engine.expectedRemaining(job, task, now);
-    const auto &step = job.spec.steps[task.step];
-    const bool isSuspended = step.checkpointing && !step.longRunning && !step.gang;
-    return isSuspended ? std::min(remaining, jobs::minSuspendedRunTime) : remaining;
+    return job.spec.steps[task.step].isResumable() ? std::min(remaining, jobs::minSuspendedRunTime) : remaining;
 }
 } // namespace
 
--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -27,6 +27,8 @@
 inline constexpr core::duration workerListBusyPeriod = std::chrono::milliseconds{150};
 /// \brief Workers that do not enforce their capacity get no starts once their published capacity is older than this.
 inline constexpr core::duration maxCapacityAge = std::chrono::seconds{2};
+/// \brief Interval between log lines about the run times that were learnt.
+inline constexpr core::duration runTimeLogPeriod = std::chrono::seconds{10};
 /// \brief Interval between removals of ended jobs.
 inline constexpr core::duration housekeepingPeriod = std::chrono::seconds{1};
 /// \brief Minimum interval between two capacity plans.
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace poplarpass::host
@@ -178,10 +179,29 @@
 {
     if (!m_resigned) {
         m_journal.remove(m_engine.removeEndedJobs(m_env.time.now()));
+        logRunTimes();
         m_env.time.callAfter(housekeepingPeriod, m_lifetime.guard([this] { removeEndedJobs(); }));
     }
 }
 
+auto pool_owner::logRunTimes() -> void
+{
+    constexpr double percent = 100;
+    const auto now = m_env.time.now();
+    if (now - m_runTimesLoggedAt < runTimeLogPeriod) {
+        return;
+    }
+    m_runTimesLoggedAt = now;
+    for (const auto &[queue, trend] : m_engine.runTimes().trends()) {
+        m_env.log.log(log_level::info, "run_times_learnt",
+                      {{"queue", queue.str()},
+                       {"runs", std::llround(trend.runs)},
+                       {"trust_percent", std::llround(trend.trust * percent)},
+                       {"ratio_percent", std::llround(trend.ratio * percent)},
+                       {"spread_percent", std::llround(trend.spread * percent)}});
+    }
+}
+
 auto pool_owner::updateWorkers() -> void
 {
     m_engine.updateWorkers(m_workers->entries(), m_env.time.now());
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -110,6 +110,7 @@
     auto holdPoolsWithStaleCapacity() -> void;
     auto beginServing() -> void;
     auto removeEndedJobs() -> void;
+    auto logRunTimes() -> void;
     auto serve(const client_request &request, const response_callback &answer) -> void;
     auto submit(const client_request &request, const response_callback &answer) -> void;
     auto deferSubmission(const client_request &request, const response_callback &answer) -> void;
@@ -184,6 +185,7 @@
     core::monotonic_time m_lastCycleAt{};
     core::monotonic_time m_startedAt{};
     core::monotonic_time m_servingSince{};
+    core::monotonic_time m_runTimesLoggedAt{}; ///< When what was learnt about run times was last logged.
     core::lifetime m_lifetime;
 };
 } // namespace poplarpass::host
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -221,6 +221,11 @@
     linkAccount(entry);
 }
 
+auto job_engine::runTimes() const -> const run_time_model &
+{
+    return m_runTimes;
+}
+
 auto job_engine::expectedRunTime(const queue_id &queue, const step_spec &step) const -> std::chrono::milliseconds
 {
     return m_runTimes.expected(queue, step.estimate);
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -245,6 +245,9 @@
     /// \brief Returns the counts since construction.
     [[nodiscard]] auto counters() const -> const engine_counters &;
 
+    /// \brief Returns what was learnt about the run times of each queue.
+    [[nodiscard]] auto runTimes() const -> const run_time_model &;
+
     /// \brief Returns the expected run time of a task of \p step, learnt from the runs that ended.
     [[nodiscard]] auto expectedRunTime(const queue_id &queue, const step_spec &step) const -> std::chrono::milliseconds;
 
--- a/src/poplarpass/jobs/job_engine_suspension.cpp
+++ b/src/poplarpass/jobs/job_engine_suspension.cpp
@@ -65,9 +65,8 @@
 auto job_engine::maySuspend(const multistep_job_record &job, const task_ref &task, const task_record &state,
                             core::monotonic_time now) const -> bool
 {
-    const auto &step = job.spec.steps[task.step];
-    const bool isResumable = step.checkpointing && !step.longRunning && !step.gang;
-    return isResumable && job.phase == multistep_job_phase::active && state.phase == task_phase::running
-        && mayRestart(job) && expectedRemaining(job, task, now) >= minSuspendedRunTime;
+    return job.spec.steps[task.step].isResumable() && job.phase == multistep_job_phase::active
+        && state.phase == task_phase::running && mayRestart(job)
+        && expectedRemaining(job, task, now) >= minSuspendedRunTime;
 }
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_spec.h
+++ b/src/poplarpass/jobs/job_spec.h
@@ -73,6 +73,12 @@
     std::optional<std::uint32_t>
         maxUnavailable; ///< Maximum number of tasks that the system itself makes unavailable at once.
 
+    /// \brief Returns whether a task that is stopped goes on from its checkpoint when it starts again.
+    [[nodiscard]] auto isResumable() const -> bool
+    {
+        return checkpointing && !longRunning && !gang;
+    }
+
     auto operator==(const step_spec &) const -> bool = default;
 };
 
--- a/src/poplarpass/jobs/run_time_model.cpp
+++ b/src/poplarpass/jobs/run_time_model.cpp
@@ -63,6 +63,15 @@
     return trend;
 }
 
+auto run_time_model::trends() const -> std::map<queue_id, run_time_trend>
+{
+    std::map<queue_id, run_time_trend> all;
+    for (const auto &[queue, learnt] : m_queues) {
+        all.emplace(queue, learnt.trend);
+    }
+    return all;
+}
+
 auto run_time_model::trendOf(const queue_id &queue) const -> run_time_trend
 {
     const auto found = m_queues.find(queue);
--- a/src/poplarpass/jobs/run_time_model.h
+++ b/src/poplarpass/jobs/run_time_model.h
@@ -36,6 +36,9 @@
     [[nodiscard]] auto expected(const queue_id &queue, std::chrono::milliseconds declared) const
         -> std::chrono::milliseconds;
 
+    /// \brief Returns what was learnt about each queue with ended runs.
+    [[nodiscard]] auto trends() const -> std::map<queue_id, run_time_trend>;
+
     /// \brief Returns what was learnt about \p queue.
     [[nodiscard]] auto trendOf(const queue_id &queue) const -> run_time_trend;
 
