Suspended tasks have room on one worker, not in the sum over the pool

Cause: found in review. The room for tasks that are stopped on drained hosts was the sum of what is free in the pool, so a task of 20 cores could be stopped for room that was spread over several workers, and wait. The room was also summed over all workers in each plan, whether or not there was a task to stop.

Change: jobs/resume_room takes the room for each stopped task on one worker that may run it, with label and anti-affinity; it is made for a pool when it has a task to stop. Queues with advice are left alone, as their tasks would need new tickets. Counters of repeated appends and of the trust in declared run times.

Tests: room spread over two workers, labels, anti-affinity, advice; no learning from runs of a former owner or from repeated runs; no copy of an append after its answer.

--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -19,6 +19,10 @@
     : m_env{std::move(environment)}
     , m_appends{m_env.records, m_env.time,
                 [this](store::topic to, unsigned copy) {
+                    m_env.metrics
+                        .counterOf("poplarpass_append_repeats_total", "Further copies of appends with overdue answers",
+                                   {{"topic", std::string{nameOf(to)}}})
+                        .add();
                     m_env.log.log(observe::log_level::info, "append_repeated", {{"topic", nameOf(to)}, {"copy", copy}});
                 }}
     , m_records{m_appends.calls()}
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -438,6 +438,12 @@
     set("poplarpass_tasks_suspended", "Runs stopped on drained workers in this term, to resume elsewhere",
         counts.tasksSuspended);
     set("poplarpass_runs_failed", "Runs that failed in this term", counts.runsFailed);
+    for (const auto &[queue, trend] : m_engine.runTimes().trends()) {
+        m_env.metrics
+            .gaugeOf("poplarpass_run_time_trust", "How far declared run times of a queue are trusted, 0 to 1",
+                     {{"queue", queue.str()}})
+            .set(trend.trust);
+    }
     set("poplarpass_runs_lost", "Runs lost in this term", counts.runsLost);
     set("poplarpass_worker_crashes", "Workers that ended without a drain while runs were placed on them, in this term",
         counts.workerCrashes);
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -12,6 +12,7 @@
 #include <poplarpass/jobs/placement_candidates.h>
 #include <poplarpass/jobs/pool_shares.h>
 #include <poplarpass/jobs/ranked_job.h>
+#include <poplarpass/jobs/resume_room.h>
 #include <poplarpass/jobs/run_time_model.h>
 #include <poplarpass/jobs/suspect_workers.h>
 #include <poplarpass/jobs/worker_table.h>
@@ -170,7 +171,8 @@
 
     /// \brief Stops tasks on \p workers, which are drained, that save their progress and would run on for long.
     ///
-    /// They resume from their checkpoints on other workers of the pool, so no more are stopped than have room there.
+    /// They resume from their checkpoints on other workers of the pool. Each of them has room on one of these when it
+    /// is stopped; a task of another job may take that room before it starts again.
     auto suspendResumable(std::span<const worker_slot *const> workers, core::monotonic_time now) -> void;
 
     /// \brief Returns how long the current run of \p task is expected to go on, from its reported progress, else from
@@ -391,7 +393,7 @@
     auto relocateStragglers(core::monotonic_time now) -> void;
     auto relocateIfStraggler(const task_ref &task, worker_slot &worker, core::monotonic_time now) -> void;
     auto evacuateLeaving(core::monotonic_time now) -> void;
-    auto roomToResume(core::monotonic_time now) -> std::map<core::pool_id, resources>;
+    auto roomToResume(const core::pool_id &pool, core::monotonic_time now) -> internal::resume_room;
     auto maySuspend(const multistep_job_record &job, const task_ref &task, const task_record &state,
                     core::monotonic_time now) const -> bool;
     auto planPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
--- a/src/poplarpass/jobs/job_engine_suspension.cpp
+++ b/src/poplarpass/jobs/job_engine_suspension.cpp
@@ -1,8 +1,9 @@
 #include <poplarpass/jobs/constants.h>
 #include <poplarpass/jobs/job_engine.h>
-#include <poplarpass/jobs/task_placement.h>
+#include <poplarpass/jobs/resume_room.h>
 
 #include <algorithm>
+#include <map>
 
 // Suspension of tasks that save their progress, so that drained workers become empty early. Answers the load of queues
 // whose peaks follow each other: hosts have to change pools while the tasks of the peak before still run.
@@ -19,24 +20,24 @@
     return std::max<core::duration>(state.startedAt + expected - now, expected / overdueDivisor);
 }
 
+// The room is looked up only when there is a task to stop, as most drained workers have none.
 auto job_engine::suspendResumable(std::span<const worker_slot *const> workers, core::monotonic_time now) -> void
 {
-    if (workers.empty()) {
-        return;
-    }
-    auto roomByPool = roomToResume(now);
+    std::map<core::pool_id, internal::resume_room> roomByPool;
     for (const auto *worker : workers) {
         for (const auto &task : worker->placed) {
             const auto [job, state] = locate(task);
             if (job == nullptr || !maySuspend(*job, task, *state, now)) {
                 continue;
             }
-            auto &room = roomByPool[job->queue.pool];
-            const auto need = internal::requiredResources(job->spec.steps[task.step]);
-            if (!room.holds(need)) {
+            const auto &pool = job->queue.pool;
+            auto room = roomByPool.find(pool);
+            if (room == roomByPool.end()) {
+                room = roomByPool.emplace(pool, roomToResume(pool, now)).first;
+            }
+            if (!room->second.take(*job, task)) {
                 continue;
             }
-            room -= need;
             ++m_counters.tasksSuspended;
             logEvent("task_suspended", nameOf(task), worker->entry.id, state->run, "host_leaves");
             beginClosing(task, *job, *state, now);
@@ -45,27 +46,23 @@
 }
 
 // Tasks that are being stopped need room again as soon as their runs have ended.
-auto job_engine::roomToResume(core::monotonic_time now) -> std::map<core::pool_id, resources>
+auto job_engine::roomToResume(const core::pool_id &pool, core::monotonic_time now) -> internal::resume_room
 {
-    std::map<core::pool_id, resources> roomByPool;
-    for (const auto &[pool, workers] : m_workers.byPool()) {
-        for (const auto *worker : eligibleWorkersOf(pool, now)) {
-            roomByPool[pool] += worker->free();
-        }
-    }
+    internal::resume_room room{eligibleWorkersOf(pool, now)};
     for (const auto &[id, task] : m_closing) {
         const auto [job, state] = locate(task);
-        if (job != nullptr && job->phase == multistep_job_phase::active) {
-            roomByPool[job->queue.pool] -= internal::requiredResources(job->spec.steps[task.step]);
+        if (job != nullptr && job->phase == multistep_job_phase::active && job->queue.pool == pool) {
+            room.take(*job, task);
         }
     }
-    return roomByPool;
+    return room;
 }
 
+// Queues with advice are left alone: a ticket for the next worker would have to be asked for first.
 auto job_engine::maySuspend(const multistep_job_record &job, const task_ref &task, const task_record &state,
                             core::monotonic_time now) const -> bool
 {
-    return job.spec.steps[task.step].isResumable() && job.phase == multistep_job_phase::active
+    return job.spec.steps[task.step].isResumable() && !job.queue.advice && job.phase == multistep_job_phase::active
         && state.phase == task_phase::running && mayRestart(job)
         && expectedRemaining(job, task, now) >= minSuspendedRunTime;
 }
--- a/tests/decisions/append_repeater_test.cpp
+++ b/tests/decisions/append_repeater_test.cpp
@@ -119,8 +119,12 @@
     fake.latency = milliseconds{200};
     int answers = 0;
     calls.append(fake_store::fenced(1), [&](const store::append_result &) { ++answers; });
-    fake.time.runFor(milliseconds{1000});
+    fake.time.runFor(milliseconds{220});
+    CHECK(answers == 1);
+    const auto copiesUntilAnswer = fake.copies.size();
+    fake.time.runFor(milliseconds{5000});
     CHECK(answers == 1);
+    CHECK(fake.copies.size() == copiesUntilAnswer);
     CHECK(fake.copies.size() > 1);
     CHECK(fake.repeats.size() == fake.copies.size() - 1);
     for (const auto &copy : fake.copies) {
--- a/tests/decisions/run_time_model_test.cpp
+++ b/tests/decisions/run_time_model_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cmath>
 #include <random>
+#include <vector>
 
 using namespace tests::jobs_fixture;
 
@@ -104,3 +105,52 @@
     CHECK(engine.counters().jobsCompleted == 400);
     CHECK(engine.expectedRunTime(queue().name, spec).count() == Approx(400).epsilon(0.3));
 }
+
+TEST_CASE("Only first runs of this owner are learnt from", "[run_time_model]")
+{
+    const auto endRun = [](jobs::job_engine &engine, const jobs::job_id &id, std::uint64_t number, std::uint32_t run,
+                           jobs::end_kind how, std::int64_t time) {
+        auto ended = report();
+        ended.ended.push_back({number, jobs::nameOf(jobs::task_ref{id, 0, 0, 0}), run, how, {}});
+        engine.onReport(jobs::worker_id{"a"}, ended, at(time), at(time));
+    };
+    const auto acknowledgeStarts = [](jobs::job_engine &engine, std::int64_t time) {
+        engine.plan(at(time), wallAt(time));
+        for (const auto &order : engine.drainOrders().starts) {
+            engine.onStartAnswer(order, jobs::run_start_answer::started, at(time));
+        }
+    };
+    const jobs::job_id id{"job"};
+
+    SECTION("a run that a former owner placed")
+    {
+        auto former = engineWith({worker("a")});
+        former.submit(id, queue(), jobOf({step(1, 1000, 500)}), wallAt(0));
+        acknowledgeStarts(former, 0);
+        auto engine = jobs::job_engine{nullptr};
+        engine.restore(*former.find(id), at(100), at(100));
+        engine.updateWorkers(std::vector{worker("a")}, at(100));
+        endRun(engine, id, 1, 1, jobs::end_kind::done, 600);
+        CHECK(engine.counters().runsDone == 1);
+        CHECK(engine.runTimes().trends().empty());
+    }
+    SECTION("a second run, which may have resumed from a checkpoint")
+    {
+        auto engine = engineWith({worker("a")});
+        engine.submit(id, queue(), jobOf({step(1, 1000, 500)}), wallAt(0));
+        acknowledgeStarts(engine, 0);
+        endRun(engine, id, 1, 1, jobs::end_kind::stopped, 200);
+        acknowledgeStarts(engine, 300);
+        endRun(engine, id, 2, 2, jobs::end_kind::done, 600);
+        CHECK(engine.counters().jobsCompleted == 1);
+        CHECK(engine.runTimes().trends().empty());
+    }
+    SECTION("a first run")
+    {
+        auto engine = engineWith({worker("a")});
+        engine.submit(id, queue(), jobOf({step(1, 1000, 500)}), wallAt(0));
+        acknowledgeStarts(engine, 0);
+        endRun(engine, id, 1, 1, jobs::end_kind::done, 600);
+        CHECK(engine.runTimes().trends().size() == 1);
+    }
+}
--- a/tests/decisions/suspension_test.cpp
+++ b/tests/decisions/suspension_test.cpp
@@ -1,7 +1,10 @@
 #include "jobs_fixture.h"
 
+#include <poplarpass/jobs/resume_room.h>
+
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <utility>
@@ -161,6 +164,73 @@
     CHECK(world.engine.counters().tasksSuspended == 2);
 }
 
+TEST_CASE("Room counts once for tasks with an anti-affinity, and only on workers with the required label",
+          "[jobs][suspension]")
+{
+    jobs::worker_slot first;
+    first.entry = worker("a");
+    first.entry.labels = {"large-disk"};
+    jobs::worker_slot second;
+    second.entry = worker("b");
+    std::vector<jobs::worker_slot *> workers{&first, &second};
+    auto apart = resumableStep(3, 1000);
+    apart.antiAffinity = 1;
+    const auto job = jobs::makeJob(jobs::job_id{"apart"}, queue(), jobOf({apart}), wallAt(0));
+    jobs::internal::resume_room room{workers};
+    CHECK(room.take(job, {job.id, 0, 0, 0}));
+    CHECK(room.take(job, {job.id, 0, 0, 1}));
+    CHECK_FALSE(room.take(job, {job.id, 0, 0, 2}));
+    auto labelled = resumableStep(2, 9000);
+    labelled.requirement = "large-disk";
+    const auto other = jobs::makeJob(jobs::job_id{"labelled"}, queue(), jobOf({labelled}), wallAt(0));
+    CHECK(room.take(other, {other.id, 0, 0, 0}));
+    CHECK_FALSE(room.take(other, {other.id, 0, 0, 1}));
+}
+
+TEST_CASE("Room for a wide task is looked for on one worker, not in the sum over several", "[jobs][suspension]")
+{
+    jobs::worker_slot first;
+    first.entry = worker("a");
+    first.used = {8000, 0, 0};
+    auto second = first;
+    std::vector<jobs::worker_slot *> workers{&first, &second};
+    const auto job = jobs::makeJob(jobs::job_id{"wide"}, queue(), jobOf({resumableStep(2, 12'000)}), wallAt(0));
+    jobs::internal::resume_room room{workers};
+    CHECK_FALSE(room.take(job, {job.id, 0, 0, 0}));
+    second.used = {};
+    jobs::internal::resume_room larger{workers};
+    CHECK(larger.take(job, {job.id, 0, 0, 0}));
+    CHECK_FALSE(larger.take(job, {job.id, 0, 0, 1}));
+}
+
+TEST_CASE("Tasks of a queue with advice are not stopped on drained workers, as they would need new tickets",
+          "[jobs][suspension]")
+{
+    auto policy = queue();
+    policy.advice = jobs::advice_policy{std::chrono::milliseconds{1}, {}, std::chrono::seconds{60}};
+    resumable_world world{{worker("a"), worker("b")}};
+    world.engine.submit(jobs::job_id{"advised"}, policy, jobOf({resumableStep(1, 1000)}), wallAt(0));
+    world.engine.plan(at(0), wallAt(0));
+    for (const auto &request : world.engine.drainAdviceRequests()) {
+        std::vector<jobs::advice_ticket> tickets;
+        for (const auto &candidate : request.workers) {
+            tickets.push_back({candidate, "ticket"});
+        }
+        world.engine.onAdvice(request, tickets, at(0), at(0));
+    }
+    world.runUntil(200, false);
+    REQUIRE(world.taskOf("advised", 0).phase == jobs::task_phase::running);
+    world.drain("a");
+    world.drain("b");
+    world.suspend();
+    world.engine.workers().find(jobs::worker_id{"a"})->leaving = false;
+    world.suspend();
+    world.drain("a");
+    world.engine.workers().find(jobs::worker_id{"b"})->leaving = false;
+    world.suspend();
+    CHECK(world.engine.counters().tasksSuspended == 0);
+}
+
 TEST_CASE("Tasks that would lose work or end soon are not stopped on drained workers", "[jobs][suspension]")
 {
     resumable_world world{{worker("a"), worker("b")}};
