What hosts do is counted for the log only, and drains are looked at first

The usage of hosts and the drained workers were looked up for every host in each plan, 25 times a second.

Change: usage is counted when pool_load is logged, twice a second; the worker of a host is looked up only when the host is drained. No decision changes.

--- a/src/poplarpass/capacity/capacity_balances.cpp
+++ b/src/poplarpass/capacity/capacity_balances.cpp
@@ -25,7 +25,7 @@
     for (const auto &pool : pools) {
         m_balances[pool.name].standby = pool.standby;
     }
-    countHosts(engine);
+    countHosts();
     const auto hostCpu = largestHostCpu();
     const auto poolsInMaintenance = poolsAwaitingMaintenance();
     for (const auto &[pool, load] : m_demand.measure(engine, now)) {
@@ -38,11 +38,10 @@
     trackShortages(now);
 }
 
-auto capacity_planner::countHosts(jobs::job_engine &engine) -> void
+auto capacity_planner::countHosts() -> void
 {
     m_moving = 0;
     for (const auto &[id, host] : m_hosts.all()) {
-        countUsage(host, engine);
         const bool isOrdered = host.step != host_step::none;
         if (isOrdered && host.order.pool) {
             ++m_moving;
@@ -53,25 +52,25 @@
     }
 }
 
-auto capacity_planner::countUsage(const tracked_host &host, jobs::job_engine &engine) -> void
+auto capacity_planner::usageByPool(jobs::job_engine &engine) const -> std::map<core::pool_id, host_usage>
 {
-    auto &usage = m_balances[host.entry.pool].usage;
-    switch (host.step) {
-    case host_step::none:
-        usage.idle += host.entry.condition == host_condition::up && internal::isEmpty(host, engine) ? 1 : 0;
-        return;
-    case host_step::draining:
-        ++usage.draining;
-        return;
-    case host_step::ordered:
-    case host_step::awaiting_return:
-        if (host.order.pool) {
-            ++m_balances[*host.order.pool].usage.arriving;
-        } else {
-            ++usage.inMaintenance;
+    std::map<core::pool_id, host_usage> usages;
+    for (const auto &[id, host] : m_hosts.all()) {
+        auto &usage = usages[host.entry.pool];
+        switch (host.step) {
+        case host_step::none:
+            usage.idle += host.entry.condition == host_condition::up && internal::isEmpty(host, engine) ? 1 : 0;
+            break;
+        case host_step::draining:
+            ++usage.draining;
+            break;
+        case host_step::ordered:
+        case host_step::awaiting_return:
+            ++(host.order.pool ? usages[*host.order.pool].arriving : usage.inMaintenance);
+            break;
         }
-        return;
     }
+    return usages;
 }
 
 auto capacity_planner::largestHostCpu() const -> std::int64_t
--- a/src/poplarpass/capacity/capacity_drains.cpp
+++ b/src/poplarpass/capacity/capacity_drains.cpp
@@ -47,10 +47,13 @@
 {
     std::vector<const jobs::worker_slot *> workers;
     for (const auto &[id, host] : m_hosts.all()) {
-        const auto *worker = workerSlotOf(host, engine);
         const bool isDrained = host.step == host_step::draining && host.entry.condition == host_condition::up
             && host.entry.worker == host.previousWorker;
-        if (isDrained && worker != nullptr && !worker->placed.empty()) {
+        if (!isDrained) {
+            continue;
+        }
+        const auto *worker = workerSlotOf(host, engine);
+        if (worker != nullptr && !worker->placed.empty()) {
             workers.push_back(worker);
         }
     }
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -50,7 +50,6 @@
     std::int64_t requiredHosts = 0; ///< Hosts required by the load.
     std::int64_t targetHosts = 0; ///< Target: requiredHosts, one more while hosts of the pool await maintenance, and
                                   ///< extra hosts for waiting steps that no worker of the pool may run.
-    host_usage usage; ///< What its hosts do.
     bool standby = false; ///< Whether hosts of the pool are powered off.
     std::string requirement; ///< Label required of hosts that move to the pool; empty for none.
 };
@@ -90,6 +89,9 @@
     /// \brief Returns the balance of each pool at the latest plan().
     [[nodiscard]] auto balances() const -> const std::map<core::pool_id, pool_balance> &;
 
+    /// \brief Returns by pool what the hosts do; looks at every host.
+    [[nodiscard]] auto usageByPool(jobs::job_engine &engine) const -> std::map<core::pool_id, host_usage>;
+
     /// \brief Returns the processor capacity of the largest host, thousandths of a core; at least 1.
     [[nodiscard]] auto largestHostCpu() const -> std::int64_t;
 
@@ -135,8 +137,7 @@
     auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWave(wave_progress &wave, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto measure(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now) -> void;
-    auto countHosts(jobs::job_engine &engine) -> void;
-    auto countUsage(const tracked_host &host, jobs::job_engine &engine) -> void;
+    auto countHosts() -> void;
     [[nodiscard]] auto maxMoving() const -> std::size_t;
     auto trackShortages(core::monotonic_time now) -> void;
     auto addHostsForMismatches(jobs::job_engine &engine, core::monotonic_time now) -> void;
--- a/src/poplarpass/host/capacity_controller.cpp
+++ b/src/poplarpass/host/capacity_controller.cpp
@@ -169,16 +169,18 @@
         return;
     }
     m_lastLoadLog = now;
+    auto usages = m_planner.usageByPool(m_env.engine);
     for (const auto &[pool, balance] : m_planner.balances()) {
+        const auto &usage = usages[pool];
         m_env.log.log(log_level::info, "pool_load",
                       {{"pool", pool.str()},
                        {"hosts", balance.have},
                        {"hosts_wanted", balance.targetHosts},
                        {"hosts_spread", balance.load.minWorkers},
-                       {"draining", balance.usage.draining},
-                       {"arriving", balance.usage.arriving},
-                       {"maintenance", balance.usage.inMaintenance},
-                       {"idle", balance.usage.idle},
+                       {"draining", usage.draining},
+                       {"arriving", usage.arriving},
+                       {"maintenance", usage.inMaintenance},
+                       {"idle", usage.idle},
                        {"standby", balance.standby ? 1 : 0},
                        {"host_cpu", m_planner.largestHostCpu()},
                        {"cpu", balance.load.capacity},
