Review case 5: the worker fails from before the start

Cause: the disruption began after the gang's start. Change: the worker fails what it starts; the stand-in names the first worker.

--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,4 +1,4 @@
-// All members of a gang run on one worker, which fails all that it runs for some seconds.
+// All members of a gang start on one worker, which fails all that it starts for some seconds.
 #include "../standin/cluster.h"
 
 using namespace review;
@@ -37,20 +37,21 @@
     ClusterOptions options;
     options.maxAttempts = maxAttempts;
     Cluster cluster{options, recordPath};
-    if (!cluster.start() || !cluster.submitUntilAccepted(jobId, gangOfThree(), {workMs})) {
+    if (!cluster.start()) {
         return couldNotRun;
     }
     auto &fleet = cluster.fleet();
-    if (!Cluster::waitFor(5000, [&] { return fleet.running(jobId) == 3; })) {
+    const auto worker = fleet.firstWorker();
+    if (trouble) {
+        fleet.failAll(worker, failingMs);
+    }
+    if (!cluster.submitUntilAccepted(jobId, gangOfThree(), {workMs})
+        || !Cluster::waitFor(5000, [&] { return fleet.running(jobId) == 3; })) {
         return couldNotRun;
     }
-    if (trouble) {
-        sleepMs(500);
-        const auto workers = fleet.workersOf(jobId);
-        if (workers.size() != 1) {
-            return couldNotRun;
-        }
-        fleet.failAll(*workers.begin(), failingMs);
+    // With all workers free the gang starts on the first one.
+    if (fleet.workersOf(jobId) != std::set{worker}) {
+        return couldNotRun;
     }
     std::string state;
     const auto begin = nowMs();
--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -136,6 +136,11 @@
     return count;
 }
 
+std::string Fleet::firstWorker() const
+{
+    return m_workers.front()->id;
+}
+
 int Fleet::done(const std::string &job) const
 {
     const std::lock_guard lock{m_mutex};
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -62,6 +62,8 @@
 
     std::vector<RunEvent> events() const;
 
+    std::string firstWorker() const;
+
     /// Returns the workers on which runs of \p job exist.
     std::set<std::string> workersOf(const std::string &job) const;
 
