--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -81,8 +81,8 @@
                 accepted.push_back(largeId);
             }
         }
-        const auto reply = cluster.submit(static_cast<std::size_t>(i) % cluster.hostCount(), smallId(i), smallJob(),
-                                          {smallStepMs});
+        const auto reply =
+            cluster.submit(static_cast<std::size_t>(i) % cluster.hostCount(), smallId(i), smallJob(), {smallStepMs});
         if (reply.status == 200) {
             accepted.push_back(smallId(i));
         }
@@ -100,7 +100,8 @@
             ++lost;
         }
     }
-    record.line("check: " + std::to_string(lost) + " of " + std::to_string(accepted.size()) + " accepted jobs are lost");
+    record.line("check: " + std::to_string(lost) + " of " + std::to_string(accepted.size())
+                + " accepted jobs are lost");
     return lost > 0 ? ruleBroken : ruleHeld;
 }
 } // namespace
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -45,7 +45,9 @@
         cluster.store().setAnswerMs(slowAnswerMs);
         sleepMs(1500);
     }
-    std::thread first{[&] { cluster.submit(0, firstId, chain(), {stepMs}); }};
+    std::thread first{[&] {
+        cluster.submit(0, firstId, chain(), {stepMs});
+    }};
     sleepMs(40);
     cluster.submit(1, cancelledId, chain(), {stepMs}, deadlineMs);
     const auto reply = cluster.cancel(2, cancelledId);
@@ -67,7 +69,8 @@
         const bool isOfJob = event.what == "start" && event.task.rfind(cancelledId, 0) == 0;
         late += isOfJob && event.atMs > std::max(acknowledgedAt + cancelMs, inTouchSince) ? 1 : 0;
     }
-    record.line("check: " + std::to_string(late) + " tasks of the cancelled job were started by machines in touch, later than 3 s after the "
+    record.line("check: " + std::to_string(late)
+                + " tasks of the cancelled job were started by machines in touch, later than 3 s after the "
                 + std::to_string(reply.status) + " to its cancel; its state is " + cluster.state(cancelledId));
     return late > 0 ? ruleBroken : ruleHeld;
 }
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -15,9 +15,9 @@
 
 json gangOfThree()
 {
-    return {{"spec", "docket index"},
-            {"steps",
-             {{{"count", 3}, {"cpu", 2000}, {"mem_mb", 512}, {"estimate_ms", workMs}, {"gang_scheduled", true}}}}};
+    return {
+        {"spec", "docket index"},
+        {"steps", {{{"count", 3}, {"cpu", 2000}, {"mem_mb", 512}, {"estimate_ms", workMs}, {"gang_scheduled", true}}}}};
 }
 
 // Returns the numbers of the gang's runs that ended as failed.
--- a/review/standin/cluster.cpp
+++ b/review/standin/cluster.cpp
@@ -32,8 +32,8 @@
 {
     // The same keys and values as deploy/host.toml.template on a small machine.
     std::ofstream file{m_settings};
-    file << "name = \"" << m_name << "\"\nzone = \"zone-a\"\nlog_level = \"info\"\n\n[listen]\ncallers = \"" << callers()
-         << "\"\nreadiness = \"127.0.0.1:" << m_readiness << "\"\npeers = \"127.0.0.1:" << freePort()
+    file << "name = \"" << m_name << "\"\nzone = \"zone-a\"\nlog_level = \"info\"\n\n[listen]\ncallers = \""
+         << callers() << "\"\nreadiness = \"127.0.0.1:" << m_readiness << "\"\npeers = \"127.0.0.1:" << freePort()
          << "\"\nmetrics = \"127.0.0.1:" << freePort() << "\"\n\n[platform]\nstore = \"" << store
          << "\"\nhost_service = \"" << cloud << "\"\nadvice = []\n\n[size]\nprocessor_share = 0.25\n"
          << "processor_speed = 1\nlink_mbps = 1000.0\n\n[timing]\nstop_grace_s = 6\nholder_term_ms = 3000\n";
@@ -114,8 +114,8 @@
     const auto *program = std::getenv("POPLARPASS");
     for (int i = 0; i < m_options.hosts; ++i) {
         m_hosts.push_back(std::make_unique<HostProcess>("edge-zone-a-" + std::to_string(i + 1),
-                                                        program != nullptr ? program : "target/bin/poplarpass", m_folder,
-                                                        m_store->address(), m_fleet->cloudAddress()));
+                                                        program != nullptr ? program : "target/bin/poplarpass",
+                                                        m_folder, m_store->address(), m_fleet->cloudAddress()));
     }
 }
 
@@ -126,28 +126,30 @@
     m_store.reset();
     const auto *keep = std::getenv("KEEP_LOGS");
     if (keep != nullptr) {
-        std::filesystem::copy(m_folder, keep, std::filesystem::copy_options::overwrite_existing | std::filesystem::copy_options::recursive);
+        std::filesystem::copy(m_folder, keep,
+                              std::filesystem::copy_options::overwrite_existing
+                                  | std::filesystem::copy_options::recursive);
     }
     std::filesystem::remove_all(m_folder);
 }
 
 bool Cluster::start()
 {
-    const json config{{"version", 7},
-                      {"routes",
-                       {{{"name", "r-search"},
-                         {"hostname", hostName},
-                         {"path_prefix", prefix},
-                         {"kind", "non_idempotent"},
-                         {"timeout_ms", 3000},
-                         {"target_latency_ms", 600},
-                         {"priority", 0},
-                         {"service", m_options.fleet.service},
-                         {"max_attempts", m_options.maxAttempts},
-                         {"stretch", 1.6}}}},
-                      {"services",
-                       {{{"name", m_options.fleet.service}, {"enforces_capacity", true}, {"standby", false}}}},
-                      {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 262144}}}};
+    const json config{
+        {"version", 7},
+        {"routes",
+         {{{"name", "r-search"},
+           {"hostname", hostName},
+           {"path_prefix", prefix},
+           {"kind", "non_idempotent"},
+           {"timeout_ms", 3000},
+           {"target_latency_ms", 600},
+           {"priority", 0},
+           {"service", m_options.fleet.service},
+           {"max_attempts", m_options.maxAttempts},
+           {"stretch", 1.6}}}},
+        {"services", {{{"name", m_options.fleet.service}, {"enforces_capacity", true}, {"standby", false}}}},
+        {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 262144}}}};
     m_store->put("keyed.op", "config", config.dump());
     for (auto &host : m_hosts) {
         host->start();
@@ -192,10 +194,10 @@
                                                      {"Content-Type", "application/json"},
                                                      {"Poplarpass-Deadline-Ms", std::to_string(timeoutMs)}};
     auto reply = call(m_hosts.at(host)->callers(), method, prefix + id, headers, body, timeoutMs);
-    m_record->line("client: " + method + " " + id + " at " + m_hosts[host]->name() + ": "
-                   + (reply.status == 0 ? std::string{"no answer"} : std::to_string(reply.status) + " "
-                          + reply.body.substr(0, 80))
-                   + " after " + std::to_string(reply.ms) + " ms");
+    m_record->line(
+        "client: " + method + " " + id + " at " + m_hosts[host]->name() + ": "
+        + (reply.status == 0 ? std::string{"no answer"} : std::to_string(reply.status) + " " + reply.body.substr(0, 80))
+        + " after " + std::to_string(reply.ms) + " ms");
     return reply;
 }
 
@@ -265,7 +267,9 @@
     const auto *trouble = std::getenv("TROUBLE");
     try {
         const int result = body(argv[1], trouble == nullptr || std::string{trouble} != "0");
-        std::cout << (result == ruleHeld ? "the rule held" : result == ruleBroken ? "the rule was broken" : "could not run")
+        std::cout << (result == ruleHeld         ? "the rule held"
+                          : result == ruleBroken ? "the rule was broken"
+                                                 : "could not run")
                   << "\n";
         return result;
     } catch (const std::exception &problem) {
--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -309,7 +309,8 @@
     entry.failAt = entry.startedAt < worker.failingUntil ? entry.startedAt + failAfterMs : -1;
     worker.runs[task] = entry;
     m_events.push_back({entry.startedAt, task, run, worker.id, "start"});
-    recordRun(task, "start: " + task + " run " + std::to_string(run) + " on " + worker.id + ", token "
+    recordRun(task,
+              "start: " + task + " run " + std::to_string(run) + " on " + worker.id + ", token "
                   + std::to_string(worker.token));
     return started;
 }
@@ -356,8 +357,9 @@
             ended.push_back({end.number, end.task, end.run, end.how, ""});
         }
     }
-    return {200,
-            json{{"clock_ms", clockOf(worker)}, {"born", worker.bornUnix}, {"running", running}, {"ended", ended}}.dump()};
+    return {
+        200,
+        json{{"clock_ms", clockOf(worker)}, {"born", worker.bornUnix}, {"running", running}, {"ended", ended}}.dump()};
 }
 
 void Fleet::recordRun(const std::string &task, const std::string &text)
--- a/review/standin/http.cpp
+++ b/review/standin/http.cpp
@@ -161,7 +161,9 @@
     , m_port{portOf(m_listener)}
 {
     listen(m_listener, 256);
-    m_acceptor = std::thread{[this] { acceptLoop(); }};
+    m_acceptor = std::thread{[this] {
+        acceptLoop();
+    }};
 }
 
 Server::~Server()
@@ -213,7 +215,9 @@
         auto &reference = *connection;
         const std::lock_guard lock{m_mutex};
         m_connections.push_back(std::move(connection));
-        reference.thread = std::thread{[this, &reference] { serve(reference); }};
+        reference.thread = std::thread{[this, &reference] {
+            serve(reference);
+        }};
     }
 }
 
@@ -337,7 +341,8 @@
     }
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     std::string buffer;
-    if (connect(descriptor, reinterpret_cast<sockaddr *>(&endpoint), sizeof endpoint) == 0 && sendAll(descriptor, text)) {
+    if (connect(descriptor, reinterpret_cast<sockaddr *>(&endpoint), sizeof endpoint) == 0
+        && sendAll(descriptor, text)) {
         std::size_t needed = std::string::npos;
         std::size_t bodyStart = 0;
         char chunk[16384];
--- a/review/standin/http.h
+++ b/review/standin/http.h
@@ -23,8 +23,8 @@
 struct Request
 {
     std::string method;
-    std::string path;                           ///< Without the query.
-    std::map<std::string, std::string> query;   ///< Decoded parameters.
+    std::string path; ///< Without the query.
+    std::map<std::string, std::string> query; ///< Decoded parameters.
     std::map<std::string, std::string> headers; ///< Names in lower case.
     std::string body;
 
--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -53,7 +53,9 @@
 Store::Store(StoreLimits limits)
     : m_limits{limits}
     , m_answerMs{limits.answerMs}
-    , m_server{[this](const Request &request) { return handle(request); }}
+    , m_server{[this](const Request &request) {
+        return handle(request);
+    }}
 {
 }
 
@@ -122,7 +124,8 @@
     }
     std::vector<std::string> records;
     for (std::size_t position = 0; position < request.body.size();) {
-        if (request.body.size() - position < 4 || request.body.size() - position - 4 < readLength(request.body, position)) {
+        if (request.body.size() - position < 4
+            || request.body.size() - position - 4 < readLength(request.body, position)) {
             return {400, R"({"error":"malformed"})"};
         }
         const auto length = readLength(request.body, position);
@@ -215,7 +218,8 @@
             more = true;
             break;
         }
-        items.push_back({{"key", entry->first}, {"value", base64(entry->second.value)}, {"offset", entry->second.offset}});
+        items.push_back(
+            {{"key", entry->first}, {"value", base64(entry->second.value)}, {"offset", entry->second.offset}});
         bytes += entry->second.value.size();
     }
     return {200, json{{"items", items}, {"has_more", more}, {"end_offset", topic.records.size()}}.dump()};
