Review: case 4 tries again on a busy machine; report

Change: up to four attempts in case 4; build.sh waits for each compile; report with the final counts.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -7,28 +7,73 @@
 namespace
 {
 constexpr std::int64_t slowAnswerMs = 240; // 60 times the usual 4 ms
-constexpr std::int64_t slowForMs = 3000;
+constexpr std::int64_t slowForMs = 4000;
+constexpr std::int64_t settleMs = 1500;
 constexpr std::int64_t deadlineMs = 120;
+constexpr std::int64_t beginAttemptsWithinMs = 2000;
 constexpr std::int64_t stepMs = 2000;
+constexpr int steps = 5;
 constexpr std::int64_t cancelMs = 3000;
 constexpr std::int64_t contactMs = 3000;
-constexpr std::int64_t watchMs = 12000;
+constexpr std::int64_t watchMs = 13000;
+constexpr int maxAttempts = 4;
 
-const std::string firstId = "31c5d0aa9e7b4f60";
-const std::string cancelledId = "31c5d0aa9e7b4f61";
+/// A job that its client cancelled, and the answer to the cancel.
+struct CancelledJob
+{
+    std::string id;
+    int submission = 0;
+    int cancel = 0;
+    std::int64_t acknowledgedAt = 0;
+};
+
+std::string idOf(char kind, int attempt)
+{
+    return std::string{"31c5d0aa9e7b4f"} + kind + std::to_string(attempt);
+}
 
-// Four steps, one after the other.
+// Steps one after the other.
 json chain()
 {
-    json steps = json::array();
-    for (int i = 0; i < 4; ++i) {
+    json list = json::array();
+    for (int i = 0; i < steps; ++i) {
         json step{{"count", 2}, {"cpu", 500}, {"mem_mb", 64}, {"estimate_ms", stepMs}};
         if (i > 0) {
             step["after"] = {i - 1};
         }
-        steps.push_back(step);
+        list.push_back(step);
+    }
+    return {{"spec", "title trace"}, {"steps", list}};
+}
+
+// One client hands in job A. Another one hands in job B, waits for as long as it has said, and cancels B.
+CancelledJob submitAndCancel(Cluster &cluster, int attempt)
+{
+    std::thread other{[&] {
+        cluster.submit(0, idOf('a', attempt), chain(), {stepMs});
+    }};
+    sleepMs(40);
+    CancelledJob job{idOf('b', attempt)};
+    job.submission = cluster.submit(1, job.id, chain(), {stepMs}, deadlineMs).status;
+    job.cancel = cluster.cancel(2, job.id).status;
+    job.acknowledgedAt = nowMs();
+    other.join();
+    return job;
+}
+
+bool isAcknowledged(const CancelledJob &job)
+{
+    return job.cancel == 410 || (job.cancel >= 200 && job.cancel < 300);
+}
+
+int countLateStarts(const Fleet &fleet, const CancelledJob &job, std::int64_t inTouchSince)
+{
+    int late = 0;
+    for (const auto &event : fleet.events()) {
+        const bool isOfJob = event.what == "start" && event.task.rfind(job.id, 0) == 0;
+        late += isOfJob && event.atMs > std::max(job.acknowledgedAt + cancelMs, inTouchSince) ? 1 : 0;
     }
-    return {{"spec", "title trace"}, {"steps", steps}};
+    return late;
 }
 
 int run(const std::string &recordPath, bool trouble)
@@ -43,35 +88,35 @@
     if (trouble) {
         record.line("disruption: the store takes 240 ms for an answer");
         cluster.store().setAnswerMs(slowAnswerMs);
-        sleepMs(1500);
     }
-    std::thread first{[&] {
-        cluster.submit(0, firstId, chain(), {stepMs});
-    }};
-    sleepMs(40);
-    cluster.submit(1, cancelledId, chain(), {stepMs}, deadlineMs);
-    const auto reply = cluster.cancel(2, cancelledId);
-    const auto acknowledgedAt = nowMs();
-    first.join();
-    if (reply.status != 410 && (reply.status < 200 || reply.status >= 300)) {
-        return couldNotRun;
+    sleepMs(settleMs);
+    std::vector<CancelledJob> jobs;
+    // On a busy machine the calls may miss the moment at which an append is in flight, so there are a few attempts.
+    const auto attemptsUntil = nowMs() + beginAttemptsWithinMs;
+    for (int i = 0; i < maxAttempts && nowMs() < attemptsUntil && (i == 0 || jobs.back().cancel != 410); ++i) {
+        jobs.push_back(submitAndCancel(cluster, i));
     }
     sleepMs(slowForMs - (nowMs() - slowSince));
     if (trouble) {
         record.line("end of disruption: the store answers in 4 ms");
-        cluster.store().setAnswerMs(4);
+        cluster.store().setAnswerMs(StoreLimits{}.answerMs);
     }
-    // The machines are in touch from here on.
+    // All machines are in touch from here on.
     const auto inTouchSince = nowMs() + contactMs;
     sleepMs(watchMs);
+    std::erase_if(jobs, [](const CancelledJob &job) { return !isAcknowledged(job); });
     int late = 0;
-    for (const auto &event : cluster.fleet().events()) {
-        const bool isOfJob = event.what == "start" && event.task.rfind(cancelledId, 0) == 0;
-        late += isOfJob && event.atMs > std::max(acknowledgedAt + cancelMs, inTouchSince) ? 1 : 0;
+    for (const auto &job : jobs) {
+        const int starts = countLateStarts(cluster.fleet(), job, inTouchSince);
+        late += starts;
+        record.line("check: " + job.id + ": " + std::to_string(job.submission) + " to its submission, "
+                    + std::to_string(job.cancel) + " to its cancel; " + std::to_string(starts)
+                    + " tasks were started by machines in touch later than 3 s after that; its state is "
+                    + cluster.state(job.id));
+    }
+    if (jobs.empty()) {
+        return couldNotRun;
     }
-    record.line("check: " + std::to_string(late)
-                + " tasks of the cancelled job were started by machines in touch, later than 3 s after the "
-                + std::to_string(reply.status) + " to its cancel; its state is " + cluster.state(cancelledId));
     return late > 0 ? ruleBroken : ruleHeld;
 }
 } // namespace
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,12 +4,22 @@
 cd "$(dirname "$0")/.."
 out=target/review
 mkdir -p "$out"
+compile=(g++ -std=c++20 -O2 -Wall -Wextra -pthread)
+jobs=()
+wait_all() {
+    for job in "${jobs[@]}"; do
+        wait "$job"
+    done
+    jobs=()
+}
 for source in review/standin/*.cpp; do
-    g++ -std=c++20 -O2 -Wall -Wextra -pthread -c "$source" -o "$out/$(basename "$source" .cpp).o" &
+    "${compile[@]}" -c "$source" -o "$out/$(basename "$source" .cpp).o" &
+    jobs+=($!)
 done
-wait
+wait_all
 for source in review/*/case.cpp; do
     name=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O2 -Wall -Wextra -pthread "$source" "$out"/{http,store,fleet,cluster}.o -o "$out/case-$name" &
+    "${compile[@]}" "$source" "$out"/{http,store,fleet,cluster}.o -o "$out/case-$name" &
+    jobs+=($!)
 done
-wait
+wait_all
