--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,4 +1,4 @@
-// While the store is slow, a client hands a job in, is told that the outcome is unknown, and cancels the job.
+// While the store is slow, one client in four hands a job in, leaves before the answer, and cancels the job.
 #include "../standin/cluster.h"
 
 using namespace review;
@@ -9,7 +9,9 @@
 constexpr std::int64_t slowAnswerMs = 240; // 60 times the usual 4 ms
 constexpr std::int64_t slowForMs = 4000;
 constexpr std::int64_t settleMs = 1500;
-constexpr std::int64_t deadlineMs = 120;
+constexpr std::int64_t leaveAfterMs = 120; // before half of the objective of 600 ms
+constexpr std::int64_t stayMs = 3000;
+constexpr int otherClients = 3;
 constexpr std::int64_t beginAttemptsWithinMs = 2000;
 constexpr std::int64_t stepMs = 2000;
 constexpr int steps = 5;
@@ -29,7 +31,7 @@
 
 std::string idOf(char kind, int attempt)
 {
-    return std::string{"31c5d0aa9e7b4f"} + kind + std::to_string(attempt);
+    return std::string{"31c5d0aa9e7b4"} + kind + std::to_string(attempt / 10) + std::to_string(attempt % 10);
 }
 
 // Steps one after the other.
@@ -46,18 +48,22 @@
     return {{"spec", "title trace"}, {"steps", list}};
 }
 
-// One client hands in job A. Another one hands in job B, waits for as long as it has said, and cancels B.
-CancelledJob submitAndCancel(Cluster &cluster, int attempt)
+// Three clients hand in jobs and wait. A fourth one hands in a job, leaves early if \p leaves, and cancels it.
+CancelledJob submitAndCancel(Cluster &cluster, int attempt, bool leaves)
 {
-    std::thread other{[&] {
-        cluster.submit(0, idOf('a', attempt), chain(), {stepMs});
-    }};
+    std::vector<std::thread> others;
+    for (int i = 0; i < otherClients; ++i) {
+        others.emplace_back(
+            [&cluster, attempt, i] { cluster.submit(0, idOf('a', attempt * otherClients + i), chain(), {stepMs}); });
+    }
     sleepMs(40);
     CancelledJob job{idOf('b', attempt)};
-    job.submission = cluster.submit(1, job.id, chain(), {stepMs}, deadlineMs).status;
+    job.submission = cluster.submit(1, job.id, chain(), {stepMs}, leaves ? leaveAfterMs : stayMs).status;
     job.cancel = cluster.cancel(2, job.id).status;
     job.acknowledgedAt = nowMs();
-    other.join();
+    for (auto &other : others) {
+        other.join();
+    }
     return job;
 }
 
@@ -94,7 +100,7 @@
     // On a busy machine the calls may miss the moment at which an append is in flight, so there are a few attempts.
     const auto attemptsUntil = nowMs() + beginAttemptsWithinMs;
     for (int i = 0; i < maxAttempts && nowMs() < attemptsUntil && (i == 0 || jobs.back().cancel != 410); ++i) {
-        jobs.push_back(submitAndCancel(cluster, i));
+        jobs.push_back(submitAndCancel(cluster, i, trouble));
     }
     sleepMs(slowForMs - (nowMs() - slowSince));
     if (trouble) {
@@ -109,8 +115,10 @@
     for (const auto &job : jobs) {
         const int starts = countLateStarts(cluster.fleet(), job, inTouchSince);
         late += starts;
-        record.line("check: " + job.id + ": " + std::to_string(job.submission) + " to its submission, "
-                    + std::to_string(job.cancel) + " to its cancel; " + std::to_string(starts)
+        record.line("check: " + job.id + ": "
+                    + (job.submission == 0 ? std::string{"the client left"}
+                                           : std::to_string(job.submission) + " to its submission")
+                    + ", " + std::to_string(job.cancel) + " to its cancel; " + std::to_string(starts)
                     + " tasks were started by machines in touch later than 3 s after that; its state is "
                     + cluster.state(job.id));
     }
--- a/review/standin/cluster.cpp
+++ b/review/standin/cluster.cpp
@@ -19,6 +19,7 @@
 constexpr const char *hostName = "pule25.example";
 constexpr const char *prefix = "/puxa400/";
 constexpr unsigned longestCaseS = 115;
+constexpr std::int64_t clientDeadlineMs = 3000;
 } // namespace
 
 HostProcess::HostProcess(std::string name, std::string program, std::string folder, std::string store,
@@ -192,7 +193,7 @@
 {
     const std::map<std::string, std::string> headers{{"Host", hostName},
                                                      {"Content-Type", "application/json"},
-                                                     {"Poplarpass-Deadline-Ms", std::to_string(timeoutMs)}};
+                                                     {"Poplarpass-Deadline-Ms", std::to_string(clientDeadlineMs)}};
     auto reply = call(m_hosts.at(host)->callers(), method, prefix + id, headers, body, timeoutMs);
     m_record->line(
         "client: " + method + " " + id + " at " + m_hosts[host]->name() + ": "
--- a/review/standin/cluster.h
+++ b/review/standin/cluster.h
@@ -63,6 +63,7 @@
     std::size_t hostCount() const;
 
     /// Hands a job in at \p host, once. \param workMs work of each task of a step; the last one holds for the rest
+    /// \param timeoutMs when the client leaves; it always says that it waits for clientDeadlineMs
     Reply submit(std::size_t host, const std::string &id, const nlohmann::json &body, std::vector<std::int64_t> workMs,
                  std::int64_t timeoutMs = 3000);
 
