Progress that exceeds a record of the store is stored in parts

Cause: the progress of a job was one record of unbounded size. At 262,332 bytes the store answered 413, which its client took for an unknown outcome, and an append of unknown outcome is repeated for ever with everything behind it.

The owner's log could not tell this from an outage; journal_rejected with the bytes does now.

Change: progress that exceeds a record is divided into parts of 256 tasks, changed parts only are written; what fits is written as before. An earlier build that takes over sees such a job as scheduled for the year 3000: it keeps it and answers for it, but starts nothing again. Specifications that exceed a record are refused with 413.

--- a/src/poplarpass/codec/job_codec.cpp
+++ b/src/poplarpass/codec/job_codec.cpp
@@ -8,6 +8,9 @@
 {
 using nlohmann::json;
 
+// 1 January 3000, in Unix milliseconds.
+constexpr std::int64_t deferredDueMs = 32'503'680'000'000;
+
 auto encodeStep(const jobs::step_spec &step) -> json
 {
     json out{
@@ -83,9 +86,17 @@
     return queue;
 }
 
+// Schedules the stored job far in the future. Builds that do not know progress in parts would take such a job for one
+// without progress: they know it, answer for it and can cancel it, but must not start its tasks again.
+auto deferSchedule(json &out, const jobs::multistep_job_spec &spec) -> void
+{
+    out["schedule"] = {{"repeat", spec.repeatCount}, {"first_ms", core::toUnixMilliseconds(spec.firstDue)}};
+    out["repeat"] = spec.occurrences();
+    out["first_ms"] = deferredDueMs;
+}
 } // namespace
 
-auto encodeJob(const jobs::multistep_job_record &job) -> std::string
+auto encodeJob(const jobs::multistep_job_record &job, progress_layout layout) -> std::string
 {
     json steps = json::array();
     for (const auto &step : job.spec.steps) {
@@ -101,11 +112,14 @@
     if (!job.account.empty()) {
         out["account"] = job.account.str();
     }
+    if (layout == progress_layout::parts) {
+        deferSchedule(out, job.spec);
+    }
     const auto bytes = json::to_cbor(out);
     return {bytes.begin(), bytes.end()};
 }
 
-auto decodeJob(const jobs::job_id &id, std::string_view bytes) -> core::result<jobs::multistep_job_record>
+auto decodeJob(const jobs::job_id &id, std::string_view bytes) -> core::result<decoded_job>
 {
     try {
         const auto in = json::from_cbor(bytes);
@@ -115,8 +129,10 @@
         for (const auto &step : in.at("steps")) {
             spec.steps.push_back(decodeStep(step));
         }
-        spec.repeatCount = in.at("repeat").get<std::uint32_t>();
-        spec.firstDue = core::fromUnixMilliseconds(in.at("first_ms").get<std::int64_t>());
+        const auto layout = in.contains("schedule") ? progress_layout::parts : progress_layout::one_record;
+        const auto &schedule = layout == progress_layout::parts ? in.at("schedule") : in;
+        spec.repeatCount = schedule.at("repeat").get<std::uint32_t>();
+        spec.firstDue = core::fromUnixMilliseconds(schedule.at("first_ms").get<std::int64_t>());
         spec.interval = std::chrono::milliseconds{in.at("interval_ms").get<std::int64_t>()};
         if (!jobs::isValidSpec(spec)) {
             return core::failure(core::error_kind::malformed_message, "job record with invalid steps");
@@ -124,7 +140,7 @@
         const core::wall_time accepted{core::duration{in.at("accepted_us").get<std::int64_t>()}};
         auto job = jobs::makeJob(id, decodeQueue(in.at("queue")), std::move(spec), accepted);
         job.account = jobs::account_id{in.value("account", std::string{})};
-        return job;
+        return decoded_job{std::move(job), layout};
     } catch (const json::exception &problem) {
         return core::failure(core::error_kind::malformed_message, problem.what());
     }
--- a/src/poplarpass/codec/job_codec.h
+++ b/src/poplarpass/codec/job_codec.h
@@ -3,15 +3,29 @@
 #include <poplarpass/core/error.h>
 #include <poplarpass/jobs/job_state.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace poplarpass::codec
 {
-/// \brief Encodes the immutable part of \p job as CBOR: queue, specification and acceptance time.
-auto encodeJob(const jobs::multistep_job_record &job) -> std::string;
+/// \brief How the progress of a job is stored beside its specification.
+enum class progress_layout : std::uint8_t {
+    one_record, ///< The progress of all tasks in one record.
+    parts, ///< One record for the phase of the job and one for each group of tasks.
+};
 
-/// \brief Decodes a job encoded by encodeJob(), with all tasks waiting.
-/// \returns malformed_message if \p bytes are not an encoded job
-auto decodeJob(const jobs::job_id &id, std::string_view bytes) -> core::result<jobs::multistep_job_record>;
+/// \brief A job decoded from its specification.
+struct decoded_job
+{
+    jobs::multistep_job_record job; ///< The job, without progress.
+    progress_layout layout = progress_layout::one_record; ///< How its progress is stored.
+};
+
+/// \brief Encodes the specification of \p job and all that is fixed at its acceptance, for the store.
+auto encodeJob(const jobs::multistep_job_record &job, progress_layout layout = progress_layout::one_record)
+    -> std::string;
+
+/// \brief Decodes what encodeJob() returned; the job has no progress.
+auto decodeJob(const jobs::job_id &id, std::string_view bytes) -> core::result<decoded_job>;
 } // namespace poplarpass::codec
--- a/src/poplarpass/host/caller_request.cpp
+++ b/src/poplarpass/host/caller_request.cpp
@@ -129,7 +129,7 @@
         return makeRefusal(plainResponse(400, "bad_job_id"));
     }
     if (call.body.size() > config.maxBodyBytes) {
-        return makeRefusal(plainResponse(413, "body_too_large"));
+        return makeRefusal(plainResponse(tooLargeStatus, "body_too_large"));
     }
     caller_request parsed;
     parsed.request.verb = *verb;
--- a/src/poplarpass/host/capacity_controller.cpp
+++ b/src/poplarpass/host/capacity_controller.cpp
@@ -287,6 +287,11 @@
     case store::append_outcome::unknown:
         m_env.time.callAfter(storeRetryDelay, m_lifetime.guard([this] { writeStatus(); }));
         return;
+    case store::append_outcome::rejected:
+        m_env.log.log(log_level::error, "wave_status_rejected", {{"key", m_statusWrites.front().key}});
+        m_statusWrites.pop_front();
+        writeStatus();
+        return;
     case store::append_outcome::fenced:
     case store::append_outcome::conflict:
     case store::append_outcome::out_of_sequence:
--- a/src/poplarpass/host/client_request.h
+++ b/src/poplarpass/host/client_request.h
@@ -56,6 +56,9 @@
 /// \brief HTTP status of a refusal because of the limits of the caller's account; the request was not carried out.
 inline constexpr int tooManyRequestsStatus = 429;
 
+/// \brief HTTP status of a submission that is too large to be accepted by any host at any time.
+inline constexpr int tooLargeStatus = 413;
+
 /// \brief HTTP status of any other refusal of a request that was not carried out.
 inline constexpr int unavailableStatus = 503;
 
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -1,27 +1,24 @@
-#include <poplarpass/codec/job_codec.h>
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/journal.h>
-#include <poplarpass/jobs/progress_text.h>
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <optional>
 #include <sstream>
-#include <unordered_map>
 #include <utility>
 
 namespace poplarpass::host
 {
 namespace
 {
-constexpr char specPrefix = 'j';
-constexpr char progressPrefix = 'p';
 constexpr char leasePrefix = 's';
-constexpr char accountMark = ' ';
+/// \brief Bytes of a record in an append beside its key and value: its length and the length of its key.
+constexpr std::size_t recordOverheadBytes = 5;
 
 auto sizeOf(const store::keyed_record &record) -> std::size_t
 {
-    return record.key.size() + record.value.size();
+    return recordOverheadBytes + record.key.size() + record.value.size();
 }
 
 auto encodeLease(const jobs::unrenewed_lease &lease) -> std::string
@@ -32,27 +29,6 @@
     return std::to_string(lease.incarnation) + " " + std::to_string(lease.remaining->count());
 }
 
-// The specification of a settled job is removed, so its account is kept with its end.
-auto encodeEnd(const jobs::multistep_job_record &job) -> std::string
-{
-    auto text = jobs::encodeEnd(job.phase);
-    return job.account.empty() ? text : text + accountMark + job.account.str();
-}
-
-auto decodeEnd(const jobs::job_id &id, std::string_view text) -> std::optional<jobs::multistep_job_record>
-{
-    const auto mark = text.find(accountMark);
-    const auto phase = jobs::decodeEnd(text.substr(0, mark));
-    if (!phase) {
-        return std::nullopt;
-    }
-    auto job = jobs::makeEndedJob(id, *phase);
-    if (mark != std::string_view::npos) {
-        job.account = jobs::account_id{std::string{text.substr(mark + 1)}};
-    }
-    return job;
-}
-
 auto decodeLease(const store::stored_record &record) -> std::optional<jobs::unrenewed_lease>
 {
     std::istringstream in{record.value};
@@ -67,63 +43,63 @@
 } // namespace
 
 journal::journal(const core::time_source &time, const store::record_store &records, observe::logger &log,
-                 std::uint64_t epoch, fenced_hook onFenced, std::function<void()> onIdle)
+                 std::uint64_t epoch, failed_hook onFailed, std::function<void()> onIdle)
     : m_time{time}
     , m_store{records}
     , m_log{log}
     , m_epoch{epoch}
-    , m_onFenced{std::move(onFenced)}
+    , m_onFailed{std::move(onFailed)}
     , m_onIdle{std::move(onIdle)}
+    , m_jobRecords{records.limits, [this](const jobs::multistep_job_record &job, codec::progress_layout layout) {
+                       m_log.log(observe::log_level::info, "progress_layout_changed",
+                                 {{"job", job.id.str()},
+                                  {"tasks", job.tasks.size()},
+                                  {"layout", layout == codec::progress_layout::parts ? "parts" : "one_record"}});
+                   }}
 {
 }
 
 auto journal::open(std::function<void()> done) -> void
 {
     assert(m_batches.empty());
-    m_batches.push_back({{}, {}, {std::move(done)}});
+    pendingBatch().onStored.push_back(std::move(done));
     sendNextBatch();
 }
 
 auto journal::write(const jobs::job_engine &engine, const std::set<jobs::job_id> &changed,
                     std::span<const jobs::unrenewed_lease> leases, std::function<void()> onStored) -> void
 {
-    auto &first = pendingBatch();
-    std::size_t bytes = 0;
-    for (const auto &record : first.records) {
-        bytes += sizeOf(record);
-    }
     for (const auto &lease : leases) {
-        first.records.push_back({leasePrefix + lease.worker.str(), encodeLease(lease)});
+        add({{leasePrefix + lease.worker.str(), encodeLease(lease)}});
     }
     for (const auto &id : changed) {
         const auto *job = engine.find(id);
         if (job == nullptr) {
             continue;
         }
-        if (bytes > maxAppendBytes) {
-            m_batches.emplace_back();
-            bytes = 0;
-        }
-        auto &batch = m_batches.back();
-        batch.jobs.insert(id);
-        if (job->isSettled()) {
-            if (m_storedSpecs.erase(id.str()) > 0) {
-                batch.records.push_back({specPrefix + id.str(), {}});
-            }
-            batch.records.push_back({progressPrefix + id.str(), encodeEnd(*job)});
-            continue;
+        for (auto &group : m_jobRecords.update(*job)) {
+            add(std::move(group)).jobs.insert(id);
         }
-        if (m_storedSpecs.insert(id.str()).second) {
-            batch.records.push_back({specPrefix + id.str(), codec::encodeJob(*job)});
-            bytes += sizeOf(batch.records.back());
-        }
-        batch.records.push_back({progressPrefix + id.str(), jobs::encodeProgress(*job)});
-        bytes += sizeOf(batch.records.back());
     }
-    m_batches.back().onStored.push_back(std::move(onStored));
+    pendingBatch().onStored.push_back(std::move(onStored));
     scheduleSend();
 }
 
+auto journal::add(record_group records) -> batch &
+{
+    std::size_t bytes = 0;
+    for (const auto &record : records) {
+        bytes += sizeOf(record);
+    }
+    auto *last = &pendingBatch();
+    if (!last->records.empty() && last->bytes + bytes > std::min(maxAppendBytes, m_store.limits.callBytes)) {
+        last = &m_batches.emplace_back();
+    }
+    last->bytes += bytes;
+    std::ranges::move(records, std::back_inserter(last->records));
+    return *last;
+}
+
 // The batch in flight is not extended, as a retry must repeat the same append.
 auto journal::pendingBatch() -> batch &
 {
@@ -147,8 +123,7 @@
 
 auto journal::writeRecord(store::keyed_record record, std::function<void()> onStored) -> void
 {
-    auto &batch = pendingBatch();
-    batch.records.push_back(std::move(record));
+    auto &batch = add({std::move(record)});
     if (onStored) {
         batch.onStored.push_back(std::move(onStored));
     }
@@ -160,11 +135,19 @@
     if (jobIds.empty()) {
         return;
     }
-    auto &removal = pendingBatch();
     for (const auto &id : jobIds) {
-        removal.records.push_back({specPrefix + id.str(), {}});
-        removal.records.push_back({progressPrefix + id.str(), {}});
-        m_storedSpecs.erase(id.str());
+        add(m_jobRecords.removalOf(id));
+    }
+    scheduleSend();
+}
+
+auto journal::removeKeys(std::span<const std::string> keys) -> void
+{
+    if (keys.empty()) {
+        return;
+    }
+    for (const auto &key : keys) {
+        add({{key, {}}});
     }
     scheduleSend();
 }
@@ -184,9 +167,14 @@
     return std::ranges::any_of(m_batches, [&](const batch &entry) { return entry.jobs.contains(id); });
 }
 
-auto journal::markSpecStored(const jobs::job_id &id) -> void
+auto journal::canStore(const jobs::multistep_job_record &job) const -> bool
 {
-    m_storedSpecs.insert(id.str());
+    return m_jobRecords.canStore(job);
+}
+
+auto journal::markStored(const restored_job &job) -> void
+{
+    m_jobRecords.markStored(job);
 }
 
 auto journal::stop() -> void
@@ -227,11 +215,19 @@
         }
         retryLater();
         return;
+    case store::append_outcome::rejected:
+        m_log.log(observe::log_level::error, "journal_rejected",
+                  {{"epoch", m_epoch},
+                   {"sequence", m_sequence},
+                   {"records", m_batches.front().records.size()},
+                   {"bytes", m_batches.front().bytes}});
+        m_onFailed();
+        return;
     case store::append_outcome::fenced:
     case store::append_outcome::conflict:
     case store::append_outcome::out_of_sequence:
         m_log.log(observe::log_level::warning, "journal_fenced", {{"epoch", m_epoch}, {"sequence", m_sequence}});
-        m_onFenced();
+        m_onFailed();
         return;
     }
     if (std::exchange(m_appendFailing, false)) {
@@ -267,42 +263,6 @@
     m_time.callAfter(storeRetryDelay, m_lifetime.guard([this] { appendBatch(); }));
 }
 
-auto restoreJobs(const store::newest_result &newest, observe::logger &log) -> std::vector<jobs::multistep_job_record>
-{
-    std::unordered_map<std::string, jobs::multistep_job_record> found;
-    for (const auto &record : newest.records) {
-        if (record.key.size() < 2 || record.key.front() != specPrefix) {
-            continue;
-        }
-        auto id = record.key.substr(1);
-        auto job = codec::decodeJob(jobs::job_id{id}, record.value);
-        if (job) {
-            found.emplace(std::move(id), std::move(*job));
-        } else {
-            log.log(observe::log_level::error, "job_record_unreadable", {{"job", id}, {"detail", job.error().detail}});
-        }
-    }
-    for (const auto &record : newest.records) {
-        if (record.key.size() < 2 || record.key.front() != progressPrefix) {
-            continue;
-        }
-        auto id = record.key.substr(1);
-        if (auto ended = decodeEnd(jobs::job_id{id}, record.value)) {
-            found.insert_or_assign(id, std::move(*ended));
-            continue;
-        }
-        const auto job = found.find(id);
-        if (job != found.end() && !jobs::applyProgress(job->second, record.value)) {
-            log.log(observe::log_level::error, "progress_record_unreadable", {{"job", job->first}});
-        }
-    }
-    std::vector<jobs::multistep_job_record> jobs;
-    for (auto &[id, job] : found) {
-        jobs.push_back(std::move(job));
-    }
-    return jobs;
-}
-
 auto restoreUnrenewedLeases(const store::newest_result &newest, observe::logger &log)
     -> std::vector<jobs::unrenewed_lease>
 {
--- a/src/poplarpass/host/journal.h
+++ b/src/poplarpass/host/journal.h
@@ -2,10 +2,12 @@
 
 #include <poplarpass/core/lifetime.h>
 #include <poplarpass/core/time_source.h>
+#include <poplarpass/host/job_records.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/observe/logger.h>
 #include <poplarpass/store/record_store.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -13,7 +15,6 @@
 #include <set>
 #include <span>
 #include <string>
-#include <unordered_set>
 #include <vector>
 
 namespace poplarpass::host
@@ -25,12 +26,12 @@
 class journal
 {
 public:
-    /// \brief Called when the store rejects an append because a later owner has written.
-    using fenced_hook = std::function<void()>;
+    /// \brief Called when the store will never accept an append: a later owner has written, or the append is invalid.
+    using failed_hook = std::function<void()>;
 
     /// \param onIdle called whenever everything is stored
     journal(const core::time_source &time, const store::record_store &records, observe::logger &log,
-            std::uint64_t epoch, fenced_hook onFenced, std::function<void()> onIdle);
+            std::uint64_t epoch, failed_hook onFailed, std::function<void()> onIdle);
 
     /// \brief Fences off the appends of earlier owners with an empty append, then calls \p done.
     auto open(std::function<void()> done) -> void;
@@ -45,6 +46,9 @@
     /// \brief Removes the records of the jobs \p jobIds.
     auto remove(std::span<const jobs::job_id> jobIds) -> void;
 
+    /// \brief Removes the records \p keys.
+    auto removeKeys(std::span<const std::string> keys) -> void;
+
     /// \brief Returns whether any batch is not stored yet.
     [[nodiscard]] auto isBusy() const -> bool;
 
@@ -54,8 +58,11 @@
     /// \brief Returns whether changes of \p id are not stored yet.
     [[nodiscard]] auto isPending(const jobs::job_id &id) const -> bool;
 
-    /// \brief Records that the specification of \p id is stored already, so that it is not written again.
-    auto markSpecStored(const jobs::job_id &id) -> void;
+    /// \brief Returns whether \p job can be stored, whatever its progress will be.
+    [[nodiscard]] auto canStore(const jobs::multistep_job_record &job) const -> bool;
+
+    /// \brief Records what is stored already of a job that has not ended.
+    auto markStored(const restored_job &job) -> void;
 
     /// \brief Cancels all batches and callbacks.
     auto stop() -> void;
@@ -64,11 +71,14 @@
     struct batch
     {
         std::vector<store::keyed_record> records;
+        std::size_t bytes = 0; ///< Size of the records.
         std::set<jobs::job_id> jobs;
         std::vector<std::function<void()>> onStored;
     };
 
     auto pendingBatch() -> batch &;
+    /// \brief Adds records that must be stored by one append to the last batch, or to a new one if they do not fit.
+    auto add(record_group records) -> batch &;
     auto scheduleSend() -> void;
     auto sendNextBatch() -> void;
     auto appendBatch() -> void;
@@ -80,9 +90,9 @@
     observe::logger &m_log;
     std::uint64_t m_epoch;
     std::uint64_t m_sequence = 0;
-    fenced_hook m_onFenced;
+    failed_hook m_onFailed;
     std::function<void()> m_onIdle;
-    std::unordered_set<std::string> m_storedSpecs;
+    job_records m_jobRecords;
     std::deque<batch> m_batches;
     bool m_busy = false;
     bool m_sendScheduled = false;
@@ -91,10 +101,6 @@
     core::lifetime m_lifetime;
 };
 
-/// \brief Decodes the jobs in the records of the store; unreadable records are logged and skipped.
-/// \param newest all records of the topic of jobs
-auto restoreJobs(const store::newest_result &newest, observe::logger &log) -> std::vector<jobs::multistep_job_record>;
-
 /// \brief Decodes the unrenewed leases that a former owner stored; unreadable records are logged and skipped.
 /// \param newest all records of the topic of jobs
 auto restoreUnrenewedLeases(const store::newest_result &newest, observe::logger &log)
--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -194,6 +194,7 @@
         onRenewalStored();
         return;
     case store::append_outcome::refused:
+    case store::append_outcome::rejected:
     case store::append_outcome::unknown:
         m_renewalRepeated = true;
         m_time.callAfter(storeRetryDelay, m_lifetime.guard([this, epoch] {
@@ -288,6 +289,7 @@
     appendOwnerRecord(owner::owner_record_kind::resignation, owner::electionTimeoutFor(m_renewalLatency),
                       [this](const store::append_result &answer) {
                           const bool shouldRetry = answer.outcome == store::append_outcome::refused
+                              || answer.outcome == store::append_outcome::rejected
                               || answer.outcome == store::append_outcome::unknown;
                           if (shouldRetry) {
                               m_time.callAfter(storeRetryDelay, m_lifetime.guard([this] { sendResignation(); }));
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -130,12 +130,14 @@
     logUnreadable(newest, "jobs", m_env.log);
     const auto now = m_env.time.now();
     const auto formerOrdersUntil = m_formerOwners.empty() ? now : now + owner::orderTerm;
-    for (auto &job : restoreJobs(newest, m_env.log)) {
-        if (!job.spec.steps.empty()) {
-            m_journal.markSpecStored(job.id);
+    auto restored = restoreJobs(newest, m_env.log);
+    for (auto &entry : restored.jobs) {
+        if (!entry.job.spec.steps.empty()) {
+            m_journal.markStored(entry);
         }
-        m_engine.restore(std::move(job), now, formerOrdersUntil);
+        m_engine.restore(std::move(entry.job), now, formerOrdersUntil);
     }
+    m_journal.removeKeys(restored.unusedKeys);
     m_restored = true;
     for (const auto &lease : restoreUnrenewedLeases(newest, m_env.log)) {
         m_engine.workers().restoreUnrenewedLease(lease, now);
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -130,6 +130,9 @@
     auto updateAccounts() -> void;
     auto authenticateRequest(const client_request &request, const response_callback &answer)
         -> std::optional<jobs::account_id>;
+    /// \returns whether the submission was refused because the store cannot hold the job
+    auto refuseUnstorable(const client_request &request, const jobs::queue_policy &queue,
+                          const jobs::multistep_job_spec &spec, const response_callback &answer) -> bool;
     /// \returns whether the submission was refused because of the cap or the share of its account
     auto refuseForLimits(const client_request &request, const jobs::queue_policy &queue,
                          const jobs::multistep_job_spec &spec, const response_callback &answer) -> bool;
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -122,6 +122,9 @@
         answer(plainResponse(400, "bad_body"));
         return;
     }
+    if (refuseUnstorable(request, match.matched->queue, *spec, answer)) {
+        return;
+    }
     if (refuseForLimits(request, match.matched->queue, *spec, answer)) {
         return;
     }
@@ -135,6 +138,27 @@
     whenStored(accept);
 }
 
+// The same for every host and at any time, so the caller must not try again.
+auto pool_owner::refuseUnstorable(const client_request &request, const jobs::queue_policy &queue,
+                                  const jobs::multistep_job_spec &spec, const response_callback &answer) -> bool
+{
+    jobs::multistep_job_record job;
+    job.id = request.job;
+    job.queue = queue;
+    job.spec = spec;
+    job.account = request.account;
+    if (m_journal.canStore(job)) {
+        return false;
+    }
+    m_env.log.log(log_level::warning, "job_refused",
+                  {{"id", request.job.str()},
+                   {"reason", "too_large"},
+                   {"steps", spec.steps.size()},
+                   {"bytes", request.body.size()}});
+    answer(plainResponse(tooLargeStatus, "job_too_large"));
+    return true;
+}
+
 // A submission that arrives while an append is pending is not processed before the store has answered. This adds no
 // latency, as the next append could not begin sooner. If the store stays unavailable, the job can be refused with the
 // guarantee that it never runs.
--- a/src/poplarpass/jobs/progress_text.cpp
+++ b/src/poplarpass/jobs/progress_text.cpp
@@ -1,6 +1,7 @@
 #include <poplarpass/jobs/progress_text.h>
 
 #include <algorithm>
+#include <cassert>
 #include <charconv>
 #include <optional>
 #include <span>
@@ -10,7 +11,7 @@
 // Format: one line of fields separated by spaces: the job's phase, whether it was started, and for each task that is
 // not in its initial state: position phase run failed-count failed... incarnation worker-length:worker
 // checkpoint-length:checkpoint. Then, if workers crashed under tasks, a mark, and for each such task: position and the
-// numbers of its crash_record.
+// numbers of its crash_record. The text of some tasks only has the same form without the first two fields.
 namespace poplarpass::jobs
 {
 namespace
@@ -141,16 +142,78 @@
     return true;
 }
 
-auto appendCrashes(std::string &out, std::span<const task_record> tasks) -> void
+// Reads the state of tasks and then their crashes into tasks.
+auto readTasks(text_reader &in, std::span<task_record> tasks) -> bool
+{
+    while (!in.atEnd() && !in.skip(crashMark)) {
+        auto progress = readTask(in);
+        if (!progress || progress->position >= tasks.size()) {
+            return false;
+        }
+        tasks[progress->position] = std::move(progress->state);
+    }
+    return readCrashes(in, tasks);
+}
+
+struct job_progress
+{
+    multistep_job_phase phase = multistep_job_phase::active;
+    bool started = false;
+    std::vector<task_record> tasks;
+};
+
+auto readProgress(std::string_view text, std::size_t taskCount) -> std::optional<job_progress>
+{
+    text_reader in{text};
+    const auto phase = in.number<int>();
+    const auto started = in.number<int>();
+    if (!phase || !started || *phase < 0 || *phase > static_cast<int>(multistep_job_phase::cancelled)) {
+        return std::nullopt;
+    }
+    job_progress progress{static_cast<multistep_job_phase>(*phase), *started != 0, std::vector<task_record>(taskCount)};
+    return readTasks(in, progress.tasks) ? std::optional{std::move(progress)} : std::nullopt;
+}
+
+// Adds to state what an owner that did not know its runs has learnt from workers: that the task is done, and failures.
+auto addReportedEnds(task_record &state, const task_record &reported) -> void
+{
+    if (reported.phase == task_phase::done) {
+        state.phase = task_phase::done;
+    }
+    for (const auto run : reported.failedRuns) {
+        if (std::ranges::find(state.failedRuns, run) == state.failedRuns.end()) {
+            state.failedRuns.push_back(run);
+        }
+    }
+}
+
+auto appendTask(std::string &out, std::size_t position, const task_record &state, std::size_t maxCheckpointBytes)
+    -> void
+{
+    const bool done = state.phase == task_phase::done;
+    const bool hasCheckpoint = !done && state.checkpoint.size() <= maxCheckpointBytes;
+    append(out, static_cast<std::int64_t>(position));
+    append(out, static_cast<std::int64_t>(state.phase));
+    append(out, std::int64_t{state.run});
+    append(out, static_cast<std::int64_t>(state.failedRuns.size()));
+    for (const auto failed : state.failedRuns) {
+        append(out, std::int64_t{failed});
+    }
+    append(out, done ? 0 : state.workerIncarnation);
+    append(out, done ? std::string_view{} : std::string_view{state.worker.str()});
+    append(out, hasCheckpoint ? std::string_view{state.checkpoint} : std::string_view{});
+}
+
+auto appendCrashes(std::string &out, std::span<const task_record> tasks, std::size_t first) -> void
 {
     bool hasMark = false;
-    for (std::size_t position = 0; position < tasks.size(); ++position) {
-        const auto &crashes = tasks[position].crashes;
-        if (crashes == crash_record{} || tasks[position].phase == task_phase::done) {
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const auto &crashes = tasks[index].crashes;
+        if (crashes == crash_record{} || tasks[index].phase == task_phase::done) {
             continue;
         }
         out += std::exchange(hasMark, true) ? std::string_view{} : crashMark;
-        append(out, static_cast<std::int64_t>(position));
+        append(out, static_cast<std::int64_t>(first + index));
         append(out, std::int64_t{crashes.atStart});
         append(out, std::int64_t{crashes.later});
         append(out, std::int64_t{crashes.alone});
@@ -182,28 +245,30 @@
 } // namespace
 
 auto encodeProgress(const multistep_job_record &job) -> std::string
+{
+    return encodePhase(job) + encodeTasks(job, 0, job.tasks.size(), std::string::npos);
+}
+
+auto encodePhase(const multistep_job_record &job) -> std::string
 {
     std::string out;
     append(out, static_cast<std::int64_t>(job.phase));
     append(out, std::int64_t{job.started ? 1 : 0});
-    for (std::size_t position = 0; position < job.tasks.size(); ++position) {
-        const auto &state = job.tasks[position];
-        if (isInitialState(state)) {
-            continue;
-        }
-        const bool done = state.phase == task_phase::done;
-        append(out, static_cast<std::int64_t>(position));
-        append(out, static_cast<std::int64_t>(state.phase));
-        append(out, std::int64_t{state.run});
-        append(out, static_cast<std::int64_t>(state.failedRuns.size()));
-        for (const auto failed : state.failedRuns) {
-            append(out, std::int64_t{failed});
+    return out;
+}
+
+auto encodeTasks(const multistep_job_record &job, std::size_t first, std::size_t count, std::size_t maxCheckpointBytes)
+    -> std::string
+{
+    assert(first + count <= job.tasks.size());
+    const auto tasks = std::span{job.tasks}.subspan(first, count);
+    std::string out;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (!isInitialState(tasks[index])) {
+            appendTask(out, first + index, tasks[index], maxCheckpointBytes);
         }
-        append(out, done ? 0 : state.workerIncarnation);
-        append(out, done ? std::string_view{} : std::string_view{state.worker.str()});
-        append(out, done ? std::string_view{} : std::string_view{state.checkpoint});
     }
-    appendCrashes(out, job.tasks);
+    appendCrashes(out, tasks, first);
     return out;
 }
 
@@ -222,26 +287,32 @@
 
 auto applyProgress(multistep_job_record &job, std::string_view text) -> bool
 {
-    text_reader in{text};
-    const auto phase = in.number<int>();
-    const auto started = in.number<int>();
-    if (!phase || !started || *phase < 0 || *phase > static_cast<int>(multistep_job_phase::cancelled)) {
+    return applyProgressParts(job, text, {});
+}
+
+auto applyProgressParts(multistep_job_record &job, std::string_view phaseText, std::span<const std::string_view> parts)
+    -> bool
+{
+    auto progress = readProgress(phaseText, job.tasks.size());
+    if (!progress) {
         return false;
     }
-    auto tasks = job.tasks;
-    while (!in.atEnd() && !in.skip(crashMark)) {
-        auto progress = readTask(in);
-        if (!progress || progress->position >= tasks.size()) {
-            return false;
+    if (!parts.empty()) {
+        std::vector<task_record> tasks(job.tasks.size());
+        for (const auto part : parts) {
+            text_reader in{part};
+            if (!readTasks(in, tasks)) {
+                return false;
+            }
         }
-        tasks[progress->position] = std::move(progress->state);
-    }
-    if (!readCrashes(in, tasks)) {
-        return false;
+        for (std::size_t position = 0; position < tasks.size(); ++position) {
+            addReportedEnds(tasks[position], progress->tasks[position]);
+        }
+        progress->tasks = std::move(tasks);
     }
-    job.phase = static_cast<multistep_job_phase>(*phase);
-    job.started = *started != 0;
-    job.tasks = std::move(tasks);
+    job.phase = progress->phase;
+    job.started = progress->started;
+    job.tasks = std::move(progress->tasks);
     recount(job);
     return true;
 }
--- a/src/poplarpass/store/record_store.h
+++ b/src/poplarpass/store/record_store.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -61,14 +62,15 @@
     fenced, ///< The topic has a writer with a greater epoch; nothing was appended.
     out_of_sequence, ///< The sequence number was not the next one; nothing was appended.
     refused, ///< Nothing was appended; a retry may succeed.
+    rejected, ///< Nothing was appended, nor will be by a retry: the records are too large or malformed.
     unknown, ///< No answer; the append may have been executed, or may still be.
 };
 
 /// \brief Returns the name of \p outcome in logs and metrics.
 constexpr auto nameOf(append_outcome outcome) -> std::string_view
 {
-    constexpr std::array<std::string_view, 6> names{"appended",        "conflict", "fenced",
-                                                    "out_of_sequence", "refused",  "no_answer"};
+    constexpr std::array<std::string_view, 7> names{"appended", "conflict", "fenced",   "out_of_sequence",
+                                                    "refused",  "rejected", "no_answer"};
     return names.at(static_cast<std::size_t>(outcome));
 }
 
@@ -120,9 +122,17 @@
     std::vector<std::string> unreadableKeys; ///< Keys of records that could not be decoded and are left out.
 };
 
+/// \brief Largest sizes that the store accepts, bytes.
+struct size_limits
+{
+    std::size_t recordBytes = std::size_t{256} * 1024; ///< One record: the length of its key, the key and the value.
+    std::size_t callBytes = std::size_t{2} * 1024 * 1024; ///< All records of one append.
+};
+
 /// \brief Asynchronous operations of the store; completions run on the event loop.
 struct record_store
 {
+    size_limits limits; ///< Sizes that \p append accepts.
     /// \brief Appends records.
     std::function<void(record_append, std::function<void(append_result)>)> append;
     /// \brief Reads from an offset; waits at most the given time for a record.
--- a/tests/io/host_fixture.h
+++ b/tests/io/host_fixture.h
@@ -31,7 +31,7 @@
     return options;
 }
 
-/// \brief In-memory store with the fencing rules of the platform's store; appends can be paused.
+/// \brief In-memory store with the fencing rules and the size limits of the platform's store; appends can be paused.
 class memory_store
 {
 public:
@@ -91,6 +91,7 @@
     }
 
     std::size_t appends = 0; ///< Number of appends requested.
+    std::size_t rejectedAppends = 0; ///< Number of appends rejected for their size.
     bool appendsPaused = false; ///< Whether appends are held back until resumeAppends().
     std::optional<store::topic> unreadableTopic; ///< Topic whose reads fail.
     bool loseResponses = false; ///< Whether appends are applied but reported as unknown.
@@ -104,8 +105,26 @@
         store::append_result last;
     };
 
+    static auto isTooLarge(const store::record_append &request) -> bool
+    {
+        const store::size_limits limits;
+        std::size_t bytes = 0;
+        for (const auto &record : request.keyedRecords) {
+            const auto size = 1 + record.key.size() + record.value.size();
+            if (size > limits.recordBytes) {
+                return true;
+            }
+            bytes += size;
+        }
+        return bytes > limits.callBytes;
+    }
+
     auto applyAppend(const store::record_append &request) -> store::append_result
     {
+        if (isTooLarge(request)) {
+            ++rejectedAppends;
+            return {store::append_outcome::rejected, 0, 0};
+        }
         auto &records = m_topics[request.to];
         auto &lastWriter = m_writers[request.to];
         if (request.fence) {
--- a/tests/io/journal_test.cpp
+++ b/tests/io/journal_test.cpp
@@ -90,3 +90,31 @@
     CHECK(fixture.memory.records(store::topic::jobs).size() == 4);
     CHECK(fixture.idle > 0);
 }
+
+TEST_CASE("Removals of very many jobs are divided into appends that the store accepts", "[host]")
+{
+    journal_fixture fixture;
+    std::vector<jobs::job_id> ended;
+    for (int number = 0; number < 60'000; ++number) {
+        ended.emplace_back("000000000000" + std::to_string(10'000 + number));
+    }
+    fixture.journal.remove(ended);
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.journal.isBusy(); }));
+    CHECK(fixture.memory.rejectedAppends == 0);
+    CHECK(fixture.memory.records(store::topic::jobs).size() == 2 * ended.size());
+}
+
+// Guards against an append that is repeated for ever: the store never accepts it, and everything behind it waits.
+TEST_CASE("An append that the store rejects ends the journal", "[host]")
+{
+    fakes::stepped_time time;
+    auto clock = time.source();
+    memory_store memory{time};
+    auto records = memory.calls();
+    poplarpass::observe::logger log{discardingLoggerOptions()};
+    bool failed = false;
+    host::journal journal{clock, records, log, 1, [&] { failed = true; }, nullptr};
+    journal.writeRecord({"o1", std::string(store::size_limits{}.recordBytes, 'x')});
+    CHECK(time.runUntil([&] { return failed; }));
+    CHECK(memory.rejectedAppends == 1);
+}
--- a/tests/io/store_client_test.cpp
+++ b/tests/io/store_client_test.cpp
@@ -61,6 +61,22 @@
     CHECK(newest.unreadableKeys == std::vector<std::string>{"bad"});
 }
 
+// Guards against an append that is repeated for ever because its rejection counts as no answer (review case 1).
+TEST_CASE_METHOD(io_fixture, "An append that is too large or malformed is rejected, not unanswered",
+                 "[platform][store]")
+{
+    platform_server server{loop};
+    const auto calls = platform::makeRecordStore(client, server.address());
+    for (const auto status : {400, 413}) {
+        server.answer = [status](const net::http_request &) {
+            return net::makeResponse(status, R"({"error":"record too large"})");
+        };
+        const auto result =
+            await<store::append_result>([&](auto done) { calls.append(store::record_append{}, std::move(done)); });
+        CHECK(result.outcome == store::append_outcome::rejected);
+    }
+}
+
 TEST_CASE_METHOD(io_fixture, "Only a conflict about the fencing token fences a renewal", "[platform][workers]")
 {
     platform_server server{loop};
--- a/tests/io/users_platform_test.cpp
+++ b/tests/io/users_platform_test.cpp
@@ -176,9 +176,9 @@
     const auto bytes = poplarpass::codec::encodeJob(job);
     const auto read = poplarpass::codec::decodeJob(job.id, bytes);
     REQUIRE(read);
-    CHECK(read->spec == job.spec);
-    CHECK(read->queue == job.queue);
-    CHECK(read->acceptedAt == job.acceptedAt);
+    CHECK(read->job.spec == job.spec);
+    CHECK(read->job.queue == job.queue);
+    CHECK(read->job.acceptedAt == job.acceptedAt);
     for (const auto *text : {R"({"steps":[]})", R"({"spec":"a"})", R"({"steps":[{"count":0}]})",
                              R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":-1}]})", "{"}) {
         CHECK_FALSE(platform::decodeJob(text));
