The late end of one member finishes its whole gang

Cause: for the end "done" of a superseded run the engine finished only the task that reported it, also in a gang, where one such end represents all members. A gang starts only when all its members wait, so the rest never started again.

Change: such an end finishes all members and stops their newer runs. Two related paths: the late end of a superseded run no longer finishes a long-running task, and a gang that an earlier build stored with only some members done is finished when it is restored. superseded_run_done is logged.

--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -65,6 +65,7 @@
     if (restored.phase == multistep_job_phase::active) {
         addActiveJob(restored);
         updateSuspicion(restored);
+        finishPartlyDoneGangs(restored, now);
     } else {
         restored.endedAt = now;
     }
@@ -364,6 +365,16 @@
     }
 }
 
+auto job_engine::finishUnended(const task_ref &task, multistep_job_record &job, task_record &state,
+                               core::monotonic_time now) -> void
+{
+    if (state.phase == task_phase::starting || state.phase == task_phase::running) {
+        orderStop(state.worker, nameOf(task), state.run);
+    }
+    keepLingering(task, job, state, now);
+    finishTask(task, job, state, now);
+}
+
 auto job_engine::finishGang(const task_ref &task, multistep_job_record &job, core::monotonic_time now) -> void
 {
     for (std::uint32_t index = 0; index < job.spec.steps[task.step].taskCount; ++index) {
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -331,6 +331,12 @@
     auto finishTask(const task_ref &task, multistep_job_record &job, task_record &state, core::monotonic_time now)
         -> void;
     auto finishGang(const task_ref &task, multistep_job_record &job, core::monotonic_time now) -> void;
+    /// \brief Finishes a task by the end of another run than its current one, which is stopped if it exists.
+    auto finishUnended(const task_ref &task, multistep_job_record &job, task_record &state, core::monotonic_time now)
+        -> void;
+    auto finishRestOfGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                          core::monotonic_time now) -> void;
+    auto finishPartlyDoneGangs(multistep_job_record &job, core::monotonic_time now) -> void;
     auto endJob(multistep_job_record &job, multistep_job_phase phase, core::monotonic_time now) -> void;
     auto onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void;
     auto resolveEarlierIncarnation(worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt,
@@ -338,6 +344,8 @@
     auto markStarted(multistep_job_record &job, const worker_slot &worker) -> void;
     auto onEndOfCurrentRun(const task_ref &task, multistep_job_record &job, task_record &state, const ended_run &end,
                            core::monotonic_time now) -> void;
+    auto onEndOfSupersededRun(const worker_slot &worker, const task_ref &task, multistep_job_record &job,
+                              task_record &state, const ended_run &end, core::monotonic_time now) -> void;
     auto countFailure(const task_ref &task, multistep_job_record &job, task_record &state, std::uint32_t run,
                       core::monotonic_time now) -> void;
     auto recordOutcome(worker_slot &worker, end_kind how, core::monotonic_time now) -> void;
--- a/src/poplarpass/jobs/job_engine_gangs.cpp
+++ b/src/poplarpass/jobs/job_engine_gangs.cpp
@@ -54,6 +54,30 @@
     }
 }
 
+// The end of one member as done represents all, so no other member needs a run.
+auto job_engine::finishRestOfGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                                  core::monotonic_time now) -> void
+{
+    for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
+        const task_ref member{job.id, occurrence, step, index};
+        finishUnended(member, job, job.tasks[job.positionOf(occurrence, step, index)], now);
+    }
+}
+
+// Earlier builds finished only the member that reported the end of a superseded run; the others could not start again.
+auto job_engine::finishPartlyDoneGangs(multistep_job_record &job, core::monotonic_time now) -> void
+{
+    for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            const auto &spec = job.spec.steps[step];
+            const auto unfinished = job.unfinishedOf(occurrence, step);
+            if (spec.gang && !spec.longRunning && unfinished > 0 && unfinished < spec.taskCount) {
+                finishRestOfGang(job, occurrence, step, now);
+            }
+        }
+    }
+}
+
 // Each member is placed tentatively while the next one is chosen, and all are removed again before the return.
 auto job_engine::chooseGangWorkers(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                                    internal::placement_candidates &workers) -> std::vector<worker_slot *>
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -137,16 +137,8 @@
     const bool current = state->run == end.run && state->worker == worker.entry.id;
     if (current && state->phase != task_phase::waiting && state->phase != task_phase::done) {
         onEndOfCurrentRun(*task, *job, *state, end, now);
-    } else if (end.how == end_kind::done && state->phase != task_phase::done) {
-        // A superseded run completed after all: its newer run is not needed.
-        if (state->phase == task_phase::starting || state->phase == task_phase::running) {
-            orderStop(state->worker, nameOf(*task), state->run);
-        }
-        ++m_counters.runsDone;
-        keepLingering(*task, *job, *state, now);
-        finishTask(*task, *job, *state, now);
-    } else if (end.how == end_kind::failed && state->phase != task_phase::done) {
-        countFailure(*task, *job, *state, end.run, now);
+    } else if (state->phase != task_phase::done) {
+        onEndOfSupersededRun(worker, *task, *job, *state, end, now);
     }
 }
 
@@ -182,6 +174,27 @@
     }
 }
 
+// A superseded run may have completed after all; its newer run is not needed then.
+auto job_engine::onEndOfSupersededRun(const worker_slot &worker, const task_ref &task, multistep_job_record &job,
+                                      task_record &state, const ended_run &end, core::monotonic_time now) -> void
+{
+    const auto &step = job.spec.steps[task.step];
+    if (end.how == end_kind::failed) {
+        countFailure(task, job, state, end.run, now);
+        return;
+    }
+    if (end.how != end_kind::done || step.longRunning) {
+        return;
+    }
+    ++m_counters.runsDone;
+    logEvent("superseded_run_done", nameOf(task), worker.entry.id, end.run, step.gang ? "gang" : "task");
+    if (step.gang) {
+        finishRestOfGang(job, task.occurrence, task.step, now);
+    } else {
+        finishUnended(task, job, state, now);
+    }
+}
+
 auto job_engine::recordOutcome(worker_slot &worker, end_kind how, core::monotonic_time now) -> void
 {
     if (how == end_kind::done) {
