A cancel of an unknown job is stored, and late submissions of it do not run

The job then ran from its first task to its last.

Cause: the owner answered the cancel of a job that it did not know with 410 and remembered nothing, while the submission waited beside its engine. It may as well wait for a configuration, at its receiving host, or on the way.

Change: such a cancel is stored, before it is answered, as the end of a job that was not submitted. A submission that comes later, from anywhere and under any owner, is acknowledged and shown as cancelled, and does not run. Kept for 150 s, 20,000 at most, for its own account only.

Why it works: every place that can hold a submission hands it to an owner, and every owner restores the record first.

--- a/src/poplarpass/host/job_records.cpp
+++ b/src/poplarpass/host/job_records.cpp
@@ -26,6 +26,7 @@
 constexpr char partPrefix = 'q';
 constexpr char partMark = '.';
 constexpr char accountMark = ' ';
+constexpr char unsubmittedMark = '\n';
 /// \brief Tasks in one part of the progress of a job.
 constexpr std::size_t tasksPerPart = 256;
 /// \brief Longest checkpoint that is stored in a part, bytes; keeps parts within the store's limit.
@@ -59,21 +60,28 @@
     return std::string{key.substr(0, key.rfind(partMark))};
 }
 
-// The specification of a settled job is removed, so its account is kept with its end.
+// The specification of a settled job is removed, so its account is kept with its end. An earlier build takes the mark
+// of a job that was never submitted for a part of its account.
 auto encodeEnd(const jobs::multistep_job_record &job) -> std::string
 {
     auto text = jobs::encodeEnd(job.phase);
+    if (!job.submitted) {
+        return text + accountMark + job.account.str() + unsubmittedMark;
+    }
     return job.account.empty() ? text : text + accountMark + job.account.str();
 }
 
 auto decodeEnd(const jobs::job_id &id, std::string_view text) -> std::optional<jobs::multistep_job_record>
 {
+    const bool isUnsubmitted = text.ends_with(unsubmittedMark);
+    text.remove_suffix(isUnsubmitted ? 1 : 0);
     const auto mark = text.find(accountMark);
     const auto phase = jobs::decodeEnd(text.substr(0, mark));
     if (!phase) {
         return std::nullopt;
     }
     auto job = jobs::makeEndedJob(id, *phase);
+    job.submitted = !isUnsubmitted;
     if (mark != std::string_view::npos) {
         job.account = jobs::account_id{std::string{text.substr(mark + 1)}};
     }
--- a/src/poplarpass/host/journal.cpp
+++ b/src/poplarpass/host/journal.cpp
@@ -73,7 +73,7 @@
         add({{leasePrefix + lease.worker.str(), encodeLease(lease)}});
     }
     for (const auto &id : changed) {
-        const auto *job = engine.find(id);
+        const auto *job = engine.findRecord(id);
         if (job == nullptr) {
             continue;
         }
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -109,6 +109,10 @@
         answer(plainResponse(404, "no_such_queue"));
         return;
     }
+    if (m_engine.submitCancelled(request.job, request.account)) {
+        whenStored(accept);
+        return;
+    }
     if (m_journal.isBusy()) {
         deferSubmission(request, answer);
         return;
@@ -288,12 +292,18 @@
         refuseTermExpired(request, answer);
         return;
     }
-    if (m_engine.cancel(request.job, m_env.time.now()) == jobs::job_cancel_outcome::unknown) {
-        answer(plainResponse(410, "no_such_job"));
+    const auto now = m_env.time.now();
+    if (m_engine.cancel(request.job, now) != jobs::job_cancel_outcome::unknown) {
+        whenStored([answer] { answer(net::makeResponse(200, "{}")); });
         return;
     }
-    requestCycle();
-    whenStored([answer] { answer(net::makeResponse(200, "{}")); });
+    // A submission of the job may still wait here, at its receiving host or on the way. It must not run once its caller
+    // was told that there is no such job, also not under a later owner.
+    if (!m_engine.cancelUnsubmitted(request.job, request.account, now)) {
+        refuse(request, answer, "too_many", retryAfterSeconds);
+        return;
+    }
+    whenStored([answer] { answer(plainResponse(410, "no_such_job")); });
 }
 
 auto pool_owner::answerPending(const client_request &request, const response_callback &answer) -> void
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -97,6 +97,8 @@
 inline constexpr core::duration maxCapHold = std::chrono::seconds{2};
 /// \brief Time for which the tasks of a settled job stay in memory.
 inline constexpr core::duration settledTaskRetention = std::chrono::seconds{3};
+/// \brief Maximum number of jobs that are remembered as cancelled before any submission of them arrived.
+inline constexpr std::size_t maxUnsubmittedJobs = 20'000;
 /// \brief Minimum time for which an ended job stays in memory.
 inline constexpr core::duration endedJobRetention = std::chrono::seconds{150};
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -40,6 +40,7 @@
 {
     auto &restored = m_jobs[job.id.str()] = std::move(job);
     m_taskCount += restored.tasks.size();
+    m_unsubmittedCount += restored.submitted ? 0 : 1;
     forEachTask(restored, [&](const task_ref &task, std::size_t position) {
         auto &state = restored.tasks[position];
         if (!isPlaced(state.phase)) {
@@ -74,9 +75,11 @@
 auto job_engine::submit(const job_id &id, const queue_policy &queue, multistep_job_spec spec, core::wall_time received,
                         const account_id &account) -> submit_outcome
 {
-    if (m_jobs.contains(id.str())) {
+    if (find(id) != nullptr) {
         return submit_outcome::known;
     }
+    // Another account may have cancelled a job of its own with this identifier.
+    removeRecord(id);
     auto &job = m_jobs[id.str()] = makeJob(id, queue, std::move(spec), received);
     job.account = account;
     m_taskCount += job.tasks.size();
@@ -94,7 +97,7 @@
 auto job_engine::cancel(const job_id &id, core::monotonic_time now) -> job_cancel_outcome
 {
     const auto found = m_jobs.find(id.str());
-    if (found == m_jobs.end()) {
+    if (found == m_jobs.end() || !found->second.submitted) {
         return job_cancel_outcome::unknown;
     }
     auto &job = found->second;
@@ -106,7 +109,43 @@
     return job_cancel_outcome::cancelled;
 }
 
+auto job_engine::cancelUnsubmitted(const job_id &id, const account_id &account, core::monotonic_time now) -> bool
+{
+    assert(find(id) == nullptr);
+    if (m_jobs.contains(id.str())) {
+        return true;
+    }
+    if (m_unsubmittedCount >= maxUnsubmittedJobs) {
+        return false;
+    }
+    auto &job = m_jobs[id.str()] = makeUnsubmittedJob(id, account);
+    job.endedAt = now;
+    ++m_unsubmittedCount;
+    markChanged(job);
+    logEvent("job_cancelled_early", id.str(), {}, 0, "not_submitted");
+    return true;
+}
+
+auto job_engine::submitCancelled(const job_id &id, const account_id &account) -> bool
+{
+    const auto found = m_jobs.find(id.str());
+    if (found == m_jobs.end() || found->second.submitted || found->second.account != account) {
+        return false;
+    }
+    found->second.submitted = true;
+    --m_unsubmittedCount;
+    markChanged(found->second);
+    logEvent("job_cancelled_early", id.str(), {}, 0, "submitted_late");
+    return true;
+}
+
 auto job_engine::find(const job_id &id) const -> const multistep_job_record *
+{
+    const auto *job = findRecord(id);
+    return job != nullptr && job->submitted ? job : nullptr;
+}
+
+auto job_engine::findRecord(const job_id &id) const -> const multistep_job_record *
 {
     const auto found = m_jobs.find(id.str());
     return found == m_jobs.end() ? nullptr : &found->second;
@@ -197,12 +236,22 @@
         }
     }
     for (const auto &id : removed) {
-        m_taskCount -= m_jobs.at(id.str()).tasks.size();
-        m_jobs.erase(id.str());
+        removeRecord(id);
     }
     return removed;
 }
 
+auto job_engine::removeRecord(const job_id &id) -> void
+{
+    const auto found = m_jobs.find(id.str());
+    if (found == m_jobs.end()) {
+        return;
+    }
+    m_taskCount -= found->second.tasks.size();
+    m_unsubmittedCount -= found->second.submitted ? 0 : 1;
+    m_jobs.erase(found);
+}
+
 auto job_engine::locate(const task_ref &task) -> located_task
 {
     const auto found = m_jobs.find(task.job.str());
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -134,9 +134,21 @@
     /// \brief Cancels a job at its caller's request.
     auto cancel(const job_id &id, core::monotonic_time now) -> job_cancel_outcome;
 
-    /// \brief Returns the job \p id; null when it is not known.
+    /// \brief Cancels a job of which no submission has arrived: one that is still on its way must not run.
+    /// \returns false when too many such jobs are remembered
+    /// \pre the job is not known
+    auto cancelUnsubmitted(const job_id &id, const account_id &account, core::monotonic_time now) -> bool;
+
+    /// \brief Processes a submission of a job that \p account cancelled before; the job does not run.
+    /// \returns whether there is such a job
+    auto submitCancelled(const job_id &id, const account_id &account) -> bool;
+
+    /// \brief Returns the submitted job \p id; null when it is not known.
     [[nodiscard]] auto find(const job_id &id) const -> const multistep_job_record *;
 
+    /// \brief Returns the job \p id, submitted or not; null when it is not known.
+    [[nodiscard]] auto findRecord(const job_id &id) const -> const multistep_job_record *;
+
     /// \brief Returns the number of active jobs of \p queue of which no task was ever started.
     [[nodiscard]] auto pendingCount(const queue_id &queue) const -> std::size_t;
 
@@ -338,6 +350,7 @@
                           core::monotonic_time now) -> void;
     auto finishPartlyDoneGangs(multistep_job_record &job, core::monotonic_time now) -> void;
     auto endJob(multistep_job_record &job, multistep_job_phase phase, core::monotonic_time now) -> void;
+    auto removeRecord(const job_id &id) -> void;
     auto onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void;
     auto resolveEarlierIncarnation(worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt,
                                    core::monotonic_time now) -> void;
@@ -470,5 +483,6 @@
     engine_counters m_counters;
     run_time_model m_runTimes;
     std::size_t m_taskCount = 0;
+    std::size_t m_unsubmittedCount = 0; ///< Jobs that were cancelled before any submission arrived.
 };
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -140,6 +140,15 @@
     return job;
 }
 
+auto makeUnsubmittedJob(job_id id, account_id account) -> multistep_job_record
+{
+    auto job = makeEndedJob(std::move(id), multistep_job_phase::cancelled);
+    job.account = std::move(account);
+    job.submitted = false;
+    job.started = false;
+    return job;
+}
+
 auto stepNameOf(const task_ref &task) -> std::string
 {
     return task.job.str() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step);
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -103,6 +103,7 @@
     std::vector<task_record> tasks; ///< By occurrence, then step, then index.
     std::uint32_t unfinished = 0; ///< Number of tasks that are not done.
     std::uint32_t waiting = 0; ///< Number of tasks in phase waiting.
+    bool submitted = true; ///< False while only its cancellation has arrived: no submission of it may run any more.
     bool started = false; ///< Whether any worker ever started a task.
     std::vector<std::uint32_t> stepOffsets; ///< Position of each step's first task within an occurrence, then the
                                             ///< number of tasks of an occurrence.
@@ -158,6 +159,9 @@
 /// \brief Creates a job of which only the final phase is known.
 auto makeEndedJob(job_id id, multistep_job_phase phase) -> multistep_job_record;
 
+/// \brief Creates a job that \p account cancelled before any submission of it arrived.
+auto makeUnsubmittedJob(job_id id, account_id account) -> multistep_job_record;
+
 /// \brief Returns the name of a task on the wire and in logs: ID.OCCURRENCE.STEP.INDEX.
 auto nameOf(const task_ref &task) -> std::string;
 
--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -1,5 +1,7 @@
 #include "jobs_fixture.h"
 
+#include <poplarpass/jobs/constants.h>
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -640,3 +642,41 @@
     CHECK(engine.find(jobId)->phase == jobs::multistep_job_phase::active);
     CHECK(engine.find(jobId)->unfinished == 1);
 }
+
+TEST_CASE("A cancel before the submission stops that of its own account only", "[jobs][accounts]")
+{
+    const jobs::account_id own{"own"};
+    const jobs::account_id other{"other"};
+    auto engine = engineWith({worker("a")});
+    REQUIRE(engine.cancel(jobId, at(0)) == jobs::job_cancel_outcome::unknown);
+    REQUIRE(engine.cancelUnsubmitted(jobId, own, at(0)));
+    CHECK(engine.find(jobId) == nullptr);
+    CHECK_FALSE(engine.submitCancelled(jobId, other));
+    SECTION("submission of the account")
+    {
+        CHECK(engine.submitCancelled(jobId, own));
+        CHECK(engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0), own) == jobs::submit_outcome::known);
+        CHECK(startAll(engine, 10).empty());
+    }
+    SECTION("submission of another account")
+    {
+        CHECK(engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0), other) == jobs::submit_outcome::accepted);
+        CHECK(startAll(engine, 10).size() == 1);
+    }
+}
+
+TEST_CASE("Cancelled jobs without a submission are bounded and forgotten", "[jobs]")
+{
+    auto engine = engineWith({worker("a")});
+    const auto cancel = [&](std::size_t number, core::monotonic_time now) {
+        return engine.cancelUnsubmitted(jobs::job_id{std::to_string(number)}, {}, now);
+    };
+    for (std::size_t number = 0; number < jobs::maxUnsubmittedJobs; ++number) {
+        REQUIRE(cancel(number, at(0)));
+    }
+    CHECK_FALSE(cancel(jobs::maxUnsubmittedJobs, at(0)));
+    engine.drainChangedJobs();
+    const auto later = at(0) + jobs::endedJobRetention + std::chrono::seconds{1};
+    CHECK(engine.removeEndedJobs(later).size() == jobs::maxUnsubmittedJobs);
+    CHECK(cancel(jobs::maxUnsubmittedJobs, later));
+}
--- a/tests/io/job_records_test.cpp
+++ b/tests/io/job_records_test.cpp
@@ -264,3 +264,20 @@
     CHECK(restored.unusedKeys.size() == parts);
     CHECK(restored.jobs.at(0).job.phase == jobs::multistep_job_phase::cancelled);
 }
+
+// The first two characters are what an earlier build reads: the job has ended, so it runs no late submission either.
+TEST_CASE("A job that was cancelled before its submission is stored and restored as such", "[host]")
+{
+    const jobs::account_id account{GENERATE("", "acme")};
+    const auto job = jobs::makeUnsubmittedJob(largeJob, account);
+    auto writer = makeWriter();
+    stored_records stored;
+    stored.apply(writer.update(job));
+    REQUIRE(stored.values.size() == 1);
+    CHECK(stored.values.begin()->second.starts_with("e3 "));
+    const auto restored = stored.restore();
+    REQUIRE(restored.jobs.size() == 1);
+    CHECK_FALSE(restored.jobs[0].job.submitted);
+    CHECK(restored.jobs[0].job.account == account);
+    CHECK(restored.jobs[0].job.phase == jobs::multistep_job_phase::cancelled);
+}
--- a/tests/io/pool_owner_requests_test.cpp
+++ b/tests/io/pool_owner_requests_test.cpp
@@ -245,3 +245,78 @@
     fixture.send(owner_fixture::request(host::client_verb::submit, "00000000000000bb", jobText), other);
     CHECK(fixture.time.runUntil([&] { return other == 200; }));
 }
+
+namespace
+{
+/// \brief Whether any start of \p job was ordered.
+auto isStarted(const owner_fixture &fixture, const std::string &job) -> bool
+{
+    return std::ranges::any_of(fixture.starts, [&](const auto &start) { return start.task.job.str() == job; });
+}
+} // namespace
+
+// Guards against a job that runs although its caller was told that it does not exist (review case 4).
+TEST_CASE("A submission that waits for the store does not run after a cancel was answered with 410", "[host]")
+{
+    const std::string cancelled = "00000000000000bb";
+    owner_fixture fixture;
+    fixture.beginServing(1);
+    fixture.memory.appendsPaused = true;
+    int inFlight = 0;
+    int deferred = 0;
+    int cancel = 0;
+    fixture.send(owner_fixture::request(host::client_verb::submit, jobName, jobText), inFlight);
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.memory.pausedAppends.empty(); }));
+    fixture.send(owner_fixture::request(host::client_verb::submit, cancelled, jobText), deferred);
+    fixture.send(owner_fixture::request(host::client_verb::cancel, cancelled), cancel);
+    fixture.memory.resumeAppends();
+    REQUIRE(fixture.time.runUntil([&] { return inFlight != 0 && deferred != 0 && cancel != 0; }));
+    CHECK(cancel == 410);
+    fixture.renewTerm();
+    fixture.time.runFor(std::chrono::seconds{1});
+    CHECK(isStarted(fixture, jobName));
+    CHECK_FALSE(isStarted(fixture, cancelled));
+}
+
+// Guards against a copy of a submission that waited at another host while its owner answered the cancel.
+TEST_CASE("A submission that arrives after its cancel was answered with 410 does not run under any owner", "[host]")
+{
+    const bool hasOtherOwner = GENERATE(false, true);
+    owner_fixture fixture;
+    fixture.beginServing(1);
+    int cancel = 0;
+    fixture.send(owner_fixture::request(host::client_verb::cancel, jobName), cancel);
+    CHECK(cancel == 0);
+    REQUIRE(fixture.time.runUntil([&] { return cancel == 410; }));
+    int state = 0;
+    fixture.send(owner_fixture::request(host::client_verb::state, jobName), state);
+    CHECK(state == 410);
+    if (hasOtherOwner) {
+        fixture.owner.reset();
+        fixture.beginServing(2);
+    }
+    int late = 0;
+    fixture.send(owner_fixture::request(host::client_verb::submit, jobName, jobText), late);
+    REQUIRE(fixture.time.runUntil([&] { return late != 0; }));
+    CHECK(late == 200);
+    std::string body;
+    fixture.owner->handle(owner_fixture::request(host::client_verb::state, jobName),
+                          [&](const poplarpass::net::http_response &response) { body = response.body; });
+    CHECK(body == R"({"state":"cancelled"})");
+    fixture.renewTerm();
+    fixture.time.runFor(std::chrono::seconds{1});
+    CHECK(fixture.starts.empty());
+}
+
+TEST_CASE("A repeated cancel of a job that was never submitted is answered with 410 again", "[host]")
+{
+    owner_fixture fixture;
+    fixture.beginServing(1);
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        int cancel = 0;
+        fixture.send(owner_fixture::request(host::client_verb::cancel, jobName), cancel);
+        REQUIRE(fixture.time.runUntil([&] { return cancel != 0; }));
+        CHECK(cancel == 410);
+    }
+    CHECK(fixture.memory.records(store::topic::jobs).size() == 1);
+}
--- a/tests/system/sim_callers.cpp
+++ b/tests/system/sim_callers.cpp
@@ -9,6 +9,7 @@
 namespace
 {
 constexpr int maxSubmissions = 5;
+constexpr double leaveProbability = 0.1; ///< Probability that a caller leaves soon after its first submission.
 constexpr double giveUpProbability = 0.3; ///< Probability that a caller does not repeat a refused submission.
 constexpr int acceptedStatus = 200;
 constexpr int unknownJobStatus = 410;
@@ -80,6 +81,9 @@
     const auto queue =
         static_cast<std::size_t>(m_network.randomInteger(0, static_cast<std::int64_t>(queues.size()) - 1));
     const auto id = submit(queues[queue], randomSpec());
+    if (m_network.randomBool(leaveProbability)) {
+        m_network.time.after(m_network.randomDuration(5, 600), [this, id] { leave(id); });
+    }
     if (m_specs[m_specOf[id]].isLongRunning() ? m_network.randomBool(0.6) : m_network.randomBool(0.15)) {
         m_network.time.after(m_network.randomDuration(50, 9000), [this, id] {
             if (m_rules.trackedJobs().at(id).acceptedAt) {
@@ -89,6 +93,15 @@
     }
 }
 
+// The cancellation may overtake the submission, which may wait at any host.
+auto sim_callers::leave(const std::string &job) -> void
+{
+    if (!m_rules.trackedJobs().at(job).acceptedAt) {
+        m_left.insert(job);
+        cancel(job);
+    }
+}
+
 auto sim_callers::submit(const sim_queue &queue, const jobs::multistep_job_spec &spec) -> std::string
 {
     std::array<char, 17> id{};
@@ -125,6 +138,9 @@
 
 auto sim_callers::sendSubmission(const std::string &job, int submissionsLeft) -> void
 {
+    if (m_left.contains(job)) {
+        return;
+    }
     m_hosts.send(randomHost(), makeRequest(job, "POST"),
                  [this, job, submissionsLeft](const std::optional<net::http_response> &answer) {
                      onSubmitAnswer(job, submissionsLeft, answer);
@@ -135,6 +151,9 @@
                                  const std::optional<net::http_response> &answer) -> void
 {
     m_rules.onSubmitAnswer(job, answer ? std::optional{answer->status} : std::nullopt);
+    if (m_left.contains(job)) {
+        return;
+    }
     if (answer && answer->status == acceptedStatus) {
         onAccepted(job);
         return;
--- a/tests/system/sim_callers.h
+++ b/tests/system/sim_callers.h
@@ -2,6 +2,7 @@
 
 #include "sim_hosts.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,7 @@
     auto randomHost() -> sim_host &;
     auto randomSpec() -> jobs::multistep_job_spec;
     auto makeRequest(const std::string &job, std::string_view method) const -> net::http_request;
+    auto leave(const std::string &job) -> void;
     auto sendSubmission(const std::string &job, int submissionsLeft) -> void;
     auto onSubmitAnswer(const std::string &job, int submissionsLeft, const std::optional<net::http_response> &answer)
         -> void;
@@ -57,5 +59,6 @@
     std::vector<jobs::multistep_job_spec> m_specs;
     std::map<std::string, std::size_t> m_specOf;
     std::map<std::string, std::string> m_prefixOf;
+    std::set<std::string> m_left; ///< Jobs whose caller left before the answer.
 };
 } // namespace tests::system_sim
