The attempts of a gang are its failed runs, not those of its members

Cause: countFailure() added up the failed runs of all members; a run that all of them report counted once for each.

Change: the distinct numbers of the failed runs of the members are counted. The members of a gang share the number of a run, so this is the number of attempts; no member can have more failed runs than that. Records are as before.

--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -490,13 +490,7 @@
     ++m_counters.runsFailed;
     state.failedRuns.push_back(run);
     markChanged(job);
-    auto failures = state.failedRuns.size();
-    if (step.gang) {
-        failures = 0;
-        for (std::uint32_t index = 0; index < step.taskCount; ++index) {
-            failures += job.tasks[job.positionOf(task.occurrence, task.step, index)].failedRuns.size();
-        }
-    }
+    const auto failures = step.gang ? failedRunsOfGang(job, task.occurrence, task.step) : state.failedRuns.size();
     if (failures >= job.queue.maxAttempts && job.phase == multistep_job_phase::active) {
         ++m_counters.jobsFailed;
         endJob(job, multistep_job_phase::failed, now);
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -346,6 +346,9 @@
     /// \brief Finishes a task by the end of another run than its current one, which is stopped if it exists.
     auto finishUnended(const task_ref &task, multistep_job_record &job, task_record &state, core::monotonic_time now)
         -> void;
+    /// \brief Returns the number of runs of a gang that at least one member reported as failed.
+    static auto failedRunsOfGang(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step)
+        -> std::size_t;
     auto finishRestOfGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                           core::monotonic_time now) -> void;
     auto finishPartlyDoneGangs(multistep_job_record &job, core::monotonic_time now) -> void;
--- a/src/poplarpass/jobs/job_engine_gangs.cpp
+++ b/src/poplarpass/jobs/job_engine_gangs.cpp
@@ -3,6 +3,7 @@
 #include <poplarpass/jobs/task_placement.h>
 
 #include <algorithm>
+#include <set>
 
 // Placement of gangs, whose tasks start together.
 namespace poplarpass::jobs
@@ -54,6 +55,18 @@
     }
 }
 
+// The members of a gang share the numbers of their runs, so a run that several of them report as failed is one attempt.
+auto job_engine::failedRunsOfGang(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step)
+    -> std::size_t
+{
+    std::set<std::uint32_t> runs;
+    for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
+        const auto &failed = job.tasks[job.positionOf(occurrence, step, index)].failedRuns;
+        runs.insert(failed.begin(), failed.end());
+    }
+    return runs.size();
+}
+
 // The end of one member as done represents all, so no other member needs a run.
 auto job_engine::finishRestOfGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                                   core::monotonic_time now) -> void
--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace tests::jobs_fixture;
 
@@ -680,3 +681,36 @@
     CHECK(engine.removeEndedJobs(later).size() == jobs::maxUnsubmittedJobs);
     CHECK(cancel(jobs::maxUnsubmittedJobs, later));
 }
+
+// Guards against a gang that is given up after one attempt because each member's end counted (review case 5).
+TEST_CASE("A gang fails when as many of its runs failed as the queue allows, however many members report it", "[jobs]")
+{
+    constexpr std::uint32_t maxAttempts = 3;
+    const auto reporting = GENERATE(1U, 4U);
+    auto engine = engineWith({worker("a"), worker("b")});
+    auto gang = step(4, 1000);
+    gang.gang = true;
+    engine.submit(jobId, queue(maxAttempts), jobOf({gang}), wallAt(0));
+    std::map<jobs::worker_id, std::uint64_t> ends;
+    std::int64_t now = 0;
+    for (std::uint32_t attempt = 1; attempt <= maxAttempts; ++attempt) {
+        CHECK(engine.find(jobId)->phase == jobs::multistep_job_phase::active);
+        std::vector<jobs::start_order> members;
+        for (int tries = 0; tries < 200 && members.empty(); ++tries) {
+            now += 100;
+            engine.onReport(jobs::worker_id{"a"}, report(), at(now), at(now));
+            engine.onReport(jobs::worker_id{"b"}, report(), at(now), at(now));
+            members = startAll(engine, now);
+        }
+        REQUIRE(members.size() == 4);
+        CHECK(members[0].run == attempt);
+        now += 100;
+        for (std::size_t index = 0; index < members.size(); ++index) {
+            const auto how = index < reporting ? jobs::end_kind::failed : jobs::end_kind::broken;
+            auto failure = report();
+            failure.ended = {endOf(++ends[members[index].worker], members[index], how)};
+            engine.onReport(members[index].worker, failure, at(now), at(now));
+        }
+    }
+    CHECK(engine.find(jobId)->phase == jobs::multistep_job_phase::failed);
+}
