An incarnation that only an entry names gives way to the worker's next entry

What others reported: one odd entry among those of the workers (deeply nested, a number too large, a port out of range) ends the machines that read the list, or stops their following.

Found here: nesting and ports do no harm. A start time that is too late, under a worker's own identifier, made the owner take all later entries and answers of that worker for those of an earlier incarnation: it was lost until the owner changed.

Cause: the latest incarnation that any entry had named outranked all others, though only the worker knows its own.

Change: an incarnation that the worker has not confirmed by an answer gives way to the newest entry.

--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -49,7 +49,10 @@
             // worker grants.
             worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseSentAt + maxGrantedLease + leaseMargin);
         }
-        if (entry.incarnation < worker.entry.incarnation) {
+        // An entry of an earlier incarnation was written late, unless only an entry has named the later one: that entry
+        // may be wrong, and the newest one counts.
+        const bool isConfirmed = worker.reportedIncarnation == worker.entry.incarnation;
+        if (entry.incarnation < worker.entry.incarnation && isConfirmed) {
             worker.listed = true;
             continue;
         }
--- a/tests/io/users_platform_test.cpp
+++ b/tests/io/users_platform_test.cpp
@@ -152,6 +152,9 @@
     for (const auto *text : {R"({"service":"a"})", R"([])", "\xff\xfe", R"({"service":1})", ""}) {
         CHECK_FALSE(platform::decodeWorkerEntry("i-1", text));
     }
+    CHECK_FALSE(platform::decodeWorkerEntry("", entryText));
+    CHECK_FALSE(platform::decodeWorkerEntry("i\r\n1", entryText));
+    CHECK_FALSE(platform::decodeWorkerEntry(std::string(255, 'i'), entryText));
     auto unknownState = entryText;
     unknownState.replace(unknownState.find("ready"), 5, "dizzy");
     REQUIRE_FALSE(platform::decodeWorkerEntry("i-1", unknownState));
