--- a/src/poplarpass/host/job_records.cpp
+++ b/src/poplarpass/host/job_records.cpp
@@ -156,6 +156,7 @@
     }
     return restored;
 }
+
 // Parts of tasks that never had a run are left out: a record without a value removes its key.
 auto encodeParts(const jobs::multistep_job_record &job) -> std::map<std::string, std::string>
 {
@@ -188,7 +189,7 @@
 
 auto job_records::canStore(const jobs::multistep_job_record &job) const -> bool
 {
-    return codec::encodeJob(job, progress_layout::parts).size() <= largestValue(specKey(job.id));
+    return codec::encodeJob(job, progress_layout::parts).size() <= maxValueBytes(specKey(job.id));
 }
 
 auto job_records::update(const jobs::multistep_job_record &job) -> std::vector<record_group>
@@ -201,7 +202,7 @@
         return partRecords(job, stored);
     }
     auto progress = jobs::encodeProgress(job);
-    if (progress.size() > largestValue(progressKey(job.id))) {
+    if (progress.size() > maxValueBytes(progressKey(job.id))) {
         return partRecords(job, stored);
     }
     record_group whole;
@@ -284,7 +285,7 @@
                                 const std::map<std::string, std::string> &parts) const
     -> std::optional<std::vector<record_group>>
 {
-    const auto limit = largestValue(progressKey(job.id)) / mergeDivisor;
+    const auto limit = maxValueBytes(progressKey(job.id)) / mergeDivisor;
     std::size_t bytes = 0;
     for (const auto &[key, text] : parts) {
         bytes += text.size();
@@ -306,7 +307,7 @@
 }
 
 // The content of a record begins with the length of its key, in one byte.
-auto job_records::largestValue(const std::string &key) const -> std::size_t
+auto job_records::maxValueBytes(const std::string &key) const -> std::size_t
 {
     const auto overhead = key.size() + 1;
     return m_limits.recordBytes > overhead ? m_limits.recordBytes - overhead : 0;
--- a/src/poplarpass/host/job_records.h
+++ b/src/poplarpass/host/job_records.h
@@ -74,7 +74,7 @@
     auto mergedRecords(const jobs::multistep_job_record &job, stored_job &stored,
                        const std::map<std::string, std::string> &parts) const
         -> std::optional<std::vector<record_group>>;
-    [[nodiscard]] auto largestValue(const std::string &key) const -> std::size_t;
+    [[nodiscard]] auto maxValueBytes(const std::string &key) const -> std::size_t;
 
     store::size_limits m_limits;
     layout_hook m_onLayoutChange;
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -113,6 +113,10 @@
     auto logRunTimes() -> void;
     auto serve(const client_request &request, const response_callback &answer) -> void;
     auto submit(const client_request &request, const response_callback &answer) -> void;
+    /// \returns whether the job is known, or the attempt was refused before, so that the submission is answered
+    auto answerKnownSubmission(const client_request &request, const response_callback &answer) -> bool;
+    auto submitNew(const client_request &request, const jobs::queue_policy &queue, const response_callback &answer)
+        -> void;
     auto deferSubmission(const client_request &request, const response_callback &answer) -> void;
     auto refuse(const client_request &request, const response_callback &answer, std::string_view reason, int retryAfter)
         -> void;
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -8,6 +8,14 @@
 {
 using observe::log_level;
 
+namespace
+{
+auto acknowledge(const response_callback &answer) -> void
+{
+    answer(net::makeResponse(200, "{}"));
+}
+} // namespace
+
 auto pool_owner::handle(const client_request &request, response_callback answer) -> void
 {
     if (m_resigned) {
@@ -89,19 +97,7 @@
 
 auto pool_owner::submit(const client_request &request, const response_callback &answer) -> void
 {
-    const auto accept = [answer] {
-        answer(net::makeResponse(200, "{}"));
-    };
-    if (m_engine.find(request.job) != nullptr) {
-        if (hasUnstoredChanges(request.job)) {
-            whenStored(accept);
-        } else {
-            accept();
-        }
-        return;
-    }
-    if (m_refusedAttempts.contains(request.attempt)) {
-        refuseSubmission(request, answer, "refused_before", retryAfterSeconds);
+    if (answerKnownSubmission(request, answer)) {
         return;
     }
     const auto match = m_env.routes.match(request.hostName, request.path);
@@ -110,7 +106,7 @@
         return;
     }
     if (m_engine.submitCancelled(request.job, request.account)) {
-        whenStored(accept);
+        whenStored([answer] { acknowledge(answer); });
         return;
     }
     if (m_journal.isBusy()) {
@@ -121,25 +117,45 @@
         refuseSubmission(request, answer, "term_lapsed", retryAfterSeconds);
         return;
     }
+    submitNew(request, match.matched->queue, answer);
+}
+
+auto pool_owner::answerKnownSubmission(const client_request &request, const response_callback &answer) -> bool
+{
+    if (m_engine.find(request.job) != nullptr) {
+        if (hasUnstoredChanges(request.job)) {
+            whenStored([answer] { acknowledge(answer); });
+        } else {
+            acknowledge(answer);
+        }
+        return true;
+    }
+    if (m_refusedAttempts.contains(request.attempt)) {
+        refuseSubmission(request, answer, "refused_before", retryAfterSeconds);
+        return true;
+    }
+    return false;
+}
+
+auto pool_owner::submitNew(const client_request &request, const jobs::queue_policy &queue,
+                           const response_callback &answer) -> void
+{
     auto spec = m_env.decoders.decodeJob(request.body);
     if (!spec) {
         answer(plainResponse(400, "bad_body"));
         return;
     }
-    if (refuseUnstorable(request, match.matched->queue, *spec, answer)) {
-        return;
-    }
-    if (refuseForLimits(request, match.matched->queue, *spec, answer)) {
+    if (refuseUnstorable(request, queue, *spec, answer) || refuseForLimits(request, queue, *spec, answer)) {
         return;
     }
     if (m_engine.taskCount() + jobs::taskCountOf(*spec) > maxTasks) {
         refuseSubmission(request, answer, "too_many_tasks", longRetryAfterSeconds);
         return;
     }
-    m_engine.submit(request.job, match.matched->queue, std::move(*spec), m_env.time.wallNow(), request.account);
+    m_engine.submit(request.job, queue, std::move(*spec), m_env.time.wallNow(), request.account);
     m_capacity->onJob(*m_engine.find(request.job));
     requestCycle();
-    whenStored(accept);
+    whenStored([answer] { acknowledge(answer); });
 }
 
 // The same for every host and at any time, so the caller must not try again.
@@ -294,7 +310,7 @@
     }
     const auto now = m_env.time.now();
     if (m_engine.cancel(request.job, now) != jobs::job_cancel_outcome::unknown) {
-        whenStored([answer] { answer(net::makeResponse(200, "{}")); });
+        whenStored([answer] { acknowledge(answer); });
         return;
     }
     // A submission of the job may still wait here, at its receiving host or on the way. It must not run once its caller
--- a/src/poplarpass/jobs/job_engine_gangs.cpp
+++ b/src/poplarpass/jobs/job_engine_gangs.cpp
@@ -73,7 +73,7 @@
 {
     for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
         const task_ref member{job.id, occurrence, step, index};
-        finishUnended(member, job, job.tasks[job.positionOf(occurrence, step, index)], now);
+        finishByOtherRun(member, job, job.tasks[job.positionOf(occurrence, step, index)], now);
     }
 }
 
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -191,7 +191,7 @@
     if (step.gang) {
         finishRestOfGang(job, task.occurrence, task.step, now);
     } else {
-        finishUnended(task, job, state, now);
+        finishByOtherRun(task, job, state, now);
     }
 }
 
--- a/src/poplarpass/jobs/job_state.cpp
+++ b/src/poplarpass/jobs/job_state.cpp
@@ -170,6 +170,19 @@
     return task_ref{job_id{std::string{text}}, *occurrence, *step, *index};
 }
 
+auto forEachTask(const multistep_job_record &job, const std::function<void(const task_ref &, std::size_t)> &visit)
+    -> void
+{
+    std::size_t position = 0;
+    for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < job.spec.steps[step].taskCount; ++index) {
+                visit(task_ref{job.id, occurrence, step, index}, position++);
+            }
+        }
+    }
+}
+
 auto nameOf(multistep_job_phase phase) -> std::string_view
 {
     static constexpr std::array<std::string_view, 4> names{"active", "completed", "failed", "cancelled"};
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -172,6 +172,10 @@
 /// \returns nothing when \p text is not a task name
 auto parseTaskName(std::string_view text) -> std::optional<task_ref>;
 
+/// \brief Calls \p visit with the reference and the position of each task of \p job.
+auto forEachTask(const multistep_job_record &job,
+                 const std::function<void(const task_ref &task, std::size_t position)> &visit) -> void;
+
 /// \brief Returns the name of \p phase in logs.
 auto nameOf(multistep_job_phase phase) -> std::string_view;
 
--- a/tests/decisions/account_caps_test.cpp
+++ b/tests/decisions/account_caps_test.cpp
@@ -50,7 +50,7 @@
     return engine.drainOrders().starts;
 }
 
-auto startAll(jobs::job_engine &engine, std::int64_t now) -> std::vector<jobs::start_order>
+auto planAndStart(jobs::job_engine &engine, std::int64_t now) -> std::vector<jobs::start_order>
 {
     auto starts = plan(engine, now);
     for (const auto &order : starts) {
@@ -106,14 +106,14 @@
     auto engine = cappedEngine({3000, 0, 0});
     submit(engine, "j", {step(5)});
     reporter workerReport;
-    const auto first = startAll(engine, 10);
+    const auto first = planAndStart(engine, 10);
     REQUIRE(first.size() == 3);
     workerReport.add(first);
-    CHECK(startAll(engine, 20).empty());
+    CHECK(planAndStart(engine, 20).empty());
     workerReport.end(engine, {first[0]}, 30);
-    const auto second = startAll(engine, 40);
+    const auto second = planAndStart(engine, 40);
     CHECK(second.size() == 1);
-    CHECK(startAll(engine, 50).empty());
+    CHECK(planAndStart(engine, 50).empty());
 }
 
 // Guards against runs of a silent worker that are forgotten before they must have ended, or counted for ever.
@@ -124,7 +124,7 @@
     submit(engine, "j", {step(4)});
     auto &other = *engine.workers().find(jobs::worker_id{"b"});
     other.pausedUntil = at(100);
-    REQUIRE(startAll(engine, 10).size() == 2);
+    REQUIRE(planAndStart(engine, 10).size() == 2);
     engine.onNoReport(workerA, at(10));
     for (std::int64_t time = 1000; time <= 5000; time += 1000) {
         engine.onReport(other.entry.id, report(), at(time), at(time));
@@ -141,7 +141,7 @@
 {
     auto engine = cappedEngine({1000, 0, 0});
     submit(engine, "j", {step(1)});
-    REQUIRE(startAll(engine, 10).size() == 1);
+    REQUIRE(planAndStart(engine, 10).size() == 1);
     engine.cancel(jobs::job_id{"j"}, at(20));
     const auto stops = engine.drainOrders().stops;
     REQUIRE(stops.size() == 1);
@@ -206,7 +206,7 @@
 {
     auto engine = cappedEngine({4000, 0, 0});
     submit(engine, "j", {step(8)});
-    const auto first = startAll(engine, 10);
+    const auto first = planAndStart(engine, 10);
     REQUIRE(first.size() == 4);
     reporter workerReport;
     workerReport.add(first);
@@ -232,7 +232,7 @@
     service.longRunning = true;
     service.antiAffinity = 2;
     submit(engine, "s", {service});
-    const auto started = startAll(engine, 10);
+    const auto started = planAndStart(engine, 10);
     REQUIRE(started.size() == 2);
     auto &from = *engine.workers().find(started[0].worker);
     setCap(engine, {1000, 0, 0});
@@ -266,7 +266,7 @@
 {
     auto engine = cappedEngine({3000, 0, 0});
     submit(engine, "first", {step(1)});
-    const auto first = startAll(engine, 10);
+    const auto first = planAndStart(engine, 10);
     REQUIRE(first.size() == 1);
     reporter workerReport;
     workerReport.add(first);
@@ -296,13 +296,13 @@
     submit(engine, "a3", {step(1, 1000, 300)});
     submit(engine, "b", {step(2, 1000, 900)}, beta);
     submit(engine, "none", {step(2, 1000, 900)}, {});
-    auto starts = startAll(engine, 10);
+    auto starts = planAndStart(engine, 10);
     CHECK(jobNamesOf(starts) == std::vector<std::string>{"a1", "b", "b", "none", "none"});
     reporter workerReport;
     workerReport.add(starts);
     for (const auto *next : {"a2", "a3"}) {
         workerReport.end(engine, {starts[0]}, 20);
-        starts = startAll(engine, 30);
+        starts = planAndStart(engine, 30);
         CHECK(jobNamesOf(starts) == std::vector<std::string>{next});
         workerReport.add(starts);
     }
@@ -313,7 +313,7 @@
 {
     auto engine = cappedEngine({4000, 0, 0});
     submit(engine, "old", {step(3, 1000, 100)});
-    auto running = startAll(engine, 10);
+    auto running = planAndStart(engine, 10);
     REQUIRE(running.size() == 3);
     reporter workerReport;
     workerReport.add(running);
@@ -334,7 +334,7 @@
     auto other = queue();
     other.pool = core::pool_id{"apool"};
     submit(engine, "old", {step(3, 1000, 100)});
-    auto running = startAll(engine, 10);
+    auto running = planAndStart(engine, 10);
     REQUIRE(running.size() == 3);
     reporter workerReport;
     workerReport.add(running);
@@ -354,7 +354,7 @@
 {
     auto engine = cappedEngine({10'000, 0, 0});
     submit(engine, "long", {step(4, 1000, 60'000)});
-    const auto running = startAll(engine, 10);
+    const auto running = planAndStart(engine, 10);
     REQUIRE(running.size() == 4);
     reporter workerReport;
     workerReport.add(running);
@@ -364,7 +364,7 @@
     std::size_t started = 0;
     for (std::int64_t time = 20; time <= 3020; time += 20) {
         workerReport.end(engine, {}, time);
-        const auto starts = startAll(engine, time);
+        const auto starts = planAndStart(engine, time);
         workerReport.add(starts);
         started += starts.size();
     }
@@ -444,25 +444,25 @@
     engine.onReport(workerA, report(), at(0), at(0));
     setCap(engine, {2000, 0, 0});
     submit(engine, "j", {step(2)});
-    const auto first = startAll(engine, 10);
+    const auto first = planAndStart(engine, 10);
     REQUIRE(first.size() == 2);
     CHECK(events.empty());
     submit(engine, "k", {step(1)});
     for (std::int64_t time = 20; time < 100; time += 10) {
-        CHECK(startAll(engine, time).empty());
+        CHECK(planAndStart(engine, time).empty());
     }
     CHECK(events == std::vector<std::string>{"account_at_cap alpha cpu"});
     CHECK(engine.atCapSince(alpha) == at(20));
     reporter workerReport;
     workerReport.add(first);
     workerReport.end(engine, {first[0]}, 100);
-    const auto second = startAll(engine, 110);
+    const auto second = planAndStart(engine, 110);
     REQUIRE(second.size() == 1);
     workerReport.add(second);
     CHECK(events.size() == 1);
     workerReport.end(engine, second, 120);
-    CHECK(startAll(engine, 130).empty());
-    CHECK(startAll(engine, 140).empty());
+    CHECK(planAndStart(engine, 130).empty());
+    CHECK(planAndStart(engine, 140).empty());
     CHECK(events == std::vector<std::string>{"account_at_cap alpha cpu", "account_below_cap alpha cpu"});
     CHECK_FALSE(engine.atCapSince(alpha));
 }
--- a/tests/decisions/jobs_fixture.h
+++ b/tests/decisions/jobs_fixture.h
@@ -84,4 +84,21 @@
     }
     return engine;
 }
+
+/// \brief Plans at \p now and answers all starts that this orders as accepted.
+inline auto startAll(jobs::job_engine &engine, std::int64_t now) -> std::vector<jobs::start_order>
+{
+    engine.plan(at(now), wallAt(now));
+    const auto orders = engine.drainOrders();
+    for (const auto &order : orders.starts) {
+        engine.onStartAnswer(order, jobs::run_start_answer::started, at(now));
+    }
+    return orders.starts;
+}
+
+/// \brief Returns the end of the run that \p order started.
+inline auto endOf(std::uint64_t number, const jobs::start_order &order, jobs::end_kind how) -> jobs::ended_run
+{
+    return {number, jobs::nameOf(order.task), order.run, how, {}};
+}
 } // namespace tests::jobs_fixture
--- a/tests/decisions/pacing_test.cpp
+++ b/tests/decisions/pacing_test.cpp
@@ -26,16 +26,6 @@
     return spec;
 }
 
-auto startAll(jobs::job_engine &engine, std::int64_t now) -> std::vector<jobs::start_order>
-{
-    engine.plan(at(now), wallAt(now));
-    auto starts = engine.drainOrders().starts;
-    for (const auto &order : starts) {
-        engine.onStartAnswer(order, jobs::run_start_answer::started, at(now));
-    }
-    return starts;
-}
-
 /// \brief Reports the serving task's tail latency in milliseconds and returns the pace orders that follow.
 auto pacesAfter(jobs::job_engine &engine, std::int64_t tail, std::int64_t now) -> std::vector<jobs::pace_order>
 {
