A former owner's stop does not outlive its run

Cause: closedByFormerOwner is set by restore() and cleared by the first report that lists the run. When the run had ended it stayed set for the task's next run, and a stop of that run by the owner itself was taken back by the next report.

Change: place() clears it. The other fields that restore() sets were looked at; they are reset, or read only with a flag that is.

Test: "A stop that a former owner began does not outlive its run" failed before the change.

--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -244,6 +244,7 @@
     state.worker = worker.entry.id;
     state.workerIncarnation = worker.entry.incarnation;
     state.placedByFormerOwner = false;
+    state.closedByFormerOwner = false;
     state.acknowledged = false;
     state.stopConfirmed = false;
     state.stopSentAt = {};
--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -529,6 +529,39 @@
     CHECK(next.find(jobId)->tasks[0].phase == jobs::task_phase::running);
 }
 
+// Guards against a stopped run that counts as running and ready again, so that a second task of its step is stopped
+// too.
+TEST_CASE("A stop that a former owner began does not outlive its run", "[jobs]")
+{
+    auto serving = step(1);
+    serving.longRunning = true;
+    auto engine = engineWith({worker("a"), worker("b")});
+    engine.submit(jobId, queue(), jobOf({serving}), wallAt(0));
+    const auto first = startAll(engine, 10).at(0);
+    auto stored = *engine.find(jobId);
+    stored.tasks[0].phase = jobs::task_phase::closing;
+    auto restored = jobs::makeJob(jobId, queue(), stored.spec, wallAt(0));
+    REQUIRE(jobs::applyProgress(restored, jobs::encodeProgress(stored)));
+    jobs::job_engine next{nullptr};
+    next.restore(restored, at(100), at(100));
+    next.updateWorkers(std::vector{worker("a"), worker("b")}, at(100));
+    for (const auto *id : {"a", "b"}) {
+        next.onReport(jobs::worker_id{id}, report(), at(110), at(111));
+    }
+    REQUIRE(next.find(jobId)->tasks[0].phase == jobs::task_phase::waiting);
+    const auto second = startAll(next, 200).at(0);
+    REQUIRE(second.run == first.run + 1);
+
+    auto &leaving = *next.workers().find(second.worker);
+    leaving.leaving = true;
+    next.evacuate(leaving, at(210));
+    REQUIRE(next.drainOrders().stops.size() == 1);
+    auto listed = report();
+    listed.running = {{jobs::nameOf(second.task), second.run, {}, 100, 0}};
+    next.onReport(second.worker, listed, at(220), at(221));
+    CHECK(next.find(jobId)->tasks[0].phase == jobs::task_phase::closing);
+}
+
 TEST_CASE("A cancel before the submission stops that of its own account only", "[jobs][accounts]")
 {
     const jobs::account_id own{"own"};
