A stopping host answers all requests before its process ends

Cause: a process ends 5.3 s after SIGTERM, and a request may wait for 0.8 of its own time, 2.4 s and more. Nothing compared them.

Change: when a host is told to stop, its forwarder abandons what waits, and what comes later, 0.2 s before the process ends, with the answers that it gives when a request's time is over (503 if nothing was sent, else 504).

Result: request_forwarder_test has the case; decisions, io and system tests pass.

--- a/src/poplarpass/host/constants.h
+++ b/src/poplarpass/host/constants.h
@@ -104,4 +104,6 @@
 inline constexpr core::duration loadBalancerLag = std::chrono::milliseconds{2300};
 /// \brief Time by which a stopping process exits before the end of its grace period, after which it is killed.
 inline constexpr core::duration shutdownMargin = std::chrono::milliseconds{700};
+/// \brief Time before the end of a stopping process by which all requests are answered, so that the answers are sent.
+inline constexpr core::duration finalAnswerMargin = std::chrono::milliseconds{200};
 } // namespace poplarpass::host
--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -157,9 +157,10 @@
     m_election.onAnnouncement(record);
 }
 
-auto host_core::relinquishOwnership() -> void
+auto host_core::relinquishOwnership(core::monotonic_time deadline) -> void
 {
     m_stopping = true;
+    m_forwarder.answerBy(deadline);
     m_election.disableClaims();
     const auto resignation = [this] {
         m_election.resign([this] {
--- a/src/poplarpass/host/host_core.h
+++ b/src/poplarpass/host/host_core.h
@@ -57,8 +57,9 @@
     /// \brief Handles the announcement of an owner by another host.
     auto onAnnouncement(const owner::owner_record &record) -> void;
 
-    /// \brief Resigns ownership, if held, and never claims it again. Requests are still served.
-    auto relinquishOwnership() -> void;
+    /// \brief Resigns ownership, if held, and never claims it again. Requests are still served, and answered by
+    /// \p deadline.
+    auto relinquishOwnership(core::monotonic_time deadline) -> void;
 
     /// \brief Returns whether callers can be served here.
     [[nodiscard]] auto isReady() const -> bool;
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -223,9 +223,10 @@
 {
     m_stopping = true;
     m_log.log(log_level::info, "stopping", {{"owner", m_core->ownsPools()}});
-    m_core->relinquishOwnership();
+    const auto timeToEnd = m_settings.stopGrace - shutdownMargin;
+    m_core->relinquishOwnership(m_time.now() + timeToEnd - finalAnswerMargin);
     m_time.callAfter(loadBalancerLag, [this] { m_requestServer->drain([this] { finishShutdown(); }); });
-    m_time.callAfter(m_settings.stopGrace - shutdownMargin, [this] { finishShutdown(); });
+    m_time.callAfter(timeToEnd, [this] { finishShutdown(); });
 }
 
 auto host_process::finishShutdown() -> void
--- a/src/poplarpass/host/request_forwarder.cpp
+++ b/src/poplarpass/host/request_forwarder.cpp
@@ -38,27 +38,45 @@
 
 auto request_forwarder::handleRequest(client_request request, core::duration time, response_callback answer) -> void
 {
-    if (m_unanswered >= maxForwardedRequests) {
+    if (m_unanswered.size() >= maxForwardedRequests) {
         m_env.log.log(log_level::warning, "request_refused",
                       {{"id", request.job.str()},
                        {"verb", nameOf(request.verb)},
                        {"reason", "too_many"},
-                       {"open", m_unanswered},
+                       {"open", m_unanswered.size()},
                        {"retry_after_s", retryAfterSeconds}});
         answer(refusalResponse(503, "too_many", retryAfterSeconds));
         return;
     }
-    ++m_unanswered;
     auto entry = std::make_shared<forwarded_request>();
+    m_unanswered.insert(entry);
     entry->request = std::move(request);
     entry->request.attempt = m_env.processName + "/" + std::to_string(++m_attempts);
-    entry->answer = m_lifetime.guard([this, answer = std::move(answer)](net::http_response response) {
-        --m_unanswered;
-        answer(std::move(response));
-    });
+    entry->answer =
+        m_lifetime.guard([this, weak = std::weak_ptr{entry}, answer = std::move(answer)](net::http_response response) {
+            m_unanswered.erase(weak.lock());
+            answer(std::move(response));
+        });
     entry->receivedAt = m_env.time.now();
     const auto timeLimit = std::chrono::duration<double, std::micro>{time} * requestTimeoutFraction;
-    m_env.time.callAfter(std::chrono::duration_cast<core::duration>(timeLimit), m_lifetime.guard([this, entry] {
+    abandonAfter(entry, std::chrono::duration_cast<core::duration>(timeLimit));
+    if (m_deadline) {
+        abandonAfter(entry, *m_deadline - m_env.time.now());
+    }
+    forward(entry);
+}
+
+auto request_forwarder::answerBy(core::monotonic_time deadline) -> void
+{
+    m_deadline = deadline;
+    for (const auto &entry : m_unanswered) {
+        abandonAfter(entry, deadline - m_env.time.now());
+    }
+}
+
+auto request_forwarder::abandonAfter(const std::shared_ptr<forwarded_request> &entry, core::duration delay) -> void
+{
+    m_env.time.callAfter(std::max(delay, core::duration{0}), m_lifetime.guard([this, entry] {
         if (!entry->answered) {
             if (entry->awaitingAnswer) {
                 markMaybeCarriedOut(entry);
@@ -66,7 +84,6 @@
             abandon(entry);
         }
     }));
-    forward(entry);
 }
 
 auto request_forwarder::forward(const std::shared_ptr<forwarded_request> &entry) -> void
--- a/src/poplarpass/host/request_forwarder.h
+++ b/src/poplarpass/host/request_forwarder.h
@@ -6,11 +6,11 @@
 #include <poplarpass/observe/logger.h>
 #include <poplarpass/route/route_table.h>
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace poplarpass::host
@@ -43,6 +43,9 @@
     /// \brief Answers \p request exactly once, at the latest shortly before \p time has passed.
     auto handleRequest(client_request request, core::duration time, response_callback answer) -> void;
 
+    /// \brief Answers all requests by \p deadline, those that wait now and later ones: the process ends then.
+    auto answerBy(core::monotonic_time deadline) -> void;
+
     /// \brief Returns the highest version of the configuration in answers of owners; 0 for none.
     [[nodiscard]] auto newestVersion() const -> std::uint64_t;
 
@@ -56,6 +59,7 @@
     auto markMaybeCarriedOut(const std::shared_ptr<forwarded_request> &entry) -> void;
     auto onAnswer(const std::shared_ptr<forwarded_request> &entry, net::http_response response) -> void;
     auto retry(const std::shared_ptr<forwarded_request> &entry) -> void;
+    auto abandonAfter(const std::shared_ptr<forwarded_request> &entry, core::duration delay) -> void;
     auto abandon(const std::shared_ptr<forwarded_request> &entry) -> void;
 
     forwarder_environment m_env;
@@ -64,7 +68,8 @@
     std::string m_calledOwner; ///< Address of the last call to the owner.
     core::monotonic_time m_calledAt{}; ///< When it was sent.
     std::uint64_t m_newestVersion = 0;
-    std::size_t m_unanswered = 0; ///< Number of unanswered requests.
+    std::set<std::shared_ptr<forwarded_request>> m_unanswered;
+    std::optional<core::monotonic_time> m_deadline; ///< By when all requests must be answered.
     core::lifetime m_lifetime;
 };
 } // namespace poplarpass::host
--- a/tests/io/request_forwarder_test.cpp
+++ b/tests/io/request_forwarder_test.cpp
@@ -110,6 +110,32 @@
     CHECK(unanswered == 504);
 }
 
+// Guards against a caller whose connection ends without an answer: its host stops while the request waits for an owner.
+TEST_CASE("A stopping host answers the requests that wait, and later ones, before it ends", "[host]")
+{
+    const bool hasOwner = GENERATE(false, true);
+    forwarder_fixture fixture;
+    if (!hasOwner) {
+        fixture.owner.reset();
+    }
+    int waiting = 0;
+    fixture.submit(waiting);
+    fixture.forwarder->answerBy(fixture.time.now() + std::chrono::milliseconds{1000});
+    fixture.time.runFor(std::chrono::milliseconds{900});
+    CHECK(waiting == 0);
+    int later = 0;
+    fixture.submit(later);
+    fixture.time.runFor(std::chrono::milliseconds{150});
+    // What was sent to an owner may have been carried out.
+    CHECK(waiting == (hasOwner ? 504 : 503));
+    CHECK(later == (hasOwner ? 504 : 503));
+    int late = 0;
+    fixture.owner.reset();
+    fixture.submit(late);
+    fixture.time.runFor(std::chrono::milliseconds{10});
+    CHECK(late == 503);
+}
+
 TEST_CASE("Loss and recovery of the owner are logged once each", "[host]")
 {
     forwarder_fixture fixture;
--- a/tests/system/sim_hosts.cpp
+++ b/tests/system/sim_hosts.cpp
@@ -202,7 +202,7 @@
         return;
     }
     simHost.lastFaultAt = m_network.nowMs();
-    simHost.core->relinquishOwnership();
+    simHost.core->relinquishOwnership(m_network.time.now() + shutdownTime - host::finalAnswerMargin);
     m_network.time.after(shutdownTime, [this, &simHost, incarnation = simHost.incarnation] {
         if (simHost.up && simHost.incarnation == incarnation) {
             kill(simHost);
