A submission's record is encoded to check its size only when it may be too large

Cause: the check for specifications that exceed a record encoded every submission once more, which takes processor time of the owner where it is short. Change: an upper bound on the encoded size is computed first; only specifications near the limit are encoded. Result: users_platform_test checks the bound with the largest numbers.

--- a/src/poplarpass/codec/job_codec.cpp
+++ b/src/poplarpass/codec/job_codec.cpp
@@ -11,6 +11,12 @@
 // 1 January 3000, in Unix milliseconds.
 constexpr std::int64_t deferredDueMs = 32'503'680'000'000;
 
+// Upper bounds on the encoded sizes without texts and lists: each number takes 9 bytes at most, each name of a field
+// and each head of a text or list a few more.
+constexpr std::size_t maxBytesOfJob = 512;
+constexpr std::size_t maxBytesOfStep = 192;
+constexpr std::size_t maxBytesOfDependency = 5;
+
 auto encodeStep(const jobs::step_spec &step) -> json
 {
     json out{
@@ -119,6 +125,17 @@
     return {bytes.begin(), bytes.end()};
 }
 
+auto maxEncodedBytes(const jobs::multistep_job_record &job) -> std::size_t
+{
+    auto bytes = maxBytesOfJob + job.spec.payload.size() + job.queue.name.str().size() + job.queue.pool.str().size()
+        + job.account.str().size();
+    for (const auto &step : job.spec.steps) {
+        bytes += maxBytesOfStep + step.requirement.size() + step.affinityRack.size() + step.image.size()
+            + maxBytesOfDependency * step.after.size();
+    }
+    return bytes;
+}
+
 auto decodeJob(const jobs::job_id &id, std::string_view bytes) -> core::result<decoded_job>
 {
     try {
--- a/src/poplarpass/codec/job_codec.h
+++ b/src/poplarpass/codec/job_codec.h
@@ -3,6 +3,7 @@
 #include <poplarpass/core/error.h>
 #include <poplarpass/jobs/job_state.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -26,6 +27,9 @@
 auto encodeJob(const jobs::multistep_job_record &job, progress_layout layout = progress_layout::one_record)
     -> std::string;
 
+/// \brief Returns an upper bound on the size of what encodeJob() returns, without encoding the job.
+auto maxEncodedBytes(const jobs::multistep_job_record &job) -> std::size_t;
+
 /// \brief Decodes what encodeJob() returned; the job has no progress.
 auto decodeJob(const jobs::job_id &id, std::string_view bytes) -> core::result<decoded_job>;
 } // namespace poplarpass::codec
--- a/src/poplarpass/host/job_records.cpp
+++ b/src/poplarpass/host/job_records.cpp
@@ -189,7 +189,8 @@
 
 auto job_records::canStore(const jobs::multistep_job_record &job) const -> bool
 {
-    return codec::encodeJob(job, progress_layout::parts).size() <= maxValueBytes(specKey(job.id));
+    const auto limit = maxValueBytes(specKey(job.id));
+    return codec::maxEncodedBytes(job) <= limit || codec::encodeJob(job, progress_layout::parts).size() <= limit;
 }
 
 auto job_records::update(const jobs::multistep_job_record &job) -> std::vector<record_group>
--- a/tests/io/users_platform_test.cpp
+++ b/tests/io/users_platform_test.cpp
@@ -190,6 +190,36 @@
     checkCorruptions(bytes, [&](const std::string &text) { (void)poplarpass::codec::decodeJob(job.id, text); });
 }
 
+TEST_CASE("The bound on the size of an encoded job holds for the largest numbers", "[platform]")
+{
+    jobs::queue_policy queue;
+    queue.name = jobs::queue_id{std::string(300, 'q')};
+    queue.priority = std::numeric_limits<std::uint32_t>::max();
+    queue.maxAttempts = queue.priority;
+    queue.stretch = 1.1;
+    queue.targetLatency = std::chrono::milliseconds::max();
+    queue.advice = jobs::advice_policy{queue.targetLatency, queue.targetLatency, queue.targetLatency};
+    jobs::step_spec step;
+    step.taskCount = 1;
+    step.perTask = {std::numeric_limits<std::int64_t>::max(), std::numeric_limits<std::int64_t>::max(),
+                    std::numeric_limits<std::int64_t>::max()};
+    step.estimate = std::chrono::milliseconds::max();
+    step.target = std::chrono::milliseconds::max();
+    step.antiAffinity = std::numeric_limits<std::uint32_t>::max();
+    step.maxUnavailable = std::numeric_limits<std::uint32_t>::max();
+    step.requirement = std::string(300, 'r');
+    jobs::multistep_job_spec spec;
+    spec.payload = std::string(4000, 'p');
+    spec.interval = std::chrono::milliseconds::max();
+    for (const std::size_t steps : {1U, 70'000U}) {
+        spec.steps.assign(steps, step);
+        spec.steps.back().after.assign(steps - 1, 69'999);
+        const auto job = jobs::makeJob(jobs::job_id{"5c0e7a21d94b36f8"}, queue, spec, core::wall_time::max());
+        const auto bytes = poplarpass::codec::encodeJob(job, poplarpass::codec::progress_layout::parts).size();
+        CHECK(bytes <= poplarpass::codec::maxEncodedBytes(job));
+    }
+}
+
 TEST_CASE("A worker report is decoded completely or rejected", "[platform]")
 {
     const auto report = platform::decodeReport(reportText);
