--- a/src/poplarpass/config/config_check.cpp
+++ b/src/poplarpass/config/config_check.cpp
@@ -1,5 +1,6 @@
 #include <poplarpass/config/calendar.h>
 #include <poplarpass/config/config_check.h>
+#include <poplarpass/config/text_of_name.h>
 #include <poplarpass/replication/budget.h>
 
 #include <algorithm>
@@ -21,23 +22,12 @@
     problems.push_back({kind, std::move(item), std::move(detail)});
 }
 
-auto textOfName(const std::string &name) -> const std::string &
-{
-    return name;
-}
-
-template <class tag>
-auto textOfName(const core::string_id<tag> &name) -> const std::string &
-{
-    return name.str();
-}
-
 template <class item>
 auto checkNames(problem_list &problems, std::string_view kind, const std::vector<item> &items) -> void
 {
     std::set<std::string_view> names;
     for (const auto &each : items) {
-        const auto &name = textOfName(each.name);
+        const auto &name = internal::textOfName(each.name);
         if (name.empty()) {
             add(problems, problem_kind::out_of_range, std::string{kind}, "a name is empty");
         } else if (!names.insert(name).second) {
--- a/src/poplarpass/config/config_diff.cpp
+++ b/src/poplarpass/config/config_diff.cpp
@@ -1,4 +1,5 @@
 #include <poplarpass/config/config_diff.h>
+#include <poplarpass/config/text_of_name.h>
 
 #include <algorithm>
 #include <array>
@@ -78,23 +79,12 @@
     return {{"buffer_cost", textOfNumber(weights.bufferCost)}, {"moves", textOfNumber(weights.moves)}};
 }
 
-auto textOfName(const std::string &name) -> const std::string &
-{
-    return name;
-}
-
-template <class tag>
-auto textOfName(const core::string_id<tag> &name) -> const std::string &
-{
-    return name.str();
-}
-
 template <class item>
 auto itemsOf(const std::vector<item> &items) -> item_map
 {
     item_map result;
     for (const auto &each : items) {
-        result.emplace(textOfName(each.name), fieldsOf(each));
+        result.emplace(internal::textOfName(each.name), fieldsOf(each));
     }
     return result;
 }
