Evidence in the log for failed jobs and for changes of owner

Callers saw jobs as failed, and runs that did not start after a change of owner, and the log did not say why: job_given_up and job_ended named neither the task nor its counts, jobs_restored said nothing about runs of the former owner.

Change: job_given_up holds the task, its failed runs against the maximum of its queue and its crashes by kind; job_ended of a failed job the same without the crashes. jobs_restored holds the number of runs found placed and how long their leases may last. No decision changes: findCrashingTask returns the task for which findCrashingJob returned the job.

--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -9,6 +9,11 @@
 /// Fields of a decision about a job, a task or a run; those about the worker only if one is involved.
 constexpr std::string_view decisionFields = "id, worker, run, reason, born, heard_ms, epoch, config";
 constexpr std::string_view lostRunFields = "id, worker, run, reason, born, heard_ms, ran_ms, epoch, config";
+constexpr std::string_view endedJobFields =
+    "id, worker, run, reason, born, heard_ms, when failed also task, failed_runs, max_failed_runs, epoch, config";
+constexpr std::string_view givenUpJobFields =
+    "id, reason, task, failed_runs, max_failed_runs, crashes_at_start, crashes_alone, crashes_certain, crashes_later, "
+    "epoch, config";
 constexpr std::string_view crashFields = "id, worker, run, reason, born, heard_ms, placed, suspects, epoch, config";
 
 constexpr std::array events{
@@ -48,15 +53,16 @@
     event_description{"job_cancelled_early",
                       "a job was cancelled before its submission arrived, or that submission arrived; it does not run",
                       decisionFields},
-    event_description{"job_ended", "a job is completed, failed or cancelled", decisionFields},
+    event_description{"job_ended", "a job is completed, failed or cancelled", endedJobFields},
     event_description{"job_given_up", "a job fails because one of its tasks crashes the workers that start it",
-                      decisionFields},
+                      givenUpJobFields},
     event_description{"job_record_unreadable", "the stored specification of a job could not be decoded and was skipped",
                       "job, detail"},
     event_description{"job_refused", "a job was refused and never runs",
                       "id, reason, then stalled_ms, retry_after_s or steps, bytes"},
     event_description{"job_started", "a worker began the first run of a job", decisionFields},
-    event_description{"jobs_restored", "a new owner has restored the stored jobs", "epoch, jobs, offset"},
+    event_description{"jobs_restored", "a new owner has restored the stored jobs",
+                      "epoch, jobs, offset, placed, leases_ms"},
     event_description{"jobs_unread", "a new owner could not read the stored jobs; it retries", "epoch"},
     event_description{"journal_fenced", "the store rejects this owner's appends because a later owner has written",
                       "epoch, sequence"},
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -22,6 +22,38 @@
         decision.reason == "failed" || std::ranges::find(warningEvents, decision.event) != warningEvents.end();
     return isWarning ? log_level::warning : log_level::info;
 }
+
+auto addFailureFields(const jobs::failure_evidence &failure, std::vector<observe::field> &fields) -> void
+{
+    fields.emplace_back("task", failure.task);
+    fields.emplace_back("failed_runs", failure.failedRuns);
+    fields.emplace_back("max_failed_runs", failure.maxFailedRuns);
+    if (const auto &crashes = failure.crashes) {
+        fields.emplace_back("crashes_at_start", crashes->atStart);
+        fields.emplace_back("crashes_alone", crashes->alone);
+        fields.emplace_back("crashes_certain", crashes->certain);
+        fields.emplace_back("crashes_later", crashes->later);
+    }
+}
+
+/// \brief Runs that a new owner found placed.
+struct placed_runs
+{
+    std::size_t count = 0;
+    core::duration leasesFor{0}; ///< How long the last of their leases may last.
+};
+
+auto placedRunsOf(const jobs::worker_table &workers, core::monotonic_time now) -> placed_runs
+{
+    placed_runs found;
+    for (const auto &[id, worker] : workers.all()) {
+        found.count += worker.placed.size();
+        if (!worker.placed.empty()) {
+            found.leasesFor = std::max(found.leasesFor, worker.leaseEnd - now);
+        }
+    }
+    return found;
+}
 } // namespace
 
 pool_owner::pool_owner(pool_owner_environment environment, std::uint64_t epoch, core::monotonic_time claimedAt,
@@ -143,8 +175,13 @@
         m_engine.workers().restoreUnrenewedLease(lease, now);
     }
     m_capacity->start(newest);
+    const auto placed = placedRunsOf(m_engine.workers(), now);
     m_env.log.log(log_level::info, "jobs_restored",
-                  {{"epoch", epoch()}, {"jobs", m_engine.jobs().size()}, {"offset", newest.endOffset}});
+                  {{"epoch", epoch()},
+                   {"jobs", m_engine.jobs().size()},
+                   {"offset", newest.endOffset},
+                   {"placed", placed.count},
+                   {"leases_ms", std::chrono::duration_cast<std::chrono::milliseconds>(placed.leasesFor).count()}});
     if (m_workers->isLoaded()) {
         beginServing();
     }
@@ -396,6 +433,9 @@
         fields.emplace_back("placed", crash->placed);
         fields.emplace_back("suspects", crash->suspects);
     }
+    if (const auto &failure = decision.details.failure) {
+        addFailureFields(*failure, fields);
+    }
     fields.emplace_back("epoch", m_term.epoch());
     fields.emplace_back("config", m_env.routes.config().version);
     return fields;
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -273,13 +273,16 @@
     /// \brief Finishes a task by the end of another run than its current one, which is stopped if it exists.
     auto finishByOtherRun(const task_ref &task, multistep_job_record &job, task_record &state, core::monotonic_time now)
         -> void;
+    /// \brief Returns the failed runs of a task, and those at which its job fails.
+    static auto failuresOf(const multistep_job_record &job, const task_ref &task) -> failure_evidence;
     /// \brief Returns the number of runs of a gang that at least one member reported as failed.
     static auto failedRunsOfGang(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step)
         -> std::size_t;
     auto finishRestOfGang(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                           core::monotonic_time now) -> void;
     auto finishPartlyDoneGangs(multistep_job_record &job, core::monotonic_time now) -> void;
-    auto endJob(multistep_job_record &job, multistep_job_phase phase, core::monotonic_time now) -> void;
+    auto endJob(multistep_job_record &job, multistep_job_phase phase, core::monotonic_time now,
+                const decision_details &details = {}) -> void;
     auto removeRecord(const job_id &id) -> void;
     auto onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void;
     auto resolveEarlierIncarnation(worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt,
@@ -295,14 +298,14 @@
     auto onRunning(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
     auto resolveUnlistedRuns(worker_slot &worker, core::monotonic_time sentAt, core::monotonic_time now) -> void;
     auto markAllLost(worker_slot &worker, worker_loss loss, core::monotonic_time now) -> void;
-    /// \returns a job to be given up once the lost runs are removed
-    auto recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now) -> std::optional<job_id>;
+    /// \returns a task whose job is to be given up once the lost runs are removed
+    auto recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now) -> std::optional<task_ref>;
     /// \brief Ends the runs of earlier workers at the address of \p worker, which has just answered for the first time.
     auto endPredecessors(const worker_slot &worker, core::monotonic_time now) -> void;
     /// \brief Counts the crash against \p suspects, which are of one job.
-    /// \returns the job if it is to be given up
-    auto findCrashingJob(std::span<const task_ref> suspects) -> std::optional<job_id>;
-    auto giveUpCrashingJob(const std::optional<job_id> &id, core::monotonic_time now) -> void;
+    /// \returns the first task for which the job is to be given up
+    auto findCrashingTask(std::span<const task_ref> suspects) -> std::optional<task_ref>;
+    auto giveUpCrashingJob(const std::optional<task_ref> &crashing, core::monotonic_time now) -> void;
     auto updateSuspicion(const multistep_job_record &job) -> void;
     auto clearOthers(const job_id &crashing) -> void;
     auto planSuspects(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
--- a/src/poplarpass/jobs/job_engine_crashes.cpp
+++ b/src/poplarpass/jobs/job_engine_crashes.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 // Workers that end, or stay silent until their lease has expired, although nothing announced it: which tasks may have
 // caused it, and how these start again.
@@ -20,7 +21,7 @@
 } // namespace
 
 auto job_engine::recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now)
-    -> std::optional<job_id>
+    -> std::optional<task_ref>
 {
     // A worker that drains ends its remaining runs when it leaves.
     if (worker.entry.draining) {
@@ -56,7 +57,7 @@
     const bool isOneJob =
         std::ranges::adjacent_find(suspects, std::ranges::not_equal_to{}, &task_ref::job) == suspects.end();
     if (isOneJob) {
-        return findCrashingJob(suspects);
+        return findCrashingTask(suspects);
     }
     std::erase_if(m_crashes, [now](const auto &crash) { return now - crash.at > crashMemory; });
     m_crashes.push_back({std::move(suspects), now});
@@ -75,31 +76,36 @@
     }
 }
 
-auto job_engine::findCrashingJob(std::span<const task_ref> suspects) -> std::optional<job_id>
+auto job_engine::findCrashingTask(std::span<const task_ref> suspects) -> std::optional<task_ref>
 {
-    bool isCrashing = false;
+    std::optional<task_ref> crashing;
     for (const auto &task : suspects) {
         const auto [job, state] = locate(task);
         ++state->crashes.alone;
-        isCrashing = isCrashing || internal::isCrashingTask(state->crashes, job->spec.steps[task.step].longRunning);
+        if (!crashing && internal::isCrashingTask(state->crashes, job->spec.steps[task.step].longRunning)) {
+            crashing = task;
+        }
     }
-    return isCrashing ? std::optional{suspects.front().job} : std::nullopt;
+    return crashing;
 }
 
-auto job_engine::giveUpCrashingJob(const std::optional<job_id> &id, core::monotonic_time now) -> void
+auto job_engine::giveUpCrashingJob(const std::optional<task_ref> &crashing, core::monotonic_time now) -> void
 {
-    if (!id) {
+    if (!crashing) {
         return;
     }
-    auto &job = m_jobs.at(id->str());
+    auto &job = m_jobs.at(crashing->job.str());
     if (job.phase != multistep_job_phase::active) {
         return;
     }
     ++m_counters.jobsFailed;
     ++m_counters.jobsCrashing;
-    logEvent("job_given_up", id->str(), {}, 0, "crashes_workers");
-    endJob(job, multistep_job_phase::failed, now);
-    clearOthers(*id);
+    auto evidence = failuresOf(job, *crashing);
+    evidence.crashes = job.tasks[job.positionOf(crashing->occurrence, crashing->step, crashing->index)].crashes;
+    const decision_details details{{}, {}, std::move(evidence)};
+    logEvent("job_given_up", job.id.str(), {}, 0, "crashes_workers", details);
+    endJob(job, multistep_job_phase::failed, now, details);
+    clearOthers(job.id);
 }
 
 // One task crashes a worker, so the others that had just begun there are not at fault.
--- a/src/poplarpass/jobs/job_engine_ends.cpp
+++ b/src/poplarpass/jobs/job_engine_ends.cpp
@@ -133,7 +133,8 @@
     }
 }
 
-auto job_engine::endJob(multistep_job_record &job, multistep_job_phase phase, core::monotonic_time now) -> void
+auto job_engine::endJob(multistep_job_record &job, multistep_job_phase phase, core::monotonic_time now,
+                        const decision_details &details) -> void
 {
     job.phase = phase;
     job.endedAt = now;
@@ -147,7 +148,15 @@
             beginClosing(task, job, state, now);
         }
     });
-    logEvent("job_ended", job.id.str(), {}, 0, nameOf(phase));
+    logEvent("job_ended", job.id.str(), {}, 0, nameOf(phase), details);
+}
+
+auto job_engine::failuresOf(const multistep_job_record &job, const task_ref &task) -> failure_evidence
+{
+    const auto failedRuns = job.spec.steps[task.step].gang
+        ? failedRunsOfGang(job, task.occurrence, task.step)
+        : job.tasks[job.positionOf(task.occurrence, task.step, task.index)].failedRuns.size();
+    return {nameOf(task), failedRuns, job.queue.maxAttempts, {}};
 }
 
 auto job_engine::countFailure(const task_ref &task, multistep_job_record &job, task_record &state, std::uint32_t run,
@@ -165,10 +174,10 @@
     ++m_counters.runsFailed;
     state.failedRuns.push_back(run);
     markChanged(job);
-    const auto failures = step.gang ? failedRunsOfGang(job, task.occurrence, task.step) : state.failedRuns.size();
-    if (failures >= job.queue.maxAttempts && job.phase == multistep_job_phase::active) {
+    auto evidence = failuresOf(job, task);
+    if (evidence.failedRuns >= evidence.maxFailedRuns && job.phase == multistep_job_phase::active) {
         ++m_counters.jobsFailed;
-        endJob(job, multistep_job_phase::failed, now);
+        endJob(job, multistep_job_phase::failed, now, {{}, {}, std::move(evidence)});
     }
 }
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_engine_types.h
+++ b/src/poplarpass/jobs/job_engine_types.h
@@ -2,8 +2,9 @@
 
 #include <poplarpass/core/time.h>
 #include <poplarpass/jobs/account_limits.h>
-#include <poplarpass/jobs/job_spec.h>
+#include <poplarpass/jobs/job_state.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,11 +33,21 @@
     std::uint32_t suspects = 0; ///< Those of them that may have caused the crash.
 };
 
+/// \brief Why a job failed.
+struct failure_evidence
+{
+    std::string task; ///< Task for which the job failed.
+    std::size_t failedRuns = 0; ///< Its runs that ended as failed; for a gang those of all members.
+    std::uint32_t maxFailedRuns = 0; ///< Number of them at which the job fails.
+    std::optional<crash_record> crashes; ///< Crashes under the task; only when the job fails for them.
+};
+
 /// \brief Details that only some decisions have.
 struct decision_details
 {
-    std::optional<core::duration> ranFor; ///< For how long a lost run is known to have been executed.
-    std::optional<crash_counts> crash; ///< Runs that the crash of a worker ended.
+    std::optional<core::duration> ranFor{}; ///< For how long a lost run is known to have been executed.
+    std::optional<crash_counts> crash{}; ///< Runs that the crash of a worker ended.
+    std::optional<failure_evidence> failure{}; ///< Why a job failed.
 };
 
 /// \brief One decision, for the event log.
--- a/tests/io/owner_fixture.h
+++ b/tests/io/owner_fixture.h
@@ -25,7 +25,8 @@
     memory_store memory{time};
     core::time_source clock = time.source();
     store::record_store records = memory.calls();
-    poplarpass::observe::logger log{discardingLoggerOptions()};
+    std::vector<std::string> logged; ///< Lines of the log.
+    poplarpass::observe::logger log{recordingOptions()};
     poplarpass::observe::metrics_registry metrics;
     poplarpass::route::route_table routes;
     host::worker_calls workers;
@@ -84,6 +85,24 @@
         };
     }
 
+    auto recordingOptions() -> poplarpass::observe::logger_options
+    {
+        auto options = discardingLoggerOptions();
+        options.sink = [this](poplarpass::observe::log_level, std::string_view line) {
+            logged.emplace_back(line);
+        };
+        return options;
+    }
+
+    /// \brief Returns the last line of \p event; empty when there is none.
+    [[nodiscard]] auto lastLineOf(std::string_view event) const -> std::string
+    {
+        const auto found = std::find_if(logged.rbegin(), logged.rend(), [&](const std::string &line) {
+            return line.find("event=" + std::string{event} + " ") != std::string::npos;
+        });
+        return found == logged.rend() ? std::string{} : *found;
+    }
+
     [[nodiscard]] auto decodeWorker(std::string_view id) const -> jobs::worker_entry
     {
         jobs::worker_entry entry;
--- /dev/null
+++ b/tests/io/owner_log_test.cpp
@@ -0,0 +1,46 @@
+#include "owner_fixture.h"
+
+using namespace tests;
+
+namespace
+{
+auto holds(const std::string &line, std::string_view text) -> bool
+{
+    return line.find(text) != std::string::npos;
+}
+} // namespace
+
+// Guards against a change of owner of which the log does not tell how long its predecessor's runs hold back starts.
+TEST_CASE("A new owner logs how many runs it found placed and how long their leases may last", "[host][log]")
+{
+    owner_fixture fixture;
+    fixture.beginServing(1);
+    CHECK(holds(fixture.lastLineOf("jobs_restored"), " placed=0 leases_ms=0"));
+    int status = 0;
+    fixture.send(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.starts.size() == 1; }));
+
+    fixture.owner.reset();
+    fixture.begin(2);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
+    const auto line = fixture.lastLineOf("jobs_restored");
+    CAPTURE(line);
+    CHECK(holds(line, "epoch=2 jobs=1 "));
+    CHECK(holds(line, " placed=1 leases_ms=5210"));
+}
+
+// Guards against a job that is shown as failed without a line that names the task and its failed runs.
+TEST_CASE("The log tells for which task a job failed and how often the task's runs failed", "[host][log]")
+{
+    owner_fixture fixture;
+    fixture.beginServing(1);
+    int status = 0;
+    fixture.send(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.starts.empty() && !fixture.renewalAnswers.empty(); }));
+    fixture.report.ended = {{1, jobs::nameOf(fixture.starts[0].task), 1, jobs::end_kind::failed, {}}};
+    fixture.renewalAnswers.back()({host::renewal_outcome::reported, fixture.report});
+    REQUIRE(fixture.time.runUntil([&] { return !fixture.lastLineOf("job_ended").empty(); }));
+    const auto line = fixture.lastLineOf("job_ended");
+    CAPTURE(line);
+    CHECK(holds(line, " reason=failed task=00000000000000aa.0.0.0 failed_runs=1 max_failed_runs=1 "));
+}
