Failing tests of jobs given up because their workers are cut off

After the fourth cut the job is shown as failed: of an ordinary task, of a task whose owners change every 8 s, and of a long-running task.

--- a/tests/decisions/crashing_task_test.cpp
+++ b/tests/decisions/crashing_task_test.cpp
@@ -15,7 +15,12 @@
 constexpr std::int64_t tickMs = 10;
 constexpr std::int64_t renewalPeriodMs = 100;
 constexpr std::int64_t crashDelayMs = 10;
-constexpr std::int64_t runTimeMs = 600;
+constexpr std::int64_t shortRunMs = 600;
+/// Longer than a lease, so that the run on a worker that is cut off ends with it.
+constexpr std::int64_t longRunMs = 8000;
+constexpr std::int64_t cutDelayMs = 100;
+/// More than any number of crashes after which a job is given up.
+constexpr std::uint32_t manyCuts = 6;
 /// A task may be started twice more after three workers have crashed under it.
 constexpr std::uint32_t maxCrashes = 5;
 
@@ -39,9 +44,10 @@
     std::unique_ptr<fakes::worker_model> model;
     std::int64_t downUntil = 0;
     std::uint32_t lives = 0;
+    std::string cutFor; ///< Task until whose next start the worker is cut off; empty while it is in contact.
 };
 
-/// \brief Machines, an engine, and tasks that crash each worker that starts them.
+/// \brief Machines, an engine, tasks that crash each worker that starts them, and tasks whose workers are cut off.
 class crash_world
 {
 public:
@@ -88,9 +94,20 @@
         return m_engine->find(jobs::job_id{id})->phase;
     }
 
+    /// \brief Returns whether a worker that is up and in contact executes \p task.
+    auto isRunning(const std::string &task) -> bool
+    {
+        return std::ranges::any_of(m_machines, [&](const crashing_machine &machine) {
+            return machine.downUntil == 0 && machine.cutFor.empty() && machine.model->isRunning(task);
+        });
+    }
+
     std::set<std::string> crashingTasks; ///< Names of the tasks that crash their workers.
+    std::int64_t runTimeMs = shortRunMs; ///< Length of a run.
     std::int64_t downtimeMs = 3000; ///< Time from a crash until the next worker is up.
     std::map<std::string, std::uint32_t> crashes; ///< Workers that crashed while they executed a task, by task.
+    std::string cutTask; ///< Name of the task whose workers are cut off soon after each start; empty for none.
+    std::uint32_t cutsLeft = 0; ///< Number of further starts of cutTask whose worker is cut off.
 
 private:
     auto replaceWorker(crashing_machine &machine) -> void
@@ -112,6 +129,7 @@
             if (machine.downUntil == 0) {
                 machine.model->advance(m_now);
                 crashIfDue(machine);
+                cutOffIfDue(machine);
             }
             if (machine.downUntil == 0) {
                 auto entry = worker(machine.worker, machine.model->incarnation());
@@ -143,6 +161,25 @@
         }
     }
 
+    auto cutOffIfDue(crashing_machine &machine) -> void
+    {
+        const bool isDue = cutsLeft > 0 && machine.cutFor.empty() && machine.model->isRunning(cutTask)
+            && m_now - m_startedAt.at(cutTask) >= cutDelayMs;
+        if (isDue) {
+            --cutsLeft;
+            machine.cutFor = cutTask;
+        }
+    }
+
+    auto endCutsFor(const std::string &task) -> void
+    {
+        for (auto &machine : m_machines) {
+            if (machine.cutFor == task) {
+                machine.cutFor.clear();
+            }
+        }
+    }
+
     auto renewAll() -> void
     {
         std::vector<jobs::worker_id> known;
@@ -158,7 +195,7 @@
     {
         const auto address = id.str().substr(0, id.str().find('#'));
         auto &machine = *std::ranges::find(m_machines, address, &crashing_machine::address);
-        if (machine.downUntil != 0) {
+        if (machine.downUntil != 0 || !machine.cutFor.empty()) {
             m_engine->onNoReport(id, at(m_now));
         } else if (machine.worker != id.str()) {
             m_engine->onOtherInstance(id, at(m_now));
@@ -176,6 +213,9 @@
         if (found == m_machines.end() || found->downUntil != 0) {
             return jobs::run_start_answer::unreachable;
         }
+        if (!found->cutFor.empty()) {
+            return jobs::run_start_answer::unknown;
+        }
         auto *slot = m_engine->workers().find(order.worker);
         const auto &step = m_specs.at(order.task.job.str()).steps[order.task.step];
         fakes::start_command command;
@@ -187,6 +227,7 @@
         command.lengthMs = runTimeMs;
         command.longRunning = step.longRunning;
         m_startedAt[command.task] = m_now;
+        endCutsFor(command.task);
         return found->model->start(command, m_now);
     }
 
@@ -407,3 +448,47 @@
         CHECK(engine.find(id)->tasks[0].phase == jobs::task_phase::running);
     }
 }
+
+TEST_CASE("A job is not shown as failed because the worker of its task is cut off after each of many starts",
+          "[jobs][crashes]")
+{
+    crash_world world{4};
+    world.runTimeMs = longRunMs;
+    world.cutTask = crashingJob + ".0.0.0";
+    world.cutsLeft = manyCuts;
+    world.submit(crashingJob, jobOf({step(1)}));
+    world.runFor(60'000);
+    CHECK(world.cutsLeft == 0);
+    CHECK(world.phaseOf(crashingJob) == jobs::multistep_job_phase::completed);
+}
+
+TEST_CASE("A job is not shown as failed because workers are cut off under its task while the owner changes",
+          "[jobs][crashes]")
+{
+    crash_world world{4};
+    world.runTimeMs = longRunMs;
+    world.cutTask = crashingJob + ".0.0.0";
+    world.cutsLeft = manyCuts;
+    world.submit(crashingJob, jobOf({step(1)}));
+    for (int round = 0; round < 14; ++round) {
+        world.runFor(8000);
+        world.takeOver();
+    }
+    CHECK(world.cutsLeft == 0);
+    CHECK(world.phaseOf(crashingJob) == jobs::multistep_job_phase::completed);
+}
+
+TEST_CASE("A long-running task has a run again after its worker was cut off after each of many starts",
+          "[jobs][crashes]")
+{
+    crash_world world{4};
+    auto longRunning = step(2);
+    longRunning.longRunning = true;
+    world.cutTask = crashingTask;
+    world.cutsLeft = manyCuts;
+    world.submit(crashingJob, jobOf({longRunning}));
+    world.runFor(60'000);
+    CHECK(world.cutsLeft == 0);
+    CHECK(world.phaseOf(crashingJob) == jobs::multistep_job_phase::active);
+    CHECK(world.isRunning(crashingTask));
+}
