A job is given up only after crashes that are proven and that no other job can have caused

What callers saw: a job was shown as failed, and a long-running task had no run any more, after its worker had been cut off four times soon after a start. No worker had crashed and no run had failed (LOST).

Cause: isCrashingTask() counted a lapsed lease as a possible crash and gave up after four, over the whole life of a task and all owners. Nothing took a count back. Two certain crashes were enough although at one of them another job could be the cause.

Change: - A lapsed lease counts no crash. The engine remembers the silent worker for a minute: when the same incarnation answers, the suspicion is taken back; when another instance or a new incarnation answers in its place, the crash is counted, never as certain, because the worker may have ended long after it was cut off. Until then the silence only makes the next start an observed one, and adds one to the stored count at most, however many workers are silent. - A job is given up after two certain crashes of which only its own runs can be the cause, or three that are proven but not certain; a long-running task after one more of either kind, as its failed runs have no limit. A task under which three workers have crashed without that is observed for 2 s, and a crash within that time is certain. - A run that goes on past its observation clears its task of crashes at earlier starts. - A run that a former owner started is not blamed: the time of its start is not known. - job_given_up names the task and the counts; suspicion_cleared is new.

Compatibility: the stored record keeps its four numbers. What an earlier build has stored for silent workers is limited on restore to what certain crashes bear out. An earlier build counts at most one silent worker of what this one stores.

Changed tests, because they expected what this commit removes: - "A job is not given up because workers fall silent" expected three silences to be counted as three crashes; now six rounds must leave exactly the suspicion of the last one. - The table of isCrashingTask() has the new limits, with as many cases on both sides. - "Tasks suspected of a crash are cleared" gave up after one crash beside another job and one alone; now the job must still be active then, and is given up after the second one alone. - Workers of crash_world that replace each other at an address now have rising incarnations, as they have on the platform.

--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -396,6 +396,13 @@
         fields.emplace_back("placed", crash->placed);
         fields.emplace_back("suspects", crash->suspects);
     }
+    if (const auto &crashing = decision.details.crashing) {
+        fields.emplace_back("task", crashing->task);
+        fields.emplace_back("at_start", crashing->crashes.atStart);
+        fields.emplace_back("alone", crashing->crashes.alone);
+        fields.emplace_back("certain", crashing->crashes.certain);
+        fields.emplace_back("later", crashing->crashes.later);
+    }
     fields.emplace_back("epoch", m_term.epoch());
     fields.emplace_back("config", m_env.routes.config().version);
     return fields;
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -63,20 +63,23 @@
 inline constexpr core::duration maxFailurePause = std::chrono::seconds{4};
 /// \brief A run that its worker has executed for this long is not suspected of having crashed it by its start.
 inline constexpr core::duration startCrashWindow = std::chrono::milliseconds{250};
-/// \brief The same for a task under which lateCrashesBeforeObservation workers crashed later than that.
+/// \brief The same for a task under which lateCrashesBeforeObservation workers crashed.
 inline constexpr core::duration lateCrashWindow = std::chrono::seconds{2};
-/// \brief Number of workers that may crash during a task's runs, later than startCrashWindow, before it is suspected.
+/// \brief Number of workers that may crash during a task's runs before it is suspected of crashing them late.
 inline constexpr std::uint32_t lateCrashesBeforeObservation = 3;
 /// \brief When the contact to a worker is lost this soon after it began a run, the run had not ended before.
 inline constexpr core::duration certainCrashWindow = std::chrono::milliseconds{200};
-/// \brief Number of workers that surely crash under a task, soon after its start, before it is given up.
-inline constexpr std::uint32_t crashesBeforeGivingUp = 2;
-/// \brief Number of workers that may have crashed under a task before it is given up.
-inline constexpr std::uint32_t uncertainCrashesBeforeGivingUp = 4;
+/// \brief Number of workers that surely crash during a task's runs, soon after their start and with no other job's run
+/// as a possible cause, before the task is given up.
+inline constexpr std::uint32_t certainCrashesBeforeGivingUp = 2;
+/// \brief The same for crashes that were proven, but of which the time is not known well enough to be certain.
+inline constexpr std::uint32_t likelyCrashesBeforeGivingUp = 3;
+/// \brief Number of further crashes before a long-running task is given up.
+inline constexpr std::uint32_t furtherCrashesOfLongRunning = 1;
 /// \brief Time for which a worker is reserved for the observed start of a job's tasks, at first until they start and
 /// then until the starts are acknowledged.
 inline constexpr core::duration reservationTime = std::chrono::seconds{2};
-/// \brief Time for which it is remembered which tasks may have caused a crash.
+/// \brief Time for which it is remembered which tasks may have caused a crash, and which workers fell silent.
 inline constexpr core::duration crashMemory = std::chrono::seconds{60};
 /// \brief Time within which the crash of a worker is noticed by its closed connection.
 inline constexpr core::duration crashNoticeDelay = std::chrono::milliseconds{100};
--- a/src/poplarpass/jobs/crash_evidence.cpp
+++ b/src/poplarpass/jobs/crash_evidence.cpp
@@ -20,10 +20,15 @@
                               : core::duration{0};
 }
 
-// A task that several workers were lost under, each time long after its start, may crash them late.
+auto silent_worker::incarnation() const -> std::int64_t
+{
+    return runs.empty() ? 0 : std::ranges::max(runs, {}, &lost_run::workerIncarnation).workerIncarnation;
+}
+
+// A task under which several workers crashed without enough evidence may crash them late.
 auto observationTime(const crash_record &crashes) -> core::duration
 {
-    return crashes.later >= lateCrashesBeforeObservation ? lateCrashWindow : startCrashWindow;
+    return crashes.total() >= lateCrashesBeforeObservation ? lateCrashWindow : startCrashWindow;
 }
 
 auto isCrashSuspect(const task_record &state, const worker_slot &worker) -> bool
@@ -42,25 +47,53 @@
     return crashes.atStart > 0 || crashes.later >= lateCrashesBeforeObservation;
 }
 
-// A silent worker may only be cut off, and a start without an answer may have been sent to a worker that had ended.
-// When the contact was lost long after the start, the run may have ended before the crash.
-auto isCertainCrash(const task_record &state, const worker_slot &worker, worker_loss loss, core::monotonic_time now)
-    -> bool
+// A start without an answer may have been sent to a worker that had ended, and the start of a former owner's run is not
+// known. When the contact was lost long after the start, the run may have ended before the crash.
+auto isCertainCrash(const task_record &state, const worker_slot &worker, core::monotonic_time now) -> bool
 {
-    const bool hasBegun = state.acknowledged && worker.lastHeardAt >= state.acknowledgedAt;
+    const bool hasBegun =
+        state.acknowledged && !state.placedByFormerOwner && worker.lastHeardAt >= state.acknowledgedAt;
     const auto contactLostAt = worker.responsive ? now : worker.contactLostAt;
-    const bool isSoon = contactLostAt - state.acknowledgedAt < certainCrashWindow;
-    return hasBegun && isSoon && loss != worker_loss::lease_lapsed;
+    const bool mayCrashLate = state.crashes.total() >= lateCrashesBeforeObservation;
+    const auto window = mayCrashLate ? lateCrashWindow : certainCrashWindow;
+    return hasBegun && contactLostAt - state.acknowledgedAt < window;
+}
+
+auto lostRunOf(const task_ref &task, const task_record &state, const worker_slot &worker, core::monotonic_time now)
+    -> lost_run
+{
+    lost_run run;
+    run.task = task;
+    run.workerIncarnation = state.workerIncarnation;
+    run.isSuspect = isCrashSuspect(state, worker);
+    run.isStartKnown = !state.placedByFormerOwner;
+    run.isCertain = isCertainCrash(state, worker, now);
+    return run;
+}
+
+auto areSuspectsOfOneJob(std::span<const lost_run> runs) -> bool
+{
+    const lost_run *first = nullptr;
+    return std::ranges::all_of(runs, [&](const lost_run &run) {
+        first = first == nullptr && run.isSuspect ? &run : first;
+        return !run.isSuspect || run.task.job == first->task.job;
+    });
+}
+
+// Earlier builds also counted workers that were only silent, except as certain.
+auto withoutCountedSilence(crash_record stored) -> crash_record
+{
+    stored.alone = std::min(stored.alone, stored.certain + 1);
+    return stored;
 }
 
-// Workers also crash for causes of their own. A long-running task is exposed to such crashes for longer, so for it only
-// those crashes count for which its job alone could be the cause.
+// Workers also crash for causes of their own, so only crashes count that are proven and at which no other job's run had
+// just begun. A long-running task is exposed to more of them, and its failed runs have no limit either.
 auto isCrashingTask(const crash_record &crashes, bool longRunning) -> bool
 {
-    const auto blamed = longRunning ? crashes.alone : crashes.atStart;
-    const bool isCertain = std::min(blamed, crashes.certain) >= crashesBeforeGivingUp;
-    const bool isFrequent = crashes.total() >= uncertainCrashesBeforeGivingUp;
-    return isCertain || (isFrequent && (!longRunning || blamed >= crashesBeforeGivingUp));
+    const auto further = longRunning ? furtherCrashesOfLongRunning : 0;
+    return crashes.certain >= certainCrashesBeforeGivingUp + further
+        || crashes.alone >= likelyCrashesBeforeGivingUp + further;
 }
 } // namespace internal
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/crash_evidence.h
+++ b/src/poplarpass/jobs/crash_evidence.h
@@ -3,6 +3,9 @@
 #include <poplarpass/jobs/job_state.h>
 #include <poplarpass/jobs/worker_table.h>
 
+#include <cstdint>
+#include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -21,6 +24,28 @@
 
 namespace internal
 {
+/// \brief A run that ended with its worker, or with the lease of a silent one, and what it may have to do with it.
+struct lost_run
+{
+    task_ref task;
+    std::int64_t workerIncarnation = 0; ///< Incarnation of the worker that executed it.
+    bool isSuspect = false; ///< Whether it had only just begun.
+    bool isStartKnown = false; ///< Whether this owner ordered the start, so that the time of it is known.
+    bool isCertain = false; ///< Whether the worker, if it has ended, surely ended during the run, soon after its start.
+    bool isCounted = false; ///< Whether it was already counted in crash_record::atStart.
+};
+
+/// \brief A worker whose lease has lapsed in silence. It may have crashed or may be only cut off; a later answer tells.
+struct silent_worker
+{
+    std::string address;
+    core::monotonic_time since{}; ///< When its lease had lapsed.
+    std::vector<lost_run> runs;
+
+    /// \brief Returns its incarnation.
+    [[nodiscard]] auto incarnation() const -> std::int64_t;
+};
+
 /// \brief Tasks of several jobs that may have caused the crash of one worker.
 struct crash_suspects
 {
@@ -44,9 +69,18 @@
 /// \brief Returns whether runs of a task with \p crashes must start on a worker that starts nothing else meanwhile.
 auto needsObservedStart(const crash_record &crashes) -> bool;
 
-/// \brief Returns whether it is certain that \p worker ended during the run, and soon after its start.
-auto isCertainCrash(const task_record &state, const worker_slot &worker, worker_loss loss, core::monotonic_time now)
-    -> bool;
+/// \brief Returns whether \p worker, if it has ended, surely ended during the run and soon after its start.
+auto isCertainCrash(const task_record &state, const worker_slot &worker, core::monotonic_time now) -> bool;
+
+/// \brief Returns what the run of \p task that \p state describes may have to do with the loss of \p worker.
+auto lostRunOf(const task_ref &task, const task_record &state, const worker_slot &worker, core::monotonic_time now)
+    -> lost_run;
+
+/// \brief Returns whether only runs of one job, or none, had just begun.
+auto areSuspectsOfOneJob(std::span<const lost_run> runs) -> bool;
+
+/// \brief Limits the counts of a stored record to what is evidence in this build.
+auto withoutCountedSilence(crash_record stored) -> crash_record;
 
 /// \brief Decides, after a crash for which only one job could be the cause, whether its task is given up.
 /// \param crashes of the task, including the last crash
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -29,6 +29,7 @@
     m_unsubmittedCount += restored.submitted ? 0 : 1;
     forEachTask(restored, [&](const task_ref &task, std::size_t position) {
         auto &state = restored.tasks[position];
+        state.crashes = internal::withoutCountedSilence(state.crashes);
         if (!isPlaced(state.phase)) {
             return;
         }
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -295,14 +295,29 @@
     auto onRunning(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
     auto resolveUnlistedRuns(worker_slot &worker, core::monotonic_time sentAt, core::monotonic_time now) -> void;
     auto markAllLost(worker_slot &worker, worker_loss loss, core::monotonic_time now) -> void;
-    /// \returns a job to be given up once the lost runs are removed
-    auto recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now) -> std::optional<job_id>;
+    /// \returns a task whose job is to be given up once the lost runs are removed
+    auto recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now) -> std::optional<task_ref>;
+    /// \brief Counts the proven end of a worker against \p runs, which it ended.
+    /// \returns a task whose job is to be given up
+    auto countCrash(std::span<const internal::lost_run> runs, core::monotonic_time now) -> std::optional<task_ref>;
+    auto recordSilence(const worker_slot &worker, std::vector<internal::lost_run> runs, core::monotonic_time now)
+        -> void;
+    /// \brief Decides what the silence of worker \p id was, now that \p incarnation of it has answered.
+    auto resolveSilence(const worker_id &id, std::int64_t incarnation, core::monotonic_time now) -> void;
+    /// \brief Counts the crash of worker \p id if it had fallen silent; another instance has answered in its place.
+    auto onSilentWorkerEnded(const worker_id &id, core::monotonic_time now) -> void;
+    auto takeBackSuspicion(const worker_id &id, const internal::silent_worker &silent) -> void;
+    /// \brief Clears a task of crashes at its start when its run has gone on for long enough.
+    auto clearIfLasting(const task_ref &task, multistep_job_record &job, task_record &state, core::monotonic_time now)
+        -> void;
+    /// \brief Returns the state of a task that has not ended, of an active job; null for others.
+    auto locateOpen(const task_ref &task) -> located_task;
     /// \brief Ends the runs of earlier workers at the address of \p worker, which has just answered for the first time.
     auto endPredecessors(const worker_slot &worker, core::monotonic_time now) -> void;
-    /// \brief Counts the crash against \p suspects, which are of one job.
-    /// \returns the job if it is to be given up
-    auto findCrashingJob(std::span<const task_ref> suspects) -> std::optional<job_id>;
-    auto giveUpCrashingJob(const std::optional<job_id> &id, core::monotonic_time now) -> void;
+    /// \brief Counts a crash for which only one job can be the cause against the suspects among \p runs.
+    /// \returns a task whose job is to be given up
+    auto blame(std::span<const internal::lost_run> runs) -> std::optional<task_ref>;
+    auto giveUpCrashingJob(const std::optional<task_ref> &crashing, core::monotonic_time now) -> void;
     auto updateSuspicion(const multistep_job_record &job) -> void;
     auto clearOthers(const job_id &crashing) -> void;
     auto planSuspects(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
@@ -396,6 +411,7 @@
     std::set<std::pair<worker_id, task_ref>> m_closing; ///< Tasks in phase closing.
     std::set<job_id> m_suspects; ///< Active jobs with tasks that need an observed start.
     std::vector<internal::crash_suspects> m_crashes; ///< Crashes that more than one job may have caused.
+    std::map<worker_id, internal::silent_worker> m_silentWorkers; ///< Workers whose leases lapsed with runs on them.
     worker_table m_workers;
     std::set<core::pool_id> m_heldPools; ///< Pools whose workers get no starts.
     internal::account_numbers m_accountNumbers;
--- a/src/poplarpass/jobs/job_engine_crashes.cpp
+++ b/src/poplarpass/jobs/job_engine_crashes.cpp
@@ -19,8 +19,16 @@
 }
 } // namespace
 
+auto job_engine::locateOpen(const task_ref &task) -> located_task
+{
+    const auto found = locate(task);
+    const bool isOpen = found.job != nullptr && found.job->phase == multistep_job_phase::active
+        && found.state->phase != task_phase::done;
+    return isOpen ? found : located_task{};
+}
+
 auto job_engine::recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now)
-    -> std::optional<job_id>
+    -> std::optional<task_ref>
 {
     // A worker that drains ends its remaining runs when it leaves.
     if (worker.entry.draining) {
@@ -29,40 +37,129 @@
     // Runs of the new incarnation of a worker that restarted in place have not ended.
     const auto endedBefore =
         loss == worker_loss::worker_restarted ? worker.entry.incarnation : std::numeric_limits<std::int64_t>::max();
-    crash_counts counts;
-    std::vector<task_ref> suspects;
+    std::vector<internal::lost_run> runs;
     for (const auto &task : worker.placed) {
         const auto [job, state] = locate(task);
-        if (job == nullptr || state->workerIncarnation >= endedBefore) {
-            continue;
-        }
-        ++counts.placed;
-        state->crashes.certain += internal::isCertainCrash(*state, worker, loss, now) ? 1 : 0;
-        if (internal::isCrashSuspect(*state, worker)) {
-            ++state->crashes.atStart;
-            suspects.push_back(task);
-        } else {
-            ++state->crashes.later;
+        if (job != nullptr && state->workerIncarnation < endedBefore) {
+            runs.push_back(internal::lostRunOf(task, *state, worker, now));
         }
-        markChanged(*job);
-        updateSuspicion(*job);
     }
-    if (counts.placed == 0) {
+    if (runs.empty()) {
         return std::nullopt;
     }
     ++m_counters.workerCrashes;
-    counts.suspects = static_cast<std::uint32_t>(suspects.size());
-    logEvent("worker_crashed", worker.entry.id.str(), worker.entry.id, 0, nameOf(loss), {{}, counts});
-    const bool isOneJob =
-        std::ranges::adjacent_find(suspects, std::ranges::not_equal_to{}, &task_ref::job) == suspects.end();
-    if (isOneJob) {
-        return findCrashingJob(suspects);
+    crash_counts counts;
+    counts.placed = static_cast<std::uint32_t>(runs.size());
+    counts.suspects = static_cast<std::uint32_t>(std::ranges::count(runs, true, &internal::lost_run::isSuspect));
+    logEvent("worker_crashed", worker.entry.id.str(), worker.entry.id, 0, nameOf(loss), {{}, counts, {}});
+    if (loss == worker_loss::lease_lapsed) {
+        recordSilence(worker, std::move(runs), now);
+        return std::nullopt;
+    }
+    return countCrash(runs, now);
+}
+
+auto job_engine::countCrash(std::span<const internal::lost_run> runs, core::monotonic_time now)
+    -> std::optional<task_ref>
+{
+    std::vector<task_ref> suspects;
+    for (const auto &run : runs) {
+        if (run.isSuspect) {
+            suspects.push_back(run.task);
+        }
+        if (const auto [job, state] = locateOpen(run.task); job != nullptr) {
+            state->crashes.later += run.isSuspect ? 0 : 1;
+            state->crashes.atStart += run.isSuspect && !run.isCounted ? 1 : 0;
+            markChanged(*job);
+            updateSuspicion(*job);
+        }
+    }
+    if (internal::areSuspectsOfOneJob(runs)) {
+        return blame(runs);
     }
     std::erase_if(m_crashes, [now](const auto &crash) { return now - crash.at > crashMemory; });
     m_crashes.push_back({std::move(suspects), now});
     return std::nullopt;
 }
 
+// Until it is known whether the worker has crashed, its silence only keeps other starts away from the next start of the
+// tasks that had just begun there.
+auto job_engine::recordSilence(const worker_slot &worker, std::vector<internal::lost_run> runs,
+                               core::monotonic_time now) -> void
+{
+    for (auto &run : runs) {
+        // The worker may also crash long after it was cut off.
+        run.isCertain = false;
+        const auto [job, state] = locateOpen(run.task);
+        if (job == nullptr || !run.isSuspect || state->crashes.atStart > 0) {
+            continue;
+        }
+        run.isCounted = true;
+        ++state->crashes.atStart;
+        markChanged(*job);
+        updateSuspicion(*job);
+    }
+    std::erase_if(m_silentWorkers, [now](const auto &entry) { return now - entry.second.since > crashMemory; });
+    m_silentWorkers.insert_or_assign(worker.entry.id,
+                                     internal::silent_worker{worker.entry.address, now, std::move(runs)});
+}
+
+auto job_engine::resolveSilence(const worker_id &id, std::int64_t incarnation, core::monotonic_time now) -> void
+{
+    const auto found = m_silentWorkers.find(id);
+    if (found == m_silentWorkers.end()) {
+        return;
+    }
+    if (found->second.incarnation() < incarnation) {
+        onSilentWorkerEnded(id, now);
+        return;
+    }
+    takeBackSuspicion(id, found->second);
+    m_silentWorkers.erase(found);
+}
+
+auto job_engine::onSilentWorkerEnded(const worker_id &id, core::monotonic_time now) -> void
+{
+    if (const auto silent = m_silentWorkers.extract(id)) {
+        giveUpCrashingJob(countCrash(silent.mapped().runs, now), now);
+    }
+}
+
+auto job_engine::takeBackSuspicion(const worker_id &id, const internal::silent_worker &silent) -> void
+{
+    for (const auto &run : silent.runs) {
+        const auto [job, state] = locateOpen(run.task);
+        if (job == nullptr || !run.isCounted || state->crashes.atStart == 0) {
+            continue;
+        }
+        --state->crashes.atStart;
+        markChanged(*job);
+        updateSuspicion(*job);
+        logEvent("suspicion_cleared", nameOf(run.task), id, 0, "same_instance");
+    }
+}
+
+// Workers that crashed at the start of earlier runs crashed for another cause. They still count among those after which
+// a task is suspected of crashing workers late.
+auto job_engine::clearIfLasting(const task_ref &task, multistep_job_record &job, task_record &state,
+                                core::monotonic_time now) -> void
+{
+    if (state.crashes.atStart == 0 || !internal::hasPassedObservation(state, now)) {
+        return;
+    }
+    auto proven = state.crashes.atStart;
+    for (auto &[id, silent] : m_silentWorkers) {
+        std::erase_if(silent.runs, [&](const internal::lost_run &run) {
+            proven -= run.task == task && run.isCounted && proven > 0 ? 1 : 0;
+            return run.task == task && run.isSuspect;
+        });
+    }
+    state.crashes = {0, state.crashes.later + proven, 0, 0};
+    markChanged(job);
+    updateSuspicion(job);
+    logEvent("suspicion_cleared", nameOf(task), state.worker, state.run, "run_lasts");
+}
+
 // An address belongs to one worker at a time, so the answer of a later one proves the end of all earlier ones.
 auto job_engine::endPredecessors(const worker_slot &worker, core::monotonic_time now) -> void
 {
@@ -73,33 +170,48 @@
             onOtherInstance(id, now);
         }
     }
+    std::vector<worker_id> ended;
+    for (const auto &[id, silent] : m_silentWorkers) {
+        const bool isPredecessor = id != worker.entry.id && silent.address == worker.entry.address
+            && silent.incarnation() < worker.entry.incarnation;
+        if (isPredecessor && !silent.address.empty()) {
+            ended.push_back(id);
+        }
+    }
+    for (const auto &id : ended) {
+        onSilentWorkerEnded(id, now);
+    }
 }
 
-auto job_engine::findCrashingJob(std::span<const task_ref> suspects) -> std::optional<job_id>
+auto job_engine::blame(std::span<const internal::lost_run> runs) -> std::optional<task_ref>
 {
-    bool isCrashing = false;
-    for (const auto &task : suspects) {
-        const auto [job, state] = locate(task);
+    std::optional<task_ref> crashing;
+    for (const auto &run : runs) {
+        const auto [job, state] = locateOpen(run.task);
+        if (job == nullptr || !run.isSuspect || !run.isStartKnown) {
+            continue;
+        }
         ++state->crashes.alone;
-        isCrashing = isCrashing || internal::isCrashingTask(state->crashes, job->spec.steps[task.step].longRunning);
+        state->crashes.certain += run.isCertain ? 1 : 0;
+        if (internal::isCrashingTask(state->crashes, job->spec.steps[run.task.step].longRunning)) {
+            crashing = run.task;
+        }
     }
-    return isCrashing ? std::optional{suspects.front().job} : std::nullopt;
+    return crashing;
 }
 
-auto job_engine::giveUpCrashingJob(const std::optional<job_id> &id, core::monotonic_time now) -> void
+auto job_engine::giveUpCrashingJob(const std::optional<task_ref> &crashing, core::monotonic_time now) -> void
 {
-    if (!id) {
-        return;
-    }
-    auto &job = m_jobs.at(id->str());
-    if (job.phase != multistep_job_phase::active) {
+    const auto [job, state] = crashing ? locate(*crashing) : located_task{};
+    if (job == nullptr || job->phase != multistep_job_phase::active) {
         return;
     }
     ++m_counters.jobsFailed;
     ++m_counters.jobsCrashing;
-    logEvent("job_given_up", id->str(), {}, 0, "crashes_workers");
-    endJob(job, multistep_job_phase::failed, now);
-    clearOthers(*id);
+    logEvent("job_given_up", job->id.str(), {}, 0, "crashes_workers",
+             {{}, {}, crashing_task{nameOf(*crashing), state->crashes}});
+    endJob(*job, multistep_job_phase::failed, now);
+    clearOthers(job->id);
 }
 
 // One task crashes a worker, so the others that had just begun there are not at fault.
@@ -134,7 +246,8 @@
 auto job_engine::logRunLost(const task_ref &task, const worker_slot &worker, const task_record &state,
                             std::string_view reason) -> void
 {
-    logEvent("run_lost", nameOf(task), worker.entry.id, state.run, reason, {internal::knownRunTime(state, worker), {}});
+    logEvent("run_lost", nameOf(task), worker.entry.id, state.run, reason,
+             {internal::knownRunTime(state, worker), {}, {}});
 }
 
 // Suspected tasks are planned before all others: in a full pool no worker would otherwise become quiet for them.
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -49,6 +49,9 @@
         resolveEarlierIncarnation(*worker, report, sentAt, now);
         endPredecessors(*worker, now);
     }
+    if (report.incarnation != 0) {
+        resolveSilence(id, report.incarnation, now);
+    }
     worker->clockMs = report.clockMs;
     worker->clockReadAt = now;
     worker_table::markResponsive(*worker, now);
@@ -122,6 +125,7 @@
         worker->listed = false;
         markAllLost(*worker, worker_loss::other_instance, now);
     }
+    onSilentWorkerEnded(id, now);
 }
 
 auto job_engine::onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void
@@ -240,6 +244,7 @@
         state->acknowledged = true;
         state->acknowledgedAt = now;
     }
+    clearIfLasting(*task, *job, *state, now);
     if (state->phase == task_phase::closing && state->stopConfirmed && now - state->stopConfirmedAt >= maxStopTime) {
         state->stopConfirmed = false;
         logEvent("stop_repeated", running.task, worker.entry.id, running.run, "still_listed");
--- a/src/poplarpass/jobs/job_engine_types.h
+++ b/src/poplarpass/jobs/job_engine_types.h
@@ -3,6 +3,7 @@
 #include <poplarpass/core/time.h>
 #include <poplarpass/jobs/account_limits.h>
 #include <poplarpass/jobs/job_spec.h>
+#include <poplarpass/jobs/job_state.h>
 
 #include <cstdint>
 #include <optional>
@@ -32,11 +33,19 @@
     std::uint32_t suspects = 0; ///< Those of them that may have caused the crash.
 };
 
+/// \brief Why a job is given up.
+struct crashing_task
+{
+    std::string task; ///< Task that crashes its workers.
+    crash_record crashes; ///< Crashes under it.
+};
+
 /// \brief Details that only some decisions have.
 struct decision_details
 {
     std::optional<core::duration> ranFor; ///< For how long a lost run is known to have been executed.
     std::optional<crash_counts> crash; ///< Runs that the crash of a worker ended.
+    std::optional<crashing_task> crashing; ///< Why a job is given up.
 };
 
 /// \brief One decision, for the event log.
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -21,13 +21,14 @@
     done, ///< It ended as done.
 };
 
-/// \brief Crashes of workers under a task, over all of its runs.
+/// \brief Crashes of workers under a task, since one of its runs last went on for long.
 struct crash_record
 {
-    std::uint32_t atStart = 0; ///< Workers that crashed when they had only just begun a run of the task.
-    std::uint32_t later = 0; ///< Workers that crashed later during a run.
+    std::uint32_t atStart = 0; ///< Workers that crashed when they had only just begun a run of the task; one more while
+                               ///< a worker is silent that had.
+    std::uint32_t later = 0; ///< Workers that crashed later during a run, or before the run that went on for long.
     std::uint32_t alone = 0; ///< Those of atStart on which only runs of the task's own job had just begun.
-    std::uint32_t certain = 0; ///< Those of atStart that surely ended during the run.
+    std::uint32_t certain = 0; ///< Those of alone that surely ended during the run.
 
     auto operator==(const crash_record &) const -> bool = default;
 
@@ -87,7 +88,7 @@
 enum class multistep_job_phase : std::uint8_t {
     active, ///< Accepted and not ended.
     completed, ///< All tasks ended as done.
-    failed, ///< A task reached the maximum number of failed runs of its queue, or crashes its workers.
+    failed, ///< A task or gang reached the maximum number of failed runs of its queue, or a task crashes its workers.
     cancelled, ///< Its caller cancelled it.
 };
 
