--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -134,6 +134,10 @@
     event_description{"superseded_run_done",
                       "a run that was lost and replaced had completed its task; the newer run is stopped",
                       decisionFields},
+    event_description{
+        "suspicion_cleared",
+        "a task is no longer suspected of crashing workers: the silent worker answers again, or a run goes on",
+        decisionFields},
     event_description{"task_evacuated", "a long-running task is moved off a host that is being drained",
                       decisionFields},
     event_description{"task_placed", "a run was assigned to a worker; it is started once that is stored",
