Long-running tasks that wait have room kept for them

Cause: long-running tasks are planned first, but nothing kept room for one that found none, so each core that became free went to a smaller task. With client accounts, those of accounts beyond their share were even planned last. An evacuation counted room that was free for all while the run stopped, and a second one counted the same room again.

Change: a long-running task, or a long-running gang as a whole, that may start and finds no worker reserves its need on the worker that lacks the least room and could hold it beside its long-running tasks. Resources are counted by worker_slot::free() only when not reserved, so all placements respect it. Long-running steps are planned before the shares of accounts apply; caps still bind, and a task at a cap reserves nothing. An evacuation or relocation of a long-running task reserves the room that it found until the task starts there. Reservations end when the task starts, is done or cancelled, or when the worker takes no starts. A task that no worker can hold reserves nothing. room_reserved is logged once per wait.

--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -101,6 +101,8 @@
     event_description{"request_refused", "a request was refused at once and had no effect",
                       "id, verb, reason, then epoch or open, retry_after_s, or config, config_age_ms, account"},
     event_description{"resigned", "the resignation is complete: another host may claim the pools", ""},
+    event_description{"room_reserved", "room is kept free on a worker for a long-running task that found none",
+                      decisionFields},
     event_description{"run_ended", "a run ended without completing its task", decisionFields},
     event_description{"run_given_up", "a run is stopped so that its task can be restarted", decisionFields},
     event_description{"run_lost", "a run is certainly over, but the worker reported no end for it", lostRunFields},
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -317,6 +317,7 @@
     worker.bestEffortRuns = 0;
     worker.servingRuns = 0;
     worker.longRunningRuns = 0;
+    worker.longRunningUse = {};
     giveUpCrashingJob(crashing, now);
 }
 
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -14,6 +14,7 @@
 #include <poplarpass/jobs/pool_shares.h>
 #include <poplarpass/jobs/ranked_job.h>
 #include <poplarpass/jobs/resume_room.h>
+#include <poplarpass/jobs/room_reservations.h>
 #include <poplarpass/jobs/run_time_model.h>
 #include <poplarpass/jobs/suspect_workers.h>
 #include <poplarpass/jobs/worker_table.h>
@@ -347,6 +348,22 @@
     auto roomToResume(const core::pool_id &pool, core::monotonic_time now) -> internal::resume_room;
     auto maySuspend(const multistep_job_record &job, const task_ref &task, const task_record &state,
                     core::monotonic_time now) const -> bool;
+    auto updateRoomReservations(core::monotonic_time now) -> void;
+    /// \brief Reserves the room that \p task needs on \p worker until it starts or no longer needs it.
+    auto reserveRoom(const multistep_job_record &job, const task_ref &task, worker_slot &worker) -> void;
+    auto planLongRunning(const core::pool_id &pool, std::span<const active_job *const> active, core::monotonic_time now,
+                         core::wall_time wallTime) -> void;
+    auto planLongRunningSteps(multistep_job_record &job, internal::placement_candidates &workers,
+                              core::monotonic_time now, core::wall_time wallTime) -> void;
+    auto planLongRunningStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                             internal::placement_candidates &workers, core::monotonic_time now) -> void;
+    /// \returns the startable tasks of the step that had a reservation
+    auto releaseRoom(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                     core::monotonic_time now) -> std::set<task_ref>;
+    /// \returns the tasks for which room was reserved
+    auto reserveRoomForStep(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
+                            internal::placement_candidates &workers, core::monotonic_time now) -> std::vector<task_ref>;
+    auto capPermitsReservation(const multistep_job_record &job, const step_spec &step) -> bool;
     auto planPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
                   core::wall_time wallTime) -> void;
     auto planSharedPool(const core::pool_id &pool, const active_jobs &active, core::monotonic_time now,
@@ -397,6 +414,7 @@
     std::set<job_id> m_suspects; ///< Active jobs with tasks that need an observed start.
     std::vector<internal::crash_suspects> m_crashes; ///< Crashes that more than one job may have caused.
     worker_table m_workers;
+    internal::room_reservations m_roomReservations;
     std::set<core::pool_id> m_heldPools; ///< Pools whose workers get no starts.
     internal::account_numbers m_accountNumbers;
     std::map<core::pool_id, shared_pool> m_sharedPools; ///< Empty until accounts are configured.
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -34,6 +34,7 @@
     expireLeases(now);
     retryStops(now);
     updateLingering(now);
+    updateRoomReservations(now);
     relocateStragglers(now);
     evacuateLeaving(now);
     m_caps.beginPlan(now);
@@ -110,10 +111,12 @@
         }
         const internal::placement_candidates candidates{
             job->queue.advice ? advisedWorkers(*job, task.occurrence, task.step, pool, now) : pool};
-        if (candidates.choose(*job, task.occurrence, task.step) == nullptr) {
+        auto *next = candidates.choose(*job, task.occurrence, task.step);
+        if (next == nullptr) {
             recordMismatch(*job, task.step, pool);
             continue;
         }
+        reserveRoom(*job, task, *next);
         logEvent("task_evacuated", nameOf(task), worker.entry.id, state->run, "host_leaves");
         state->ready = false;
         beginClosing(task, *job, *state, now);
@@ -137,13 +140,14 @@
 {
     std::vector<internal::ranked_job> order;
     std::vector<const active_job *> limited;
+    std::vector<const active_job *> longRunning;
     auto leastCpu = std::numeric_limits<std::int64_t>::max();
     m_caps.beginPool();
     const auto add = [&](const active_job &entry, std::int64_t cpu) {
         order.push_back({rankOf(entry.outlook, wallTime), entry.job, entry.accountNumber});
         leastCpu = std::min(leastCpu, cpu);
     };
-    for (const auto &[id, entry] : active) {
+    const auto consider = [&](const active_job &entry) {
         if (entry.job->queue.advice) {
             add(entry, 0);
         } else if (hasStartableTask(*entry.job, wallTime)) {
@@ -154,6 +158,17 @@
                 limited.push_back(&entry);
             }
         }
+    };
+    for (const auto &[id, entry] : active) {
+        if (entry.outlook.isLongRunning) {
+            longRunning.push_back(&entry);
+        } else {
+            consider(entry);
+        }
+    }
+    planLongRunning(pool, longRunning, now, wallTime);
+    for (const auto *entry : longRunning) {
+        consider(*entry);
     }
     for (const auto *entry : limited) {
         if (!m_caps.isExhausted(*entry->account, pool, m_accountUsage)) {
@@ -182,6 +197,10 @@
         if (!isWithinShare()) {
             return false;
         }
+        // Long-running steps were planned before all others.
+        if (job.spec.steps[step].longRunning) {
+            return true;
+        }
         const bool placed = job.queue.advice ? planAdvisedStep(job, occurrence, step, workers, now)
                                              : planStep(job, occurrence, step, workers, now);
         if (!placed) {
--- a/src/poplarpass/jobs/job_engine_shares.cpp
+++ b/src/poplarpass/jobs/job_engine_shares.cpp
@@ -96,7 +96,7 @@
             leastCpu = std::min(leastCpu, needsAdvice ? 0 : entry.outlook.leastCpu);
         }
     };
-    for (const auto &[id, entry] : active) {
+    const auto consider = [&](const active_job &entry) {
         const auto demand = internal::waitingDemandOf(*entry.job, wallTime);
         if (entry.account != nullptr && demand.startableTasks > 0 && !entry.job->queue.advice) {
             m_caps.addCandidate(*entry.account, entry.leastNeed);
@@ -104,6 +104,19 @@
         } else {
             add(entry, demand);
         }
+    };
+    std::vector<const active_job *> longRunning;
+    for (const auto &[id, entry] : active) {
+        if (entry.outlook.isLongRunning) {
+            longRunning.push_back(&entry);
+        } else {
+            consider(entry);
+        }
+    }
+    m_pass = {&shared};
+    planLongRunning(pool, longRunning, now, wallTime);
+    for (const auto *entry : longRunning) {
+        consider(*entry);
     }
     // Tasks that wait for their account's cap are no demand: the pool may have room.
     for (const auto &[entry, demand] : limited) {
@@ -111,7 +124,6 @@
         add(*entry, isExhausted ? internal::waiting_demand{0, {}, {}, demand.work} : demand);
     }
     updateGangHold(shared, active, now);
-    m_pass = {&shared};
     internal::placement_candidates workers{workersBesideGang(pool, shared, active, now)};
     if (order.empty() || workers.workers().empty()) {
         shared.wasUnplaced = false;
--- a/src/poplarpass/jobs/job_engine_suspension.cpp
+++ b/src/poplarpass/jobs/job_engine_suspension.cpp
@@ -51,7 +51,8 @@
     internal::resume_room room{eligibleWorkersOf(pool, now)};
     for (const auto &[id, task] : m_closing) {
         const auto [job, state] = locate(task);
-        if (job != nullptr && job->phase == multistep_job_phase::active && job->queue.pool == pool) {
+        const bool needsRoom = job != nullptr && job->phase == multistep_job_phase::active && job->queue.pool == pool;
+        if (needsRoom && m_roomReservations.workerFor(task) == nullptr) {
             room.take(*job, task);
         }
     }
--- a/src/poplarpass/jobs/placement_candidates.cpp
+++ b/src/poplarpass/jobs/placement_candidates.cpp
@@ -1,3 +1,4 @@
+#include <poplarpass/jobs/fair_shares.h>
 #include <poplarpass/jobs/placement_candidates.h>
 #include <poplarpass/jobs/task_placement.h>
 
@@ -39,12 +40,27 @@
 
     [[nodiscard]] auto isSuitable(const worker_slot &worker) const -> bool
     {
-        const bool fits = worker.free().holds(m_need);
+        return worker.free().holds(m_need) && isPermitted(worker);
+    }
+
+    /// \brief Returns whether \p worker could run the step if it had the resources.
+    [[nodiscard]] auto isPermitted(const worker_slot &worker) const -> bool
+    {
         const bool labelled = m_spec.requirement.empty() || worker.hasLabel(m_spec.requirement);
-        return fits && labelled
+        return labelled
             && (m_spec.antiAffinity == 0 || tasksOfStepOn(m_job, m_occurrence, m_step, worker) < m_spec.antiAffinity);
     }
 
+    /// \brief Returns what \p worker lacks for the step, as a fraction of its capacity.
+    [[nodiscard]] auto missingPart(const worker_slot &worker) const -> double
+    {
+        const auto free = worker.free();
+        const resources missing{std::max<std::int64_t>(m_need.cpu - free.cpu, 0),
+                                std::max<std::int64_t>(m_need.memoryMb - free.memoryMb, 0),
+                                std::max<std::int64_t>(m_need.gpu - free.gpu, 0)};
+        return dominantFraction(missing, worker.entry.capacity);
+    }
+
     /// \brief Returns how well \p worker suits the step apart from its resources; higher is better.
     [[nodiscard]] auto preferenceFor(const worker_slot &worker) const -> int
     {
@@ -130,6 +146,25 @@
     return best;
 }
 
+auto placement_candidates::chooseToReserve(const multistep_job_record &job, std::uint32_t occurrence,
+                                           std::uint32_t step) const -> worker_slot *
+{
+    const placement_choice choice{job, occurrence, step, m_workers};
+    worker_slot *best = nullptr;
+    auto leastMissing = 0.0;
+    for (auto *worker : m_workers) {
+        if (!worker->freeOfShortTasks().holds(choice.need()) || !choice.isPermitted(*worker)) {
+            continue;
+        }
+        const auto missing = choice.missingPart(*worker);
+        if (best == nullptr || missing < leastMissing) {
+            best = worker;
+            leastMissing = missing;
+        }
+    }
+    return best;
+}
+
 auto placement_candidates::updateUsage(const worker_slot &worker) -> void
 {
     const auto found =
--- a/src/poplarpass/jobs/placement_candidates.h
+++ b/src/poplarpass/jobs/placement_candidates.h
@@ -37,6 +37,14 @@
     [[nodiscard]] auto choose(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step) const
         -> worker_slot *;
 
+    /// \brief Chooses the worker on which room is to be reserved for one more task of a step.
+    ///
+    /// Considers only workers that can hold the task beside their long-running ones. Prefers the worker that lacks the
+    /// least room, so that the choice does not change as long as only this worker keeps room free.
+    /// \returns null when no worker is suitable
+    [[nodiscard]] auto chooseToReserve(const multistep_job_record &job, std::uint32_t occurrence,
+                                       std::uint32_t step) const -> worker_slot *;
+
     /// \brief Moves \p worker to its new place in the order after its usage changed.
     /// \pre \p worker is a candidate
     auto updateUsage(const worker_slot &worker) -> void;
--- a/src/poplarpass/jobs/stragglers.cpp
+++ b/src/poplarpass/jobs/stragglers.cpp
@@ -98,9 +98,13 @@
     auto others = eligibleWorkersOf(worker.entry.pool, now);
     std::erase(others, &worker);
     const internal::placement_candidates candidates{std::move(others)};
-    if (candidates.choose(*job, task.occurrence, task.step) == nullptr) {
+    auto *next = candidates.choose(*job, task.occurrence, task.step);
+    if (next == nullptr) {
         return;
     }
+    if (job->spec.steps[task.step].longRunning) {
+        reserveRoom(*job, task, *next);
+    }
     ++state->relocations;
     worker.pausedUntil = std::max(worker.pausedUntil, now + slowWorkerPause);
     logEvent("run_given_up", nameOf(task), worker.entry.id, state->run, "slow");
--- a/src/poplarpass/jobs/task_placement.cpp
+++ b/src/poplarpass/jobs/task_placement.cpp
@@ -1,5 +1,6 @@
 #include <poplarpass/jobs/task_placement.h>
 
+#include <cstddef>
 #include <iterator>
 
 namespace poplarpass::jobs::internal
@@ -26,7 +27,10 @@
     worker.used += requiredResources(step);
     worker.bestEffortRuns += step.bestEffort ? 1 : 0;
     worker.servingRuns += isServing(step) ? 1 : 0;
-    worker.longRunningRuns += step.longRunning ? 1 : 0;
+    if (step.longRunning) {
+        worker.longRunningUse += requiredResources(step);
+        ++worker.longRunningRuns;
+    }
 }
 
 auto removeUsage(worker_slot &worker, const step_spec &step) -> void
@@ -34,7 +38,10 @@
     worker.used -= requiredResources(step);
     worker.bestEffortRuns -= step.bestEffort ? 1 : 0;
     worker.servingRuns -= isServing(step) ? 1 : 0;
-    worker.longRunningRuns -= step.longRunning ? 1 : 0;
+    if (step.longRunning) {
+        worker.longRunningUse -= requiredResources(step);
+        --worker.longRunningRuns;
+    }
 }
 
 auto rackOf(const worker_slot &worker) -> std::string_view
@@ -45,11 +52,12 @@
 auto tasksOfStepOn(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                    const worker_slot &worker) -> std::uint32_t
 {
-    if (worker.placed.empty()) {
-        return 0;
-    }
     const task_ref first{job.id, occurrence, step, 0};
     const task_ref end{job.id, occurrence, step + 1, 0};
-    return static_cast<std::uint32_t>(std::distance(worker.placed.lower_bound(first), worker.placed.lower_bound(end)));
+    std::ptrdiff_t count = 0;
+    for (const auto *tasks : {&worker.placed, &worker.roomReservedFor}) {
+        count += tasks->empty() ? 0 : std::distance(tasks->lower_bound(first), tasks->lower_bound(end));
+    }
+    return static_cast<std::uint32_t>(count);
 }
 } // namespace poplarpass::jobs::internal
--- a/src/poplarpass/jobs/task_placement.h
+++ b/src/poplarpass/jobs/task_placement.h
@@ -18,7 +18,7 @@
 /// \brief Returns the worker's rack label; empty when there is none.
 auto rackOf(const worker_slot &worker) -> std::string_view;
 
-/// \brief Returns the number of tasks of a step that are placed on \p worker.
+/// \brief Returns the number of tasks of a step that are placed on \p worker, or have room reserved there.
 auto tasksOfStepOn(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                    const worker_slot &worker) -> std::uint32_t;
 } // namespace poplarpass::jobs::internal
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -21,6 +21,15 @@
     auto remaining = entry.capacity;
     remaining -= used;
     remaining -= lingering;
+    remaining -= reservedRoom;
+    return remaining;
+}
+
+auto worker_slot::freeOfShortTasks() const -> resources
+{
+    auto remaining = entry.capacity;
+    remaining -= longRunningUse;
+    remaining -= reservedRoom;
     return remaining;
 }
 
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -50,7 +50,10 @@
     std::uint32_t servingRuns = 0; ///< Placed runs of serving steps, which have a tail latency target.
     std::uint32_t longRunningRuns = 0; ///< Placed runs of long-running steps.
     resources used; ///< Resources reserved by the placed runs.
+    resources longRunningUse; ///< Those of them reserved by runs of long-running steps.
     resources lingering; ///< Resources reserved by runs that may exist although they are not placed.
+    resources reservedRoom; ///< Resources kept free for the tasks of roomReservedFor (see room_reservations.h).
+    std::set<task_ref> roomReservedFor; ///< Long-running tasks that are to start there next.
     std::set<task_ref> placed; ///< Tasks whose newest run exists, or may exist, there.
 
     /// \brief Returns whether starts may be sent at \p now.
@@ -62,6 +65,9 @@
     /// \brief Returns the unreserved resources.
     [[nodiscard]] auto free() const -> resources;
 
+    /// \brief Returns the resources that would be unreserved if only long-running tasks ran there.
+    [[nodiscard]] auto freeOfShortTasks() const -> resources;
+
     /// \brief Returns whether the worker has \p label.
     [[nodiscard]] auto hasLabel(std::string_view label) const -> bool;
 
