Failing tests: pools that are left without hosts for their long-running tasks

While all pools are short of hosts, no pool is above its target, so none gives a host: a pool whose hosts drain or crash has no room for its long-running tasks for as long as the shortage lasts. Maintenance behind schedule drains all hosts of such a pool at once, and drains that cannot go on are never ended.

--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 using namespace tests::jobs_fixture;
 
@@ -100,6 +102,200 @@
     }
 };
 
+/// \brief Plays a load on the fleet: short tasks end after their run time, orders are carried out by workers and hosts.
+struct played_fleet : planner_fixture
+{
+    static constexpr std::int64_t tickMs = 50;
+    static constexpr std::int64_t shortRunMs = 1000;
+    static constexpr std::int64_t moveMs = 1500;
+    static constexpr std::int64_t maintenanceMs = 2000;
+
+    struct played_run
+    {
+        jobs::task_ref task;
+        std::uint32_t run = 0;
+        std::int64_t startedAt = 0;
+        bool longRunning = false;
+        bool stopping = false;
+    };
+
+    struct host_return
+    {
+        std::int64_t time = 0;
+        core::pool_id pool;
+    };
+
+    std::map<jobs::worker_id, std::vector<played_run>> runs;
+    std::map<jobs::worker_id, std::uint64_t> endCounts;
+    std::map<core::host_id, host_return> returns;
+    std::vector<capacity::host_order> moves;
+    std::vector<core::host_id> maintained;
+    bool waveCompleted = false;
+
+    /// \brief Submits work to \p pool without starting it.
+    auto enqueue(const std::string &id, const std::string &pool, std::vector<jobs::step_spec> steps) -> void
+    {
+        auto policy = queue();
+        policy.pool = core::pool_id{pool};
+        engine.submit(jobs::job_id{id}, policy, jobOf(std::move(steps)), wallAt(now));
+        planner.onJob(*engine.find(jobs::job_id{id}), at(now));
+    }
+
+    /// \brief Removes the worker of a host, which is listed as down from now on.
+    auto crash(const std::string &name) -> void
+    {
+        auto &host = hostNamed(core::host_id{"h-" + name});
+        removeWorker(host);
+        host.condition = capacity::host_condition::down;
+    }
+
+    /// \brief Lists a host as up again, with a new worker.
+    auto restore(const std::string &name) -> void
+    {
+        auto &host = hostNamed(core::host_id{"h-" + name});
+        returnToService(host, host.pool);
+    }
+
+    auto playUntil(
+        std::int64_t end, const std::function<void()> &afterTick = [] {}) -> void
+    {
+        while (now < end) {
+            now += tickMs;
+            tick();
+            afterTick();
+        }
+    }
+
+    /// \brief Returns the number of tasks of \p job that run on a worker that accepts starts.
+    auto runningInService(const std::string &job) -> std::size_t
+    {
+        const auto &tasks = engine.find(jobs::job_id{job})->tasks;
+        return static_cast<std::size_t>(std::ranges::count_if(tasks, [&](const auto &task) {
+            const auto *worker = engine.workers().find(task.worker);
+            return task.phase == jobs::task_phase::running && worker != nullptr && worker->acceptsStarts(at(now));
+        }));
+    }
+
+    auto acceptingIn(const std::string &pool) -> std::size_t
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(engine.workers().ofPool(core::pool_id{pool}),
+                                  [&](const auto *worker) { return worker->acceptsStarts(at(now)); }));
+    }
+
+private:
+    auto hostNamed(const core::host_id &id) -> capacity::host_entry &
+    {
+        return *std::ranges::find(hosts, id, &capacity::host_entry::id);
+    }
+
+    auto removeWorker(capacity::host_entry &host) -> void
+    {
+        std::erase_if(entries, [&](const auto &entry) { return entry.id == host.worker; });
+        runs.erase(host.worker);
+        engine.updateWorkers(entries, at(now));
+        engine.onNoReport(host.worker, at(now));
+    }
+
+    auto returnToService(capacity::host_entry &host, const core::pool_id &pool) -> void
+    {
+        host.condition = capacity::host_condition::up;
+        host.pool = pool;
+        host.worker = jobs::worker_id{host.id.str() + "-" + std::to_string(now)};
+        entries.push_back(worker(host.worker.str(), 1, pool.str()));
+        engine.updateWorkers(entries, at(now));
+    }
+
+    auto tick() -> void
+    {
+        for (const auto &[id, entry] : std::exchange(returns, {})) {
+            if (now >= entry.time) {
+                returnToService(hostNamed(id), entry.pool);
+            } else {
+                returns[id] = entry;
+            }
+        }
+        planner.updateHosts(hosts, at(now), at(now));
+        for (const auto &entry : entries) {
+            engine.onReport(entry.id, nextReport(entry.id), at(now), at(now));
+        }
+        engine.plan(at(now), wallAt(now));
+        const auto orders = planner.plan(engine, pools, at(now));
+        carryOut(engine.drainOrders());
+        for (const auto &order : orders) {
+            carryOut(order);
+        }
+        for (const auto &wave : planner.consumeWaveUpdates()) {
+            waveCompleted = waveCompleted || wave.completed;
+        }
+    }
+
+    auto nextReport(const jobs::worker_id &id) -> jobs::renewal_report
+    {
+        constexpr std::int64_t percent = 100;
+        auto result = report();
+        std::vector<played_run> kept;
+        for (const auto &entry : runs[id]) {
+            const auto ran = now - entry.startedAt;
+            const bool done = !entry.longRunning && ran >= shortRunMs;
+            if (done || entry.stopping) {
+                result.ended.push_back({++endCounts[id],
+                                        jobs::nameOf(entry.task),
+                                        entry.run,
+                                        done ? jobs::end_kind::done : jobs::end_kind::stopped,
+                                        {}});
+                continue;
+            }
+            const auto progress = entry.longRunning ? percent : ran * percent / shortRunMs;
+            result.running.push_back(
+                {jobs::nameOf(entry.task), entry.run, {}, static_cast<std::uint32_t>(progress), 0});
+            kept.push_back(entry);
+        }
+        runs[id] = std::move(kept);
+        return result;
+    }
+
+    auto carryOut(const jobs::order_batch &orders) -> void
+    {
+        for (const auto &order : orders.starts) {
+            const auto &step = engine.find(order.task.job)->spec.steps[order.task.step];
+            runs[order.worker].push_back({order.task, order.run, now, step.longRunning, false});
+            engine.onStartAnswer(order, jobs::run_start_answer::started, at(now));
+        }
+        for (const auto &order : orders.stops) {
+            for (auto &entry : runs[order.worker]) {
+                entry.stopping = entry.stopping || jobs::nameOf(entry.task) == order.task;
+            }
+            engine.onStopAnswer(order, jobs::stop_answer::stopped, at(now));
+        }
+    }
+
+    auto carryOut(const capacity::host_order &order) -> void
+    {
+        auto &host = hostNamed(order.host);
+        REQUIRE(runs[host.worker].empty());
+        removeWorker(host);
+        host.condition = order.pool ? capacity::host_condition::moving : capacity::host_condition::maintenance;
+        returns[order.host] = {now + (order.pool ? moveMs : maintenanceMs), order.pool.value_or(host.pool)};
+        if (order.pool) {
+            moves.push_back(order);
+        } else {
+            maintained.push_back(order.host);
+        }
+        planner.onOrderAnswer(order, capacity::host_order_outcome::done, at(now));
+    }
+};
+
+/// \brief Returns a step of long-running tasks, one of which may be unavailable.
+auto longRunningStep(std::uint32_t count, std::int64_t cpu, std::uint32_t antiAffinity = 0) -> jobs::step_spec
+{
+    auto result = step(count, cpu);
+    result.longRunning = true;
+    result.antiAffinity = antiAffinity;
+    result.maxUnavailable = 1;
+    return result;
+}
+
 /// \brief Wave 1: maintains \p host within 20 s.
 auto waveOf(const core::host_id &host) -> capacity::wave_request
 {
@@ -578,3 +774,109 @@
     CHECK(movedToStandby == 0);
     CHECK(movesTo(fixture.plan(delay), "spare") == 1);
 }
+
+TEST_CASE("A pool without a host for its long-running tasks gets one within seconds while all pools are short",
+          "[capacity]")
+{
+    played_fleet fleet;
+    fleet.add("b1", "busy");
+    for (const auto *name : {"c1", "c2", "c3", "c4"}) {
+        fleet.add(name, "calm");
+    }
+    fleet.begin();
+    fleet.enqueue("flood", "calm", {step(6000, 4000)});
+    fleet.playUntil(3000);
+    fleet.crash("b1");
+    fleet.enqueue("service", "busy", {longRunningStep(1, 4000)});
+    fleet.playUntil(7000);
+    CHECK(fleet.runningInService("service") == 1);
+}
+
+TEST_CASE("A pool in a general shortage gets the hosts that its long-running tasks need, and others keep theirs",
+          "[capacity]")
+{
+    played_fleet fleet;
+    for (const auto *name : {"b1", "b2", "b3", "c1", "c2", "c3", "c4"}) {
+        fleet.add(name, name[0] == 'b' ? "busy" : "calm");
+    }
+    fleet.begin();
+    fleet.enqueue("service", "busy", {longRunningStep(3, 4000, 1)});
+    fleet.enqueue("other", "calm", {longRunningStep(2, 4000, 1)});
+    fleet.playUntil(2000);
+    REQUIRE(fleet.runningInService("service") == 3);
+    fleet.enqueue("flood", "calm", {step(6000, 4000)});
+    fleet.enqueue("work", "busy", {step(600, 4000)});
+    fleet.playUntil(5000);
+    for (auto &entry : fleet.entries) {
+        entry.draining = entry.id.str() == "b2" || entry.id.str() == "b3";
+    }
+    fleet.engine.updateWorkers(fleet.entries, at(fleet.now));
+    std::size_t leastOther = 2;
+    std::size_t leastHosts = 4;
+    const auto check = [&] {
+        leastOther = std::min(leastOther, fleet.runningInService("other"));
+        leastHosts = std::min(leastHosts, fleet.acceptingIn("calm"));
+    };
+    fleet.playUntil(15'000, check);
+    CHECK(fleet.runningInService("service") == 3);
+    fleet.playUntil(30'000, check);
+    CHECK(leastOther == 2);
+    CHECK(leastHosts == 2);
+    CHECK(movesTo(fleet.moves, "busy") == 2);
+    CHECK(fleet.moves.size() == 2);
+}
+
+TEST_CASE("Maintenance behind schedule does not take a pool below the hosts that its long-running tasks need",
+          "[capacity]")
+{
+    played_fleet fleet;
+    std::vector<core::host_id> waveHosts;
+    for (const auto *name : {"b1", "b2", "b3", "c1", "c2", "c3", "c4"}) {
+        fleet.add(name, name[0] == 'b' ? "busy" : "calm");
+        waveHosts.emplace_back(std::string{"h-"} + name);
+    }
+    waveHosts.resize(3);
+    fleet.begin();
+    fleet.enqueue("service", "busy", {longRunningStep(3, 4000, 1)});
+    fleet.playUntil(2000);
+    REQUIRE(fleet.runningInService("service") == 3);
+    fleet.enqueue("flood", "calm", {step(6000, 4000)});
+    fleet.planner.addWave({1, waveHosts, std::chrono::seconds{12}, 3}, at(fleet.now));
+    std::size_t leastHosts = 3;
+    fleet.playUntil(60'000, [&] { leastHosts = std::min(leastHosts, fleet.acceptingIn("busy")); });
+    CHECK(leastHosts == 3);
+    CHECK(fleet.waveCompleted);
+    CHECK(fleet.runningInService("service") == 3);
+}
+
+TEST_CASE("A drain for maintenance is given back when long-running tasks wait and no other host can run them",
+          "[capacity]")
+{
+    played_fleet fleet;
+    for (const auto *name : {"b1", "b2", "b3"}) {
+        fleet.add(name, "busy");
+    }
+    fleet.begin();
+    fleet.enqueue("service", "busy", {longRunningStep(6, 4000)});
+    fleet.playUntil(2000);
+    REQUIRE(fleet.runningInService("service") == 6);
+    const auto &tasks = fleet.engine.find(jobs::job_id{"service"})->tasks;
+    std::map<std::string, int> placed{{"b1", 0}, {"b2", 0}, {"b3", 0}};
+    for (const auto &task : tasks) {
+        ++placed[task.worker.str()];
+    }
+    const auto holding = [&](int count) {
+        return std::ranges::find(placed, count, &std::pair<const std::string, int>::second)->first;
+    };
+    fleet.planner.addWave(waveOf(core::host_id{"h-" + holding(2)}), at(fleet.now));
+    fleet.playUntil(2100);
+    REQUIRE(fleet.engine.workers().find(jobs::worker_id{holding(2)})->placed.size() == 1);
+    fleet.crash(holding(0));
+    fleet.playUntil(12'000);
+    CHECK(fleet.runningInService("service") == 6);
+
+    fleet.restore(holding(0));
+    fleet.playUntil(30'000);
+    CHECK(fleet.waveCompleted);
+    CHECK(fleet.runningInService("service") == 6);
+}
