A pool that lacks hosts for its long-running tasks gets them in a general shortage

Callers saw long-running tasks without a run for tens of seconds: their pool had no host that accepts starts, or fewer than its tasks need, while another pool had all the others, busy with short tasks. Only a pool above its target gives hosts, and in a flood of short jobs none is.

Change: the hosts that the long-running tasks of a pool need are measured, by processor time, memory and anti-affinity. A pool that has had fewer for a second, with tasks that have no run on a worker that accepts starts, gets hosts from any pool that has more than its own need, those with the shortest remaining run times first. No move takes a pool below its need, and the target of a pool in need is at least that, so that hosts do not move back. While all long-running tasks run on workers that accept starts, only the last rule applies.

"Hosts with long-running tasks are drained only for a pool with a persistent shortage" drained a host whose task fits on no other host, a drain that can only be abandoned. Its tasks now fit on two of the three hosts; what it checks is the same. The former load is the new test "A host is not drained for a move when its long-running tasks fit on no other host of its pool".

--- a/src/poplarpass/capacity/capacity_balances.cpp
+++ b/src/poplarpass/capacity/capacity_balances.cpp
@@ -16,6 +16,11 @@
     const auto demand = static_cast<double>(std::max(load.placed, load.offered) + load.waiting) * headroom;
     return static_cast<std::int64_t>(std::ceil(demand / static_cast<double>(hostCpu)));
 }
+
+auto longRunningHostsFor(const pool_load &load) -> std::int64_t
+{
+    return std::max<std::int64_t>(static_cast<std::int64_t>(std::ceil(load.longRunningHosts)), load.minWorkers);
+}
 } // namespace
 
 auto capacity_planner::measure(jobs::job_engine &engine, std::span<const route::pool_config> pools,
@@ -25,23 +30,51 @@
     for (const auto &pool : pools) {
         m_balances[pool.name].standby = pool.standby;
     }
-    countHosts();
+    countHosts(engine, now);
     const auto hostCpu = largestHostCpu();
     const auto poolsInMaintenance = poolsAwaitingMaintenance();
-    for (const auto &[pool, load] : m_demand.measure(engine, now)) {
+    for (const auto &[pool, load] : m_demand.measure(engine, largestHostCapacity(), now)) {
         auto &balance = m_balances[pool];
         balance.load = load;
         balance.requiredHosts = std::max<std::int64_t>({hostsFor(load, hostCpu), load.minWorkers, minPoolHosts});
         balance.targetHosts = balance.requiredHosts + (poolsInMaintenance.contains(pool) ? 1 : 0);
+        balance.longRunningHosts = longRunningHostsFor(load);
+        if (load.longRunningInService < load.longRunningTasks) {
+            balance.targetHosts = std::max(balance.targetHosts, balance.longRunningHosts);
+        }
     }
     addHostsForMismatches(engine, now);
     trackShortages(now);
+    trackLongRunningShortages(now);
+}
+
+// A host that has just arrived counts as arriving until its worker accepts starts, so that no other host is moved in
+// its place.
+auto capacity_planner::countHost(const tracked_host &host, jobs::job_engine &engine, core::monotonic_time now) -> void
+{
+    if (host.step != host_step::none) {
+        if (host.order.pool) {
+            ++m_balances[*host.order.pool].arriving;
+        }
+        return;
+    }
+    if (host.entry.condition != host_condition::up) {
+        return;
+    }
+    auto &balance = m_balances[host.entry.pool];
+    const auto *worker = internal::workerSlotOf(host, engine);
+    if (worker != nullptr && worker->acceptsStarts(now)) {
+        ++balance.inService;
+    } else if (now - host.since < workerStartTime) {
+        ++balance.arriving;
+    }
 }
 
-auto capacity_planner::countHosts() -> void
+auto capacity_planner::countHosts(jobs::job_engine &engine, core::monotonic_time now) -> void
 {
     m_moving = 0;
     for (const auto &[id, host] : m_hosts.all()) {
+        countHost(host, engine, now);
         const bool isOrdered = host.step != host_step::none;
         if (isOrdered && host.order.pool) {
             ++m_moving;
@@ -82,6 +115,18 @@
     return largest;
 }
 
+auto capacity_planner::largestHostCapacity() const -> jobs::resources
+{
+    jobs::resources largest;
+    for (const auto &[id, host] : m_hosts.all()) {
+        const auto &capacity = host.entry.capacity;
+        largest.cpu = std::max(largest.cpu, capacity.cpu);
+        largest.memoryMb = std::max(largest.memoryMb, capacity.memoryMb);
+        largest.gpu = std::max(largest.gpu, capacity.gpu);
+    }
+    return largest;
+}
+
 // Adds one host at a time, as the advice service may reject the new host as well, which is known only after its
 // arrival.
 auto capacity_planner::addHostsForMismatches(jobs::job_engine &engine, core::monotonic_time now) -> void
@@ -126,6 +171,35 @@
     }
 }
 
+// Runs on workers that do not accept starts will have to move, or end with their worker.
+auto capacity_planner::isShortForLongRunning(const pool_balance &balance) -> bool
+{
+    return !balance.standby && balance.load.longRunningInService < balance.load.longRunningTasks
+        && balance.inService + balance.arriving < balance.longRunningHosts;
+}
+
+auto capacity_planner::isNeededForLongRunning(const core::pool_id &pool) const -> bool
+{
+    const auto found = m_balances.find(pool);
+    if (found == m_balances.end()) {
+        return false;
+    }
+    auto without = found->second;
+    --without.arriving;
+    return isShortForLongRunning(without);
+}
+
+auto capacity_planner::trackLongRunningShortages(core::monotonic_time now) -> void
+{
+    for (const auto &[pool, balance] : m_balances) {
+        if (isShortForLongRunning(balance)) {
+            m_longRunningShortSince.try_emplace(pool, now);
+        } else {
+            m_longRunningShortSince.erase(pool);
+        }
+    }
+}
+
 auto capacity_planner::isAnyPoolShort() const -> bool
 {
     return std::ranges::any_of(m_balances, [](const auto &entry) {
--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -15,8 +15,12 @@
 auto capacity_planner::move(tracked_host &host, const core::pool_id &pool, jobs::job_engine &engine,
                             core::monotonic_time now) -> void
 {
-    --m_balances[host.entry.pool].have;
-    ++m_balances[pool].have;
+    auto &from = m_balances[host.entry.pool];
+    auto &to = m_balances[pool];
+    --from.have;
+    --from.inService;
+    ++to.have;
+    ++to.arriving;
     ++m_moving;
     beginDrain(host, host_order{host.entry.id, pool, 0}, engine, now);
 }
@@ -27,8 +31,9 @@
 auto capacity_planner::planMoves(jobs::job_engine &engine, core::monotonic_time now) -> void
 {
     const auto shortPools = poolsByShortage();
-    if (!shortPools.empty()) {
+    if (!shortPools.empty() || !m_longRunningShortSince.empty()) {
         const auto candidates = moveCandidates(engine, now);
+        fillForLongRunning(candidates, engine, now);
         for (const auto &pool : shortPools) {
             fillPool(pool, candidates, engine, now);
         }
@@ -93,7 +98,7 @@
             return;
         }
         const auto &from = m_balances[host->entry.pool];
-        const bool spare = from.standby || from.have > from.targetHosts;
+        const bool spare = from.standby || (from.have > from.targetHosts && from.inService > from.longRunningHosts);
         const bool idle = from.standby || now - host->idleSince >= idleBeforeMove;
         const bool drainable = idle || canDrainForMove(candidate, pool, now);
         if (host->step == host_step::none && spare && drainable && host->entry.pool != pool
@@ -103,6 +108,37 @@
     }
 }
 
+// In a general shortage no pool is above its target. A pool that lacks hosts for its long-running tasks then gets hosts
+// of any pool that has more than its own long-running tasks need.
+auto capacity_planner::fillForLongRunning(std::span<const move_candidate> candidates, jobs::job_engine &engine,
+                                          core::monotonic_time now) -> void
+{
+    for (const auto &[pool, since] : m_longRunningShortSince) {
+        if (now - since < longRunningShortageDelay) {
+            continue;
+        }
+        for (const auto &candidate : candidates) {
+            if (!isShortForLongRunning(m_balances[pool]) || m_moving >= maxMoving()) {
+                break;
+            }
+            if (mayMoveForLongRunning(candidate, pool, now)) {
+                move(*candidate.host, pool, engine, now);
+            }
+        }
+    }
+}
+
+auto capacity_planner::mayMoveForLongRunning(const move_candidate &candidate, const core::pool_id &pool,
+                                             core::monotonic_time now) const -> bool
+{
+    const auto &host = *candidate.host;
+    const auto &from = m_balances.at(host.entry.pool);
+    const bool inService = candidate.worker != nullptr && candidate.worker->acceptsStarts(now);
+    const bool spare = from.standby || (inService && from.inService > std::max(from.longRunningHosts, minPoolHosts));
+    return host.step == host_step::none && spare && candidate.longRunningRuns == 0 && host.entry.pool != pool
+        && !host.refusedPools.contains(pool) && hasRequiredLabel(host, m_balances.at(pool));
+}
+
 // Short tasks run to their end. Long-running tasks have to move to other hosts of their pool, within the limits of
 // their steps, which costs more than a brief shortage.
 auto capacity_planner::canDrainForMove(const move_candidate &candidate, const core::pool_id &pool,
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -48,6 +48,9 @@
     pool_load load; ///< Measured load.
     std::int64_t have = 0; ///< Hosts in the pool or moving to it, except those leaving for maintenance.
     std::int64_t requiredHosts = 0; ///< Hosts required by the load.
+    std::int64_t inService = 0; ///< Hosts in the pool whose workers accept starts.
+    std::int64_t arriving = 0; ///< Hosts on their way to the pool, and those that have just arrived.
+    std::int64_t longRunningHosts = 0; ///< Hosts that its long-running tasks need.
     std::int64_t targetHosts = 0; ///< Target: requiredHosts, one more while hosts of the pool await maintenance, and
                                   ///< extra hosts for waiting steps that no worker of the pool may run.
     bool standby = false; ///< Whether hosts of the pool are powered off.
@@ -95,6 +98,9 @@
     /// \brief Returns the processor capacity of the largest host, thousandths of a core; at least 1.
     [[nodiscard]] auto largestHostCpu() const -> std::int64_t;
 
+    /// \brief Returns the largest capacity of any host, for each resource by itself.
+    [[nodiscard]] auto largestHostCapacity() const -> jobs::resources;
+
     /// \brief Handles the answer to an order.
     auto onOrderAnswer(const host_order &order, host_order_outcome outcome, core::monotonic_time now) -> void;
 
@@ -133,11 +139,19 @@
         core::duration remainingRunTime{0}; ///< Estimated time until the last of its tasks has ended.
     };
 
+    auto countHost(const tracked_host &host, jobs::job_engine &engine, core::monotonic_time now) -> void;
+    auto trackLongRunningShortages(core::monotonic_time now) -> void;
+    [[nodiscard]] static auto isShortForLongRunning(const pool_balance &balance) -> bool;
+    [[nodiscard]] auto isNeededForLongRunning(const core::pool_id &pool) const -> bool;
+    auto fillForLongRunning(std::span<const move_candidate> candidates, jobs::job_engine &engine,
+                            core::monotonic_time now) -> void;
+    [[nodiscard]] auto mayMoveForLongRunning(const move_candidate &candidate, const core::pool_id &pool,
+                                             core::monotonic_time now) const -> bool;
     auto updateFromWorkers(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto planWave(wave_progress &wave, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto measure(jobs::job_engine &engine, std::span<const route::pool_config> pools, core::monotonic_time now) -> void;
-    auto countHosts() -> void;
+    auto countHosts(jobs::job_engine &engine, core::monotonic_time now) -> void;
     [[nodiscard]] auto maxMoving() const -> std::size_t;
     auto trackShortages(core::monotonic_time now) -> void;
     auto addHostsForMismatches(jobs::job_engine &engine, core::monotonic_time now) -> void;
@@ -167,6 +181,8 @@
     demand_meter m_demand;
     std::map<core::pool_id, pool_balance> m_balances;
     std::map<core::pool_id, extra_hosts> m_extraHosts;
+    std::map<core::pool_id, core::monotonic_time>
+        m_longRunningShortSince; ///< When each pool began to lack hosts for its long-running tasks.
     std::map<core::pool_id, core::monotonic_time>
         m_shortSince; ///< When each pool that has fewer hosts than its target became short.
     std::optional<core::monotonic_time> m_demandEstablishedAt; ///< From when on idle hosts may move to standby.
--- a/src/poplarpass/capacity/capped_demand.cpp
+++ b/src/poplarpass/capacity/capped_demand.cpp
@@ -20,21 +20,6 @@
     return {need.cpu * count, need.memoryMb * count, need.gpu * count};
 }
 
-/// \brief Returns how many starts that need \p need fit into \p room.
-auto startsIn(const jobs::resources &room, const jobs::resources &need) -> std::int64_t
-{
-    auto count = std::numeric_limits<std::int64_t>::max();
-    for (const auto field : fields) {
-        if (room.*field < 0) {
-            return 0;
-        }
-        if (need.*field > 0) {
-            count = std::min(count, room.*field / (need.*field));
-        }
-    }
-    return count;
-}
-
 /// \brief Returns the share of \p total that fits into \p room, at most 1.
 auto fittingShare(const jobs::resources &room, const jobs::resources &total) -> double
 {
@@ -49,6 +34,20 @@
 }
 } // namespace
 
+auto startsIn(const jobs::resources &room, const jobs::resources &need) -> std::int64_t
+{
+    auto count = std::numeric_limits<std::int64_t>::max();
+    for (const auto field : fields) {
+        if (room.*field < 0) {
+            return 0;
+        }
+        if (need.*field > 0) {
+            count = std::min(count, room.*field / (need.*field));
+        }
+    }
+    return count;
+}
+
 auto ratePerSecond(std::int64_t work, core::duration window) -> std::int64_t
 {
     constexpr std::int64_t millisecondsPerSecond = 1000;
--- a/src/poplarpass/capacity/capped_demand.h
+++ b/src/poplarpass/capacity/capped_demand.h
@@ -12,6 +12,9 @@
 /// \brief Returns the rate of \p work, thousandths of core-seconds, over \p window.
 auto ratePerSecond(std::int64_t work, core::duration window) -> std::int64_t;
 
+/// \brief Returns how many starts that need \p need fit into \p room.
+auto startsIn(const jobs::resources &room, const jobs::resources &need) -> std::int64_t;
+
 /// \brief Demand of accounts with a cap, limited to what their caps leave.
 class capped_demand
 {
--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -47,6 +47,10 @@
 inline constexpr core::duration moveDrainTimeout = std::chrono::milliseconds{4000};
 /// \brief Time that a pool is short of hosts before hosts with long-running tasks are drained for it.
 inline constexpr core::duration shortageBeforeEvacuation = std::chrono::seconds{6};
+/// \brief Time that a pool lacks hosts for its long-running tasks before it gets hosts of pools that are short as well.
+inline constexpr core::duration longRunningShortageDelay = std::chrono::milliseconds{1000};
+/// \brief Time after the arrival of a host during which its worker is expected to begin to accept starts.
+inline constexpr core::duration workerStartTime = std::chrono::milliseconds{1500};
 /// \brief Maximum share of all hosts that move to other pools at once.
 inline constexpr double maxMovingShare = 0.5;
 } // namespace poplarpass::capacity
--- a/src/poplarpass/capacity/pool_demand.cpp
+++ b/src/poplarpass/capacity/pool_demand.cpp
@@ -48,6 +48,35 @@
     }
 }
 
+/// \brief Returns the resources that a run of \p step reserves on a worker.
+auto reservationOf(const jobs::step_spec &step) -> jobs::resources
+{
+    auto need = step.perTask;
+    need.cpu = step.bestEffort ? 0 : need.cpu;
+    return need;
+}
+
+/// \brief Adds the long-running tasks of \p job that have to run.
+///
+/// Of an account with a cap, only those count that have a run: the others may have to wait for the cap.
+auto addLongRunningDemand(const jobs::multistep_job_record &job, const jobs::resources &hostCapacity, bool isCapped,
+                          pool_load &load) -> void
+{
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        const auto &spec = job.spec.steps[step];
+        if (!spec.longRunning || !job.areDependenciesDone(0, step)) {
+            continue;
+        }
+        const auto waiting = isCapped ? job.waitingOf(0, step) : 0;
+        const std::int64_t tasks = job.unfinishedOf(0, step) - waiting;
+        const auto perHost = startsIn(hostCapacity, reservationOf(spec));
+        if (perHost > 0) {
+            load.longRunningTasks += tasks;
+            load.longRunningHosts += static_cast<double>(tasks) / static_cast<double>(perHost);
+        }
+    }
+}
+
 auto rateIn(const std::map<core::pool_id, std::int64_t> &rates, const core::pool_id &pool) -> std::int64_t
 {
     const auto found = rates.find(pool);
@@ -74,7 +103,8 @@
     }
 }
 
-auto demand_meter::measure(jobs::job_engine &engine, core::monotonic_time now) -> std::map<core::pool_id, pool_load>
+auto demand_meter::measure(jobs::job_engine &engine, const jobs::resources &hostCapacity, core::monotonic_time now)
+    -> std::map<core::pool_id, pool_load>
 {
     std::map<core::pool_id, pool_load> loads;
     for (const auto &[pool, workers] : engine.workers().byPool()) {
@@ -83,6 +113,9 @@
                 loads[pool].capacity += worker->entry.capacity.cpu;
                 loads[pool].placed += worker->used.cpu;
             }
+            if (worker->acceptsStarts(now)) {
+                loads[pool].longRunningInService += worker->longRunningRuns;
+            }
         }
     }
     measureOffered(engine, now, loads);
@@ -90,6 +123,7 @@
     engine.forEachActive([&](const jobs::multistep_job_record &job) {
         auto &load = loads[job.queue.pool];
         addWaitingDemand(job, load, capped);
+        addLongRunningDemand(job, hostCapacity, capped.applies(job.account), load);
         load.minWorkers = std::max(load.minWorkers, antiAffinityWorkersOf(job));
     });
     for (const auto &[pool, waiting] : capped.waitingByPool()) {
--- a/src/poplarpass/capacity/pool_demand.h
+++ b/src/poplarpass/capacity/pool_demand.h
@@ -18,6 +18,9 @@
     std::int64_t offered = 0; ///< Rate of arriving work, from the averages over offeredWindow and burstWindow; none
                               ///< beyond caps.
     std::uint32_t minWorkers = 0; ///< Minimum number of workers that satisfies the anti-affinity of long-running tasks.
+    double longRunningHosts = 0; ///< Hosts that the long-running tasks fill, whether they run or wait.
+    std::int64_t longRunningTasks = 0; ///< Long-running tasks that have to run.
+    std::int64_t longRunningInService = 0; ///< Long-running runs on workers that accept starts.
 };
 
 /// \brief Measures the demand of each pool.
@@ -28,7 +31,9 @@
     auto onJob(const jobs::multistep_job_record &job, core::monotonic_time now) -> void;
 
     /// \brief Returns the load of each pool that has workers or jobs.
-    auto measure(jobs::job_engine &engine, core::monotonic_time now) -> std::map<core::pool_id, pool_load>;
+    /// \param hostCapacity resources of one host, by which the hosts for long-running tasks are counted
+    auto measure(jobs::job_engine &engine, const jobs::resources &hostCapacity, core::monotonic_time now)
+        -> std::map<core::pool_id, pool_load>;
 
 private:
     struct arrival
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -100,6 +100,24 @@
             engine.onStartAnswer(order, jobs::run_start_answer::started, at(time));
         }
     }
+
+    /// \brief Cancels a job and reports its runs as stopped.
+    auto cancelAll(const std::string &id, std::int64_t time) -> void
+    {
+        engine.cancel(jobs::job_id{id}, at(time));
+        for (const auto &entry : entries) {
+            auto result = report();
+            for (const auto &running : reportOf(entry.id).running) {
+                if (jobs::parseTaskName(running.task)->job != jobs::job_id{id}) {
+                    result.running.push_back(running);
+                    continue;
+                }
+                const auto number = result.ended.size() + 1;
+                result.ended.push_back({number, running.task, running.run, jobs::end_kind::stopped, {}});
+            }
+            engine.onReport(entry.id, result, at(time), at(time));
+        }
+    }
 };
 
 /// \brief Plays a load on the fleet: short tasks end after their run time, orders are carried out by workers and hosts.
@@ -630,12 +648,18 @@
     }
     fixture.add("d", "busy");
     fixture.begin();
-    // One long-running task on each host of pool calm, and more work in pool busy than its host can run.
-    auto longRunning = step(1, 9000);
+    // One long-running task on each host of pool calm, which two of them can hold, and more work in pool busy than its
+    // host can run.
+    auto longRunning = step(1, 5000);
     longRunning.longRunning = true;
+    fixture.submit("0000000000000005", "calm", {step(3, 10'000)}, 0);
     for (const auto *job : {"0000000000000001", "0000000000000002", "0000000000000003"}) {
         fixture.submit(job, "calm", {longRunning}, 0);
     }
+    fixture.cancelAll("0000000000000005", 100);
+    for (const auto *name : {"a", "b", "c"}) {
+        REQUIRE(fixture.engine.workers().find(jobs::worker_id{name})->placed.size() == 1);
+    }
     fixture.submit("0000000000000004", "busy", {step(60, 1000, 60'000)}, 2000);
     const auto leaving = [&] {
         return std::ranges::count_if(fixture.engine.workers().all(), [](const auto &entry) {
@@ -650,6 +674,27 @@
     CHECK(leaving() > 0);
 }
 
+TEST_CASE("A host is not drained for a move when its long-running tasks fit on no other host of its pool", "[capacity]")
+{
+    planner_fixture fixture;
+    for (const auto *name : {"a", "b", "c"}) {
+        fixture.add(name, "calm");
+    }
+    fixture.add("d", "busy");
+    fixture.begin();
+    auto longRunning = step(1, 9000);
+    longRunning.longRunning = true;
+    for (const auto *job : {"0000000000000001", "0000000000000002", "0000000000000003"}) {
+        fixture.submit(job, "calm", {longRunning}, 0);
+    }
+    fixture.submit("0000000000000004", "busy", {step(60, 1000, 60'000)}, 2000);
+    for (std::int64_t time = 3000; time < 20'000; time += 100) {
+        fixture.plan(time);
+        CHECK(std::ranges::none_of(fixture.engine.workers().all(),
+                                   [](const auto &entry) { return entry.second.leaving; }));
+    }
+}
+
 TEST_CASE("An order is no longer valid once its host has another worker", "[capacity]")
 {
     planner_fixture fixture;
--- a/tests/decisions/pool_demand_test.cpp
+++ b/tests/decisions/pool_demand_test.cpp
@@ -49,7 +49,7 @@
             meter.onJob(jobs::makeJob(id, queue(), jobOf({step(1, jobWork)}), wallAt(time)), at(time));
             waiting.push_back(time);
         }
-        const auto offered = meter.measure(engine, at(time))[core::pool_id{"pool"}].offered;
+        const auto offered = meter.measure(engine, {hostCpu, 32'000, 0}, at(time))[core::pool_id{"pool"}].offered;
         pendingCapacity.push_back(offered + std::ssize(waiting) * jobWork);
         std::int64_t currentCapacity = 4 * hostCpu;
         if (std::ssize(pendingCapacity) > moveTimeMs / tickMs) {
@@ -109,7 +109,7 @@
     };
     const auto waitingIn = [&](const std::string &pool) {
         capacity::demand_meter meter;
-        return meter.measure(engine, at(20))[core::pool_id{pool}].waiting;
+        return meter.measure(engine, {hostCpu, 32'000, 0}, at(20))[core::pool_id{pool}].waiting;
     };
     auto other = queue();
     other.pool = core::pool_id{"other"};
@@ -166,11 +166,11 @@
         capped.onJob(job, at(time));
     }
     const core::pool_id pool{"pool"};
-    const auto offered = free.measure(engine, at(1000))[pool].offered;
+    const auto offered = free.measure(engine, {hostCpu, 32'000, 0}, at(1000))[pool].offered;
     CHECK(offered > 150'000);
-    CHECK(capped.measure(engine, at(1000))[pool].offered == offered);
+    CHECK(capped.measure(engine, {hostCpu, 32'000, 0}, at(1000))[pool].offered == offered);
     const std::vector<jobs::account_limits> all{{account, 1.0, {30'000, 0, 0}}};
     engine.updateAccounts(all);
-    CHECK(capped.measure(engine, at(1000))[pool].offered == 30'000);
-    CHECK(free.measure(engine, at(1000))[pool].offered == offered);
+    CHECK(capped.measure(engine, {hostCpu, 32'000, 0}, at(1000))[pool].offered == 30'000);
+    CHECK(free.measure(engine, {hostCpu, 32'000, 0}, at(1000))[pool].offered == offered);
 }
