Maintenance leaves a pool the hosts that its long-running tasks need

Callers saw long-running tasks without a run during maintenance in a flood of short jobs: a wave behind schedule drained all hosts of a small pool at once. The tasks had nowhere to go, so the drains could not end either.

Change: a drain for maintenance begins only when the hosts of its pool that stay in service hold its long-running tasks. When the wave is behind schedule, a pool whose maintenance is blocked by this gets one more host, also in a general shortage.

Test that failed before: "Maintenance behind schedule does not take a pool below the hosts that its long-running tasks need": 0 of 3 hosts stayed in service and the wave did not end; now 3 of 3, and it ends.

--- a/src/poplarpass/capacity/capacity_balances.cpp
+++ b/src/poplarpass/capacity/capacity_balances.cpp
@@ -39,9 +39,13 @@
         balance.requiredHosts = std::max<std::int64_t>({hostsFor(load, hostCpu), load.minWorkers, minPoolHosts});
         balance.targetHosts = balance.requiredHosts + (poolsInMaintenance.contains(pool) ? 1 : 0);
         balance.longRunningHosts = longRunningHostsFor(load);
-        if (load.longRunningInService < load.longRunningTasks) {
-            balance.targetHosts = std::max(balance.targetHosts, balance.longRunningHosts);
+        // Runs on workers that do not accept starts will have to move, or end with their worker.
+        if (m_maintenanceBlocked.contains(pool)) {
+            balance.reservedHosts = balance.longRunningHosts + 1;
+        } else if (load.longRunningInService < load.longRunningTasks) {
+            balance.reservedHosts = balance.longRunningHosts;
         }
+        balance.targetHosts = std::max(balance.targetHosts, balance.reservedHosts);
     }
     addHostsForMismatches(engine, now);
     trackShortages(now);
@@ -62,8 +66,7 @@
         return;
     }
     auto &balance = m_balances[host.entry.pool];
-    const auto *worker = internal::workerSlotOf(host, engine);
-    if (worker != nullptr && worker->acceptsStarts(now)) {
+    if (internal::isInService(host, engine, now)) {
         ++balance.inService;
     } else if (now - host.since < workerStartTime) {
         ++balance.arriving;
@@ -171,11 +174,9 @@
     }
 }
 
-// Runs on workers that do not accept starts will have to move, or end with their worker.
 auto capacity_planner::isShortForLongRunning(const pool_balance &balance) -> bool
 {
-    return !balance.standby && balance.load.longRunningInService < balance.load.longRunningTasks
-        && balance.inService + balance.arriving < balance.longRunningHosts;
+    return !balance.standby && balance.inService + balance.arriving < balance.reservedHosts;
 }
 
 auto capacity_planner::isNeededForLongRunning(const core::pool_id &pool) const -> bool
--- a/src/poplarpass/capacity/capacity_moves.cpp
+++ b/src/poplarpass/capacity/capacity_moves.cpp
@@ -9,6 +9,7 @@
 // Moves of hosts between pools.
 namespace poplarpass::capacity
 {
+using internal::isInService;
 using internal::remainingRunTimeOf;
 using internal::workerSlotOf;
 
@@ -18,7 +19,7 @@
     auto &from = m_balances[host.entry.pool];
     auto &to = m_balances[pool];
     --from.have;
-    --from.inService;
+    from.inService -= isInService(host, engine, now) ? 1 : 0;
     ++to.have;
     ++to.arriving;
     ++m_moving;
@@ -133,8 +134,8 @@
 {
     const auto &host = *candidate.host;
     const auto &from = m_balances.at(host.entry.pool);
-    const bool inService = candidate.worker != nullptr && candidate.worker->acceptsStarts(now);
-    const bool spare = from.standby || (inService && from.inService > std::max(from.longRunningHosts, minPoolHosts));
+    const bool accepts = candidate.worker != nullptr && candidate.worker->acceptsStarts(now);
+    const bool spare = from.standby || (accepts && from.inService > std::max(from.longRunningHosts, minPoolHosts));
     return host.step == host_step::none && spare && candidate.longRunningRuns == 0 && host.entry.pool != pool
         && !host.refusedPools.contains(pool) && hasRequiredLabel(host, m_balances.at(pool));
 }
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -51,6 +51,7 @@
     std::int64_t inService = 0; ///< Hosts in the pool whose workers accept starts.
     std::int64_t arriving = 0; ///< Hosts on their way to the pool, and those that have just arrived.
     std::int64_t longRunningHosts = 0; ///< Hosts that its long-running tasks need.
+    std::int64_t reservedHosts = 0; ///< Hosts that it gets even while all pools are short.
     std::int64_t targetHosts = 0; ///< Target: requiredHosts, one more while hosts of the pool await maintenance, and
                                   ///< extra hosts for waiting steps that no worker of the pool may run.
     bool standby = false; ///< Whether hosts of the pool are powered off.
@@ -169,6 +170,8 @@
     [[nodiscard]] auto canDrainForMove(const move_candidate &candidate, const core::pool_id &pool,
                                        core::monotonic_time now) const -> bool;
     [[nodiscard]] auto isAnyPoolShort() const -> bool;
+    [[nodiscard]] static auto takesNeededHost(const tracked_host &host, const pool_balance &balance,
+                                              jobs::job_engine &engine, core::monotonic_time now) -> bool;
     [[nodiscard]] auto poolsAwaitingMaintenance() -> std::set<core::pool_id>;
     auto suspendOnDrained(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto advanceDrains(jobs::job_engine &engine, core::monotonic_time now) -> std::vector<host_order>;
@@ -181,6 +184,8 @@
     demand_meter m_demand;
     std::map<core::pool_id, pool_balance> m_balances;
     std::map<core::pool_id, extra_hosts> m_extraHosts;
+    std::set<core::pool_id> m_maintenanceBlocked; ///< Pools with maintenance behind schedule that cannot begin, as
+                                                  ///< their long-running tasks need all hosts.
     std::map<core::pool_id, core::monotonic_time>
         m_longRunningShortSince; ///< When each pool began to lack hosts for its long-running tasks.
     std::map<core::pool_id, core::monotonic_time>
--- a/src/poplarpass/capacity/capacity_waves.cpp
+++ b/src/poplarpass/capacity/capacity_waves.cpp
@@ -8,10 +8,12 @@
 // Scheduling of maintenance waves.
 namespace poplarpass::capacity
 {
+using internal::isInService;
 using internal::occupancyOf;
 
 auto capacity_planner::planWaves(jobs::job_engine &engine, core::monotonic_time now) -> void
 {
+    m_maintenanceBlocked.clear();
     for (auto &[number, wave] : m_waves) {
         if (!wave.completed) {
             planWave(wave, engine, now);
@@ -21,7 +23,8 @@
 
 // While the wave is on schedule, it drains the least occupied hosts first and skips hosts that their pools need. When
 // it is behind schedule, it drains needed hosts as well, up to the cap of the wave, so that it ends before its
-// deadline.
+// deadline. Hosts that the long-running tasks of their pool need are never drained, as the tasks could not leave them;
+// when the wave is behind schedule, their pool gets another host first.
 auto capacity_planner::planWave(wave_progress &wave, jobs::job_engine &engine, core::monotonic_time now) -> void
 {
     std::vector<tracked_host *> candidates;
@@ -61,17 +64,31 @@
         if (outCount >= limit) {
             return;
         }
-        const auto &balance = m_balances[host->entry.pool];
+        auto &balance = m_balances[host->entry.pool];
         const bool needed = balance.requiredHosts >= balance.have || (balance.standby && isAnyPoolShort());
         if (!behindSchedule && needed) {
             continue;
         }
+        if (takesNeededHost(*host, balance, engine, now)) {
+            if (behindSchedule) {
+                m_maintenanceBlocked.insert(host->entry.pool);
+            }
+            continue;
+        }
+        balance.inService -= isInService(*host, engine, now) ? 1 : 0;
+        --balance.have;
         beginDrain(*host, host_order{host->entry.id, std::nullopt, wave.request.number}, engine, now);
-        --m_balances[host->entry.pool].have;
         ++outCount;
     }
 }
 
+auto capacity_planner::takesNeededHost(const tracked_host &host, const pool_balance &balance, jobs::job_engine &engine,
+                                       core::monotonic_time now) -> bool
+{
+    const auto left = balance.inService - (isInService(host, engine, now) ? 1 : 0);
+    return !balance.standby && left < balance.longRunningHosts;
+}
+
 auto capacity_planner::poolsAwaitingMaintenance() -> std::set<core::pool_id>
 {
     std::set<core::pool_id> pools;
--- a/src/poplarpass/capacity/host_load.cpp
+++ b/src/poplarpass/capacity/host_load.cpp
@@ -27,6 +27,12 @@
     return worker == nullptr || worker->placed.empty();
 }
 
+auto isInService(const tracked_host &host, jobs::job_engine &engine, core::monotonic_time now) -> bool
+{
+    const auto *worker = workerSlotOf(host, engine);
+    return worker != nullptr && worker->acceptsStarts(now);
+}
+
 // Estimates of callers are often off by a factor of two, so the progress that the worker reports counts for more.
 auto remainingRunTimeOf(const jobs::worker_slot &worker, const jobs::job_engine &engine, core::monotonic_time now)
     -> core::duration
--- a/src/poplarpass/capacity/host_load.h
+++ b/src/poplarpass/capacity/host_load.h
@@ -11,6 +11,9 @@
 /// \brief Returns whether no task is placed on the host's worker; true for a host without a worker.
 auto isEmpty(const tracked_host &host, jobs::job_engine &engine) -> bool;
 
+/// \brief Returns whether the host's worker accepts starts.
+auto isInService(const tracked_host &host, jobs::job_engine &engine, core::monotonic_time now) -> bool;
+
 /// \brief Returns the expected time until the last task has left \p worker once it is drained; zero when it has none.
 auto remainingRunTimeOf(const jobs::worker_slot &worker, const jobs::job_engine &engine, core::monotonic_time now)
     -> core::duration;
