A drain for maintenance is given back when long-running tasks wait for room

Callers saw long-running tasks without a run for as long as a shortage lasted: the hosts of their pool were drained for maintenance when another one crashed. The drained hosts waited for room for the tasks that they still ran, and the lost tasks waited for the drained hosts.

Change: when a pool has had fewer hosts than its long-running tasks need for a second, tasks wait, and no other pool gives a host, hosts drained for maintenance return to service until there are enough.

--- a/src/poplarpass/capacity/capacity_drains.cpp
+++ b/src/poplarpass/capacity/capacity_drains.cpp
@@ -32,6 +32,28 @@
     }
 }
 
+// Hosts that were lost after a drain began may leave their pool too few for its long-running tasks. When no other pool
+// gives one, hosts drained for maintenance return to service until the pool has enough.
+auto capacity_planner::stopBlockingDrains(jobs::job_engine &engine, core::monotonic_time now) -> void
+{
+    for (auto &[id, host] : m_hosts.all()) {
+        const auto since = m_longRunningShortSince.find(host.entry.pool);
+        const bool isPersistent =
+            since != m_longRunningShortSince.end() && now - since->second >= longRunningShortageDelay;
+        if (host.step != host_step::draining || host.order.pool || !isPersistent) {
+            continue;
+        }
+        auto &balance = m_balances[host.entry.pool];
+        const bool isBlocking =
+            balance.load.longRunningWaiting > 0 && balance.inService + balance.arriving < balance.longRunningHosts;
+        if (isBlocking) {
+            stopDrain(host, engine, now);
+            ++balance.have;
+            ++balance.inService;
+        }
+    }
+}
+
 // A lost host may have returned with a new worker that is not listed yet and already has work. The drained worker must
 // have answered recently, or appear in a list that was requested after the host was found empty.
 auto capacity_planner::isWorkerConfirmed(const tracked_host &host, jobs::job_engine &engine,
--- a/src/poplarpass/capacity/capacity_planner.cpp
+++ b/src/poplarpass/capacity/capacity_planner.cpp
@@ -56,6 +56,7 @@
     excludeLeavingWorkers(engine);
     measure(engine, pools, now);
     planMoves(engine, now);
+    stopBlockingDrains(engine, now);
     planWaves(engine, now);
     return advanceDrains(engine, now);
 }
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -178,6 +178,7 @@
     [[nodiscard]] auto isWorkerConfirmed(const tracked_host &host, jobs::job_engine &engine,
                                          core::monotonic_time now) const -> bool;
     auto beginDrain(tracked_host &host, host_order order, jobs::job_engine &engine, core::monotonic_time now) -> void;
+    auto stopBlockingDrains(jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto stopDrain(tracked_host &host, jobs::job_engine &engine, core::monotonic_time now) -> void;
 
     host_table m_hosts;
--- a/src/poplarpass/capacity/pool_demand.cpp
+++ b/src/poplarpass/capacity/pool_demand.cpp
@@ -67,11 +67,12 @@
         if (!spec.longRunning || !job.areDependenciesDone(0, step)) {
             continue;
         }
-        const auto waiting = isCapped ? job.waitingOf(0, step) : 0;
-        const std::int64_t tasks = job.unfinishedOf(0, step) - waiting;
+        const std::int64_t waiting = job.waitingOf(0, step);
+        const std::int64_t tasks = job.unfinishedOf(0, step) - (isCapped ? waiting : 0);
         const auto perHost = startsIn(hostCapacity, reservationOf(spec));
         if (perHost > 0) {
             load.longRunningTasks += tasks;
+            load.longRunningWaiting += isCapped ? 0 : waiting;
             load.longRunningHosts += static_cast<double>(tasks) / static_cast<double>(perHost);
         }
     }
--- a/src/poplarpass/capacity/pool_demand.h
+++ b/src/poplarpass/capacity/pool_demand.h
@@ -20,6 +20,7 @@
     std::uint32_t minWorkers = 0; ///< Minimum number of workers that satisfies the anti-affinity of long-running tasks.
     double longRunningHosts = 0; ///< Hosts that the long-running tasks fill, whether they run or wait.
     std::int64_t longRunningTasks = 0; ///< Long-running tasks that have to run.
+    std::int64_t longRunningWaiting = 0; ///< Those of longRunningTasks without a run.
     std::int64_t longRunningInService = 0; ///< Long-running runs on workers that accept starts.
 };
 
