Log lines and metrics for tasks that have no run for long

Callers saw long-running tasks without a run for seconds although there was room, and between the end of a run and the next start the log said nothing: not since when, not why, not what ends the wait.

Change: once a second the engine looks for long-running tasks without a run. Each wait is logged after 3 s and at each doubling (task_without_run: reason, waited_ms, last worker and run, how it ended, rest of the lease), at most 20 lines a second, the longest first. Other tasks that wait are counted by pool (tasks_waiting). Gauges: poplarpass_tasks_without_run, poplarpass_longest_wait_ms. The reason is decided in wait_reasons.h from facts that the engine gathers for logged waits only. No start, stop or other decision and no stored format changes.

Tests: wait_reasons_test.cpp and owner_log_test.cpp; events and gauges did not exist before.

--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -15,9 +15,9 @@
 // Failures are logged as warnings, which have a rate limit of their own in the log.
 auto logLevelOf(const jobs::decision &decision) -> log_level
 {
-    static constexpr std::array<std::string_view, 7> warningEvents{
-        "job_given_up",     "run_lost",       "run_given_up", "start_rejected",
-        "start_unanswered", "worker_crashed", "worker_paused"};
+    static constexpr std::array<std::string_view, 8> warningEvents{
+        "job_given_up",     "run_lost",         "run_given_up",   "start_rejected",
+        "start_unanswered", "task_without_run", "worker_crashed", "worker_paused"};
     const bool isWarning =
         decision.reason == "failed" || std::ranges::find(warningEvents, decision.event) != warningEvents.end();
     return isWarning ? log_level::warning : log_level::info;
@@ -36,6 +36,21 @@
     }
 }
 
+auto addWaitFields(const jobs::wait_details &wait, std::vector<observe::field> &fields) -> void
+{
+    fields.emplace_back("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(wait.waited).count());
+    if (!wait.lastEnd.empty()) {
+        fields.emplace_back("ended", wait.lastEnd);
+    }
+    if (wait.leaseFor) {
+        fields.emplace_back("lease_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*wait.leaseFor).count());
+    }
+    if (wait.inPool) {
+        fields.emplace_back("pool", wait.inPool->pool);
+        fields.emplace_back("tasks", wait.inPool->tasks);
+    }
+}
+
 /// \brief Runs that a new owner found placed.
 struct placed_runs
 {
@@ -436,6 +451,9 @@
     if (const auto &failure = decision.details.failure) {
         addFailureFields(*failure, fields);
     }
+    if (const auto &wait = decision.details.wait) {
+        addWaitFields(*wait, fields);
+    }
     fields.emplace_back("epoch", m_term.epoch());
     fields.emplace_back("config", m_env.routes.config().version);
     return fields;
@@ -479,6 +497,10 @@
     set("poplarpass_starts_rejected", "Starts that workers rejected in this term", counts.startsRejected);
     set("poplarpass_tasks_suspended", "Runs stopped on drained workers in this term, to resume elsewhere",
         counts.tasksSuspended);
+    const auto &waits = m_engine.longRunningWaits();
+    set("poplarpass_tasks_without_run", "Long-running tasks that may start and have no run", waits.tasks);
+    set("poplarpass_longest_wait_ms", "For how long the first of these has had no run",
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(waits.longest).count()));
     set("poplarpass_runs_failed", "Runs that failed in this term", counts.runsFailed);
     for (const auto &[queue, trend] : m_engine.runTimes().trends()) {
         m_env.metrics
--- a/src/poplarpass/jobs.h
+++ b/src/poplarpass/jobs.h
@@ -13,5 +13,6 @@
 #include <poplarpass/jobs/job_state.h>
 #include <poplarpass/jobs/progress_text.h>
 #include <poplarpass/jobs/run_time_model.h>
+#include <poplarpass/jobs/wait_reasons.h>
 #include <poplarpass/jobs/worker_report.h>
 #include <poplarpass/jobs/worker_table.h>
--- a/src/poplarpass/jobs/account_caps.cpp
+++ b/src/poplarpass/jobs/account_caps.cpp
@@ -183,6 +183,13 @@
     return !isHeld(entry, pool, need, used);
 }
 
+auto account_caps::isHeldBack(const account &entry, const core::pool_id &pool, const resources &need,
+                              const resources &used) const -> bool
+{
+    return isLimited(entry.limits.cap)
+        && (!m_confirmed || entry.held.contains(pool) || !roomUnder(entry.limits.cap, used).holds(need));
+}
+
 auto account_caps::isHeld(account &entry, const core::pool_id &pool, const resources &need, const resources &used)
     -> bool
 {
--- a/src/poplarpass/jobs/account_caps.h
+++ b/src/poplarpass/jobs/account_caps.h
@@ -107,6 +107,10 @@
     /// Has to be called for the startable tasks of an account in the order of their rank.
     auto permits(account &entry, const core::pool_id &pool, const resources &need, const resources &used) -> bool;
 
+    /// \brief Returns whether a start that needs \p need waits in \p pool for the cap, beside \p used of the account.
+    [[nodiscard]] auto isHeldBack(const account &entry, const core::pool_id &pool, const resources &need,
+                                  const resources &used) const -> bool;
+
     /// \brief Records that the start from the last permits() was placed.
     auto onStart(account &entry, const core::pool_id &pool) const -> void;
 
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -2,6 +2,7 @@
 
 #include <poplarpass/core/time.h>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace poplarpass::jobs
@@ -95,6 +96,12 @@
 /// \brief A task that waits for its account's cap keeps others of the account from starting for at most this long while
 /// the account uses less than half of its cap. They have to start within 3 s (docs/design/ACCOUNTS.md, requirement 6).
 inline constexpr core::duration maxCapHold = std::chrono::seconds{2};
+/// \brief A task that may start and has no run for this long is logged.
+inline constexpr core::duration longWait = std::chrono::seconds{3};
+/// \brief Interval between checks for such tasks.
+inline constexpr core::duration waitCheckPeriod = std::chrono::seconds{1};
+/// \brief Maximum number of lines about them in one check; those of long-running tasks come first.
+inline constexpr std::size_t maxWaitLinesPerCheck = 20;
 /// \brief Time for which the tasks of a settled job stay in memory.
 inline constexpr core::duration settledTaskRetention = std::chrono::seconds{3};
 /// \brief Maximum number of jobs that are remembered as cancelled before any submission of them arrived.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -29,6 +29,9 @@
     m_unsubmittedCount += restored.submitted ? 0 : 1;
     forEachTask(restored, [&](const task_ref &task, std::size_t position) {
         auto &state = restored.tasks[position];
+        if (state.run > 0 && state.phase != task_phase::running && state.phase != task_phase::done) {
+            state.withoutRunSince = now;
+        }
         if (!isPlaced(state.phase)) {
             return;
         }
@@ -219,6 +222,9 @@
     waitingOfStep += nowWaiting - noLongerWaiting;
     job.waiting += nowWaiting - noLongerWaiting;
     state.phase = phase;
+    if (phase == task_phase::running) {
+        state.withoutRunSince.reset();
+    }
 }
 
 auto job_engine::markChanged(const multistep_job_record &job) -> void
@@ -275,8 +281,13 @@
 }
 
 auto job_engine::resetToWaiting(const task_ref &task, multistep_job_record &job, task_record &state,
-                                core::monotonic_time notBefore) -> void
+                                core::monotonic_time notBefore, std::string_view how) -> void
 {
+    // A run that never began leaves the wait as it was.
+    if (!state.withoutRunSince && state.phase != task_phase::starting) {
+        state.withoutRunSince = contactLostAt(state).value_or(notBefore);
+    }
+    state.lastEnd = how;
     removePlacement(task, job, state);
     setPhase(task, job, state, task_phase::waiting);
     state.notBefore = notBefore;
@@ -291,6 +302,9 @@
 auto job_engine::beginClosing(const task_ref &task, multistep_job_record &job, task_record &state,
                               core::monotonic_time now) -> void
 {
+    if (!state.withoutRunSince) {
+        state.withoutRunSince = now;
+    }
     setPhase(task, job, state, task_phase::closing);
     state.stopConfirmed = false;
     state.stopSentAt = now;
@@ -309,7 +323,7 @@
         }
         ++m_counters.runsLost;
         logRunLost(task, worker, *state, nameOf(loss));
-        resetToWaiting(task, *job, *state, now);
+        resetToWaiting(task, *job, *state, now, nameOf(loss));
     }
     dropLingering(worker.entry.id);
     worker.placed.clear();
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -16,6 +16,7 @@
 #include <poplarpass/jobs/resume_room.h>
 #include <poplarpass/jobs/run_time_model.h>
 #include <poplarpass/jobs/suspect_workers.h>
+#include <poplarpass/jobs/wait_reasons.h>
 #include <poplarpass/jobs/worker_table.h>
 
 #include <functional>
@@ -186,6 +187,9 @@
     /// \brief Returns the counts since construction.
     [[nodiscard]] auto counters() const -> const engine_counters &;
 
+    /// \brief Returns the long-running tasks without a run, as of the last check in plan().
+    [[nodiscard]] auto longRunningWaits() const -> const wait_summary &;
+
     /// \brief Returns what was learnt about the run times of each queue.
     [[nodiscard]] auto runTimes() const -> const run_time_model &;
 
@@ -231,7 +235,17 @@
         bool isUnplaced = false; ///< Whether a task that may start found no worker.
     };
 
+    /// \brief Tasks of a pool that end by themselves and have waited for long.
+    struct waiting_pool
+    {
+        std::uint64_t tasks = 0;
+        task_ref first; ///< Step whose tasks have waited longest; the index does not count.
+        core::monotonic_time since = core::monotonic_time::max(); ///< When that step was due.
+    };
+
     using active_jobs = std::map<job_id, active_job>;
+    using task_waits = std::vector<internal::wait_schedule<task_ref>::wait>;
+    using pool_waits = std::map<core::pool_id, waiting_pool>;
 
     auto locate(const task_ref &task) -> located_task;
     auto addActiveJob(multistep_job_record &job) -> void;
@@ -262,8 +276,9 @@
     auto orderStart(const multistep_job_record &job, const task_ref &task, task_record &state) -> void;
     auto addPlacement(const task_ref &task, const multistep_job_record &job, worker_slot &worker) -> void;
     auto removePlacement(const task_ref &task, const multistep_job_record &job, const task_record &state) -> void;
+    /// \param how how the run ended, as logged
     auto resetToWaiting(const task_ref &task, multistep_job_record &job, task_record &state,
-                        core::monotonic_time notBefore) -> void;
+                        core::monotonic_time notBefore, std::string_view how) -> void;
     auto orderStop(const worker_id &worker, const std::string &task, std::uint32_t run) -> void;
     auto beginClosing(const task_ref &task, multistep_job_record &job, task_record &state, core::monotonic_time now)
         -> void;
@@ -392,6 +407,22 @@
                                   internal::placement_candidates &workers) -> std::vector<worker_slot *>;
     auto recordMismatch(const multistep_job_record &job, std::uint32_t step, std::span<worker_slot *const> workers)
         -> void;
+    /// \brief Logs tasks that may start and have had no run for long.
+    auto reportWaits(core::monotonic_time now, core::wall_time wallTime) -> void;
+    /// \brief Adds the tasks without a run of a long-running step that was due at \p dueAt.
+    auto addLongRunningWaits(task_ref task, const multistep_job_record &job, core::monotonic_time dueAt,
+                             task_waits &waits) -> void;
+    /// \brief Returns since when the worker of a task's run has been silent; nothing while it responds.
+    auto contactLostAt(const task_record &state) -> std::optional<core::monotonic_time>;
+    auto logTaskWaits(const task_waits &waits, core::monotonic_time now) -> void;
+    auto logPoolWaits(const pool_waits &pools, core::monotonic_time now) -> void;
+    /// \param task a task without a run; of a step that is not long-running any task
+    auto waitReasonOf(multistep_job_record &job, task_ref task, core::monotonic_time now) -> wait_reason;
+    auto addPoolFacts(multistep_job_record &job, const task_ref &task, core::monotonic_time now,
+                      internal::wait_facts &facts) -> void;
+    static auto hasRoomFor(const multistep_job_record &job, const task_ref &task,
+                           const std::vector<worker_slot *> &workers) -> bool;
+    [[nodiscard]] auto waitsForCap(const multistep_job_record &job, const step_spec &step) const -> bool;
 
     std::function<void(const decision &)> m_onDecision;
     std::unordered_map<std::string, multistep_job_record> m_jobs;
@@ -413,6 +444,11 @@
     std::vector<advice_request> m_adviceRequests;
     std::map<core::pool_id, placement_mismatch> m_mismatches;
     core::monotonic_time m_stragglersCheckedAt{};
+    core::monotonic_time m_waitsCheckedAt{};
+    internal::wait_schedule<task_ref> m_taskWaits; ///< Of long-running tasks.
+    internal::wait_schedule<core::pool_id> m_poolWaits; ///< Of pools in which other tasks wait.
+    wait_summary m_longRunningWaits;
+    std::size_t m_waitLinesLeft = 0; ///< Lines that the current check may still write.
     engine_counters m_counters;
     run_time_model m_runTimes;
     std::size_t m_taskCount = 0;
--- a/src/poplarpass/jobs/job_engine_answers.cpp
+++ b/src/poplarpass/jobs/job_engine_answers.cpp
@@ -117,7 +117,7 @@
     if (auto *worker = m_workers.find(order.worker)) {
         worker->pausedUntil = std::max(worker->pausedUntil, now + pause);
     }
-    resetToWaiting(order.task, job, state, now);
+    resetToWaiting(order.task, job, state, now, nameOf(answer));
     if (answer == run_start_answer::other_instance) {
         onOtherInstance(order.worker, now);
     }
--- a/src/poplarpass/jobs/job_engine_plan.cpp
+++ b/src/poplarpass/jobs/job_engine_plan.cpp
@@ -46,6 +46,7 @@
         }
     }
     reportCaps();
+    reportWaits(now, wallTime);
 }
 
 auto job_engine::setHeldPools(std::set<core::pool_id> pools) -> void
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -95,7 +95,7 @@
         if (!isListed && state->acknowledged && state->acknowledgedAt < startedAfter) {
             ++m_counters.runsLost;
             logRunLost(task, worker, *state, "worker_restarted");
-            resetToWaiting(task, *job, *state, now);
+            resetToWaiting(task, *job, *state, now, "worker_restarted");
             continue;
         }
         state->workerIncarnation = worker.entry.incarnation;
@@ -167,8 +167,9 @@
         }
         return;
     }
-    logEvent("run_ended", nameOf(task), state.worker, state.run, end.how == end_kind::failed ? "failed" : "not_done");
-    resetToWaiting(task, job, state, step.longRunning ? now + restartDelay : now);
+    const std::string_view how = end.how == end_kind::failed ? "failed" : "not_done";
+    logEvent("run_ended", nameOf(task), state.worker, state.run, how);
+    resetToWaiting(task, job, state, step.longRunning ? now + restartDelay : now, how);
     if (end.how == end_kind::failed) {
         countFailure(task, job, state, end.run, now);
     }
@@ -279,8 +280,9 @@
             state->phase == task_phase::closing && state->stopConfirmed && state->stopConfirmedAt < sentAt;
         if (wasRunning || stopWasConfirmed) {
             m_counters.runsLost += wasRunning ? 1 : 0;
-            logRunLost(task, worker, *state, stopWasConfirmed ? "closed" : "not_listed");
-            resetToWaiting(task, *job, *state, now);
+            const std::string_view how = stopWasConfirmed ? "closed" : "not_listed";
+            logRunLost(task, worker, *state, how);
+            resetToWaiting(task, *job, *state, now, how);
         }
     }
 }
--- a/src/poplarpass/jobs/job_engine_types.h
+++ b/src/poplarpass/jobs/job_engine_types.h
@@ -42,12 +42,29 @@
     std::optional<crash_record> crashes; ///< Crashes under the task; only when the job fails for them.
 };
 
+/// \brief Waiting tasks of a pool that end by themselves.
+struct waiting_in_pool
+{
+    std::string pool;
+    std::uint64_t tasks = 0; ///< Waiting tasks of steps that may start and were due longWait ago.
+};
+
+/// \brief A wait for a run.
+struct wait_details
+{
+    core::duration waited{0}; ///< For how long.
+    std::string_view lastEnd; ///< How the last run ended; empty if not known.
+    std::optional<core::duration> leaseFor; ///< How long the run may still exist on its silent worker.
+    std::optional<waiting_in_pool> inPool; ///< Set when the tasks of a pool wait.
+};
+
 /// \brief Details that only some decisions have.
 struct decision_details
 {
     std::optional<core::duration> ranFor{}; ///< For how long a lost run is known to have been executed.
     std::optional<crash_counts> crash{}; ///< Runs that the crash of a worker ended.
     std::optional<failure_evidence> failure{}; ///< Why a job failed.
+    std::optional<wait_details> wait{}; ///< A wait for a run.
 };
 
 /// \brief One decision, for the event log.
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace poplarpass::jobs
@@ -57,6 +58,9 @@
     std::uint32_t startAttempts = 0; ///< Number of start orders for this run.
     std::optional<core::monotonic_time> unansweredAt; ///< When the last start order timed out without an answer.
     core::monotonic_time notBefore{}; ///< Earliest time of the next start.
+    std::optional<core::monotonic_time>
+        withoutRunSince; ///< Since when no run of it goes on; nothing while one does and before the first.
+    std::string_view lastEnd; ///< How the last run before the current one ended, as logged; empty if not known.
     bool closedByFormerOwner =
         false; ///< Whether a former owner began to stop this run and the worker has not listed it since.
     bool stopConfirmed = false; ///< Whether the worker confirmed a stop of this run.
--- a/tests/io/owner_log_test.cpp
+++ b/tests/io/owner_log_test.cpp
@@ -44,3 +44,32 @@
     CAPTURE(line);
     CHECK(holds(line, " reason=failed task=00000000000000aa.0.0.0 failed_runs=1 max_failed_runs=1 "));
 }
+
+// Guards against a long-running task that waits for its worker's lease, or for room, without a line or a metric.
+TEST_CASE("The log and the metrics tell that a long-running task has had no run for long, and why", "[host][log]")
+{
+    owner_fixture fixture;
+    auto spec = owner_fixture::specOf(1);
+    spec.steps[0].longRunning = true;
+    spec.steps[0].perTask.cpu = 2 * fixture.workerCpu;
+    fixture.specs.emplace("lasting", spec);
+    fixture.beginServing(1);
+    int status = 0;
+    fixture.send(owner_fixture::request(host::client_verb::submit, jobName, "lasting"), status);
+    REQUIRE(fixture.time.runUntil([&] {
+        fixture.renewTerm();
+        if (!fixture.renewalAnswers.empty()) {
+            auto answer = std::move(fixture.renewalAnswers.back());
+            fixture.renewalAnswers.clear();
+            answer({host::renewal_outcome::reported, fixture.report});
+        }
+        return !fixture.lastLineOf("task_without_run").empty();
+    }));
+    const auto line = fixture.lastLineOf("task_without_run");
+    CAPTURE(line);
+    CHECK(holds(line, "level=warning "));
+    CHECK(holds(line, " id=00000000000000aa.0.0.0 reason=no_room waited_ms=3"));
+    fixture.owner->updateMetrics();
+    CHECK(fixture.metrics.gaugeOf("poplarpass_tasks_without_run", "").value() == 1);
+    CHECK(fixture.metrics.gaugeOf("poplarpass_longest_wait_ms", "").value() >= 3000);
+}
