Maintenance takes hosts without long-running tasks when the others run them all

The hosts that long-running tasks need are an estimate and may be one too many when tasks of several sizes share a host. Maintenance of a host without any of them then waited for a host that a small fleet does not have, and the wave did not end.

Change: such a host is drained while all long-running tasks of its pool run on workers that accept starts.

Test that failed before: "Maintenance takes a host without long-running tasks when the other hosts of its pool run all of them": the wave had not ended after 18 s.

--- a/src/poplarpass/capacity/capacity_waves.cpp
+++ b/src/poplarpass/capacity/capacity_waves.cpp
@@ -82,11 +82,15 @@
     }
 }
 
+// The measured need is an estimate: hosts that run all long-running tasks of their pool are enough.
 auto capacity_planner::takesNeededHost(const tracked_host &host, const pool_balance &balance, jobs::job_engine &engine,
                                        core::monotonic_time now) -> bool
 {
+    const auto *worker = internal::workerSlotOf(host, engine);
+    const bool holdsLongRunning = worker != nullptr && worker->longRunningRuns > 0;
+    const bool runElsewhere = !holdsLongRunning && balance.load.longRunningInService >= balance.load.longRunningTasks;
     const auto left = balance.inService - (isInService(host, engine, now) ? 1 : 0);
-    return !balance.standby && left < balance.longRunningHosts;
+    return !balance.standby && !runElsewhere && left < balance.longRunningHosts;
 }
 
 auto capacity_planner::poolsAwaitingMaintenance() -> std::set<core::pool_id>
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -894,6 +894,24 @@
     CHECK(fleet.runningInService("service") == 3);
 }
 
+TEST_CASE("Maintenance takes a host without long-running tasks when the other hosts of its pool run all of them",
+          "[capacity]")
+{
+    played_fleet fleet;
+    fleet.add("b1", "busy");
+    fleet.add("b2", "busy");
+    fleet.begin();
+    // Both tasks fit on one host, although two of each kind do not fill two.
+    fleet.enqueue("large", "busy", {longRunningStep(1, 9000)});
+    fleet.playUntil(500);
+    fleet.enqueue("small", "busy", {longRunningStep(1, 7000)});
+    fleet.playUntil(2000);
+    REQUIRE(fleet.engine.workers().find(jobs::worker_id{"b1"})->placed.size() == 2);
+    fleet.planner.addWave(waveOf(core::host_id{"h-b2"}), at(fleet.now));
+    fleet.playUntil(20'000);
+    CHECK(fleet.waveCompleted);
+}
+
 TEST_CASE("A drain for maintenance is given back when long-running tasks wait and no other host can run them",
           "[capacity]")
 {
