Waiting long-running tasks that a cap permits count for the hosts of their pool

Long-running tasks of an account with a cap counted only while they had a run, so a pool got no host for those that had lost theirs in a general shortage.

Change: waiting tasks count as far as the cap of their account leaves room.

Test that failed before: "Hosts for long-running tasks are counted by the scarcest resource, without tasks beyond a cap": 4 tasks counted instead of 8.

--- a/src/poplarpass/capacity/capped_demand.cpp
+++ b/src/poplarpass/capacity/capped_demand.cpp
@@ -105,6 +105,27 @@
     return result;
 }
 
+cap_rooms::cap_rooms(const jobs::job_engine &engine)
+    : m_engine{engine}
+{
+}
+
+auto cap_rooms::take(const jobs::account_id &account, const jobs::resources &need, std::int64_t count) -> std::int64_t
+{
+    const auto *limits = account.empty() ? nullptr : m_engine.limitsOf(account);
+    if (limits == nullptr || !jobs::isLimited(limits->cap)) {
+        return count;
+    }
+    auto room = m_rooms.find(account);
+    if (room == m_rooms.end()) {
+        const auto left = jobs::roomUnder(limits->cap, m_engine.accountUsage().usageOf(account));
+        room = m_rooms.emplace(account, left).first;
+    }
+    const auto taken = std::min(count, startsIn(room->second, need));
+    room->second -= times(need, taken);
+    return taken;
+}
+
 auto capped_demand::offeredByPool(core::duration window) const -> std::map<core::pool_id, std::int64_t>
 {
     std::map<core::pool_id, std::int64_t> result;
--- a/src/poplarpass/capacity/capped_demand.h
+++ b/src/poplarpass/capacity/capped_demand.h
@@ -56,4 +56,19 @@
     const jobs::job_engine &m_engine;
     std::unordered_map<jobs::account_id, account_demand> m_accounts;
 };
+
+/// \brief What the caps of accounts leave for tasks that wait, less the tasks that were counted.
+class cap_rooms
+{
+public:
+    explicit cap_rooms(const jobs::job_engine &engine);
+
+    /// \brief Counts those of \p count starts of \p account that its cap permits; all of them without a cap.
+    /// \param need resources of one start
+    auto take(const jobs::account_id &account, const jobs::resources &need, std::int64_t count) -> std::int64_t;
+
+private:
+    const jobs::job_engine &m_engine;
+    std::unordered_map<jobs::account_id, jobs::resources> m_rooms;
+};
 } // namespace poplarpass::capacity
--- a/src/poplarpass/capacity/pool_demand.cpp
+++ b/src/poplarpass/capacity/pool_demand.cpp
@@ -56,10 +56,8 @@
     return need;
 }
 
-/// \brief Adds the long-running tasks of \p job that have to run.
-///
-/// Of an account with a cap, only those count that have a run: the others may have to wait for the cap.
-auto addLongRunningDemand(const jobs::multistep_job_record &job, const jobs::resources &hostCapacity, bool isCapped,
+/// \brief Adds the long-running tasks of \p job that run, or wait and may start under the cap of their account.
+auto addLongRunningDemand(const jobs::multistep_job_record &job, const jobs::resources &hostCapacity, cap_rooms &rooms,
                           pool_load &load) -> void
 {
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
@@ -67,12 +65,12 @@
         if (!spec.longRunning || !job.areDependenciesDone(0, step)) {
             continue;
         }
-        const std::int64_t waiting = job.waitingOf(0, step);
-        const std::int64_t tasks = job.unfinishedOf(0, step) - (isCapped ? waiting : 0);
         const auto perHost = startsIn(hostCapacity, reservationOf(spec));
         if (perHost > 0) {
+            const auto waiting = rooms.take(job.account, spec.perTask, job.waitingOf(0, step));
+            const auto tasks = job.unfinishedOf(0, step) - job.waitingOf(0, step) + waiting;
             load.longRunningTasks += tasks;
-            load.longRunningWaiting += isCapped ? 0 : waiting;
+            load.longRunningWaiting += waiting;
             load.longRunningHosts += static_cast<double>(tasks) / static_cast<double>(perHost);
         }
     }
@@ -121,10 +119,11 @@
     }
     measureOffered(engine, now, loads);
     capped_demand capped{engine};
+    cap_rooms rooms{engine};
     engine.forEachActive([&](const jobs::multistep_job_record &job) {
         auto &load = loads[job.queue.pool];
         addWaitingDemand(job, load, capped);
-        addLongRunningDemand(job, hostCapacity, capped.applies(job.account), load);
+        addLongRunningDemand(job, hostCapacity, rooms, load);
         load.minWorkers = std::max(load.minWorkers, antiAffinityWorkersOf(job));
     });
     for (const auto &[pool, waiting] : capped.waitingByPool()) {
--- a/tests/decisions/pool_demand_test.cpp
+++ b/tests/decisions/pool_demand_test.cpp
@@ -174,3 +174,34 @@
     CHECK(capped.measure(engine, {hostCpu, 32'000, 0}, at(1000))[pool].offered == 30'000);
     CHECK(free.measure(engine, {hostCpu, 32'000, 0}, at(1000))[pool].offered == offered);
 }
+
+// Guards against hosts that are taken from other pools for long-running tasks that need fewer, or may not start.
+TEST_CASE("Hosts for long-running tasks are counted by the scarcest resource, without tasks beyond a cap",
+          "[pool_demand][caps]")
+{
+    const jobs::account_id account{"alpha"};
+    const core::pool_id pool{"pool"};
+    jobs::job_engine engine{nullptr};
+    auto longRunning = step(12, 2000);
+    longRunning.longRunning = true;
+    longRunning.perTask.memoryMb = 8000;
+    auto other = step(4, 4000);
+    other.longRunning = true;
+    other.perTask.memoryMb = 1000;
+    engine.submit(jobs::job_id{"short"}, queue(), jobOf({step(50)}), wallAt(0));
+    engine.submit(jobs::job_id{"service"}, queue(), jobOf({longRunning}), wallAt(0), account);
+    engine.submit(jobs::job_id{"other"}, queue(), jobOf({other}), wallAt(0));
+    capacity::demand_meter meter;
+    const auto measured = [&] {
+        return meter.measure(engine, {hostCpu, 32'000, 0}, at(10))[pool];
+    };
+    CHECK(measured().longRunningHosts == 4);
+    CHECK(measured().longRunningTasks == 16);
+    CHECK(measured().longRunningWaiting == 16);
+
+    const std::vector<jobs::account_limits> all{{account, 1.0, {9000, 0, 0}}};
+    engine.updateAccounts(all);
+    CHECK(measured().longRunningHosts == 2);
+    CHECK(measured().longRunningTasks == 8);
+    CHECK(measured().longRunningWaiting == 8);
+}
