A late answer does not take back the suspicion of a silent worker

Cause: an answer to a renewal that was sent before the lease lapsed may be processed after the lapse. It shows that the worker was up when it answered, not that it was after the contact was lost, but it took the suspicion back.

Change: only an answer to a call that was sent after the lapse tells what the silence was; the next renewal brings one.

Test: "The silence of a worker counts as a crash only when a later instance answers", section "An answer of the same instance from before the lapse arrives late".

--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -49,7 +49,9 @@
         resolveEarlierIncarnation(*worker, report, sentAt, now);
         endPredecessors(*worker, now);
     }
-    if (report.incarnation != 0) {
+    // An answer to a call from before the lapse may be older than the end of the worker.
+    const auto silent = m_silentWorkers.find(id);
+    if (report.incarnation != 0 && silent != m_silentWorkers.end() && sentAt >= silent->second.since) {
         resolveSilence(id, report.incarnation, now);
     }
     worker->clockMs = report.clockMs;
--- a/tests/decisions/crashing_task_test.cpp
+++ b/tests/decisions/crashing_task_test.cpp
@@ -553,6 +553,11 @@
         engine.onReport(start.worker, report(), at(6100), at(6100));
         CHECK(crashes == jobs::crash_record{});
     }
+    SECTION("An answer of the same instance from before the lapse arrives late")
+    {
+        engine.onReport(start.worker, report(), at(5000), at(6100));
+        CHECK(crashes == jobs::crash_record{1, 0, 0, 0});
+    }
     SECTION("The worker answers as a new incarnation")
     {
         engine.onReport(start.worker, report(2), at(6100), at(6100));
