--- a/src/poplarpass/jobs/crash_evidence.cpp
+++ b/src/poplarpass/jobs/crash_evidence.cpp
@@ -87,13 +87,13 @@
     return stored;
 }
 
-// Workers also crash for causes of their own, so only crashes count that are proven and at which no other job's run had
-// just begun. A long-running task is exposed to more of them, and its failed runs have no limit either.
+// Workers also crash for causes of their own. A long-running task is exposed to more such crashes, and its failed runs
+// have no limit either, so for it only crashes count for which its job alone could be the cause.
 auto isCrashingTask(const crash_record &crashes, bool longRunning) -> bool
 {
     const auto further = longRunning ? furtherCrashesOfLongRunning : 0;
-    return crashes.certain >= certainCrashesBeforeGivingUp + further
-        || crashes.alone >= likelyCrashesBeforeGivingUp + further;
+    const auto certain = longRunning ? std::min(crashes.alone, crashes.certain) : crashes.certain;
+    return certain >= certainCrashesBeforeGivingUp + further || crashes.alone >= likelyCrashesBeforeGivingUp + further;
 }
 } // namespace internal
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_engine_crashes.cpp
+++ b/src/poplarpass/jobs/job_engine_crashes.cpp
@@ -70,6 +70,7 @@
         if (const auto [job, state] = locateOpen(run.task); job != nullptr) {
             state->crashes.later += run.isSuspect ? 0 : 1;
             state->crashes.atStart += run.isSuspect && !run.isCounted ? 1 : 0;
+            state->crashes.certain += run.isSuspect && run.isCertain ? 1 : 0;
             markChanged(*job);
             updateSuspicion(*job);
         }
@@ -192,7 +193,6 @@
             continue;
         }
         ++state->crashes.alone;
-        state->crashes.certain += run.isCertain ? 1 : 0;
         if (internal::isCrashingTask(state->crashes, job->spec.steps[run.task.step].longRunning)) {
             crashing = run.task;
         }
--- a/src/poplarpass/jobs/job_state.h
+++ b/src/poplarpass/jobs/job_state.h
@@ -28,7 +28,7 @@
                                ///< a worker is silent that had.
     std::uint32_t later = 0; ///< Workers that crashed later during a run, or before the run that went on for long.
     std::uint32_t alone = 0; ///< Those of atStart on which only runs of the task's own job had just begun.
-    std::uint32_t certain = 0; ///< Those of alone that surely ended during the run.
+    std::uint32_t certain = 0; ///< Those of atStart that surely ended during the run.
 
     auto operator==(const crash_record &) const -> bool = default;
 
