--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -69,10 +69,10 @@
 inline constexpr std::uint32_t lateCrashesBeforeObservation = 3;
 /// \brief When the contact to a worker is lost this soon after it began a run, the run had not ended before.
 inline constexpr core::duration certainCrashWindow = std::chrono::milliseconds{200};
-/// \brief Number of workers that surely crash during a task's runs, soon after their start and with no other job's run
-/// as a possible cause, before the task is given up.
+/// \brief Number of workers that surely crash under a task, soon after its start, before it is given up.
 inline constexpr std::uint32_t certainCrashesBeforeGivingUp = 2;
-/// \brief The same for crashes that were proven, but of which the time is not known well enough to be certain.
+/// \brief Number of workers that crash when only runs of the task's own job have just begun there, certainly during the
+/// run or not, before it is given up.
 inline constexpr std::uint32_t likelyCrashesBeforeGivingUp = 3;
 /// \brief Number of further crashes before a long-running task is given up.
 inline constexpr std::uint32_t furtherCrashesOfLongRunning = 1;
