job explain: a summary of why a job failed and what its tasks wait for

Operators had to read all lines of a job to see why it was shown as failed, and for a task without a run nothing said what it waits for or how old that is.

Change: job explain ends with a summary. For a failed job: the task, its failed runs against the maximum, the crashes that were counted and the runs that led to it. For a task without a run: what it waits for and the age of that line. A wait for a lease ends with the line that its worker answers again.

--- a/src/poplarpass/app/explain_verb.cpp
+++ b/src/poplarpass/app/explain_verb.cpp
@@ -1,4 +1,5 @@
 #include <poplarpass/app/explain_verb.h>
+#include <poplarpass/app/job_summary.h>
 #include <poplarpass/app/log_lines.h>
 
 #include <algorithm>
@@ -38,24 +39,34 @@
     return std::ranges::find(contextEvents, valueOf(line, "event")) != contextEvents.end();
 }
 
-auto readLines(std::string_view job, std::istream &in) -> std::vector<log_line>
+/// \brief What was read of the logs.
+struct read_log
 {
-    std::vector<log_line> lines;
+    std::vector<log_line> lines; ///< Lines of the job and of events beside it.
+    std::int64_t newestMs = 0; ///< Time of day of the newest line of all.
+};
+
+auto readLines(std::string_view job, std::istream &in) -> read_log
+{
+    read_log read;
+    auto &lines = read.lines;
     for (std::string text; std::getline(in, text);) {
         const bool concernsJob = concerns(text, job);
         const auto time = parseTimeOfDay(text);
+        read.newestMs = std::max(read.newestMs, time.value_or(0));
         if (time && (concernsJob || isContextEvent(text))) {
             lines.push_back({*time, concernsJob, text.substr(text.find("time="))});
         }
     }
     std::ranges::stable_sort(lines, {}, &log_line::atMs);
-    return lines;
+    return read;
 }
 } // namespace
 
 auto explainJob(std::string_view job, std::istream &in, std::ostream &out) -> std::size_t
 {
-    const auto lines = readLines(job, in);
+    const auto read = readLines(job, in);
+    const auto &lines = read.lines;
     const auto first = std::ranges::find(lines, true, &log_line::concernsJob);
     const auto last = std::ranges::find(lines.rbegin(), lines.rend(), true, &log_line::concernsJob);
     if (first == lines.end()) {
@@ -71,6 +82,11 @@
         count += line->concernsJob ? 1 : 0;
         before = line->atMs;
     }
+    job_summary summary;
+    for (const auto &line : lines) {
+        summary.add(line.atMs, line.text);
+    }
+    summary.print(read.newestMs, out);
     return count;
 }
 } // namespace poplarpass::app
