job explain: a start that the log left out is not told as missing

In a trial of a flood, 68 lines task_placed told of others that were left out, and the summary said of a task that it had no run because no start of it was in the log. It now says that the logs may lack the start.

--- a/src/poplarpass/app/job_summary.cpp
+++ b/src/poplarpass/app/job_summary.cpp
@@ -111,13 +111,15 @@
 auto job_summary::printWait(const std::string &task, const dated_line &line, std::int64_t newestMs,
                             std::ostream &out) const -> void
 {
-    out << "summary: " << task << " has no run: ";
+    out << "summary: " << task;
     if (valueOf(line.text, "event") == "task_without_run") {
-        out << "it waits for " << valueOf(line.text, "reason");
+        out << " has no run: it waits for " << valueOf(line.text, "reason");
         printFields(line.text, waitFields, out);
     } else {
-        out << "run " << valueOf(line.text, "run") << " on " << valueOf(line.text, "worker") << " ended as "
-            << valueOf(line.text, "reason") << ", no line tells yet what it waits for";
+        // In a flood most lines task_placed are left out.
+        out << ": run " << valueOf(line.text, "run") << " on " << valueOf(line.text, "worker") << " ended as "
+            << valueOf(line.text, "reason")
+            << ", and no later start is in these logs, which may lack it (dropped_before)";
     }
     out << ", as of " << newestMs - line.atMs << " ms before the last line\n";
 }
