A task under which workers fall silent starts five times at most until one of them answers

Change: crashes and unresolved silences under a task are counted together. From three on, the start after a silence is delayed by 2.5 s; from five on, a task that ends by itself waits until a silent worker answers or is forgotten (60 s). The job does not fail on silence. A certain crash of which a task was cleared no longer counts towards giving it up.

Tests: "A crashing task is not started a sixth time while its silent workers stay away" (downtimes of 8, 20, 30 s and for good). The test of silent workers that never answer expected a start after each of six silences; it now demands five starts, none later than 3 s after the lease, and still that the job is active. The table of isCrashingTask() has the case {1,2,1,3} again.

--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -75,6 +75,13 @@
 /// \brief Number of workers that crash when only runs of the task's own job have just begun there, certainly during the
 /// run or not, before it is given up.
 inline constexpr std::uint32_t likelyCrashesBeforeGivingUp = 3;
+/// \brief Number of crashes and silent workers under a task from which its start after a silence is delayed.
+inline constexpr std::uint32_t possibleCrashesBeforeDelay = 3;
+/// \brief That delay.
+inline constexpr core::duration silenceStartDelay = std::chrono::milliseconds{2500};
+/// \brief Number of crashes and silent workers under a task that ends by itself from which it waits until a silent
+/// worker answers or is forgotten.
+inline constexpr std::uint32_t possibleCrashesBeforeHold = 5;
 /// \brief Number of further crashes before a long-running task is given up.
 inline constexpr std::uint32_t furtherCrashesOfLongRunning = 1;
 /// \brief Time for which a worker is reserved for the observed start of a job's tasks, at first until they start and
--- a/src/poplarpass/jobs/crash_evidence.cpp
+++ b/src/poplarpass/jobs/crash_evidence.cpp
@@ -92,7 +92,8 @@
 auto isCrashingTask(const crash_record &crashes, bool longRunning) -> bool
 {
     const auto further = longRunning ? furtherCrashesOfLongRunning : 0;
-    const auto certain = longRunning ? std::min(crashes.alone, crashes.certain) : crashes.certain;
+    // Crashes of which a task was cleared no longer count as crashes at its start.
+    const auto certain = std::min(crashes.certain, longRunning ? crashes.alone : crashes.atStart);
     return certain >= certainCrashesBeforeGivingUp + further || crashes.alone >= likelyCrashesBeforeGivingUp + further;
 }
 } // namespace internal
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -324,7 +324,9 @@
         }
         ++m_counters.runsLost;
         logRunLost(task, worker, *state, nameOf(loss));
-        resetToWaiting(task, *job, *state, now, nameOf(loss));
+        const auto delay =
+            loss == worker_loss::lease_lapsed ? startDelayAfterSilence(task, *job, *state) : core::duration{0};
+        resetToWaiting(task, *job, *state, now + delay, nameOf(loss));
     }
     dropLingering(worker.entry.id);
     worker.placed.clear();
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -326,6 +326,13 @@
     /// \brief Counts the crash of worker \p id if it had fallen silent; another instance has answered in its place.
     auto onSilentWorkerEnded(const worker_id &id, core::monotonic_time now) -> void;
     auto takeBackSuspicion(const worker_id &id, const internal::silent_worker &silent) -> void;
+    /// \brief Returns how many workers crashed, or fell silent and may have crashed, under \p task.
+    [[nodiscard]] auto possibleCrashesOf(const task_ref &task, const task_record &state) const -> std::size_t;
+    /// \brief Returns the delay of the next start of \p task, whose worker has fallen silent.
+    [[nodiscard]] auto startDelayAfterSilence(const task_ref &task, const multistep_job_record &job,
+                                              const task_record &state) const -> core::duration;
+    /// \brief Shortens that delay after a silent worker has answered as before.
+    auto shortenStartDelay(const task_ref &task, core::monotonic_time now) -> void;
     /// \brief Clears a task of crashes at its start when its run has gone on for long enough.
     auto clearIfLasting(const task_ref &task, multistep_job_record &job, task_record &state, core::monotonic_time now)
         -> void;
--- a/src/poplarpass/jobs/job_engine_crashes.cpp
+++ b/src/poplarpass/jobs/job_engine_crashes.cpp
@@ -117,7 +117,11 @@
         return;
     }
     takeBackSuspicion(id, found->second);
+    const auto runs = std::move(found->second.runs);
     m_silentWorkers.erase(found);
+    for (const auto &run : runs) {
+        shortenStartDelay(run.task, now);
+    }
 }
 
 auto job_engine::onSilentWorkerEnded(const worker_id &id, core::monotonic_time now) -> void
@@ -127,6 +131,35 @@
     }
 }
 
+auto job_engine::possibleCrashesOf(const task_ref &task, const task_record &state) const -> std::size_t
+{
+    std::size_t count = state.crashes.total();
+    for (const auto &[id, silent] : m_silentWorkers) {
+        count += static_cast<std::size_t>(std::ranges::count_if(
+            silent.runs, [&](const internal::lost_run &run) { return run.task == task && !run.isCounted; }));
+    }
+    return count;
+}
+
+// Silence is no proof of a crash, so the job does not fail. But the task may have crashed all of these workers, and
+// until one of them answers, further starts could cost as many again.
+auto job_engine::startDelayAfterSilence(const task_ref &task, const multistep_job_record &job,
+                                        const task_record &state) const -> core::duration
+{
+    const auto count = possibleCrashesOf(task, state);
+    if (count >= possibleCrashesBeforeHold && !job.spec.steps[task.step].longRunning) {
+        return crashMemory;
+    }
+    return count >= possibleCrashesBeforeDelay ? silenceStartDelay : core::duration{0};
+}
+
+auto job_engine::shortenStartDelay(const task_ref &task, core::monotonic_time now) -> void
+{
+    if (const auto [job, state] = locateOpen(task); job != nullptr) {
+        state->notBefore = std::min(state->notBefore, now + startDelayAfterSilence(task, *job, *state));
+    }
+}
+
 auto job_engine::takeBackSuspicion(const worker_id &id, const internal::silent_worker &silent) -> void
 {
     for (const auto &run : silent.runs) {
--- a/tests/decisions/crashing_task_test.cpp
+++ b/tests/decisions/crashing_task_test.cpp
@@ -315,6 +315,33 @@
     CHECK(world.phaseOf(crashingJob) == jobs::multistep_job_phase::failed);
 }
 
+TEST_CASE("A crashing task is not started a sixth time while its silent workers stay away", "[jobs][crashes]")
+{
+    crash_world world{12};
+    world.crashingTasks = {crashingTask};
+    SECTION("20 s, crash at once")
+    {
+        world.downtimeMs = 20'000;
+    }
+    SECTION("30 s, crash at once")
+    {
+        world.downtimeMs = 30'000;
+    }
+    SECTION("8 s, crash 0.5 s after the start")
+    {
+        world.downtimeMs = 8000;
+        world.crashDelayMs = 500;
+    }
+    SECTION("For good")
+    {
+        world.downtimeMs = 1'000'000;
+    }
+    world.submit(crashingJob, jobOf({step(3)}));
+    world.runFor(60'000);
+    CHECK(world.crashes[crashingTask] >= 3);
+    CHECK(world.crashes[crashingTask] <= maxCrashes);
+}
+
 TEST_CASE("A gang with a member that crashes its workers is given up before the sixth start", "[jobs][crashes]")
 {
     crash_world world{4};
@@ -408,6 +435,7 @@
     using jobs::internal::isCrashingTask;
     CHECK_FALSE(isCrashingTask({1, 0, 1, 1}, false));
     CHECK_FALSE(isCrashingTask({1, 9, 1, 1}, false));
+    CHECK_FALSE(isCrashingTask({1, 2, 1, 3}, false));
     CHECK_FALSE(isCrashingTask({9, 9, 2, 1}, false));
     CHECK_FALSE(isCrashingTask({9, 9, 0, 0}, false));
     CHECK(isCrashingTask({2, 0, 1, 2}, false));
@@ -510,7 +538,9 @@
     CHECK(world.isRunning(crashingTask));
 }
 
-TEST_CASE("A job is not shown as failed because silent workers never answer again", "[jobs][crashes]")
+TEST_CASE(
+    "A job is not shown as failed, nor its task started on ever more workers, because silent ones never answer again",
+    "[jobs][crashes]")
 {
     std::vector<jobs::worker_entry> workers;
     for (int index = 0; index < 8; ++index) {
@@ -520,17 +550,24 @@
     const jobs::job_id id{crashingJob};
     engine.submit(id, queue(), jobOf({step(1)}), wallAt(0));
     std::set<std::string> silent;
-    for (std::int64_t now = 10; silent.size() < manyCuts; now += 6000) {
+    std::vector<std::int64_t> startedAt;
+    for (std::int64_t now = 10; now < 60'000; now += 100) {
         for (const auto &entry : workers) {
             if (!silent.contains(entry.id.str())) {
                 engine.onReport(entry.id, report(), at(now), at(now));
             }
         }
-        const auto starts = startAll(engine, now);
-        REQUIRE(starts.size() == 1);
-        engine.workers().extendLease(*engine.workers().find(starts[0].worker), at(now));
-        engine.onNoReport(starts[0].worker, at(now + 50));
-        silent.insert(starts[0].worker.str());
+        for (const auto &start : startAll(engine, now)) {
+            startedAt.push_back(now);
+            engine.workers().extendLease(*engine.workers().find(start.worker), at(now));
+            engine.onNoReport(start.worker, at(now + 50));
+            silent.insert(start.worker.str());
+        }
+    }
+    REQUIRE(startedAt.size() == maxCrashes);
+    // The lease of a silent worker lasts 5.2 s; a task waits 3 s at most after it.
+    for (std::size_t index = 1; index < startedAt.size(); ++index) {
+        CHECK(startedAt[index] - startedAt[index - 1] <= 8200);
     }
     CHECK(engine.find(id)->phase == jobs::multistep_job_phase::active);
     CHECK(engine.find(id)->tasks[0].crashes == jobs::crash_record{1, 0, 0, 0});
