The list of hosts ends the runs of a worker that has crashed

Callers saw tasks without a run for 5 s after the crash of a worker, and for 10 s and more when owners were lost near it: a worker whose host goes down answers nobody, so only the end of its lease ended its runs. A restored worker that is no longer listed has no address, so no successor could prove its end.

The platform's list of hosts names the current worker of each host. A worker is one life of a host, so one that does not answer and that two lists, requested 0.8 s apart, name on no host has ended. A list proves nothing when it lacks a worker that answers or the worker of a host that is up.

The crash counts like one that another instance proves.

--- a/src/poplarpass/capacity/constants.h
+++ b/src/poplarpass/capacity/constants.h
@@ -43,6 +43,8 @@
 inline constexpr core::duration busyHostRetryDelay = std::chrono::milliseconds{500};
 /// \brief Time after an answer during which a worker is assumed to be the current worker of its host.
 inline constexpr core::duration workerAnswerValidity = std::chrono::milliseconds{1800};
+/// \brief Minimum time between two host lists without a worker before it is considered ended.
+inline constexpr core::duration minUnhostedTime = std::chrono::milliseconds{800};
 /// \brief Time after which the drain of a host for a move is abandoned.
 inline constexpr core::duration moveDrainTimeout = std::chrono::milliseconds{4000};
 /// \brief Time that a pool is short of hosts before hosts with long-running tasks are drained for it.
--- a/src/poplarpass/host/capacity_controller.cpp
+++ b/src/poplarpass/host/capacity_controller.cpp
@@ -97,6 +97,9 @@
         m_lifetime.guard([this, requestedAt](const std::optional<std::vector<capacity::host_entry>> &hosts) {
             if (hosts) {
                 m_planner.updateHosts(*hosts, requestedAt, m_env.time.now());
+                for (const auto &worker : m_endedWorkers.update(*hosts, requestedAt, m_env.engine.workers())) {
+                    m_env.engine.onHostLost(worker, m_env.time.now());
+                }
                 m_env.onChange();
             }
             if (std::exchange(m_hostServiceUnavailable, !hosts) != m_hostServiceUnavailable) {
--- a/src/poplarpass/host/capacity_controller.h
+++ b/src/poplarpass/host/capacity_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <poplarpass/capacity/capacity_planner.h>
+#include <poplarpass/capacity/ended_workers.h>
 #include <poplarpass/core/lifetime.h>
 #include <poplarpass/core/time_source.h>
 #include <poplarpass/host/host_calls.h>
@@ -80,6 +81,7 @@
 
     capacity_environment m_env;
     capacity::capacity_planner m_planner;
+    capacity::ended_workers m_endedWorkers;
     std::map<std::string, std::string> m_waveRecords;
     std::map<std::int64_t, core::wall_time> m_waveDeadlines;
     std::deque<status_write> m_statusWrites;
--- a/src/poplarpass/jobs/crash_evidence.cpp
+++ b/src/poplarpass/jobs/crash_evidence.cpp
@@ -8,7 +8,8 @@
 {
 auto nameOf(worker_loss loss) -> std::string_view
 {
-    static constexpr std::array<std::string_view, 3> names{"other_instance", "worker_restarted", "lease_lapsed"};
+    static constexpr std::array<std::string_view, 4> names{"other_instance", "worker_restarted", "lease_lapsed",
+                                                           "host_lost"};
     return names.at(static_cast<std::size_t>(loss));
 }
 
--- a/src/poplarpass/jobs/crash_evidence.h
+++ b/src/poplarpass/jobs/crash_evidence.h
@@ -14,6 +14,7 @@
     other_instance, ///< Another instance answered at its address.
     worker_restarted, ///< It reported as a new incarnation.
     lease_lapsed, ///< It stayed silent until its lease had expired; it may only be cut off.
+    host_lost, ///< No host has it any more.
 };
 
 /// \brief Returns the name of \p loss in logs.
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -94,6 +94,9 @@
     /// \brief Handles a renewal without an answer.
     auto onNoReport(const worker_id &id, core::monotonic_time now) -> void;
 
+    /// \brief Handles the end of the worker as seen in the list of hosts.
+    auto onHostLost(const worker_id &id, core::monotonic_time now) -> void;
+
     /// \brief Handles an answer of another instance at the worker's address: the worker itself has ended.
     auto onOtherInstance(const worker_id &id, core::monotonic_time now) -> void;
 
@@ -294,6 +297,7 @@
     auto recordOutcome(worker_slot &worker, end_kind how, core::monotonic_time now) -> void;
     auto onRunning(worker_slot &worker, const running_run &running, core::monotonic_time now) -> void;
     auto resolveUnlistedRuns(worker_slot &worker, core::monotonic_time sentAt, core::monotonic_time now) -> void;
+    auto endWorker(const worker_id &id, worker_loss loss, core::monotonic_time now) -> void;
     auto markAllLost(worker_slot &worker, worker_loss loss, core::monotonic_time now) -> void;
     /// \returns a job to be given up once the lost runs are removed
     auto recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now) -> std::optional<job_id>;
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -116,11 +116,22 @@
 }
 
 auto job_engine::onOtherInstance(const worker_id &id, core::monotonic_time now) -> void
+{
+    endWorker(id, worker_loss::other_instance, now);
+}
+
+// An order that the worker received has ended with it, and a connection to it does not reach its successor.
+auto job_engine::onHostLost(const worker_id &id, core::monotonic_time now) -> void
+{
+    endWorker(id, worker_loss::host_lost, now);
+}
+
+auto job_engine::endWorker(const worker_id &id, worker_loss loss, core::monotonic_time now) -> void
 {
     if (auto *worker = m_workers.find(id)) {
         m_workers.markUnresponsive(*worker, now);
         worker->listed = false;
-        markAllLost(*worker, worker_loss::other_instance, now);
+        markAllLost(*worker, loss, now);
     }
 }
 
