--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -73,11 +73,6 @@
             yieldIfSmall();
         }
     };
-    hooks.onFormerOwnersFenced = [this](std::optional<core::monotonic_time> ordersUntil) {
-        if (m_owner) {
-            m_owner->onFormerOwnersFenced(ordersUntil);
-        }
-    };
     hooks.onOwnershipLost = [this] {
         onOwnershipLost();
     };
--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -51,9 +51,6 @@
         m_log.log(log_level::info, "store_regained", {{"topic", "ownership"}, {"offset", m_offset}});
     }
     if (result.outcome == store::read_outcome::expired) {
-        if (m_offset > 0) {
-            m_monitor.onRecordsSkipped(m_time.now());
-        }
         m_offset = result.firstOffset;
         m_time.callAfter(core::duration{0}, m_lifetime.guard([this] { read(); }));
         return;
@@ -83,7 +80,6 @@
         && decoded->host == m_hostName) {
         beginTerm(decoded->epoch, m_claimedAt);
     }
-    limitFormerOrders(*decoded);
     const auto &current = m_monitor.current();
     const bool changed = before.has_value() != current.has_value() || (before && before->epoch != current->epoch);
     if (!changed) {
@@ -98,16 +94,6 @@
     }
 }
 
-// The store rejects renewals of former owners once it has stored one of this owner. Former renewals precede it in the
-// log, so all of them have been read when it is read.
-auto owner_election::limitFormerOrders(const owner::owner_record &record) -> void
-{
-    const bool isOwnRenewal = m_owner && record.kind == owner::owner_record_kind::renewal && record.epoch == m_epoch;
-    if (isOwnRenewal && std::exchange(m_fencedEpoch, m_epoch) != m_epoch) {
-        m_hooks.onFormerOwnersFenced(m_monitor.formerOrdersUntil(m_epoch, m_hostName));
-    }
-}
-
 auto owner_election::claimIfDue() -> void
 {
     const bool mayClaim = !m_claimsDisabled && !m_onResigned && m_time.now() >= m_noClaimsBefore;
@@ -327,10 +313,7 @@
 
 auto owner_election::formerOwners() const -> std::vector<std::string>
 {
-    auto former = m_monitor.formerOwners(m_epoch, m_time.now());
-    // An earlier process of this host has ended, and an earlier term of this process sends no orders.
-    std::erase(former, m_hostName);
-    return former;
+    return m_monitor.formerOwners(m_epoch, m_time.now());
 }
 
 auto owner_election::offset() const -> std::uint64_t
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -8,7 +8,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace poplarpass::host
@@ -21,8 +20,6 @@
     std::function<void(core::monotonic_time, core::duration)>
         onRenewing; ///< A renewal is about to be sent: time, election timeout.
     std::function<void(core::monotonic_time, core::duration)> onRenewed; ///< The renewal is stored: the same arguments.
-    std::function<void(std::optional<core::monotonic_time>)>
-        onFormerOwnersFenced; ///< No former owner can renew its term any more: time from which none sends orders.
     std::function<void()> onOwnershipLost; ///< This process is no longer the owner.
     std::function<unsigned()> rank; ///< Claim rank of this process; the lowest claims first.
 };
@@ -72,7 +69,6 @@
     auto read() -> void;
     auto onRead(const store::read_result &result) -> void;
     auto applyRecord(const store::stored_record &record) -> void;
-    auto limitFormerOrders(const owner::owner_record &record) -> void;
     auto claimIfDue() -> void;
     auto claim() -> void;
     auto onClaimed(const store::append_result &answer, std::uint64_t epoch, core::monotonic_time sentAt) -> void;
@@ -105,7 +101,6 @@
     core::monotonic_time m_renewalSentAt{}; ///< When the renewal in flight was first sent.
     core::duration m_renewalTimeout = owner::longElectionTimeout; ///< Election timeout in that renewal.
     bool m_renewalRepeated = false; ///< Whether that renewal was sent more than once.
-    std::uint64_t m_fencedEpoch = 0; ///< Epoch of this process for which onFormerOwnersFenced was called.
     bool m_renewing = false;
     bool m_owner = false;
     bool m_claiming = false;
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -129,13 +129,13 @@
     }
     logUnreadable(newest, "jobs", m_env.log);
     const auto now = m_env.time.now();
-    const auto ordersUntil = formerOrdersUntil(now);
+    const auto formerOrdersUntil = m_formerOwners.empty() ? now : now + owner::orderTerm;
     auto restored = restoreJobs(newest, m_env.log);
     for (auto &entry : restored.jobs) {
         if (!entry.job.spec.steps.empty()) {
             m_journal.markStored(entry);
         }
-        m_engine.restore(std::move(entry.job), now, ordersUntil);
+        m_engine.restore(std::move(entry.job), now, formerOrdersUntil);
     }
     m_journal.removeKeys(restored.unusedKeys);
     m_restored = true;
@@ -238,21 +238,6 @@
     m_term.onRenewed(sentAt, electionTimeout);
 }
 
-auto pool_owner::onFormerOwnersFenced(std::optional<core::monotonic_time> ordersUntil) -> void
-{
-    m_formerOrdersUntil = ordersUntil.value_or(m_startedAt);
-    if (m_restored) {
-        m_engine.workers().limitUnrecordedLeases(*m_formerOrdersUntil);
-    }
-}
-
-// Before the fence was read a former owner may have renewed its term just now.
-auto pool_owner::formerOrdersUntil(core::monotonic_time now) const -> core::monotonic_time
-{
-    const auto latest = m_formerOwners.empty() ? now : now + owner::orderTerm;
-    return std::min(latest, m_formerOrdersUntil.value_or(latest));
-}
-
 auto pool_owner::onAnnouncementAcknowledged(const std::string &name) -> void
 {
     if (m_formerOwners.erase(name) > 0 && m_formerOwners.empty() && m_restored) {
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -82,10 +82,6 @@
     /// \brief Handles the acknowledgement of host \p name, which sends no orders of a former term any more.
     auto onAnnouncementAcknowledged(const std::string &name) -> void;
 
-    /// \brief Called when no former owner can renew its term any more.
-    /// \param ordersUntil time from which no former owner sends orders; nothing when none could when this term began
-    auto onFormerOwnersFenced(std::optional<core::monotonic_time> ordersUntil) -> void;
-
     /// \brief Stops deciding, waits until all pending changes are stored, then calls \p done.
     auto resign(std::function<void()> done) -> void;
 
@@ -105,7 +101,6 @@
     auto updateMetrics() -> void;
 
 private:
-    [[nodiscard]] auto formerOrdersUntil(core::monotonic_time now) const -> core::monotonic_time;
     auto makeWorkerList() -> std::unique_ptr<worker_list>;
     auto makeCapacity() -> std::unique_ptr<capacity_controller>;
     auto readJobs() -> void;
@@ -182,7 +177,6 @@
     std::map<jobs::account_id, std::map<std::string, std::uint64_t>> m_accountRefusals; ///< By account and reason.
     std::vector<std::function<void()>> m_afterNextWrite;
     std::set<std::string> m_formerOwners;
-    std::optional<core::monotonic_time> m_formerOrdersUntil; ///< From then on no former owner sends orders.
     bool m_restored = false;
     bool m_serving = false;
     bool m_resigned = false;
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -183,32 +183,15 @@
     auto *worker = find(record.worker);
     if (worker != nullptr && record.remaining && worker->entry.incarnation == record.incarnation) {
         worker->leaseEnd = now + *record.remaining;
-        worker->isLeaseRecorded = true;
         worker->recordedRemainder = record.remaining;
     }
 }
 
-// A lease that this owner has extended itself may end later: its worker is not synced again after a restart.
-auto worker_table::limitFormerLease(worker_slot &worker, core::monotonic_time ordersUntil) -> void
-{
-    if (!worker.synced && worker.leaseSentAt == core::monotonic_time{}) {
-        worker.leaseEnd = std::min(worker.leaseEnd, ordersUntil + maxRealLease + leaseMargin);
-    }
-}
-
 auto worker_table::limitFormerLeases(core::monotonic_time ordersUntil) -> void
 {
     for (auto &[id, worker] : m_workers) {
-        limitFormerLease(worker, ordersUntil);
-    }
-}
-
-// The recorded lease of a worker that restarted may be longer than the term of one, up to what the worker grants.
-auto worker_table::limitUnrecordedLeases(core::monotonic_time ordersUntil) -> void
-{
-    for (auto &[id, worker] : m_workers) {
-        if (!worker.isLeaseRecorded) {
-            limitFormerLease(worker, ordersUntil);
+        if (!worker.synced) {
+            worker.leaseEnd = std::min(worker.leaseEnd, ordersUntil + maxRealLease + leaseMargin);
         }
     }
 }
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -42,7 +42,6 @@
     std::uint64_t lastHandledEnd = 0; ///< Number of the last processed end.
     std::optional<std::chrono::milliseconds>
         recordedRemainder; ///< Remaining lease as last recorded, while it is unresponsive.
-    bool isLeaseRecorded = false; ///< Whether a former owner recorded its remaining lease.
     std::uint32_t consecutiveFailures = 0; ///< Failed runs since the last one that ended as done.
     std::optional<start_observation> observation; ///< Reservation for an observed start; may have expired.
     std::uint32_t bestEffortPace = 100; ///< Pace of best-effort tasks there, percent.
@@ -135,9 +134,6 @@
     /// ordersUntil.
     auto limitFormerLeases(core::monotonic_time ordersUntil) -> void;
 
-    /// \brief Does the same except for workers whose remaining lease a former owner recorded.
-    auto limitUnrecordedLeases(core::monotonic_time ordersUntil) -> void;
-
     /// \brief Returns the new records of unresponsive workers; they have to be stored before any of these leases is
     /// extended again.
     auto collectUnrenewedLeases(core::monotonic_time now) -> std::vector<unrenewed_lease>;
@@ -149,7 +145,6 @@
     static auto startIncarnation(worker_slot &worker, std::int64_t incarnation) -> void;
 
 private:
-    static auto limitFormerLease(worker_slot &worker, core::monotonic_time ordersUntil) -> void;
     auto findOrCreate(const worker_id &id) -> worker_slot &;
     auto updateIndexes() -> void;
 
--- a/src/poplarpass/owner/owner_monitor.cpp
+++ b/src/poplarpass/owner/owner_monitor.cpp
@@ -53,14 +53,13 @@
 
 auto owner_monitor::onRecord(const owner_record &record, core::monotonic_time now) -> void
 {
-    // An earlier owner may have renewed its term between the claim of the next one and that one's first renewal.
-    recordObserved(record, now);
     if (record.epoch < m_newestEpoch) {
         return;
     }
     m_newestEpoch = record.epoch;
     m_electionTimerStart = now;
     m_isStoreSlow = record.electionTimeout > shortElectionTimeout;
+    recordObserved(record, now);
     if (record.kind == owner_record_kind::resignation) {
         m_current.reset();
         m_vacantSince = now;
@@ -94,19 +93,6 @@
     return former;
 }
 
-// A renewal is sent before it is read, so counting the order term from the time of reading gives an upper bound.
-auto owner_monitor::formerOrdersUntil(std::uint64_t epoch, std::string_view host) const
-    -> std::optional<core::monotonic_time>
-{
-    std::optional<core::monotonic_time> until;
-    for (const auto &observed : m_observedOwners) {
-        if (observed.epoch < epoch && !observed.resigned && observed.host != host) {
-            until = std::max(until.value_or(observed.lastSeenAt + orderTerm), observed.lastSeenAt + orderTerm);
-        }
-    }
-    return until;
-}
-
 auto owner_monitor::onAnnouncement(const owner_record &record, core::monotonic_time now) -> bool
 {
     if (record.epoch <= m_newestEpoch) {
@@ -130,14 +116,6 @@
     }
 }
 
-// Epoch 0 precedes those of all owners, and no host of that name acknowledges an announcement.
-auto owner_monitor::onRecordsSkipped(core::monotonic_time now) -> void
-{
-    owner_record unknown;
-    unknown.kind = owner_record_kind::renewal;
-    recordObserved(unknown, now);
-}
-
 auto owner_monitor::onReadFailed() -> void
 {
     m_readable = false;
--- a/src/poplarpass/owner/owner_monitor.h
+++ b/src/poplarpass/owner/owner_monitor.h
@@ -68,20 +68,9 @@
     /// \brief Returns the host names of owners before \p epoch that may still send orders at \p now.
     [[nodiscard]] auto formerOwners(std::uint64_t epoch, core::monotonic_time now) const -> std::vector<std::string>;
 
-    /// \brief Returns the time from which no owner before \p epoch sends orders, by the records read so far.
-    ///
-    /// It is final once a record that fences off renewals of earlier owners has been read.
-    /// \param host name of this process's host; earlier owners on it have ended
-    /// \returns nothing when there was no earlier owner that may still send orders
-    [[nodiscard]] auto formerOrdersUntil(std::uint64_t epoch, std::string_view host) const
-        -> std::optional<core::monotonic_time>;
-
     /// \brief Handles a complete answer to a read from the store.
     auto onRead(core::monotonic_time now) -> void;
 
-    /// \brief Called when records expired before they were read; one of them may have been of an unknown owner.
-    auto onRecordsSkipped(core::monotonic_time now) -> void;
-
     /// \brief Handles a read that the store did not answer.
     auto onReadFailed() -> void;
 
--- a/tests/decisions/job_engine_test.cpp
+++ b/tests/decisions/job_engine_test.cpp
@@ -452,36 +452,6 @@
     CHECK((ended.empty() || !ended[0].remaining));
 }
 
-TEST_CASE("A bound on former leases shortens no lease that was extended or recorded later", "[jobs]")
-{
-    auto engine = engineWith({worker("a")});
-    auto &table = engine.workers();
-    engine.submit(jobId, queue(), jobOf({step(1)}), wallAt(0));
-    startAll(engine, 10);
-    auto &slot = *table.find(jobs::worker_id{"a"});
-    SECTION("a lease that this owner extended before the worker restarted")
-    {
-        table.extendLease(slot, at(2000));
-        const std::vector restarted{worker("a", 2)};
-        table.update(restarted, at(2100));
-        const auto before = slot.leaseEnd;
-        table.limitFormerLeases(at(0));
-        table.limitUnrecordedLeases(at(0));
-        CHECK(slot.leaseEnd == before);
-    }
-    SECTION("a lease that a former owner recorded")
-    {
-        auto restored = jobs::makeJob(jobId, queue(), jobOf({step(1)}), wallAt(0));
-        REQUIRE(jobs::applyProgress(restored, jobs::encodeProgress(*engine.find(jobId))));
-        auto next = jobs::job_engine{nullptr};
-        next.restore(restored, at(2000), at(2000));
-        const std::chrono::milliseconds remaining{9000};
-        next.workers().restoreUnrenewedLease({jobs::worker_id{"a"}, 1, remaining}, at(2000));
-        next.workers().limitUnrecordedLeases(at(0));
-        CHECK(next.workers().find(jobs::worker_id{"a"})->leaseEnd == at(2000) + remaining);
-    }
-}
-
 TEST_CASE("A later owner continues to stop the runs of a cancelled job", "[jobs]")
 {
     auto engine = engineWith({worker("a")});
--- a/tests/decisions/owner_monitor_test.cpp
+++ b/tests/decisions/owner_monitor_test.cpp
@@ -93,35 +93,6 @@
     CHECK(monitor.formerOwners(9, at(10) + owner::orderTerm + std::chrono::milliseconds{1}).empty());
 }
 
-TEST_CASE("Orders of former owners are expected for one order term after their last record", "[owner]")
-{
-    owner::owner_monitor monitor;
-    monitor.onRead(at(0));
-    monitor.onRecord(record(claim, 1, "a"), at(10));
-    monitor.onRecord(record(renewal, 1, "a"), at(310));
-    CHECK_FALSE(monitor.formerOrdersUntil(1, "a"));
-    CHECK_FALSE(monitor.formerOrdersUntil(9, "a"));
-    monitor.onRecord(record(claim, 9, "b"), at(1400));
-    CHECK(monitor.formerOrdersUntil(9, "b") == at(310) + owner::orderTerm);
-
-    SECTION("an owner that resigned is not awaited")
-    {
-        monitor.onRecord(record(resignation, 1, "a"), at(1500));
-        CHECK_FALSE(monitor.formerOrdersUntil(9, "b"));
-    }
-    SECTION("a renewal that was stored after the next claim counts")
-    {
-        monitor.onRecord(record(renewal, 1, "a"), at(1450));
-        CHECK(monitor.formerOrdersUntil(9, "b") == at(1450) + owner::orderTerm);
-        CHECK(monitor.current()->host == "b");
-    }
-    SECTION("records that expired unread may have been of an unknown owner")
-    {
-        monitor.onRecordsSkipped(at(1450));
-        CHECK(monitor.formerOrdersUntil(9, "b") == at(1450) + owner::orderTerm);
-    }
-}
-
 TEST_CASE("An owner stops answering before the election timeout and sends orders beyond it", "[owner]")
 {
     owner::owner_term term{7, at(0)};
--- a/tests/io/owner_election_test.cpp
+++ b/tests/io/owner_election_test.cpp
@@ -7,8 +7,6 @@
 
 using namespace tests;
 
-namespace owner = poplarpass::owner;
-
 namespace
 {
 /// \brief One process that takes part in the election.
@@ -34,9 +32,6 @@
             ++renewals;
             renewedAt = sentAt;
         };
-        result.onFormerOwnersFenced = [this](std::optional<core::monotonic_time> until) {
-            formerOrdersUntil.push_back(until);
-        };
         result.onOwnershipLost = [this] {
             ownershipLost = true;
         };
@@ -50,7 +45,6 @@
     store::record_store records;
     poplarpass::observe::logger log{discardingLoggerOptions()};
     std::vector<std::uint64_t> epochs;
-    std::vector<std::optional<core::monotonic_time>> formerOrdersUntil; ///< One for each term.
     core::monotonic_time claimedAt{};
     core::monotonic_time renewedAt{};
     int renewals = 0;
@@ -134,41 +128,6 @@
     CHECK(second.election.formerOwners().empty());
 }
 
-TEST_CASE("Leases of a lost owner are not awaited for longer than its last renewal permits", "[host]")
-{
-    fakes::stepped_time time;
-    memory_store memory{time};
-    candidate first{time, memory, "a"};
-    candidate second{time, memory, "b"};
-    first.election.start();
-    REQUIRE(time.runUntil([&] { return first.renewals >= 2; }));
-    CHECK(first.formerOrdersUntil == std::vector<std::optional<core::monotonic_time>>{std::nullopt});
-    second.election.start();
-    time.runFor(2 * owner::renewalPeriod);
-    const auto lastRenewal = first.renewedAt;
-    first.election.clearOwnership();
-    first.election.disableClaims();
-    REQUIRE(time.runUntil([&] { return !second.formerOrdersUntil.empty(); }));
-    REQUIRE(second.formerOrdersUntil.front());
-    CHECK(*second.formerOrdersUntil.front() >= lastRenewal + owner::orderTerm);
-    CHECK(*second.formerOrdersUntil.front() < second.claimedAt + owner::orderTerm - owner::renewalPeriod);
-}
-
-TEST_CASE("An earlier term of the same host is not awaited", "[host]")
-{
-    fakes::stepped_time time;
-    memory_store memory{time};
-    auto before = std::make_unique<candidate>(time, memory, "a");
-    before->election.start();
-    REQUIRE(time.runUntil([&] { return before->renewals >= 2; }));
-    before.reset();
-    candidate restarted{time, memory, "a"};
-    restarted.election.start();
-    REQUIRE(time.runUntil([&] { return !restarted.formerOrdersUntil.empty(); }));
-    CHECK(restarted.election.formerOwners().empty());
-    CHECK_FALSE(restarted.formerOrdersUntil.front());
-}
-
 TEST_CASE("An owner steps down when a later owner is announced", "[host]")
 {
     fakes::stepped_time time;
--- a/tests/io/owner_fixture.h
+++ b/tests/io/owner_fixture.h
@@ -113,7 +113,7 @@
         return found->second;
     }
 
-    auto begin(std::uint64_t epoch, std::vector<std::string> formerOwners = {}) -> void
+    auto begin(std::uint64_t epoch) -> void
     {
         host::pool_owner_environment environment{
             clock,
@@ -131,7 +131,8 @@
             [this] {
                 ownershipLost = true;
             }};
-        owner = std::make_unique<host::pool_owner>(std::move(environment), epoch, time.now(), std::move(formerOwners));
+        owner =
+            std::make_unique<host::pool_owner>(std::move(environment), epoch, time.now(), std::vector<std::string>{});
         owner->start();
     }
 
@@ -161,19 +162,6 @@
         renewTerm();
     }
 
-    /// \brief Answers all renewals and extends the term until \p reached holds, at most for \p limit.
-    auto answerRenewalsUntil(const std::function<bool()> &reached, core::duration limit) -> bool
-    {
-        for (const auto end = time.now() + limit; !reached() && time.now() < end;) {
-            renewTerm();
-            for (const auto &answer : std::exchange(renewalAnswers, {})) {
-                answer({host::renewal_outcome::reported, report});
-            }
-            time.runFor(host::renewalDelay);
-        }
-        return reached();
-    }
-
     auto renewTerm() -> void
     {
         owner->onRenewed(time.now(), poplarpass::owner::longElectionTimeout);
--- a/tests/io/pool_owner_test.cpp
+++ b/tests/io/pool_owner_test.cpp
@@ -203,31 +203,3 @@
     fixture.renewTerm();
     CHECK(fixture.time.runUntil([&] { return fixture.starts.size() == 1; }));
 }
-
-TEST_CASE("A new owner waits for a lost worker no longer than the former owner may have extended its lease", "[host]")
-{
-    const bool isFencedBeforeRestore = GENERATE(true, false);
-    owner_fixture fixture;
-    fixture.begin(1);
-    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals.size() >= 2; }));
-    fixture.renewTerm();
-    int status = 0;
-    fixture.send(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
-    REQUIRE(fixture.time.runUntil([&] { return status == 200 && fixture.starts.size() == 1; }));
-    fixture.renewalAnswers.clear();
-    fixture.owner.reset();
-    fixture.memory.put(store::topic::worker_records, "w1", "");
-    fixture.memory.put(store::topic::worker_records, "w2", "entry");
-
-    const auto ordersUntil = fixture.time.now() + poplarpass::owner::orderTerm;
-    fixture.time.runFor(poplarpass::owner::shortElectionTimeout);
-    fixture.begin(2, {"host-2"});
-    if (!isFencedBeforeRestore) {
-        REQUIRE(fixture.time.runUntil([&] { return fixture.owner->isServing(); }));
-    }
-    fixture.owner->onFormerOwnersFenced(ordersUntil);
-    const auto leaseEnd = ordersUntil + jobs::maxRealLease + jobs::leaseMargin;
-    CHECK(fixture.answerRenewalsUntil([&] { return fixture.starts.size() == 2; }, std::chrono::seconds{15}));
-    CHECK(fixture.time.now() >= leaseEnd);
-    CHECK(fixture.time.now() < leaseEnd + 3 * host::maxCyclePeriod);
-}
