A move for long-running tasks that does not end no longer hides the shortage

A host that was drained for a pool without room for its long-running tasks counted as arriving until it came, however long its short tasks ran on, so no other host was moved there and no drain for maintenance was given back.

Test: "A drain that does not end does not keep other hosts from a pool without one for its long-running tasks".

--- a/src/poplarpass/capacity/capacity_balances.cpp
+++ b/src/poplarpass/capacity/capacity_balances.cpp
@@ -52,12 +52,18 @@
     trackLongRunningShortages(now);
 }
 
+// A host whose move takes longer may never arrive, and counting it would hide the shortage.
+auto capacity_planner::isArriving(const tracked_host &host, core::monotonic_time now) -> bool
+{
+    return host.step != host_step::none && host.order.pool && now - host.since <= moveDrainTimeout;
+}
+
 // A host that has just arrived counts as arriving until its worker accepts starts, so that no other host is moved in
 // its place.
 auto capacity_planner::countHost(const tracked_host &host, jobs::job_engine &engine, core::monotonic_time now) -> void
 {
     if (host.step != host_step::none) {
-        if (host.order.pool) {
+        if (isArriving(host, now)) {
             ++m_balances[*host.order.pool].arriving;
         }
         return;
@@ -179,14 +185,14 @@
     return !balance.standby && balance.inService + balance.arriving < balance.reservedHosts;
 }
 
-auto capacity_planner::isNeededForLongRunning(const core::pool_id &pool) const -> bool
+auto capacity_planner::isNeededForLongRunning(const tracked_host &host, core::monotonic_time now) const -> bool
 {
-    const auto found = m_balances.find(pool);
+    const auto found = m_balances.find(*host.order.pool);
     if (found == m_balances.end()) {
         return false;
     }
     auto without = found->second;
-    --without.arriving;
+    without.arriving -= isArriving(host, now) ? 1 : 0;
     return isShortForLongRunning(without);
 }
 
--- a/src/poplarpass/capacity/capacity_drains.cpp
+++ b/src/poplarpass/capacity/capacity_drains.cpp
@@ -112,7 +112,7 @@
             host.step = host_step::ordered;
             host.since = now;
             orders.push_back(host.order);
-        } else if (forMove && now - host.since > moveDrainTimeout && !isNeededForLongRunning(*host.order.pool)) {
+        } else if (forMove && now - host.since > moveDrainTimeout && !isNeededForLongRunning(host, now)) {
             stopDrain(host, engine, now);
         }
     }
--- a/src/poplarpass/capacity/capacity_planner.h
+++ b/src/poplarpass/capacity/capacity_planner.h
@@ -143,7 +143,10 @@
     auto countHost(const tracked_host &host, jobs::job_engine &engine, core::monotonic_time now) -> void;
     auto trackLongRunningShortages(core::monotonic_time now) -> void;
     [[nodiscard]] static auto isShortForLongRunning(const pool_balance &balance) -> bool;
-    [[nodiscard]] auto isNeededForLongRunning(const core::pool_id &pool) const -> bool;
+    /// \brief Returns whether \p host is on its way to a pool and expected to arrive soon.
+    [[nodiscard]] static auto isArriving(const tracked_host &host, core::monotonic_time now) -> bool;
+    /// \brief Returns whether the pool to which \p host moves would lack hosts for its long-running tasks without it.
+    [[nodiscard]] auto isNeededForLongRunning(const tracked_host &host, core::monotonic_time now) const -> bool;
     auto fillForLongRunning(std::span<const move_candidate> candidates, jobs::job_engine &engine,
                             core::monotonic_time now) -> void;
     [[nodiscard]] auto mayMoveForLongRunning(const move_candidate &candidate, const core::pool_id &pool,
--- a/tests/decisions/capacity_planner_test.cpp
+++ b/tests/decisions/capacity_planner_test.cpp
@@ -148,6 +148,7 @@
     std::map<core::host_id, host_return> returns;
     std::vector<capacity::host_order> moves;
     std::vector<core::host_id> maintained;
+    jobs::worker_id workerWithoutEnds; ///< Worker on which no short run ends; empty for none.
     bool waveCompleted = false;
 
     /// \brief Submits work to \p pool without starting it.
@@ -255,7 +256,7 @@
         std::vector<played_run> kept;
         for (const auto &entry : runs[id]) {
             const auto ran = now - entry.startedAt;
-            const bool done = !entry.longRunning && ran >= shortRunMs;
+            const bool done = !entry.longRunning && ran >= shortRunMs && id != workerWithoutEnds;
             if (done || entry.stopping) {
                 result.ended.push_back({++endCounts[id],
                                         jobs::nameOf(entry.task),
@@ -837,6 +838,30 @@
     CHECK(fleet.runningInService("service") == 1);
 }
 
+TEST_CASE("A drain that does not end does not keep other hosts from a pool without one for its long-running tasks",
+          "[capacity]")
+{
+    played_fleet fleet;
+    fleet.add("b1", "busy");
+    for (const auto *name : {"c1", "c2", "c3", "c4"}) {
+        fleet.add(name, "calm");
+    }
+    fleet.begin();
+    fleet.enqueue("flood", "calm", {step(6000, 4000)});
+    fleet.playUntil(3000);
+    fleet.crash("b1");
+    fleet.enqueue("service", "busy", {longRunningStep(1, 4000)});
+    fleet.playUntil(12'000, [&] {
+        for (const auto &[id, worker] : fleet.engine.workers().all()) {
+            if (worker.leaving && fleet.workerWithoutEnds.empty()) {
+                fleet.workerWithoutEnds = id;
+            }
+        }
+    });
+    CHECK_FALSE(fleet.workerWithoutEnds.empty());
+    CHECK(fleet.runningInService("service") == 1);
+}
+
 TEST_CASE("A pool in a general shortage gets the hosts that its long-running tasks need, and others keep theirs",
           "[capacity]")
 {
