--- a/src/poplarpass/jobs/job_engine_room.cpp
+++ b/src/poplarpass/jobs/job_engine_room.cpp
@@ -91,7 +91,7 @@
     }
 }
 
-// The tasks of the step that may start now look for room anew; a worker may have become free for them.
+// The tasks of the step that may start now look for room again: a worker may have become free for them.
 auto job_engine::releaseRoom(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                              core::monotonic_time now) -> std::set<task_ref>
 {
