Summary of job explain: plainer names

Cause: a record of a task's log lines had a figurative name. Change: it is its history. Nothing else changes.

--- a/src/poplarpass/app/job_summary.cpp
+++ b/src/poplarpass/app/job_summary.cpp
@@ -55,12 +55,12 @@
 // The run that may exist on a silent worker goes on when the worker answers again.
 auto job_summary::endWaitsFor(std::string_view worker) -> void
 {
-    for (auto &[task, story] : m_tasks) {
-        const auto &lines = story.withoutRun;
+    for (auto &[task, history] : m_tasks) {
+        const auto &lines = history.withoutRun;
         const bool waitsForWorker = !lines.empty() && valueOf(lines.back().text, "reason") == "lease"
             && valueOf(lines.back().text, "worker") == worker;
         if (waitsForWorker) {
-            story.withoutRun.clear();
+            history.withoutRun.clear();
         }
     }
 }
@@ -71,9 +71,9 @@
         printFailure(newestMs, out);
         return;
     }
-    for (const auto &[task, story] : m_tasks) {
-        if (!story.withoutRun.empty()) {
-            printWait(task, story.withoutRun.back(), newestMs, out);
+    for (const auto &[task, history] : m_tasks) {
+        if (!history.withoutRun.empty()) {
+            printWait(task, history.withoutRun.back(), newestMs, out);
         }
     }
 }
--- a/src/poplarpass/app/job_summary.h
+++ b/src/poplarpass/app/job_summary.h
@@ -29,7 +29,7 @@
     };
 
     /// \brief A task and the ends of its runs.
-    struct task_story
+    struct task_history
     {
         std::vector<dated_line> ends;
         std::vector<dated_line> withoutRun; ///< Lines since its last start that tell that it has no run.
@@ -41,7 +41,7 @@
     auto printWait(const std::string &task, const dated_line &line, std::int64_t newestMs, std::ostream &out) const
         -> void;
 
-    std::map<std::string, task_story, std::less<>> m_tasks;
+    std::map<std::string, task_history, std::less<>> m_tasks;
     dated_line m_givenUp;
     dated_line m_ended;
 };
