A long-running step that advice permits nowhere in its pool is a mismatch again

Cause: passed the permitted workers, here none, to recordMismatch() in place of all workers of the pool, so that no host was moved in for the step.

Change: both are passed. Test: "A long-running step that advice permits on no worker of its pool is reported as a mismatch" failed before.

--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -399,8 +399,11 @@
                          core::wall_time wallTime) -> void;
     auto planLongRunningSteps(multistep_job_record &job, internal::placement_candidates &workers,
                               core::monotonic_time now, core::wall_time wallTime) -> void;
+    /// \param workers those on which the step may start
+    /// \param ofPool all of the pool that accept starts
     auto planLongRunningStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
-                             internal::placement_candidates &workers, core::monotonic_time now) -> void;
+                             internal::placement_candidates &workers, std::span<worker_slot *const> ofPool,
+                             core::monotonic_time now) -> void;
     /// \returns the startable tasks of the step that had a reservation
     auto releaseRoom(const multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
                      core::monotonic_time now) -> std::set<task_ref>;
--- a/src/poplarpass/jobs/job_engine_room.cpp
+++ b/src/poplarpass/jobs/job_engine_room.cpp
@@ -63,17 +63,18 @@
         }
         if (job.queue.advice) {
             internal::placement_candidates advised{advisedWorkers(job, occurrence, step, workers.workers(), now)};
-            planLongRunningStep(job, occurrence, step, advised, now);
+            planLongRunningStep(job, occurrence, step, advised, workers.workers(), now);
             workers.updateAllUsage();
         } else if (job.waitingOf(occurrence, step) > 0) {
-            planLongRunningStep(job, occurrence, step, workers, now);
+            planLongRunningStep(job, occurrence, step, workers, workers.workers(), now);
         }
         return true;
     });
 }
 
 auto job_engine::planLongRunningStep(multistep_job_record &job, std::uint32_t occurrence, std::uint32_t step,
-                                     internal::placement_candidates &workers, core::monotonic_time now) -> void
+                                     internal::placement_candidates &workers, std::span<worker_slot *const> ofPool,
+                                     core::monotonic_time now) -> void
 {
     const auto released = releaseRoom(job, occurrence, step, now);
     if (!released.empty()) {
@@ -82,7 +83,7 @@
     if (planStep(job, occurrence, step, workers, now)) {
         return;
     }
-    recordMismatch(job, step, workers.workers());
+    recordMismatch(job, step, ofPool);
     noteUnplaced(job, occurrence, step, workers, now);
     for (const auto &task : reserveRoomForStep(job, occurrence, step, workers, now)) {
         if (!released.contains(task)) {
--- a/tests/decisions/advice_test.cpp
+++ b/tests/decisions/advice_test.cpp
@@ -88,3 +88,17 @@
     cache.storeAnswer(*again, tickets, at(20));
     CHECK(cache.allowed("step-1", workers, at(30)).size() == 1);
 }
+
+TEST_CASE("A long-running step that advice permits on no worker of its pool is reported as a mismatch", "[jobs]")
+{
+    auto engine = engineWith({worker("a"), worker("b")});
+    auto longRunning = step(1);
+    longRunning.longRunning = true;
+    engine.submit(jobId, advisedQueue(), jobOf({longRunning}), wallAt(0));
+    const auto requests = adviceRequestsAt(engine, 10);
+    REQUIRE(requests.size() == 1);
+    engine.drainMismatches();
+    engine.onAdvice(requests[0], std::vector<jobs::advice_ticket>{}, at(10), at(30));
+    adviceRequestsAt(engine, 40);
+    CHECK(engine.drainMismatches().contains(core::pool_id{"pool"}));
+}
