Add review cases of gangs that start in part or lose a rack

Both scripts break LOST: accepted gang jobs stop for good, or the room of a worker is lost, after one named disruption.

--- a/review/harness-2/case_rejected_but_runs.cpp
+++ b/review/harness-2/case_rejected_but_runs.cpp
@@ -66,10 +66,8 @@
         log.write(ran && status == 200 ? "REFUSED held: accepted and run" : "without trouble: not accepted or not run");
         return ran && status == 200 ? 0 : 2;
     }
-    std::thread{[&] {
-        deployment::sleepMs(silentMs);
-        system.store->setSilent(owner->door, false);
-    }}.join();
+    deployment::sleepMs(silentMs);
+    system.store->setSilent(owner->door, false);
     system.waitFor(watchMs, [&] { return !system.fleet->starts().empty(); });
     const bool ran = !system.fleet->starts().empty();
     // A client repeats its request after no answer, a broken connection, a 502 or a 504; any other status is final.
--- a/review/harness-2/case_wrong_kind.cpp
+++ b/review/harness-2/case_wrong_kind.cpp
@@ -50,7 +50,7 @@
         deployment::sleepMs(pauseMs);
         if (withTrouble()) {
             auto &target = *ofKindA[static_cast<std::size_t>(round)];
-            system.fleet->crash(target);
+            system.fleet->crash({&target});
             deployment::sleepMs(downMs);
             target.labels.front() = "b";
             system.fleet->restart(target);
--- a/review/harness-2/deployment.cpp
+++ b/review/harness-2/deployment.cpp
@@ -256,6 +256,12 @@
         if (!step.requirement.empty()) {
             entry["requirements"] = step.requirement;
         }
+        if (!step.affinity.empty()) {
+            entry["affinity"] = step.affinity;
+        }
+        if (step.antiAffinity > 0) {
+            entry["anti_affinity"] = step.antiAffinity;
+        }
         list.push_back(entry);
     }
     return json{{"spec", "review"}, {"steps", list}}.dump();
--- a/review/harness-2/deployment.h
+++ b/review/harness-2/deployment.h
@@ -92,7 +92,8 @@
 
 /// Runs a case: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 using case_function = std::function<int(const std::string &folder)>;
-int gangStuck(const std::string &folder);
+int gangOfRack(const std::string &folder);
+int gangRoom(const std::string &folder);
 int rejectedButRuns(const std::string &folder);
 int wrongKind(const std::string &folder);
 } // namespace harness
--- a/review/harness-2/fleet.cpp
+++ b/review/harness-2/fleet.cpp
@@ -95,25 +95,29 @@
     m_jobs[job] = steps;
 }
 
-void fleet::crash(worker &target)
+void fleet::crash(const std::vector<worker *> &targets)
 {
-    std::unique_ptr<http_server> server;
+    std::vector<std::unique_ptr<http_server>> servers;
     {
         const std::lock_guard lock{m_mutex};
-        m_log.write("worker " + target.id + " crashes with " + std::to_string(target.running.size()) + " runs");
-        target.up = false;
-        for (const auto &run : target.running) {
-            if (!run.gang.empty()) {
-                m_brokenGangs.insert(run.gang);
+        for (auto *target : targets) {
+            m_log.write("worker " + target->id + " crashes with " + std::to_string(target->running.size()) + " runs");
+            target->up = false;
+            for (const auto &run : target->running) {
+                if (!run.gang.empty()) {
+                    m_brokenGangs.insert(run.gang);
+                }
             }
+            target->running.clear();
+            target->ended.clear();
+            servers.push_back(std::move(target->server));
         }
-        target.running.clear();
-        target.ended.clear();
-        server = std::move(target.server);
     }
     // Requests that are handled now end without an answer.
     m_changed.notify_all();
-    server->stop();
+    for (const auto &server : servers) {
+        server->stop();
+    }
 }
 
 void fleet::restart(worker &target)
--- a/review/harness-2/fleet.h
+++ b/review/harness-2/fleet.h
@@ -25,7 +25,9 @@
     int memMb = 100;
     std::int64_t runMs = 500;
     bool gang = false;
-    std::string requirement;
+    std::string requirement{};
+    std::string affinity{};
+    int antiAffinity = 0;
 };
 
 struct run_state
@@ -99,8 +101,8 @@
     /// Makes the steps of a job known to the workers.
     void announce(const std::string &job, const std::vector<step_plan> &steps);
 
-    /// Ends the process of a worker without notice.
-    void crash(worker &target);
+    /// Ends the processes of workers without notice, all at the same moment.
+    void crash(const std::vector<worker *> &targets);
 
     /// Starts it again at the same address, under the same id, with nothing of before.
     void restart(worker &target);
--- a/review/harness-2/main.cpp
+++ b/review/harness-2/main.cpp
@@ -8,7 +8,8 @@
 int main(int count, char **arguments)
 {
     const std::map<std::string, harness::case_function> cases{
-        {"gang-stuck", harness::gangStuck},
+        {"gang-of-rack", harness::gangOfRack},
+        {"gang-room", harness::gangRoom},
         {"rejected-but-runs", harness::rejectedButRuns},
         {"wrong-kind", harness::wrongKind},
     };
@@ -18,6 +19,11 @@
         return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    std::thread{[] {
+        std::this_thread::sleep_for(std::chrono::seconds{115});
+        std::cerr << "the case took too long\n";
+        _exit(2);
+    }}.detach();
     try {
         const int result = found->second(arguments[2]);
         std::cout << (result == 0 ? "the rule held" : result == 1 ? "the rule was broken" : "the case could not run")
