Add review case 9: a foreign entry makes tasks run twice

Cause: an entry of another writer under the id of a worker replaces the worker's address, and an answer from there counts as the end of its runs.

--- a/review/harness-2/case_gang_of_rack.cpp
+++ b/review/harness-2/case_gang_of_rack.cpp
@@ -13,10 +13,11 @@
 constexpr std::int64_t finishMs = 14'000; ///< finish_s of the site file.
 constexpr std::int64_t idleMs = 3000; ///< The 3 s of the rule.
 
-const std::string config = R"({"version":1,"routes":[{"name":"q-swap","hostname":"jobs.example","path_prefix":"/swap/",)"
-                           R"("kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":600,"priority":0,)"
-                           R"("service":"bookings","max_attempts":4,"stretch":1.6}],)"
-                           R"("services":[{"name":"bookings","enforces_capacity":true}],"limits":{}})";
+const std::string config =
+    R"({"version":1,"routes":[{"name":"q-swap","hostname":"jobs.example","path_prefix":"/swap/",)"
+    R"("kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":600,"priority":0,)"
+    R"("service":"bookings","max_attempts":4,"stretch":1.6}],)"
+    R"("services":[{"name":"bookings","enforces_capacity":true}],"limits":{}})";
 } // namespace
 
 int gangOfRack(const std::string &folder)
--- a/review/harness-2/case_gang_room.cpp
+++ b/review/harness-2/case_gang_room.cpp
@@ -1,7 +1,7 @@
 #include "deployment.h"
 
-// A worker refuses part of its starts for a while, so that gangs start in part. Afterwards a job that fits it twice over
-// never starts there.
+// A worker refuses part of its starts for a while, so that gangs start in part. Afterwards a job that fits it twice
+// over never starts there.
 namespace harness
 {
 namespace
@@ -14,10 +14,11 @@
 constexpr std::int64_t finishMs = 14'000; ///< finish_s of the site file.
 constexpr std::int64_t idleMs = 3000; ///< The 3 s of the rule.
 
-const std::string config = R"({"version":1,"routes":[{"name":"q-swap","hostname":"jobs.example","path_prefix":"/swap/",)"
-                           R"("kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":600,"priority":0,)"
-                           R"("service":"bookings","max_attempts":4,"stretch":1.6}],)"
-                           R"("services":[{"name":"bookings","enforces_capacity":true}],"limits":{}})";
+const std::string config =
+    R"({"version":1,"routes":[{"name":"q-swap","hostname":"jobs.example","path_prefix":"/swap/",)"
+    R"("kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":600,"priority":0,)"
+    R"("service":"bookings","max_attempts":4,"stretch":1.6}],)"
+    R"("services":[{"name":"bookings","enforces_capacity":true}],"limits":{}})";
 } // namespace
 
 int gangRoom(const std::string &folder)
--- a/review/harness-2/case_rejected_but_runs.cpp
+++ b/review/harness-2/case_rejected_but_runs.cpp
@@ -59,8 +59,8 @@
             }
         };
     }
-    const int status = system.call(entrance, "POST", "/pay/" + job, jobBody(steps),
-                                   {{"Authorization", "Bearer key-old"}});
+    const int status =
+        system.call(entrance, "POST", "/pay/" + job, jobBody(steps), {{"Authorization", "Bearer key-old"}});
     if (!withTrouble()) {
         const bool ran = system.waitFor(watchMs, [&] { return system.fleet->isDone(job + ".0.0.0"); });
         log.write(ran && status == 200 ? "REFUSED held: accepted and run" : "without trouble: not accepted or not run");
--- a/review/harness-2/case_wrong_kind.cpp
+++ b/review/harness-2/case_wrong_kind.cpp
@@ -12,10 +12,11 @@
 constexpr std::int64_t downMs = 2500;
 constexpr std::int64_t pauseMs = 3500;
 
-const std::string config = R"({"version":1,"routes":[{"name":"q-survey","hostname":"jobs.example",)"
-                           R"("path_prefix":"/survey/","kind":"non_idempotent","timeout_ms":3000,)"
-                           R"("target_latency_ms":600,"priority":0,"service":"surveys","max_attempts":4,"stretch":1.6}],)"
-                           R"("services":[{"name":"surveys","enforces_capacity":true}],"limits":{}})";
+const std::string config =
+    R"({"version":1,"routes":[{"name":"q-survey","hostname":"jobs.example",)"
+    R"("path_prefix":"/survey/","kind":"non_idempotent","timeout_ms":3000,)"
+    R"("target_latency_ms":600,"priority":0,"service":"surveys","max_attempts":4,"stretch":1.6}],)"
+    R"("services":[{"name":"surveys","enforces_capacity":true}],"limits":{}})";
 } // namespace
 
 int wrongKind(const std::string &folder)
@@ -58,9 +59,8 @@
     }
     deployment::sleepMs(2000);
     const auto starts = system.fleet->starts();
-    const auto wrong = std::ranges::count_if(starts, [](const start_event &event) {
-        return std::ranges::find(event.labels, "a") == event.labels.end();
-    });
+    const auto wrong = std::ranges::count_if(
+        starts, [](const start_event &event) { return std::ranges::find(event.labels, "a") == event.labels.end(); });
     log.write(std::to_string(starts.size()) + " starts");
     log.write(wrong > 0 ? "ROUTE broken: " + std::to_string(wrong) + " starts on a worker without the label"
                         : "ROUTE held");
--- a/review/harness-2/deployment.cpp
+++ b/review/harness-2/deployment.cpp
@@ -1,11 +1,12 @@
 #include "deployment.h"
 
+#include <nlohmann/json.hpp>
+
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <nlohmann/json.hpp>
 #include <random>
 #include <sstream>
 #include <stdexcept>
@@ -59,7 +60,8 @@
 {
     std::random_device random;
     for (int attempt = 0; attempt < 20; ++attempt) {
-        const auto prefix = "127." + std::to_string(16 + random() % 200) + "." + std::to_string(1 + random() % 250) + ".";
+        const auto prefix =
+            "127." + std::to_string(16 + random() % 200) + "." + std::to_string(1 + random() % 250) + ".";
         if (isFree(prefix + std::to_string(firstHost), {8624, 8622, 7060, 9464})) {
             return prefix;
         }
@@ -119,8 +121,9 @@
     fleet.reset();
     store.reset();
     if (const auto *kept = std::getenv("KEEP_LOGS"); kept != nullptr) {
-        std::filesystem::copy(m_temporary, kept, std::filesystem::copy_options::overwrite_existing
-                                                     | std::filesystem::copy_options::recursive);
+        std::filesystem::copy(m_temporary, kept,
+                              std::filesystem::copy_options::overwrite_existing
+                                  | std::filesystem::copy_options::recursive);
     }
     std::filesystem::remove_all(m_temporary);
 }
--- a/review/harness-2/deployment.h
+++ b/review/harness-2/deployment.h
@@ -41,7 +41,10 @@
     std::vector<host_process> hosts;
 
     /// Address of the worker with this number, from 1.
-    std::string workerIp(int number) const { return prefix + std::to_string(100 + number); }
+    std::string workerIp(int number) const
+    {
+        return prefix + std::to_string(100 + number);
+    }
 
     /// Writes op/config as the operator does.
     void publish(const std::string &config);
@@ -59,7 +62,10 @@
     int call(const host_process &host, const std::string &method, const std::string &path, const std::string &body,
              const std::map<std::string, std::string> &headers = {}, std::string *answer = nullptr);
 
-    static void sleepMs(std::int64_t ms) { std::this_thread::sleep_for(std::chrono::milliseconds{ms}); }
+    static void sleepMs(std::int64_t ms)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{ms});
+    }
 
     /// Waits until \p condition holds; returns whether it did in time.
     template <typename condition_type>
@@ -95,5 +101,6 @@
 int gangOfRack(const std::string &folder);
 int gangRoom(const std::string &folder);
 int rejectedButRuns(const std::string &folder);
+int foreignEntry(const std::string &folder);
 int wrongKind(const std::string &folder);
 } // namespace harness
--- a/review/harness-2/fleet.cpp
+++ b/review/harness-2/fleet.cpp
@@ -1,8 +1,9 @@
 #include "fleet.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace harness
 {
 using nlohmann::json;
@@ -268,6 +269,11 @@
     } else {
         state.worksSinceMs = now();
     }
+    for (const auto &other : m_workers) {
+        if (other->up && std::ranges::find(other->running, task, &run_state::task) != other->running.end()) {
+            m_concurrentStarts.push_back(task + " on " + target.id + ", and still on " + other->id);
+        }
+    }
     target.running.push_back(state);
     m_starts.push_back({task, run, target.id, target.labels});
     m_log.write("start " + name + "200");
@@ -291,9 +297,8 @@
     target.token = token;
     auto &highest = target.highestEnded[task];
     highest = std::max(highest, run);
-    const auto found = std::ranges::find_if(target.running, [&](const auto &entry) {
-        return entry.task == task && entry.run <= run;
-    });
+    const auto found =
+        std::ranges::find_if(target.running, [&](const auto &entry) { return entry.task == task && entry.run <= run; });
     if (found != target.running.end() && found->stopAtMs < 0) {
         found->stopAtMs = now() + m_bounds.stopMs / 2;
     }
@@ -317,9 +322,8 @@
     const auto lastSeen = body.value("last_seen", std::uint64_t{0});
     std::erase_if(target.ended, [&](const auto &entry) { return entry.number <= lastSeen; });
     const std::chrono::milliseconds wait{std::min<std::int64_t>(body.value("wait_ms", std::int64_t{0}), 2000)};
-    m_changed.wait_for(lock, wait, [&] {
-        return m_ending || !target.up || target.bornMs != born || !target.ended.empty();
-    });
+    m_changed.wait_for(lock, wait,
+                       [&] { return m_ending || !target.up || target.bornMs != born || !target.ended.empty(); });
     if (m_ending || !target.up || target.bornMs != born) {
         return std::nullopt;
     }
@@ -374,7 +378,8 @@
 {
     std::size_t present = 0;
     for (const auto &target : m_workers) {
-        present += target->up ? static_cast<std::size_t>(std::ranges::count(target->running, gang, &run_state::gang)) : 0;
+        present +=
+            target->up ? static_cast<std::size_t>(std::ranges::count(target->running, gang, &run_state::gang)) : 0;
     }
     return present;
 }
@@ -425,6 +430,19 @@
     }
 }
 
+void fleet::writeEntryNow(worker &target)
+{
+    const std::lock_guard lock{m_mutex};
+    target.entryAtMs = now();
+    writeEntry(target);
+}
+
+std::vector<std::string> fleet::concurrentStarts()
+{
+    const std::lock_guard lock{m_mutex};
+    return m_concurrentStarts;
+}
+
 std::vector<start_event> fleet::starts()
 {
     const std::lock_guard lock{m_mutex};
@@ -437,6 +455,12 @@
     return target.running.size();
 }
 
+bool fleet::runsTaskOf(const worker &target, const std::string &job)
+{
+    const std::lock_guard lock{m_mutex};
+    return std::ranges::any_of(target.running, [&](const auto &run) { return run.task.starts_with(job + "."); });
+}
+
 std::size_t fleet::runningOf(const std::string &job)
 {
     const std::lock_guard lock{m_mutex};
--- a/review/harness-2/fleet.h
+++ b/review/harness-2/fleet.h
@@ -94,7 +94,10 @@
     ~fleet();
 
     /// Address of the service that lists the machines.
-    std::string address() const { return m_service->address(); }
+    std::string address() const
+    {
+        return m_service->address();
+    }
 
     worker &add(const std::string &service, const std::string &ip, std::vector<std::string> labels, int cpu);
 
@@ -110,8 +113,15 @@
     /// Decides on a start instead of the worker; nothing: the worker does. Called under the lock of the fleet.
     std::function<std::optional<int>(const worker &, const std::string &task)> refuseStart;
 
+    /// Lets a worker write its entry now; the next one follows after a heartbeat interval.
+    void writeEntryNow(worker &target);
+
+    /// Tasks that were started while another worker that is up ran them, and which.
+    std::vector<std::string> concurrentStarts();
+
     std::vector<start_event> starts();
     std::size_t runningOn(const worker &target);
+    bool runsTaskOf(const worker &target, const std::string &job);
     /// Returns how many runs of a job go on anywhere.
     std::size_t runningOf(const std::string &job);
     /// Returns whether a task of the job has ended as done.
@@ -129,8 +139,14 @@
     void advance(worker &target, std::int64_t now);
     void advanceGang(const std::string &gang, std::int64_t now);
     std::size_t presentOf(const std::string &gang) const;
-    std::int64_t clockOf(const worker &target) const { return now() - target.startedMs; }
-    std::int64_t now() const { return m_log.elapsedMs(); }
+    std::int64_t clockOf(const worker &target) const
+    {
+        return now() - target.startedMs;
+    }
+    std::int64_t now() const
+    {
+        return m_log.elapsedMs();
+    }
     const step_plan *planOf(const std::string &task) const;
 
     store &m_store;
@@ -141,6 +157,7 @@
     std::vector<std::unique_ptr<worker>> m_workers;
     std::map<std::string, std::vector<step_plan>> m_jobs;
     std::vector<start_event> m_starts;
+    std::vector<std::string> m_concurrentStarts;
     std::set<std::string> m_done;
     std::set<std::string> m_brokenGangs;
     bool m_ending = false;
--- a/review/harness-2/http.cpp
+++ b/review/harness-2/http.cpp
@@ -31,7 +31,8 @@
     const int on = 1;
     setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const auto endpoint = endpointOf(ip, port);
-    if (bind(listener, reinterpret_cast<const sockaddr *>(&endpoint), sizeof endpoint) != 0 || listen(listener, 256) != 0) {
+    if (bind(listener, reinterpret_cast<const sockaddr *>(&endpoint), sizeof endpoint) != 0
+        || listen(listener, 256) != 0) {
         close(listener);
         throw std::runtime_error("cannot listen at " + ip + ":" + std::to_string(port));
     }
@@ -72,8 +73,8 @@
 {
     const auto readMore = [&] {
         if (deadline) {
-            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*deadline
-                                                                                    - std::chrono::steady_clock::now());
+            const auto left =
+                std::chrono::duration_cast<std::chrono::milliseconds>(*deadline - std::chrono::steady_clock::now());
             pollfd wait{socket, POLLIN, 0};
             if (left.count() <= 0 || poll(&wait, 1, static_cast<int>(left.count())) <= 0) {
                 return false;
@@ -265,8 +266,7 @@
         std::string firstLine;
         std::map<std::string, std::string> answered;
         http_response response;
-        if (writeAll(connection, text)
-            && readMessage(connection, rest, firstLine, answered, response.body, deadline)) {
+        if (writeAll(connection, text) && readMessage(connection, rest, firstLine, answered, response.body, deadline)) {
             response.status = std::stoi(firstLine.substr(firstLine.find(' ') + 1));
             result = response;
         }
--- a/review/harness-2/http.h
+++ b/review/harness-2/http.h
@@ -41,11 +41,18 @@
     http_server(const std::string &ip, http_handler handler, int port = 0);
     ~http_server();
 
-    /// Resets all connections and stops to listen, as when the process ends. Waits until no request is handled any more.
+    /// Resets all connections and stops to listen, as when the process ends. Waits until no request is handled any
+    /// more.
     void stop();
 
-    std::string address() const { return m_ip + ":" + std::to_string(m_port); }
-    int port() const { return m_port; }
+    std::string address() const
+    {
+        return m_ip + ":" + std::to_string(m_port);
+    }
+    int port() const
+    {
+        return m_port;
+    }
 
 private:
     struct shared_state;
--- a/review/harness-2/main.cpp
+++ b/review/harness-2/main.cpp
@@ -8,9 +8,8 @@
 int main(int count, char **arguments)
 {
     const std::map<std::string, harness::case_function> cases{
-        {"gang-of-rack", harness::gangOfRack},
-        {"gang-room", harness::gangRoom},
-        {"rejected-but-runs", harness::rejectedButRuns},
+        {"foreign-entry", harness::foreignEntry}, {"gang-of-rack", harness::gangOfRack},
+        {"gang-room", harness::gangRoom},         {"rejected-but-runs", harness::rejectedButRuns},
         {"wrong-kind", harness::wrongKind},
     };
     const auto found = count == 3 ? cases.find(arguments[1]) : cases.end();
@@ -26,7 +25,9 @@
     }}.detach();
     try {
         const int result = found->second(arguments[2]);
-        std::cout << (result == 0 ? "the rule held" : result == 1 ? "the rule was broken" : "the case could not run")
+        std::cout << (result == 0       ? "the rule held"
+                          : result == 1 ? "the rule was broken"
+                                        : "the case could not run")
                   << '\n';
         return result;
     } catch (const std::exception &problem) {
--- a/review/harness-2/record.h
+++ b/review/harness-2/record.h
@@ -16,7 +16,10 @@
     {
     }
 
-    ~record() { std::fclose(m_file); }
+    ~record()
+    {
+        std::fclose(m_file);
+    }
     record(const record &) = delete;
     record &operator=(const record &) = delete;
 
@@ -29,7 +32,8 @@
 
     [[nodiscard]] std::int64_t elapsedMs() const
     {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_begin).count();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_begin)
+            .count();
     }
 
 private:
--- a/review/harness-2/store.cpp
+++ b/review/harness-2/store.cpp
@@ -135,7 +135,8 @@
 }
 
 // A call of a machine that is turned away is neither carried out nor answered: the caller has given it up by the time
-// that the machine is served again, so its connection is closed then. The same holds for answers that are due meanwhile.
+// that the machine is served again, so its connection is closed then. The same holds for answers that are due
+// meanwhile.
 std::optional<http_response> store::handle(std::size_t number, const http_request &request)
 {
     std::this_thread::sleep_for(answerTime);
@@ -242,8 +243,9 @@
     const auto limit = numberOf(request, "max_kb", 1024) * 1024;
     for (auto offset = from; offset < topic.records.size() && response.body.size() < limit; ++offset) {
         const auto &record = topic.records[offset];
-        const auto content =
-            topic.keyed ? std::string(1, static_cast<char>(record.key.size())) + record.key + record.value : record.value;
+        const auto content = topic.keyed
+            ? std::string(1, static_cast<char>(record.key.size())) + record.key + record.value
+            : record.value;
         writeBigEndian(response.body, content.size(), 4);
         response.body += content;
     }
@@ -261,7 +263,8 @@
         items.push_back(
             {{"key", entry->first}, {"value", base64(entry->second.value)}, {"offset", entry->second.offset}});
     }
-    return {200, json{{"items", items}, {"has_more", entry != topic.newest.end()}, {"end_offset", topic.records.size()}}
-                     .dump()};
+    return {
+        200,
+        json{{"items", items}, {"has_more", entry != topic.newest.end()}, {"end_offset", topic.records.size()}}.dump()};
 }
 } // namespace harness
--- a/review/harness-2/store.h
+++ b/review/harness-2/store.h
@@ -36,7 +36,10 @@
     /// Adds an address of its own for one machine, by which the store can turn it away. Returns its number.
     std::size_t addDoor(const std::string &ip);
 
-    std::string address(std::size_t door) const { return m_doors[door]->server->address(); }
+    std::string address(std::size_t door) const
+    {
+        return m_doors[door]->server->address();
+    }
 
     /// From now on the store leaves calls of this machine unanswered and does not carry them out, or serves it again.
     void setSilent(std::size_t door, bool silent);
