A refusal is passed on only if no copy of the request can have been carried out

The job's owner was cut off from the store right after the append, the client's key was removed, and the next owner answered the second copy of the request.

Cause: the receiving host sends a request to owners until one answers. It asked for proof that no other copy is carried out only of 503 and 429. An owner checks key and route before it looks for the job, so its 401, 403, 404, 400 and 413 speak of one copy only. The same held for cancellations, and a late copy could be accepted after a 401 when the key was back.

Change: all refusals need the proof when another copy may have been carried out. The owner gives it by its epoch when the job is unknown and the attempt is remembered as refused; if the job is known, or a cancellation is repeated, it answers 504 outcome_unknown. A final refusal without proof, as of the build before, is answered with 504 at once. Requests that are sent for the first time are refused as before.

--- a/src/poplarpass/host/client_request.cpp
+++ b/src/poplarpass/host/client_request.cpp
@@ -56,10 +56,22 @@
 }
 
 auto isRefusal(const net::http_response &response) -> bool
+{
+    const bool isClientError = response.status >= 400 && response.status < 500;
+    const bool isAnswered = response.status == noSuchJobStatus || response.status == notOwnerStatus;
+    return response.status == unavailableStatus || (isClientError && !isAnswered);
+}
+
+auto isTemporaryRefusal(const net::http_response &response) -> bool
 {
     return response.status == unavailableStatus || response.status == tooManyRequestsStatus;
 }
 
+auto unsettledResponse() -> net::http_response
+{
+    return plainResponse(unsettledStatus, "outcome_unknown");
+}
+
 auto answerExactlyOnce(response_callback answer) -> response_callback
 {
     return [guard = std::make_shared<answer_guard>(std::move(answer))](net::http_response response) {
--- a/src/poplarpass/host/client_request.h
+++ b/src/poplarpass/host/client_request.h
@@ -56,6 +56,12 @@
 /// \brief HTTP status of a refusal because of the limits of the caller's account; the request was not carried out.
 inline constexpr int tooManyRequestsStatus = 429;
 
+/// \brief HTTP status of the answer that there is no such job; it also confirms a cancellation.
+inline constexpr int noSuchJobStatus = 410;
+
+/// \brief HTTP status of the answer to a caller whose request may or may not have been carried out.
+inline constexpr int unsettledStatus = 504;
+
 /// \brief HTTP status of a submission that is too large to be accepted by any host at any time.
 inline constexpr int tooLargeStatus = 413;
 
@@ -75,6 +81,12 @@
 /// \brief Whether \p response states that the request was not carried out.
 auto isRefusal(const net::http_response &response) -> bool;
 
+/// \brief Whether the owner that refused with \p response may accept the same request soon.
+auto isTemporaryRefusal(const net::http_response &response) -> bool;
+
+/// \brief Response to a request that may or may not have been carried out.
+auto unsettledResponse() -> net::http_response;
+
 /// \brief Wraps \p answer so that it is called exactly once, even if its owner is destroyed before answering.
 /// \returns a callback that answers with outcomeUnknownStatus if its last copy is destroyed without a call
 auto answerExactlyOnce(response_callback answer) -> response_callback;
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -122,8 +122,11 @@
         -> void;
     auto refuseSubmission(const client_request &request, const response_callback &answer, std::string_view reason,
                           int retryAfter) -> void;
-    [[nodiscard]] auto finalRefusal(const client_request &request, int status, std::string_view reason, int retryAfter)
-        -> net::http_response;
+    [[nodiscard]] auto mayHaveBeenCarriedOut(const client_request &request) const -> bool;
+    [[nodiscard]] auto finalRefusal(const client_request &request, net::http_response refusal) -> net::http_response;
+    /// \brief Passes \p refusal on, or answers that the outcome is unknown if an earlier copy may have been carried
+    /// out.
+    auto reject(const client_request &request, net::http_response refusal, const response_callback &answer) -> void;
     auto refuseDeferred() -> void;
     auto scheduleDeferredRefusal(core::duration delay) -> void;
     auto refuseTermExpired(const client_request &request, const response_callback &answer) -> void;
--- a/src/poplarpass/host/pool_owner_accounts.cpp
+++ b/src/poplarpass/host/pool_owner_accounts.cpp
@@ -71,7 +71,7 @@
                    {"config_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(standing.age).count()},
                    {"retry_after_s", retryAfter}});
     ++m_accountRefusals[request.account][std::string{reason}];
-    answer(finalRefusal(request, tooManyRequestsStatus, reason, retryAfter));
+    answer(finalRefusal(request, refusalResponse(tooManyRequestsStatus, reason, retryAfter)));
 }
 
 // Runs again for a request that waited, since its key may have been removed meanwhile.
@@ -85,12 +85,12 @@
     const auto match = m_env.routes.match(request.hostName, request.path);
     const bool isConfirmed = m_env.configStanding().isConfirmed;
     if (match.matched == nullptr && isConfirmed) {
-        answer(plainResponse(404, "no_such_queue"));
+        reject(request, plainResponse(404, "no_such_queue"), answer);
         return std::nullopt;
     }
     // A host with an older configuration does not know where the prefix of the route ends.
     if (match.matched != nullptr && match.rest != request.job.str()) {
-        answer(plainResponse(400, "bad_job_id"));
+        reject(request, plainResponse(400, "bad_job_id"), answer);
         return std::nullopt;
     }
     auto account = authenticateAtOwner(*accounts, match.matched, request.key, isConfirmed);
@@ -112,10 +112,10 @@
         && (m_engine.find(request.job) != nullptr || m_deferredSubmissions.contains(request.job)
             || m_waiting.contains(request.job));
     if (error == authentication_error::configuration_unconfirmed && isRepeat) {
-        answer(plainResponse(504, "outcome_unknown"));
+        answer(unsettledResponse());
         return;
     }
-    answer(refusalResponse(error));
+    reject(request, refusalResponse(error), answer);
 }
 
 // A request that waits for a newer configuration is refused once the present one is not confirmed any more: the store
--- a/src/poplarpass/host/pool_owner_requests.cpp
+++ b/src/poplarpass/host/pool_owner_requests.cpp
@@ -102,7 +102,7 @@
     }
     const auto match = m_env.routes.match(request.hostName, request.path);
     if (match.matched == nullptr) {
-        answer(plainResponse(404, "no_such_queue"));
+        reject(request, plainResponse(404, "no_such_queue"), answer);
         return;
     }
     if (m_engine.submitCancelled(request.job, request.account)) {
@@ -142,7 +142,7 @@
 {
     auto spec = m_env.decoders.decodeJob(request.body);
     if (!spec) {
-        answer(plainResponse(400, "bad_body"));
+        reject(request, plainResponse(400, "bad_body"), answer);
         return;
     }
     if (refuseUnstorable(request, queue, *spec, answer) || refuseForLimits(request, queue, *spec, answer)) {
@@ -175,7 +175,7 @@
                    {"reason", "too_large"},
                    {"steps", spec.steps.size()},
                    {"bytes", request.body.size()}});
-    answer(plainResponse(tooLargeStatus, "job_too_large"));
+    reject(request, plainResponse(tooLargeStatus, "job_too_large"), answer);
     return true;
 }
 
@@ -210,21 +210,45 @@
                                   std::string_view reason, int retryAfter) -> void
 {
     refuse(
-        request,
-        [&](const net::http_response &) { answer(finalRefusal(request, unavailableStatus, reason, retryAfter)); },
-        reason, retryAfter);
+        request, [&](net::http_response refusal) { answer(finalRefusal(request, std::move(refusal))); }, reason,
+        retryAfter);
 }
 
 // The jobs that earlier owners stored are known, and their appends are fenced off. What is left are copies that were
 // sent to this term. They are refused as well, if there are any and the attempt can be remembered.
-auto pool_owner::finalRefusal(const client_request &request, int status, std::string_view reason, int retryAfter)
-    -> net::http_response
+auto pool_owner::finalRefusal(const client_request &request, net::http_response refusal) -> net::http_response
 {
-    auto response = refusalResponse(status, reason, retryAfter);
     if (!request.isRepeated || m_refusedAttempts.add(request.attempt, m_env.time.now())) {
-        response.headers.push_back({std::string{epochHeader}, std::to_string(epoch())});
+        refusal.headers.push_back({std::string{epochHeader}, std::to_string(epoch())});
+    }
+    return refusal;
+}
+
+// A known job may be the one that an earlier copy submitted, also if the key or the route of the request is gone or its
+// key belongs to another account by now. Which copies of a cancellation were carried out is not recorded.
+auto pool_owner::mayHaveBeenCarriedOut(const client_request &request) const -> bool
+{
+    if (!request.isRepeated) {
+        return false;
+    }
+    const bool isKnown = request.verb == client_verb::submit && m_engine.find(request.job) != nullptr;
+    return isKnown || request.verb == client_verb::cancel;
+}
+
+auto pool_owner::reject(const client_request &request, net::http_response refusal, const response_callback &answer)
+    -> void
+{
+    if (mayHaveBeenCarriedOut(request)) {
+        m_env.log.log(log_level::warning, "request_unsettled",
+                      {{"id", request.job.str()},
+                       {"verb", nameOf(request.verb)},
+                       {"status", refusal.status},
+                       {"epoch", epoch()},
+                       {"config", m_env.routes.config().version}});
+        answer(unsettledResponse());
+        return;
     }
-    return response;
+    answer(request.verb == client_verb::submit ? finalRefusal(request, std::move(refusal)) : std::move(refusal));
 }
 
 auto pool_owner::refuseDeferred() -> void
@@ -244,7 +268,7 @@
                        {"reason", "store_away"},
                        {"stalled_ms", std::chrono::duration_cast<std::chrono::milliseconds>(stalled).count()},
                        {"retry_after_s", retryAfter}});
-        entry.answer(finalRefusal(entry.request, unavailableStatus, "store_away", retryAfter));
+        entry.answer(finalRefusal(entry.request, refusalResponse(unavailableStatus, "store_away", retryAfter)));
     }
 }
 
--- a/src/poplarpass/host/request_forwarder.cpp
+++ b/src/poplarpass/host/request_forwarder.cpp
@@ -177,6 +177,11 @@
         entry->finish(std::move(response));
         return;
     }
+    // Without an epoch the owner does not know what became of the other copy, and would refuse each further one.
+    if (isUncertain && !isTemporaryRefusal(response) && epochOf(response) == 0) {
+        abandon(entry);
+        return;
+    }
     // An owner that was deposed while storing a job cannot determine whether the append succeeded.
     if (response.status == outcomeUnknownStatus) {
         markMaybeCarriedOut(entry);
@@ -207,8 +212,8 @@
                    {"owner", m_env.ownerAddress().value_or("none")},
                    {"config", entry->request.configVersion},
                    {"ms", waited.count()}});
-    entry->finish(maybeStored ? plainResponse(504, "outcome_unknown")
-                              : refusalResponse(503, "no_owner", retryAfterSeconds));
+    entry->finish(maybeStored ? unsettledResponse()
+                              : refusalResponse(unavailableStatus, "no_owner", retryAfterSeconds));
 }
 
 auto request_forwarder::newestVersion() const -> std::uint64_t
--- a/tests/io/request_forwarder_test.cpp
+++ b/tests/io/request_forwarder_test.cpp
@@ -236,6 +236,46 @@
     }
 }
 
+// Guards against "not run" about a job that an earlier copy submitted, from an owner that does not check for copies.
+TEST_CASE("A final refusal that leaves the fate of an earlier copy open is answered as unknown at once", "[host]")
+{
+    forwarder_fixture fixture;
+    const auto refusalStatus = GENERATE(400, 401, 403, 404, 413);
+    const auto refuse = [&](std::uint64_t finalEpoch) {
+        auto response = host::plainResponse(refusalStatus, "refused");
+        if (finalEpoch > 0) {
+            response.headers.push_back({std::string{host::epochHeader}, std::to_string(finalEpoch)});
+        }
+        const auto answer = fixture.forwarded.back();
+        answer({std::move(response), true});
+    };
+    int status = 0;
+    fixture.submit(status);
+    SECTION("no other copy")
+    {
+        refuse(0);
+        CHECK(status == refusalStatus);
+    }
+    SECTION("not ruled out")
+    {
+        fixture.leaveUnanswered();
+        refuse(0);
+        CHECK(status == 504);
+    }
+    SECTION("ruled out")
+    {
+        fixture.leaveUnanswered();
+        refuse(5);
+        CHECK(status == refusalStatus);
+    }
+    SECTION("ruled out by a former owner only")
+    {
+        fixture.leaveUnanswered();
+        refuse(4);
+        CHECK(status == 0);
+    }
+}
+
 // Guards against the refusal of a former owner while a copy is on its way to its successor.
 TEST_CASE("A refusal by a former owner does not settle a copy that was sent to a later one", "[host]")
 {
