--- a/src/poplarpass/host/call_metrics.cpp
+++ b/src/poplarpass/host/call_metrics.cpp
@@ -93,11 +93,11 @@
     };
     wrapped.start = [start = std::move(calls.start), context](const worker_target &target,
                                                               const jobs::start_order &order, std::int64_t deadlineMs,
-                                                              std::function<void(jobs::run_start_answer)> done) {
+                                                              std::function<void(start_result)> done) {
         const call_timer timer{context, "worker", "start"};
-        start(target, order, deadlineMs, [timer, done = std::move(done)](jobs::run_start_answer answer) {
-            timer.end(jobs::nameOf(answer));
-            done(answer);
+        start(target, order, deadlineMs, [timer, done = std::move(done)](const start_result &result) {
+            timer.end(jobs::nameOf(result.answer));
+            done(result);
         });
     };
     wrapped.stop = [stop = std::move(calls.stop), context](const worker_target &target, const jobs::stop_order &order,
--- a/src/poplarpass/host/worker_calls.h
+++ b/src/poplarpass/host/worker_calls.h
@@ -43,6 +43,20 @@
     jobs::renewal_report report; ///< The worker's runs; set if outcome is reported.
 };
 
+/// \brief Result of a start order.
+struct start_result
+{
+    // Most results have no clock.
+    start_result(jobs::run_start_answer result, std::optional<std::int64_t> clock = std::nullopt)
+        : answer{result}
+        , clockMs{clock}
+    {
+    }
+
+    jobs::run_start_answer answer; ///< The worker's answer.
+    std::optional<std::int64_t> clockMs; ///< Its clock when it answered, milliseconds; empty without an answer.
+};
+
 /// \brief Client interface of workers; completions run on the event loop.
 struct worker_calls
 {
@@ -50,7 +64,7 @@
     std::function<void(const renewal_call &, std::function<void(renewal_answer)>)> renew;
     /// \brief Starts a run under a lease that ends at the given time on the worker's clock, milliseconds.
     std::function<void(const worker_target &, const jobs::start_order &, std::int64_t,
-                       std::function<void(jobs::run_start_answer)>)>
+                       std::function<void(start_result)>)>
         start;
     /// \brief Stops a run.
     std::function<void(const worker_target &, const jobs::stop_order &, std::function<void(jobs::stop_answer)>)> stop;
--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -144,16 +144,27 @@
         return;
     }
     const auto deadline = m_engine.workers().extendLease(*worker, now);
-    m_calls.start(targetOf(*worker), order, deadline, m_lifetime.guard([this, order](jobs::run_start_answer answer) {
-        if (answer == jobs::run_start_answer::fenced) {
-            m_hooks.onFenced();
-            return;
-        }
-        m_engine.onStartAnswer(order, answer, m_time.now());
-        if (answer != jobs::run_start_answer::started) {
-            m_hooks.onChange();
-        }
-    }));
+    m_calls.start(targetOf(*worker), order, deadline,
+                  m_lifetime.guard([this, order, clock = worker->clockMs](const start_result &result) {
+                      onStartResult(order, clock, result);
+                  }));
+}
+
+auto worker_links::onStartResult(const jobs::start_order &order, std::int64_t clockAtSending,
+                                 const start_result &result) -> void
+{
+    if (result.answer == jobs::run_start_answer::fenced) {
+        m_hooks.onFenced();
+        return;
+    }
+    const auto now = m_time.now();
+    if (result.clockMs) {
+        m_engine.onClockRead(order.worker, *result.clockMs, clockAtSending, now);
+    }
+    m_engine.onStartAnswer(order, result.answer, now);
+    if (result.answer != jobs::run_start_answer::started) {
+        m_hooks.onChange();
+    }
 }
 
 auto worker_links::sendStop(const jobs::stop_order &order) -> void
--- a/src/poplarpass/host/worker_links.h
+++ b/src/poplarpass/host/worker_links.h
@@ -47,6 +47,7 @@
     auto onRenewed(const jobs::worker_id &id, const renewal_answer &answer, core::monotonic_time sentAt) -> void;
     auto renewAfter(const jobs::worker_id &id, core::duration delay) -> void;
     auto sendStart(const jobs::start_order &order) -> void;
+    auto onStartResult(const jobs::start_order &order, std::int64_t clockAtSending, const start_result &result) -> void;
     auto sendStop(const jobs::stop_order &order) -> void;
     auto sendPace(const jobs::pace_order &order) -> void;
     [[nodiscard]] static auto isExpectedGone(const jobs::worker_slot &worker) -> bool;
--- a/src/poplarpass/jobs/constants.h
+++ b/src/poplarpass/jobs/constants.h
@@ -19,6 +19,11 @@
 inline constexpr core::duration maxRealLease = std::chrono::milliseconds{5110};
 /// \brief Upper bound on the longest lease that a worker grants, in real time on its slowest clock.
 inline constexpr core::duration maxGrantedLease = std::chrono::milliseconds{10'210};
+/// \brief Time after its sending by which a call to a worker has been carried out, or never will be.
+inline constexpr core::duration maxCallDelay = std::chrono::seconds{3};
+/// \brief Time after the restart of a worker by which its owner has heard of it or has stopped sending it leases: the
+/// longest poll, its timeout and the next attempt.
+inline constexpr core::duration maxRestartNotice = std::chrono::seconds{3};
 /// \brief The remaining lease of an unresponsive worker is recorded again each time it has shrunk by this.
 inline constexpr std::chrono::milliseconds leaseRecordStep{1000};
 /// \brief A worker that has not responded for this long gets no starts.
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -21,9 +21,10 @@
 }
 
 // A former owner may have sent orders until ordersUntil, so a recorded run may exist until the lease of the last of
-// these orders has ended.
+// these orders has ended. Which of its starts were answered is not recorded.
 auto job_engine::restore(multistep_job_record job, core::monotonic_time now, core::monotonic_time ordersUntil) -> void
 {
+    m_formerOrdersUntil = ordersUntil;
     auto &restored = m_jobs[job.id.str()] = std::move(job);
     m_taskCount += restored.tasks.size();
     m_unsubmittedCount += restored.submitted ? 0 : 1;
@@ -41,7 +42,7 @@
         }
         auto &worker = m_workers.findOrAdd(state.worker);
         worker.entry.incarnation = std::max(worker.entry.incarnation, state.workerIncarnation);
-        worker.leaseEnd = std::max(worker.leaseEnd, ordersUntil + maxRealLease + leaseMargin);
+        worker.leaseEnd = std::max(worker.leaseEnd, worker_table::leaseEndAfterRestart(ordersUntil));
         addPlacement(task, restored, worker);
         state.placedByFormerOwner = true;
         state.acknowledged = true;
@@ -257,6 +258,7 @@
     state.stopSentAt = {};
     state.startedAt = now;
     state.startAttempts = 0;
+    state.hasOpenStart = false;
     state.readyNotBefore = now;
     state.ready = false;
     state.percent = 0;
@@ -275,6 +277,7 @@
 auto job_engine::orderStart(const multistep_job_record &job, const task_ref &task, task_record &state) -> void
 {
     ++state.startAttempts;
+    state.hasOpenStart = true;
     state.unansweredAt.reset();
     auto ticket = job.queue.advice ? m_advice.ticketOf(stepNameOf(task), state.worker) : std::string{};
     m_orders.starts.push_back(
@@ -317,7 +320,21 @@
 {
     const auto crashing = recordCrash(worker, loss, now);
     const auto placed = worker.placed;
-    for (const auto &task : placed) {
+    resetLost(worker, placed, loss, now);
+    dropLingering(worker.entry.id);
+    worker.placed.clear();
+    worker.used = {};
+    worker.bestEffortRuns = 0;
+    worker.servingRuns = 0;
+    worker.longRunningRuns = 0;
+    worker.longRunningUse = {};
+    giveUpCrashingJob(crashing, now);
+}
+
+auto job_engine::resetLost(const worker_slot &worker, const std::set<task_ref> &tasks, worker_loss loss,
+                           core::monotonic_time now) -> void
+{
+    for (const auto &task : tasks) {
         const auto [job, state] = locate(task);
         if (job == nullptr) {
             continue;
@@ -328,14 +345,5 @@
             loss == worker_loss::lease_lapsed ? startDelayAfterSilence(task, *job, *state) : core::duration{0};
         resetToWaiting(task, *job, *state, now + delay, nameOf(loss));
     }
-    dropLingering(worker.entry.id);
-    worker.placed.clear();
-    worker.used = {};
-    worker.bestEffortRuns = 0;
-    worker.servingRuns = 0;
-    worker.longRunningRuns = 0;
-    worker.longRunningUse = {};
-    giveUpCrashingJob(crashing, now);
 }
-
 } // namespace poplarpass::jobs
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -102,6 +102,11 @@
     /// \brief Handles an answer of another instance at the worker's address: the worker itself has ended.
     auto onOtherInstance(const worker_id &id, core::monotonic_time now) -> void;
 
+    /// \brief Processes the clock in the answer of worker \p id to an order with a lease.
+    /// \param clockAtSending last reading of its clock when the order was sent, milliseconds
+    auto onClockRead(const worker_id &id, std::int64_t clockMs, std::int64_t clockAtSending, core::monotonic_time now)
+        -> void;
+
     /// \brief Processes the answer to a start.
     auto onStartAnswer(const start_order &order, run_start_answer answer, core::monotonic_time now) -> void;
 
@@ -304,6 +309,9 @@
                 const decision_details &details = {}) -> void;
     auto removeRecord(const job_id &id) -> void;
     auto onEnd(worker_slot &worker, const ended_run &end, core::monotonic_time now) -> void;
+    auto adoptListedRuns(const worker_slot &worker, const renewal_report &report, core::monotonic_time now) -> void;
+    auto adoptRun(const worker_slot &worker, const task_ref &task, multistep_job_record &job, task_record &state,
+                  core::monotonic_time now) -> void;
     auto resolveEarlierIncarnation(worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt,
                                    core::monotonic_time now) -> void;
     auto markStarted(multistep_job_record &job, const worker_slot &worker) -> void;
@@ -318,8 +326,11 @@
     auto resolveUnlistedRuns(worker_slot &worker, core::monotonic_time sentAt, core::monotonic_time now) -> void;
     auto endWorker(const worker_id &id, worker_loss loss, core::monotonic_time now) -> void;
     auto markAllLost(worker_slot &worker, worker_loss loss, core::monotonic_time now) -> void;
+    auto resetLost(const worker_slot &worker, const std::set<task_ref> &tasks, worker_loss loss,
+                   core::monotonic_time now) -> void;
     /// \returns a task whose job is to be given up once the lost runs are removed
     auto recordCrash(const worker_slot &worker, worker_loss loss, core::monotonic_time now) -> std::optional<task_ref>;
+    [[nodiscard]] auto isSilenceRecorded(const worker_id &id, const task_ref &task) const -> bool;
     /// \brief Counts the proven end of a worker against \p runs, which it ended.
     /// \returns a task whose job is to be given up
     auto countCrash(std::span<const internal::lost_run> runs, core::monotonic_time now) -> std::optional<task_ref>;
@@ -384,6 +395,10 @@
     auto onStartRejected(const start_order &order, run_start_answer answer, multistep_job_record &job,
                          task_record &state, core::monotonic_time now) -> void;
     auto expireLeases(core::monotonic_time now) -> void;
+    auto expireAcknowledgedRuns(worker_slot &worker, core::monotonic_time now) -> void;
+    static auto mayStartUnnoticed(const worker_slot &worker, const task_record &state) -> bool;
+    auto limitUnknownLeases(worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt,
+                            core::monotonic_time now) -> void;
     auto retryStops(core::monotonic_time now) -> void;
     auto paceBestEffortRuns(worker_slot &worker, core::monotonic_time now) -> void;
     auto relocateStragglers(core::monotonic_time now) -> void;
@@ -477,6 +492,8 @@
     std::set<job_id> m_suspects; ///< Active jobs with tasks that need an observed start.
     std::vector<internal::crash_suspects> m_crashes; ///< Crashes that more than one job may have caused.
     std::map<worker_id, internal::silent_worker> m_silentWorkers; ///< Workers whose leases lapsed with runs on them.
+    std::optional<core::monotonic_time>
+        m_formerOrdersUntil; ///< Until when former owners may send orders; empty without.
     worker_table m_workers;
     internal::room_reservations m_roomReservations;
     std::set<core::pool_id> m_heldPools; ///< Pools whose workers get no starts.
--- a/src/poplarpass/jobs/job_engine_answers.cpp
+++ b/src/poplarpass/jobs/job_engine_answers.cpp
@@ -36,6 +36,7 @@
     }
     state.acknowledged = true;
     state.acknowledgedAt = now;
+    state.hasOpenStart = state.startAttempts > 1;
     if (state.phase == task_phase::starting) {
         setPhase(order.task, job, state, task_phase::running);
     }
--- a/src/poplarpass/jobs/job_engine_crashes.cpp
+++ b/src/poplarpass/jobs/job_engine_crashes.cpp
@@ -41,7 +41,7 @@
     std::vector<internal::lost_run> runs;
     for (const auto &task : worker.placed) {
         const auto [job, state] = locate(task);
-        if (job != nullptr && state->workerIncarnation < endedBefore) {
+        if (job != nullptr && state->workerIncarnation < endedBefore && !isSilenceRecorded(worker.entry.id, task)) {
             runs.push_back(internal::lostRunOf(task, *state, worker, now));
         }
     }
@@ -106,6 +106,14 @@
                                      internal::silent_worker{worker.entry.address, now, std::move(runs)});
 }
 
+// The silence of a worker is recorded once for all its runs, also for those that stay placed for longer.
+auto job_engine::isSilenceRecorded(const worker_id &id, const task_ref &task) const -> bool
+{
+    const auto found = m_silentWorkers.find(id);
+    return found != m_silentWorkers.end()
+        && std::ranges::find(found->second.runs, task, &internal::lost_run::task) != found->second.runs.end();
+}
+
 auto job_engine::resolveSilence(const worker_id &id, std::int64_t incarnation, core::monotonic_time now) -> void
 {
     const auto found = m_silentWorkers.find(id);
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -17,6 +17,13 @@
     return std::string{task} + "/" + std::to_string(run);
 }
 
+// The earliest time at which the incarnation that reports may have started; its clock runs from its start.
+auto startOf(const renewal_report &report, core::monotonic_time sentAt) -> core::monotonic_time
+{
+    const std::chrono::duration<double, std::milli> age{static_cast<double>(report.clockMs) / minWorkerClockRate};
+    return sentAt - std::chrono::duration_cast<core::duration>(age);
+}
+
 auto runsListedIn(const renewal_report &report) -> std::unordered_set<std::string>
 {
     std::unordered_set<std::string> listed;
@@ -45,6 +52,7 @@
         return 0;
     }
     if (incarnation != worker->reportedIncarnation) {
+        limitUnknownLeases(*worker, report, sentAt, now);
         worker_table::startIncarnation(*worker, incarnation);
         resolveEarlierIncarnation(*worker, report, sentAt, now);
         endPredecessors(*worker, now);
@@ -75,38 +83,73 @@
     return worker->lastHandledEnd;
 }
 
+// A worker that this owner has sent leases to has restarted since. One that it hears of for the first time may hold
+// leases of former owners, unless it started too late for their calls.
+auto job_engine::limitUnknownLeases(worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt,
+                                    core::monotonic_time now) -> void
+{
+    const auto startedAt = startOf(report, sentAt);
+    if (worker.leaseSentAt) {
+        worker_table::onRestartNoticed(worker, now);
+    } else if (m_formerOrdersUntil && startedAt <= *m_formerOrdersUntil + maxCallDelay) {
+        worker_table::limitFormerLease(worker, startedAt, now);
+    }
+}
+
+// A run that the new incarnation lists was started by it, so that it did not crash the former one.
+auto job_engine::adoptListedRuns(const worker_slot &worker, const renewal_report &report, core::monotonic_time now)
+    -> void
+{
+    const auto listed = runsListedIn(report);
+    for (const auto &task : worker.placed) {
+        const auto [job, state] = locate(task);
+        if (job != nullptr && listed.contains(runKey(nameOf(task), state->run))) {
+            adoptRun(worker, task, *job, *state, now);
+        }
+    }
+}
+
+// Stops are ordered again: the new incarnation knows of none.
+auto job_engine::adoptRun(const worker_slot &worker, const task_ref &task, multistep_job_record &job,
+                          task_record &state, core::monotonic_time now) -> void
+{
+    if (state.workerIncarnation >= worker.entry.incarnation) {
+        return;
+    }
+    state.workerIncarnation = worker.entry.incarnation;
+    markChanged(job);
+    if (state.phase == task_phase::closing) {
+        logEvent("run_given_up", nameOf(task), worker.entry.id, state.run, "worker_restarted");
+        beginClosing(task, job, state, now);
+    }
+}
+
 // A run that the worker acknowledged before its current incarnation started has ended with the earlier one. A start
-// that was in flight during the restart may have reached either incarnation; its answer and the next report decide.
-// Stops are ordered again.
+// that was in flight during the restart may have reached either incarnation; its answer and the next report decide. If
+// an earlier copy of its start may still arrive, the run is stopped, so that the new incarnation rejects that copy.
 auto job_engine::resolveEarlierIncarnation(worker_slot &worker, const renewal_report &report,
                                            core::monotonic_time sentAt, core::monotonic_time now) -> void
 {
-    const std::chrono::duration<double, std::milli> age{static_cast<double>(report.clockMs) / minWorkerClockRate};
-    const auto startedAfter = sentAt - std::chrono::duration_cast<core::duration>(age);
-    // The worker's clock was reset, so a lease in terms of the former clock may last up to the maximum that a worker
-    // grants.
-    if (worker.leaseSentAt >= startedAfter) {
-        worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseSentAt + maxGrantedLease + leaseMargin);
-    }
+    const auto startedAfter = startOf(report, sentAt);
+    adoptListedRuns(worker, report, now);
     const auto crashing = recordCrash(worker, worker_loss::worker_restarted, now);
-    const auto listed = runsListedIn(report);
     const auto placed = worker.placed;
     for (const auto &task : placed) {
         const auto [job, state] = locate(task);
         if (job == nullptr || state->workerIncarnation >= worker.entry.incarnation) {
             continue;
         }
-        const bool isListed = listed.contains(runKey(nameOf(task), state->run));
-        if (!isListed && state->acknowledged && state->acknowledgedAt < startedAfter) {
+        const bool mayStillStart =
+            state->hasOpenStart && worker.leaseSentAt && now < *worker.leaseSentAt + maxCallDelay;
+        const bool hasEnded = state->acknowledged && state->acknowledgedAt < startedAfter;
+        if (hasEnded && !mayStillStart) {
             ++m_counters.runsLost;
             logRunLost(task, worker, *state, "worker_restarted");
             resetToWaiting(task, *job, *state, now, "worker_restarted");
             continue;
         }
-        state->workerIncarnation = worker.entry.incarnation;
-        markChanged(*job);
-        if (state->phase == task_phase::closing) {
-            logEvent("run_given_up", nameOf(task), worker.entry.id, state->run, "worker_restarted");
+        adoptRun(worker, task, *job, *state, now);
+        if (hasEnded && state->phase != task_phase::closing) {
             beginClosing(task, *job, *state, now);
         }
     }
@@ -117,6 +160,31 @@
 {
     if (auto *worker = m_workers.find(id)) {
         m_workers.markUnresponsive(*worker, now);
+        const bool hasOpenStarts = std::ranges::any_of(worker->placed, [&](const task_ref &task) {
+            const auto [job, state] = locate(task);
+            return job != nullptr && mayStartUnnoticed(*worker, *state);
+        });
+        worker->openStartsEnd = hasOpenStarts && worker->leaseSentAt
+            ? worker_table::leaseEndAfterRestart(*worker->leaseSentAt)
+            : core::monotonic_time{};
+    }
+}
+
+// Copies of a start order that are carried out later than its acknowledgement reach the same incarnation as long as the
+// worker is heard of.
+auto job_engine::mayStartUnnoticed(const worker_slot &worker, const task_record &state) -> bool
+{
+    const bool isSettled = state.acknowledged && worker.lastHeardAt >= state.acknowledgedAt + maxCallDelay;
+    return state.hasOpenStart && !isSettled;
+}
+
+auto job_engine::onClockRead(const worker_id &id, std::int64_t clockMs, std::int64_t clockAtSending,
+                             core::monotonic_time now) -> void
+{
+    auto *worker = m_workers.find(id);
+    if (worker != nullptr && clockMs < clockAtSending) {
+        worker_table::onRestartNoticed(*worker, now);
+        logEvent("worker_clock_reset", id.str(), id, 0, "start_answer");
     }
 }
 
@@ -257,6 +325,7 @@
         setPhase(*task, *job, *state, task_phase::running);
         state->acknowledged = true;
         state->acknowledgedAt = now;
+        state->hasOpenStart = state->startAttempts > 1;
     }
     clearIfLasting(*task, *job, *state, now);
     if (state->phase == task_phase::closing && state->stopConfirmed && now - state->stopConfirmedAt >= maxStopTime) {
@@ -308,10 +377,29 @@
 auto job_engine::expireLeases(core::monotonic_time now) -> void
 {
     for (const auto &[id, worker] : m_workers.unrenewed()) {
-        if (!worker->placed.empty() && now >= worker->leaseEnd && !worker->responsive) {
+        if (worker->placed.empty() || now < worker->leaseEnd || worker->responsive) {
+            continue;
+        }
+        if (now >= worker->openStartsEnd) {
             markAllLost(*worker, worker_loss::lease_lapsed, now);
+        } else {
+            expireAcknowledgedRuns(*worker, now);
+        }
+    }
+}
+
+// Runs of which a start may yet be carried out by the worker's next incarnation stay placed.
+auto job_engine::expireAcknowledgedRuns(worker_slot &worker, core::monotonic_time now) -> void
+{
+    recordCrash(worker, worker_loss::lease_lapsed, now);
+    std::set<task_ref> lapsed;
+    for (const auto &task : worker.placed) {
+        const auto [job, state] = locate(task);
+        if (job != nullptr && !mayStartUnnoticed(worker, *state)) {
+            lapsed.insert(task);
         }
     }
+    resetLost(worker, lapsed, worker_loss::lease_lapsed, now);
 }
 
 auto job_engine::retryStops(core::monotonic_time now) -> void
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -54,9 +54,7 @@
         if (worker.entry.incarnation != 0 && entry.incarnation > worker.entry.incarnation) {
             worker.synced = false;
             markUnresponsive(worker, now);
-            // The worker's clock was reset, so a lease in terms of the former clock may last up to the maximum that a
-            // worker grants.
-            worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseSentAt + maxGrantedLease + leaseMargin);
+            onRestartNoticed(worker, now);
         }
         // An entry of an earlier incarnation was written late, unless only an entry has named the later one: that entry
         // may be wrong, and the newest one counts.
@@ -111,6 +109,7 @@
 auto worker_table::markResponsive(worker_slot &worker, core::monotonic_time now) -> void
 {
     worker.responsive = true;
+    worker.openStartsEnd = {};
     worker.lastResponseAt = now;
     worker.lastHeardAt = now;
 }
@@ -185,6 +184,28 @@
     return deadline;
 }
 
+// A deadline in terms of the former clock bounds nothing once the clock began again: the worker then grants the longest
+// lease, counted from the arrival of the call.
+auto worker_table::onRestartNoticed(worker_slot &worker, core::monotonic_time now) -> void
+{
+    const auto lastArrival = std::max(now, worker.leaseSentAt.value_or(core::monotonic_time{}) + maxCallDelay);
+    worker.leaseEnd = std::max(worker.leaseEnd, lastArrival + maxGrantedLease + leaseMargin);
+}
+
+// Leases in terms of the present clock end within maxRealLease. A former owner may also have sent some in terms of an
+// earlier clock, but only until it noticed the restart.
+auto worker_table::limitFormerLease(worker_slot &worker, core::monotonic_time startedAt, core::monotonic_time now)
+    -> void
+{
+    const auto lastArrival = std::min(now, startedAt + maxRestartNotice + maxCallDelay);
+    worker.leaseEnd = std::max(now + maxRealLease, lastArrival + maxGrantedLease) + leaseMargin;
+}
+
+auto worker_table::leaseEndAfterRestart(core::monotonic_time lastSentAt) -> core::monotonic_time
+{
+    return lastSentAt + maxCallDelay + maxGrantedLease + leaseMargin;
+}
+
 // The former owner extended no lease of that worker after writing the record, so the recorded remainder replaces the
 // bound derived from the former owner's term.
 auto worker_table::restoreUnrenewedLease(const unrenewed_lease &record, core::monotonic_time now) -> void
@@ -200,7 +221,7 @@
 {
     for (auto &[id, worker] : m_workers) {
         if (!worker.synced) {
-            worker.leaseEnd = std::min(worker.leaseEnd, ordersUntil + maxRealLease + leaseMargin);
+            worker.leaseEnd = std::min(worker.leaseEnd, leaseEndAfterRestart(ordersUntil));
         }
     }
 }
@@ -216,8 +237,9 @@
             worker->recordedRemainder.reset();
             continue;
         }
+        const auto end = std::max(worker->leaseEnd, worker->openStartsEnd);
         const auto remaining =
-            std::chrono::duration_cast<std::chrono::milliseconds>(std::max(worker->leaseEnd - now, core::duration{0}));
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::max(end - now, core::duration{0}));
         if (!worker->recordedRemainder || *worker->recordedRemainder - remaining >= leaseRecordStep) {
             worker->recordedRemainder = remaining;
             changed.push_back({id, worker->entry.incarnation, remaining});
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -35,8 +35,10 @@
     core::monotonic_time lastHeardAt{}; ///< When it last answered any call.
     core::monotonic_time contactLostAt{}; ///< When it first did not answer a renewal; valid while it is unresponsive.
     core::monotonic_time pausedUntil{}; ///< No starts before this time.
-    core::monotonic_time leaseSentAt{}; ///< When a lease extension was last sent.
-    core::monotonic_time leaseEnd{}; ///< Time by which all placed runs have ended if no further lease is sent.
+    std::optional<core::monotonic_time> leaseSentAt; ///< When this owner last sent a lease extension; empty before.
+    core::monotonic_time leaseEnd{}; ///< Time by which placed runs have ended if no further lease is sent; later for
+                                     ///< those with an open start, see openStartsEnd.
+    core::monotonic_time openStartsEnd{}; ///< Time by which those have ended, too, while the worker is unresponsive.
     core::monotonic_time clockReadAt{}; ///< Local time at which clockMs was received.
     std::int64_t clockMs = 0; ///< Worker's clock at clockReadAt, milliseconds.
     std::uint64_t lastHandledEnd = 0; ///< Number of the last processed end.
@@ -133,6 +135,19 @@
     /// \returns end of the lease on the worker's clock, milliseconds
     auto extendLease(worker_slot &worker, core::monotonic_time now) -> std::int64_t;
 
+    /// \brief Accounts for leases in terms of the clock of an earlier incarnation that \p worker may have granted since
+    /// its restart, which was noticed at \p now.
+    static auto onRestartNoticed(worker_slot &worker, core::monotonic_time now) -> void;
+
+    /// \brief Accounts at the first report of \p worker to this owner for the leases that former owners sent; from now
+    /// on it rejects their calls.
+    /// \param startedAt when its incarnation started
+    static auto limitFormerLease(worker_slot &worker, core::monotonic_time startedAt, core::monotonic_time now) -> void;
+
+    /// \brief Returns the time by which runs have ended that a worker may have begun after a restart that was not
+    /// noticed, given that nothing was sent to it after \p lastSentAt.
+    static auto leaseEndAfterRestart(core::monotonic_time lastSentAt) -> core::monotonic_time;
+
     /// \brief Restores the remaining lease of a worker from the record of a former owner.
     auto restoreUnrenewedLease(const unrenewed_lease &record, core::monotonic_time now) -> void;
 
--- a/tests/decisions/crashing_task_test.cpp
+++ b/tests/decisions/crashing_task_test.cpp
@@ -83,6 +83,9 @@
             REQUIRE(jobs::applyProgress(job, jobs::encodeProgress(stored)));
             next->restore(std::move(job), at(m_now), at(m_now));
         }
+        for (const auto &[id, lease] : m_leases) {
+            next->workers().restoreUnrenewedLease(lease, at(m_now));
+        }
         m_engine = std::move(next);
         m_lastSeen.clear();
         ++m_token;
@@ -148,6 +151,9 @@
         }
         m_engine->plan(at(m_now), wallAt(m_now));
         m_engine->drainChangedJobs();
+        for (auto &lease : m_engine->workers().collectUnrenewedLeases(at(m_now))) {
+            m_leases[lease.worker] = lease;
+        }
         for (const auto orders = m_engine->drainOrders(); const auto &order : orders.starts) {
             m_engine->onStartAnswer(order, start(order), at(m_now));
         }
@@ -250,6 +256,7 @@
     std::map<std::string, jobs::multistep_job_spec> m_specs;
     std::map<std::string, std::int64_t> m_startedAt; ///< When the newest run of a task began, by task.
     std::map<std::string, std::uint64_t> m_lastSeen; ///< Number of the last acknowledged end, by worker.
+    std::map<jobs::worker_id, jobs::unrenewed_lease> m_leases; ///< Stored leases of silent workers.
     std::int64_t m_now = 0;
     std::uint64_t m_token = 1;
 };
--- a/tests/decisions/jobs_sim_test.cpp
+++ b/tests/decisions/jobs_sim_test.cpp
@@ -8,6 +8,19 @@
 constexpr int scenarioCount = 60;
 constexpr std::int64_t faultPhaseMs = 30'000;
 constexpr std::int64_t settleLimitMs = 60'000;
+/// Some of its tasks run for 11 s, one after the other.
+constexpr std::int64_t longSettleLimitMs = 150'000;
+
+auto play(tests::jobs_sim::world &world, std::uint64_t seed, std::int64_t limitMs) -> void
+{
+    world.run(faultPhaseMs, limitMs);
+    INFO("seed " << seed);
+    for (const auto &violation : world.violations) {
+        UNSCOPED_INFO(violation);
+    }
+    REQUIRE(world.violations.empty());
+    REQUIRE(world.settled);
+}
 } // namespace
 
 TEST_CASE(
@@ -21,14 +34,8 @@
     std::size_t crashes = 0;
     for (int scenario = 0; scenario < scenarioCount; ++scenario) {
         const auto seed = tests::baseSeed() + static_cast<std::uint64_t>(scenario);
-        INFO("seed " << seed);
         tests::jobs_sim::world world{seed};
-        world.run(faultPhaseMs, settleLimitMs);
-        for (const auto &violation : world.violations) {
-            UNSCOPED_INFO(violation);
-        }
-        REQUIRE(world.violations.empty());
-        REQUIRE(world.settled);
+        play(world, seed, settleLimitMs);
         CHECK(world.submitted > 50);
         takeovers += world.takeovers;
         restarts += world.restarts;
@@ -40,3 +47,17 @@
     CHECK(capsReached > scenarioCount);
     CHECK(crashes > scenarioCount);
 }
+
+// Guards against two runs of one task: workers restart under their identifiers and carry out calls that were meant for
+// their former incarnation, with deadlines that bound nothing on the new clock, and are cut off soon after.
+TEST_CASE("Simulated restarts under the same identifier, followed by cuts, cause no concurrent runs", "[jobs][sim]")
+{
+    std::size_t restarts = 0;
+    for (int scenario = 0; scenario < scenarioCount; ++scenario) {
+        const auto seed = tests::baseSeed() + static_cast<std::uint64_t>(scenario);
+        tests::jobs_sim::world world{seed, {true}};
+        play(world, seed, longSettleLimitMs);
+        restarts += world.restarts;
+    }
+    CHECK(restarts > 2 * scenarioCount);
+}
--- a/tests/decisions/jobs_sim_world.cpp
+++ b/tests/decisions/jobs_sim_world.cpp
@@ -15,6 +15,10 @@
 constexpr std::int64_t ordersTermMs = 4500;
 constexpr std::int64_t takeoverMs = 1800;
 constexpr std::int64_t callTimeoutMs = 900;
+constexpr std::int64_t restartMs = 600;
+/// Longer than any lease.
+constexpr std::int64_t longRunMs = 11'000;
+constexpr std::int64_t heartbeatMs = 1500;
 constexpr std::uint32_t maxAttempts = 4;
 /// The payload of jobs whose first task crashes each worker that starts it.
 constexpr const char *crashingPayload = "crashes";
@@ -34,8 +38,9 @@
 }
 } // namespace
 
-world::world(std::uint64_t seed)
-    : m_random{seed}
+world::world(std::uint64_t seed, world_options options)
+    : m_options{options}
+    , m_random{seed}
 {
     for (std::int64_t index = 0; index < workerCount; ++index) {
         const auto id = "w" + std::to_string(index);
@@ -81,6 +86,10 @@
         submitRandomJob();
     }
     for (auto &[id, worker] : m_workers) {
+        if (worker.isDown && m_now >= worker.startsAgainAt) {
+            worker.isDown = false;
+            worker.model->restart(m_now);
+        }
         worker.model->advance(m_now);
     }
     crashWorkers();
@@ -99,7 +108,7 @@
 
 auto world::submitRandomJob() -> void
 {
-    if (!chance(0.08)) {
+    if (!chance(m_options.hasSilentRestarts ? 0.025 : 0.08)) {
         return;
     }
     auto &owner = *m_owners.back();
@@ -121,6 +130,9 @@
             worker.unreachableSince = m_now;
             worker.unreachableUntil = m_now + 500 + static_cast<std::int64_t>(m_random() % 9000);
         }
+        if (m_options.hasSilentRestarts && chance(0.0006)) {
+            restartAndCut(worker);
+        }
         if (chance(0.0007)) {
             // All its runs end; it restarts under the same identifier.
             restart(worker);
@@ -133,11 +145,36 @@
 }
 
 auto world::restart(sim_worker &worker) -> void
+{
+    countCrashes(worker);
+    worker.model->restart(m_now);
+}
+
+auto world::countCrashes(const sim_worker &worker) -> void
 {
     for (const auto &task : worker.model->runningTasks()) {
         ++m_crashes[task];
     }
-    worker.model->restart(m_now);
+}
+
+// The worker is silent while it restarts, and calls wait for it. Some time later it is cut off for longer than any
+// lease.
+auto world::restartAndCut(sim_worker &worker) -> void
+{
+    if (worker.isDown) {
+        return;
+    }
+    countCrashes(worker);
+    worker.model->killRuns();
+    ++restarts;
+    worker.isDown = true;
+    worker.startsAgainAt = m_now + restartMs;
+    worker.entryOutdatedUntil = worker.startsAgainAt + static_cast<std::int64_t>(m_random() % heartbeatMs);
+    const auto cutAt = worker.startsAgainAt + static_cast<std::int64_t>(m_random() % 3000);
+    m_delayed.push_back({cutAt, [this, &worker] {
+                             worker.unreachableSince = m_now;
+                             worker.unreachableUntil = m_now + 9000 + static_cast<std::int64_t>(m_random() % 8000);
+                         }});
 }
 
 auto world::crashWorkers() -> void
@@ -188,16 +225,18 @@
 
 auto world::isReachable(const sim_worker &worker) -> bool
 {
-    return m_now >= worker.unreachableUntil;
+    return m_now >= worker.unreachableUntil && m_now >= worker.startsAgainAt;
 }
 
 auto world::runOwnerCycle(sim_owner &owner) -> void
 {
     std::vector<jobs::worker_entry> entries;
-    for (const auto &[id, state] : m_workers) {
-        auto entry = worker(id, state.model->incarnation());
-        entry.clockMs = state.model->clockAt(m_now);
-        entries.push_back(entry);
+    for (auto &[id, state] : m_workers) {
+        if (m_now >= state.entryOutdatedUntil) {
+            state.entry = worker(id, state.model->incarnation());
+            state.entry.clockMs = state.model->clockAt(m_now);
+        }
+        entries.push_back(state.entry);
     }
     owner.engine->updateWorkers(entries, at(m_now));
     for (auto &[id, state] : m_workers) {
@@ -268,6 +307,17 @@
     }
     const bool extends = slot->responsive;
     const auto deadline = extends ? owner.engine->workers().extendLease(*slot, at(m_now)) : 0;
+    if (m_now < worker.startsAgainAt) {
+        // The renewal waits for the next incarnation.
+        owner.acknowledged[worker.id] = 0;
+        m_delayed.push_back({worker.startsAgainAt, [this, &worker, token = owner.epoch, extends, deadline] {
+                                 if (isReachable(worker)) {
+                                     worker.model->renew(token, 0, extends ? std::optional{deadline} : std::nullopt,
+                                                         m_now);
+                                 }
+                             }});
+        return;
+    }
     if (!isReachable(worker)) {
         if (m_now - worker.unreachableSince >= callTimeoutMs) {
             owner.engine->onNoReport(id, at(m_now));
@@ -312,19 +362,24 @@
         if (chance(0.7)) {
             m_delayed.push_back({m_now + 200 + static_cast<std::int64_t>(m_random() % 9000),
                                  [this, &worker, incarnation, token, order, deadline] {
-                                     if (isReachable(worker)) {
-                                         carryOutStart(worker, incarnation, token, order, deadline);
+                                     // An order that is queued at a worker is lost when it restarts.
+                                     if (isReachable(worker) && incarnation == worker.model->incarnation()) {
+                                         carryOutStart(worker, token, order, deadline);
                                      }
                                  }});
         }
         owner.engine->onStartAnswer(order, jobs::run_start_answer::unknown, at(m_now));
         return;
     }
+    if (m_now < worker.startsAgainAt) {
+        startAfterRestart(owner, order, deadline, slot->clockMs);
+        return;
+    }
     if (!isReachable(worker)) {
         owner.engine->onStartAnswer(order, jobs::run_start_answer::unknown, at(m_now));
         return;
     }
-    const auto answer = carryOutStart(worker, incarnation, token, order, deadline);
+    const auto answer = carryOutStart(worker, token, order, deadline);
     if (answer == jobs::run_start_answer::fenced) {
         owner.alive = false;
         return;
@@ -332,20 +387,37 @@
     owner.engine->onStartAnswer(order, chance(0.03) ? jobs::run_start_answer::unknown : answer, at(m_now));
 }
 
-auto world::carryOutStart(sim_worker &worker, std::int64_t incarnation, std::uint64_t token,
-                          const jobs::start_order &order, std::int64_t deadline) -> jobs::run_start_answer
+// The order waits for the worker's next incarnation. Its answer may be lost.
+auto world::startAfterRestart(sim_owner &owner, const jobs::start_order &order, std::int64_t deadline,
+                              std::int64_t clockAtSending) -> void
+{
+    auto &worker = m_workers.at(order.worker.str());
+    m_delayed.push_back(
+        {worker.startsAgainAt, [this, &owner, &worker, order, deadline, clockAtSending] {
+             const auto answer = isReachable(worker) ? carryOutStart(worker, owner.epoch, order, deadline)
+                                                     : jobs::run_start_answer::unknown;
+             if (answer == jobs::run_start_answer::fenced) {
+                 owner.alive = false;
+             } else if (answer == jobs::run_start_answer::unknown || chance(0.3)) {
+                 owner.engine->onStartAnswer(order, jobs::run_start_answer::unknown, at(m_now));
+             } else {
+                 owner.engine->onClockRead(order.worker, worker.model->clockAt(m_now), clockAtSending, at(m_now));
+                 owner.engine->onStartAnswer(order, answer, at(m_now));
+             }
+         }});
+}
+
+auto world::carryOutStart(sim_worker &worker, std::uint64_t token, const jobs::start_order &order,
+                          std::int64_t deadline) -> jobs::run_start_answer
 {
-    // An order that is queued at a worker is lost when it restarts.
-    if (incarnation != worker.model->incarnation()) {
-        return jobs::run_start_answer::unknown;
-    }
     fakes::start_command command;
     command.token = token;
     command.task = jobs::nameOf(order.task);
     command.run = order.run;
     command.deadlineMs = deadline;
     command.need = m_specs.at(order.task.job.str()).steps[order.task.step].perTask;
-    command.lengthMs = 200 + static_cast<std::int64_t>(m_random() % 1200);
+    const bool isLong = m_options.hasSilentRestarts && chance(0.1);
+    command.lengthMs = (isLong ? longRunMs : 200) + static_cast<std::int64_t>(m_random() % 1200);
     command.fails = chance(0.02);
     if (m_specs.at(order.task.job.str()).payload == crashingPayload && order.task.step + order.task.index == 0) {
         m_crashesAt[command.task] = m_now + tickMs;
--- a/tests/decisions/jobs_sim_world.h
+++ b/tests/decisions/jobs_sim_world.h
@@ -24,6 +24,10 @@
     std::unique_ptr<fakes::worker_model> model;
     std::int64_t unreachableSince = 0; ///< When it last became unreachable.
     std::int64_t unreachableUntil = 0; ///< Unreachable before this time.
+    bool isDown = false; ///< Whether it restarts silently; calls wait for its next incarnation.
+    std::int64_t startsAgainAt = 0; ///< When it is up again.
+    jobs::worker_entry entry; ///< Its published entry.
+    std::int64_t entryOutdatedUntil = 0; ///< The entry is of the former incarnation before this time.
 };
 
 /// \brief An owner: its engine and its state of acknowledgements.
@@ -46,11 +50,18 @@
     std::map<std::string, jobs::unrenewed_lease> leaseRecords;
 };
 
+/// \brief What a simulation plays beyond the usual faults.
+struct world_options
+{
+    bool hasSilentRestarts = false; ///< Workers restart while calls wait for them and are cut off soon after, and some
+                                    ///< tasks run for longer than any lease.
+};
+
 /// \brief The simulation; violated rules are listed in \c violations.
 class world
 {
 public:
-    explicit world(std::uint64_t seed);
+    explicit world(std::uint64_t seed, world_options options = {});
 
     /// \brief Runs for \p milliseconds with faults, then without until all jobs have ended or \p limit milliseconds
     /// have passed.
@@ -82,19 +93,24 @@
     auto renew(sim_owner &owner, sim_worker &worker) -> void;
     auto isReachable(const sim_worker &worker) -> bool;
     auto sendStart(sim_owner &owner, const jobs::start_order &order) -> void;
-    auto carryOutStart(sim_worker &worker, std::int64_t incarnation, std::uint64_t token,
-                       const jobs::start_order &order, std::int64_t deadline) -> jobs::run_start_answer;
+    auto startAfterRestart(sim_owner &owner, const jobs::start_order &order, std::int64_t deadline,
+                           std::int64_t clockAtSending) -> void;
+    auto carryOutStart(sim_worker &worker, std::uint64_t token, const jobs::start_order &order, std::int64_t deadline)
+        -> jobs::run_start_answer;
     auto checkCap(const jobs::account_id &account, jobs::resources use) -> void;
     auto sendStop(sim_owner &owner, const jobs::stop_order &order) -> void;
     auto observerOf(const std::string &worker) -> fakes::worker_observer;
     auto recordEnd(const std::string &task, jobs::end_kind how) -> void;
     auto checkStart(const std::string &task, const std::string &worker) -> void;
     auto restart(sim_worker &worker) -> void;
+    auto restartAndCut(sim_worker &worker) -> void;
+    auto countCrashes(const sim_worker &worker) -> void;
     auto crashWorkers() -> void;
     auto checkFailed(const jobs::multistep_job_record &job) -> void;
     auto chance(double share) -> bool;
     auto allEnded() -> bool;
 
+    world_options m_options;
     std::mt19937_64 m_random;
     std::int64_t m_now = 0;
     sim_store m_store;
--- /dev/null
+++ b/tests/decisions/restart_in_place_test.cpp
@@ -0,0 +1,211 @@
+#include "jobs_fixture.h"
+
+#include <poplarpass/jobs/constants.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace tests::jobs_fixture;
+
+// A worker that restarts under its identifier may carry out calls that were meant for its former incarnation. Their
+// deadlines are in terms of a clock that began again, so it grants its longest lease, counted from their arrival.
+namespace
+{
+const jobs::job_id jobId{"00000000000000aa"};
+const std::string taskName = "00000000000000aa.0.0.0";
+
+/// The longest lease that a worker grants, on its slowest clock.
+constexpr std::int64_t longestLeaseMs = 10'204;
+
+/// An engine with one job of one task on one of two workers; the start was sent at 10 ms.
+struct restart_fixture
+{
+    jobs::job_engine engine = engineWith({worker("a"), worker("b")});
+    jobs::start_order order;
+
+    explicit restart_fixture(const jobs::step_spec &spec = step(1))
+    {
+        engine.submit(jobId, queue(), jobOf({spec}), wallAt(0));
+        engine.plan(at(10), wallAt(10));
+        order = engine.drainOrders().starts.at(0);
+        engine.workers().extendLease(slot(), at(10));
+    }
+
+    auto slot() -> jobs::worker_slot &
+    {
+        return *engine.workers().find(order.worker);
+    }
+
+    [[nodiscard]] auto task() const -> const jobs::task_record &
+    {
+        return engine.find(jobId)->tasks[0];
+    }
+
+    [[nodiscard]] auto otherWorker() const -> jobs::worker_id
+    {
+        return jobs::worker_id{order.worker.str() == "a" ? "b" : "a"};
+    }
+
+    /// \brief Returns a report of the next incarnation, \p ageMs after its start.
+    [[nodiscard]] auto reportAfterRestart(std::int64_t ageMs, bool listsRun) const -> jobs::renewal_report
+    {
+        auto result = report(2);
+        result.clockMs = ageMs;
+        if (listsRun) {
+            result.running.push_back({taskName, order.run, {}, 50, 0});
+        }
+        return result;
+    }
+
+    /// \brief Plans at \p now, with the other worker in contact, and returns the number of starts.
+    auto startsAt(std::int64_t now) -> std::size_t
+    {
+        engine.onReport(otherWorker(), report(), at(now - 1), at(now - 1));
+        return startAll(engine, now).size();
+    }
+};
+} // namespace
+
+// Guards against two runs: the lease of a run that a restarted worker began late was counted from the sending of its
+// start.
+TEST_CASE("The lease of a run that a restarted worker began late counts from when the restart was noticed", "[jobs]")
+{
+    restart_fixture fixture;
+    fixture.engine.onStartAnswer(fixture.order, jobs::run_start_answer::started, at(620));
+    fixture.engine.onReport(fixture.order.worker, fixture.reportAfterRestart(300, true), at(900), at(905));
+    fixture.engine.onNoReport(fixture.order.worker, at(2000));
+    // The start may have arrived just before the report.
+    CHECK(fixture.startsAt(905 + longestLeaseMs) == 0);
+    CHECK(fixture.startsAt(13'400) == 1);
+}
+
+// Guards against two runs: the restart was seen only in the answer to a start, and the worker was cut off before its
+// report.
+TEST_CASE("A start answered by a clock that began again counts as a restart", "[jobs]")
+{
+    restart_fixture fixture;
+    fixture.engine.onStartAnswer(fixture.order, jobs::run_start_answer::started, at(3620));
+    SECTION("The clock went on: the deadline bounds the run")
+    {
+        fixture.engine.onClockRead(fixture.order.worker, 3600, 1, at(3620));
+        fixture.engine.onNoReport(fixture.order.worker, at(3700));
+        CHECK(fixture.startsAt(5400) == 1);
+    }
+    SECTION("The clock began again")
+    {
+        fixture.engine.onClockRead(fixture.order.worker, 20, 3000, at(3620));
+        fixture.engine.onNoReport(fixture.order.worker, at(3700));
+        CHECK(fixture.startsAt(3620 + longestLeaseMs) == 0);
+        CHECK(fixture.startsAt(14'000) == 1);
+    }
+}
+
+// Guards against two runs: a start without an answer was carried out after a restart that nobody noticed.
+TEST_CASE("A start without an answer is waited out as if its worker had restarted, an acknowledged run is not",
+          "[jobs]")
+{
+    restart_fixture fixture{step(2)};
+    const auto both = fixture.engine.find(jobId)->tasks;
+    REQUIRE(both[0].worker == both[1].worker);
+    fixture.engine.onStartAnswer(fixture.order, jobs::run_start_answer::started, at(12));
+    fixture.engine.onNoReport(fixture.order.worker, at(500));
+    fixture.engine.plan(at(5400), wallAt(5400));
+    CHECK(fixture.engine.find(jobId)->tasks[0].phase == jobs::task_phase::waiting);
+    CHECK(fixture.engine.find(jobId)->tasks[1].phase == jobs::task_phase::starting);
+    const auto lastArrival = 10 + std::chrono::duration_cast<std::chrono::milliseconds>(jobs::maxCallDelay).count();
+    fixture.engine.plan(at(lastArrival + longestLeaseMs), wallAt(lastArrival + longestLeaseMs));
+    CHECK(fixture.engine.find(jobId)->tasks[1].phase == jobs::task_phase::starting);
+    fixture.engine.plan(at(lastArrival + 10'400), wallAt(lastArrival + 10'400));
+    CHECK(fixture.engine.find(jobId)->tasks[1].phase == jobs::task_phase::waiting);
+}
+
+// Guards against the same by the next owner, which learns of the lease from the record of the former one.
+TEST_CASE("The recorded lease of a silent worker covers a start without an answer", "[jobs]")
+{
+    restart_fixture fixture;
+    fixture.engine.onNoReport(fixture.order.worker, at(500));
+    const auto records = fixture.engine.workers().collectUnrenewedLeases(at(500));
+    const auto found = std::ranges::find(records, fixture.order.worker, &jobs::unrenewed_lease::worker);
+    REQUIRE(found != records.end());
+    const auto lastArrival = std::chrono::milliseconds{10} + jobs::maxCallDelay;
+    CHECK(*found->remaining >= lastArrival + std::chrono::milliseconds{longestLeaseMs - 500});
+}
+
+// Guards against two runs after a takeover: the worker restarted unheard, carried out an order of the former owner, and
+// was cut off.
+TEST_CASE("Runs on a worker that a new owner never heard of are waited out as if it had restarted", "[jobs]")
+{
+    restart_fixture fixture;
+    auto restored = jobs::makeJob(jobId, queue(), jobOf({step(1)}), wallAt(0));
+    REQUIRE(jobs::applyProgress(restored, jobs::encodeProgress(*fixture.engine.find(jobId))));
+    jobs::job_engine next{nullptr};
+    constexpr std::int64_t ordersUntil = 1000;
+    next.restore(restored, at(900), at(ordersUntil));
+    SECTION("never heard")
+    {
+        next.plan(at(ordersUntil + longestLeaseMs), wallAt(ordersUntil + longestLeaseMs));
+        CHECK(next.find(jobId)->tasks[0].phase != jobs::task_phase::waiting);
+        next.plan(at(14'400), wallAt(14'400));
+        CHECK(next.find(jobId)->tasks[0].phase == jobs::task_phase::waiting);
+    }
+    SECTION("heard soon after its restart")
+    {
+        next.updateWorkers(std::vector{worker(fixture.order.worker.str(), 2)}, at(950));
+        next.onReport(fixture.order.worker, fixture.reportAfterRestart(700, true), at(1000), at(1005));
+        next.onNoReport(fixture.order.worker, at(1100));
+        next.plan(at(1005 + longestLeaseMs), wallAt(1005 + longestLeaseMs));
+        CHECK(next.find(jobId)->tasks[0].phase != jobs::task_phase::waiting);
+        next.plan(at(11'400), wallAt(11'400));
+        CHECK(next.find(jobId)->tasks[0].phase == jobs::task_phase::waiting);
+    }
+    SECTION("heard long after its start: only leases in terms of its present clock exist")
+    {
+        next.updateWorkers(std::vector{worker(fixture.order.worker.str(), 1)}, at(950));
+        auto answer = report(1);
+        answer.clockMs = 60'000;
+        answer.running.push_back({taskName, fixture.order.run, {}, 50, 0});
+        next.onReport(fixture.order.worker, answer, at(1000), at(1005));
+        next.onNoReport(fixture.order.worker, at(1100));
+        next.plan(at(6400), wallAt(6400));
+        CHECK(next.find(jobId)->tasks[0].phase == jobs::task_phase::waiting);
+    }
+}
+
+// Guards against two runs: the second copy of a start was acknowledged, and the first one reached the next incarnation.
+TEST_CASE("A run of which a copy of the start may still arrive is stopped at the restarted worker", "[jobs]")
+{
+    restart_fixture fixture;
+    fixture.engine.onStartAnswer(fixture.order, jobs::run_start_answer::unknown, at(910));
+    fixture.engine.plan(at(911), wallAt(911));
+    const auto copy = fixture.engine.drainOrders().starts.at(0);
+    REQUIRE(copy.attempt == 2);
+    fixture.engine.workers().extendLease(fixture.slot(), at(911));
+    fixture.engine.onStartAnswer(copy, jobs::run_start_answer::started, at(915));
+    fixture.engine.onReport(fixture.order.worker, fixture.reportAfterRestart(100, false), at(1500), at(1505));
+    CHECK(fixture.task().phase != jobs::task_phase::waiting);
+}
+
+// Guards against a job that is given up although its tasks never ran on the workers that crashed.
+TEST_CASE("A run that a restarted worker lists is no cause of its crash", "[jobs][crashes]")
+{
+    restart_fixture fixture;
+    fixture.engine.onReport(fixture.order.worker, fixture.reportAfterRestart(300, true), at(900), at(905));
+    CHECK(fixture.task().crashes == jobs::crash_record{});
+    CHECK(fixture.task().phase == jobs::task_phase::running);
+    CHECK(fixture.task().workerIncarnation == 2);
+}
+
+// Guards against a crash that counts twice: first as a silence, for some runs only, and then as a restart.
+TEST_CASE("The crash of a worker counts once for a run that outlasts the leases of others there", "[jobs][crashes]")
+{
+    restart_fixture fixture;
+    fixture.engine.onNoReport(fixture.order.worker, at(500));
+    fixture.engine.plan(at(6000), wallAt(6000));
+    REQUIRE(fixture.task().phase == jobs::task_phase::starting);
+    CHECK(fixture.task().crashes.total() == 1);
+    fixture.engine.onReport(fixture.order.worker, fixture.reportAfterRestart(100, false), at(6500), at(6505));
+    CHECK(fixture.task().crashes.total() == 1);
+}
--- a/tests/io/store_client_test.cpp
+++ b/tests/io/store_client_test.cpp
@@ -94,6 +94,27 @@
     CHECK(outcomeOf("conflict") == host::renewal_outcome::failed);
 }
 
+TEST_CASE_METHOD(io_fixture, "The answer to a start has the clock of the worker, if it has one", "[platform][workers]")
+{
+    const auto resultOf = [this](int status, const std::string &body) {
+        net::http_server server{loop, "127.0.0.1:0", net::server_limits{},
+                                [&](const net::http_request &, const std::shared_ptr<net::responder> &caller) {
+                                    caller->respond(net::makeResponse(status, body));
+                                }};
+        net::http_client renewals{loop, {}};
+        net::http_client orders{loop, {}};
+        const auto calls = platform::makeWorkerCalls(renewals, orders);
+        host::worker_target target;
+        target.address = "127.0.0.1:" + std::to_string(server.port());
+        return await<host::start_result>([&](auto done) { calls.start(target, {}, 0, std::move(done)); });
+    };
+    CHECK(resultOf(200, R"({"clock_ms":4321})").clockMs == 4321);
+    CHECK(resultOf(409, R"({"clock_ms":17,"reason":"room"})").clockMs == 17);
+    CHECK_FALSE(resultOf(200, "").clockMs);
+    CHECK_FALSE(resultOf(200, R"({"clock_ms":"late"})").clockMs);
+    CHECK_FALSE(resultOf(503, R"({"clock_ms":-5})").clockMs);
+}
+
 TEST_CASE_METHOD(io_fixture, "Orders that a worker leaves unanswered do not delay the renewal of its lease",
                  "[platform][workers]")
 {
@@ -115,7 +136,7 @@
     host::renewal_call call;
     call.target.address = "127.0.0.1:" + std::to_string(server.port());
     for (int order = 0; order < 5; ++order) {
-        calls.start(call.target, {}, 0, [](poplarpass::jobs::run_start_answer) {});
+        calls.start(call.target, {}, 0, [](const poplarpass::host::start_result &) {});
     }
     runUntil([&] { return unanswered.size() == limits.connectionsPerEndpoint; });
     const auto answer = await<host::renewal_answer>([&](auto done) { calls.renew(call, std::move(done)); });
--- a/tests/io/worker_links_test.cpp
+++ b/tests/io/worker_links_test.cpp
@@ -2,6 +2,7 @@
 
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/worker_links.h>
+#include <poplarpass/jobs/constants.h>
 
 #include <catch2/catch.hpp>
 
@@ -91,3 +92,21 @@
     fixture.engine.workers().find(workerId)->leaving = false;
     CHECK(fixture.renewalsInNextSecond() >= 1);
 }
+
+// Guards against a restart that shows only in the clock of an answer to a start.
+TEST_CASE("The clock in the answer to a start shows the restart of a worker", "[host][workers]")
+{
+    links_fixture fixture;
+    auto &slot = *fixture.engine.workers().find(workerId);
+    slot.clockMs = 60'000;
+    const auto answeredClock = GENERATE(as<std::int64_t>{}, 100, 60'010);
+    fixture.calls.start = [&](const host::worker_target &, const jobs::start_order &, std::int64_t,
+                              const std::function<void(host::start_result)> &done) {
+        done({jobs::run_start_answer::started, answeredClock});
+    };
+    jobs::order_batch orders;
+    orders.starts.push_back({workerId, {jobs::job_id{"00000000000000aa"}, 0, 0, 0}, 1, {}, {}, {}, 1});
+    fixture.links->send(orders);
+    const bool waitsForLongestLease = slot.leaseEnd - fixture.time.now() > poplarpass::jobs::maxGrantedLease;
+    CHECK(waitsForLongestLease == (answeredClock == 100));
+}
--- a/tests/system/sim_fleet_workers.cpp
+++ b/tests/system/sim_fleet_workers.cpp
@@ -57,19 +57,19 @@
             std::move(done));
     };
     calls.start = [this, caller](const host::worker_target &target, const jobs::start_order &order,
-                                 std::int64_t deadlineMs, std::function<void(jobs::run_start_answer)> done) {
+                                 std::int64_t deadlineMs, std::function<void(host::start_result)> done) {
         const auto delivery = workerDelivery(caller, target.address);
-        m_network.call<jobs::run_start_answer>(
+        m_network.call<host::start_result>(
             caller.port, delivery, workerTimeout, jobs::run_start_answer::unknown,
             [this, caller, delivery, target, order, deadlineMs,
-             hasRestarted = makeRestartCheck(delivery, target.address)](
-                const std::function<void(jobs::run_start_answer)> &answer) {
+             hasRestarted =
+                 makeRestartCheck(delivery, target.address)](const std::function<void(host::start_result)> &answer) {
                 if (hasRestarted()) {
                     return;
                 }
                 m_startFromHealthyHost = caller.healthy() && delivery.executionDelay.count() == 0;
                 if (const auto made = start(target, order, deadlineMs)) {
-                    answer(*made);
+                    answer({*made, machineAt(target.address)->model->clockAt(m_network.nowMs())});
                 }
             },
             std::move(done));
