--- a/src/poplarpass/host/events.cpp
+++ b/src/poplarpass/host/events.cpp
@@ -8,7 +8,8 @@
 {
 /// Fields of a decision about a job, a task or a run; those about the worker only if one is involved.
 constexpr std::string_view decisionFields = "id, worker, run, reason, born, heard_ms, epoch, config";
-constexpr std::string_view lostRunFields = "id, worker, run, reason, born, heard_ms, ran_ms, epoch, config";
+constexpr std::string_view lostRunFields =
+    "id, worker, run, reason, born, heard_ms, ran_ms, open_start, ordered_ms, epoch, config";
 constexpr std::string_view endedJobFields =
     "id, worker, run, reason, born, heard_ms, when failed also task, failed_runs, max_failed_runs, epoch, config";
 constexpr std::string_view givenUpJobFields =
--- a/src/poplarpass/host/pool_owner_decisions.cpp
+++ b/src/poplarpass/host/pool_owner_decisions.cpp
@@ -21,6 +21,17 @@
     return isWarning ? log_level::warning : log_level::info;
 }
 
+auto addLostRunFields(const jobs::lost_run_details &lost, core::monotonic_time now, std::vector<observe::field> &fields)
+    -> void
+{
+    fields.emplace_back("ran_ms", std::chrono::duration_cast<std::chrono::milliseconds>(lost.ranFor).count());
+    fields.emplace_back("open_start", lost.hasOpenStart);
+    if (lost.lastOrderAt) {
+        const auto sinceOrder = std::chrono::duration_cast<std::chrono::milliseconds>(now - *lost.lastOrderAt);
+        fields.emplace_back("ordered_ms", sinceOrder.count());
+    }
+}
+
 auto addFailureFields(const jobs::failure_evidence &failure, std::vector<observe::field> &fields) -> void
 {
     fields.emplace_back("task", failure.task);
@@ -74,8 +85,8 @@
         }
     }
     fields.emplace_back("reason", decision.reason);
-    if (const auto &ranFor = decision.details.ranFor) {
-        fields.emplace_back("ran_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*ranFor).count());
+    if (const auto &lost = decision.details.lost) {
+        addLostRunFields(*lost, now, fields);
     }
     if (const auto &crash = decision.details.crash) {
         fields.emplace_back("placed", crash->placed);
--- a/src/poplarpass/jobs/job_engine_crashes.cpp
+++ b/src/poplarpass/jobs/job_engine_crashes.cpp
@@ -291,7 +291,7 @@
                             std::string_view reason) -> void
 {
     logEvent("run_lost", nameOf(task), worker.entry.id, state.run, reason,
-             {internal::knownRunTime(state, worker), {}, {}});
+             {lost_run_details{internal::knownRunTime(state, worker), state.hasOpenStart, worker.leaseSentAt}, {}, {}});
 }
 
 // Suspected tasks are planned before all others: in a full pool no worker would otherwise become quiet for them.
--- a/src/poplarpass/jobs/job_engine_types.h
+++ b/src/poplarpass/jobs/job_engine_types.h
@@ -58,10 +58,19 @@
     std::optional<waiting_in_pool> inPool; ///< Set when the tasks of a pool wait.
 };
 
+/// \brief What is known of a run that was lost.
+struct lost_run_details
+{
+    core::duration ranFor{0}; ///< For how long it is known to have been executed.
+    bool hasOpenStart =
+        false; ///< Whether a start order for it may have been carried out without the owner's knowledge.
+    std::optional<core::monotonic_time> lastOrderAt; ///< When its worker was last sent a lease; empty for never.
+};
+
 /// \brief Details that only some decisions have.
 struct decision_details
 {
-    std::optional<core::duration> ranFor{}; ///< For how long a lost run is known to have been executed.
+    std::optional<lost_run_details> lost{}; ///< A run that was lost.
     std::optional<crash_counts> crash{}; ///< Runs that the crash of a worker ended.
     std::optional<failure_evidence> failure{}; ///< Why a job failed.
     std::optional<wait_details> wait{}; ///< A wait for a run.
--- a/tests/io/owner_log_test.cpp
+++ b/tests/io/owner_log_test.cpp
@@ -73,3 +73,23 @@
     CHECK(fixture.metrics.gaugeOf("poplarpass_tasks_without_run", "").value() == 1);
     CHECK(fixture.metrics.gaugeOf("poplarpass_longest_wait_ms", "").value() >= 3000);
 }
+
+// Guards against a lost run of which the log does not tell whether its start may still have been carried out.
+TEST_CASE("The log tells of a lost run whether its start was answered and when its worker was last sent an order",
+          "[host][log]")
+{
+    owner_fixture fixture;
+    fixture.beginServing(1);
+    int status = 0;
+    fixture.send(owner_fixture::request(host::client_verb::submit, jobName, jobText), status);
+    REQUIRE(fixture.time.runUntil([&] {
+        fixture.renewTerm();
+        for (const auto &answer : std::exchange(fixture.renewalAnswers, {})) {
+            answer({});
+        }
+        return !fixture.lastLineOf("run_lost").empty();
+    }));
+    const auto line = fixture.lastLineOf("run_lost");
+    CAPTURE(line);
+    CHECK(holds(line, " reason=lease_lapsed ran_ms=0 open_start=false ordered_ms=5"));
+}
