A call that was given up is not delivered later

Seen by callers: an owner took a start as failed after 0.9 s, but the worker carried it out when the partition ended, next to the run that had replaced it. Cause: connections of the HTTP client were closed in order. The kernel then goes on sending what the peer has not acknowledged, for about 100 s, also after the death of the process; a frozen process closes nothing at all.

Change: connected sockets have a linger time of zero, so that close() and the end of the process discard unsent bytes and reset the connection, and a TCP user timeout of 2 s (client_limits::unacknowledgedTimeout), so that the kernel of a frozen process gives up as well. A socket that accepts neither sends nothing. This holds for all users of the client, idle connections included: their last response was read completely, so that nothing is lost, and peers must cope with resets from killed processes in any case.

The fault proxy delivered held data also when its sender had reset the connection, unlike a partition. It now drops that data and resets the other side when the cut ends.

What remains: bytes in the receiver's kernel are carried out whenever the receiver reads them.

--- a/src/poplarpass/net/client_connection.cpp
+++ b/src/poplarpass/net/client_connection.cpp
@@ -6,6 +6,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace poplarpass::net::internal
 {
 namespace
@@ -83,6 +86,10 @@
         fail(core::error_kind::peer_unreachable, problem.message());
         return;
     }
+    if (const auto refused = limitDelivery()) {
+        fail(core::error_kind::peer_unreachable, "cannot limit the delivery of requests: " + refused.message());
+        return;
+    }
     m_connected = true;
     error_code ignored;
     m_socket.set_option(tcp::no_delay{true}, ignored);
@@ -90,6 +97,25 @@
     write();
 }
 
+// After an orderly close, the kernel sends what the peer has not acknowledged for up to 100 s, also when the process
+// has died, and the request would be carried out after its caller was told of a failure. With a zero linger time,
+// close() and the end of the process discard those bytes and reset the connection. A frozen process closes nothing;
+// there the kernel discards them after the user timeout.
+auto client_connection::limitDelivery() -> error_code
+{
+    error_code problem;
+    m_socket.set_option(tcp::socket::linger{true, 0}, problem);
+    if (problem) {
+        return problem;
+    }
+    const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(m_limits.unacknowledgedTimeout);
+    const auto timeoutMs = static_cast<unsigned int>(timeout.count());
+    if (setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof(timeoutMs)) != 0) {
+        problem.assign(errno, boost::system::system_category());
+    }
+    return problem;
+}
+
 auto client_connection::write() -> void
 {
     const auto serial = ++m_serial;
--- a/src/poplarpass/net/client_connection.h
+++ b/src/poplarpass/net/client_connection.h
@@ -45,7 +45,7 @@
     /// \brief Cancels watch().
     auto stopWatching() -> void;
 
-    /// \brief Closes the socket; no callback runs afterwards.
+    /// \brief Resets the connection and discards what the peer has not acknowledged; no callback runs afterwards.
     auto close() -> void;
 
 private:
@@ -56,6 +56,7 @@
     auto prepareMessage(const boost::asio::ip::tcp::endpoint &endpoint, const http_request &request) -> void;
     auto connect(const boost::asio::ip::tcp::endpoint &endpoint) -> void;
     auto onConnected(error_code problem) -> void;
+    auto limitDelivery() -> error_code;
     auto write() -> void;
     auto read() -> void;
     auto onRead(error_code problem) -> void;
--- a/src/poplarpass/net/constants.h
+++ b/src/poplarpass/net/constants.h
@@ -32,6 +32,8 @@
     std::uint32_t headerBytes = 16 * 1024; ///< Maximum size of a response's header section.
     std::uint64_t bodyBytes = std::uint64_t{64} * 1024 * 1024; ///< Maximum size of a response body.
     core::duration connectTimeout = std::chrono::seconds{1}; ///< For establishing a connection.
+    core::duration unacknowledgedTimeout = std::chrono::seconds{2}; ///< Written bytes that the peer has not
+                                                                    ///< acknowledged after this time are discarded.
     core::duration idleTimeout = std::chrono::seconds{5}; ///< Idle connections are closed after this time; must be
                                                           ///< below the idle timeout of the servers.
 };
--- a/src/poplarpass/net/http_client.h
+++ b/src/poplarpass/net/http_client.h
@@ -54,6 +54,10 @@
 ///
 /// A request is written at most once and never retried. A connection is reused only after a complete response with no
 /// bytes after it. A completion is called exactly once, never from inside a call, and not after the destruction.
+///
+/// Bytes of a request that the peer's kernel has not acknowledged are discarded when the request times out or is
+/// cancelled, when the client or the process ends, and after client_limits::unacknowledgedTimeout even if the process
+/// is frozen. Acknowledged bytes may still be read, and the request carried out, at any later time.
 class http_client
 {
 public:
--- a/standins/fault_proxy.h
+++ b/standins/fault_proxy.h
@@ -16,7 +16,7 @@
 class proxy_pair;
 } // namespace internal
 
-/// \brief Directions in which a proxy holds data back.
+/// \brief Directions in which a proxy holds data back. Data whose sender resets the connection during the cut is lost.
 enum class proxy_cut {
     none, ///< Nothing is held back.
     to_server, ///< Data for the server is held back until the cut ends.
--- a/standins/proxy_connection.h
+++ b/standins/proxy_connection.h
@@ -52,6 +52,7 @@
     auto onEndOfStream(flow &stream) -> void;
     auto enqueue(flow &stream, std::size_t size) -> void;
     auto forward(flow &stream) -> void;
+    auto release(flow &stream) -> void;
     auto allowedBytes(const flow &stream) const -> std::size_t;
     auto write(flow &stream, std::size_t size, bool last) -> void;
     auto onWritten(flow &stream, std::size_t size) -> void;
--- a/tests/io/io_fixture.h
+++ b/tests/io/io_fixture.h
@@ -128,6 +128,13 @@
         m_socket.close(ignored);
     }
 
+    /// \brief Closes the connection with a TCP reset, which discards everything that was not delivered.
+    auto reset() -> void
+    {
+        m_socket.set_option(boost::asio::ip::tcp::socket::linger{true, 0});
+        m_socket.close();
+    }
+
     std::string received;
     bool closed = false;
 
