A frozen process does not send overdue calls when it wakes

Seen by callers: an owner that was frozen with a start waiting for a connection sent it when it woke, long after the end of its term, when a new owner had taken the run as lost. Workers refuse the former fencing token, except those that started again meanwhile and have seen none. Cause: the event loop handles sockets before timers. On waking, a connection that was established or became free during the freeze got its request before the request's time-out was handled, and a pending write of a large request went on. Time-outs also do not count a suspension of the machine, as their clock stands still.

Change: each request has a time, on a clock that counts suspensions, from which no byte of it is written; it is that of its time-out. Writes are synchronous on the non-blocking socket, as a pending asynchronous write would be carried out without the check. A request of which nothing was written completes as not sent, as before.

What remains: a freeze between the check and the system call; a suspended machine (not tested, as tests can't stop its clock).

--- a/src/poplarpass/net/client_connection.cpp
+++ b/src/poplarpass/net/client_connection.cpp
@@ -2,10 +2,12 @@
 #include <poplarpass/net/endpoint.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <ctime>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -31,10 +33,19 @@
 {
 }
 
+auto client_connection::now() -> core::monotonic_time
+{
+    std::timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    const auto sinceBoot = std::chrono::seconds{now.tv_sec} + std::chrono::nanoseconds{now.tv_nsec};
+    return core::monotonic_time{std::chrono::duration_cast<core::duration>(sinceBoot)};
+}
+
 auto client_connection::exchange(const tcp::endpoint &endpoint, const http_request &request, std::string requestId,
-                                 std::function<void(exchange_result)> done) -> void
+                                 core::monotonic_time sendBy, std::function<void(exchange_result)> done) -> void
 {
     m_done = std::move(done);
+    m_sendBy = sendBy;
     m_requestId = std::move(requestId);
     m_sent = sent_state::not_sent;
     m_reusable = false;
@@ -117,21 +128,68 @@
 }
 
 auto client_connection::write() -> void
+{
+    m_serializer.emplace(*m_message);
+    writeSome();
+}
+
+// After a freeze of the process, the events of sockets precede those of timers, and timers do not count a suspension of
+// the machine. So the time is checked before each write, and no write is left pending: it would be carried out without
+// the check.
+auto client_connection::writeSome() -> void
+{
+    error_code problem;
+    while (!problem && !m_serializer->is_done()) {
+        if (now() >= m_sendBy) {
+            failLater([this] { failOverdue(); });
+            return;
+        }
+        m_sent = sent_state::maybe_sent;
+        http::write_some(m_socket, *m_serializer, problem);
+    }
+    if (!problem) {
+        read();
+    } else if (problem == boost::asio::error::would_block) {
+        awaitWritable();
+    } else {
+        failLater([this, problem] { fail(core::error_kind::peer_unreachable, problem.message()); });
+    }
+}
+
+auto client_connection::awaitWritable() -> void
 {
     const auto serial = ++m_serial;
-    m_sent = sent_state::maybe_sent;
-    http::async_write(m_socket, *m_message, [self = shared_from_this(), serial](error_code problem, std::size_t) {
+    m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this(), serial](error_code problem) {
         if (serial != self->m_serial) {
             return;
         }
         if (problem) {
             self->fail(core::error_kind::peer_unreachable, problem.message());
         } else {
-            self->read();
+            self->writeSome();
         }
     });
 }
 
+// Posted, because a write may happen inside the call that submits the request.
+auto client_connection::failLater(std::function<void()> callback) -> void
+{
+    const auto serial = ++m_serial;
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), serial, callback = std::move(callback)] {
+        if (serial == self->m_serial) {
+            callback();
+        }
+    });
+}
+
+auto client_connection::failOverdue() -> void
+{
+    ++m_counters->timedOut;
+    const bool isUnknown = m_sent == sent_state::maybe_sent;
+    fail(isUnknown ? core::error_kind::outcome_unknown : core::error_kind::peer_unreachable,
+         "timed out before it was written");
+}
+
 auto client_connection::read() -> void
 {
     m_parser.emplace();
--- a/src/poplarpass/net/http_client.cpp
+++ b/src/poplarpass/net/http_client.cpp
@@ -23,6 +23,7 @@
     std::string address;
     http_request request;
     http_completion completion;
+    core::monotonic_time sendBy;
     boost::asio::steady_timer timer;
     std::shared_ptr<client_connection> connection;
 };
@@ -52,10 +53,10 @@
     {
         const auto ticket = request_ticket{++m_lastTicket};
         ++m_counters.requests;
-        const auto added =
-            m_requests.try_emplace(ticket,
-                                   pending_request{std::string{address}, std::move(request), std::move(completion),
-                                                   boost::asio::steady_timer{m_loop}, nullptr});
+        const auto added = m_requests.try_emplace(
+            ticket,
+            pending_request{std::string{address}, std::move(request), std::move(completion),
+                            client_connection::now() + timeout, boost::asio::steady_timer{m_loop}, nullptr});
         startTimer(ticket, added.first->second, timeout);
         enqueue(ticket, address);
         return ticket;
@@ -213,7 +214,7 @@
                std::shared_ptr<client_connection> connection) -> void
     {
         pending.connection = std::move(connection);
-        pending.connection->exchange(pool.endpoint, pending.request, requestIdOf(ticket),
+        pending.connection->exchange(pool.endpoint, pending.request, requestIdOf(ticket), pending.sendBy,
                                      [weak = weak_from_this(), ticket](exchange_result result) {
                                          if (const auto self = weak.lock()) {
                                              self->onExchanged(ticket, std::move(result));
--- a/src/poplarpass/net/http_client.h
+++ b/src/poplarpass/net/http_client.h
@@ -68,7 +68,8 @@
 
     /// \brief Sends one request.
     /// \param address "IP:port"
-    /// \param timeout time until the last byte of the response, including the wait for a connection
+    /// \param timeout time until the last byte of the response, including the wait for a connection; no byte of the
+    /// request is written after it, also if the process was frozen or its machine suspended meanwhile
     auto send(std::string_view address, http_request request, core::duration timeout, http_completion completion)
         -> request_ticket;
 
--- a/tests/io/undelivered_request_test.cpp
+++ b/tests/io/undelivered_request_test.cpp
@@ -185,3 +185,82 @@
     pending.reset();
     CHECK(next->completions == 0);
 }
+
+// Guards against an owner that freezes with a call that still needs a connection, and orders it after its term when it
+// wakes: the connection is ready by then, and its event precedes the one of the timer.
+TEST_CASE_METHOD(undelivered_fixture, "a request that is overdue when its connection is ready is not written", "[http]")
+{
+    constexpr auto timeout = 200ms;
+    tcp::acceptor acceptor{loop, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    net::http_client narrow{loop, {.connectionsPerEndpoint = 1}};
+    std::optional<net::sent_state> sent;
+    const auto sendLate = [&] {
+        narrow.send(address, {"POST", "/late", {}, {}}, timeout, [&](const auto &answer, net::sent_state state) {
+            CHECK_FALSE(answer);
+            sent = state;
+        });
+    };
+    std::optional<tcp::socket> connection;
+    std::string received;
+    SECTION("connecting")
+    {
+        sendLate();
+        connection = acceptor.accept();
+        std::this_thread::sleep_for(2 * timeout);
+    }
+    SECTION("waiting for a connection")
+    {
+        bool answered = false;
+        narrow.send(address, {"POST", "/first", {}, {}}, 20s,
+                    [&](const auto &answer, net::sent_state) { answered = answer.has_value(); });
+        connection = acceptor.accept();
+        runFor(50ms);
+        std::array<char, 4096> chunk{};
+        received.append(chunk.data(), connection->read_some(boost::asio::buffer(chunk)));
+        sendLate();
+        boost::asio::write(*connection, boost::asio::buffer(answerBytes("first")));
+        std::this_thread::sleep_for(2 * timeout);
+        runUntil([&] { return answered; });
+    }
+    runUntil([&] { return sent.has_value(); });
+    CHECK(*sent == net::sent_state::not_sent);
+    runFor(50ms);
+    connection->non_blocking(true);
+    std::array<char, 4096> chunk{};
+    boost::system::error_code ignored;
+    received.append(chunk.data(), connection->read_some(boost::asio::buffer(chunk), ignored));
+    CHECK(received.find("/late") == std::string::npos);
+}
+
+// Guards against the rest of a large request that follows after the freeze of its sender and completes it.
+TEST_CASE_METHOD(undelivered_fixture, "a request that is overdue is not written to its end", "[http]")
+{
+    const std::string large(std::size_t{16} * 1024 * 1024, 'l');
+    tcp::acceptor acceptor{loop, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    std::optional<net::sent_state> sent;
+    sender->send("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), {"POST", "/", {}, large}, 300ms,
+                 [&](const auto &, net::sent_state state) { sent = state; });
+    auto connection = acceptor.accept();
+    runFor(100ms);
+    // The peer reads all that the client has written until then.
+    connection.non_blocking(true);
+    std::vector<char> chunk(std::size_t{1024} * 1024);
+    std::size_t received = 0;
+    const auto readAll = [&] {
+        boost::system::error_code problem;
+        while (!problem) {
+            received += connection.read_some(boost::asio::buffer(chunk), problem);
+        }
+    };
+    for (int round = 0; round < 40; ++round) {
+        readAll();
+        std::this_thread::sleep_for(10ms);
+    }
+    const auto beforeWaking = received;
+    REQUIRE(beforeWaking < large.size());
+    runUntil([&] { return sent.has_value(); });
+    readAll();
+    CHECK(*sent == net::sent_state::maybe_sent);
+    CHECK(received == beforeWaking);
+}
