The ends of a restarted worker are not acknowledged by the number of its earlier life

Cause, found by the review of all calls with an effect at a worker: a renewal acknowledges the ends up to a number. A worker numbers its ends from 1 after a restart. If it restarts between two renewals, the next one carries the number of the earlier life, and the worker forgets ends of the new life that the owner has not seen: a run that was done is taken as lost, and its task starts again. The answer to a start shows the restart in time, but only the lease was corrected by it.

Change: the number is set back to 0 as soon as the clock in an answer shows a restart. Remains: a start that the new life carries out without an answer, and a renewal that is already under way.

Test: 'The ends of a restarted worker are not acknowledged by the number of its earlier incarnation' fails without the change (7 == 0).

--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -158,8 +158,9 @@
         return;
     }
     const auto now = m_time.now();
-    if (result.clockMs) {
-        m_engine.onClockRead(order.worker, *result.clockMs, clockAtSending, now);
+    if (result.clockMs && m_engine.onClockRead(order.worker, *result.clockMs, clockAtSending, now)) {
+        // The ends of the new incarnation are numbered from 1: the former number would acknowledge them unseen.
+        m_links[order.worker].acknowledgedEnd = 0;
     }
     m_engine.onStartAnswer(order, result.answer, now);
     if (result.answer != jobs::run_start_answer::started) {
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -105,8 +105,9 @@
 
     /// \brief Processes the clock in the answer of worker \p id to an order with a lease.
     /// \param clockAtSending last reading of its clock when the order was sent, milliseconds
+    /// \returns whether it shows that the worker has restarted
     auto onClockRead(const worker_id &id, std::int64_t clockMs, std::int64_t clockAtSending, core::monotonic_time now)
-        -> void;
+        -> bool;
 
     /// \brief Processes the answer to a start.
     auto onStartAnswer(const start_order &order, run_start_answer answer, core::monotonic_time now) -> void;
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -181,13 +181,15 @@
 }
 
 auto job_engine::onClockRead(const worker_id &id, std::int64_t clockMs, std::int64_t clockAtSending,
-                             core::monotonic_time now) -> void
+                             core::monotonic_time now) -> bool
 {
     auto *worker = m_workers.find(id);
-    if (worker != nullptr && clockMs < clockAtSending) {
-        worker_table::onRestartNoticed(*worker, now);
-        logEvent("worker_clock_reset", id.str(), id, 0, "start_answer");
+    if (worker == nullptr || clockMs >= clockAtSending) {
+        return false;
     }
+    worker_table::onRestartNoticed(*worker, now);
+    logEvent("worker_clock_reset", id.str(), id, 0, "start_answer");
+    return true;
 }
 
 auto job_engine::onOtherInstance(const worker_id &id, core::monotonic_time now) -> void
--- a/tests/io/worker_links_test.cpp
+++ b/tests/io/worker_links_test.cpp
@@ -16,7 +16,15 @@
 constexpr std::int64_t incarnation = 5;
 const jobs::worker_id workerId{"w1"};
 
-/// \brief Links to one worker that answers its first renewal and no later one.
+constexpr std::uint64_t endNumber = 7;
+
+/// \brief Which renewals the worker of a links_fixture answers.
+enum class answered_renewals {
+    first,
+    all,
+};
+
+/// \brief Links to one worker, which has reported an end.
 struct links_fixture
 {
     fakes::stepped_time time;
@@ -25,15 +33,18 @@
     jobs::job_engine engine{nullptr};
     host::worker_calls calls;
     std::size_t renewals = 0;
+    std::uint64_t acknowledgedEnd = 0; ///< Number in the last renewal.
     std::unique_ptr<host::worker_links> links;
 
-    links_fixture()
+    explicit links_fixture(answered_renewals answered = answered_renewals::first)
     {
-        calls.renew = [this](const host::renewal_call &, std::function<void(host::renewal_answer)> done) {
+        calls.renew = [this, answered](const host::renewal_call &call, std::function<void(host::renewal_answer)> done) {
             host::renewal_answer answer;
-            if (++renewals == 1) {
+            acknowledgedEnd = call.acknowledgedEnd;
+            if (++renewals == 1 || answered == answered_renewals::all) {
                 answer.outcome = host::renewal_outcome::reported;
                 answer.report.incarnation = incarnation;
+                answer.report.ended = {{endNumber, "00000000000000bb.0.0.0", 1, jobs::end_kind::done, {}}};
             }
             time.after(callTime, [done = std::move(done), answer] { done(answer); });
         };
@@ -93,6 +104,26 @@
     CHECK(fixture.renewalsInNextSecond() >= 1);
 }
 
+// Guards against an end that is acknowledged unseen: the number of the former incarnation was sent to the next one.
+TEST_CASE("The ends of a restarted worker are not acknowledged by the number of its earlier incarnation",
+          "[host][workers]")
+{
+    links_fixture fixture{answered_renewals::all};
+    auto &slot = *fixture.engine.workers().find(workerId);
+    REQUIRE(fixture.acknowledgedEnd == endNumber);
+    slot.clockMs = 60'000;
+    fixture.calls.start = [](const host::worker_target &, const jobs::start_order &, std::int64_t,
+                             const std::function<void(host::start_result)> &done) {
+        done({jobs::run_start_answer::started, 100});
+    };
+    jobs::order_batch orders;
+    orders.starts.push_back({workerId, {jobs::job_id{"00000000000000aa"}, 0, 0, 0}, 1, {}, {}, {}, 1});
+    const auto before = fixture.renewals;
+    fixture.links->send(orders);
+    REQUIRE(fixture.time.runUntil([&] { return fixture.renewals > before; }));
+    CHECK(fixture.acknowledgedEnd == 0);
+}
+
 // Guards against a restart that shows only in the clock of an answer to a start.
 TEST_CASE("The clock in the answer to a start shows the restart of a worker", "[host][workers]")
 {
