A worker without entry and runs is remembered until its former leases have ended

Cause: an entry expires after 4.5 s of silence. A worker without entry and runs was forgotten, with the time of the last lease that it was sent. When its entry was back, its next runs counted as under the lease of their own orders only, while calls of before the restart had brought them the worker's longest lease.

Change: such a worker is kept, and not asked, until its lease and the latest lease that a call to it can bring have ended.

Test: 'A restarted worker without runs and entry is remembered until the leases of its former calls have ended' fails without the change. 360 decisions, 248 io and 2 system cases pass.

--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -28,10 +28,11 @@
     });
 }
 
-// The worker of a host that was moved or put into maintenance has ended, but stays listed until its entry expires.
+// The worker of a host that was moved or put into maintenance has ended, but stays listed until its entry expires. One
+// without an entry is remembered only for its leases.
 auto worker_links::isExpectedGone(const jobs::worker_slot &worker) -> bool
 {
-    return worker.leaving && !worker.responsive && worker.placed.empty();
+    return worker.isIdleAndUnlisted() || (worker.leaving && !worker.responsive && worker.placed.empty());
 }
 
 auto worker_links::targetOf(const jobs::worker_slot &worker) const -> worker_target
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -37,7 +37,7 @@
 auto job_engine::updateWorkers(std::span<const worker_entry> entries, core::monotonic_time now) -> void
 {
     m_workers.update(entries, now);
-    m_workers.removeUnused();
+    m_workers.removeUnused(now);
     m_unansweredStarts.removeExpired(now);
 }
 
--- a/src/poplarpass/jobs/worker_table.cpp
+++ b/src/poplarpass/jobs/worker_table.cpp
@@ -33,6 +33,11 @@
     return remaining;
 }
 
+auto worker_slot::isIdleAndUnlisted() const -> bool
+{
+    return !listed && placed.empty() && lingering == resources{};
+}
+
 auto worker_slot::hasLabel(std::string_view label) const -> bool
 {
     return std::ranges::find(entry.labels, label) != entry.labels.end();
@@ -249,11 +254,14 @@
     return changed;
 }
 
-auto worker_table::removeUnused() -> void
+// A worker whose entry is missing may be back under its identifier. Calls to its former incarnation then extend the
+// leases of its next runs, so their bound has to outlast the entry.
+auto worker_table::removeUnused(core::monotonic_time now) -> void
 {
     m_areIndexesCurrent = false;
-    const auto isUnused = [](const worker_slot &worker) {
-        return !worker.listed && worker.placed.empty() && worker.lingering == resources{};
+    const auto isUnused = [now](const worker_slot &worker) {
+        const bool mayExtend = worker.leaseSentAt && now < leaseEndAfterRestart(*worker.leaseSentAt);
+        return worker.isIdleAndUnlisted() && !mayExtend && now >= worker.leaseEnd;
     };
     std::erase_if(m_unrenewed, [&](const auto &entry) { return isUnused(*entry.second); });
     std::erase_if(m_byId, [&](const auto &entry) { return isUnused(*entry.second); });
--- a/src/poplarpass/jobs/worker_table.h
+++ b/src/poplarpass/jobs/worker_table.h
@@ -70,6 +70,9 @@
     /// \brief Returns the resources that would be unreserved if only long-running tasks ran there.
     [[nodiscard]] auto freeOfShortTasks() const -> resources;
 
+    /// \brief Returns whether the worker has no entry and no runs.
+    [[nodiscard]] auto isIdleAndUnlisted() const -> bool;
+
     /// \brief Returns whether the worker has \p label.
     [[nodiscard]] auto hasLabel(std::string_view label) const -> bool;
 
@@ -159,8 +162,9 @@
     /// extended again.
     auto collectUnrenewedLeases(core::monotonic_time now) -> std::vector<unrenewed_lease>;
 
-    /// \brief Removes workers that are not listed and on which no runs may exist.
-    auto removeUnused() -> void;
+    /// \brief Removes workers that are not listed, on which no runs may exist, and where no call may extend a lease any
+    /// more.
+    auto removeUnused(core::monotonic_time now) -> void;
 
     /// \brief Resets the state of \p worker for a new incarnation.
     static auto startIncarnation(worker_slot &worker, std::int64_t incarnation) -> void;
--- a/tests/decisions/restart_in_place_test.cpp
+++ b/tests/decisions/restart_in_place_test.cpp
@@ -196,6 +196,36 @@
     CHECK(fixture.task().phase != jobs::task_phase::waiting);
 }
 
+// Guards against two runs: the entry of a worker is missing while it is silent and for a while after its restart.
+// Without runs there it was forgotten in between, with the leases that calls to its former incarnation may have
+// brought.
+TEST_CASE("A restarted worker without runs and entry is remembered until the leases of its former calls have ended",
+          "[jobs]")
+{
+    restart_fixture fixture;
+    auto &engine = fixture.engine;
+    const auto target = fixture.order.worker;
+    const auto other = worker(fixture.otherWorker().str());
+    engine.onNoReport(target, at(500));
+    engine.updateWorkers(std::vector{other}, at(5000));
+    // The late start began the run, which a late stop then ended.
+    auto stopped = fixture.reportAfterRestart(300, false);
+    stopped.ended.push_back(endOf(1, fixture.order, jobs::end_kind::stopped));
+    engine.onReport(target, stopped, at(8300), at(8305));
+    REQUIRE(fixture.task().phase == jobs::task_phase::waiting);
+    engine.updateWorkers(std::vector{other}, at(8400));
+    // Its entry is back; the other worker is gone, so that the task starts here again.
+    engine.updateWorkers(std::vector{worker(target.str(), 2)}, at(9500));
+    engine.onReport(target, fixture.reportAfterRestart(1500, false), at(9500), at(9505));
+    const auto starts = startAll(engine, 9510);
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts.front().worker == target);
+    engine.workers().extendLease(fixture.slot(), at(9510));
+    engine.onNoReport(target, at(9700));
+    engine.plan(at(8305 + longestLeaseMs), wallAt(8305 + longestLeaseMs));
+    CHECK(fixture.task().phase != jobs::task_phase::waiting);
+}
+
 // Guards against a job that is given up although its tasks never ran on the workers that crashed.
 TEST_CASE("A run that a restarted worker lists is no cause of its crash", "[jobs][crashes]")
 {
