A worker that restarted is called with a greater fencing token

Cause: a restarted worker has forgotten tokens, runs, ends and stops. Calls to its former life carry the same token as the present ones, so it carries them out whenever they arrive: a start whose run was given up, or was done after a repeat, begins a second run; a renewal with the number of an earlier end makes it forget ends that the owner has not seen.

Change: once a report or the clock in an answer shows a restart, the owner calls that worker with a greater token: the offset + 1 of its latest renewal that it read back before any later claim. That is greater than its epoch and less than every later owner's, so owners of the build before are not refused. A call of the same owner that is refused because a later one overtook it does not depose the owner. The next renewal after a restart is sent at once. This replaces the stops of unanswered starts, which closed a part of it.

Not closed: calls that arrive before the owner's first call with the greater token, and lives that it never hears of.

--- a/src/poplarpass/host/host_core.cpp
+++ b/src/poplarpass/host/host_core.cpp
@@ -73,6 +73,11 @@
             yieldIfSmall();
         }
     };
+    hooks.onFencingToken = [this](std::uint64_t token) {
+        if (m_owner) {
+            m_owner->onFencingToken(token);
+        }
+    };
     hooks.onOwnershipLost = [this] {
         onOwnershipLost();
     };
--- a/src/poplarpass/host/owner_election.cpp
+++ b/src/poplarpass/host/owner_election.cpp
@@ -80,6 +80,7 @@
         && decoded->host == m_hostName) {
         beginTerm(decoded->epoch, m_claimedAt);
     }
+    offerFencingToken(*decoded, record.offset);
     const auto &current = m_monitor.current();
     const bool changed = before.has_value() != current.has_value() || (before && before->epoch != current->epoch);
     if (!changed) {
@@ -94,6 +95,17 @@
     }
 }
 
+// An epoch is the offset of its claim + 1. The offset of an own renewal that was read before any later claim is greater
+// than that of the own claim and less than those of later ones, whatever build their owners run.
+auto owner_election::offerFencingToken(const owner::owner_record &record, std::uint64_t offset) -> void
+{
+    const bool isOwnRenewal = m_owner && record.kind == owner::owner_record_kind::renewal && record.epoch == m_epoch
+        && record.host == m_hostName;
+    if (isOwnRenewal) {
+        m_hooks.onFencingToken(offset + 1);
+    }
+}
+
 auto owner_election::claimIfDue() -> void
 {
     const bool mayClaim = !m_claimsDisabled && !m_onResigned && m_time.now() >= m_noClaimsBefore;
--- a/src/poplarpass/host/owner_election.h
+++ b/src/poplarpass/host/owner_election.h
@@ -20,6 +20,8 @@
     std::function<void(core::monotonic_time, core::duration)>
         onRenewing; ///< A renewal is about to be sent: time, election timeout.
     std::function<void(core::monotonic_time, core::duration)> onRenewed; ///< The renewal is stored: the same arguments.
+    std::function<void(std::uint64_t)> onFencingToken; ///< This owner may use the given fencing token: it is greater
+                                                       ///< than its epoch and less than the epoch of any later owner.
     std::function<void()> onOwnershipLost; ///< This process is no longer the owner.
     std::function<unsigned()> rank; ///< Claim rank of this process; the lowest claims first.
 };
@@ -69,6 +71,7 @@
     auto read() -> void;
     auto onRead(const store::read_result &result) -> void;
     auto applyRecord(const store::stored_record &record) -> void;
+    auto offerFencingToken(const owner::owner_record &record, std::uint64_t offset) -> void;
     auto claimIfDue() -> void;
     auto claim() -> void;
     auto onClaimed(const store::append_result &answer, std::uint64_t epoch, core::monotonic_time sentAt) -> void;
--- a/src/poplarpass/host/pool_owner.cpp
+++ b/src/poplarpass/host/pool_owner.cpp
@@ -63,6 +63,9 @@
     hooks.renewalDelay = [this] {
         return std::min(renewalDelay + m_cycleLateness * renewalDelayPerLateness, maxRenewalDelay);
     };
+    hooks.greatestToken = [this] {
+        return m_greatestToken;
+    };
     hooks.onFenced = [this] {
         stepDown("worker");
     };
@@ -250,6 +253,11 @@
     m_term.onRenewed(sentAt, electionTimeout);
 }
 
+auto pool_owner::onFencingToken(std::uint64_t token) -> void
+{
+    m_greatestToken = token;
+}
+
 auto pool_owner::onAnnouncementAcknowledged(const std::string &name) -> void
 {
     if (m_formerOwners.erase(name) > 0 && m_formerOwners.empty() && m_restored) {
--- a/src/poplarpass/host/pool_owner.h
+++ b/src/poplarpass/host/pool_owner.h
@@ -79,6 +79,9 @@
     /// \brief Handles the confirmation that the renewal sent at \p sentAt is stored.
     auto onRenewed(core::monotonic_time sentAt, core::duration electionTimeout) -> void;
 
+    /// \brief Called when this owner may use \p token as fencing token; tokens increase.
+    auto onFencingToken(std::uint64_t token) -> void;
+
     /// \brief Handles the acknowledgement of host \p name, which sends no orders of a former term any more.
     auto onAnnouncementAcknowledged(const std::string &name) -> void;
 
@@ -168,6 +171,7 @@
 
     pool_owner_environment m_env;
     owner::owner_term m_term;
+    std::uint64_t m_greatestToken = 0; ///< Greatest fencing token beyond the epoch; 0 before there is one.
     job_time_metrics m_jobTimes;
     jobs::job_engine m_engine;
     journal m_journal;
--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -11,7 +11,7 @@
     , m_calls{calls}
     , m_engine{engine}
     , m_log{log}
-    , m_fencingToken{fencingToken}
+    , m_fences{fencingToken}
     , m_hooks{std::move(hooks)}
 {
 }
@@ -35,9 +35,15 @@
     return worker.isIdleAndUnlisted() || (worker.leaving && !worker.responsive && worker.placed.empty());
 }
 
-auto worker_links::targetOf(const jobs::worker_slot &worker) const -> worker_target
+auto worker_links::targetOf(const jobs::worker_slot &worker) -> worker_target
 {
-    return {worker.entry.id, worker.entry.address, m_fencingToken};
+    return {worker.entry.id, worker.entry.address, m_fences.tokenForCall(worker.entry.id, m_hooks.greatestToken())};
+}
+
+// A call that was overtaken by one with a greater token of this owner is refused as well.
+auto worker_links::isDeposed(const worker_target &target) const -> bool
+{
+    return !m_fences.isOutdated(target.id, target.fencingToken);
 }
 
 // A worker that does not answer gets no new lease: if the renewal were delivered late, its runs would continue until an
@@ -63,18 +69,20 @@
         call.wait = renewalPollTimeout;
     }
     state.busy = true;
-    m_calls.renew(call,
-                  m_lifetime.guard([this, id, now](const renewal_answer &answer) { onRenewed(id, answer, now); }));
+    m_calls.renew(call, m_lifetime.guard([this, target = call.target, now](const renewal_answer &answer) {
+        onRenewed(target, answer, now);
+    }));
 }
 
-auto worker_links::onRenewed(const jobs::worker_id &id, const renewal_answer &answer, core::monotonic_time sentAt)
+auto worker_links::onRenewed(const worker_target &target, const renewal_answer &answer, core::monotonic_time sentAt)
     -> void
 {
+    const auto &id = target.id;
     const auto now = m_time.now();
     auto *worker = m_engine.workers().find(id);
     switch (answer.outcome) {
     case renewal_outcome::fenced:
-        m_hooks.onFenced();
+        onRenewalFenced(target);
         return;
     case renewal_outcome::other_instance:
         m_log.log(observe::log_level::info, "worker_replaced", {{"worker", id.str()}});
@@ -98,23 +106,42 @@
         }
         return;
     case renewal_outcome::reported:
-        break;
+        onReported(id, answer.report, sentAt);
+        return;
     }
-    if (worker != nullptr && !worker->responsive) {
+}
+
+auto worker_links::onRenewalFenced(const worker_target &target) -> void
+{
+    if (isDeposed(target)) {
+        m_hooks.onFenced();
+    } else {
+        renewAfter(target.id, core::duration{0});
+    }
+}
+
+auto worker_links::onReported(const jobs::worker_id &id, const jobs::renewal_report &report,
+                              core::monotonic_time sentAt) -> void
+{
+    const auto *worker = m_engine.workers().find(id);
+    const bool responsiveAgain = worker != nullptr && !worker->responsive;
+    if (responsiveAgain) {
         m_log.log(observe::log_level::info, "worker_regained",
                   {{"worker", id.str()},
                    {"address", worker->entry.address},
-                   {"born", answer.report.incarnation},
-                   {"running", answer.report.running.size()}});
+                   {"born", report.incarnation},
+                   {"running", report.running.size()}});
     }
-    const bool responsiveAgain = worker != nullptr && !worker->responsive;
-    const auto handled = m_engine.onReport(id, answer.report, sentAt, now);
+    // The next renewal has the greater token, so it is sent at once after a restart.
+    const bool hasRestarted = m_fences.onReport(id, report.incarnation);
+    const bool isUrgent = responsiveAgain || hasRestarted;
+    const auto handled = m_engine.onReport(id, report, sentAt, m_time.now());
     m_hooks.onChange();
-    m_hooks.whenStored(m_lifetime.guard([this, id, incarnation = answer.report.incarnation, handled, responsiveAgain] {
+    m_hooks.whenStored(m_lifetime.guard([this, id, incarnation = report.incarnation, handled, isUrgent] {
         auto &state = m_links[id];
         state.incarnation = incarnation;
         state.acknowledgedEnd = handled;
-        renewAfter(id, responsiveAgain ? core::duration{0} : m_hooks.renewalDelay());
+        renewAfter(id, isUrgent ? core::duration{0} : m_hooks.renewalDelay());
     }));
 }
 
@@ -145,23 +172,30 @@
         return;
     }
     const auto deadline = m_engine.workers().extendLease(*worker, now);
-    m_calls.start(targetOf(*worker), order, deadline,
-                  m_lifetime.guard([this, order, clock = worker->clockMs](const start_result &result) {
-                      onStartResult(order, clock, result);
+    const auto target = targetOf(*worker);
+    m_calls.start(target, order, deadline,
+                  m_lifetime.guard([this, order, target, clock = worker->clockMs](const start_result &result) {
+                      onStartResult(order, target, clock, result);
                   }));
 }
 
-auto worker_links::onStartResult(const jobs::start_order &order, std::int64_t clockAtSending,
-                                 const start_result &result) -> void
+auto worker_links::onStartResult(const jobs::start_order &order, const worker_target &target,
+                                 std::int64_t clockAtSending, const start_result &result) -> void
 {
+    const auto now = m_time.now();
     if (result.answer == jobs::run_start_answer::fenced) {
-        m_hooks.onFenced();
+        if (isDeposed(target)) {
+            m_hooks.onFenced();
+        } else {
+            m_engine.onStartAnswer(order, jobs::run_start_answer::unreachable, now);
+            m_hooks.onChange();
+        }
         return;
     }
-    const auto now = m_time.now();
     if (result.clockMs && m_engine.onClockRead(order.worker, *result.clockMs, clockAtSending, now)) {
         // The ends of the new incarnation are numbered from 1: the former number would acknowledge them unseen.
         m_links[order.worker].acknowledgedEnd = 0;
+        m_fences.onRestart(order.worker);
     }
     m_engine.onStartAnswer(order, result.answer, now);
     if (result.answer != jobs::run_start_answer::started) {
@@ -175,12 +209,15 @@
     if (worker == nullptr || worker->entry.address.empty() || !m_hooks.mayOrder()) {
         return;
     }
-    m_calls.stop(targetOf(*worker), order, m_lifetime.guard([this, order](jobs::stop_answer answer) {
-        if (answer == jobs::stop_answer::fenced) {
+    const auto target = targetOf(*worker);
+    m_calls.stop(target, order, m_lifetime.guard([this, order, target](jobs::stop_answer answer) {
+        if (answer != jobs::stop_answer::fenced) {
+            m_engine.onStopAnswer(order, answer, m_time.now());
+        } else if (isDeposed(target)) {
             m_hooks.onFenced();
-            return;
+        } else {
+            m_engine.onStopAnswer(order, jobs::stop_answer::unknown, m_time.now());
         }
-        m_engine.onStopAnswer(order, answer, m_time.now());
     }));
 }
 
--- a/src/poplarpass/host/worker_links.h
+++ b/src/poplarpass/host/worker_links.h
@@ -3,6 +3,7 @@
 #include <poplarpass/core/lifetime.h>
 #include <poplarpass/core/time_source.h>
 #include <poplarpass/host/worker_calls.h>
+#include <poplarpass/host/worker_fences.h>
 #include <poplarpass/jobs/job_engine.h>
 #include <poplarpass/observe/logger.h>
 
@@ -19,6 +20,7 @@
     std::function<void()> onChange; ///< The state of workers changed; decisions must be re-evaluated.
     std::function<void(std::function<void()>)> whenStored; ///< Calls back once all state changes so far are stored.
     std::function<core::duration()> renewalDelay; ///< Delay between a worker's response and its next renewal.
+    std::function<std::uint64_t()> greatestToken; ///< Greatest fencing token that this owner may use now.
     std::function<void()> onFenced; ///< A worker refused a call: it has received a greater fencing token.
 };
 
@@ -44,20 +46,26 @@
     };
 
     auto renew(const jobs::worker_id &id) -> void;
-    auto onRenewed(const jobs::worker_id &id, const renewal_answer &answer, core::monotonic_time sentAt) -> void;
+    auto onRenewed(const worker_target &target, const renewal_answer &answer, core::monotonic_time sentAt) -> void;
+    auto onRenewalFenced(const worker_target &target) -> void;
+    auto onReported(const jobs::worker_id &id, const jobs::renewal_report &report, core::monotonic_time sentAt) -> void;
     auto renewAfter(const jobs::worker_id &id, core::duration delay) -> void;
     auto sendStart(const jobs::start_order &order) -> void;
-    auto onStartResult(const jobs::start_order &order, std::int64_t clockAtSending, const start_result &result) -> void;
+    auto onStartResult(const jobs::start_order &order, const worker_target &target, std::int64_t clockAtSending,
+                       const start_result &result) -> void;
     auto sendStop(const jobs::stop_order &order) -> void;
     auto sendPace(const jobs::pace_order &order) -> void;
     [[nodiscard]] static auto isExpectedGone(const jobs::worker_slot &worker) -> bool;
-    [[nodiscard]] auto targetOf(const jobs::worker_slot &worker) const -> worker_target;
+    auto targetOf(const jobs::worker_slot &worker) -> worker_target;
+    /// \brief Returns whether another owner has sent \p target a greater token, given that it refused a call for its
+    /// token.
+    [[nodiscard]] auto isDeposed(const worker_target &target) const -> bool;
 
     const core::time_source &m_time;
     const worker_calls &m_calls;
     jobs::job_engine &m_engine;
     observe::logger &m_log;
-    std::uint64_t m_fencingToken;
+    worker_fences m_fences;
     worker_link_hooks m_hooks;
     std::unordered_map<jobs::worker_id, link> m_links;
     core::lifetime m_lifetime;
--- a/src/poplarpass/jobs/job_engine.cpp
+++ b/src/poplarpass/jobs/job_engine.cpp
@@ -280,8 +280,8 @@
     state.hasOpenStart = true;
     state.unansweredAt.reset();
     auto ticket = job.queue.advice ? m_advice.ticketOf(stepNameOf(task), state.worker) : std::string{};
-    m_orders.starts.push_back({state.worker, task, state.run, job.spec.payload, state.checkpoint, std::move(ticket),
-                               state.startAttempts, state.workerIncarnation});
+    m_orders.starts.push_back(
+        {state.worker, task, state.run, job.spec.payload, state.checkpoint, std::move(ticket), state.startAttempts});
 }
 
 auto job_engine::resetToWaiting(const task_ref &task, multistep_job_record &job, task_record &state,
--- a/src/poplarpass/jobs/job_engine.h
+++ b/src/poplarpass/jobs/job_engine.h
@@ -17,7 +17,6 @@
 #include <poplarpass/jobs/room_reservations.h>
 #include <poplarpass/jobs/run_time_model.h>
 #include <poplarpass/jobs/suspect_workers.h>
-#include <poplarpass/jobs/unanswered_starts.h>
 #include <poplarpass/jobs/wait_reasons.h>
 #include <poplarpass/jobs/worker_table.h>
 
@@ -402,8 +401,6 @@
     auto limitUnknownLeases(worker_slot &worker, const renewal_report &report, core::monotonic_time sentAt,
                             core::monotonic_time now) -> void;
     auto retryStops(core::monotonic_time now) -> void;
-    /// \brief Orders the incarnation that reports to refuse starts that an earlier one was sent.
-    auto stopUnansweredStarts(const worker_slot &worker, core::monotonic_time now) -> void;
     auto paceBestEffortRuns(worker_slot &worker, core::monotonic_time now) -> void;
     auto relocateStragglers(core::monotonic_time now) -> void;
     auto relocateIfStraggler(const task_ref &task, worker_slot &worker, core::monotonic_time now) -> void;
@@ -496,7 +493,6 @@
     std::set<job_id> m_suspects; ///< Active jobs with tasks that need an observed start.
     std::vector<internal::crash_suspects> m_crashes; ///< Crashes that more than one job may have caused.
     std::map<worker_id, internal::silent_worker> m_silentWorkers; ///< Workers whose leases lapsed with runs on them.
-    internal::unanswered_starts m_unansweredStarts; ///< Of any runs, also of those that were given up.
     std::optional<core::monotonic_time>
         m_formerOrdersUntil; ///< Until when former owners may send orders; empty without.
     worker_table m_workers;
--- a/src/poplarpass/jobs/job_engine_answers.cpp
+++ b/src/poplarpass/jobs/job_engine_answers.cpp
@@ -9,9 +9,6 @@
 {
 auto job_engine::onStartAnswer(const start_order &order, run_start_answer answer, core::monotonic_time now) -> void
 {
-    if (answer == run_start_answer::unknown) {
-        m_unansweredStarts.add(order, now);
-    }
     const auto [job, state] = locate(order.task);
     if (job == nullptr || state->run != order.run || state->worker != order.worker
         || (state->phase != task_phase::starting && state->phase != task_phase::closing)) {
@@ -135,7 +132,6 @@
     }
     if (answer == stop_answer::stopped) {
         onLingeringStopped(order, now);
-        m_unansweredStarts.onStopped(order);
     }
     const auto task = parseTaskName(order.task);
     const auto [job, state] = task ? locate(*task) : located_task{};
--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -38,7 +38,6 @@
 {
     m_workers.update(entries, now);
     m_workers.removeUnused(now);
-    m_unansweredStarts.removeExpired(now);
 }
 
 auto job_engine::onReport(const worker_id &id, const renewal_report &report, core::monotonic_time sentAt,
@@ -75,7 +74,6 @@
     for (const auto &running : report.running) {
         onRunning(*worker, running, now);
     }
-    stopUnansweredStarts(*worker, now);
     paceBestEffortRuns(*worker, now);
     if (report.ended.size() < maxEndsPerReport) {
         resolveUnlistedRuns(*worker, sentAt, now);
@@ -406,19 +404,6 @@
     resetLost(worker, lapsed, worker_loss::lease_lapsed, now);
 }
 
-auto job_engine::stopUnansweredStarts(const worker_slot &worker, core::monotonic_time now) -> void
-{
-    const auto isCurrent = [&](const stop_order &order) {
-        const auto task = parseTaskName(order.task);
-        const auto [job, state] = task ? locate(*task) : located_task{};
-        return job != nullptr && state->run == order.run && worker.placed.contains(*task);
-    };
-    for (auto &order : m_unansweredStarts.stopsFor(worker.entry.id, worker.entry.incarnation, isCurrent, now)) {
-        logEvent("start_revoked", order.task, worker.entry.id, order.run, "worker_restarted");
-        m_orders.stops.push_back(std::move(order));
-    }
-}
-
 auto job_engine::retryStops(core::monotonic_time now) -> void
 {
     for (const auto &[id, task] : m_closing) {
--- a/src/poplarpass/jobs/worker_report.h
+++ b/src/poplarpass/jobs/worker_report.h
@@ -102,7 +102,6 @@
     std::string checkpoint; ///< Checkpoint to resume from; empty for none.
     std::string ticket; ///< Ticket that permits the start; empty for none.
     std::uint32_t attempt = 1; ///< Number of start orders for this run, including this one.
-    std::int64_t incarnation = 0; ///< Incarnation of the worker as known when the order was made.
 };
 
 /// \brief An order to stop a run.
--- a/tests/io/owner_election_test.cpp
+++ b/tests/io/owner_election_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace tests;
 
 namespace
@@ -32,6 +34,9 @@
             ++renewals;
             renewedAt = sentAt;
         };
+        result.onFencingToken = [this](std::uint64_t token) {
+            tokens.push_back(token);
+        };
         result.onOwnershipLost = [this] {
             ownershipLost = true;
         };
@@ -47,6 +52,7 @@
     std::vector<std::uint64_t> epochs;
     core::monotonic_time claimedAt{};
     core::monotonic_time renewedAt{};
+    std::vector<std::uint64_t> tokens;
     int renewals = 0;
     bool ownershipLost = false;
     host::owner_election election;
@@ -70,6 +76,48 @@
     CHECK(elected() == 1);
 }
 
+// Guards against two owners with the same token, and a later owner that workers refuse for its lower one.
+TEST_CASE("The fencing tokens of an owner lie between its epoch and that of the next one", "[host]")
+{
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate first{time, memory, "a"};
+    candidate second{time, memory, "b"};
+    first.election.start();
+    REQUIRE(time.runUntil([&] { return first.tokens.size() >= 3; }));
+    second.election.start();
+    time.runFor(std::chrono::seconds{1});
+    REQUIRE(second.epochs.empty());
+    first.election.resign([] {});
+    REQUIRE(time.runUntil([&] { return second.tokens.size() >= 2; }));
+    CHECK(first.tokens.front() > first.epochs.at(0));
+    CHECK(std::ranges::is_sorted(first.tokens));
+    CHECK(first.tokens.back() < second.epochs.at(0));
+    CHECK(second.tokens.front() > second.epochs.at(0));
+}
+
+// Guards against a token that is greater than that of a later owner: the renewal was stored after the later claim.
+TEST_CASE("A renewal that was stored after the claim of a later owner gives no fencing token", "[host]")
+{
+    fakes::stepped_time time;
+    memory_store memory{time};
+    candidate first{time, memory, "a"};
+    first.election.start();
+    REQUIRE(time.runUntil([&] { return !first.tokens.empty(); }));
+    // The claim is stored just before the next renewal and is not fenced yet.
+    const auto end = memory.records(store::topic::ownership).size();
+    const auto greatest = first.tokens.back();
+    memory.put(store::topic::ownership, {},
+               poplarpass::owner::encodeOwnerRecord({poplarpass::owner::owner_record_kind::claim, end + 1, "b",
+                                                     "10.0.0.2:1", poplarpass::owner::longElectionTimeout}));
+    memory.put(store::topic::ownership, {},
+               poplarpass::owner::encodeOwnerRecord({poplarpass::owner::owner_record_kind::renewal, first.epochs.at(0),
+                                                     "a", "10.0.0.1:1", poplarpass::owner::longElectionTimeout}));
+    REQUIRE(time.runUntil([&] { return first.ownershipLost; }));
+    time.runFor(std::chrono::seconds{1});
+    CHECK(std::ranges::all_of(first.tokens, [&](std::uint64_t token) { return token <= std::max(greatest, end); }));
+}
+
 TEST_CASE("A claim whose response is lost is recognized when it is read back", "[host]")
 {
     fakes::stepped_time time;
--- a/tests/io/worker_links_test.cpp
+++ b/tests/io/worker_links_test.cpp
@@ -34,6 +34,10 @@
     host::worker_calls calls;
     std::size_t renewals = 0;
     std::uint64_t acknowledgedEnd = 0; ///< Number in the last renewal.
+    std::uint64_t token = 0; ///< Fencing token of the last renewal.
+    std::uint64_t greatestToken = 0;
+    std::int64_t reportedIncarnation = incarnation;
+    bool isDeposed = false; ///< Whether the links took a refusal as the sign of a later owner.
     std::unique_ptr<host::worker_links> links;
 
     explicit links_fixture(answered_renewals answered = answered_renewals::first)
@@ -41,9 +45,10 @@
         calls.renew = [this, answered](const host::renewal_call &call, std::function<void(host::renewal_answer)> done) {
             host::renewal_answer answer;
             acknowledgedEnd = call.acknowledgedEnd;
+            token = call.target.fencingToken;
             if (++renewals == 1 || answered == answered_renewals::all) {
                 answer.outcome = host::renewal_outcome::reported;
-                answer.report.incarnation = incarnation;
+                answer.report.incarnation = reportedIncarnation;
                 answer.report.ended = {{endNumber, "00000000000000bb.0.0.0", 1, jobs::end_kind::done, {}}};
             }
             time.after(callTime, [done = std::move(done), answer] { done(answer); });
@@ -60,7 +65,11 @@
         hooks.renewalDelay = [] {
             return host::renewalDelay;
         };
-        hooks.onFenced = [] {
+        hooks.greatestToken = [this] {
+            return greatestToken;
+        };
+        hooks.onFenced = [this] {
+            isDeposed = true;
         };
         links = std::make_unique<host::worker_links>(clock, calls, engine, log, 1, std::move(hooks));
         jobs::worker_entry entry;
@@ -141,3 +150,40 @@
     const bool waitsForLongestLease = slot.leaseEnd - fixture.time.now() > poplarpass::jobs::maxGrantedLease;
     CHECK(waitsForLongestLease == (answeredClock == 100));
 }
+
+// Guards against a call to the earlier incarnation of a worker that is carried out after the owner has heard of the
+// later one: it began a second run, or acknowledged ends that the owner had not seen.
+TEST_CASE("A worker that has restarted is called with a greater fencing token", "[host][workers]")
+{
+    links_fixture fixture{answered_renewals::all};
+    REQUIRE(fixture.token == 1);
+    fixture.greatestToken = 40;
+    fixture.time.runFor(1s);
+    CHECK(fixture.token == 1);
+    fixture.reportedIncarnation = incarnation + 1;
+    fixture.time.runFor(1s);
+    CHECK(fixture.token == 40);
+    fixture.greatestToken = 50;
+    fixture.time.runFor(1s);
+    CHECK(fixture.token == 40);
+}
+
+// Guards against an owner that steps down because its own later call with a greater token overtook an earlier one.
+TEST_CASE("A call refused for a greater token of the same owner does not depose it", "[host][workers]")
+{
+    links_fixture fixture{answered_renewals::all};
+    std::function<void(host::start_result)> answerStart;
+    fixture.calls.start = [&](const host::worker_target &, const jobs::start_order &, std::int64_t,
+                              std::function<void(host::start_result)> done) {
+        answerStart = std::move(done);
+    };
+    jobs::order_batch orders;
+    orders.starts.push_back({workerId, {jobs::job_id{"00000000000000aa"}, 0, 0, 0}, 1, {}, {}, {}, 1});
+    fixture.links->send(orders);
+    const bool isOvertaken = GENERATE(true, false);
+    fixture.greatestToken = 40;
+    fixture.reportedIncarnation = isOvertaken ? incarnation + 1 : incarnation;
+    fixture.time.runFor(1s);
+    answerStart(jobs::run_start_answer::fenced);
+    CHECK(fixture.isDeposed == !isOvertaken);
+}
