Tests of clients that make a host hold memory or descriptors without bound

Each test starts a real `poplarpass host` with 64 MB of memory, or 256 descriptors, in its settings and plays one kind of input with a small crowd against each of its four listeners. It checks that the process lives, that its peak resident memory and its open descriptors stay within the settings, and that ordinary requests are answered afterwards. Nothing is timed.

Bodies that are announced far over the limit are refused already. The tests run one at a time.

--- a/src/poplarpass/settings/host_settings.cpp
+++ b/src/poplarpass/settings/host_settings.cpp
@@ -15,6 +15,10 @@
 constexpr double maxTimeS = 3'600;
 constexpr double maxCores = 4096;
 constexpr double maxLinkMbps = 1e9;
+constexpr int minMemoryMb = 64;
+constexpr int maxMemoryMb = 1'000'000;
+constexpr int minDescriptors = 256;
+constexpr int maxDescriptors = 1'000'000;
 
 auto readTime(toml_reader &in, std::string_view key) -> std::chrono::milliseconds
 {
@@ -48,6 +52,9 @@
 {
     settings.cores = in.number("processor_share", 0, maxCores) * in.number("processor_speed", 0, maxCores);
     settings.linkMbps = in.number("link_mbps", 0, maxLinkMbps);
+    settings.memoryMb = in.optionalInteger("memory_mb", minMemoryMb, maxMemoryMb).value_or(settings.memoryMb);
+    settings.maxDescriptors =
+        in.optionalInteger("max_descriptors", minDescriptors, maxDescriptors).value_or(settings.maxDescriptors);
 }
 
 auto readAccounts(toml_reader &in, host_settings &settings) -> void
--- a/src/poplarpass/settings/toml_reader.cpp
+++ b/src/poplarpass/settings/toml_reader.cpp
@@ -63,6 +63,11 @@
     return static_cast<int>(*value);
 }
 
+auto toml_reader::optionalInteger(std::string_view key, int minimum, int maximum) -> std::optional<int>
+{
+    return find(key) == nullptr ? std::nullopt : std::optional<int>{integer(key, minimum, maximum)};
+}
+
 auto toml_reader::number(std::string_view key, double minimum, double maximum) -> double
 {
     const auto expected = rangeText("a number", shortNumber(minimum), shortNumber(maximum));
--- a/src/poplarpass/settings/toml_reader.h
+++ b/src/poplarpass/settings/toml_reader.h
@@ -33,6 +33,9 @@
     /// \brief Reads a required integer from \p minimum to \p maximum.
     auto integer(std::string_view key, int minimum, int maximum) -> int;
 
+    /// \brief Reads an optional integer from \p minimum to \p maximum.
+    auto optionalInteger(std::string_view key, int minimum, int maximum) -> std::optional<int>;
+
     /// \brief Reads a required number, integer or not, from \p minimum to \p maximum.
     auto number(std::string_view key, double minimum, double maximum) -> double;
 
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -4,7 +4,9 @@
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -119,11 +121,28 @@
 }
 
 auto child_process::residentKb() const -> long
+{
+    return statusKb("VmRSS:");
+}
+
+auto child_process::peakResidentKb() const -> long
+{
+    return statusKb("VmHWM:");
+}
+
+auto child_process::openDescriptors() const -> std::size_t
+{
+    std::error_code ended;
+    const std::filesystem::directory_iterator entries{"/proc/" + std::to_string(m_pid) + "/fd", ended};
+    return ended ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
+auto child_process::statusKb(std::string_view field) const -> long
 {
     std::ifstream file{"/proc/" + std::to_string(m_pid) + "/status"};
     std::string word;
     while (file >> word) {
-        if (word == "VmRSS:") {
+        if (word == field) {
             long kilobytes = 0;
             file >> kilobytes;
             return kilobytes;
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -39,8 +39,15 @@
     /// \brief Returns the resident memory in kB; 0 if the process has ended.
     auto residentKb() const -> long;
 
+    /// \brief Returns the highest resident memory so far in kB; 0 if the process has ended.
+    auto peakResidentKb() const -> long;
+
+    /// \brief Returns the number of open descriptors; 0 if the process has ended.
+    auto openDescriptors() const -> std::size_t;
+
 private:
     auto readLines(int descriptor) -> void;
+    auto statusKb(std::string_view field) const -> long;
 
     pid_t m_pid = -1;
     bool m_reaped = false;
--- a/tests/process/http_call.cpp
+++ b/tests/process/http_call.cpp
@@ -21,14 +21,14 @@
 } // namespace
 
 auto httpCall(std::string_view address, std::string_view method, std::string_view target, std::string_view body,
-              std::chrono::seconds timeout) -> call_answer
+              std::chrono::seconds timeout, std::string_view hostName) -> call_answer
 {
     boost::asio::io_context loop;
     beast::tcp_stream stream{loop};
     stream.expires_after(timeout);
     http::request<http::string_body> request{
         http::string_to_verb({method.data(), method.size()}), {target.data(), target.size()}, 11};
-    request.set(http::field::host, std::string{address});
+    request.set(http::field::host, std::string{hostName.empty() ? address : hostName});
     request.body() = body;
     request.prepare_payload();
     beast::flat_buffer buffer;
--- a/tests/process/http_call.h
+++ b/tests/process/http_call.h
@@ -15,6 +15,7 @@
 };
 
 /// \brief Sends one blocking HTTP request to "IP:port" on a new connection.
+/// \param hostName Host header; empty: \p address
 auto httpCall(std::string_view address, std::string_view method, std::string_view target, std::string_view body = {},
-              std::chrono::seconds timeout = std::chrono::seconds{30}) -> call_answer;
+              std::chrono::seconds timeout = std::chrono::seconds{30}, std::string_view hostName = {}) -> call_answer;
 } // namespace tests
