Bound the parts of a request that Beast's limits do not reach

What callers saw: a host that ran out of memory while clients sent trailers, or an extension of a chunk, without end.

Cause: Beast's header_limit and body_limit cover neither. Its parser needs such a part whole, and its read operations let the buffer grow until it is. The body limit of the servers was 4 MB; limits.max_body_bytes was checked only after the body had been read.

The connection now feeds the parser itself from a buffer of fixed size (header limit and 16 KB), so it sees each piece: a part that does not fit is refused with 413. A message may take eight times the limit of its body with its framing, since chunks of one byte take six. The callers' server takes its body limit from the configuration in force and passes a request above it on without its body as soon as the length is announced or exceeded; the order of the checks stays the same, 413 comes last, and the connection is closed. Readiness and metrics take bodies of 1 KB. The read timeout answers at once, so a read that completes at the same moment no longer continues without a timeout.

--- a/src/poplarpass/host/caller_request.cpp
+++ b/src/poplarpass/host/caller_request.cpp
@@ -128,7 +128,7 @@
     if (*verb != client_verb::pending && !isJobId(match.rest)) {
         return makeRefusal(plainResponse(400, "bad_job_id"));
     }
-    if (call.body.size() > config.maxBodyBytes) {
+    if (call.isBodyTooLarge || call.body.size() > config.maxBodyBytes) {
         return makeRefusal(plainResponse(tooLargeStatus, "body_too_large"));
     }
     caller_request parsed;
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t renewalConnectionsPerWorker = 2;
 constexpr std::size_t orderConnectionsPerWorker = 10;
 constexpr std::size_t connectionsToStore = 16;
+// Requests for the readiness, the metrics and the accounts have no body.
+constexpr std::uint64_t maxStatusBodyBytes = 1024;
 
 auto loggerOptions(const settings::host_settings &settings, const core::time_source &time) -> observe::logger_options
 {
@@ -138,8 +140,10 @@
     const auto answer = [this](const net::http_request &request, const std::shared_ptr<net::responder> &caller) {
         caller->respond(answerStatus(request));
     };
-    m_readiness = std::make_unique<net::http_server>(m_loop, m_settings.readiness, net::server_limits{}, answer);
-    m_metricsServer = std::make_unique<net::http_server>(m_loop, m_settings.metrics, net::server_limits{}, answer);
+    net::server_limits limits;
+    limits.bodyBytes = maxStatusBodyBytes;
+    m_readiness = std::make_unique<net::http_server>(m_loop, m_settings.readiness, limits, answer);
+    m_metricsServer = std::make_unique<net::http_server>(m_loop, m_settings.metrics, limits, answer);
 }
 
 auto host_process::answerStatus(const net::http_request &request) -> net::http_response
--- a/src/poplarpass/host/request_server.cpp
+++ b/src/poplarpass/host/request_server.cpp
@@ -25,6 +25,7 @@
         [this](const net::http_request &call, const std::shared_ptr<net::responder> &caller) {
             handleCallerRequest(call, caller);
         });
+    m_callerServer->setBodyLimit([this] { return m_core.routes().config().maxBodyBytes; });
 }
 
 auto request_server::listenForPeers(std::string_view address) -> void
@@ -68,7 +69,7 @@
               {{"host", call.header("Host")},
                {"path", call.path()},
                {"method", call.method},
-               {"bytes", call.body.size()},
+               {"bytes", call.isBodyTooLarge ? "above_limit" : std::to_string(call.body.size())},
                {"status", refusal.response.status},
                {"config", version}});
 }
--- a/src/poplarpass/net/constants.h
+++ b/src/poplarpass/net/constants.h
@@ -14,7 +14,8 @@
 /// \brief Limits of an HTTP server.
 struct server_limits
 {
-    std::uint32_t headerBytes = 16 * 1024; ///< Maximum size of a request's header section.
+    std::uint32_t headerBytes = 16 * 1024; ///< Maximum size of a request's header section; also bounds the size of
+                                           ///< a chunk's extensions and of the trailers.
     std::uint64_t bodyBytes = std::uint64_t{4} * 1024 * 1024; ///< Maximum size of a request body.
     core::duration readTimeout = std::chrono::seconds{10}; ///< From the first byte of a request to the last.
     core::duration writeTimeout = std::chrono::seconds{30}; ///< For writing one complete response.
@@ -41,6 +42,9 @@
 namespace internal
 {
 inline constexpr std::size_t readChunkBytes = std::size_t{8} * 1024;
+inline constexpr std::size_t bodyReadBytes = std::size_t{16} * 1024;
+// Bytes of a message for each byte that its body may have; a chunk of one byte takes six.
+inline constexpr std::uint64_t maxFramingFactor = 8;
 inline constexpr std::size_t lingerBytes = std::size_t{1024} * 1024;
 inline constexpr std::chrono::milliseconds acceptRetryDelay{100};
 inline constexpr std::chrono::milliseconds evictableIdleTime{100};
--- a/src/poplarpass/net/http_connection.cpp
+++ b/src/poplarpass/net/http_connection.cpp
@@ -2,9 +2,10 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace poplarpass::net::internal
 {
 namespace
@@ -33,6 +34,7 @@
     : m_socket{std::move(socket)}
     , m_timer{m_socket.get_executor()}
     , m_context{std::move(context)}
+    , m_buffer{m_context->limits.headerBytes + bodyReadBytes}
 {
 }
 
@@ -80,13 +82,14 @@
     m_phase = phase::idle;
     m_idleSince = std::chrono::steady_clock::now();
     m_message.reset();
-    m_parser.emplace();
-    m_parser->header_limit(m_context->limits.headerBytes);
-    m_parser->body_limit(m_context->limits.bodyBytes);
+    m_parser.reset();
     if (m_buffer.size() > 0) {
-        readHeader();
+        beginRequest();
         return;
     }
+    if (!m_readPending && m_buffer.capacity() > readChunkBytes) {
+        m_buffer.shrink_to_fit();
+    }
     const auto &limits = m_context->limits;
     armTimer(m_context->draining ? limits.drainIdleTimeout : limits.idleTimeout);
     if (!m_readPending) {
@@ -100,8 +103,10 @@
 auto http_connection::readSome() -> void
 {
     m_readPending = true;
+    const bool readsBody = m_phase == phase::reading && m_parser->is_header_done();
+    const auto room = m_buffer.max_size() - m_buffer.size();
     m_socket.async_read_some(
-        m_buffer.prepare(readChunkBytes),
+        m_buffer.prepare(std::min(room, readsBody ? bodyReadBytes : readChunkBytes)),
         [self = shared_from_this()](error_code problem, std::size_t size) { self->onReadSome(problem, size); });
 }
 
@@ -112,10 +117,12 @@
         return;
     }
     m_buffer.commit(size);
-    if (problem) {
+    if (m_phase == phase::reading) {
+        onRequestBytes(problem);
+    } else if (problem) {
         onPeerClosed(problem);
     } else if (m_phase == phase::idle) {
-        readHeader();
+        beginRequest();
     } else if (m_phase == phase::lingering) {
         discard(size);
     }
@@ -141,26 +148,64 @@
     }
 }
 
-auto http_connection::readHeader() -> void
+auto http_connection::beginRequest() -> void
 {
     m_phase = phase::reading;
-    m_timedOut = false;
+    m_messageBytes = 0;
+    m_parser.emplace();
+    m_parser->header_limit(m_context->limits.headerBytes);
+    m_parser->body_limit(bodyLimit());
     armTimer(m_context->limits.readTimeout);
-    http::async_read_header(m_socket, m_buffer, *m_parser,
-                            [self = shared_from_this()](error_code problem, std::size_t) { self->onHeader(problem); });
+    parseBuffer();
 }
 
-auto http_connection::onHeader(error_code problem) -> void
+auto http_connection::bodyLimit() const -> std::uint64_t
 {
-    if (m_phase != phase::reading) {
-        return;
+    return m_context->bodyLimit ? m_context->bodyLimit() : m_context->limits.bodyBytes;
+}
+
+auto http_connection::onRequestBytes(error_code problem) -> void
+{
+    if (problem == boost::asio::error::eof) {
+        problem = {};
+        m_parser->put_eof(problem);
     }
     if (problem) {
         onReadFailed(problem);
-    } else if (!m_parser->is_done() && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+    } else {
+        parseBuffer();
+    }
+}
+
+// The parser is fed here and not by Beast's read operations, since these return only with a complete message and let
+// the buffer grow meanwhile: the parser's limits cover neither chunk extensions nor trailers, which it needs whole.
+auto http_connection::parseBuffer() -> void
+{
+    const bool hadHeader = m_parser->is_header_done();
+    error_code problem;
+    if (m_buffer.size() > 0) {
+        const auto used = m_parser->put(m_buffer.data(), problem);
+        m_buffer.consume(used);
+        m_messageBytes += used;
+    }
+    if (problem && problem != http::error::need_more) {
+        onReadFailed(problem);
+    } else if (!hadHeader && m_parser->is_header_done()) {
+        onHeader();
+    } else {
+        continueReading();
+    }
+}
+
+auto http_connection::onHeader() -> void
+{
+    m_parser->eager(true);
+    if (!m_parser->is_done() && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         writeContinue();
+    } else if (!m_parser->is_done() && m_buffer.size() > 0) {
+        parseBuffer();
     } else {
-        readBody();
+        continueReading();
     }
 }
 
@@ -175,29 +220,29 @@
                                  if (problem) {
                                      self->close();
                                  } else {
-                                     self->readBody();
+                                     self->parseBuffer();
                                  }
                              });
 }
 
-auto http_connection::readBody() -> void
+auto http_connection::continueReading() -> void
 {
-    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code problem, std::size_t) {
-        if (self->m_phase != phase::reading) {
-            return;
-        }
-        if (problem) {
-            self->onReadFailed(problem);
-        } else {
-            self->dispatch();
-        }
-    });
+    const auto maxMessageBytes = m_context->limits.headerBytes + maxFramingFactor * bodyLimit();
+    if (m_parser->is_done()) {
+        dispatch();
+    } else if (m_buffer.size() == m_buffer.max_size()) {
+        onReadFailed(http::error::buffer_overflow);
+    } else if (m_messageBytes > maxMessageBytes) {
+        onReadFailed(http::error::body_limit);
+    } else {
+        readSome();
+    }
 }
 
 auto http_connection::onReadFailed(error_code problem) -> void
 {
-    if (m_timedOut) {
-        answerError(core::error_kind::request_timeout, "the request was not sent in time");
+    if (problem == http::error::body_limit && m_context->bodyLimit) {
+        dispatchTooLarge();
     } else if (isTooLarge(problem)) {
         answerError(core::error_kind::payload_too_large, problem.message());
     } else if (isMalformed(problem) && problem != http::error::end_of_stream) {
@@ -209,6 +254,7 @@
 
 auto http_connection::answerError(core::error_kind kind, std::string detail) -> void
 {
+    m_parser.reset();
     m_keepAlive = false;
     m_headRequest = false;
     m_requestId.clear();
@@ -219,6 +265,7 @@
 auto http_connection::extractRequest() -> http_request
 {
     auto message = m_parser->release();
+    m_parser.reset();
     m_keepAlive = message.keep_alive();
     m_version = message.version();
     m_headRequest = message.method() == http::verb::head;
@@ -243,6 +290,19 @@
     m_context->handler(std::move(request), std::make_shared<responder>(shared_from_this()));
 }
 
+// The rest of the body is not read: the connection is closed after the response.
+auto http_connection::dispatchTooLarge() -> void
+{
+    auto request = extractRequest();
+    request.body = {};
+    request.isBodyTooLarge = true;
+    m_keepAlive = false;
+    m_phase = phase::handling;
+    ++m_timerSerial;
+    m_timer.cancel();
+    m_context->handler(std::move(request), std::make_shared<responder>(shared_from_this()));
+}
+
 auto http_connection::respond(http_response response) -> void
 {
     if (m_phase != phase::handling) {
@@ -335,12 +395,10 @@
 
 auto http_connection::onTimer() -> void
 {
-    if (m_phase != phase::reading) {
+    if (m_phase == phase::reading) {
+        answerError(core::error_kind::request_timeout, "the request was not sent in time");
+    } else {
         close();
-        return;
     }
-    m_timedOut = true;
-    error_code ignored;
-    m_socket.cancel(ignored);
 }
 } // namespace poplarpass::net::internal
--- a/src/poplarpass/net/http_connection.h
+++ b/src/poplarpass/net/http_connection.h
@@ -19,6 +19,7 @@
     server_limits limits;
     http_handler handler; ///< Handles complete requests.
     error_responder onError; ///< Creates the response to a request that could not be read.
+    std::function<std::uint64_t()> bodyLimit; ///< Replaces limits.bodyBytes; the handler refuses larger bodies.
     bool draining = false; ///< Whether connections are closed after the next response.
     std::function<void(http_connection &)> onClosed; ///< Called once by each connection when it closes.
 };
@@ -64,12 +65,16 @@
     auto readSome() -> void;
     auto onReadSome(error_code problem, std::size_t size) -> void;
     auto onPeerClosed(error_code problem) -> void;
-    auto readHeader() -> void;
-    auto onHeader(error_code problem) -> void;
+    auto beginRequest() -> void;
+    auto onRequestBytes(error_code problem) -> void;
+    auto parseBuffer() -> void;
+    auto onHeader() -> void;
     auto writeContinue() -> void;
-    auto readBody() -> void;
+    auto continueReading() -> void;
     auto onReadFailed(error_code problem) -> void;
     auto dispatch() -> void;
+    auto dispatchTooLarge() -> void;
+    [[nodiscard]] auto bodyLimit() const -> std::uint64_t;
     auto extractRequest() -> http_request;
     auto answerError(core::error_kind kind, std::string detail) -> void;
     auto prepareMessage(http_response response) -> void;
@@ -93,10 +98,10 @@
     std::chrono::steady_clock::time_point m_idleSince;
     std::uint64_t m_timerSerial = 0;
     std::size_t m_discardedBytes = 0;
+    std::uint64_t m_messageBytes = 0; ///< Of the request that is being read, as sent.
     unsigned m_version = 11;
     bool m_readPending = false;
     bool m_peerClosed = false;
-    bool m_timedOut = false;
     bool m_keepAlive = true;
     bool m_headRequest = false;
 };
--- a/src/poplarpass/net/http_message.h
+++ b/src/poplarpass/net/http_message.h
@@ -27,6 +27,7 @@
     std::string target = "/"; ///< Path and query as sent.
     std::vector<http_header> headers; ///< Header fields in order, without the framing fields.
     std::string body;
+    bool isBodyTooLarge = false; ///< Whether the body exceeds the server's limit and was therefore not read.
 
     /// \brief Returns the value of the first header called \p name, or an empty view.
     [[nodiscard]] auto header(std::string_view name) const -> std::string_view;
--- a/src/poplarpass/net/http_server.cpp
+++ b/src/poplarpass/net/http_server.cpp
@@ -72,6 +72,11 @@
         finishDrain();
     }
 
+    auto setBodyLimit(std::function<std::uint64_t()> limit) -> void
+    {
+        m_context->bodyLimit = std::move(limit);
+    }
+
     [[nodiscard]] auto endpoint() const -> const tcp::endpoint &
     {
         return m_endpoint;
@@ -278,6 +283,11 @@
     m_state->stop();
 }
 
+auto http_server::setBodyLimit(std::function<std::uint64_t()> limit) -> void
+{
+    m_state->setBodyLimit(std::move(limit));
+}
+
 auto http_server::port() const -> std::uint16_t
 {
     return m_state->endpoint().port();
--- a/src/poplarpass/net/http_server.h
+++ b/src/poplarpass/net/http_server.h
@@ -73,6 +73,12 @@
     http_server(const http_server &) = delete;
     auto operator=(const http_server &) -> http_server & = delete;
 
+    /// \brief Reads the maximum size of a request body, bytes, from \p limit at the start of each request.
+    ///
+    /// A request with a larger body is passed to the handler as soon as that is known, without the body and with
+    /// isBodyTooLarge set; the connection is closed after its response.
+    auto setBodyLimit(std::function<std::uint64_t()> limit) -> void;
+
     /// \brief Returns the listening port.
     [[nodiscard]] auto port() const -> std::uint16_t;
 
--- a/tests/io/http_test.cpp
+++ b/tests/io/http_test.cpp
@@ -85,6 +85,28 @@
         expected = 413;
         peer.send("GET / HTTP/1.1\r\nX: " + std::string(4096, 'x') + "\r\n\r\n");
     }
+    // Beast's limits cover neither of the next three.
+    SECTION("trailers without end")
+    {
+        expected = 413;
+        peer.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+        for (int line = 0; line < 1024; ++line) {
+            peer.send("X: " + std::string(32, 'x') + "\r\n");
+        }
+    }
+    SECTION("a chunk extension without end")
+    {
+        expected = 413;
+        peer.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" + std::string(32 * 1024, 'x'));
+    }
+    SECTION("many chunk extensions")
+    {
+        expected = 413;
+        peer.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int chunk = 0; chunk < 32; ++chunk) {
+            peer.send("1;x=" + std::string(1000, 'x') + "\r\nx\r\n");
+        }
+    }
     SECTION("slow header")
     {
         expected = 408;
@@ -103,6 +125,66 @@
     CHECK(client.counters().connects == 1);
 }
 
+// Guards against a limit that counts the framing of a body: chunks of one byte multiply its size by six.
+TEST_CASE_METHOD(io_fixture, "a body of the largest size is received however it is framed", "[http]")
+{
+    net::http_server server{loop, "127.0.0.1:0", shortLimits(), echo};
+    raw_peer peer{loop, server.port()};
+    peer.receive();
+    const std::string body(shortLimits().bodyBytes, 'x');
+    std::string message = "POST / HTTP/1.1\r\nConnection: close\r\n";
+    SECTION("with its length")
+    {
+        message += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    SECTION("in chunks of one byte, with a trailer")
+    {
+        message += "Transfer-Encoding: chunked\r\n\r\n";
+        for (const char byte : body) {
+            message += "1\r\n" + std::string(1, byte) + "\r\n";
+        }
+        message += "0\r\nX: y\r\n\r\n";
+    }
+    SECTION("after a wait for 100 Continue")
+    {
+        peer.send(message + "Expect: 100-continue\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+        runUntil([&] { return peer.received.find("100 Continue") != std::string::npos; });
+        message = body;
+    }
+    peer.send(message);
+    runUntil([&] { return peer.closed; });
+    CHECK(peer.received.find("200 OK") != std::string::npos);
+    CHECK(peer.received.find(body) != std::string::npos);
+}
+
+TEST_CASE_METHOD(io_fixture, "a body above a limit that changes is refused by the handler before it is read", "[http]")
+{
+    net::http_server server{
+        loop, "127.0.0.1:0", {}, [](const net::http_request &request, const responder_handle &answer) {
+            const auto detail = request.target + " " + std::to_string(request.body.size());
+            answer->respond(net::makeResponse(request.isBodyTooLarge ? 413 : 200, detail));
+        }};
+    std::uint64_t limit = 4;
+    server.setBodyLimit([&] { return limit; });
+    CHECK(call(server.address(), {"POST", "/small", {}, "1234"}).answer->status == 200);
+    raw_peer peer{loop, server.port()};
+    peer.receive();
+    SECTION("announced")
+    {
+        peer.send("POST /large HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n");
+    }
+    SECTION("sent in chunks")
+    {
+        peer.send("POST /large HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n1234\r\n1\r\n");
+    }
+    runUntil([&] { return peer.closed; });
+    CHECK(statusOf(peer) == 413);
+    CHECK(peer.received.find("/large 0") != std::string::npos);
+    CHECK(peer.received.find("Connection: close") != std::string::npos);
+    limit = 5;
+    CHECK(call(server.address(), {"POST", "/large", {}, "12345"}).answer->status == 200);
+}
+
 TEST_CASE_METHOD(io_fixture, "pipelined requests are answered in order, and 100 Continue is sent", "[http]")
 {
     net::http_server server{loop, "127.0.0.1:0", {}, echo};
