Bound what all clients together make a host hold

What callers saw: a host that ran out of memory while many clients sent bodies inside the limit that never end, or large ones to the address for other hosts; and a host without descriptors for its own calls while clients held open connections.

Cause: each request had a bound, all of them together had none, and each of the four servers let 4,096 connections in.

Each server now has a budget of memory and of connections, a share of size.memory_mb and size.max_descriptors, so none can take the share of another. A connection reports what it holds (buffer, body, three copies of a request that is handled, response) whenever that changes. While the sum exceeds the budget, connections whose response has been sent are closed first; then the request or response of about the largest size gives way, of those the slowest: a request that is being read gets 503 `overloaded` with Retry-After 1, which is true, as it was not passed on. A complete request gives way only if none of those is left. At the limit of connections and without an idle one, the request that takes longest to arrive gives way after 1 s.

A trial in which lingering connections gave way like all others refused every slow request of a crowd, as they took up the budget.

Not in it: a share for each client address, since the platform may forward the connections of all clients; unread bytes in the kernel, which the connection cannot see.

--- a/src/poplarpass/core/error.cpp
+++ b/src/poplarpass/core/error.cpp
@@ -17,6 +17,7 @@
     {error_kind::invalid_request, "invalid_request", 400, notRun, seconds{0}, "The request is malformed."},
     {error_kind::payload_too_large, "payload_too_large", 413, notRun, seconds{0}, "The request is too large."},
     {error_kind::request_timeout, "request_timeout", 408, notRun, seconds{1}, "The request was not sent in time."},
+    {error_kind::overloaded, "overloaded", 503, notRun, seconds{1}, "The host holds too many requests."},
     {error_kind::unknown_pool, "unknown_pool", 404, notRun, seconds{0}, "There is no such pool or service."},
     {error_kind::unknown_team, "unknown_team", 403, notRun, seconds{0}, "There is no such team."},
     {error_kind::unknown_job, "unknown_job", 404, unknown, seconds{0}, "No job is known by this key."},
--- a/src/poplarpass/core/error.h
+++ b/src/poplarpass/core/error.h
@@ -17,6 +17,7 @@
     invalid_request, ///< Malformed or contradictory input.
     payload_too_large, ///< Input larger than the permitted limit.
     request_timeout, ///< The caller did not complete its request in time.
+    overloaded, ///< The host holds too much for its callers already.
     unknown_pool, ///< No such pool or service.
     unknown_team, ///< No such team.
     unknown_job, ///< No job exists for the key.
--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -4,6 +4,7 @@
 #include <poplarpass/host/constants.h>
 #include <poplarpass/host/host_peers.h>
 #include <poplarpass/host/host_process.h>
+#include <poplarpass/host/listener_limits.h>
 #include <poplarpass/observe/line_writer.h>
 
 #include <csignal>
@@ -25,8 +26,7 @@
 constexpr std::size_t renewalConnectionsPerWorker = 2;
 constexpr std::size_t orderConnectionsPerWorker = 10;
 constexpr std::size_t connectionsToStore = 16;
-// Requests for the readiness, the metrics and the accounts have no body.
-constexpr std::uint64_t maxStatusBodyBytes = 1024;
+constexpr std::size_t bytesPerMb = 1'000'000;
 
 auto loggerOptions(const settings::host_settings &settings, const core::time_source &time) -> observe::logger_options
 {
@@ -135,15 +135,15 @@
 auto host_process::listen() -> void
 {
     m_requestServer = std::make_unique<request_server>(m_loop, m_time, *m_core, m_log, m_metrics);
-    m_requestServer->listenForCallers(m_settings.callers);
-    m_requestServer->listenForPeers(m_settings.peers);
+    const auto limits = divideAmongListeners(static_cast<std::size_t>(m_settings.memoryMb) * bytesPerMb,
+                                             static_cast<std::size_t>(m_settings.maxDescriptors));
+    m_requestServer->listenForCallers(m_settings.callers, limits.callers);
+    m_requestServer->listenForPeers(m_settings.peers, limits.peers);
     const auto answer = [this](const net::http_request &request, const std::shared_ptr<net::responder> &caller) {
         caller->respond(answerStatus(request));
     };
-    net::server_limits limits;
-    limits.bodyBytes = maxStatusBodyBytes;
-    m_readiness = std::make_unique<net::http_server>(m_loop, m_settings.readiness, limits, answer);
-    m_metricsServer = std::make_unique<net::http_server>(m_loop, m_settings.metrics, limits, answer);
+    m_readiness = std::make_unique<net::http_server>(m_loop, m_settings.readiness, limits.status, answer);
+    m_metricsServer = std::make_unique<net::http_server>(m_loop, m_settings.metrics, limits.status, answer);
 }
 
 auto host_process::answerStatus(const net::http_request &request) -> net::http_response
--- a/src/poplarpass/host/request_server.cpp
+++ b/src/poplarpass/host/request_server.cpp
@@ -18,23 +18,38 @@
 {
 }
 
-auto request_server::listenForCallers(std::string_view address) -> void
+auto request_server::listenForCallers(std::string_view address, const net::server_limits &limits) -> void
 {
     m_callerServer = std::make_unique<net::http_server>(
-        m_loop, address, net::server_limits{},
+        m_loop, address, limits,
         [this](const net::http_request &call, const std::shared_ptr<net::responder> &caller) {
             handleCallerRequest(call, caller);
-        });
+        },
+        [this](const core::error &problem) { return refuseUnread("callers", problem); });
     m_callerServer->setBodyLimit([this] { return m_core.routes().config().maxBodyBytes; });
 }
 
-auto request_server::listenForPeers(std::string_view address) -> void
+auto request_server::listenForPeers(std::string_view address, const net::server_limits &limits) -> void
 {
     m_peerServer = std::make_unique<net::http_server>(
-        m_loop, address, net::server_limits{},
+        m_loop, address, limits,
         [this](const net::http_request &call, const std::shared_ptr<net::responder> &peer) {
             handlePeerRequest(call, peer);
-        });
+        },
+        [this](const core::error &problem) { return refuseUnread("peers", problem); });
+}
+
+// Only counted: a crowd of such clients would fill the log.
+auto request_server::refuseUnread(std::string_view listener, const core::error &problem) -> net::http_response
+{
+    const auto &answer = core::errorSpecOf(problem.kind);
+    m_metrics
+        .counterOf("poplarpass_unread_requests_total", "Requests refused before they were read completely",
+                   {{"listener", std::string{listener}}, {"reason", std::string{answer.name}}})
+        .add();
+    const auto retryAfter = static_cast<int>(answer.retryAfter.count());
+    return retryAfter > 0 ? refusalResponse(answer.httpStatus, answer.name, retryAfter)
+                          : plainResponse(answer.httpStatus, answer.name);
 }
 
 auto request_server::handleCallerRequest(const net::http_request &call, const std::shared_ptr<net::responder> &caller)
--- a/src/poplarpass/host/request_server.h
+++ b/src/poplarpass/host/request_server.h
@@ -21,10 +21,10 @@
                    observe::metrics_registry &metrics);
 
     /// \brief Starts the server for callers at "IP:port".
-    auto listenForCallers(std::string_view address) -> void;
+    auto listenForCallers(std::string_view address, const net::server_limits &limits) -> void;
 
     /// \brief Starts the server for other hosts at "IP:port".
-    auto listenForPeers(std::string_view address) -> void;
+    auto listenForPeers(std::string_view address, const net::server_limits &limits) -> void;
 
     /// \brief Stops accepting requests of callers and calls \p done once all pending ones are answered.
     auto drain(std::function<void()> done) -> void;
@@ -32,6 +32,7 @@
 private:
     auto handleCallerRequest(const net::http_request &call, const std::shared_ptr<net::responder> &caller) -> void;
     auto handlePeerRequest(const net::http_request &call, const std::shared_ptr<net::responder> &peer) -> void;
+    auto refuseUnread(std::string_view listener, const core::error &problem) -> net::http_response;
     auto logRefusal(const net::http_request &call, const caller_refusal &refusal) -> void;
     auto recordRequestTime(std::string_view verb, int status, core::duration elapsed) -> void;
 
--- a/src/poplarpass/net/constants.h
+++ b/src/poplarpass/net/constants.h
@@ -23,6 +23,8 @@
     core::duration drainIdleTimeout = std::chrono::milliseconds{500}; ///< Replaces idleTimeout while draining.
     core::duration lingerTimeout = std::chrono::seconds{1}; ///< For the caller to read the response before the close.
     std::size_t maxConnections = 4096; ///< Open connections; others wait in the listen backlog.
+    std::size_t memoryBytes = std::size_t{256} * 1024 * 1024; ///< Maximum memory that all connections hold together:
+                                                              ///< buffers, requests and responses.
 };
 
 /// \brief Limits of an HTTP client.
@@ -48,5 +50,10 @@
 inline constexpr std::size_t lingerBytes = std::size_t{1024} * 1024;
 inline constexpr std::chrono::milliseconds acceptRetryDelay{100};
 inline constexpr std::chrono::milliseconds evictableIdleTime{100};
+inline constexpr std::chrono::milliseconds evictableReadingTime{1000};
+// Estimated size of a connection without its buffer: socket, timer, parser and fields.
+inline constexpr std::size_t connectionBytes = std::size_t{2} * 1024;
+// A request that is handled exists as received, as parsed, and in the message to the owner or to the store.
+inline constexpr std::size_t requestCopies = 3;
 } // namespace internal
 } // namespace poplarpass::net
--- a/src/poplarpass/net/http_connection.cpp
+++ b/src/poplarpass/net/http_connection.cpp
@@ -12,6 +12,7 @@
 {
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
+using release_order = memory_budget::release_order;
 
 auto isTooLarge(boost::system::error_code problem) -> bool
 {
@@ -35,6 +36,7 @@
     , m_timer{m_socket.get_executor()}
     , m_context{std::move(context)}
     , m_buffer{m_context->limits.headerBytes + bodyReadBytes}
+    , m_id{m_context->nextId++}
 {
 }
 
@@ -50,6 +52,25 @@
     return m_phase == phase::idle ? now - m_idleSince : std::chrono::nanoseconds{0};
 }
 
+auto http_connection::readingTime(std::chrono::steady_clock::time_point now) const -> std::chrono::nanoseconds
+{
+    return m_phase == phase::reading ? now - m_readingSince : std::chrono::nanoseconds{0};
+}
+
+auto http_connection::id() const -> memory_budget::holder_id
+{
+    return m_id;
+}
+
+auto http_connection::giveWay() -> void
+{
+    if (m_phase == phase::reading) {
+        refuseOverloaded();
+    } else {
+        close();
+    }
+}
+
 auto http_connection::close() -> void
 {
     if (m_phase == phase::closed) {
@@ -61,6 +82,7 @@
     m_timer.cancel();
     error_code ignored;
     m_socket.close(ignored);
+    m_context->memory.remove(m_id);
     notifyDisconnect();
     m_context->onClosed(*this);
 }
@@ -90,6 +112,7 @@
     if (!m_readPending && m_buffer.capacity() > readChunkBytes) {
         m_buffer.shrink_to_fit();
     }
+    holdMemory(0, release_order::never);
     const auto &limits = m_context->limits;
     armTimer(m_context->draining ? limits.drainIdleTimeout : limits.idleTimeout);
     if (!m_readPending) {
@@ -152,6 +175,7 @@
 {
     m_phase = phase::reading;
     m_messageBytes = 0;
+    m_readingSince = std::chrono::steady_clock::now();
     m_parser.emplace();
     m_parser->header_limit(m_context->limits.headerBytes);
     m_parser->body_limit(bodyLimit());
@@ -234,11 +258,30 @@
         onReadFailed(http::error::buffer_overflow);
     } else if (m_messageBytes > maxMessageBytes) {
         onReadFailed(http::error::body_limit);
-    } else {
+    } else if (mayHold(m_parser->get().body().capacity(), release_order::by_size)) {
         readSome();
+    } else {
+        refuseOverloaded();
     }
 }
 
+auto http_connection::holdMemory(std::size_t requestBytes, release_order order) -> void
+{
+    const auto bytes = connectionBytes + std::max(m_buffer.capacity(), readChunkBytes) + requestBytes;
+    m_context->memory.set(m_id, {bytes, order, m_readingSince});
+}
+
+auto http_connection::mayHold(std::size_t requestBytes, release_order order) -> bool
+{
+    holdMemory(requestBytes, order);
+    return !m_context->memory.isExceeded() || m_context->makeRoom(*this);
+}
+
+auto http_connection::refuseOverloaded() -> void
+{
+    answerError(core::error_kind::overloaded, "this host holds too much for its callers");
+}
+
 auto http_connection::onReadFailed(error_code problem) -> void
 {
     if (problem == http::error::body_limit && m_context->bodyLimit) {
@@ -280,6 +323,11 @@
 
 auto http_connection::dispatch() -> void
 {
+    // A complete request does not give way to those that are still being read.
+    if (!mayHold(requestCopies * m_parser->get().body().size(), release_order::never)) {
+        refuseOverloaded();
+        return;
+    }
     auto request = extractRequest();
     m_phase = phase::handling;
     ++m_timerSerial;
@@ -311,6 +359,7 @@
     m_phase = phase::writing;
     m_onDisconnect = nullptr;
     prepareMessage(std::move(response));
+    holdMemory(m_message->body().capacity(), release_order::by_size);
     write();
 }
 
@@ -357,6 +406,8 @@
 auto http_connection::linger() -> void
 {
     m_phase = phase::lingering;
+    m_message.reset();
+    holdMemory(0, release_order::first);
     error_code problem;
     m_socket.shutdown(tcp::socket::shutdown_send, problem);
     if (problem || m_peerClosed) {
--- a/src/poplarpass/net/http_connection.h
+++ b/src/poplarpass/net/http_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <poplarpass/net/http_server.h>
+#include <poplarpass/net/memory_budget.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,10 +17,19 @@
 /// \brief State shared by all connections of a server.
 struct connection_context
 {
+    explicit connection_context(const server_limits &serverLimits)
+        : limits{serverLimits}
+    {
+    }
+
     server_limits limits;
     http_handler handler; ///< Handles complete requests.
     error_responder onError; ///< Creates the response to a request that could not be read.
     std::function<std::uint64_t()> bodyLimit; ///< Replaces limits.bodyBytes; the handler refuses larger bodies.
+    memory_budget memory{limits.memoryBytes}; ///< What the connections hold.
+    std::function<bool(http_connection &)> makeRoom; ///< Makes others give way while the budget is exceeded; returns
+                                                     ///< whether the connection itself may go on.
+    memory_budget::holder_id nextId = 0; ///< Identifier of the next connection.
     bool draining = false; ///< Whether connections are closed after the next response.
     std::function<void(http_connection &)> onClosed; ///< Called once by each connection when it closes.
 };
@@ -33,6 +43,12 @@
     /// \brief Starts reading requests.
     auto start() -> void;
 
+    /// \brief Returns the identifier of this connection, unique within its server.
+    [[nodiscard]] auto id() const -> memory_budget::holder_id;
+
+    /// \brief Frees what this connection holds: refuses the request that is being read, or closes the socket.
+    auto giveWay() -> void;
+
     /// \brief Closes the socket immediately.
     auto close() -> void;
 
@@ -48,6 +64,9 @@
     /// \brief Returns the time since the last request; zero while one is being read, handled or answered.
     [[nodiscard]] auto idleTime(std::chrono::steady_clock::time_point now) const -> std::chrono::nanoseconds;
 
+    /// \brief Returns the time since the first byte of the request that is being read; zero if none is.
+    [[nodiscard]] auto readingTime(std::chrono::steady_clock::time_point now) const -> std::chrono::nanoseconds;
+
 private:
     enum class phase {
         idle,
@@ -75,6 +94,9 @@
     auto dispatch() -> void;
     auto dispatchTooLarge() -> void;
     [[nodiscard]] auto bodyLimit() const -> std::uint64_t;
+    auto holdMemory(std::size_t requestBytes, memory_budget::release_order order) -> void;
+    auto mayHold(std::size_t requestBytes, memory_budget::release_order order) -> bool;
+    auto refuseOverloaded() -> void;
     auto extractRequest() -> http_request;
     auto answerError(core::error_kind kind, std::string detail) -> void;
     auto prepareMessage(http_response response) -> void;
@@ -90,12 +112,14 @@
     boost::asio::steady_timer m_timer;
     std::shared_ptr<connection_context> m_context;
     boost::beast::flat_buffer m_buffer;
+    memory_budget::holder_id m_id;
     std::optional<beast_parser> m_parser;
     std::optional<beast_response> m_message;
     std::function<void()> m_onDisconnect;
     std::string m_requestId;
     phase m_phase = phase::idle;
     std::chrono::steady_clock::time_point m_idleSince;
+    std::chrono::steady_clock::time_point m_readingSince;
     std::uint64_t m_timerSerial = 0;
     std::size_t m_discardedBytes = 0;
     std::uint64_t m_messageBytes = 0; ///< Of the request that is being read, as sent.
--- a/src/poplarpass/net/http_server.cpp
+++ b/src/poplarpass/net/http_server.cpp
@@ -33,6 +33,10 @@
 
     auto start() -> void
     {
+        m_context->makeRoom = [weak = weak_from_this()](http_connection &connection) {
+            const auto self = weak.lock();
+            return self && self->makeRoom(connection);
+        };
         m_context->onClosed = [weak = weak_from_this()](http_connection &connection) {
             if (const auto self = weak.lock()) {
                 self->remove(connection);
@@ -129,7 +133,7 @@
             if (!self->m_acceptor.is_open()) {
                 return;
             }
-            if (problem || (self->isFull() && !self->evictIdleConnection())) {
+            if (problem || (self->isFull() && !self->evictConnection())) {
                 self->scheduleAcceptRetry();
             } else {
                 self->accept();
@@ -153,7 +157,7 @@
     auto add(tcp::socket socket) -> void
     {
         const auto connection = std::make_shared<http_connection>(std::move(socket), m_context);
-        m_connections.emplace(connection.get(), connection);
+        m_connections.emplace(connection->id(), connection);
         connection->start();
     }
 
@@ -164,24 +168,44 @@
 
     // At the limit, the connection with the longest idle time is closed in favour of a new one. A connection that
     // became idle less than evictableIdleTime ago may have a request in flight, so it stays open and the new one waits
-    // in the backlog.
-    auto evictIdleConnection() -> bool
+    // in the backlog. Without an idle one, the request that takes longest to arrive gives way.
+    auto evictConnection() -> bool
     {
         const auto now = std::chrono::steady_clock::now();
-        const auto oldest = std::ranges::max_element(m_connections, {},
-                                                     [now](const auto &entry) { return entry.second->idleTime(now); });
-        if (oldest == m_connections.end() || oldest->second->idleTime(now) < evictableIdleTime) {
+        return evictLongest([now](const auto &entry) { return entry.second->idleTime(now); }, evictableIdleTime)
+            || evictLongest([now](const auto &entry) { return entry.second->readingTime(now); }, evictableReadingTime);
+    }
+
+    template <class time_function>
+    auto evictLongest(const time_function &timeOf, std::chrono::nanoseconds minimum) -> bool
+    {
+        const auto longest = std::ranges::max_element(m_connections, {}, timeOf);
+        if (longest == m_connections.end() || timeOf(*longest) < minimum) {
             return false;
         }
-        const auto connection = oldest->second;
-        m_connections.erase(oldest);
+        const auto connection = longest->second;
+        m_connections.erase(longest);
         connection->close();
         return true;
     }
 
+    auto makeRoom(http_connection &requester) -> bool
+    {
+        while (m_context->memory.isExceeded()) {
+            const auto next = m_context->memory.nextToRelease();
+            const auto found = next ? m_connections.find(*next) : m_connections.end();
+            if (found == m_connections.end() || found->second.get() == &requester) {
+                return false;
+            }
+            const auto connection = found->second;
+            connection->giveWay();
+        }
+        return true;
+    }
+
     auto remove(http_connection &connection) -> void
     {
-        m_connections.erase(&connection);
+        m_connections.erase(connection.id());
         accept();
         finishDrain();
     }
@@ -216,7 +240,7 @@
     boost::asio::steady_timer m_retryTimer;
     tcp::endpoint m_endpoint;
     std::shared_ptr<connection_context> m_context;
-    std::unordered_map<http_connection *, std::shared_ptr<http_connection>> m_connections;
+    std::unordered_map<memory_budget::holder_id, std::shared_ptr<http_connection>> m_connections;
     std::function<void()> m_onDrained;
     bool m_accepting = false;
 };
@@ -263,15 +287,18 @@
 auto defaultErrorResponse(const core::error &problem) -> http_response
 {
     const auto &answer = core::errorSpecOf(problem.kind);
-    return makeResponse(answer.httpStatus, R"({"error":")" + std::string{answer.name} + R"("})");
+    auto response = makeResponse(answer.httpStatus, R"({"error":")" + std::string{answer.name} + R"("})");
+    if (answer.retryAfter.count() > 0) {
+        response.headers.push_back({"Retry-After", std::to_string(answer.retryAfter.count())});
+    }
+    return response;
 }
 
 http_server::http_server(boost::asio::io_context &loop, std::string_view address, const server_limits &limits,
                          http_handler handler, error_responder onError)
 {
     assert(handler && onError);
-    auto context = std::make_shared<internal::connection_context>();
-    context->limits = limits;
+    auto context = std::make_shared<internal::connection_context>(limits);
     context->handler = std::move(handler);
     context->onError = std::move(onError);
     m_state = std::make_shared<internal::server_state>(loop, internal::parseEndpoint(address), std::move(context));
--- a/src/poplarpass/net/http_server.h
+++ b/src/poplarpass/net/http_server.h
@@ -51,11 +51,11 @@
 /// \brief Handles one request; called from the event loop.
 using http_handler = std::function<void(http_request, std::shared_ptr<responder>)>;
 
-/// \brief Creates the response to a request that could not be read: invalid_request, payload_too_large,
-/// request_timeout.
+/// \brief Creates the response to a request that was not passed to the handler: invalid_request, payload_too_large,
+/// request_timeout, overloaded.
 using error_responder = std::function<http_response(const core::error &)>;
 
-/// \brief Returns a response with the HTTP status of the error kind and its wire name as JSON.
+/// \brief Returns a response with the HTTP status and the Retry-After of the error kind and its wire name as JSON.
 auto defaultErrorResponse(const core::error &problem) -> http_response;
 
 /// \brief HTTP/1.1 server on one address; runs on the given event loop.
--- a/tests/io/authentication_test.cpp
+++ b/tests/io/authentication_test.cpp
@@ -372,7 +372,7 @@
     auto &receiver = system.receiver;
     host::request_server server{loop, receiver.clock, *receiver.core, *receiver.log, receiver.metrics};
     const auto address = refusingAddress(loop);
-    server.listenForCallers(address);
+    server.listenForCallers(address, net::server_limits{});
     raw_peer peer{loop, static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)))};
     peer.receive();
     const auto stateOverConnection = [&] {
--- a/tests/io/http_test.cpp
+++ b/tests/io/http_test.cpp
@@ -1,6 +1,7 @@
 #include "io_fixture.h"
 #include "test_seed.h"
 
+#include <algorithm>
 #include <random>
 
 using namespace tests;
@@ -97,7 +98,8 @@
     SECTION("a chunk extension without end")
     {
         expected = 413;
-        peer.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" + std::string(32 * 1024, 'x'));
+        peer.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;x="
+                  + std::string(std::size_t{32} * 1024, 'x'));
     }
     SECTION("many chunk extensions")
     {
@@ -279,6 +281,57 @@
     runUntil([&] { return first->completions + second->completions + third->completions == 3; });
 }
 
+// Guards against a bound for each request only: many clients together would hold any amount of memory.
+TEST_CASE_METHOD(io_fixture, "requests that are not completed give way when all together hold too much", "[http]")
+{
+    constexpr std::size_t bodyBytes = 200'000;
+    net::server_limits limits;
+    limits.memoryBytes = 6 * bodyBytes;
+    std::size_t handled = 0;
+    net::http_server server{loop, "127.0.0.1:0", limits,
+                            [&](const net::http_request &request, const responder_handle &answer) {
+                                ++handled;
+                                echo(request, answer);
+                            }};
+    std::vector<std::unique_ptr<raw_peer>> slow;
+    for (int index = 0; index < 10; ++index) {
+        slow.push_back(std::make_unique<raw_peer>(loop, server.port()));
+        slow.back()->receive();
+        slow.back()->send("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\nx");
+    }
+    const auto isClosed = [](const auto &peer) {
+        return peer->closed;
+    };
+    runUntil([&] { return std::ranges::count_if(slow, isClosed) >= 5; });
+    const auto refused = std::ranges::find_if(slow, isClosed);
+    CHECK(statusOf(**refused) == 503);
+    CHECK((*refused)->received.find("Retry-After: 1") != std::string::npos);
+    CHECK(handled == 0);
+    CHECK(call(server.address(), {"POST", "/ordinary", {}, "body"}).answer->status == 200);
+    CHECK_FALSE(slow.back()->closed);
+    slow.back()->send(std::string(bodyBytes - 1, 'x'));
+    runUntil([&] { return handled == 2; });
+    CHECK(call(server.address(), {"POST", "/large", {}, std::string(bodyBytes, 'x')}).answer->status == 200);
+}
+
+// Guards against clients that keep others out with requests that they never complete.
+TEST_CASE_METHOD(io_fixture, "at the connection limit the request that takes longest to arrive gives way", "[http]")
+{
+    net::server_limits limits;
+    limits.maxConnections = 2;
+    net::http_server server{loop, "127.0.0.1:0", limits, echo};
+    raw_peer first{loop, server.port()};
+    first.receive();
+    first.send("GET / HT");
+    runUntil([&] { return server.connectionCount() == 1; });
+    raw_peer second{loop, server.port()};
+    second.receive();
+    second.send("GET / HT");
+    CHECK(call(server.address(), {"POST", "/ordinary", {}, "body"}).answer->status == 200);
+    CHECK(first.closed);
+    CHECK_FALSE(second.closed);
+}
+
 TEST_CASE_METHOD(io_fixture, "a large response is received completely", "[http]")
 {
     const std::string large(std::size_t{12} * 1024 * 1024, 'z');
