Hold no answered request until its time limit

What callers saw: a host that ran out of memory while clients pipelined requests, whether they read the answers or not.

Cause: the forwarder started a timer for each request that gives it up at its time limit. The timer held the request, its body, its connection and its answer callback until then, 2 s and more after the answer.

One timer now serves all requests: they are kept in the order of their time limits and dropped with their answer. The times at which requests are given up stay the same.

The new test of the forwarder fails on the code before.

--- a/src/poplarpass/host/request_forwarder.cpp
+++ b/src/poplarpass/host/request_forwarder.cpp
@@ -16,6 +16,7 @@
     client_request request;
     response_callback answer;
     core::monotonic_time receivedAt{};
+    core::monotonic_time dueAt{}; ///< When it is given up.
     bool maybeCarriedOut = false; ///< Whether a copy that was sent may have been, or may still be, carried out.
     std::uint64_t unsettledEpoch = 0; ///< Highest epoch to which such a copy was sent.
     std::uint64_t answeredEpoch = 0; ///< Highest epoch of an owner that answered for itself.
@@ -49,43 +50,71 @@
         return;
     }
     auto entry = std::make_shared<forwarded_request>();
-    m_unanswered.insert(entry);
     entry->request = std::move(request);
     entry->request.attempt = m_env.processName + "/" + std::to_string(++m_attempts);
     entry->answer =
         m_lifetime.guard([this, weak = std::weak_ptr{entry}, answer = std::move(answer)](net::http_response response) {
-            m_unanswered.erase(weak.lock());
+            if (const auto answered = weak.lock()) {
+                m_unanswered.erase({answered->dueAt, answered});
+            }
             answer(std::move(response));
         });
     entry->receivedAt = m_env.time.now();
     const auto timeLimit = std::chrono::duration<double, std::micro>{time} * requestTimeoutFraction;
-    abandonAfter(entry, std::chrono::duration_cast<core::duration>(timeLimit));
-    if (m_deadline) {
-        abandonAfter(entry, *m_deadline - m_env.time.now());
-    }
+    const auto dueAt = entry->receivedAt + std::chrono::duration_cast<core::duration>(timeLimit);
+    abandonBy(entry, m_deadline ? std::min(dueAt, *m_deadline) : dueAt);
     forward(entry);
 }
 
 auto request_forwarder::answerBy(core::monotonic_time deadline) -> void
 {
     m_deadline = deadline;
-    for (const auto &entry : m_unanswered) {
-        abandonAfter(entry, deadline - m_env.time.now());
+    const auto unanswered = m_unanswered;
+    for (const auto &[dueAt, entry] : unanswered) {
+        abandonBy(entry, std::min(dueAt, deadline));
     }
 }
 
-auto request_forwarder::abandonAfter(const std::shared_ptr<forwarded_request> &entry, core::duration delay) -> void
+auto request_forwarder::abandonBy(const std::shared_ptr<forwarded_request> &entry, core::monotonic_time time) -> void
 {
-    m_env.time.callAfter(std::max(delay, core::duration{0}), m_lifetime.guard([this, entry] {
-        if (!entry->answered) {
-            if (entry->awaitingAnswer) {
-                markMaybeCarriedOut(entry);
-            }
-            abandon(entry);
+    m_unanswered.erase({entry->dueAt, entry});
+    entry->dueAt = time;
+    m_unanswered.emplace(time, entry);
+    awaitNextDue();
+}
+
+// One timer serves all requests: a timer for each would keep answered requests in memory until their time limit.
+auto request_forwarder::awaitNextDue() -> void
+{
+    if (m_unanswered.empty()) {
+        return;
+    }
+    const auto next = m_unanswered.begin()->first;
+    if (m_wakeAt && *m_wakeAt <= next) {
+        return;
+    }
+    m_wakeAt = next;
+    m_env.time.callAfter(std::max(next - m_env.time.now(), core::duration{0}), m_lifetime.guard([this, next] {
+        if (m_wakeAt == next) {
+            m_wakeAt.reset();
         }
+        abandonDue();
     }));
 }
 
+auto request_forwarder::abandonDue() -> void
+{
+    const auto now = m_env.time.now();
+    while (!m_unanswered.empty() && m_unanswered.begin()->first <= now) {
+        const auto entry = m_unanswered.begin()->second;
+        if (entry->awaitingAnswer) {
+            markMaybeCarriedOut(entry);
+        }
+        abandon(entry);
+    }
+    awaitNextDue();
+}
+
 auto request_forwarder::forward(const std::shared_ptr<forwarded_request> &entry) -> void
 {
     if (entry->answered) {
--- a/src/poplarpass/host/request_forwarder.h
+++ b/src/poplarpass/host/request_forwarder.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace poplarpass::host
 {
@@ -59,7 +60,9 @@
     auto markMaybeCarriedOut(const std::shared_ptr<forwarded_request> &entry) -> void;
     auto onAnswer(const std::shared_ptr<forwarded_request> &entry, net::http_response response) -> void;
     auto retry(const std::shared_ptr<forwarded_request> &entry) -> void;
-    auto abandonAfter(const std::shared_ptr<forwarded_request> &entry, core::duration delay) -> void;
+    auto abandonBy(const std::shared_ptr<forwarded_request> &entry, core::monotonic_time time) -> void;
+    auto awaitNextDue() -> void;
+    auto abandonDue() -> void;
     auto abandon(const std::shared_ptr<forwarded_request> &entry) -> void;
 
     forwarder_environment m_env;
@@ -68,7 +71,9 @@
     std::string m_calledOwner; ///< Address of the last call to the owner.
     core::monotonic_time m_calledAt{}; ///< When it was sent.
     std::uint64_t m_newestVersion = 0;
-    std::set<std::shared_ptr<forwarded_request>> m_unanswered;
+    std::set<std::pair<core::monotonic_time, std::shared_ptr<forwarded_request>>>
+        m_unanswered; ///< With the time by which each is given up.
+    std::optional<core::monotonic_time> m_wakeAt; ///< When the next timer for them expires.
     std::optional<core::monotonic_time> m_deadline; ///< By when all requests must be answered.
     core::lifetime m_lifetime;
 };
--- a/tests/io/request_forwarder_test.cpp
+++ b/tests/io/request_forwarder_test.cpp
@@ -111,6 +111,38 @@
 }
 
 // Guards against a caller whose connection ends without an answer: its host stops while the request waits for an owner.
+// Guards against clients that make a host hold answered requests until their time limits: 16 of them that pipelined
+// requests took more than 190 MB.
+TEST_CASE("A request that has been answered is not held until its time limit", "[host]")
+{
+    forwarder_fixture fixture;
+    auto held = std::make_shared<int>(0);
+    const std::weak_ptr<int> isHeld = held;
+    fixture.forwarder->handleRequest({}, std::chrono::seconds{3},
+                                     [held = std::exchange(held, nullptr)](const auto &) { ++*held; });
+    REQUIRE(fixture.forwarded.size() == 1);
+    CHECK_FALSE(isHeld.expired());
+    std::exchange(fixture.forwarded, {}).front()({poplarpass::net::makeResponse(200, "{}"), true});
+    CHECK(isHeld.expired());
+}
+
+TEST_CASE("Each request is given up at its own time limit, in whichever order they came", "[host]")
+{
+    forwarder_fixture fixture;
+    fixture.owner.reset();
+    std::vector<int> givenUp;
+    for (const int seconds : {3, 1, 2}) {
+        fixture.forwarder->handleRequest({}, std::chrono::seconds{seconds},
+                                         [&givenUp, seconds](const auto &) { givenUp.push_back(seconds); });
+    }
+    fixture.time.runFor(std::chrono::milliseconds{1000});
+    CHECK(givenUp == std::vector<int>{1});
+    fixture.time.runFor(std::chrono::milliseconds{1000});
+    CHECK(givenUp == std::vector<int>{1, 2});
+    fixture.time.runFor(std::chrono::milliseconds{1000});
+    CHECK(givenUp == std::vector<int>{1, 2, 3});
+}
+
 TEST_CASE("A stopping host answers the requests that wait, and later ones, before it ends", "[host]")
 {
     const bool hasOwner = GENERATE(false, true);
