A task starts elsewhere only after the run that its restarted worker lists

Cause: run 1 was given up and stopped, run 2 was acknowledged by the same worker, which restarted. A late copy of the start of run 1 began that run again. The first report of the new incarnation listed it, and the same report ended run 2: run 3 began elsewhere in the same millisecond, while the stop of run 1 had only just been ordered.

Evidence: run 1 begins at 15.296 s, 6.3 s late; worker_regained, run_lost reason=worker_restarted (run 2), stray_run (run 1) and task_placed (run 3) are all of 15.774 s; run 1 ends as stopped at 15.982 s.

Change: a run that ended with its worker's former incarnation stays placed, and is closed, while a report lists another run of its task there.

A stray run on a worker where its task is not placed still delays nothing.

--- a/src/poplarpass/jobs/job_engine_reports.cpp
+++ b/src/poplarpass/jobs/job_engine_reports.cpp
@@ -24,6 +24,11 @@
     return sentAt - std::chrono::duration_cast<core::duration>(age);
 }
 
+auto listsTask(const renewal_report &report, const std::string &task) -> bool
+{
+    return std::ranges::find(report.running, task, &running_run::task) != report.running.end();
+}
+
 auto runsListedIn(const renewal_report &report) -> std::unordered_set<std::string>
 {
     std::unordered_set<std::string> listed;
@@ -126,7 +131,8 @@
 
 // A run that the worker acknowledged before its current incarnation started has ended with the earlier one. A start
 // that was in flight during the restart may have reached either incarnation; its answer and the next report decide. If
-// an earlier copy of its start may still arrive, the run is stopped, so that the new incarnation rejects that copy.
+// an earlier copy of its start may still arrive, or another run of its task goes on there, the run is stopped: the new
+// incarnation rejects that copy, and the task waits for the end of that run.
 auto job_engine::resolveEarlierIncarnation(worker_slot &worker, const renewal_report &report,
                                            core::monotonic_time sentAt, core::monotonic_time now) -> void
 {
@@ -142,7 +148,7 @@
         const bool mayStillStart =
             state->hasOpenStart && worker.leaseSentAt && now < *worker.leaseSentAt + maxCallDelay;
         const bool hasEnded = state->acknowledged && state->acknowledgedAt < startedAfter;
-        if (hasEnded && !mayStillStart) {
+        if (hasEnded && !mayStillStart && !listsTask(report, nameOf(task))) {
             ++m_counters.runsLost;
             logRunLost(task, worker, *state, "worker_restarted");
             resetToWaiting(task, *job, *state, now, "worker_restarted");
@@ -308,6 +314,10 @@
         orderStop(worker.entry.id, running.task, running.run);
         logEvent("stray_run", running.task, worker.entry.id, running.run, "not_current");
         onStrayRun(worker, running, now);
+        if (job != nullptr && worker.placed.contains(*task)) {
+            // The task has to wait for the end of this run before its next one.
+            state->reportedAt = now;
+        }
         return;
     }
     markStarted(*job, worker);
--- a/tests/decisions/restart_in_place_test.cpp
+++ b/tests/decisions/restart_in_place_test.cpp
@@ -226,6 +226,31 @@
     CHECK(fixture.task().phase != jobs::task_phase::waiting);
 }
 
+// Guards against two runs: a late copy of an earlier run's start was carried out by the next incarnation, while the run
+// that it lost was started elsewhere at once.
+TEST_CASE("A task of which a restarted worker lists an earlier run starts elsewhere only after that run", "[jobs]")
+{
+    restart_fixture fixture;
+    auto &engine = fixture.engine;
+    engine.onStartAnswer(fixture.order, jobs::run_start_answer::unknown, at(910));
+    engine.plan(at(911), wallAt(911));
+    engine.onStartAnswer(engine.drainOrders().starts.at(0), jobs::run_start_answer::started, at(915));
+    auto stopped = report();
+    stopped.clockMs = 950;
+    stopped.ended.push_back(endOf(1, fixture.order, jobs::end_kind::stopped));
+    engine.onReport(fixture.order.worker, stopped, at(950), at(955));
+    REQUIRE(fixture.task().phase == jobs::task_phase::waiting);
+    engine.updateWorkers(std::vector{worker(fixture.order.worker.str())}, at(960));
+    const auto second = startAll(engine, 970);
+    REQUIRE(second.size() == 1);
+    REQUIRE(second.front().worker == fixture.order.worker);
+    REQUIRE(second.front().run > fixture.order.run);
+    engine.updateWorkers(std::vector{worker("a"), worker("b")}, at(1900));
+    engine.onReport(fixture.otherWorker(), report(), at(1900), at(1905));
+    engine.onReport(fixture.order.worker, fixture.reportAfterRestart(100, true), at(2000), at(2005));
+    CHECK(startAll(engine, 2006).empty());
+}
+
 // Guards against a job that is given up although its tasks never ran on the workers that crashed.
 TEST_CASE("A run that a restarted worker lists is no cause of its crash", "[jobs][crashes]")
 {
