A test of the longest lease after the last call of before has arrived

Cause: with the longer bound on calls the cases of restart_in_place_test no longer failed when the time at which a restart is noticed was ignored (found by review). Change: a case with a restart that is noticed later than any call can arrive.

--- a/tests/decisions/restart_in_place_test.cpp
+++ b/tests/decisions/restart_in_place_test.cpp
@@ -23,7 +23,7 @@
 /// The longest time after its sending at which a call is carried out.
 constexpr std::int64_t maxCallDelayMs = 12'000;
 
-/// The margin after the end of a lease, rounded up.
+/// At least the margin after the end of a lease and what longestLeaseMs is rounded by.
 constexpr std::int64_t marginMs = 196;
 
 /// An engine with one job of one task on one of two workers; the start was sent at 10 ms.
@@ -89,6 +89,21 @@
     CHECK(fixture.startsAt(10 + maxCallDelayMs + longestLeaseMs + marginMs) == 1);
 }
 
+// Guards against the same once all calls of before have arrived: the run may have begun just before the restart was
+// noticed.
+TEST_CASE("The longest lease counts from when a restart was noticed, if that is later than any call can arrive",
+          "[jobs]")
+{
+    restart_fixture fixture;
+    fixture.engine.onStartAnswer(fixture.order, jobs::run_start_answer::started, at(620));
+    constexpr std::int64_t noticedAt = 10 + maxCallDelayMs + 1000;
+    fixture.engine.onReport(fixture.order.worker, fixture.reportAfterRestart(300, true), at(noticedAt - 5),
+                            at(noticedAt));
+    fixture.engine.onNoReport(fixture.order.worker, at(noticedAt + 1000));
+    CHECK(fixture.startsAt(noticedAt + longestLeaseMs) == 0);
+    CHECK(fixture.startsAt(noticedAt + longestLeaseMs + marginMs) == 1);
+}
+
 // Guards against two runs: the restart was seen only in the answer to a start, and the worker was cut off before its
 // report.
 TEST_CASE("A start answered by a clock that began again counts as a restart", "[jobs]")
