A worker without an entry and runs is not asked

What callers saw: nothing yet. Cause: since such a worker is remembered until its leases have ended, but a renewal in progress was followed by the next one, each of which extends the lease, so it was kept for as long as it answered. Change: no renewal is sent to it; its entry brings the next one. Test: 'A worker without an entry and runs is not asked again until its entry is back' fails without the change (12 renewals in a second).

--- a/src/poplarpass/host/worker_links.cpp
+++ b/src/poplarpass/host/worker_links.cpp
@@ -53,7 +53,7 @@
     auto *worker = m_engine.workers().find(id);
     auto &state = m_links[id];
     state.busy = false;
-    if (worker == nullptr || worker->entry.address.empty() || !m_hooks.mayOrder()) {
+    if (worker == nullptr || worker->entry.address.empty() || worker->isIdleAndUnlisted() || !m_hooks.mayOrder()) {
         return;
     }
     if (state.incarnation != worker->entry.incarnation) {
--- a/tests/io/worker_links_test.cpp
+++ b/tests/io/worker_links_test.cpp
@@ -113,6 +113,16 @@
     CHECK(fixture.renewalsInNextSecond() >= 1);
 }
 
+// Guards against a worker that is kept for ever: each renewal would extend the lease for which it is remembered.
+TEST_CASE("A worker without an entry and runs is not asked again until its entry is back", "[host][workers]")
+{
+    links_fixture fixture{answered_renewals::all};
+    fixture.engine.updateWorkers(std::vector<jobs::worker_entry>{}, fixture.time.now());
+    REQUIRE(fixture.engine.workers().find(workerId) != nullptr);
+    fixture.time.runFor(host::renewalDelay + 2 * callTime);
+    CHECK(fixture.renewalsInNextSecond() == 0);
+}
+
 // Guards against an end that is acknowledged unseen: the number of the former incarnation was sent to the next one.
 TEST_CASE("The ends of a restarted worker are not acknowledged by the number of its earlier incarnation",
           "[host][workers]")
