Bound what clients hold by the machine's memory where the settings name none

The template of the settings does not pass the platform's memory limit on, and a machine may have less than the default of 256 MB. Without size.memory_mb the shares are now taken of the memory that the machine reports, and of 256 MB at most. The ten tests of unbounded input pass as before; the default itself was not played with a crowd.

--- a/src/poplarpass/host/host_process.cpp
+++ b/src/poplarpass/host/host_process.cpp
@@ -7,7 +7,9 @@
 #include <poplarpass/host/listener_limits.h>
 #include <poplarpass/observe/line_writer.h>
 
+#include <algorithm>
 #include <csignal>
+#include <sys/sysinfo.h>
 #include <system_error>
 #include <unistd.h>
 #include <utility>
@@ -27,6 +29,8 @@
 constexpr std::size_t orderConnectionsPerWorker = 10;
 constexpr std::size_t connectionsToStore = 16;
 constexpr std::size_t bytesPerMb = 1'000'000;
+// Without a setting, as a machine with more memory may run other processes.
+constexpr std::size_t maxDefaultMemoryBytes = 256 * bytesPerMb;
 
 auto loggerOptions(const settings::host_settings &settings, const core::time_source &time) -> observe::logger_options
 {
@@ -50,6 +54,18 @@
     return settings.keyWithdrawal ? std::optional<core::duration>{*settings.keyWithdrawal / 2} : std::nullopt;
 }
 
+auto memoryOf(const settings::host_settings &settings) -> std::size_t
+{
+    if (settings.memoryMb) {
+        return static_cast<std::size_t>(*settings.memoryMb) * bytesPerMb;
+    }
+    using machine_info = struct sysinfo;
+    machine_info machine{};
+    const bool isKnown = sysinfo(&machine) == 0;
+    return isKnown ? std::min(maxDefaultMemoryBytes, std::size_t{machine.totalram} * machine.mem_unit)
+                   : maxDefaultMemoryBytes;
+}
+
 auto clientLimits(std::size_t connections) -> net::client_limits
 {
     net::client_limits limits;
@@ -135,8 +151,7 @@
 auto host_process::listen() -> void
 {
     m_requestServer = std::make_unique<request_server>(m_loop, m_time, *m_core, m_log, m_metrics);
-    const auto limits = divideAmongListeners(static_cast<std::size_t>(m_settings.memoryMb) * bytesPerMb,
-                                             static_cast<std::size_t>(m_settings.maxDescriptors));
+    const auto limits = divideAmongListeners(memoryOf(m_settings), static_cast<std::size_t>(m_settings.maxDescriptors));
     m_requestServer->listenForCallers(m_settings.callers, limits.callers);
     m_requestServer->listenForPeers(m_settings.peers, limits.peers);
     const auto answer = [this](const net::http_request &request, const std::shared_ptr<net::responder> &caller) {
--- a/src/poplarpass/settings/host_settings.cpp
+++ b/src/poplarpass/settings/host_settings.cpp
@@ -52,7 +52,7 @@
 {
     settings.cores = in.number("processor_share", 0, maxCores) * in.number("processor_speed", 0, maxCores);
     settings.linkMbps = in.number("link_mbps", 0, maxLinkMbps);
-    settings.memoryMb = in.optionalInteger("memory_mb", minMemoryMb, maxMemoryMb).value_or(settings.memoryMb);
+    settings.memoryMb = in.optionalInteger("memory_mb", minMemoryMb, maxMemoryMb);
     settings.maxDescriptors =
         in.optionalInteger("max_descriptors", minDescriptors, maxDescriptors).value_or(settings.maxDescriptors);
 }
--- a/src/poplarpass/settings/host_settings.h
+++ b/src/poplarpass/settings/host_settings.h
@@ -26,7 +26,7 @@
     std::string advice; ///< "IP:port" of the placement advice service; empty if there is none.
     double cores = 1; ///< Processor time per second, cores.
     double linkMbps = 1000; ///< Bandwidth of the host's link, megabits per second.
-    int memoryMb = 256; ///< Memory that the process may use, MB (10^6 bytes).
+    std::optional<int> memoryMb; ///< Memory that the process may use, MB (10^6 bytes); by default what the machine has.
     int maxDescriptors = 4096; ///< File descriptors that the process may have open.
     std::chrono::milliseconds stopGrace{0}; ///< Time from the stop command to the end of the process.
     std::chrono::milliseconds holderTerm{0}; ///< Lease term during which commands for a host come from a single holder.
