--- a/tests/process/client_crowd.cpp
+++ b/tests/process/client_crowd.cpp
@@ -109,7 +109,7 @@
     tcp::endpoint m_server;
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
-    std::array<char, 16 * 1024> m_received{};
+    std::array<char, std::size_t{16} * 1024> m_received{};
     std::size_t m_sent = 0;
     unsigned m_serial = 0;
 };
