--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,7 +4,15 @@
 for program in target/bin/poplarpass target/review-3/scenario; do
     [ -x "$program" ] || exit 2
 done
-timeout -k 2 118 target/review-3/scenario advice-burst target/bin/poplarpass review/13/record.txt
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+TMPDIR=$folder target/review-3/scenario advice-burst target/bin/poplarpass review/13/record.txt &
+scenario=$!
+trap 'kill -TERM "$scenario" 2>/dev/null' HUP INT TERM
+wait "$scenario"
 result=$?
-[ "$result" -le 1 ] || exit 2
+if [ "$result" -gt 1 ]; then
+    wait "$scenario" 2>/dev/null
+    exit 2
+fi
 exit "$result"
--- a/review/world-3/world.cpp
+++ b/review/world-3/world.cpp
@@ -55,7 +55,10 @@
 /// \brief Identifiers of the processes of the system, for the signal handler.
 std::atomic<int> startedProcesses[16];
 
-// A scenario that is ended from outside ends its processes.
+/// \brief Seconds after which a scenario gives up.
+constexpr unsigned longestRunS = 112;
+
+// A scenario that is ended from outside, fails or takes too long ends its processes.
 extern "C" void endProcesses(int)
 {
     for (const auto &process : startedProcesses) {
@@ -783,8 +786,10 @@
 auto world::startSystem(int hosts, const std::string &program) -> void
 {
     binary = program;
-    std::signal(SIGTERM, endProcesses);
-    std::signal(SIGINT, endProcesses);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGALRM, SIGABRT, SIGSEGV}) {
+        std::signal(signal, endProcesses);
+    }
+    alarm(longestRunS);
     for (int number = 1; number <= hosts; ++number) {
         system_process process;
         process.name = "edge-" + std::to_string(number);
